Add the runtime base and the design

Cause: an empty repository; every part needs the same clock, tasks, errors, counters, logger and a common design document.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,102 @@
+# Sources are found by wildcard; a new module needs no edit here.
+BUILD ?= build
+CC = gcc
+CXX = g++
+PKGS = libevent evhtp libtirpc glib-2.0 jansson libxxhash openssl
+PKG_CFLAGS := $(shell pkg-config --cflags $(PKGS))
+PKG_LIBS := $(shell pkg-config --libs $(PKGS))
+TEST_CFLAGS := $(shell pkg-config --cflags cunit lua5.4)
+TEST_LIBS := $(shell pkg-config --libs cunit lua5.4)
+OPT ?= -O2
+SAN ?=
+WARN = -Wall -Wextra -Werror -Wshadow -Wstrict-prototypes \
+	-Wmissing-prototypes -Wno-unused-parameter
+CPPFLAGS += -Iinclude -Isrc/libmasticmux/include -Isrc -D_GNU_SOURCE
+CFLAGS += -std=gnu11 $(OPT) -g -fno-omit-frame-pointer $(SAN)
+CXXFLAGS += -std=c++17 $(OPT) -g $(SAN) -Wall -Wextra -Werror
+
+LIB_SRC := $(wildcard src/libmasticmux/*.c)
+SHARE_SRC := $(wildcard src/share/*.c)
+SHARE_CXX := $(wildcard src/share/*.cc)
+PROGRAM_SRC := $(wildcard src/masticmux/*.c)
+STANDIN_SRC := $(wildcard src/standin/*.c)
+TEST_SRC := $(wildcard src/test_libmasticmux/*.c)
+SCENARIO_SRC := $(wildcard test/*.c)
+BENCH_SRC := $(wildcard bench/*.c)
+
+obj = $(patsubst %.c,$(BUILD)/obj/%.o,$(patsubst %.cc,$(BUILD)/obj/%.o,$(1)))
+LIB_OBJ := $(call obj,$(LIB_SRC) $(SHARE_SRC) $(SHARE_CXX))
+LIB := $(BUILD)/libmasticmux.a
+FORMAT_SRC := $(LIB_SRC) $(SHARE_SRC) $(SHARE_CXX) $(PROGRAM_SRC) \
+	$(STANDIN_SRC) $(TEST_SRC) $(SCENARIO_SRC) $(BENCH_SRC) \
+	$(wildcard include/masticmux/*.h src/*/*.h test/*.h bench/*.h \
+	src/libmasticmux/include/private/*.h)
+LINT_SRC := $(LIB_SRC) $(SHARE_SRC) $(PROGRAM_SRC) $(STANDIN_SRC) \
+	$(TEST_SRC) $(SCENARIO_SRC) $(BENCH_SRC)
+BENCHES := $(patsubst bench/%.c,$(BUILD)/bench/%,$(BENCH_SRC))
+
+programs = $(if $(PROGRAM_SRC),$(BUILD)/masticmux) \
+	$(if $(STANDIN_SRC),$(BUILD)/masticmux-standin) \
+	$(if $(TEST_SRC),$(BUILD)/unit-tests) \
+	$(if $(SCENARIO_SRC),$(BUILD)/scenario-tests) $(BENCHES)
+
+all: $(programs)
+
+$(LIB): $(LIB_OBJ)
+	@mkdir -p $(@D)
+	@rm -f $@
+	@ar rcs $@ $^
+
+$(BUILD)/masticmux: $(call obj,$(PROGRAM_SRC)) $(LIB)
+	@$(CXX) $(SAN) -o $@ $^ $(PKG_LIBS) -lm
+
+$(BUILD)/masticmux-standin: $(call obj,$(STANDIN_SRC)) $(LIB)
+	@$(CXX) $(SAN) -o $@ $^ $(PKG_LIBS) -lm
+
+$(BUILD)/unit-tests: $(call obj,$(TEST_SRC)) $(LIB)
+	@$(CXX) $(SAN) -o $@ $^ $(PKG_LIBS) $(TEST_LIBS) -lm
+
+$(BUILD)/scenario-tests: $(call obj,$(SCENARIO_SRC)) $(LIB)
+	@$(CXX) $(SAN) -o $@ $^ $(PKG_LIBS) $(TEST_LIBS) -lm
+
+$(BUILD)/bench/%: $(BUILD)/obj/bench/%.o $(LIB)
+	@mkdir -p $(@D)
+	@$(CXX) $(SAN) -o $@ $^ $(PKG_LIBS) -lm
+
+$(BUILD)/obj/%.o: %.c
+	@mkdir -p $(@D)
+	@$(CC) $(CPPFLAGS) $(PKG_CFLAGS) $(TEST_CFLAGS) $(CFLAGS) $(WARN) \
+		-MMD -MP -c -o $@ $<
+
+$(BUILD)/obj/%.o: %.cc
+	@mkdir -p $(@D)
+	@$(CXX) $(CPPFLAGS) $(PKG_CFLAGS) $(CXXFLAGS) -MMD -MP -c -o $@ $<
+
+test: all
+	$(BUILD)/unit-tests
+	$(if $(SCENARIO_SRC),$(BUILD)/scenario-tests test)
+
+sanitize:
+	$(MAKE) BUILD=build-sanitize OPT=-O1 \
+		SAN="-fsanitize=address,undefined -fno-sanitize-recover=undefined" test
+
+format:
+	clang-format -i $(FORMAT_SRC)
+
+format-check:
+	clang-format --dry-run -Werror $(FORMAT_SRC)
+
+LINT_FLAGS = $(CPPFLAGS) $(PKG_CFLAGS) $(TEST_CFLAGS) -std=gnu11
+
+lint:
+	@printf '%s\n' $(LINT_SRC) | xargs -P 10 -n 1 sh -c \
+		'clang-tidy --quiet "$$@" -- $(LINT_FLAGS) 2>/dev/null' lint
+	@sh scripts/lint-static.sh
+
+clean:
+	rm -rf build build-sanitize
+
+-include $(shell find $(BUILD)/obj -name '*.d' 2>/dev/null)
+
+.PHONY: all test sanitize format format-check lint clean
+.SECONDARY:
--- /dev/null
+++ b/src/test_libmasticmux/suites.c
@@ -0,0 +1,8 @@
+#include "suites.h"
+
+CU_SuiteInfo mmx_test_suites[] = {
+	{"clock", NULL, NULL, NULL, NULL, mmx_tests_clock},
+	{"error", NULL, NULL, NULL, NULL, mmx_tests_error},
+	{"task", NULL, NULL, NULL, NULL, mmx_tests_task},
+	CU_SUITE_INFO_NULL,
+};
