--- /dev/null
+++ b/include/masticmux/directory.h
@@ -0,0 +1,96 @@
+/**
+ * Directory: the targets of the whole fleet, by id and by service.
+ *
+ * The membership task owns the directory and changes it; other tasks of the
+ * same process read it through the const functions below. Records are
+ * versioned by the node beside the target; the newest version wins, in any
+ * order of arrival.
+ *
+ * Life: create, update and query in any order, destroy.
+ */
+#ifndef MASTICMUX_DIRECTORY_H
+#define MASTICMUX_DIRECTORY_H
+
+#include <sys/queue.h>
+
+#include "masticmux/clock.h"
+#include "masticmux/types.h"
+
+typedef enum mmx_target_state_t {
+	MMX_TARGET_COLD,
+	MMX_TARGET_WARM,
+	MMX_TARGET_DRAINING,
+	MMX_TARGET_GONE,
+	MMX_TARGET_STATE_COUNT
+} mmx_target_state_t;
+
+extern const char *const mmx_target_state_string[MMX_TARGET_STATE_COUNT];
+
+/** What the node beside a target announces about it. */
+typedef struct mmx_target_record_t {
+	mmx_target_id_t id;
+	mmx_node_id_t node;
+	mmx_incarnation_t incarnation; /**< of the node */
+	uint64_t version;	       /**< grows within the incarnation */
+	char name[MMX_NAME_MAX + 1];
+	char service[MMX_NAME_MAX + 1];
+	uint16_t slots; /**< 1..65535 requests at a time */
+	mmx_target_state_t state;
+} mmx_target_record_t;
+
+/** One target; a member of the list of its service. */
+typedef struct mmx_directory_target_t mmx_directory_target_t;
+/** One service that has or had targets. */
+typedef struct mmx_directory_service_t mmx_directory_service_t;
+
+typedef struct mmx_directory_t mmx_directory_t;
+
+mmx_directory_t *mmx_directory_create(mmx_clock_t *clock);
+void mmx_directory_destroy(mmx_directory_t *directory);
+
+/**
+ * Merges a record.
+ *
+ * @return true if it was newer than what was known, by incarnation and then
+ *         by version
+ */
+bool mmx_directory_update(mmx_directory_t *directory,
+			  const mmx_target_record_t *record);
+
+/** Finds a target; NULL when unknown. Valid until the next update. */
+const mmx_directory_target_t *
+mmx_directory_find(const mmx_directory_t *directory, mmx_target_id_t id);
+
+/** Finds a target by its name; NULL when unknown or ambiguous. */
+const mmx_directory_target_t *
+mmx_directory_find_name(const mmx_directory_t *directory, const char *name);
+
+/** Finds a service by name; NULL when no target ever announced it. */
+const mmx_directory_service_t *
+mmx_directory_service(const mmx_directory_t *directory, const char *service);
+
+/**
+ * Number of targets of a service, with those in state GONE left out, and the
+ * n-th of them (0 .. count - 1) in constant time. The order is stable between
+ * updates.
+ */
+size_t mmx_directory_service_count(const mmx_directory_service_t *service);
+const mmx_directory_target_t *
+mmx_directory_service_at(const mmx_directory_service_t *service, size_t n);
+
+/** Unpacks a target into a record. */
+void mmx_directory_record(const mmx_directory_target_t *target,
+			  mmx_target_record_t *record);
+
+mmx_target_id_t mmx_directory_target_id(const mmx_directory_target_t *target);
+mmx_node_id_t mmx_directory_target_node(const mmx_directory_target_t *target);
+mmx_incarnation_t
+mmx_directory_target_incarnation(const mmx_directory_target_t *target);
+uint16_t mmx_directory_target_slots(const mmx_directory_target_t *target);
+mmx_target_state_t
+mmx_directory_target_state(const mmx_directory_target_t *target);
+
+/** Number of targets in the directory, without those in state GONE. */
+size_t mmx_directory_count(const mmx_directory_t *directory);
+
+#endif
