Add typed messages between the tasks of a node

Cause: the request path is split into tasks that talk by messages; the HTTP, node-to-node and decision parts need one definition.

--- a/include/masticmux/task.h
+++ b/include/masticmux/task.h
@@ -24,6 +24,7 @@
 /** What a kind of message is called and how it is freed. */
 typedef struct mmx_message_ops_t {
 	const char *name;
+	int kind; /**< distinguishes the messages that one task receives */
 	void (*destroy)(mmx_message_t *message);
 } mmx_message_ops_t;
 
--- a/src/test_libmasticmux/test_task.c
+++ b/src/test_libmasticmux/test_task.c
@@ -18,7 +18,7 @@
 	g_free(message);
 }
 
-static const mmx_message_ops_t message_ops_ = {"test", destroy_message_};
+static const mmx_message_ops_t message_ops_ = {"test", 0, destroy_message_};
 
 static mmx_message_t *new_message_(void)
 {
