Add attempt records and target admission of the exit

Cause: at-most-once, fencing and slots are decided at one place per target. Change: attempts and exit_target modules.

--- /dev/null
+++ b/src/libmasticmux/attempts.c
@@ -0,0 +1,245 @@
+#include "private/attempts.h"
+
+#include <assert.h>
+#include <event2/buffer.h>
+#include <glib.h>
+
+/* Longer than any delay of a message that is still worth an answer. */
+#define KEEP_AFTER_DEADLINE_US (30 * MMX_US_PER_S)
+
+const char *const mmx_attempt_state_string[MMX_ATTEMPT_STATE_COUNT] = {
+	"queued",
+	"running",
+	"finished",
+	"refused",
+};
+
+const char *const mmx_attempt_known_string[MMX_ATTEMPT_KNOWN_COUNT] = {
+	"new",
+	"known",
+	"forgotten",
+	"stale",
+};
+
+typedef struct entry_record_t {
+	mmx_node_id_t node;
+	mmx_incarnation_t incarnation;
+	uint64_t watermark; /* highest forgotten sequence */
+} entry_record_t;
+
+struct mmx_attempts_t {
+	mmx_clock_t *clock;
+	GHashTable *records; /* of mmx_attempt_t, keyed by id */
+	GHashTable *entries; /* of entry_record_t, keyed by node */
+	mmx_attempt_list_t ended;
+	size_t ended_count;
+	size_t record_max;
+	size_t answer_bytes;
+	size_t answer_bytes_max;
+};
+
+static guint hash_id_(gconstpointer key)
+{
+	const mmx_attempt_id_t *id = key;
+
+	return (guint)((id->entry ^ id->incarnation) +
+		       id->sequence * 2654435761U);
+}
+
+static gboolean equal_id_(gconstpointer a, gconstpointer b)
+{
+	const mmx_attempt_id_t *left = a;
+	const mmx_attempt_id_t *right = b;
+
+	return left->sequence == right->sequence &&
+	       left->entry == right->entry &&
+	       left->incarnation == right->incarnation;
+}
+
+mmx_attempts_t *mmx_attempts_create(mmx_clock_t *clock, size_t record_max,
+				    size_t answer_bytes_max)
+{
+	mmx_attempts_t *attempts;
+
+	assert(clock && record_max > 0);
+	attempts = g_new0(mmx_attempts_t, 1);
+	attempts->clock = clock;
+	attempts->records = g_hash_table_new(hash_id_, equal_id_);
+	attempts->entries = g_hash_table_new_full(g_int64_hash, g_int64_equal,
+						  NULL, g_free);
+	TAILQ_INIT(&attempts->ended);
+	attempts->record_max = record_max;
+	attempts->answer_bytes_max = answer_bytes_max;
+	return attempts;
+}
+
+static void drop_answer_(mmx_attempts_t *attempts, mmx_attempt_t *attempt)
+{
+	mmx_head_destroy(attempt->answer_head);
+	attempt->answer_head = NULL;
+	if (!attempt->answer_body)
+		return;
+	attempts->answer_bytes -= evbuffer_get_length(attempt->answer_body);
+	evbuffer_free(attempt->answer_body);
+	attempt->answer_body = NULL;
+}
+
+static void free_record_(mmx_attempts_t *attempts, mmx_attempt_t *attempt)
+{
+	drop_answer_(attempts, attempt);
+	if (attempt->execute)
+		mmx_message_destroy(&attempt->execute->message);
+	g_free(attempt);
+}
+
+void mmx_attempts_destroy(mmx_attempts_t *attempts)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	if (!attempts)
+		return;
+	g_hash_table_iter_init(&iter, attempts->records);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		free_record_(attempts, value);
+	g_hash_table_destroy(attempts->records);
+	g_hash_table_destroy(attempts->entries);
+	g_free(attempts);
+}
+
+static entry_record_t *entry_record_(mmx_attempts_t *attempts,
+				     const mmx_attempt_id_t *id)
+{
+	entry_record_t *entry;
+
+	entry = g_hash_table_lookup(attempts->entries, &id->entry);
+	if (!entry) {
+		entry = g_new0(entry_record_t, 1);
+		entry->node = id->entry;
+		entry->incarnation = id->incarnation;
+		g_hash_table_insert(attempts->entries, &entry->node, entry);
+	}
+	if (id->incarnation > entry->incarnation) {
+		entry->incarnation = id->incarnation;
+		entry->watermark = 0;
+	}
+	return entry;
+}
+
+mmx_attempt_known_t mmx_attempts_find(mmx_attempts_t *attempts,
+				      const mmx_attempt_id_t *id,
+				      mmx_attempt_t **found)
+{
+	const entry_record_t *entry = entry_record_(attempts, id);
+
+	*found = g_hash_table_lookup(attempts->records, id);
+	if (*found)
+		return MMX_ATTEMPT_KNOWN;
+	if (id->incarnation < entry->incarnation)
+		return MMX_ATTEMPT_STALE;
+	if (id->sequence <= entry->watermark)
+		return MMX_ATTEMPT_FORGOTTEN;
+	return MMX_ATTEMPT_NEW;
+}
+
+mmx_attempt_t *mmx_attempts_add(mmx_attempts_t *attempts,
+				const mmx_attempt_id_t *id)
+{
+	mmx_attempt_t *attempt = g_new0(mmx_attempt_t, 1);
+
+	assert(!g_hash_table_contains(attempts->records, id));
+	attempt->id = *id;
+	attempt->state = MMX_ATTEMPT_QUEUED;
+	attempt->arrived = mmx_clock_now(attempts->clock);
+	g_hash_table_insert(attempts->records, &attempt->id, attempt);
+	return attempt;
+}
+
+static void forget_(mmx_attempts_t *attempts, mmx_attempt_t *attempt)
+{
+	entry_record_t *entry = entry_record_(attempts, &attempt->id);
+
+	if (attempt->id.incarnation == entry->incarnation &&
+	    attempt->id.sequence > entry->watermark)
+		entry->watermark = attempt->id.sequence;
+	TAILQ_REMOVE(&attempts->ended, attempt, forget_entry);
+	attempts->ended_count--;
+	g_hash_table_remove(attempts->records, &attempt->id);
+	free_record_(attempts, attempt);
+}
+
+void mmx_attempts_end(mmx_attempts_t *attempts, mmx_attempt_t *attempt,
+		      mmx_attempt_state_t state)
+{
+	assert(attempt->state == MMX_ATTEMPT_QUEUED ||
+	       attempt->state == MMX_ATTEMPT_RUNNING);
+	attempt->state = state;
+	attempt->target = NULL;
+	if (attempt->execute)
+		mmx_message_destroy(&attempt->execute->message);
+	attempt->execute = NULL;
+	if (attempt->repeatable) {
+		g_hash_table_remove(attempts->records, &attempt->id);
+		free_record_(attempts, attempt);
+		return;
+	}
+	attempt->forget_at = MAX(attempt->deadline,
+				 mmx_clock_now(attempts->clock)) +
+			     KEEP_AFTER_DEADLINE_US;
+	TAILQ_INSERT_TAIL(&attempts->ended, attempt, forget_entry);
+	attempts->ended_count++;
+	while (attempts->ended_count > attempts->record_max)
+		forget_(attempts, TAILQ_FIRST(&attempts->ended));
+}
+
+void mmx_attempts_keep(mmx_attempts_t *attempts, mmx_attempt_t *attempt,
+		       struct evbuffer *part)
+{
+	size_t length = evbuffer_get_length(part);
+	size_t held;
+
+	if (attempt->repeatable || !attempt->answer_body)
+		return;
+	held = evbuffer_get_length(attempt->answer_body);
+	if (held + length > MMX_HELD_BODY_MAX ||
+	    attempts->answer_bytes + length > attempts->answer_bytes_max) {
+		drop_answer_(attempts, attempt);
+		return;
+	}
+	/* The part is sent on as well, so it is copied. */
+	evbuffer_add(attempt->answer_body,
+		     evbuffer_pullup(part, -1), length);
+	attempts->answer_bytes += length;
+}
+
+void mmx_attempts_expire(mmx_attempts_t *attempts)
+{
+	mmx_time_t now = mmx_clock_now(attempts->clock);
+	mmx_attempt_t *attempt;
+
+	while ((attempt = TAILQ_FIRST(&attempts->ended)) &&
+	       attempt->forget_at <= now)
+		forget_(attempts, attempt);
+}
+
+void mmx_attempts_each_open(mmx_attempts_t *attempts,
+			    void (*fn)(mmx_attempt_t *attempt, void *arg),
+			    void *arg)
+{
+	GList *values = g_hash_table_get_values(attempts->records);
+	GList *item;
+	mmx_attempt_t *attempt;
+
+	for (item = values; item; item = item->next) {
+		attempt = item->data;
+		if (attempt->state == MMX_ATTEMPT_QUEUED ||
+		    attempt->state == MMX_ATTEMPT_RUNNING)
+			fn(attempt, arg);
+	}
+	g_list_free(values);
+}
+
+size_t mmx_attempts_count(const mmx_attempts_t *attempts)
+{
+	return g_hash_table_size(attempts->records);
+}
--- /dev/null
+++ b/src/libmasticmux/exit_target.c
@@ -0,0 +1,96 @@
+#include "private/exit_target.h"
+
+#include <assert.h>
+#include <glib.h>
+
+/* A cold target starts with this share of its slots. */
+#define RAMP_START_PERCENT 10
+/* Weight of a new sample in the smoothed service time: 1/8. */
+#define SERVICE_SMOOTHING 8
+
+mmx_exit_target_t *mmx_exit_target_create(mmx_target_id_t id,
+					  mmx_node_id_t node,
+					  mmx_incarnation_t incarnation,
+					  const char *name,
+					  const char *service)
+{
+	mmx_exit_target_t *target = g_new0(mmx_exit_target_t, 1);
+
+	target->record.id = id;
+	target->record.node = node;
+	target->record.incarnation = incarnation;
+	g_strlcpy(target->record.name, name, sizeof(target->record.name));
+	g_strlcpy(target->record.service, service,
+		  sizeof(target->record.service));
+	TAILQ_INIT(&target->queue);
+	return target;
+}
+
+void mmx_exit_target_destroy(mmx_exit_target_t *target)
+{
+	assert(TAILQ_EMPTY(&target->queue) && target->in_progress == 0);
+	g_free(target);
+}
+
+unsigned int mmx_exit_target_slots(const mmx_exit_target_t *target,
+				   mmx_time_t now)
+{
+	mmx_time_t warm = now - target->warm_since;
+	uint64_t percent;
+	uint64_t slots;
+
+	if (target->warm_up <= 0 || warm >= target->warm_up)
+		return target->record.slots;
+	percent = RAMP_START_PERCENT + (uint64_t)(warm * (100 - RAMP_START_PERCENT) /
+						  target->warm_up);
+	slots = target->record.slots * percent / 100;
+	return slots > 0 ? (unsigned int)slots : 1;
+}
+
+bool mmx_exit_target_can_start(const mmx_exit_target_t *target, mmx_time_t now)
+{
+	return target->in_progress < mmx_exit_target_slots(target, now);
+}
+
+mmx_reason_t mmx_exit_target_admit(const mmx_exit_target_t *target,
+				   mmx_time_t now, mmx_time_t remaining)
+{
+	unsigned int slots = mmx_exit_target_slots(target, now);
+	mmx_time_t wait;
+
+	if (target->stopped || target->record.state == MMX_TARGET_DRAINING ||
+	    target->record.state == MMX_TARGET_GONE)
+		return MMX_REASON_DRAINING;
+	if (remaining <= 0)
+		return MMX_REASON_DEADLINE_EXCEEDED;
+	if (target->in_progress < slots)
+		return MMX_REASON_NONE;
+	if (target->queued >= MMX_EXIT_QUEUE_MAX)
+		return MMX_REASON_OVERLOADED;
+	wait = target->mean_service * (target->queued + 1) / slots;
+	if (wait + target->mean_service > remaining)
+		return MMX_REASON_OVERLOADED;
+	return MMX_REASON_NONE;
+}
+
+void mmx_exit_target_note_service(mmx_exit_target_t *target, mmx_time_t took)
+{
+	if (target->mean_service == 0)
+		target->mean_service = took;
+	else
+		target->mean_service +=
+			(took - target->mean_service) / SERVICE_SMOOTHING;
+}
+
+void mmx_exit_target_report(const mmx_exit_target_t *target,
+			    mmx_load_report_t *report)
+{
+	*report = (mmx_load_report_t){
+		.target = target->record.id,
+		.slots = target->record.slots,
+		.in_progress = (uint16_t)MIN(target->in_progress, UINT16_MAX),
+		.queued = (uint16_t)target->queued,
+		.state = target->stopped ? MMX_TARGET_DRAINING
+					 : target->record.state,
+	};
+}
--- /dev/null
+++ b/src/libmasticmux/include/private/attempts.h
@@ -0,0 +1,98 @@
+/*
+ * What an exit remembers about attempts, so that none runs twice and a fencing
+ * query gets a true answer. Does no I/O.
+ *
+ * A record exists from the first EXECUTE or FENCE until it is forgotten. Of an
+ * entry's forgotten attempts only the highest sequence is kept (watermark):
+ * at or below it, an unknown attempt may have run. A process that restarts
+ * forgets everything, which the incarnation in each attempt makes visible.
+ */
+#ifndef MASTICMUX_PRIVATE_ATTEMPTS_H
+#define MASTICMUX_PRIVATE_ATTEMPTS_H
+
+#include "private/messages.h"
+
+typedef enum mmx_attempt_state_t {
+	MMX_ATTEMPT_QUEUED,
+	MMX_ATTEMPT_RUNNING,
+	MMX_ATTEMPT_FINISHED,
+	MMX_ATTEMPT_REFUSED, /* never started and never will */
+	MMX_ATTEMPT_STATE_COUNT
+} mmx_attempt_state_t;
+
+extern const char *const mmx_attempt_state_string[MMX_ATTEMPT_STATE_COUNT];
+
+struct mmx_exit_target_t;
+
+typedef struct mmx_attempt_t {
+	TAILQ_ENTRY(mmx_attempt_t) queue_entry;	 /* while queued */
+	TAILQ_ENTRY(mmx_attempt_t) forget_entry; /* while ended */
+	mmx_attempt_id_t id;
+	mmx_attempt_state_t state;
+	struct mmx_exit_target_t *target; /* while queued or running */
+	mmx_execute_t *execute;		  /* while queued or running */
+	mmx_origin_t origin;
+	mmx_time_t arrived;
+	mmx_time_t started;
+	mmx_time_t deadline;
+	mmx_time_t forget_at; /* while ended */
+	bool repeatable;
+	bool abandoned;	    /* nobody waits for the response */
+	bool response_sent; /* the head has left for the origin */
+	bool reply_at_end;  /* a fencing query waits for the whole response */
+	bool headed;	    /* the target's head has arrived */
+	mmx_head_t *answer_head;
+	struct evbuffer *answer_body; /* NULL when too large to keep */
+} mmx_attempt_t;
+
+typedef TAILQ_HEAD(mmx_attempt_list_t, mmx_attempt_t) mmx_attempt_list_t;
+
+typedef enum mmx_attempt_known_t {
+	MMX_ATTEMPT_NEW,       /* never seen; may start */
+	MMX_ATTEMPT_KNOWN,     /* a record exists */
+	MMX_ATTEMPT_FORGOTTEN, /* at or below the watermark: may have run */
+	MMX_ATTEMPT_STALE,     /* from an earlier incarnation of the entry */
+	MMX_ATTEMPT_KNOWN_COUNT
+} mmx_attempt_known_t;
+
+extern const char *const mmx_attempt_known_string[MMX_ATTEMPT_KNOWN_COUNT];
+
+typedef struct mmx_attempts_t mmx_attempts_t;
+
+/* record_max: bound on ended records; the oldest are forgotten first. */
+mmx_attempts_t *mmx_attempts_create(mmx_clock_t *clock, size_t record_max,
+				    size_t answer_bytes_max);
+void mmx_attempts_destroy(mmx_attempts_t *attempts);
+
+/* Looks an attempt up and notes the entry's incarnation. */
+mmx_attempt_known_t mmx_attempts_find(mmx_attempts_t *attempts,
+				      const mmx_attempt_id_t *id,
+				      mmx_attempt_t **found);
+
+/* Adds a record in state queued; asserts that there is none. */
+mmx_attempt_t *mmx_attempts_add(mmx_attempts_t *attempts,
+				const mmx_attempt_id_t *id);
+
+/*
+ * Moves a record to finished or refused. It is kept until its deadline plus
+ * 30 s, or until record_max is reached. A repeatable one is dropped at once:
+ * running it again does no harm.
+ */
+void mmx_attempts_end(mmx_attempts_t *attempts, mmx_attempt_t *attempt,
+		      mmx_attempt_state_t state);
+
+/* Keeps a part of the response for fencing queries, within the bounds. */
+void mmx_attempts_keep(mmx_attempts_t *attempts, mmx_attempt_t *attempt,
+		       struct evbuffer *part);
+
+/* Forgets what has passed its time. */
+void mmx_attempts_expire(mmx_attempts_t *attempts);
+
+/* Calls fn for each record that is queued or running; fn may end it. */
+void mmx_attempts_each_open(mmx_attempts_t *attempts,
+			    void (*fn)(mmx_attempt_t *attempt, void *arg),
+			    void *arg);
+
+size_t mmx_attempts_count(const mmx_attempts_t *attempts);
+
+#endif
--- /dev/null
+++ b/src/libmasticmux/include/private/exit.h
@@ -0,0 +1,66 @@
+/*
+ * The exit: the admission point of the targets beside this node, and the only
+ * place where work for a target starts. It decides on slots, queue, draining,
+ * cold start, expiry, at-most-once and fencing on its own clock, so none of
+ * them needs agreement between nodes.
+ *
+ * A task without sockets: it receives EXECUTE, BODY, WINDOW, CANCEL, FENCE and
+ * ORIGIN_LOST from entries (direct or by the peer task), TARGET_ANNOUNCED from
+ * announce, and CALL_EVENT, BODY and WINDOW from target_client.
+ *
+ * Life: create, set options, init, (messages), destroy.
+ */
+#ifndef MASTICMUX_PRIVATE_EXIT_H
+#define MASTICMUX_PRIVATE_EXIT_H
+
+#include "masticmux/counters.h"
+#include "masticmux/fold.h"
+#include "masticmux/log.h"
+#include "private/messages.h"
+
+typedef struct mmx_exit_t mmx_exit_t;
+
+/* Told of every change of a target's record, for directory and gossip. */
+typedef struct mmx_exit_observer_ops_t {
+	void (*target_changed)(void *context,
+			       const mmx_target_record_t *record);
+} mmx_exit_observer_ops_t;
+
+mmx_exit_t *mmx_exit_create(mmx_runtime_t *runtime, mmx_node_id_t node,
+			    const char *node_name,
+			    mmx_incarnation_t incarnation);
+void mmx_exit_destroy(mmx_exit_t *exit);
+
+/* Options; valid before init only, false afterwards. */
+bool mmx_exit_set_target_client(mmx_exit_t *exit, mmx_task_t *client);
+bool mmx_exit_set_observer(mmx_exit_t *exit,
+			   const mmx_exit_observer_ops_t *ops, void *context);
+bool mmx_exit_set_fold(mmx_exit_t *exit, const mmx_fold_t *fold);
+bool mmx_exit_set_counters(mmx_exit_t *exit, mmx_counters_t *counters);
+bool mmx_exit_set_log(mmx_exit_t *exit, mmx_log_t *log);
+
+/* Asserts that the target client was set. */
+void mmx_exit_init(mmx_exit_t *exit);
+
+/* The task that messages are posted to. Valid after create. */
+mmx_task_t *mmx_exit_task(mmx_exit_t *exit);
+
+/*
+ * Planned stop of a target: nothing new starts from now on, what is in
+ * progress or queued is finished.
+ *
+ * Returns false when no target of that name is beside this node.
+ */
+bool mmx_exit_stop_target(mmx_exit_t *exit, const char *name);
+
+/* Planned stop of every target, for a node that leaves. */
+void mmx_exit_stop_all(mmx_exit_t *exit);
+
+/* Requests queued or running at a target; all targets if name is NULL. */
+size_t mmx_exit_in_progress(const mmx_exit_t *exit, const char *name);
+
+/* Load of a target as it would be reported now; false when unknown. */
+bool mmx_exit_load(const mmx_exit_t *exit, mmx_target_id_t id,
+		   mmx_load_report_t *report);
+
+#endif
--- /dev/null
+++ b/src/libmasticmux/include/private/exit_target.h
@@ -0,0 +1,60 @@
+/*
+ * One target beside this node, as the exit sees it: slots, queue, warm-up,
+ * lease. Owned by the exit task.
+ */
+#ifndef MASTICMUX_PRIVATE_EXIT_TARGET_H
+#define MASTICMUX_PRIVATE_EXIT_TARGET_H
+
+#include "masticmux/fold.h"
+#include "private/attempts.h"
+
+/* Longest queue of one target, whatever its speed, in requests. */
+#define MMX_EXIT_QUEUE_MAX 256
+
+typedef struct mmx_exit_target_t {
+	LIST_ENTRY(mmx_exit_target_t) entry;
+	mmx_target_record_t record;
+	mmx_address_t address;
+	mmx_time_t lease_until;
+	mmx_time_t warm_since; /* start of the ramp */
+	mmx_time_t warm_up;    /* length of the ramp, from the policy */
+	bool stopped;	       /* by a planned stop; outlives renewals */
+	unsigned int in_progress;
+	unsigned int queued;
+	mmx_attempt_list_t queue;
+	mmx_time_t mean_service; /* smoothed time of a completed call */
+} mmx_exit_target_t;
+
+mmx_exit_target_t *mmx_exit_target_create(mmx_target_id_t id,
+					  mmx_node_id_t node,
+					  mmx_incarnation_t incarnation,
+					  const char *name,
+					  const char *service);
+
+/* Asserts that nothing is queued or in progress. */
+void mmx_exit_target_destroy(mmx_exit_target_t *target);
+
+/* Slots that may be used now: the ramp of a cold target lowers them. */
+unsigned int mmx_exit_target_slots(const mmx_exit_target_t *target,
+				   mmx_time_t now);
+
+/* True when a request may start now. */
+bool mmx_exit_target_can_start(const mmx_exit_target_t *target,
+			       mmx_time_t now);
+
+/*
+ * Decides on a request that has just arrived: MMX_REASON_NONE when it may
+ * start or queue. A request that would wait longer than its remaining time is
+ * refused at once, so that the entry can still use another target.
+ */
+mmx_reason_t mmx_exit_target_admit(const mmx_exit_target_t *target,
+				   mmx_time_t now, mmx_time_t remaining);
+
+/* Notes a completed call that took this long. */
+void mmx_exit_target_note_service(mmx_exit_target_t *target, mmx_time_t took);
+
+/* Fills the report that is piggybacked on responses. */
+void mmx_exit_target_report(const mmx_exit_target_t *target,
+			    mmx_load_report_t *report);
+
+#endif
