Add the directory of targets

Nodes need the targets of the whole fleet by id, by service and by name, and a cheap way to compare their views.

The directory interns services, names and nodes, keeps an array per service and 256 digests that change with each update. All targets of a node share its incarnation; a newer one removes the older targets. Tombstones stop late records until they expire.

--- a/include/masticmux/directory.h
+++ b/include/masticmux/directory.h
@@ -4,7 +4,12 @@
  * The membership task owns the directory and changes it; other tasks of the
  * same process read it through the const functions below. Records are
  * versioned by the node beside the target; the newest version wins, in any
- * order of arrival.
+ * order of arrival. All targets of a node belong to one incarnation: the first
+ * record of a newer incarnation removes the older targets.
+ *
+ * A record in state GONE stays as a tombstone, so that a late older record
+ * does not bring the target back, until mmx_directory_expire() removes it.
+ * Digests and counts leave tombstones out.
  *
  * Life: create, update and query in any order, destroy.
  */
@@ -38,6 +43,9 @@
 	mmx_target_state_t state;
 } mmx_target_record_t;
 
+/** Buckets that the targets are divided into for anti-entropy. */
+#define MMX_DIRECTORY_BUCKETS 256
+
 /** One target; a member of the list of its service. */
 typedef struct mmx_directory_target_t mmx_directory_target_t;
 /** One service that has or had targets. */
@@ -51,8 +59,10 @@
 /**
  * Merges a record.
  *
+ * @param record  with a name and a service of 1..MMX_NAME_MAX bytes, at least
+ *                one slot and a valid state; asserted
  * @return true if it was newer than what was known, by incarnation and then
- *         by version
+ *         by version; false also for an id that belongs to another node
  */
 bool mmx_directory_update(mmx_directory_t *directory,
 			  const mmx_target_record_t *record);
@@ -61,7 +71,11 @@
 const mmx_directory_target_t *
 mmx_directory_find(const mmx_directory_t *directory, mmx_target_id_t id);
 
-/** Finds a target by its name; NULL when unknown or ambiguous. */
+/**
+ * Finds a target by "target name" or "node name/target name".
+ *
+ * @return NULL when unknown, or when targets of several nodes have the name
+ */
 const mmx_directory_target_t *
 mmx_directory_find_name(const mmx_directory_t *directory, const char *name);
 
@@ -90,7 +104,62 @@
 mmx_target_state_t
 mmx_directory_target_state(const mmx_directory_target_t *target);
 
+/** Name and service of a target; valid until the next update. */
+const char *mmx_directory_target_name(const mmx_directory_target_t *target);
+const char *mmx_directory_target_service(const mmx_directory_target_t *target);
+uint64_t mmx_directory_target_version(const mmx_directory_target_t *target);
+
 /** Number of targets in the directory, without those in state GONE. */
 size_t mmx_directory_count(const mmx_directory_t *directory);
 
+/** Number of services that have or had targets. */
+size_t mmx_directory_service_total(const mmx_directory_t *directory);
+
+/** Id of a target: XXH64 of "node name/target name". */
+mmx_target_id_t mmx_directory_id(const char *node_name,
+				 const char *target_name);
+
+/** Bucket of a target, 0..MMX_DIRECTORY_BUCKETS - 1. */
+unsigned int mmx_directory_bucket_of(mmx_target_id_t id);
+
+/**
+ * Digests of the buckets: equal when the buckets hold the same targets in the
+ * same versions. Valid while the directory lives; kept current by updates.
+ */
+const uint64_t *mmx_directory_digests(const mmx_directory_t *directory);
+
+/** First target of a bucket, tombstones included; NULL when empty. */
+const mmx_directory_target_t *
+mmx_directory_bucket_first(const mmx_directory_t *directory,
+			   unsigned int bucket);
+/** Next target of the same bucket, or NULL. Valid until the next update. */
+const mmx_directory_target_t *
+mmx_directory_bucket_next(const mmx_directory_target_t *target);
+
+/** First target beside a node, tombstones included; NULL when none. */
+const mmx_directory_target_t *
+mmx_directory_node_first(const mmx_directory_t *directory, mmx_node_id_t node);
+/** Next target beside the same node, or NULL. Valid until the next update. */
+const mmx_directory_target_t *
+mmx_directory_node_next(const mmx_directory_target_t *target);
+
+/**
+ * Removes the targets of incarnations of a node older than the given one.
+ * Records of those are refused until mmx_directory_expire() forgets the node.
+ *
+ * @return number of targets removed, tombstones included
+ */
+size_t mmx_directory_remove_older(mmx_directory_t *directory,
+				  mmx_node_id_t node,
+				  mmx_incarnation_t incarnation);
+
+/**
+ * Forgets tombstones, and nodes without targets, that have been unchanged for
+ * a time. The owner calls it about once a minute.
+ *
+ * @param age  microseconds, more than 0
+ * @return number of tombstones removed
+ */
+size_t mmx_directory_expire(mmx_directory_t *directory, mmx_time_t age);
+
 #endif
--- a/src/test_libmasticmux/suites.h
+++ b/src/test_libmasticmux/suites.h
@@ -5,6 +5,7 @@
 #include <CUnit/CUnit.h>
 
 extern CU_TestInfo mmx_tests_clock[];
+extern CU_TestInfo mmx_tests_directory[];
 extern CU_TestInfo mmx_tests_error[];
 extern CU_TestInfo mmx_tests_task[];
 
