--- a/include/masticmux/fold.h
+++ b/include/masticmux/fold.h
@@ -8,42 +8,9 @@
 #ifndef MASTICMUX_FOLD_H
 #define MASTICMUX_FOLD_H
 
+#include "masticmux/policy.h"
 #include "masticmux/types.h"
 
-/** HTTP methods as bits of a mask, for "which requests may be repeated". */
-typedef enum mmx_method_t {
-	MMX_METHOD_GET,
-	MMX_METHOD_HEAD,
-	MMX_METHOD_POST,
-	MMX_METHOD_PUT,
-	MMX_METHOD_DELETE,
-	MMX_METHOD_OPTIONS,
-	MMX_METHOD_PATCH,
-	MMX_METHOD_OTHER,
-	MMX_METHOD_COUNT
-} mmx_method_t;
-
-extern const char *const mmx_method_string[MMX_METHOD_COUNT];
-
-#define MMX_METHOD_BIT(method) (1U << (method))
-#define MMX_METHODS_SAFE                                                    \
-	(MMX_METHOD_BIT(MMX_METHOD_GET) | MMX_METHOD_BIT(MMX_METHOD_HEAD) | \
-	 MMX_METHOD_BIT(MMX_METHOD_OPTIONS))
-
-/** Method of a request line; MMX_METHOD_OTHER when not in the table. */
-mmx_method_t mmx_method_parse(const char *text);
-
-/** How requests of one kind of service are treated (from a template). */
-typedef struct mmx_policy_t {
-	mmx_time_t deadline;	  /**< for requests that name none, > 0 */
-	uint32_t repeatable;	  /**< mask of MMX_METHOD_BIT */
-	uint8_t floor_percent;	  /**< 0..100 of the announced slots */
-	uint16_t floor_slots;	  /**< absolute minimum of healthy slots */
-	uint8_t detection_weight; /**< 0 (no false ejection) .. 100 (fast) */
-	uint8_t retry_percent;	  /**< 0..100 retries per 100 successes */
-	mmx_time_t warm_up;	  /**< ramp of a cold target, 0 or more */
-} mmx_policy_t;
-
 /** Result of a route lookup. */
 typedef struct mmx_route_t {
 	const char *service; /**< valid until the next apply */
