--- a/include/masticmux/fold.h
+++ b/include/masticmux/fold.h
@@ -45,6 +45,9 @@
 bool mmx_fold_account(const mmx_fold_t *fold, const char *name,
 		      mmx_account_t *account);
 
+/** True until a record was applied or a snapshot was loaded. */
+bool mmx_fold_is_empty(const mmx_fold_t *fold);
+
 /** Policy of a service by name; false when unknown. */
 bool mmx_fold_service(const mmx_fold_t *fold, const char *service,
 		      mmx_policy_t *policy);
--- /dev/null
+++ b/src/libmasticmux/entry.c
@@ -0,0 +1,478 @@
+#include "private/entry.h"
+
+#include <assert.h>
+#include <event2/buffer.h>
+#include <glib.h>
+
+struct mmx_entry_t {
+	mmx_task_t task;
+	mmx_runtime_t *runtime;
+	mmx_clock_t *clock;
+	mmx_node_id_t node;
+	mmx_incarnation_t incarnation;
+	mmx_random_t random;
+	bool running;
+	bool draining;
+	mmx_task_t *http;
+	mmx_task_t *peer;
+	mmx_task_t *local_exit;
+	const mmx_fold_t *fold;
+	const mmx_directory_t *directory;
+	mmx_counters_t *counters;
+	mmx_pipeline_t pipeline;
+	mmx_filter_t *attempt_filter;
+	uint64_t next_sequence;
+	GHashTable *by_request;	 /* of mmx_exchange_t */
+	GHashTable *by_sequence; /* of mmx_exchange_t with an attempt */
+	mmx_counter_t *outcome[MMX_OUTCOME_COUNT];
+	mmx_counter_t *reason[MMX_REASON_COUNT];
+};
+
+/* --- exchanges --------------------------------------------------------- */
+
+static mmx_exchange_t *create_exchange_(mmx_entry_t *entry,
+					mmx_request_t *request)
+{
+	mmx_exchange_t *exchange = g_new0(mmx_exchange_t, 1);
+
+	exchange->owner = entry;
+	exchange->request = request->request;
+	exchange->head = request->head;
+	request->head = NULL;
+	exchange->body = evbuffer_new();
+	evbuffer_add_buffer(exchange->body, request->body);
+	exchange->body_end = request->body_end;
+	exchange->body_whole = true;
+	exchange->answer_body = evbuffer_new();
+	exchange->started = mmx_clock_now(entry->clock);
+	g_hash_table_insert(entry->by_request, &exchange->request, exchange);
+	return exchange;
+}
+
+void mmx_entry_end(mmx_exchange_t *exchange)
+{
+	mmx_entry_t *entry = exchange->owner;
+
+	if (exchange->attempt.sequence)
+		g_hash_table_remove(entry->by_sequence,
+				    &exchange->attempt.sequence);
+	g_hash_table_remove(entry->by_request, &exchange->request);
+	if (exchange->timer.clock)
+		mmx_timer_cancel(&exchange->timer);
+	mmx_head_destroy(exchange->head);
+	mmx_head_destroy(exchange->answer_head);
+	evbuffer_free(exchange->body);
+	evbuffer_free(exchange->answer_body);
+	g_free(exchange->host);
+	g_free(exchange->path);
+	g_free(exchange);
+}
+
+static void count_(mmx_entry_t *entry, mmx_outcome_t outcome,
+		   mmx_reason_t reason)
+{
+	mmx_counter_add(entry->outcome[outcome], 1);
+	if (reason != MMX_REASON_NONE)
+		mmx_counter_add(entry->reason[reason], 1);
+}
+
+void mmx_entry_refuse(mmx_exchange_t *exchange, mmx_outcome_t outcome,
+		      mmx_reason_t reason)
+{
+	mmx_entry_t *entry = exchange->owner;
+	mmx_answer_t *answer = mmx_new_answer(exchange->request);
+	int status = mmx_reason_status(outcome, reason);
+
+	answer->outcome = outcome;
+	answer->reason = reason;
+	answer->head = mmx_head_create_response(status);
+	mmx_head_add(answer->head, "Content-Type", "text/plain");
+	if (status == 503)
+		mmx_head_add(answer->head, "Retry-After", "1");
+	evbuffer_add_printf(answer->body, "%s: %s\n",
+			    mmx_outcome_string[outcome],
+			    mmx_reason_string[reason]);
+	answer->body_end = true;
+	count_(entry, outcome, reason);
+	mmx_task_post(entry->http, &answer->message);
+	mmx_entry_end(exchange);
+}
+
+void mmx_entry_answer(mmx_exchange_t *exchange, mmx_head_t *head,
+		      struct evbuffer *body, bool end)
+{
+	mmx_entry_t *entry = exchange->owner;
+	mmx_answer_t *answer = mmx_new_answer(exchange->request);
+
+	answer->outcome = MMX_OUTCOME_COMPLETED;
+	answer->head = head;
+	evbuffer_add_buffer(answer->body, body);
+	answer->body_end = end;
+	count_(entry, MMX_OUTCOME_COMPLETED, MMX_REASON_NONE);
+	mmx_task_post(entry->http, &answer->message);
+}
+
+void mmx_entry_answer_body(mmx_exchange_t *exchange, struct evbuffer *part,
+			   bool end, bool failed)
+{
+	mmx_body_t *body = mmx_new_body(MMX_TO_CALLER);
+
+	body->request = exchange->request;
+	evbuffer_add_buffer(body->data, part);
+	body->end = end;
+	body->failed = failed;
+	if (failed)
+		mmx_counter_add(
+			exchange->owner->reason[MMX_REASON_ANSWER_TRUNCATED],
+			1);
+	mmx_task_post(exchange->owner->http, &body->message);
+}
+
+void mmx_entry_new_attempt(mmx_exchange_t *exchange)
+{
+	mmx_entry_t *entry = exchange->owner;
+
+	if (exchange->attempt.sequence)
+		g_hash_table_remove(entry->by_sequence,
+				    &exchange->attempt.sequence);
+	exchange->attempt.entry = entry->node;
+	exchange->attempt.incarnation = entry->incarnation;
+	exchange->attempt.sequence = ++entry->next_sequence;
+	g_hash_table_insert(entry->by_sequence, &exchange->attempt.sequence,
+			    exchange);
+}
+
+void mmx_entry_post_exit(mmx_entry_t *entry, mmx_node_id_t exit,
+			 mmx_message_t *message)
+{
+	if (exit == entry->node)
+		mmx_task_post(entry->local_exit, message);
+	else if (entry->peer)
+		mmx_task_post(entry->peer, message);
+	else
+		mmx_message_destroy(message);
+}
+
+/* --- messages ---------------------------------------------------------- */
+
+static void on_request_(mmx_entry_t *entry, mmx_request_t *request)
+{
+	mmx_exchange_t *exchange = create_exchange_(entry, request);
+
+	if (entry->draining)
+		mmx_entry_refuse(exchange, MMX_OUTCOME_NOT_RUN,
+				 MMX_REASON_SHUTTING_DOWN);
+	else
+		mmx_pipeline_start(&entry->pipeline, exchange);
+}
+
+static void hold_request_body_(mmx_exchange_t *exchange, struct evbuffer *part)
+{
+	if (!exchange->body_whole)
+		return;
+	if (evbuffer_get_length(exchange->body) + evbuffer_get_length(part) >
+	    MMX_HELD_BODY_MAX) {
+		exchange->body_whole = false;
+		/* Before the first attempt nothing has been sent on yet. */
+		if (exchange->attempts > 0)
+			evbuffer_drain(exchange->body,
+				       evbuffer_get_length(exchange->body));
+		return;
+	}
+	evbuffer_add(exchange->body, evbuffer_pullup(part, -1),
+		     evbuffer_get_length(part));
+}
+
+static void on_request_body_(mmx_entry_t *entry, mmx_body_t *body)
+{
+	mmx_exchange_t *exchange =
+		g_hash_table_lookup(entry->by_request, &body->request);
+
+	if (!exchange)
+		return;
+	exchange->body_end = body->end;
+	if (exchange->attempts == 0) {
+		/* Bounded by the credit of http_entry. */
+		evbuffer_add_buffer(exchange->body, body->data);
+		if (evbuffer_get_length(exchange->body) > MMX_HELD_BODY_MAX)
+			exchange->body_whole = false;
+		return;
+	}
+	hold_request_body_(exchange, body->data);
+	mmx_filter_attempt_request_body(entry->attempt_filter, exchange, body);
+}
+
+static mmx_exchange_t *find_attempt_(mmx_entry_t *entry,
+				     const mmx_attempt_id_t *id)
+{
+	if (id->entry != entry->node || id->incarnation != entry->incarnation)
+		return NULL;
+	return g_hash_table_lookup(entry->by_sequence, &id->sequence);
+}
+
+static void on_body_(mmx_entry_t *entry, mmx_body_t *body)
+{
+	mmx_exchange_t *exchange;
+
+	if (body->direction == MMX_TO_TARGET) {
+		on_request_body_(entry, body);
+		return;
+	}
+	exchange = find_attempt_(entry, &body->attempt);
+	if (exchange)
+		mmx_filter_attempt_body(entry->attempt_filter, exchange, body);
+}
+
+static void on_window_(mmx_entry_t *entry, mmx_window_t *window)
+{
+	mmx_exchange_t *exchange;
+
+	if (window->direction == MMX_TO_CALLER) {
+		exchange = g_hash_table_lookup(entry->by_request,
+					       &window->request);
+		if (exchange && exchange->attempt.sequence) {
+			window->attempt = exchange->attempt;
+			window->exit = exchange->exit;
+			mmx_entry_post_exit(entry, exchange->exit,
+					    &window->message);
+			return;
+		}
+	} else {
+		exchange = find_attempt_(entry, &window->attempt);
+		if (exchange) {
+			window->request = exchange->request;
+			mmx_task_post(entry->http, &window->message);
+			return;
+		}
+	}
+	mmx_message_destroy(&window->message);
+}
+
+static void on_response_(mmx_entry_t *entry, mmx_response_t *response)
+{
+	mmx_exchange_t *exchange = find_attempt_(entry, &response->attempt);
+
+	if (exchange)
+		mmx_filter_attempt_response(entry->attempt_filter, exchange,
+					    response);
+}
+
+static void on_fence_reply_(mmx_entry_t *entry, mmx_fence_reply_t *reply)
+{
+	mmx_exchange_t *exchange = find_attempt_(entry, &reply->attempt);
+
+	if (exchange)
+		mmx_filter_attempt_fence_reply(entry->attempt_filter, exchange,
+					       reply);
+}
+
+static void on_caller_gone_(mmx_entry_t *entry, const mmx_caller_gone_t *gone)
+{
+	mmx_exchange_t *exchange =
+		g_hash_table_lookup(entry->by_request, &gone->request);
+
+	if (!exchange)
+		return;
+	mmx_pipeline_abandon(exchange);
+	mmx_entry_end(exchange);
+}
+
+static void handle_(mmx_task_t *task, mmx_message_t *message)
+{
+	mmx_entry_t *entry = (mmx_entry_t *)task;
+
+	switch ((mmx_message_kind_t)message->ops->kind) {
+	case MMX_MESSAGE_REQUEST:
+		on_request_(entry, (mmx_request_t *)message);
+		break;
+	case MMX_MESSAGE_BODY:
+		on_body_(entry, (mmx_body_t *)message);
+		break;
+	case MMX_MESSAGE_WINDOW:
+		on_window_(entry, (mmx_window_t *)message);
+		return;
+	case MMX_MESSAGE_CALLER_GONE:
+		on_caller_gone_(entry, (mmx_caller_gone_t *)message);
+		break;
+	case MMX_MESSAGE_RESPONSE:
+		on_response_(entry, (mmx_response_t *)message);
+		break;
+	case MMX_MESSAGE_FENCE_REPLY:
+		on_fence_reply_(entry, (mmx_fence_reply_t *)message);
+		break;
+	case MMX_MESSAGE_PATH_LOST:
+		mmx_filter_attempt_path_lost(
+			entry->attempt_filter,
+			((mmx_path_lost_t *)message)->exit);
+		break;
+	case MMX_MESSAGE_EVIDENCE:
+		break;
+	default:
+		assert(!"message kind that the entry does not take");
+	}
+	mmx_message_destroy(message);
+}
+
+static const mmx_task_ops_t task_ops_ = {"entry", handle_};
+
+/* --- life -------------------------------------------------------------- */
+
+mmx_entry_t *mmx_entry_create(mmx_runtime_t *runtime, mmx_node_id_t node,
+			      mmx_incarnation_t incarnation, uint64_t seed)
+{
+	mmx_entry_t *entry = g_new0(mmx_entry_t, 1);
+
+	mmx_task_init(&entry->task, &task_ops_, runtime);
+	entry->runtime = runtime;
+	entry->clock = mmx_runtime_clock(runtime);
+	entry->node = node;
+	entry->incarnation = incarnation;
+	mmx_random_seed(&entry->random, seed);
+	mmx_pipeline_init(&entry->pipeline);
+	entry->by_request = g_hash_table_new(g_int64_hash, g_int64_equal);
+	entry->by_sequence = g_hash_table_new(g_int64_hash, g_int64_equal);
+	return entry;
+}
+
+void mmx_entry_destroy(mmx_entry_t *entry)
+{
+	GList *exchanges;
+	GList *item;
+
+	if (!entry)
+		return;
+	exchanges = g_hash_table_get_values(entry->by_request);
+	for (item = exchanges; item; item = item->next)
+		mmx_entry_end(item->data);
+	g_list_free(exchanges);
+	mmx_pipeline_finish(&entry->pipeline);
+	mmx_task_finish(&entry->task);
+	g_hash_table_destroy(entry->by_request);
+	g_hash_table_destroy(entry->by_sequence);
+	g_free(entry);
+}
+
+bool mmx_entry_set_http(mmx_entry_t *entry, mmx_task_t *http)
+{
+	if (entry->running)
+		return false;
+	entry->http = http;
+	return true;
+}
+
+bool mmx_entry_set_peer(mmx_entry_t *entry, mmx_task_t *peer)
+{
+	if (entry->running)
+		return false;
+	entry->peer = peer;
+	return true;
+}
+
+bool mmx_entry_set_local_exit(mmx_entry_t *entry, mmx_task_t *exit)
+{
+	if (entry->running)
+		return false;
+	entry->local_exit = exit;
+	return true;
+}
+
+bool mmx_entry_set_fold(mmx_entry_t *entry, const mmx_fold_t *fold)
+{
+	if (entry->running)
+		return false;
+	entry->fold = fold;
+	return true;
+}
+
+bool mmx_entry_set_directory(mmx_entry_t *entry,
+			     const mmx_directory_t *directory)
+{
+	if (entry->running)
+		return false;
+	entry->directory = directory;
+	return true;
+}
+
+static void register_reasons_(mmx_entry_t *entry, mmx_counters_t *counters)
+{
+	char labels[64];
+	int i;
+
+	for (i = 0; i < MMX_OUTCOME_COUNT; i++) {
+		g_snprintf(labels, sizeof(labels), "outcome=\"%s\"",
+			   mmx_outcome_string[i]);
+		entry->outcome[i] = mmx_counters_get(
+			counters, MMX_COUNTER, "masticmux_requests_total",
+			labels, "Answers given to callers.");
+	}
+	for (i = MMX_REASON_NONE + 1; i < MMX_REASON_COUNT; i++) {
+		g_snprintf(labels, sizeof(labels), "reason=\"%s\"",
+			   mmx_reason_string[i]);
+		entry->reason[i] = mmx_counters_get(
+			counters, MMX_COUNTER, "masticmux_refusals_total",
+			labels, "Refusals given to callers.");
+	}
+}
+
+bool mmx_entry_set_counters(mmx_entry_t *entry, mmx_counters_t *counters)
+{
+	if (entry->running)
+		return false;
+	entry->counters = counters;
+	register_reasons_(entry, counters);
+	return true;
+}
+
+void mmx_entry_init(mmx_entry_t *entry)
+{
+	assert(entry->http && entry->local_exit && entry->fold &&
+	       entry->directory && !entry->running);
+	entry->running = true;
+	entry->attempt_filter = mmx_filter_attempt_create(entry);
+	mmx_pipeline_add(&entry->pipeline, mmx_filter_request_create());
+	mmx_pipeline_add(&entry->pipeline,
+			 mmx_filter_route_create(entry->fold));
+	mmx_pipeline_add(&entry->pipeline,
+			 mmx_filter_account_create(entry->fold));
+	mmx_pipeline_add(&entry->pipeline, entry->attempt_filter);
+}
+
+mmx_task_t *mmx_entry_task(mmx_entry_t *entry)
+{
+	return &entry->task;
+}
+
+void mmx_entry_drain(mmx_entry_t *entry)
+{
+	entry->draining = true;
+}
+
+size_t mmx_entry_in_progress(const mmx_entry_t *entry)
+{
+	return g_hash_table_size(entry->by_request);
+}
+
+mmx_runtime_t *mmx_entry_runtime(const mmx_entry_t *entry)
+{
+	return entry->runtime;
+}
+
+const mmx_directory_t *mmx_entry_directory(const mmx_entry_t *entry)
+{
+	return entry->directory;
+}
+
+mmx_random_t *mmx_entry_random(mmx_entry_t *entry)
+{
+	return &entry->random;
+}
+
+mmx_counters_t *mmx_entry_counters(const mmx_entry_t *entry)
+{
+	return entry->counters;
+}
+
+mmx_origin_t mmx_entry_origin(mmx_entry_t *entry)
+{
+	return (mmx_origin_t){.task = &entry->task, .connection = 0};
+}
--- /dev/null
+++ b/src/libmasticmux/filter_attempt.c
@@ -0,0 +1,485 @@
+/*
+ * Last filter: sends attempts until one gives an answer or the outcome is
+ * certain.
+ *
+ * An attempt that may have run is only followed by another when the request is
+ * repeatable. After silence, an attempt of any other request is fenced first:
+ * the exit confirms that it never started and never will, or what became of
+ * it.
+ */
+#include "private/entry.h"
+
+#include <assert.h>
+#include <event2/buffer.h>
+#include <glib.h>
+
+/* A fencing query without a reply is repeated after this time. */
+#define FENCE_RETRY_US (500 * MMX_US_PER_MS)
+/*
+ * The exit gives up a little before the entry does, so that its refusal, which
+ * says that the attempt did not run, arrives in time.
+ */
+#define DEADLINE_MARGIN_MAX_US (20 * MMX_US_PER_MS)
+/* Time before the deadline at which a silent attempt is fenced. */
+#define FENCE_LEAD_MAX_US (100 * MMX_US_PER_MS)
+
+typedef TAILQ_HEAD(exchange_list_t, mmx_exchange_t) exchange_list_t;
+
+typedef struct attempt_filter_t {
+	mmx_filter_t filter;
+	mmx_entry_t *entry;
+	mmx_clock_t *clock;
+	exchange_list_t open; /* exchanges with an attempt out */
+	mmx_counter_t *sent;
+	mmx_counter_t *repeated;
+	mmx_counter_t *fences;
+} attempt_filter_t;
+
+static void try_next_(attempt_filter_t *self, mmx_exchange_t *exchange);
+
+/* --- choice of a target ------------------------------------------------ */
+
+static bool was_tried_(const mmx_exchange_t *exchange, mmx_target_id_t id)
+{
+	unsigned int i;
+
+	for (i = 0; i < exchange->attempts; i++)
+		if (exchange->tried[i] == id)
+			return true;
+	return false;
+}
+
+static const mmx_directory_target_t *choose_(attempt_filter_t *self,
+					     const mmx_exchange_t *exchange)
+{
+	const mmx_directory_t *directory = mmx_entry_directory(self->entry);
+	const mmx_directory_service_t *service;
+	const mmx_directory_target_t *target;
+	size_t count;
+	size_t start;
+	size_t i;
+
+	service = mmx_directory_service(directory, exchange->service);
+	count = service ? mmx_directory_service_count(service) : 0;
+	if (count == 0)
+		return NULL;
+	start = mmx_random_below(mmx_entry_random(self->entry), count);
+	for (i = 0; i < count; i++) {
+		target = mmx_directory_service_at(service, (start + i) % count);
+		if (mmx_directory_target_state(target) <= MMX_TARGET_WARM &&
+		    !was_tried_(exchange, mmx_directory_target_id(target)))
+			return target;
+	}
+	return NULL;
+}
+
+/* --- sending ----------------------------------------------------------- */
+
+static mmx_time_t margin_(mmx_time_t remaining, mmx_time_t max)
+{
+	return MIN(remaining / 10, max);
+}
+
+static void set_deadline_timer_(attempt_filter_t *self,
+				mmx_exchange_t *exchange)
+{
+	mmx_time_t now = mmx_clock_now(self->clock);
+	mmx_time_t remaining = exchange->deadline - now;
+	mmx_time_t lead = 0;
+
+	if (!exchange->repeatable && exchange->state == MMX_EXCHANGE_SENT)
+		lead = margin_(2 * remaining, FENCE_LEAD_MAX_US);
+	mmx_timer_set(&exchange->timer, remaining - lead);
+}
+
+static mmx_execute_t *new_execute_(attempt_filter_t *self,
+				   const mmx_exchange_t *exchange)
+{
+	mmx_execute_t *execute = mmx_new_execute();
+	mmx_time_t remaining = exchange->deadline - mmx_clock_now(self->clock);
+
+	execute->attempt = exchange->attempt;
+	execute->exit = exchange->exit;
+	execute->exit_incarnation = exchange->exit_incarnation;
+	execute->target = exchange->target;
+	g_strlcpy(execute->service, exchange->service,
+		  sizeof(execute->service));
+	g_strlcpy(execute->account, exchange->account,
+		  sizeof(execute->account));
+	execute->repeatable = exchange->repeatable;
+	execute->remaining =
+		remaining - margin_(remaining, DEADLINE_MARGIN_MAX_US);
+	execute->trace = exchange->trace;
+	execute->head = mmx_head_copy(exchange->head);
+	evbuffer_add_buffer_reference(execute->body, exchange->body);
+	execute->body_end = exchange->body_end;
+	execute->origin = mmx_entry_origin(self->entry);
+	return execute;
+}
+
+static void send_(attempt_filter_t *self, mmx_exchange_t *exchange,
+		  const mmx_directory_target_t *target)
+{
+	mmx_execute_t *execute;
+
+	exchange->target = mmx_directory_target_id(target);
+	exchange->exit = mmx_directory_target_node(target);
+	exchange->exit_incarnation = mmx_directory_target_incarnation(target);
+	exchange->tried[exchange->attempts++] = exchange->target;
+	exchange->attempt_started = mmx_clock_now(self->clock);
+	exchange->state = MMX_EXCHANGE_SENT;
+	mmx_entry_new_attempt(exchange);
+	TAILQ_INSERT_TAIL(&self->open, exchange, path_entry);
+	execute = new_execute_(self, exchange);
+	mmx_counter_add(self->sent, 1);
+	mmx_entry_post_exit(self->entry, exchange->exit, &execute->message);
+	set_deadline_timer_(self, exchange);
+}
+
+static void close_attempt_(attempt_filter_t *self, mmx_exchange_t *exchange)
+{
+	if (exchange->state == MMX_EXCHANGE_WAITING)
+		return;
+	TAILQ_REMOVE(&self->open, exchange, path_entry);
+	exchange->state = MMX_EXCHANGE_WAITING;
+	mmx_timer_cancel(&exchange->timer);
+}
+
+/* The part of a refused answer that is held is of no use any more. */
+static void drop_held_answer_(mmx_exchange_t *exchange)
+{
+	mmx_head_destroy(exchange->answer_head);
+	exchange->answer_head = NULL;
+	evbuffer_drain(exchange->answer_body,
+		       evbuffer_get_length(exchange->answer_body));
+}
+
+static void refuse_(attempt_filter_t *self, mmx_exchange_t *exchange,
+		    mmx_reason_t reason)
+{
+	close_attempt_(self, exchange);
+	mmx_entry_refuse(exchange,
+			 exchange->may_have_run ? MMX_OUTCOME_UNKNOWN
+						: MMX_OUTCOME_NOT_RUN,
+			 reason);
+}
+
+static bool can_send_again_(attempt_filter_t *self,
+			    const mmx_exchange_t *exchange)
+{
+	return exchange->body_whole && exchange->attempts < MMX_ATTEMPTS_MAX &&
+	       exchange->deadline > mmx_clock_now(self->clock);
+}
+
+/* After an attempt that certainly did not run. */
+static void retry_not_run_(attempt_filter_t *self, mmx_exchange_t *exchange,
+			   mmx_reason_t reason)
+{
+	close_attempt_(self, exchange);
+	drop_held_answer_(exchange);
+	exchange->refusal = reason;
+	if (can_send_again_(self, exchange) &&
+	    reason != MMX_REASON_DEADLINE_EXCEEDED &&
+	    reason != MMX_REASON_ACCOUNT_LIMIT)
+		try_next_(self, exchange);
+	else
+		refuse_(self, exchange, reason);
+}
+
+/* After an attempt that may have run. */
+static void retry_may_have_run_(attempt_filter_t *self,
+				mmx_exchange_t *exchange, mmx_reason_t reason)
+{
+	close_attempt_(self, exchange);
+	drop_held_answer_(exchange);
+	exchange->may_have_run = true;
+	exchange->refusal = reason;
+	if (exchange->repeatable && can_send_again_(self, exchange)) {
+		mmx_counter_add(self->repeated, 1);
+		try_next_(self, exchange);
+	} else {
+		refuse_(self, exchange, reason);
+	}
+}
+
+static void try_next_(attempt_filter_t *self, mmx_exchange_t *exchange)
+{
+	const mmx_directory_target_t *target = choose_(self, exchange);
+
+	if (target)
+		send_(self, exchange, target);
+	else
+		refuse_(self, exchange,
+			exchange->refusal ? exchange->refusal
+					  : MMX_REASON_NO_CAPACITY);
+}
+
+/* --- fencing and deadline ---------------------------------------------- */
+
+static void send_fence_(attempt_filter_t *self, mmx_exchange_t *exchange)
+{
+	mmx_fence_t *fence = mmx_new_fence(&exchange->attempt);
+	mmx_time_t now = mmx_clock_now(self->clock);
+
+	fence->exit = exchange->exit;
+	fence->exit_incarnation = exchange->exit_incarnation;
+	fence->origin = mmx_entry_origin(self->entry);
+	exchange->state = MMX_EXCHANGE_FENCING;
+	mmx_counter_add(self->fences, 1);
+	mmx_entry_post_exit(self->entry, exchange->exit, &fence->message);
+	mmx_timer_set(&exchange->timer,
+		      MIN(FENCE_RETRY_US, exchange->deadline - now));
+}
+
+static void send_cancel_(attempt_filter_t *self, mmx_exchange_t *exchange)
+{
+	mmx_cancel_t *cancel = mmx_new_cancel(&exchange->attempt);
+
+	cancel->exit = exchange->exit;
+	mmx_entry_post_exit(self->entry, exchange->exit, &cancel->message);
+}
+
+static void on_timer_(void *arg)
+{
+	mmx_exchange_t *exchange = arg;
+	attempt_filter_t *self = (attempt_filter_t *)exchange->filter;
+
+	if (mmx_clock_now(self->clock) < exchange->deadline) {
+		send_fence_(self, exchange);
+		return;
+	}
+	send_cancel_(self, exchange);
+	exchange->may_have_run = true;
+	refuse_(self, exchange, MMX_REASON_DEADLINE_EXCEEDED);
+}
+
+void mmx_filter_attempt_fence_reply(mmx_filter_t *filter,
+				    mmx_exchange_t *exchange,
+				    mmx_fence_reply_t *reply)
+{
+	attempt_filter_t *self = (attempt_filter_t *)filter;
+
+	if (exchange->state == MMX_EXCHANGE_ANSWERING)
+		return;
+	switch (reply->state) {
+	case MMX_FENCE_FENCED:
+		retry_not_run_(self, exchange, MMX_REASON_PATH_LOST);
+		break;
+	case MMX_FENCE_RUNNING:
+		exchange->state = MMX_EXCHANGE_RUNNING;
+		drop_held_answer_(exchange);
+		set_deadline_timer_(self, exchange);
+		break;
+	case MMX_FENCE_FINISHED:
+		drop_held_answer_(exchange);
+		if (!reply->head) {
+			retry_may_have_run_(self, exchange,
+					    MMX_REASON_ANSWER_TRUNCATED);
+			break;
+		}
+		close_attempt_(self, exchange);
+		mmx_entry_answer(exchange, reply->head, reply->body, true);
+		reply->head = NULL;
+		mmx_entry_end(exchange);
+		break;
+	default:
+		retry_may_have_run_(self, exchange, MMX_REASON_PATH_LOST);
+		break;
+	}
+}
+
+/* The caller has part of the answer: it must see that the rest is missing. */
+static void cut_answer_(attempt_filter_t *self, mmx_exchange_t *exchange)
+{
+	struct evbuffer *nothing = evbuffer_new();
+
+	close_attempt_(self, exchange);
+	mmx_entry_answer_body(exchange, nothing, true, true);
+	evbuffer_free(nothing);
+	mmx_entry_end(exchange);
+}
+
+static void on_path_lost_(attempt_filter_t *self, mmx_exchange_t *exchange)
+{
+	if (exchange->state == MMX_EXCHANGE_ANSWERING) {
+		cut_answer_(self, exchange);
+	} else if (exchange->repeatable) {
+		send_cancel_(self, exchange);
+		retry_may_have_run_(self, exchange, MMX_REASON_PATH_LOST);
+	} else if (exchange->state != MMX_EXCHANGE_FENCING) {
+		send_fence_(self, exchange);
+	}
+}
+
+void mmx_filter_attempt_path_lost(mmx_filter_t *filter, mmx_node_id_t exit)
+{
+	attempt_filter_t *self = (attempt_filter_t *)filter;
+	mmx_exchange_t *last = TAILQ_LAST(&self->open, exchange_list_t);
+	mmx_exchange_t *exchange = TAILQ_FIRST(&self->open);
+	mmx_exchange_t *next;
+
+	/* Attempts that are sent again meanwhile go behind the last one. */
+	for (; exchange; exchange = next) {
+		next = exchange == last ? NULL
+					: TAILQ_NEXT(exchange, path_entry);
+		if (exchange->exit == exit)
+			on_path_lost_(self, exchange);
+	}
+}
+
+/* --- responses --------------------------------------------------------- */
+
+static void on_refusal_(attempt_filter_t *self, mmx_exchange_t *exchange,
+			const mmx_response_t *response)
+{
+	if (exchange->state == MMX_EXCHANGE_ANSWERING)
+		cut_answer_(self, exchange);
+	else if (response->started)
+		retry_may_have_run_(self, exchange, response->reason);
+	else
+		retry_not_run_(self, exchange, response->reason);
+}
+
+static void pass_held_answer_(attempt_filter_t *self, mmx_exchange_t *exchange,
+			      bool end)
+{
+	mmx_head_t *head = exchange->answer_head;
+
+	exchange->answer_head = NULL;
+	if (end)
+		close_attempt_(self, exchange);
+	else
+		exchange->state = MMX_EXCHANGE_ANSWERING;
+	mmx_entry_answer(exchange, head, exchange->answer_body, end);
+	if (end)
+		mmx_entry_end(exchange);
+}
+
+void mmx_filter_attempt_response(mmx_filter_t *filter, mmx_exchange_t *exchange,
+				 mmx_response_t *response)
+{
+	attempt_filter_t *self = (attempt_filter_t *)filter;
+
+	if (response->reason != MMX_REASON_NONE || !response->head) {
+		on_refusal_(self, exchange, response);
+		return;
+	}
+	if (exchange->state == MMX_EXCHANGE_ANSWERING || exchange->answer_head)
+		return;
+	exchange->answer_head = response->head;
+	response->head = NULL;
+	evbuffer_add_buffer(exchange->answer_body, response->body);
+	if (exchange->state == MMX_EXCHANGE_SENT) {
+		exchange->state = MMX_EXCHANGE_RUNNING;
+		set_deadline_timer_(self, exchange);
+	}
+	if (response->body_end ||
+	    evbuffer_get_length(exchange->answer_body) > MMX_HELD_BODY_MAX)
+		pass_held_answer_(self, exchange, response->body_end);
+}
+
+static void on_held_body_(attempt_filter_t *self, mmx_exchange_t *exchange,
+			  const mmx_body_t *body)
+{
+	if (!exchange->answer_head)
+		return;
+	evbuffer_add_buffer(exchange->answer_body, body->data);
+	if (body->failed)
+		retry_may_have_run_(self, exchange,
+				    MMX_REASON_ANSWER_TRUNCATED);
+	else if (body->end ||
+		 evbuffer_get_length(exchange->answer_body) > MMX_HELD_BODY_MAX)
+		pass_held_answer_(self, exchange, body->end);
+}
+
+void mmx_filter_attempt_body(mmx_filter_t *filter, mmx_exchange_t *exchange,
+			     mmx_body_t *body)
+{
+	attempt_filter_t *self = (attempt_filter_t *)filter;
+
+	if (exchange->state != MMX_EXCHANGE_ANSWERING) {
+		on_held_body_(self, exchange, body);
+		return;
+	}
+	if (body->end)
+		close_attempt_(self, exchange);
+	mmx_entry_answer_body(exchange, body->data, body->end, body->failed);
+	if (body->end)
+		mmx_entry_end(exchange);
+}
+
+/* --- request bodies ---------------------------------------------------- */
+
+void mmx_filter_attempt_request_body(mmx_filter_t *filter,
+				     mmx_exchange_t *exchange, mmx_body_t *body)
+{
+	attempt_filter_t *self = (attempt_filter_t *)filter;
+	mmx_body_t *onward;
+
+	if (exchange->state == MMX_EXCHANGE_WAITING)
+		return;
+	onward = mmx_new_body(MMX_TO_TARGET);
+	onward->attempt = exchange->attempt;
+	onward->exit = exchange->exit;
+	evbuffer_add_buffer(onward->data, body->data);
+	onward->end = body->end;
+	onward->failed = body->failed;
+	mmx_entry_post_exit(self->entry, exchange->exit, &onward->message);
+}
+
+/* --- filter ------------------------------------------------------------ */
+
+static mmx_filter_result_t process_(mmx_filter_t *filter,
+				    mmx_exchange_t *exchange)
+{
+	attempt_filter_t *self = (attempt_filter_t *)filter;
+
+	mmx_timer_init(&exchange->timer, self->clock, on_timer_, exchange);
+	try_next_(self, exchange);
+	return MMX_FILTER_WAIT;
+}
+
+static void abandon_(mmx_filter_t *filter, mmx_exchange_t *exchange)
+{
+	attempt_filter_t *self = (attempt_filter_t *)filter;
+
+	if (exchange->state == MMX_EXCHANGE_WAITING)
+		return;
+	send_cancel_(self, exchange);
+	close_attempt_(self, exchange);
+}
+
+static void destroy_(mmx_filter_t *filter)
+{
+	g_free(filter);
+}
+
+static const mmx_filter_ops_t ops_ = {
+	.name = "attempt",
+	.process = process_,
+	.abandon = abandon_,
+	.destroy = destroy_,
+};
+
+mmx_filter_t *mmx_filter_attempt_create(mmx_entry_t *entry)
+{
+	attempt_filter_t *self = g_new0(attempt_filter_t, 1);
+	mmx_counters_t *counters = mmx_entry_counters(entry);
+
+	self->filter.ops = &ops_;
+	self->entry = entry;
+	self->clock = mmx_runtime_clock(mmx_entry_runtime(entry));
+	TAILQ_INIT(&self->open);
+	if (counters) {
+		self->sent = mmx_counters_get(counters, MMX_COUNTER,
+					      "masticmux_attempts_total", "",
+					      "Attempts sent to exits.");
+		self->repeated = mmx_counters_get(
+			counters, MMX_COUNTER, "masticmux_retries_total", "",
+			"Attempts sent after one that may have run.");
+		self->fences = mmx_counters_get(counters, MMX_COUNTER,
+						"masticmux_fences_total", "",
+						"Fencing queries sent.");
+	}
+	return &self->filter;
+}
--- /dev/null
+++ b/src/libmasticmux/filter_request.c
@@ -0,0 +1,80 @@
+/* First filter: what the request's own headers say. */
+#include "private/entry.h"
+
+#include <glib.h>
+#include <string.h>
+
+/* Longest time that Masticmux-Timeout-Ms may name. */
+#define TIMEOUT_MAX_MS (24 * 3600 * 1000LL)
+
+static bool parse_timeout_(const char *text, mmx_time_t *timeout)
+{
+	guint64 ms;
+
+	if (!text)
+		return true;
+	if (!g_ascii_string_to_unsigned(text, 10, 1, TIMEOUT_MAX_MS, &ms, NULL))
+		return false;
+	*timeout = (mmx_time_t)ms * MMX_US_PER_MS;
+	return true;
+}
+
+static bool copy_header_(const mmx_head_t *head, const char *name, char *to,
+			 size_t size)
+{
+	const char *value = mmx_head_find(head, name);
+	const char *c;
+
+	if (!value)
+		return true;
+	for (c = value; *c; c++)
+		if (!g_ascii_isgraph(*c))
+			return false;
+	return value[0] && g_strlcpy(to, value, size) < size;
+}
+
+static bool parse_(mmx_exchange_t *exchange)
+{
+	const mmx_head_t *head = exchange->head;
+	const char *host = mmx_head_find(head, "Host");
+
+	if (!host || !host[0] || head->uri[0] != '/')
+		return false;
+	exchange->host = g_strdup(host);
+	exchange->path = g_strndup(head->uri, strcspn(head->uri, "?"));
+	exchange->method = mmx_method_parse(head->method);
+	return parse_timeout_(mmx_head_find(head, "Masticmux-Timeout-Ms"),
+			      &exchange->caller_timeout) &&
+	       copy_header_(head, "Masticmux-Account", exchange->account,
+			    sizeof(exchange->account)) &&
+	       copy_header_(head, "Idempotency-Key", exchange->key,
+			    sizeof(exchange->key));
+}
+
+static mmx_filter_result_t process_(mmx_filter_t *filter,
+				    mmx_exchange_t *exchange)
+{
+	if (parse_(exchange))
+		return MMX_FILTER_NEXT;
+	mmx_entry_refuse(exchange, MMX_OUTCOME_NOT_RUN, MMX_REASON_BAD_REQUEST);
+	return MMX_FILTER_DONE;
+}
+
+static void destroy_(mmx_filter_t *filter)
+{
+	g_free(filter);
+}
+
+static const mmx_filter_ops_t ops_ = {
+	.name = "request",
+	.process = process_,
+	.destroy = destroy_,
+};
+
+mmx_filter_t *mmx_filter_request_create(void)
+{
+	mmx_filter_t *filter = g_new0(mmx_filter_t, 1);
+
+	filter->ops = &ops_;
+	return filter;
+}
--- /dev/null
+++ b/src/libmasticmux/filter_route.c
@@ -0,0 +1,48 @@
+/* Finds the service and its policy from Host and path. */
+#include "private/entry.h"
+
+#include <glib.h>
+
+typedef struct route_filter_t {
+	mmx_filter_t filter;
+	const mmx_fold_t *fold;
+} route_filter_t;
+
+static mmx_filter_result_t process_(mmx_filter_t *filter,
+				    mmx_exchange_t *exchange)
+{
+	const route_filter_t *self = (route_filter_t *)filter;
+	mmx_route_t route;
+
+	if (!mmx_fold_route(self->fold, exchange->host, exchange->path,
+			    &route)) {
+		mmx_entry_refuse(exchange, MMX_OUTCOME_NOT_RUN,
+				 mmx_fold_is_empty(self->fold)
+					 ? MMX_REASON_NO_CONFIGURATION
+					 : MMX_REASON_UNKNOWN_SERVICE);
+		return MMX_FILTER_DONE;
+	}
+	g_strlcpy(exchange->service, route.service, sizeof(exchange->service));
+	exchange->policy = route.policy;
+	return MMX_FILTER_NEXT;
+}
+
+static void destroy_(mmx_filter_t *filter)
+{
+	g_free(filter);
+}
+
+static const mmx_filter_ops_t ops_ = {
+	.name = "route",
+	.process = process_,
+	.destroy = destroy_,
+};
+
+mmx_filter_t *mmx_filter_route_create(const mmx_fold_t *fold)
+{
+	route_filter_t *self = g_new0(route_filter_t, 1);
+
+	self->filter.ops = &ops_;
+	self->fold = fold;
+	return &self->filter;
+}
--- a/src/libmasticmux/include/private/attempts.h
+++ b/src/libmasticmux/include/private/attempts.h
@@ -88,7 +88,7 @@
 /* Forgets what has passed its time. */
 void mmx_attempts_expire(mmx_attempts_t *attempts);
 
-/* Calls fn for each record that is queued or running; fn may end it. */
+/* Calls fn for each record that is queued or running; fn must end none. */
 void mmx_attempts_each_open(mmx_attempts_t *attempts,
 			    void (*fn)(mmx_attempt_t *attempt, void *arg),
 			    void *arg);
--- /dev/null
+++ b/src/libmasticmux/include/private/entry.h
@@ -0,0 +1,97 @@
+/*
+ * The entry: takes callers' requests, passes each through the filters
+ * (request, route, account, ..., attempt), and gives exactly one answer for
+ * each with its outcome.
+ *
+ * A task without sockets: it receives REQUEST, BODY, WINDOW and CALLER_GONE
+ * from http_entry, RESPONSE, BODY, WINDOW, FENCE_REPLY, EVIDENCE and PATH_LOST
+ * from the exit of this node or from the peer task.
+ *
+ * Life: create, set options, init, (messages), destroy.
+ */
+#ifndef MASTICMUX_PRIVATE_ENTRY_H
+#define MASTICMUX_PRIVATE_ENTRY_H
+
+#include "masticmux/counters.h"
+#include "masticmux/log.h"
+#include "masticmux/random.h"
+#include "private/filter.h"
+
+typedef struct mmx_entry_t mmx_entry_t;
+
+mmx_entry_t *mmx_entry_create(mmx_runtime_t *runtime, mmx_node_id_t node,
+			      mmx_incarnation_t incarnation, uint64_t seed);
+void mmx_entry_destroy(mmx_entry_t *entry);
+
+/* Options; valid before init only, false afterwards. */
+bool mmx_entry_set_http(mmx_entry_t *entry, mmx_task_t *http);
+bool mmx_entry_set_peer(mmx_entry_t *entry, mmx_task_t *peer);
+bool mmx_entry_set_local_exit(mmx_entry_t *entry, mmx_task_t *exit);
+bool mmx_entry_set_fold(mmx_entry_t *entry, const mmx_fold_t *fold);
+bool mmx_entry_set_directory(mmx_entry_t *entry,
+			     const mmx_directory_t *directory);
+bool mmx_entry_set_counters(mmx_entry_t *entry, mmx_counters_t *counters);
+
+/* Asserts that http, local exit, fold and directory were set. */
+void mmx_entry_init(mmx_entry_t *entry);
+
+/* The task that messages are posted to. Valid after create. */
+mmx_task_t *mmx_entry_task(mmx_entry_t *entry);
+
+/* From now on new requests are refused with shutting-down. */
+void mmx_entry_drain(mmx_entry_t *entry);
+
+/* Requests that have no whole answer yet. */
+size_t mmx_entry_in_progress(const mmx_entry_t *entry);
+
+/* --- for the filters --------------------------------------------------- */
+
+/*
+ * Answers the caller with a refusal and ends the exchange, which is freed.
+ * Filters return MMX_FILTER_DONE afterwards.
+ */
+void mmx_entry_refuse(mmx_exchange_t *exchange, mmx_outcome_t outcome,
+		      mmx_reason_t reason);
+
+/* The response of the target, or the part of it that is held. */
+void mmx_entry_answer(mmx_exchange_t *exchange, mmx_head_t *head,
+		      struct evbuffer *body, bool end);
+
+/* A further part of the answer; failed: it breaks off here. */
+void mmx_entry_answer_body(mmx_exchange_t *exchange, struct evbuffer *part,
+			   bool end, bool failed);
+
+/* Ends an exchange whose answer is out; frees it. */
+void mmx_entry_end(mmx_exchange_t *exchange);
+
+mmx_filter_t *mmx_filter_request_create(void);
+mmx_filter_t *mmx_filter_route_create(const mmx_fold_t *fold);
+mmx_filter_t *mmx_filter_account_create(const mmx_fold_t *fold);
+mmx_filter_t *mmx_filter_attempt_create(mmx_entry_t *entry);
+
+/* Messages that concern the attempt of an exchange, to the attempt filter. */
+void mmx_filter_attempt_response(mmx_filter_t *filter, mmx_exchange_t *exchange,
+				 mmx_response_t *response);
+void mmx_filter_attempt_body(mmx_filter_t *filter, mmx_exchange_t *exchange,
+			     mmx_body_t *body);
+void mmx_filter_attempt_fence_reply(mmx_filter_t *filter,
+				    mmx_exchange_t *exchange,
+				    mmx_fence_reply_t *reply);
+void mmx_filter_attempt_path_lost(mmx_filter_t *filter, mmx_node_id_t exit);
+void mmx_filter_attempt_request_body(mmx_filter_t *filter,
+				     mmx_exchange_t *exchange,
+				     mmx_body_t *body);
+
+/* What the attempt filter needs of its entry. */
+mmx_runtime_t *mmx_entry_runtime(const mmx_entry_t *entry);
+const mmx_directory_t *mmx_entry_directory(const mmx_entry_t *entry);
+mmx_random_t *mmx_entry_random(mmx_entry_t *entry);
+mmx_counters_t *mmx_entry_counters(const mmx_entry_t *entry);
+/* A new attempt id; the exchange is found by it from now on. */
+void mmx_entry_new_attempt(mmx_exchange_t *exchange);
+/* Posts to the exit of this node or to the peer task. */
+void mmx_entry_post_exit(mmx_entry_t *entry, mmx_node_id_t exit,
+			 mmx_message_t *message);
+mmx_origin_t mmx_entry_origin(mmx_entry_t *entry);
+
+#endif
--- /dev/null
+++ b/src/libmasticmux/include/private/exchange.h
@@ -0,0 +1,66 @@
+/* One request of a caller while it passes through an entry. */
+#ifndef MASTICMUX_PRIVATE_EXCHANGE_H
+#define MASTICMUX_PRIVATE_EXCHANGE_H
+
+#include "masticmux/fold.h"
+#include "private/messages.h"
+
+/* Longest Idempotency-Key, bytes. */
+#define MMX_IDEMPOTENCY_KEY_MAX 255
+/* Targets that one request may be tried at. */
+#define MMX_ATTEMPTS_MAX 4
+
+struct mmx_filter_t;
+struct mmx_entry_t;
+
+typedef enum mmx_exchange_state_t {
+	MMX_EXCHANGE_WAITING,	/* no attempt is out */
+	MMX_EXCHANGE_SENT,	/* an attempt is out, nothing heard */
+	MMX_EXCHANGE_FENCING,	/* a fencing query is out */
+	MMX_EXCHANGE_RUNNING,	/* the exit has confirmed that it runs */
+	MMX_EXCHANGE_ANSWERING, /* the head has gone to the caller */
+	MMX_EXCHANGE_STATE_COUNT
+} mmx_exchange_state_t;
+
+extern const char *const mmx_exchange_state_string[MMX_EXCHANGE_STATE_COUNT];
+
+typedef struct mmx_exchange_t {
+	TAILQ_ENTRY(mmx_exchange_t) path_entry; /* of the exit in use */
+	struct mmx_entry_t *owner;
+	struct mmx_filter_t *filter; /* that works on it now */
+	uint64_t request;
+	mmx_head_t *head;
+	struct evbuffer *body; /* parts so far, while they are all held */
+	bool body_end;
+	bool body_whole; /* body holds all parts received: may be sent again */
+	mmx_method_t method;
+	char *host;
+	char *path;
+	char service[MMX_NAME_MAX + 1];
+	char account[MMX_NAME_MAX + 1];
+	char key[MMX_IDEMPOTENCY_KEY_MAX + 1]; /* empty: none */
+	mmx_policy_t policy;
+	bool has_account;
+	mmx_account_t account_parameters;
+	bool repeatable;
+	mmx_trace_context_t trace;
+	mmx_time_t started;
+	mmx_time_t deadline;
+	mmx_time_t caller_timeout; /* 0: none named */
+	mmx_timer_t timer;
+	mmx_exchange_state_t state;
+	mmx_attempt_id_t attempt; /* the latest one */
+	mmx_node_id_t exit;
+	mmx_incarnation_t exit_incarnation;
+	mmx_target_id_t target;
+	mmx_time_t attempt_started;
+	mmx_target_id_t tried[MMX_ATTEMPTS_MAX];
+	unsigned int attempts;
+	bool may_have_run;	 /* an ended attempt may have run */
+	mmx_reason_t refusal;	 /* of the latest attempt */
+	mmx_head_t *answer_head; /* held until the body is whole or too long */
+	struct evbuffer *answer_body;
+	uint32_t body_credit; /* bytes that the exit may still be sent */
+} mmx_exchange_t;
+
+#endif
