--- a/include/masticmux/fold.h
+++ b/include/masticmux/fold.h
@@ -1,13 +1,17 @@
 /**
  * Fold: the configuration that results from the records of the log, and its
  * lookups. Does no I/O. Two folds that were given the same records in offset
- * order are equal.
+ * order are equal, and so are their snapshots (masticmux/snapshot.h).
+ *
+ * Offset 0 is never applied, because base 0 stands for a new object. The
+ * first record that counts has offset 1.
  *
  * Life: create, (apply records or load a snapshot, look up), destroy.
  */
 #ifndef MASTICMUX_FOLD_H
 #define MASTICMUX_FOLD_H
 
+#include "masticmux/change.h"
 #include "masticmux/policy.h"
 #include "masticmux/types.h"
 
@@ -27,14 +31,125 @@
 	bool has_repeatable;
 } mmx_account_t;
 
+/**
+ * Number of records whose verdict is kept, accepted and rejected ones. At
+ * 6,400 changes a day this is two days and a half.
+ */
+#define MMX_FOLD_VERDICTS_MAX 16384
+
+/** Most objects of each kind; they bound the memory of a node. */
+#define MMX_FOLD_TEMPLATES_MAX 4096
+#define MMX_FOLD_SERVICES_MAX 8192
+#define MMX_FOLD_ROUTES_MAX 131072
+#define MMX_FOLD_ACCOUNTS_MAX 393216
+
+/** What became of a record. */
+typedef enum mmx_verdict_t {
+	MMX_VERDICT_ACCEPTED,
+	MMX_VERDICT_REJECTED,
+	MMX_VERDICT_DUPLICATE, /**< a record with this id came before */
+	MMX_VERDICT_INVALID,   /**< not a valid change; skipped */
+	MMX_VERDICT_IGNORED,   /**< at or below the applied offset */
+	MMX_VERDICT_GAP,       /**< records in between are missing */
+	MMX_VERDICT_COUNT
+} mmx_verdict_t;
+
+extern const char *const mmx_verdict_string[MMX_VERDICT_COUNT];
+
+/** Why a valid change was rejected. */
+typedef enum mmx_reject_t {
+	MMX_REJECT_NONE,
+	MMX_REJECT_STALE_BASE,	     /**< based on another revision */
+	MMX_REJECT_UNKNOWN_TEMPLATE, /**< a service names no known template */
+	MMX_REJECT_ROUTE_TAKEN,	     /**< another service has the route */
+	MMX_REJECT_ROUTE_REPEATED,   /**< twice in the change */
+	MMX_REJECT_ACCOUNT_FLOORS,   /**< floors add up to over 100 percent */
+	MMX_REJECT_TOO_MANY,	     /**< more objects than a node can hold */
+	MMX_REJECT_COUNT
+} mmx_reject_t;
+
+extern const char *const mmx_reject_string[MMX_REJECT_COUNT];
+
+#define MMX_FOLD_TEXT_MAX 383
+
+/** Result of applying a record. */
+typedef struct mmx_fold_result_t {
+	mmx_verdict_t verdict;
+	mmx_reject_t reject;
+	uint64_t offset; /**< of the record; the revision if accepted */
+	char id[MMX_CHANGE_ID_MAX + 1];	  /**< empty if it could not be read */
+	char text[MMX_FOLD_TEXT_MAX + 1]; /**< what is wrong, or empty */
+} mmx_fold_result_t;
+
+/** Records by verdict since this fold was created; not in snapshots. */
+typedef struct mmx_fold_counts_t {
+	uint64_t records[MMX_VERDICT_COUNT];
+} mmx_fold_counts_t;
+
+/** Numbers of objects. */
+typedef struct mmx_fold_sizes_t {
+	size_t templates;
+	size_t services;
+	size_t routes;
+	size_t accounts;
+	size_t verdicts;
+} mmx_fold_sizes_t;
+
 typedef struct mmx_fold_t mmx_fold_t;
 
 mmx_fold_t *mmx_fold_create(void);
 void mmx_fold_destroy(mmx_fold_t *fold);
 
+/** Offset of the last record applied; 0 at first. */
+uint64_t mmx_fold_applied(const mmx_fold_t *fold);
+
+/**
+ * Applies the next record of the stream `config`.
+ *
+ * The record is valid only at offset mmx_fold_applied() + 1; any other offset
+ * changes nothing. An accepted change is applied as a whole. The verdict
+ * depends on the records so far and on nothing else.
+ *
+ * @param data    the record as it stands in the log
+ * @param result  receives the verdict; may be NULL
+ * @return true if the applied offset moved
+ */
+bool mmx_fold_apply(mmx_fold_t *fold, uint64_t offset, const char *data,
+		    size_t length, mmx_fold_result_t *result);
+
+/**
+ * Says what mmx_fold_apply() would do with a change at the next offset,
+ * without the check for a repeated id.
+ */
+void mmx_fold_check(const mmx_fold_t *fold, const mmx_change_t *change,
+		    mmx_fold_result_t *result);
+
+/**
+ * Looks up the verdict on a record among the last MMX_FOLD_VERDICTS_MAX.
+ *
+ * @param result  receives ACCEPTED or REJECTED with offset and id, and the
+ *                kind of rejection; the text is known to the fold that
+ *                applied the record only
+ * @return false if no such record is remembered
+ */
+bool mmx_fold_verdict(const mmx_fold_t *fold, const char *id,
+		      mmx_fold_result_t *result);
+
+/** Revision of an object; 0 if there is none of this name. */
+uint64_t mmx_fold_template_revision(const mmx_fold_t *fold, const char *name);
+uint64_t mmx_fold_service_revision(const mmx_fold_t *fold, const char *name);
+uint64_t mmx_fold_account_revision(const mmx_fold_t *fold, const char *name);
+
+/** Records by verdict; valid as long as the fold. */
+const mmx_fold_counts_t *mmx_fold_counts(const mmx_fold_t *fold);
+
+void mmx_fold_sizes(const mmx_fold_t *fold, mmx_fold_sizes_t *sizes);
+
 /**
  * Looks up the route of a request: the longest path prefix among the routes
- * of the host. The host is compared without case and without its port.
+ * of the host. The host is compared without case and without its port. A
+ * prefix ends at a boundary between path segments: "/a" matches "/a" and
+ * "/a/b" and "/a?q", not "/ab". A slash at the end of a prefix has no effect.
  *
  * @return false when no route matches
  */
--- /dev/null
+++ b/src/libmasticmux/fold.c
@@ -0,0 +1,346 @@
+#include "masticmux/fold.h"
+
+#include <stdarg.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "private/fold_table.h"
+
+#define FLOOR_TOTAL_MAX 100
+
+const char *const mmx_verdict_string[MMX_VERDICT_COUNT] = {
+	"accepted", "rejected", "duplicate", "invalid", "ignored", "gap",
+};
+
+const char *const mmx_reject_string[MMX_REJECT_COUNT] = {
+	"none",		  "stale-base",	    "unknown-template", "route-taken",
+	"route-repeated", "account-floors", "too-many",
+};
+
+static bool reject_(mmx_fold_result_t *result, mmx_reject_t reject,
+		    const char *format, ...)
+	__attribute__((format(printf, 3, 4)));
+
+static bool reject_(mmx_fold_result_t *result, mmx_reject_t reject,
+		    const char *format, ...)
+{
+	va_list args;
+
+	result->verdict = MMX_VERDICT_REJECTED;
+	result->reject = reject;
+	va_start(args, format);
+	vsnprintf(result->text, sizeof(result->text), format, args);
+	va_end(args);
+	return false;
+}
+
+static bool check_base_(const char *kind, const char *name, uint64_t base,
+			uint64_t revision, mmx_fold_result_t *result)
+{
+	if (base == revision)
+		return true;
+	return reject_(result, MMX_REJECT_STALE_BASE,
+		       "%s '%s' is at revision %" G_GUINT64_FORMAT
+		       ", the change is based on %" G_GUINT64_FORMAT,
+		       kind, name, revision, base);
+}
+
+static bool check_bases_(const mmx_fold_t *fold, const mmx_change_t *change,
+			 mmx_fold_result_t *result)
+{
+	const mmx_change_template_t *template_change;
+	const mmx_change_service_t *service;
+	const mmx_change_account_t *account;
+
+	STAILQ_FOREACH (template_change, &change->templates, entry) {
+		const char *name = template_change->name;
+
+		if (!check_base_("template", name, template_change->base,
+				 mmx_fold_template_revision(fold, name),
+				 result))
+			return false;
+	}
+	STAILQ_FOREACH (service, &change->services, entry)
+		if (!check_base_("service", service->name, service->base,
+				 mmx_fold_service_revision(fold, service->name),
+				 result))
+			return false;
+	STAILQ_FOREACH (account, &change->accounts, entry)
+		if (!check_base_("account", account->name, account->base,
+				 mmx_fold_account_revision(fold, account->name),
+				 result))
+			return false;
+	return true;
+}
+
+static bool has_service_(const mmx_change_t *change, const char *name)
+{
+	const mmx_change_service_t *service;
+
+	STAILQ_FOREACH (service, &change->services, entry)
+		if (!strcmp(service->name, name))
+			return true;
+	return false;
+}
+
+static bool has_template_(const mmx_change_t *change, const char *name)
+{
+	const mmx_change_template_t *template_change;
+
+	STAILQ_FOREACH (template_change, &change->templates, entry)
+		if (!strcmp(template_change->name, name))
+			return true;
+	return false;
+}
+
+static bool check_route_(const mmx_fold_t *fold, const mmx_change_t *change,
+			 const mmx_change_route_t *route, GHashTable *keys,
+			 mmx_fold_result_t *result)
+{
+	int length = (int)mmx_fold_prefix_length(route->path_prefix);
+	const mmx_fold_route_t *taken;
+
+	if (!g_hash_table_add(keys,
+			      g_strdup_printf("%s %.*s", route->host, length,
+					      route->path_prefix)))
+		return reject_(result, MMX_REJECT_ROUTE_REPEATED,
+			       "route %s%.*s occurs twice in the change",
+			       route->host, length, route->path_prefix);
+	taken = mmx_fold_find_route(fold, route->host, route->path_prefix);
+	if (!taken || has_service_(change, taken->service->key.name))
+		return true;
+	return reject_(result, MMX_REJECT_ROUTE_TAKEN,
+		       "route %s%.*s belongs to service '%s'", route->host,
+		       length, route->path_prefix, taken->service->key.name);
+}
+
+static bool check_routes_(const mmx_fold_t *fold, const mmx_change_t *change,
+			  mmx_fold_result_t *result)
+{
+	GHashTable *keys =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	const mmx_change_service_t *service;
+	const mmx_change_route_t *route;
+	bool valid = true;
+
+	STAILQ_FOREACH (service, &change->services, entry) {
+		STAILQ_FOREACH (route, &service->routes, entry) {
+			valid = check_route_(fold, change, route, keys, result);
+			if (!valid)
+				break;
+		}
+		if (!valid)
+			break;
+	}
+	g_hash_table_destroy(keys);
+	return valid;
+}
+
+static bool check_templates_(const mmx_fold_t *fold, const mmx_change_t *change,
+			     mmx_fold_result_t *result)
+{
+	const mmx_change_service_t *service;
+
+	STAILQ_FOREACH (service, &change->services, entry) {
+		const char *name = service->template_name;
+
+		if (!mmx_fold_find_template(fold, name) &&
+		    !has_template_(change, name))
+			return reject_(result, MMX_REJECT_UNKNOWN_TEMPLATE,
+				       "service '%s' names template '%s', "
+				       "which does not exist",
+				       service->name, name);
+	}
+	return true;
+}
+
+static bool check_floors_(const mmx_fold_t *fold, const mmx_change_t *change,
+			  mmx_fold_result_t *result)
+{
+	const mmx_change_account_t *account;
+	const mmx_fold_account_t *old;
+	int64_t total = fold->floor_total;
+
+	STAILQ_FOREACH (account, &change->accounts, entry) {
+		old = mmx_fold_find_account(fold, account->name);
+		total += account->floor_percent;
+		total -= old ? old->floor_percent : 0;
+	}
+	if (total <= FLOOR_TOTAL_MAX || total <= (int64_t)fold->floor_total)
+		return true;
+	return reject_(result, MMX_REJECT_ACCOUNT_FLOORS,
+		       "the floors of all accounts would add up to %d percent",
+		       (int)total);
+}
+
+static bool check_size_(const char *kind, size_t after, size_t limit,
+			mmx_fold_result_t *result)
+{
+	if (after <= limit)
+		return true;
+	return reject_(result, MMX_REJECT_TOO_MANY,
+		       "there would be %zu %ss, the limit is %zu", after, kind,
+		       limit);
+}
+
+static bool check_sizes_(const mmx_fold_t *fold, const mmx_change_t *change,
+			 mmx_fold_result_t *result)
+{
+	const mmx_change_template_t *template_change;
+	const mmx_change_service_t *service;
+	const mmx_change_account_t *account;
+	const mmx_fold_service_t *old;
+	mmx_fold_sizes_t sizes;
+
+	mmx_fold_sizes(fold, &sizes);
+	STAILQ_FOREACH (template_change, &change->templates, entry)
+		sizes.templates += template_change->base == 0;
+	STAILQ_FOREACH (service, &change->services, entry) {
+		old = mmx_fold_find_service(fold, service->name);
+		sizes.services += service->base == 0;
+		sizes.routes += service->route_count;
+		sizes.routes -= old ? old->route_count : 0;
+	}
+	STAILQ_FOREACH (account, &change->accounts, entry)
+		sizes.accounts += account->base == 0;
+	return check_size_("template", sizes.templates, MMX_FOLD_TEMPLATES_MAX,
+			   result) &&
+	       check_size_("service", sizes.services, MMX_FOLD_SERVICES_MAX,
+			   result) &&
+	       check_size_("route", sizes.routes, MMX_FOLD_ROUTES_MAX,
+			   result) &&
+	       check_size_("account", sizes.accounts, MMX_FOLD_ACCOUNTS_MAX,
+			   result);
+}
+
+void mmx_fold_check(const mmx_fold_t *fold, const mmx_change_t *change,
+		    mmx_fold_result_t *result)
+{
+	*result = (mmx_fold_result_t){
+		.verdict = MMX_VERDICT_ACCEPTED,
+		.offset = fold->applied + 1,
+	};
+	g_strlcpy(result->id, change->id, sizeof(result->id));
+	(void)(check_bases_(fold, change, result) &&
+	       check_templates_(fold, change, result) &&
+	       check_routes_(fold, change, result) &&
+	       check_floors_(fold, change, result) &&
+	       check_sizes_(fold, change, result));
+}
+
+static void put_services_(mmx_fold_t *fold, const mmx_change_t *change,
+			  uint64_t revision)
+{
+	const mmx_change_service_t *service;
+	mmx_fold_service_t *entry;
+
+	/* All old routes go first, so that a change can move a route from one
+	 * service to another. */
+	STAILQ_FOREACH (service, &change->services, entry) {
+		entry = mmx_fold_find_service(fold, service->name);
+		if (entry)
+			mmx_fold_clear_routes(fold, entry);
+	}
+	STAILQ_FOREACH (service, &change->services, entry) {
+		entry = mmx_fold_put_service(
+			fold, service->name, revision,
+			mmx_fold_find_template(fold, service->template_name));
+		mmx_fold_set_routes(fold, entry, &service->routes,
+				    service->route_count);
+	}
+}
+
+static void put_(mmx_fold_t *fold, const mmx_change_t *change,
+		 uint64_t revision)
+{
+	const mmx_change_template_t *template_change;
+	const mmx_change_account_t *account;
+
+	STAILQ_FOREACH (template_change, &change->templates, entry)
+		mmx_fold_put_template(fold, template_change->name, revision,
+				      &template_change->policy);
+	put_services_(fold, change, revision);
+	STAILQ_FOREACH (account, &change->accounts, entry)
+		mmx_fold_put_account(fold, account->name, revision, account);
+}
+
+static void fold_change_(mmx_fold_t *fold, const mmx_change_t *change,
+			 mmx_fold_result_t *result)
+{
+	mmx_fold_seen_t seen = {.offset = fold->applied + 1};
+	const mmx_fold_seen_t *earlier;
+
+	mmx_fold_digest_id(change->id, seen.id);
+	earlier = mmx_fold_recall(fold, seen.id);
+	if (earlier) {
+		result->verdict = MMX_VERDICT_DUPLICATE;
+		g_strlcpy(result->id, change->id, sizeof(result->id));
+		g_snprintf(result->text, sizeof(result->text),
+			   "the id came before at offset %" G_GUINT64_FORMAT,
+			   earlier->offset);
+		return;
+	}
+	mmx_fold_check(fold, change, result);
+	if (result->verdict == MMX_VERDICT_ACCEPTED)
+		put_(fold, change, result->offset);
+	seen.verdict = (uint8_t)result->verdict;
+	seen.reject = (uint8_t)result->reject;
+	mmx_fold_remember(fold, &seen);
+}
+
+bool mmx_fold_apply(mmx_fold_t *fold, uint64_t offset, const char *data,
+		    size_t length, mmx_fold_result_t *result)
+{
+	mmx_fold_result_t local = {.offset = offset};
+	mmx_error_t error = {.code = MMX_ERROR_NONE};
+	mmx_change_t *change;
+	bool moved = offset == fold->applied + 1;
+
+	if (moved) {
+		change = mmx_change_from_json(data, length, &error);
+		if (change) {
+			fold_change_(fold, change, &local);
+		} else {
+			local.verdict = MMX_VERDICT_INVALID;
+			g_strlcpy(local.text, error.text, sizeof(local.text));
+		}
+		mmx_change_destroy(change);
+		fold->applied = offset;
+	} else {
+		local.verdict = offset <= fold->applied ? MMX_VERDICT_IGNORED
+							: MMX_VERDICT_GAP;
+	}
+	fold->counts.records[local.verdict]++;
+	if (result)
+		*result = local;
+	return moved;
+}
+
+uint64_t mmx_fold_applied(const mmx_fold_t *fold)
+{
+	return fold->applied;
+}
+
+const mmx_fold_counts_t *mmx_fold_counts(const mmx_fold_t *fold)
+{
+	return &fold->counts;
+}
+
+bool mmx_fold_verdict(const mmx_fold_t *fold, const char *id,
+		      mmx_fold_result_t *result)
+{
+	uint8_t digest[MMX_FOLD_ID_BYTES];
+	const mmx_fold_seen_t *seen;
+
+	mmx_fold_digest_id(id, digest);
+	seen = mmx_fold_recall(fold, digest);
+	if (!seen)
+		return false;
+	*result = (mmx_fold_result_t){
+		.verdict = (mmx_verdict_t)seen->verdict,
+		.reject = (mmx_reject_t)seen->reject,
+		.offset = seen->offset,
+	};
+	g_strlcpy(result->id, id, sizeof(result->id));
+	return true;
+}
--- /dev/null
+++ b/src/libmasticmux/fold_table.c
@@ -0,0 +1,490 @@
+#include "private/fold_table.h"
+
+#include <assert.h>
+#include <openssl/evp.h>
+#include <string.h>
+#include <xxhash.h>
+
+/* Highest bit of the mask of prefix depths in a host. */
+#define DEPTH_LAST 31
+
+static guint hash_name_(gconstpointer data)
+{
+	const mmx_fold_key_t *key = data;
+
+	return (guint)XXH64(key->name, strlen(key->name), 0);
+}
+
+static gboolean equal_name_(gconstpointer a, gconstpointer b)
+{
+	const mmx_fold_key_t *left = a;
+	const mmx_fold_key_t *right = b;
+
+	return strcmp(left->name, right->name) == 0;
+}
+
+static guint hash_route_(gconstpointer data)
+{
+	const mmx_fold_route_key_t *key = data;
+
+	return (guint)XXH64(key->prefix, key->length, (uintptr_t)key->host);
+}
+
+static gboolean equal_route_(gconstpointer a, gconstpointer b)
+{
+	const mmx_fold_route_key_t *left = a;
+	const mmx_fold_route_key_t *right = b;
+
+	return left->host == right->host && left->length == right->length &&
+	       memcmp(left->prefix, right->prefix, left->length) == 0;
+}
+
+static guint hash_seen_(gconstpointer data)
+{
+	const mmx_fold_seen_t *seen = data;
+
+	return (guint)XXH64(seen->id, sizeof(seen->id), 0);
+}
+
+static gboolean equal_seen_(gconstpointer a, gconstpointer b)
+{
+	const mmx_fold_seen_t *left = a;
+	const mmx_fold_seen_t *right = b;
+
+	return memcmp(left->id, right->id, sizeof(left->id)) == 0;
+}
+
+static void free_route_(gpointer data)
+{
+	mmx_fold_route_t *route = data;
+
+	g_free(route->override);
+	g_free(route);
+}
+
+static void free_service_(gpointer data)
+{
+	mmx_fold_service_t *service = data;
+
+	g_free(service->routes);
+	g_free(service);
+}
+
+mmx_fold_t *mmx_fold_create(void)
+{
+	mmx_fold_t *fold = g_new0(mmx_fold_t, 1);
+
+	fold->templates =
+		g_hash_table_new_full(hash_name_, equal_name_, g_free, NULL);
+	fold->services = g_hash_table_new_full(hash_name_, equal_name_,
+					       free_service_, NULL);
+	fold->hosts =
+		g_hash_table_new_full(hash_name_, equal_name_, g_free, NULL);
+	fold->routes = g_hash_table_new_full(hash_route_, equal_route_,
+					     free_route_, NULL);
+	fold->accounts =
+		g_hash_table_new_full(hash_name_, equal_name_, g_free, NULL);
+	fold->seen = g_new0(mmx_fold_seen_t, MMX_FOLD_VERDICTS_MAX);
+	fold->seen_index = g_hash_table_new(hash_seen_, equal_seen_);
+	return fold;
+}
+
+void mmx_fold_destroy(mmx_fold_t *fold)
+{
+	if (!fold)
+		return;
+	g_hash_table_destroy(fold->routes);
+	g_hash_table_destroy(fold->hosts);
+	g_hash_table_destroy(fold->services);
+	g_hash_table_destroy(fold->templates);
+	g_hash_table_destroy(fold->accounts);
+	g_hash_table_destroy(fold->seen_index);
+	g_free(fold->seen);
+	g_free(fold);
+}
+
+static void *find_(GHashTable *table, const char *name)
+{
+	mmx_fold_key_t key = {name};
+
+	return g_hash_table_lookup(table, &key);
+}
+
+mmx_fold_template_t *mmx_fold_find_template(const mmx_fold_t *fold,
+					    const char *name)
+{
+	return find_(fold->templates, name);
+}
+
+mmx_fold_service_t *mmx_fold_find_service(const mmx_fold_t *fold,
+					  const char *name)
+{
+	return find_(fold->services, name);
+}
+
+mmx_fold_account_t *mmx_fold_find_account(const mmx_fold_t *fold,
+					  const char *name)
+{
+	return find_(fold->accounts, name);
+}
+
+size_t mmx_fold_prefix_length(const char *prefix)
+{
+	size_t length = strlen(prefix);
+
+	while (length > 1 && prefix[length - 1] == '/')
+		length--;
+	return length;
+}
+
+mmx_fold_route_t *mmx_fold_find_route(const mmx_fold_t *fold, const char *host,
+				      const char *prefix)
+{
+	mmx_fold_route_key_t key = {
+		.host = find_(fold->hosts, host),
+		.prefix = prefix,
+		.length = (uint32_t)mmx_fold_prefix_length(prefix),
+	};
+
+	return key.host ? g_hash_table_lookup(fold->routes, &key) : NULL;
+}
+
+void mmx_fold_put_template(mmx_fold_t *fold, const char *name,
+			   uint64_t revision, const mmx_policy_t *policy)
+{
+	mmx_fold_template_t *entry = mmx_fold_find_template(fold, name);
+	size_t size = strlen(name) + 1;
+
+	if (!entry) {
+		entry = g_malloc0(sizeof(*entry) + size);
+		memcpy(entry->text, name, size);
+		entry->key.name = entry->text;
+		g_hash_table_add(fold->templates, entry);
+	}
+	entry->revision = revision;
+	entry->policy = *policy;
+}
+
+void mmx_fold_put_account(mmx_fold_t *fold, const char *name, uint64_t revision,
+			  const mmx_change_account_t *account)
+{
+	mmx_fold_account_t *entry = mmx_fold_find_account(fold, name);
+	size_t size = strlen(name) + 1;
+
+	if (!entry) {
+		entry = g_malloc0(sizeof(*entry) + size);
+		memcpy(entry->text, name, size);
+		entry->key.name = entry->text;
+		g_hash_table_add(fold->accounts, entry);
+	}
+	fold->floor_total -= entry->floor_percent;
+	fold->floor_total += account->floor_percent;
+	entry->revision = revision;
+	entry->deadline_us = (uint32_t)account->deadline;
+	entry->floor_percent = account->floor_percent;
+	entry->ceiling_percent = account->ceiling_percent;
+	entry->has_repeatable = account->has_repeatable;
+	entry->repeatable =
+		account->has_repeatable ? (uint8_t)account->repeatable : 0;
+}
+
+mmx_fold_service_t *mmx_fold_put_service(mmx_fold_t *fold, const char *name,
+					 uint64_t revision,
+					 mmx_fold_template_t *template_entry)
+{
+	mmx_fold_service_t *entry = mmx_fold_find_service(fold, name);
+	size_t size = strlen(name) + 1;
+
+	if (!entry) {
+		entry = g_malloc0(sizeof(*entry) + size);
+		memcpy(entry->text, name, size);
+		entry->key.name = entry->text;
+		g_hash_table_add(fold->services, entry);
+	}
+	entry->revision = revision;
+	entry->template_entry = template_entry;
+	return entry;
+}
+
+static mmx_fold_host_t *use_host_(mmx_fold_t *fold, const char *name)
+{
+	mmx_fold_host_t *host = find_(fold->hosts, name);
+	size_t size = strlen(name) + 1;
+
+	if (!host) {
+		host = g_malloc0(sizeof(*host) + size);
+		memcpy(host->text, name, size);
+		host->key.name = host->text;
+		g_hash_table_add(fold->hosts, host);
+	}
+	host->routes++;
+	return host;
+}
+
+static uint32_t depth_bit_(const char *prefix, size_t length)
+{
+	size_t depth = 0;
+	size_t i;
+
+	for (i = 0; length > 1 && i < length; i++)
+		depth += prefix[i] == '/';
+	return 1U << (depth < DEPTH_LAST ? depth : DEPTH_LAST);
+}
+
+void mmx_fold_clear_routes(mmx_fold_t *fold, mmx_fold_service_t *service)
+{
+	size_t i;
+
+	for (i = 0; i < service->route_count; i++) {
+		mmx_fold_route_t *route = service->routes[i];
+		mmx_fold_host_t *host =
+			find_(fold->hosts, route->key.host->key.name);
+
+		g_hash_table_remove(fold->routes, route);
+		if (--host->routes == 0)
+			g_hash_table_remove(fold->hosts, host);
+	}
+	g_free(service->routes);
+	service->routes = NULL;
+	service->route_count = 0;
+}
+
+static int compare_routes_(const void *a, const void *b)
+{
+	const mmx_fold_route_t *left = *(mmx_fold_route_t *const *)a;
+	const mmx_fold_route_t *right = *(mmx_fold_route_t *const *)b;
+	int order = strcmp(left->key.host->key.name, right->key.host->key.name);
+
+	return order ? order : strcmp(left->key.prefix, right->key.prefix);
+}
+
+static mmx_fold_route_t *add_route_(mmx_fold_t *fold,
+				    const mmx_change_route_t *change)
+{
+	size_t length = mmx_fold_prefix_length(change->path_prefix);
+	mmx_fold_host_t *host = use_host_(fold, change->host);
+	mmx_fold_route_t *route;
+
+	if (length > 1) {
+		route = g_malloc0(sizeof(*route) + length + 1);
+		memcpy(route->text, change->path_prefix, length);
+		route->key.prefix = route->text;
+	} else {
+		route = g_malloc0(sizeof(*route));
+		route->key.prefix = "/";
+	}
+	route->key.host = host;
+	route->key.length = (uint32_t)length;
+	if (change->override.fields)
+		route->override =
+			g_memdup2(&change->override, sizeof(change->override));
+	host->depths |= depth_bit_(route->key.prefix, length);
+	assert(!g_hash_table_contains(fold->routes, route));
+	g_hash_table_add(fold->routes, route);
+	return route;
+}
+
+void mmx_fold_set_routes(mmx_fold_t *fold, mmx_fold_service_t *service,
+			 const mmx_change_route_list_t *list, size_t count)
+{
+	const mmx_change_route_t *change;
+	size_t i = 0;
+
+	assert(service->route_count == 0);
+	if (count == 0)
+		return;
+	service->routes = g_new(mmx_fold_route_t *, count);
+	STAILQ_FOREACH (change, list, entry) {
+		service->routes[i] = add_route_(fold, change);
+		service->routes[i++]->service = service;
+	}
+	assert(i == count);
+	service->route_count = count;
+	qsort(service->routes, count, sizeof(service->routes[0]),
+	      compare_routes_);
+}
+
+void mmx_fold_remember(mmx_fold_t *fold, const mmx_fold_seen_t *seen)
+{
+	mmx_fold_seen_t *slot = &fold->seen[fold->seen_next];
+
+	if (fold->seen_count == MMX_FOLD_VERDICTS_MAX)
+		g_hash_table_remove(fold->seen_index, slot);
+	else
+		fold->seen_count++;
+	*slot = *seen;
+	g_hash_table_add(fold->seen_index, slot);
+	fold->seen_next = (fold->seen_next + 1) % MMX_FOLD_VERDICTS_MAX;
+}
+
+const mmx_fold_seen_t *mmx_fold_recall(const mmx_fold_t *fold,
+				       const uint8_t id[MMX_FOLD_ID_BYTES])
+{
+	mmx_fold_seen_t probe;
+
+	memcpy(probe.id, id, sizeof(probe.id));
+	return g_hash_table_lookup(fold->seen_index, &probe);
+}
+
+const mmx_fold_seen_t *mmx_fold_seen_at(const mmx_fold_t *fold, size_t n)
+{
+	size_t oldest =
+		fold->seen_next + MMX_FOLD_VERDICTS_MAX - fold->seen_count;
+
+	assert(n < fold->seen_count);
+	return &fold->seen[(oldest + n) % MMX_FOLD_VERDICTS_MAX];
+}
+
+void mmx_fold_digest_id(const char *id, uint8_t digest[MMX_FOLD_ID_BYTES])
+{
+	uint8_t full[EVP_MAX_MD_SIZE];
+
+	EVP_Digest(id, strlen(id), full, NULL, EVP_sha256(), NULL);
+	memcpy(digest, full, MMX_FOLD_ID_BYTES);
+}
+
+/* Copies a host in lower case and without its port. */
+static bool normalize_host_(const char *host, char *out, size_t size)
+{
+	size_t i;
+
+	if (host[0] == '[') {
+		for (i = 1; host[i] && host[i] != ']' && i < size; i++)
+			out[i - 1] = g_ascii_tolower(host[i]);
+		if (host[i] != ']')
+			return false;
+		out[i - 1] = '\0';
+		return true;
+	}
+	for (i = 0; host[i] && host[i] != ':'; i++) {
+		if (i + 1 >= size)
+			return false;
+		out[i] = g_ascii_tolower(host[i]);
+	}
+	out[i] = '\0';
+	return true;
+}
+
+/*
+ * Lengths of the prefixes of a path that end at a boundary of segments, in
+ * rising order; entry n has n segments, entry 0 is the root.
+ */
+static size_t boundaries_(const char *path, uint16_t lengths[])
+{
+	size_t count = 1;
+	size_t i;
+
+	lengths[0] = 1;
+	if (path[0] != '/')
+		return count;
+	for (i = 1; i <= MMX_PATH_PREFIX_MAX + 1; i++) {
+		bool end = !path[i] || path[i] == '?' || path[i] == '#';
+
+		if ((end && i > 1) || path[i] == '/')
+			lengths[count++] = (uint16_t)i;
+		if (end)
+			break;
+	}
+	return count;
+}
+
+static mmx_fold_route_t *match_(const mmx_fold_t *fold, const char *host,
+				const char *path)
+{
+	uint16_t lengths[MMX_PATH_PREFIX_MAX + 3];
+	mmx_fold_route_key_t key = {.host = find_(fold->hosts, host)};
+	size_t n;
+
+	if (!key.host)
+		return NULL;
+	for (n = boundaries_(path, lengths); n-- > 0;) {
+		mmx_fold_route_t *route;
+		size_t depth = n < DEPTH_LAST ? n : DEPTH_LAST;
+
+		if (!(key.host->depths & (1U << depth)))
+			continue;
+		key.prefix = n ? path : "/";
+		key.length = lengths[n];
+		route = g_hash_table_lookup(fold->routes, &key);
+		if (route)
+			return route;
+	}
+	return NULL;
+}
+
+bool mmx_fold_route(const mmx_fold_t *fold, const char *host, const char *path,
+		    mmx_route_t *route)
+{
+	char name[MMX_HOST_MAX + 1];
+	const mmx_fold_route_t *entry;
+
+	if (!normalize_host_(host, name, sizeof(name)))
+		return false;
+	entry = match_(fold, name, path);
+	if (!entry)
+		return false;
+	route->service = entry->service->key.name;
+	route->policy = entry->service->template_entry->policy;
+	if (entry->override)
+		mmx_policy_apply(&route->policy, entry->override);
+	return true;
+}
+
+bool mmx_fold_account(const mmx_fold_t *fold, const char *name,
+		      mmx_account_t *account)
+{
+	const mmx_fold_account_t *entry = mmx_fold_find_account(fold, name);
+
+	if (!entry)
+		return false;
+	*account = (mmx_account_t){
+		.name = entry->key.name,
+		.floor_percent = entry->floor_percent,
+		.ceiling_percent = entry->ceiling_percent,
+		.deadline = entry->deadline_us,
+		.repeatable = entry->repeatable,
+		.has_repeatable = entry->has_repeatable,
+	};
+	return true;
+}
+
+bool mmx_fold_service(const mmx_fold_t *fold, const char *service,
+		      mmx_policy_t *policy)
+{
+	const mmx_fold_service_t *entry = mmx_fold_find_service(fold, service);
+
+	if (!entry)
+		return false;
+	*policy = entry->template_entry->policy;
+	return true;
+}
+
+uint64_t mmx_fold_template_revision(const mmx_fold_t *fold, const char *name)
+{
+	const mmx_fold_template_t *entry = mmx_fold_find_template(fold, name);
+
+	return entry ? entry->revision : 0;
+}
+
+uint64_t mmx_fold_service_revision(const mmx_fold_t *fold, const char *name)
+{
+	const mmx_fold_service_t *entry = mmx_fold_find_service(fold, name);
+
+	return entry ? entry->revision : 0;
+}
+
+uint64_t mmx_fold_account_revision(const mmx_fold_t *fold, const char *name)
+{
+	const mmx_fold_account_t *entry = mmx_fold_find_account(fold, name);
+
+	return entry ? entry->revision : 0;
+}
+
+void mmx_fold_sizes(const mmx_fold_t *fold, mmx_fold_sizes_t *sizes)
+{
+	sizes->templates = g_hash_table_size(fold->templates);
+	sizes->services = g_hash_table_size(fold->services);
+	sizes->routes = g_hash_table_size(fold->routes);
+	sizes->accounts = g_hash_table_size(fold->accounts);
+	sizes->verdicts = fold->seen_count;
+}
