--- a/src/libmasticmux/fold.c
+++ b/src/libmasticmux/fold.c
@@ -316,6 +316,11 @@
 	return moved;
 }
 
+bool mmx_fold_is_empty(const mmx_fold_t *fold)
+{
+	return mmx_fold_applied(fold) == 0;
+}
+
 uint64_t mmx_fold_applied(const mmx_fold_t *fold)
 {
 	return fold->applied;
