--- /dev/null
+++ b/src/libmasticmux/include/private/config_state.h
@@ -0,0 +1,156 @@
+/** State of the module config, shared by its files. */
+#ifndef MASTICMUX_CONFIG_STATE_H
+#define MASTICMUX_CONFIG_STATE_H
+
+#include <glib.h>
+
+#include "masticmux/config.h"
+#include "masticmux/random.h"
+
+#define MMX_CONFIG_REGIONS_MAX 64
+#define MMX_CONFIG_AHEAD_MAX 8
+/** Time before the first use of anything: the past. */
+#define MMX_CONFIG_LONG_AGO (-MMX_TIME_NEVER / 2)
+
+/** Readers of one region, by rising score. */
+typedef struct mmx_config_region_t {
+	uint64_t region;
+	size_t count;
+	mmx_node_id_t readers[MMX_CONFIG_READERS];
+	uint64_t scores[MMX_CONFIG_READERS];
+} mmx_config_region_t;
+
+/** A peer that is known to have a higher offset. */
+typedef struct mmx_config_ahead_t {
+	mmx_node_id_t peer;
+	uint64_t applied;
+	mmx_time_t not_before; /**< pull from it no earlier */
+	bool remote;	       /**< in another region */
+} mmx_config_ahead_t;
+
+/** Steps of loading from the log. */
+typedef enum mmx_config_load_t {
+	MMX_CONFIG_LOAD_IDLE,
+	MMX_CONFIG_LOAD_PEER, /**< parts from a peer */
+	MMX_CONFIG_LOAD_ENDS, /**< where the stream of snapshots ends */
+	MMX_CONFIG_LOAD_LAST, /**< its last record */
+	MMX_CONFIG_LOAD_SCAN, /**< the parts */
+	MMX_CONFIG_LOAD_TAIL, /**< the records after the snapshot */
+	MMX_CONFIG_LOAD_COUNT
+} mmx_config_load_t;
+
+/** A record that is kept for other nodes. */
+typedef struct mmx_config_kept_t {
+	char *data;
+	size_t length;
+} mmx_config_kept_t;
+
+struct mmx_config_t {
+	mmx_clock_t *clock;
+	mmx_config_options_t options;
+	const mmx_config_transport_ops_t *transport;
+	const mmx_config_log_ops_t *log;
+	void *arg;
+	mmx_random_t random;
+	mmx_timer_t tick;
+	mmx_fold_t *fold;
+	bool started;
+	bool loaded;
+	bool needs_load; /**< loaded, but records in between are gone */
+	mmx_config_stats_t stats;
+
+	mmx_config_member_t *members;
+	size_t member_count;
+	mmx_node_id_t *neighbours; /**< of the own region, without self */
+	size_t neighbour_count;
+	mmx_config_region_t regions[MMX_CONFIG_REGIONS_MAX];
+	size_t region_count;
+	int rank;	 /**< among the readers of the region, or -1 */
+	int global_rank; /**< among the readers of all regions, or -1 */
+
+	mmx_config_ahead_t ahead[MMX_CONFIG_AHEAD_MAX];
+	size_t ahead_count;
+	mmx_time_t confirmed_at;
+	mmx_time_t reader_at;
+	mmx_config_news_t sent; /**< as times: of the last push of NEWS */
+	bool has_sent;
+
+	bool pulling;
+	mmx_node_id_t pull_peer;
+	mmx_time_t pull_deadline;
+
+	GQueue kept; /**< of mmx_config_kept_t; the last one is applied */
+	size_t kept_bytes;
+	mmx_log_record_t *pull_answer; /**< of the last pull served */
+
+	bool reading[MMX_CONFIG_STREAM_COUNT];
+	mmx_time_t read_not_before;
+	mmx_time_t read_backoff;
+	unsigned int read_max;
+
+	mmx_config_load_t load;
+	mmx_node_id_t load_peer;
+	mmx_time_t load_deadline;
+	mmx_time_t load_not_before;
+	mmx_time_t load_backoff;
+	mmx_snapshot_reader_t *load_reader;
+	mmx_fold_t *load_fold; /**< from a snapshot in the log */
+	uint64_t load_from;
+	uint64_t load_first;
+
+	mmx_snapshot_t *served; /**< snapshot that peers are loading */
+	mmx_time_t served_at;
+
+	bool checking; /**< whether a snapshot is due */
+	bool check_ends;
+	mmx_time_t check_at;
+	mmx_snapshot_t *writing;
+	uint32_t writing_part;
+	unsigned int writing_failures;
+	bool appending;
+	uint64_t snapshot_applied; /**< of the newest one known */
+};
+
+/** Reads a stream unless a read of it is in progress. */
+bool mmx_config_read_(mmx_config_t *config, mmx_config_stream_t stream,
+		      uint64_t from, unsigned int max, mmx_time_t wait);
+
+/** Applies a record that follows; from the log or from a peer. */
+void mmx_config_apply_(mmx_config_t *config, const mmx_log_record_t *record);
+
+/** Replaces the fold if the new one is ahead; takes it over. */
+bool mmx_config_replace_(mmx_config_t *config, mmx_fold_t *fold);
+
+/** Notes that the log has nothing newer than the applied offset. */
+void mmx_config_confirm_(mmx_config_t *config);
+
+/** Forgets a peer that did not answer. */
+void mmx_config_drop_ahead_(mmx_config_t *config, mmx_node_id_t peer);
+
+/** Whether the node needs a snapshot, from a peer or the log. */
+bool mmx_config_wants_load_(const mmx_config_t *config);
+
+/** Loading: called on every tick and for the answers while it is going on. */
+void mmx_config_load_tick_(mmx_config_t *config);
+void mmx_config_load_read_(mmx_config_t *config, mmx_config_stream_t stream,
+			   const mmx_log_records_t *records);
+
+/** Writing of snapshots. */
+void mmx_config_write_tick_(mmx_config_t *config);
+void mmx_config_write_read_(mmx_config_t *config,
+			    const mmx_log_records_t *records);
+
+/** Envelope of a snapshot part in the log. */
+char *mmx_config_wrap_part_(const uint8_t *part, size_t length,
+			    uint64_t wall_ms, size_t *size);
+
+/**
+ * Reads an envelope.
+ *
+ * @param wall_ms  receives the time of writing; may be NULL
+ * @return part to be freed with g_free(), or NULL
+ */
+uint8_t *mmx_config_unwrap_part_(const mmx_log_record_t *record,
+				 size_t *length, uint64_t *wall_ms);
+
+#endif
--- a/src/libmasticmux/snapshot.c
+++ b/src/libmasticmux/snapshot.c
@@ -458,6 +458,7 @@
 	mmx_fold_service_t *service;
 	mmx_change_service_t *routes;
 	mmx_change_t *holder;
+	const mmx_change_route_t *last;
 } loader_t;
 
 static void flush_routes_(loader_t *loader)
@@ -468,6 +469,7 @@
 				    loader->routes->route_count);
 	mmx_change_destroy(loader->holder);
 	loader->holder = NULL;
+	loader->last = NULL;
 	loader->routes = NULL;
 	loader->service = NULL;
 }
@@ -487,10 +489,33 @@
 	return true;
 }
 
+/* Routes of a service ascend, so that none of them occurs twice. */
+static bool follows_(const mmx_change_route_t *last, const item_t *item)
+{
+	int order = last ? strcmp(last->host, item->host) : -1;
+
+	return order < 0 ||
+	       (order == 0 && strcmp(last->path_prefix, item->prefix) < 0);
+}
+
+static bool load_route_(loader_t *loader, const item_t *item)
+{
+	mmx_change_route_t *route;
+
+	if (!loader->service || item->prefix[0] != '/' ||
+	    mmx_fold_prefix_length(item->prefix) != strlen(item->prefix) ||
+	    !follows_(loader->last, item) ||
+	    mmx_fold_find_route(loader->fold, item->host, item->prefix))
+		return false;
+	route = mmx_change_add_route(loader->routes, item->host, item->prefix);
+	route->override = item->override;
+	loader->last = route;
+	return strcmp(route->host, item->host) == 0;
+}
+
 static bool load_item_(loader_t *loader, const item_t *item)
 {
 	mmx_fold_t *fold = loader->fold;
-	mmx_change_route_t *route;
 
 	if (item->kind != ITEM_ROUTE && item->kind != ITEM_SERVICE)
 		flush_routes_(loader);
@@ -502,13 +527,7 @@
 	case ITEM_SERVICE:
 		return load_service_(loader, item);
 	case ITEM_ROUTE:
-		if (!loader->service ||
-		    mmx_fold_find_route(fold, item->host, item->prefix))
-			return false;
-		route = mmx_change_add_route(loader->routes, item->host,
-					     item->prefix);
-		route->override = item->override;
-		return true;
+		return load_route_(loader, item);
 	case ITEM_ACCOUNT:
 		if (item->account.deadline < 0 ||
 		    item->account.deadline > MMX_DEADLINE_MAX)
