Add strict readers of settings and changes

Cause: nothing may start on an invalid settings file, and a change must be checked before it is published and again by every node that reads its record.

--- a/include/masticmux/change.h
+++ b/include/masticmux/change.h
@@ -53,6 +53,9 @@
 #define MMX_TEMPLATE_RETRY_PERCENT 10
 #define MMX_TEMPLATE_WARM_UP (10 * MMX_US_PER_S)
 
+/** Default of an account that leaves the key out. */
+#define MMX_ACCOUNT_CEILING_PERCENT 100
+
 /** A kind of service. */
 typedef struct mmx_change_template_t {
 	STAILQ_ENTRY(mmx_change_template_t) entry;
@@ -138,6 +141,9 @@
 					 const char *host,
 					 const char *path_prefix);
 
+/** Sets a random id, 32 hexadecimal digits from the generator of OpenSSL. */
+void mmx_change_generate_id(mmx_change_t *change);
+
 /**
  * Reads and checks a change file. An id is generated if it names none.
  *
--- a/include/masticmux/error.h
+++ b/include/masticmux/error.h
@@ -68,6 +68,12 @@
 /** The findings in order of adding; valid until the next add or destroy. */
 const mmx_finding_list_t *mmx_findings_list(const mmx_findings_t *findings);
 
+/**
+ * Moves the findings of another list to the end, in order of line and column;
+ * findings of one place keep their order. The other list is empty afterwards.
+ */
+void mmx_findings_move(mmx_findings_t *findings, mmx_findings_t *from);
+
 /** Writes all findings as "file:line:column: text" lines. */
 void mmx_findings_print(const mmx_findings_t *findings, FILE *out);
 
--- a/include/masticmux/settings.h
+++ b/include/masticmux/settings.h
@@ -7,6 +7,7 @@
 #ifndef MASTICMUX_SETTINGS_H
 #define MASTICMUX_SETTINGS_H
 
+#include "masticmux/address.h"
 #include "masticmux/error.h"
 #include "masticmux/types.h"
 
@@ -14,13 +15,15 @@
 #define MMX_FLEET_KEYS_MAX 2
 #define MMX_FLEET_KEY_ID_MAX 15
 #define MMX_SEEDS_MAX 16
-#define MMX_ADDRESS_MAX 63
 
-/** IP address and port; the host is numeric, without brackets for IPv6. */
-typedef struct mmx_address_t {
-	char host[MMX_ADDRESS_MAX + 1];
-	uint16_t port; /**< 1..65535; 0 when the address is not set */
-} mmx_address_t;
+/**
+ * Shortest retention of the log service, seconds. A claim is kept for 10
+ * minutes after a deadline of at most 10 minutes and must not outlive the
+ * record that holds it.
+ */
+#define MMX_LOG_RETENTION_MIN_S (600 + 600 + 1)
+#define MMX_LOG_RETENTION_MAX_S (366 * 86400)
+#define MMX_LOG_RETENTION_DEFAULT_S 3600
 
 /** Shared secret of the fleet; messages name the id. */
 typedef struct mmx_fleet_key_t {
@@ -39,7 +42,7 @@
 	mmx_address_t listen_nodes;
 	mmx_address_t listen_announce;
 	mmx_address_t listen_operator;
-	mmx_address_t seeds[MMX_SEEDS_MAX];
+	mmx_address_t seeds[MMX_SEEDS_MAX]; /**< without listen_nodes */
 	size_t seed_count;
 	mmx_address_t log_service; /**< port 0: no log service */
 	mmx_time_t log_retention;  /**< microseconds */
@@ -56,21 +59,16 @@
  */
 mmx_settings_t *mmx_settings_load(const char *path, mmx_findings_t *findings);
 
-/** Frees settings; the keys are overwritten first. NULL is allowed. */
-void mmx_settings_destroy(mmx_settings_t *settings);
-
 /**
- * Parses "host:port" or "[v6]:port" with a numeric host.
+ * Reads and checks settings in TOML, as mmx_settings_load() does.
  *
- * @return false when the text is not such an address
+ * @param file    name that the findings carry
+ * @param length  bytes of text
  */
-bool mmx_address_parse(const char *text, mmx_address_t *address);
-
-/** Formats an address; the buffer holds at least MMX_ADDRESS_MAX + 9 bytes. */
-void mmx_address_format(const mmx_address_t *address, char *buffer,
-			size_t size);
+mmx_settings_t *mmx_settings_parse(const char *file, const char *text,
+				   size_t length, mmx_findings_t *findings);
 
-/** True for 127.0.0.0/8 and ::1. */
-bool mmx_address_is_loopback(const mmx_address_t *address);
+/** Frees settings; the keys are overwritten first. NULL is allowed. */
+void mmx_settings_destroy(mmx_settings_t *settings);
 
 #endif
--- a/src/libmasticmux/error.c
+++ b/src/libmasticmux/error.c
@@ -75,6 +75,37 @@
 	return &findings->list;
 }
 
+static int compare_places_(const void *left, const void *right, void *unused)
+{
+	const mmx_finding_t *a = *(const mmx_finding_t *const *)left;
+	const mmx_finding_t *b = *(const mmx_finding_t *const *)right;
+
+	if (a->line != b->line)
+		return a->line < b->line ? -1 : 1;
+	if (a->column != b->column)
+		return a->column < b->column ? -1 : 1;
+	return 0;
+}
+
+void mmx_findings_move(mmx_findings_t *findings, mmx_findings_t *from)
+{
+	mmx_finding_t **sorted = g_new(mmx_finding_t *, from->count);
+	mmx_finding_t *finding;
+	size_t i = 0;
+
+	STAILQ_FOREACH (finding, &from->list, entry)
+		sorted[i++] = finding;
+	/* The sort of GLib is stable, that of the C library need not be. */
+	g_qsort_with_data(sorted, (int)from->count, sizeof(mmx_finding_t *),
+			  compare_places_, NULL);
+	for (i = 0; i < from->count; i++)
+		STAILQ_INSERT_TAIL(&findings->list, sorted[i], entry);
+	findings->count += from->count;
+	STAILQ_INIT(&from->list);
+	from->count = 0;
+	g_free(sorted);
+}
+
 void mmx_findings_print(const mmx_findings_t *findings, FILE *out)
 {
 	const mmx_finding_t *finding;
