--- /dev/null
+++ b/src/masticmux/commands.h
@@ -0,0 +1,58 @@
+/**
+ * Subcommands of the program: one file command_NAME.c and one row in main.c
+ * for each of them.
+ */
+#ifndef MASTICMUX_PROGRAM_COMMANDS_H
+#define MASTICMUX_PROGRAM_COMMANDS_H
+
+#include <glib.h>
+#include <stdbool.h>
+
+/** Exit statuses of every subcommand. */
+typedef enum mmx_exit_t {
+	MMX_EXIT_OK,
+	MMX_EXIT_ERROR,
+	MMX_EXIT_FINDINGS,
+	MMX_EXIT_COUNT
+} mmx_exit_t;
+
+extern const char *const mmx_exit_string[MMX_EXIT_COUNT];
+
+/** One subcommand. */
+typedef struct mmx_command_t {
+	const char *name;
+	const char *summary; /**< one line for --help */
+	/**
+	 * Runs it.
+	 *
+	 * @param argc  arguments, with the name of the subcommand in argv[0]
+	 */
+	mmx_exit_t (*run)(int argc, char **argv);
+} mmx_command_t;
+
+mmx_exit_t mmx_command_check(int argc, char **argv);
+
+/**
+ * Parses the options of a subcommand; --help prints its usage and ends the
+ * process. Reports mistakes on stderr.
+ *
+ * @param usage     operands after the options, or NULL if there are none
+ * @param entries   options, ended by G_OPTION_ENTRY_NULL
+ * @param operands  most operands that are valid; they remain in argv[1..]
+ * @return false when an option is unknown, lacks its value, or there are too
+ *         many operands
+ */
+bool mmx_command_parse(int *argc, char ***argv, const char *usage,
+		       const char *summary, const GOptionEntry *entries,
+		       int operands);
+
+/**
+ * Reports a required option that is missing.
+ *
+ * @param option  without dashes
+ * @return true if value is set
+ */
+bool mmx_command_require(const char *command, const char *option,
+			 const char *value);
+
+#endif
