--- a/src/test_libmasticmux/suites.c
+++ b/src/test_libmasticmux/suites.c
@@ -1,6 +1,7 @@
 #include "suites.h"
 
 CU_SuiteInfo mmx_test_suites[] = {
+	{"claims", NULL, NULL, NULL, NULL, mmx_tests_claims},
 	{"clock", NULL, NULL, NULL, NULL, mmx_tests_clock},
 	{"directory", NULL, NULL, NULL, NULL, mmx_tests_directory},
 	{"error", NULL, NULL, NULL, NULL, mmx_tests_error},
--- a/src/test_libmasticmux/suites.h
+++ b/src/test_libmasticmux/suites.h
@@ -4,6 +4,7 @@
 
 #include <CUnit/CUnit.h>
 
+extern CU_TestInfo mmx_tests_claims[];
 extern CU_TestInfo mmx_tests_clock[];
 extern CU_TestInfo mmx_tests_directory[];
 extern CU_TestInfo mmx_tests_error[];
