--- a/include/masticmux/config.h
+++ b/include/masticmux/config.h
@@ -69,8 +69,8 @@
 
 /** Answer to a pull. */
 typedef struct mmx_config_records_t {
-	mmx_config_news_t news; /**< of the node that answers */
-	uint64_t first;		/**< offset of the first record */
+	mmx_config_news_t news;		 /**< of the node that answers */
+	uint64_t first;			 /**< offset of the first record */
 	const mmx_log_record_t *records; /**< contiguous */
 	size_t count;
 } mmx_config_records_t;
--- a/include/masticmux/log_client.h
+++ b/include/masticmux/log_client.h
@@ -44,8 +44,8 @@
 
 /** Answer to a read. */
 typedef struct mmx_log_records_t {
-	uint64_t first; /**< oldest offset that is retained */
-	uint64_t next;	/**< offset of the next append */
+	uint64_t first;			 /**< oldest offset that is retained */
+	uint64_t next;			 /**< offset of the next append */
 	const mmx_log_record_t *records; /**< ascending */
 	size_t count;
 } mmx_log_records_t;
--- a/src/libmasticmux/include/private/config_state.h
+++ b/src/libmasticmux/include/private/config_state.h
@@ -150,7 +150,7 @@
  * @param wall_ms  receives the time of writing; may be NULL
  * @return part to be freed with g_free(), or NULL
  */
-uint8_t *mmx_config_unwrap_part_(const mmx_log_record_t *record,
-				 size_t *length, uint64_t *wall_ms);
+uint8_t *mmx_config_unwrap_part_(const mmx_log_record_t *record, size_t *length,
+				 uint64_t *wall_ms);
 
 #endif
--- a/src/libmasticmux/log_client.c
+++ b/src/libmasticmux/log_client.c
@@ -96,8 +96,8 @@
 			labels, "Reads from the log service");
 	}
 	client->received = mmx_counters_get(
-		counters, MMX_COUNTER, "masticmux_log_received_bytes_total",
-		"", "Bytes of answers to reads");
+		counters, MMX_COUNTER, "masticmux_log_received_bytes_total", "",
+		"Bytes of answers to reads");
 	client->sent = mmx_counters_get(counters, MMX_COUNTER,
 					"masticmux_log_sent_bytes_total", "",
 					"Bytes of records appended");
@@ -106,8 +106,7 @@
 mmx_log_client_t *mmx_log_client_create(struct event_base *base,
 					mmx_clock_t *clock,
 					const mmx_address_t *address,
-					mmx_counters_t *counters,
-					uint64_t seed)
+					mmx_counters_t *counters, uint64_t seed)
 {
 	mmx_log_client_t *client;
 
@@ -182,9 +181,8 @@
 		return connection;
 	}
 	connection = g_new0(connection_t, 1);
-	connection->http = evhttp_connection_base_new(client->base, NULL,
-						      client->address.host,
-						      client->address.port);
+	connection->http = evhttp_connection_base_new(
+		client->base, NULL, client->address.host, client->address.port);
 	evhttp_connection_set_max_body_size(connection->http,
 					    MMX_LOG_RESPONSE_MAX);
 	evhttp_connection_set_max_headers_size(connection->http, HEADERS_MAX);
@@ -200,8 +198,8 @@
 		client->not_before = now;
 		return;
 	}
-	client->backoff = client->backoff ? 2 * client->backoff
-					  : MMX_LOG_BACKOFF_MIN;
+	client->backoff =
+		client->backoff ? 2 * client->backoff : MMX_LOG_BACKOFF_MIN;
 	if (client->backoff > MMX_LOG_BACKOFF_MAX)
 		client->backoff = MMX_LOG_BACKOFF_MAX;
 	/* Half of the delay is random, so that many clients do not return at
--- /dev/null
+++ b/src/test_libmasticmux/config_support.c
@@ -0,0 +1,66 @@
+#include "config_support.h"
+
+#include <glib.h>
+#include <string.h>
+
+static char *finish_(mmx_change_t *change, const char *id)
+{
+	char *record;
+
+	g_strlcpy(change->id, id, sizeof(change->id));
+	g_strlcpy(change->publisher, "test", sizeof(change->publisher));
+	record = mmx_change_to_json(change, NULL);
+	mmx_change_destroy(change);
+	return record;
+}
+
+char *test_account_record(const char *id, const char *name, uint64_t base,
+			  uint8_t floor_percent)
+{
+	mmx_change_t *change = mmx_change_create();
+	mmx_change_account_t *account = mmx_change_add_account(change, name);
+
+	account->base = base;
+	account->floor_percent = floor_percent;
+	return finish_(change, id);
+}
+
+char *test_template_record(const char *id, const char *name, uint64_t base)
+{
+	mmx_change_t *change = mmx_change_create();
+	mmx_change_template_t *entry = mmx_change_add_template(change, name);
+
+	entry->base = base;
+	entry->policy.deadline = MMX_US_PER_S;
+	return finish_(change, id);
+}
+
+char *test_service_record(const char *id, const char *name, uint64_t base,
+			  const char *template_name, const char *const routes[])
+{
+	mmx_change_t *change = mmx_change_create();
+	mmx_change_service_t *service = mmx_change_add_service(change, name);
+	size_t i;
+
+	service->base = base;
+	g_strlcpy(service->template_name, template_name,
+		  sizeof(service->template_name));
+	for (i = 0; routes[i]; i++) {
+		const char *slash = strchr(routes[i], '/');
+		char *host = g_strndup(routes[i], (gsize)(slash - routes[i]));
+
+		mmx_change_add_route(service, host, slash);
+		g_free(host);
+	}
+	return finish_(change, id);
+}
+
+mmx_fold_result_t test_apply(mmx_fold_t *fold, char *record)
+{
+	mmx_fold_result_t result;
+
+	mmx_fold_apply(fold, mmx_fold_applied(fold) + 1, record, strlen(record),
+		       &result);
+	g_free(record);
+	return result;
+}
--- a/src/test_libmasticmux/suites.c
+++ b/src/test_libmasticmux/suites.c
@@ -3,6 +3,8 @@
 CU_SuiteInfo mmx_test_suites[] = {
 	{"clock", NULL, NULL, NULL, NULL, mmx_tests_clock},
 	{"error", NULL, NULL, NULL, NULL, mmx_tests_error},
+	{"fold", NULL, NULL, NULL, NULL, mmx_tests_fold},
+	{"snapshot", NULL, NULL, NULL, NULL, mmx_tests_snapshot},
 	{"task", NULL, NULL, NULL, NULL, mmx_tests_task},
 	CU_SUITE_INFO_NULL,
 };
--- a/src/test_libmasticmux/suites.h
+++ b/src/test_libmasticmux/suites.h
@@ -6,6 +6,8 @@
 
 extern CU_TestInfo mmx_tests_clock[];
 extern CU_TestInfo mmx_tests_error[];
+extern CU_TestInfo mmx_tests_fold[];
+extern CU_TestInfo mmx_tests_snapshot[];
 extern CU_TestInfo mmx_tests_task[];
 
 extern CU_SuiteInfo mmx_test_suites[];
--- /dev/null
+++ b/src/test_libmasticmux/test_fold.c
@@ -0,0 +1,237 @@
+#include "suites.h"
+
+#include <glib.h>
+#include <string.h>
+
+#include "config_support.h"
+#include "masticmux/snapshot.h"
+
+#define ROUTES_MAX 4
+
+typedef enum step_kind_t { ACCOUNT, TEMPLATE, SERVICE, RAW } step_kind_t;
+
+/* One record and what has to become of it. */
+typedef struct step_t {
+	step_kind_t kind;
+	const char *id; /* RAW: the record itself */
+	const char *name;
+	uint64_t base;
+	uint8_t floor;
+	const char *routes[ROUTES_MAX];
+	mmx_verdict_t verdict;
+	mmx_reject_t reject;
+} step_t;
+
+#define ACCEPTED MMX_VERDICT_ACCEPTED, MMX_REJECT_NONE
+#define REJECTED(reason) MMX_VERDICT_REJECTED, MMX_REJECT_##reason
+
+/* The offset of a step is its index plus one. */
+static const step_t steps_[] = {
+	{TEMPLATE, "t1", "web", 0, 0, {NULL}, ACCEPTED},
+	{SERVICE, "s1", "jobs", 0, 0, {"a.example/"}, ACCEPTED},
+	{SERVICE, "s2", "jobs", 0, 0, {NULL}, REJECTED(STALE_BASE)},
+	{SERVICE, "s3", "jobs", 2, 0, {"a.example/", "a.example/x"}, ACCEPTED},
+	{SERVICE, "s4", "jobs", 2, 0, {NULL}, REJECTED(STALE_BASE)},
+	{SERVICE, "s5", "parts", 0, 0, {"a.example/x/"}, REJECTED(ROUTE_TAKEN)},
+	{SERVICE,
+	 "s6",
+	 "parts",
+	 0,
+	 0,
+	 {"b.example/y", "b.example/y/"},
+	 REJECTED(ROUTE_REPEATED)},
+	{SERVICE, "s7", "nothing", 0, 1, {NULL}, REJECTED(UNKNOWN_TEMPLATE)},
+	{RAW, "not a record", "", 0, 0, {NULL}, MMX_VERDICT_INVALID, 0},
+	{RAW, "{\"change\":{}}", "", 0, 0, {NULL}, MMX_VERDICT_INVALID, 0},
+	{RAW, "", "", 0, 0, {NULL}, MMX_VERDICT_INVALID, 0},
+	{ACCOUNT, "a1", "rider", 0, 60, {NULL}, ACCEPTED},
+	{ACCOUNT, "a2", "owner", 0, 41, {NULL}, REJECTED(ACCOUNT_FLOORS)},
+	{ACCOUNT, "a3", "owner", 0, 40, {NULL}, ACCEPTED},
+	{ACCOUNT, "a1", "rider", 12, 0, {NULL}, MMX_VERDICT_DUPLICATE, 0},
+	{ACCOUNT, "s2", "rider", 12, 0, {NULL}, MMX_VERDICT_DUPLICATE, 0},
+	{ACCOUNT, "a4", "rider", 12, 0, {NULL}, ACCEPTED},
+};
+
+static char *record_(const step_t *step)
+{
+	switch (step->kind) {
+	case ACCOUNT:
+		return test_account_record(step->id, step->name, step->base,
+					   step->floor);
+	case TEMPLATE:
+		return test_template_record(step->id, step->name, step->base);
+	case SERVICE:
+		return test_service_record(step->id, step->name, step->base,
+					   step->floor ? "none" : "web",
+					   step->routes);
+	default:
+		return g_strdup(step->id);
+	}
+}
+
+/* Applies all steps, if asked with late and early records in between. */
+static mmx_fold_t *fold_steps_(bool check, bool disturb)
+{
+	mmx_fold_t *fold = mmx_fold_create();
+	mmx_fold_result_t result;
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(steps_); i++) {
+		const char *late = "{}";
+
+		if (disturb) {
+			CU_ASSERT_FALSE(
+				mmx_fold_apply(fold, i, late, 2, &result));
+			CU_ASSERT_EQUAL(result.verdict, MMX_VERDICT_IGNORED);
+			CU_ASSERT_FALSE(
+				mmx_fold_apply(fold, i + 2, late, 2, &result));
+			CU_ASSERT_EQUAL(result.verdict, MMX_VERDICT_GAP);
+		}
+		result = test_apply(fold, record_(&steps_[i]));
+		if (!check)
+			continue;
+		CU_ASSERT_EQUAL(result.offset, i + 1);
+		CU_ASSERT_EQUAL(result.verdict, steps_[i].verdict);
+		CU_ASSERT_EQUAL(result.reject, steps_[i].reject);
+		CU_ASSERT_EQUAL(result.text[0] == '\0',
+				result.verdict == MMX_VERDICT_ACCEPTED);
+	}
+	return fold;
+}
+
+static void check_digests_(const mmx_fold_t *a, const mmx_fold_t *b)
+{
+	mmx_snapshot_t *left = mmx_snapshot_create(a);
+	mmx_snapshot_t *right = mmx_snapshot_create(b);
+
+	CU_ASSERT_EQUAL(memcmp(mmx_snapshot_digest(left),
+			       mmx_snapshot_digest(right),
+			       MMX_SNAPSHOT_DIGEST_BYTES),
+			0);
+	mmx_snapshot_destroy(left);
+	mmx_snapshot_destroy(right);
+}
+
+/* Guards against a verdict that differs from the rules or between nodes, and
+ * against late, early and repeated records that change the state. */
+static void test_verdicts_(void)
+{
+	mmx_fold_t *fold = fold_steps_(true, false);
+	mmx_fold_t *other = fold_steps_(true, true);
+	mmx_fold_result_t result;
+	mmx_fold_sizes_t sizes;
+
+	check_digests_(fold, other);
+	CU_ASSERT_EQUAL(mmx_fold_service_revision(fold, "jobs"), 4);
+	CU_ASSERT_EQUAL(mmx_fold_account_revision(fold, "rider"), 17);
+	CU_ASSERT_EQUAL(mmx_fold_template_revision(fold, "web"), 1);
+	CU_ASSERT_EQUAL(mmx_fold_service_revision(fold, "parts"), 0);
+	CU_ASSERT_TRUE(mmx_fold_verdict(fold, "s4", &result));
+	CU_ASSERT_EQUAL(result.offset, 5);
+	CU_ASSERT_EQUAL(result.reject, MMX_REJECT_STALE_BASE);
+	CU_ASSERT_FALSE(mmx_fold_verdict(fold, "s9", &result));
+	CU_ASSERT_EQUAL(mmx_fold_counts(fold)->records[MMX_VERDICT_INVALID], 3);
+	mmx_fold_sizes(fold, &sizes);
+	CU_ASSERT_EQUAL(sizes.routes, 2);
+	CU_ASSERT_EQUAL(sizes.accounts, 2);
+	mmx_fold_destroy(fold);
+	mmx_fold_destroy(other);
+}
+
+typedef struct route_case_t {
+	const char *host;
+	const char *path;
+	const char *service; /* NULL: no route */
+} route_case_t;
+
+/* Guards against a prefix that wins over a longer one, matches half of a
+ * segment, or misses for case, port or query. */
+static void test_routes_(void)
+{
+	static const char *const first[] = {"a.example/", "a.example/v1/b",
+					    "b.example/x/", NULL};
+	static const char *const second[] = {"a.example/v1", NULL};
+	static const route_case_t cases[] = {
+		{"a.example", "/", "one"},
+		{"a.example", "/v1", "two"},
+		{"a.example", "/v1/", "two"},
+		{"a.example", "/v10", "one"},
+		{"a.example", "/v1/b", "one"},
+		{"a.example", "/v1/b?q=/v1", "one"},
+		{"a.example", "/v1/bc/d", "two"},
+		{"a.example", "/v1?b", "two"},
+		{"A.Example:8080", "/v1", "two"},
+		{"a.example", "*", "one"},
+		{"b.example", "/x", "one"},
+		{"b.example", "/x/y", "one"},
+		{"b.example", "/", NULL},
+		{"b.example", "/xy", NULL},
+		{"c.example", "/", NULL},
+		{"", "/", NULL},
+		{"[::1", "/", NULL},
+	};
+	mmx_fold_t *fold = mmx_fold_create();
+	mmx_route_t route;
+	size_t i;
+
+	test_apply(fold, test_template_record("t", "web", 0));
+	test_apply(fold, test_service_record("1", "one", 0, "web", first));
+	test_apply(fold, test_service_record("2", "two", 0, "web", second));
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		const char *service = NULL;
+
+		if (mmx_fold_route(fold, cases[i].host, cases[i].path, &route))
+			service = route.service;
+		CU_ASSERT_TRUE(!g_strcmp0(service, cases[i].service));
+	}
+	mmx_fold_destroy(fold);
+}
+
+/* Guards against a route that stays after its service dropped it. */
+static void test_dropped_route_(void)
+{
+	static const char *const before[] = {"a.example/", "b.example/", NULL};
+	static const char *const after[] = {"b.example/", NULL};
+	mmx_fold_t *fold = mmx_fold_create();
+	mmx_route_t route;
+
+	test_apply(fold, test_template_record("t", "web", 0));
+	test_apply(fold, test_service_record("1", "one", 0, "web", before));
+	test_apply(fold, test_service_record("2", "one", 2, "web", after));
+	CU_ASSERT_FALSE(mmx_fold_route(fold, "a.example", "/", &route));
+	CU_ASSERT_TRUE(mmx_fold_route(fold, "b.example", "/", &route));
+	mmx_fold_destroy(fold);
+}
+
+/* Guards against memory that grows with the number of records, and against a
+ * recent verdict that is forgotten. */
+static void test_verdict_memory_(void)
+{
+	mmx_fold_t *fold = mmx_fold_create();
+	mmx_fold_result_t result;
+	mmx_fold_sizes_t sizes;
+	uint64_t revision = 0;
+	char id[32];
+	int i;
+
+	for (i = 0; i <= MMX_FOLD_VERDICTS_MAX; i++) {
+		g_snprintf(id, sizeof(id), "id-%d", i);
+		result = test_apply(
+			fold, test_account_record(id, "rider", revision, 1));
+		revision = result.offset;
+	}
+	mmx_fold_sizes(fold, &sizes);
+	CU_ASSERT_EQUAL(sizes.verdicts, MMX_FOLD_VERDICTS_MAX);
+	CU_ASSERT_FALSE(mmx_fold_verdict(fold, "id-0", &result));
+	CU_ASSERT_TRUE(mmx_fold_verdict(fold, "id-1", &result));
+	CU_ASSERT_EQUAL(mmx_fold_account_revision(fold, "rider"), revision);
+	mmx_fold_destroy(fold);
+}
+
+CU_TestInfo mmx_tests_fold[] = {
+	{"verdicts", test_verdicts_},
+	{"longest prefix", test_routes_},
+	{"dropped route", test_dropped_route_},
+	{"bounded verdicts", test_verdict_memory_},
+	CU_TEST_INFO_NULL,
+};
