--- /dev/null
+++ b/src/libmasticmux/config.c
@@ -0,0 +1,717 @@
+#include "private/config_state.h"
+
+#include <assert.h>
+#include <string.h>
+#include <xxhash.h>
+
+#define TICK (200 * MMX_US_PER_MS)
+#define PULL_TIMEOUT MMX_US_PER_S
+/* Wait before a pull from another region, per rank of a reader: the log or
+ * the reader before has usually delivered by then. */
+#define REMOTE_DELAY (500 * MMX_US_PER_MS)
+/* Ages that spread without a change are pushed at this distance. */
+#define FRESHNESS_STEP (2 * MMX_US_PER_S)
+#define GAP_ANSWERS_MAX 3
+#define READ_RECORDS_MAX 256
+/* Back-off after failed reads. Readers stay quick, so that a change is in
+ * force soon after an outage; the others only help out. */
+#define READER_BACKOFF_MIN (250 * MMX_US_PER_MS)
+#define READER_BACKOFF_MAX (2 * MMX_US_PER_S)
+#define HELPER_BACKOFF_MIN (2 * MMX_US_PER_S)
+#define HELPER_BACKOFF_MAX (30 * MMX_US_PER_S)
+#define RANK_SEED 0x636f6e666967ULL
+
+const char *const mmx_config_stream_string[MMX_CONFIG_STREAM_COUNT] = {
+	MMX_CONFIG_STREAM,
+	MMX_CONFIG_SNAPSHOT_STREAM,
+};
+
+static mmx_time_t now_(const mmx_config_t *config)
+{
+	return mmx_clock_now(config->clock);
+}
+
+static mmx_time_t jitter_(mmx_config_t *config, mmx_time_t range)
+{
+	return (mmx_time_t)mmx_random_below(&config->random,
+					    (uint64_t)range + 1);
+}
+
+static mmx_time_t age_(mmx_time_t now, mmx_time_t at)
+{
+	return at <= MMX_CONFIG_LONG_AGO ? MMX_TIME_NEVER : now - at;
+}
+
+static mmx_time_t since_(mmx_time_t now, mmx_time_t age)
+{
+	return age < 0 || age == MMX_TIME_NEVER ? MMX_CONFIG_LONG_AGO
+						: now - age;
+}
+
+static uint64_t score_(mmx_node_id_t node)
+{
+	return XXH64(&node, sizeof(node), RANK_SEED);
+}
+
+bool mmx_config_read_(mmx_config_t *config, mmx_config_stream_t stream,
+		      uint64_t from, unsigned int max, mmx_time_t wait)
+{
+	if (config->reading[stream])
+		return false;
+	config->reading[stream] = true;
+	config->stats.log_reads++;
+	config->log->read(config->arg, stream, from, max, wait);
+	return true;
+}
+
+bool mmx_config_news(const mmx_config_t *config, mmx_config_news_t *news)
+{
+	mmx_time_t now = now_(config);
+
+	if (!config->loaded)
+		return false;
+	*news = (mmx_config_news_t){
+		.applied = mmx_fold_applied(config->fold),
+		.confirmed_age = age_(now, config->confirmed_at),
+		.reader_age = age_(now, config->reader_at),
+	};
+	return true;
+}
+
+static void push_to_(mmx_config_t *config, mmx_node_id_t peer,
+		     const mmx_config_news_t *news)
+{
+	config->stats.news_sent++;
+	config->transport->send_news(config->arg, peer, news);
+}
+
+static void push_remote_(mmx_config_t *config, const mmx_config_news_t *news)
+{
+	size_t i;
+
+	for (i = 0; i < config->region_count; i++) {
+		const mmx_config_region_t *region = &config->regions[i];
+
+		if (region->region != config->options.region)
+			push_to_(config,
+				 region->readers[(size_t)config->rank %
+						 region->count],
+				 news);
+	}
+}
+
+/* Tells four random peers of the region, without repetition. */
+static void push_(mmx_config_t *config)
+{
+	mmx_config_news_t news;
+	size_t i;
+
+	if (!config->transport || !mmx_config_news(config, &news))
+		return;
+	for (i = 0; i < MMX_CONFIG_FANOUT && i < config->neighbour_count; i++) {
+		size_t pick = i + mmx_random_below(&config->random,
+						   config->neighbour_count - i);
+		mmx_node_id_t peer = config->neighbours[pick];
+
+		config->neighbours[pick] = config->neighbours[i];
+		config->neighbours[i] = peer;
+		push_to_(config, peer, &news);
+	}
+	if (config->rank >= 0)
+		push_remote_(config, &news);
+	config->has_sent = true;
+	config->sent = (mmx_config_news_t){
+		.applied = news.applied,
+		.confirmed_age = config->confirmed_at,
+		.reader_age = config->reader_at,
+	};
+}
+
+static bool has_news_(const mmx_config_t *config)
+{
+	const mmx_config_news_t *sent = &config->sent;
+
+	return !config->has_sent ||
+	       mmx_fold_applied(config->fold) > sent->applied ||
+	       config->confirmed_at >= sent->confirmed_age + FRESHNESS_STEP ||
+	       config->reader_at >= sent->reader_age + FRESHNESS_STEP;
+}
+
+static void push_changes_(mmx_config_t *config)
+{
+	if (config->loaded &&
+	    (!config->has_sent ||
+	     mmx_fold_applied(config->fold) > config->sent.applied))
+		push_(config);
+}
+
+static void keep_(mmx_config_t *config, const mmx_log_record_t *record)
+{
+	mmx_config_kept_t *kept = g_new(mmx_config_kept_t, 1);
+
+	kept->data = g_malloc(record->length + 1);
+	memcpy(kept->data, record->data, record->length);
+	kept->data[record->length] = '\0';
+	kept->length = record->length;
+	config->kept_bytes += kept->length;
+	g_queue_push_tail(&config->kept, kept);
+	while (config->kept.length > MMX_CONFIG_KEEP_RECORDS ||
+	       (config->kept_bytes > MMX_CONFIG_KEEP_BYTES &&
+		config->kept.length > 1)) {
+		kept = g_queue_pop_head(&config->kept);
+		config->kept_bytes -= kept->length;
+		g_free(kept->data);
+		g_free(kept);
+	}
+}
+
+static void clear_kept_(mmx_config_t *config)
+{
+	mmx_config_kept_t *kept;
+
+	while ((kept = g_queue_pop_head(&config->kept))) {
+		g_free(kept->data);
+		g_free(kept);
+	}
+	config->kept_bytes = 0;
+}
+
+void mmx_config_apply_(mmx_config_t *config, const mmx_log_record_t *record)
+{
+	mmx_fold_result_t result;
+
+	if (!mmx_fold_apply(config->fold, record->offset, record->data,
+			    record->length, &result))
+		return;
+	config->gap_answers = 0;
+	keep_(config, record);
+	if (config->log->applied)
+		config->log->applied(config->arg, &result);
+}
+
+bool mmx_config_replace_(mmx_config_t *config, mmx_fold_t *fold)
+{
+	if (mmx_fold_applied(fold) <= mmx_fold_applied(config->fold)) {
+		config->stats.loads_invalid++;
+		mmx_fold_destroy(fold);
+		return false;
+	}
+	mmx_fold_destroy(config->fold);
+	config->fold = fold;
+	config->needs_load = false;
+	config->gap_answers = 0;
+	config->stats.loads++;
+	clear_kept_(config);
+	return true;
+}
+
+void mmx_config_confirm_(mmx_config_t *config)
+{
+	config->confirmed_at = now_(config);
+	config->reader_at = config->confirmed_at;
+}
+
+bool mmx_config_wants_load_(const mmx_config_t *config)
+{
+	return !config->loaded || config->needs_load;
+}
+
+static bool is_remote_(const mmx_config_t *config, mmx_node_id_t peer)
+{
+	size_t i;
+
+	for (i = 0; i < config->member_count; i++)
+		if (config->members[i].id == peer)
+			return config->members[i].region !=
+			       config->options.region;
+	return true;
+}
+
+static void remove_ahead_(mmx_config_t *config, size_t index)
+{
+	config->ahead[index] = config->ahead[--config->ahead_count];
+}
+
+void mmx_config_drop_ahead_(mmx_config_t *config, mmx_node_id_t peer)
+{
+	size_t i;
+
+	for (i = config->ahead_count; i-- > 0;)
+		if (config->ahead[i].peer == peer)
+			remove_ahead_(config, i);
+}
+
+static mmx_time_t pull_delay_(mmx_config_t *config, bool remote)
+{
+	if (!remote)
+		return 0;
+	if (config->rank >= 0)
+		return REMOTE_DELAY * (config->rank + 1);
+	return REMOTE_DELAY * (MMX_CONFIG_READERS + 1) +
+	       jitter_(config, REMOTE_DELAY * 2);
+}
+
+static void note_ahead_(mmx_config_t *config, mmx_node_id_t peer,
+			uint64_t applied)
+{
+	mmx_config_ahead_t *entry = NULL;
+	bool remote;
+	size_t i;
+
+	for (i = 0; i < config->ahead_count; i++)
+		if (config->ahead[i].peer == peer) {
+			config->ahead[i].applied = applied;
+			return;
+		}
+	remote = is_remote_(config, peer);
+	if (config->ahead_count < MMX_CONFIG_AHEAD_MAX)
+		entry = &config->ahead[config->ahead_count++];
+	for (i = 0; !entry && !remote && i < config->ahead_count; i++)
+		if (config->ahead[i].remote)
+			entry = &config->ahead[i];
+	if (entry)
+		*entry = (mmx_config_ahead_t){
+			.peer = peer,
+			.applied = applied,
+			.not_before =
+				now_(config) + pull_delay_(config, remote),
+			.remote = remote,
+		};
+}
+
+/* Peers that are no longer ahead are forgotten; near ones go first. */
+mmx_config_ahead_t *mmx_config_choose_ahead_(mmx_config_t *config)
+{
+	uint64_t applied = mmx_fold_applied(config->fold);
+	mmx_time_t now = now_(config);
+	mmx_config_ahead_t *best = NULL;
+	size_t i;
+
+	for (i = config->ahead_count; i-- > 0;)
+		if (config->ahead[i].applied <= applied)
+			remove_ahead_(config, i);
+	for (i = 0; i < config->ahead_count; i++) {
+		mmx_config_ahead_t *entry = &config->ahead[i];
+
+		if (entry->not_before <= now &&
+		    (!best || entry->remote < best->remote ||
+		     (entry->remote == best->remote &&
+		      entry->applied > best->applied)))
+			best = entry;
+	}
+	return best;
+}
+
+static void pull_(mmx_config_t *config)
+{
+	mmx_config_ahead_t *entry;
+
+	if (!config->transport || config->pulling ||
+	    mmx_config_wants_load_(config))
+		return;
+	entry = mmx_config_choose_ahead_(config);
+	if (!entry)
+		return;
+	config->pulling = true;
+	config->pull_peer = entry->peer;
+	config->pull_deadline = now_(config) + PULL_TIMEOUT;
+	config->stats.pulls_sent++;
+	config->stats.pulls_remote += entry->remote;
+	config->transport->send_pull(config->arg, entry->peer,
+				     mmx_fold_applied(config->fold));
+}
+
+/* Takes over what a peer knows of log and readers. */
+static void take_ages_(mmx_config_t *config, const mmx_config_news_t *news)
+{
+	mmx_time_t now = now_(config);
+	mmx_time_t confirmed_at = since_(now, news->confirmed_age);
+	mmx_time_t reader_at = since_(now, news->reader_age);
+
+	if (config->loaded && mmx_fold_applied(config->fold) >= news->applied &&
+	    confirmed_at > config->confirmed_at)
+		config->confirmed_at = confirmed_at;
+	if (reader_at > config->reader_at)
+		config->reader_at = reader_at;
+}
+
+void mmx_config_on_news(mmx_config_t *config, mmx_node_id_t peer,
+			const mmx_config_news_t *news)
+{
+	if (!config->started || peer == config->options.self)
+		return;
+	config->stats.news_received++;
+	/* A node that had to stop between snapshot and tail is as good as a
+	 * peer that isn't ahead of it. */
+	if (mmx_fold_applied(config->fold) > 0 &&
+	    news->applied <= mmx_fold_applied(config->fold))
+		config->loaded = true;
+	take_ages_(config, news);
+	if (news->applied > mmx_fold_applied(config->fold))
+		note_ahead_(config, peer, news->applied);
+	if (mmx_config_wants_load_(config))
+		mmx_config_load_tick_(config);
+	pull_(config);
+}
+
+static void fail_pull_(mmx_config_t *config)
+{
+	config->pulling = false;
+	config->stats.pulls_failed++;
+	mmx_config_drop_ahead_(config, config->pull_peer);
+}
+
+/* The peer no longer keeps the records in between. Another one may, and a
+ * load costs megabytes, so that it waits for the third such answer. */
+static void note_gap_(mmx_config_t *config, mmx_node_id_t peer)
+{
+	if (++config->gap_answers >= GAP_ANSWERS_MAX) {
+		config->needs_load = true;
+		mmx_config_load_tick_(config);
+	} else {
+		mmx_config_drop_ahead_(config, peer);
+	}
+}
+
+void mmx_config_on_pulled(mmx_config_t *config, mmx_node_id_t peer,
+			  const mmx_config_records_t *records)
+{
+	size_t i;
+
+	if (!config->pulling || config->pull_peer != peer) {
+		/* A late answer still holds valid records. */
+		if (!records || !config->loaded)
+			return;
+	} else if (!records) {
+		fail_pull_(config);
+		pull_(config);
+		return;
+	} else {
+		config->pulling = false;
+	}
+	for (i = 0; i < records->count; i++) {
+		uint64_t before = mmx_fold_applied(config->fold);
+
+		mmx_config_apply_(config, &records->records[i]);
+		config->stats.records_from_peers +=
+			mmx_fold_applied(config->fold) > before;
+	}
+	take_ages_(config, &records->news);
+	if (records->news.applied > mmx_fold_applied(config->fold))
+		note_ahead_(config, peer, records->news.applied);
+	else
+		mmx_config_drop_ahead_(config, peer);
+	if (records->first > mmx_fold_applied(config->fold) + 1)
+		note_gap_(config, peer);
+	push_changes_(config);
+	pull_(config);
+}
+
+static void fail_read_(mmx_config_t *config, mmx_log_result_t result)
+{
+	bool is_reader = config->rank >= 0 || !config->loaded;
+	mmx_time_t min = is_reader ? READER_BACKOFF_MIN : HELPER_BACKOFF_MIN;
+	mmx_time_t max = is_reader ? READER_BACKOFF_MAX : HELPER_BACKOFF_MAX;
+
+	if (result == MMX_LOG_TOO_LARGE && config->read_max > 1) {
+		config->read_max /= 4;
+		return;
+	}
+	config->stats.log_failures++;
+	config->read_backoff *= 2;
+	if (config->read_backoff < min)
+		config->read_backoff = min;
+	if (config->read_backoff > max)
+		config->read_backoff = max;
+	config->read_not_before = now_(config) + config->read_backoff / 2 +
+				  jitter_(config, config->read_backoff / 2);
+}
+
+/* Applies records that follow the log as it goes. */
+static void follow_(mmx_config_t *config, const mmx_log_records_t *records)
+{
+	size_t i;
+
+	for (i = 0; i < records->count; i++) {
+		uint64_t before = mmx_fold_applied(config->fold);
+
+		mmx_config_apply_(config, &records->records[i]);
+		config->stats.records_from_log +=
+			mmx_fold_applied(config->fold) > before;
+	}
+	if (records->first > mmx_fold_applied(config->fold) + 1)
+		config->needs_load = true;
+	else if (records->next == mmx_fold_applied(config->fold) + 1)
+		mmx_config_confirm_(config);
+}
+
+void mmx_config_on_read(mmx_config_t *config, mmx_config_stream_t stream,
+			mmx_log_result_t result,
+			const mmx_log_records_t *records)
+{
+	config->reading[stream] = false;
+	if (result != MMX_LOG_OK) {
+		fail_read_(config, result);
+		if (stream == MMX_CONFIG_SNAPSHOTS && config->checking)
+			mmx_config_write_read_(config, NULL);
+		else if (config->load > MMX_CONFIG_LOAD_PEER)
+			mmx_config_load_read_(config, stream, NULL);
+		return;
+	}
+	config->read_backoff = 0;
+	config->read_max = READ_RECORDS_MAX;
+	if (stream == MMX_CONFIG_SNAPSHOTS && config->checking) {
+		mmx_config_write_read_(config, records);
+	} else if (config->load > MMX_CONFIG_LOAD_PEER) {
+		mmx_config_load_read_(config, stream, records);
+	} else if (stream == MMX_CONFIG_RECORDS && config->loaded) {
+		follow_(config, records);
+	}
+	push_changes_(config);
+	pull_(config);
+}
+
+/* Readers follow the log; others read it when no reader is heard of. */
+static void read_log_(mmx_config_t *config)
+{
+	mmx_time_t now = now_(config);
+	bool silent = now - config->reader_at > MMX_CONFIG_READER_SILENCE;
+
+	if (!config->options.has_log || !config->loaded || config->needs_load ||
+	    config->load != MMX_CONFIG_LOAD_IDLE ||
+	    now < config->read_not_before)
+		return;
+	if (config->rank >= 0 || silent)
+		mmx_config_read_(config, MMX_CONFIG_RECORDS,
+				 mmx_fold_applied(config->fold) + 1,
+				 config->read_max,
+				 config->rank >= 0 ? MMX_CONFIG_POLL : 0);
+}
+
+static void on_tick_(void *arg)
+{
+	mmx_config_t *config = arg;
+	mmx_time_t now = now_(config);
+
+	mmx_timer_set(&config->tick, TICK);
+	if (config->rank >= 0)
+		config->reader_at = now;
+	if (config->pulling && now >= config->pull_deadline)
+		fail_pull_(config);
+	mmx_config_load_tick_(config);
+	mmx_config_write_tick_(config);
+	read_log_(config);
+	pull_(config);
+	if (has_news_(config))
+		push_(config);
+}
+
+mmx_config_t *mmx_config_create(mmx_clock_t *clock,
+				const mmx_config_options_t *options,
+				const mmx_config_transport_ops_t *transport,
+				const mmx_config_log_ops_t *log, void *arg)
+{
+	mmx_config_t *config;
+
+	assert(clock && options && log && options->retention > 0);
+	config = g_new0(mmx_config_t, 1);
+	config->clock = clock;
+	config->options = *options;
+	config->transport = transport;
+	config->log = log;
+	config->arg = arg;
+	mmx_random_seed(&config->random, options->seed);
+	mmx_timer_init(&config->tick, clock, on_tick_, config);
+	config->fold = mmx_fold_create();
+	config->rank = -1;
+	config->global_rank = -1;
+	config->confirmed_at = MMX_CONFIG_LONG_AGO;
+	config->reader_at = MMX_CONFIG_LONG_AGO;
+	config->read_max = READ_RECORDS_MAX;
+	config->load_reader = mmx_snapshot_reader_create();
+	g_queue_init(&config->kept);
+	return config;
+}
+
+void mmx_config_destroy(mmx_config_t *config)
+{
+	if (!config)
+		return;
+	mmx_timer_cancel(&config->tick);
+	clear_kept_(config);
+	mmx_fold_destroy(config->fold);
+	mmx_fold_destroy(config->load_fold);
+	mmx_snapshot_reader_destroy(config->load_reader);
+	mmx_snapshot_destroy(config->served);
+	mmx_snapshot_destroy(config->writing);
+	g_free(config->pull_answer);
+	g_free(config->members);
+	g_free(config->neighbours);
+	g_free(config);
+}
+
+void mmx_config_start(mmx_config_t *config)
+{
+	mmx_time_t now = now_(config);
+
+	assert(!config->started);
+	config->started = true;
+	/* A node counts the silence of the readers from its start. */
+	config->reader_at = now;
+	config->started_at = now;
+	config->load_not_before = now;
+	mmx_timer_set(&config->tick, jitter_(config, TICK));
+}
+
+static mmx_config_region_t *use_region_(mmx_config_t *config, uint64_t region)
+{
+	size_t i;
+
+	for (i = 0; i < config->region_count; i++)
+		if (config->regions[i].region == region)
+			return &config->regions[i];
+	if (config->region_count == MMX_CONFIG_REGIONS_MAX)
+		return NULL;
+	config->regions[config->region_count] =
+		(mmx_config_region_t){.region = region};
+	return &config->regions[config->region_count++];
+}
+
+static void rank_member_(mmx_config_region_t *region, mmx_node_id_t id)
+{
+	uint64_t score = score_(id);
+	size_t i = region->count;
+
+	if (i == MMX_CONFIG_READERS && score >= region->scores[i - 1])
+		return;
+	if (i < MMX_CONFIG_READERS)
+		region->count++;
+	else
+		i--;
+	while (i > 0 && region->scores[i - 1] > score) {
+		region->scores[i] = region->scores[i - 1];
+		region->readers[i] = region->readers[i - 1];
+		i--;
+	}
+	region->scores[i] = score;
+	region->readers[i] = id;
+}
+
+static void rank_self_(mmx_config_t *config)
+{
+	uint64_t own = score_(config->options.self);
+	size_t i;
+	size_t r;
+
+	config->rank = -1;
+	config->global_rank = 0;
+	for (i = 0; i < config->region_count; i++) {
+		const mmx_config_region_t *region = &config->regions[i];
+
+		for (r = 0; r < region->count; r++) {
+			if (region->readers[r] == config->options.self)
+				config->rank = (int)r;
+			config->global_rank += region->scores[r] < own;
+		}
+	}
+	if (config->rank < 0)
+		config->global_rank = -1;
+}
+
+void mmx_config_set_members(mmx_config_t *config,
+			    const mmx_config_member_t *members, size_t count)
+{
+	mmx_config_region_t *region;
+	size_t i;
+
+	g_free(config->members);
+	g_free(config->neighbours);
+	config->members = g_new(mmx_config_member_t, count + 1);
+	config->neighbours = g_new(mmx_node_id_t, count + 1);
+	config->member_count = 0;
+	config->neighbour_count = 0;
+	config->region_count = 0;
+	for (i = 0; i <= count; i++) {
+		mmx_config_member_t member = {config->options.self,
+					      config->options.region};
+
+		/* This node counts as alive, whether it is listed or not. */
+		if (i < count && members[i].id == config->options.self)
+			continue;
+		if (i < count)
+			member = members[i];
+		config->members[config->member_count++] = member;
+		if (i < count && member.region == config->options.region)
+			config->neighbours[config->neighbour_count++] =
+				member.id;
+		region = use_region_(config, member.region);
+		if (region)
+			rank_member_(region, member.id);
+	}
+	rank_self_(config);
+}
+
+bool mmx_config_serve_pull(mmx_config_t *config, uint64_t after,
+			   mmx_config_records_t *answer)
+{
+	uint64_t applied = mmx_fold_applied(config->fold);
+	uint64_t oldest = applied - config->kept.length + 1;
+	size_t bytes = 0;
+	GList *link;
+
+	*answer = (mmx_config_records_t){.first = after + 1};
+	if (!mmx_config_news(config, &answer->news))
+		return false;
+	config->stats.pulls_served++;
+	if (after >= applied)
+		return true;
+	if (after + 1 < oldest) {
+		answer->first = oldest;
+		return true;
+	}
+	g_free(config->pull_answer);
+	config->pull_answer = g_new(mmx_log_record_t, applied - after);
+	link = g_queue_peek_nth_link(&config->kept,
+				     (guint)(after + 1 - oldest));
+	for (; link; link = link->next) {
+		const mmx_config_kept_t *kept = link->data;
+
+		bytes += kept->length;
+		if (answer->count && bytes > MMX_CONFIG_PULL_BYTES)
+			break;
+		config->pull_answer[answer->count] = (mmx_log_record_t){
+			.offset = after + 1 + answer->count,
+			.data = kept->data,
+			.length = kept->length,
+		};
+		answer->count++;
+	}
+	answer->records = config->pull_answer;
+	return true;
+}
+
+const mmx_fold_t *mmx_config_fold(const mmx_config_t *config)
+{
+	return config->fold;
+}
+
+bool mmx_config_is_loaded(const mmx_config_t *config)
+{
+	return config->loaded;
+}
+
+bool mmx_config_is_current(const mmx_config_t *config)
+{
+	return config->loaded &&
+	       now_(config) - config->confirmed_at <= MMX_CONFIG_CURRENT_AGE;
+}
+
+int mmx_config_reader_rank(const mmx_config_t *config)
+{
+	return config->rank;
+}
+
+const mmx_config_stats_t *mmx_config_stats(const mmx_config_t *config)
+{
+	return &config->stats;
+}
--- /dev/null
+++ b/src/libmasticmux/config_load.c
@@ -0,0 +1,363 @@
+/* Loading: a new node, or one that fell behind, takes the state of a peer, or
+ * a snapshot from the log and the records after it. */
+#include <jansson.h>
+#include <string.h>
+
+#include "private/config_state.h"
+
+#define PART_TIMEOUT (2 * MMX_US_PER_S)
+/* A new node gives its peers this time to be heard of before it uses the log,
+ * which is farther away and shared by all. */
+#define PEERS_FIRST MMX_US_PER_S
+#define BACKOFF_MIN (500 * MMX_US_PER_MS)
+#define BACKOFF_MAX (5 * MMX_US_PER_S)
+#define SCAN_RECORDS 4
+#define TAIL_RECORDS 64
+#define SERVED_IDLE (10 * MMX_US_PER_S)
+#define SERVED_AGE (60 * MMX_US_PER_S)
+
+char *mmx_config_wrap_part_(const uint8_t *part, size_t length,
+			    uint64_t wall_ms, size_t *size)
+{
+	char *text = g_base64_encode(part, length);
+	char *record = g_strdup_printf(
+		"{\"snapshot\":\"%s\",\"time_ms\":%" G_GUINT64_FORMAT "}", text,
+		wall_ms);
+
+	g_free(text);
+	*size = strlen(record);
+	return record;
+}
+
+uint8_t *mmx_config_unwrap_part_(const mmx_log_record_t *record, size_t *length,
+				 uint64_t *wall_ms)
+{
+	json_t *root = json_loadb(record->data, record->length, 0, NULL);
+	json_t *text = json_object_get(root, "snapshot");
+	json_t *time_ms = json_object_get(root, "time_ms");
+	uint8_t *part = NULL;
+
+	if (record->length <= MMX_SNAPSHOT_RECORD_MAX && json_is_string(text) &&
+	    json_is_integer(time_ms)) {
+		part = g_base64_decode(json_string_value(text), length);
+		if (wall_ms)
+			*wall_ms = (uint64_t)json_integer_value(time_ms);
+	}
+	json_decref(root);
+	return part;
+}
+
+static void clear_load_(mmx_config_t *config)
+{
+	mmx_snapshot_reader_destroy(config->load_reader);
+	config->load_reader = mmx_snapshot_reader_create();
+	mmx_fold_destroy(config->load_fold);
+	config->load_fold = NULL;
+	config->load = MMX_CONFIG_LOAD_IDLE;
+}
+
+static void fail_load_(mmx_config_t *config)
+{
+	mmx_time_t backoff = 2 * config->load_backoff;
+
+	clear_load_(config);
+	if (backoff < BACKOFF_MIN)
+		backoff = BACKOFF_MIN;
+	if (backoff > BACKOFF_MAX)
+		backoff = BACKOFF_MAX;
+	config->load_backoff = backoff;
+	config->load_not_before =
+		mmx_clock_now(config->clock) + backoff / 2 +
+		(mmx_time_t)mmx_random_below(&config->random,
+					     (uint64_t)backoff / 2 + 1);
+}
+
+static void finish_load_(mmx_config_t *config)
+{
+	clear_load_(config);
+	config->load_backoff = 0;
+	config->loaded = true;
+	config->needs_load = false;
+}
+
+static void ask_peer_(mmx_config_t *config)
+{
+	config->load_deadline = mmx_clock_now(config->clock) + PART_TIMEOUT;
+	config->transport->send_load(
+		config->arg, config->load_peer,
+		mmx_snapshot_reader_applied(config->load_reader),
+		mmx_snapshot_reader_missing(config->load_reader));
+}
+
+static void fail_peer_(mmx_config_t *config)
+{
+	mmx_config_drop_ahead_(config, config->load_peer);
+	fail_load_(config);
+}
+
+static void build_from_peer_(mmx_config_t *config)
+{
+	mmx_fold_t *fold = mmx_snapshot_reader_load(config->load_reader, NULL);
+
+	if (!fold) {
+		config->stats.loads_invalid++;
+		fail_peer_(config);
+		return;
+	}
+	mmx_config_replace_(config, fold);
+	finish_load_(config);
+}
+
+void mmx_config_on_loaded(mmx_config_t *config, mmx_node_id_t peer,
+			  const uint8_t *part, size_t length)
+{
+	mmx_snapshot_reader_t *reader = config->load_reader;
+	uint64_t applied = mmx_snapshot_reader_applied(reader);
+	uint32_t missing = mmx_snapshot_reader_missing(reader);
+	mmx_snapshot_status_t status = MMX_SNAPSHOT_INVALID;
+
+	if (config->load != MMX_CONFIG_LOAD_PEER || config->load_peer != peer)
+		return;
+	if (part)
+		status = mmx_snapshot_reader_add(reader, part, length);
+	if (status == MMX_SNAPSHOT_COMPLETE) {
+		build_from_peer_(config);
+		return;
+	}
+	/* A part that brings nothing new would be asked for without end. */
+	if (status == MMX_SNAPSHOT_MORE &&
+	    (mmx_snapshot_reader_applied(reader) != applied ||
+	     mmx_snapshot_reader_missing(reader) != missing)) {
+		ask_peer_(config);
+		return;
+	}
+	config->stats.loads_invalid += part != NULL;
+	fail_peer_(config);
+}
+
+static void read_next_(mmx_config_t *config, mmx_config_load_t step,
+		       mmx_config_stream_t stream, uint64_t from,
+		       unsigned int max)
+{
+	config->load = step;
+	if (!mmx_config_read_(config, stream, from, max, 0))
+		fail_load_(config);
+}
+
+/* Reads the records after the snapshot; a node that serves already leaves
+ * them to the usual ways. */
+static void read_tail_(mmx_config_t *config)
+{
+	if (config->loaded) {
+		finish_load_(config);
+		return;
+	}
+	read_next_(config, MMX_CONFIG_LOAD_TAIL, MMX_CONFIG_RECORDS,
+		   mmx_fold_applied(config->fold) + 1, TAIL_RECORDS);
+}
+
+static void take_ends_(mmx_config_t *config, const mmx_log_records_t *records)
+{
+	if (records->first < records->next)
+		read_next_(config, MMX_CONFIG_LOAD_LAST, MMX_CONFIG_SNAPSHOTS,
+			   records->next - 1, 1);
+	else if (config->loaded)
+		fail_load_(config);
+	else
+		read_tail_(config);
+}
+
+static bool last_head_(const mmx_log_records_t *records,
+		       mmx_snapshot_head_t *head)
+{
+	size_t length = 0;
+	uint8_t *part = NULL;
+	bool valid;
+
+	if (records->count)
+		part = mmx_config_unwrap_part_(
+			&records->records[records->count - 1], &length, NULL);
+	valid = part && mmx_snapshot_head(part, length, head);
+	g_free(part);
+	return valid;
+}
+
+/* The last snapshot may be incomplete, so that the scan starts early enough
+ * for the one before. */
+static void take_last_(mmx_config_t *config, const mmx_log_records_t *records)
+{
+	mmx_snapshot_head_t head = {0};
+	uint64_t from = records->first;
+
+	if (last_head_(records, &head) &&
+	    records->next - records->first > 2 * (uint64_t)head.parts)
+		from = records->next - 2 * (uint64_t)head.parts;
+	config->load_rescan = from == records->first;
+	config->load_from = from;
+	read_next_(config, MMX_CONFIG_LOAD_SCAN, MMX_CONFIG_SNAPSHOTS, from,
+		   SCAN_RECORDS);
+}
+
+static void scan_record_(mmx_config_t *config, const mmx_log_record_t *record)
+{
+	size_t length = 0;
+	uint8_t *part = mmx_config_unwrap_part_(record, &length, NULL);
+	mmx_fold_t *fold;
+
+	config->load_from = record->offset + 1;
+	if (part && mmx_snapshot_reader_add(config->load_reader, part,
+					    length) == MMX_SNAPSHOT_COMPLETE) {
+		fold = mmx_snapshot_reader_load(config->load_reader, NULL);
+		if (fold) {
+			mmx_fold_destroy(config->load_fold);
+			config->load_fold = fold;
+		} else {
+			config->stats.loads_invalid++;
+		}
+	}
+	g_free(part);
+}
+
+static void end_scan_(mmx_config_t *config, const mmx_log_records_t *records)
+{
+	mmx_fold_t *fold = config->load_fold;
+
+	if (!fold && !config->load_rescan) {
+		config->load_rescan = true;
+		config->load_from = records->first;
+		read_next_(config, MMX_CONFIG_LOAD_SCAN, MMX_CONFIG_SNAPSHOTS,
+			   config->load_from, SCAN_RECORDS);
+		return;
+	}
+	config->load_fold = NULL;
+	if (fold)
+		mmx_config_replace_(config, fold);
+	if (config->loaded && config->needs_load)
+		fail_load_(config);
+	else
+		read_tail_(config);
+}
+
+static void take_scan_(mmx_config_t *config, const mmx_log_records_t *records)
+{
+	size_t i;
+
+	for (i = 0; i < records->count; i++)
+		scan_record_(config, &records->records[i]);
+	if (records->count && config->load_from < records->next)
+		read_next_(config, MMX_CONFIG_LOAD_SCAN, MMX_CONFIG_SNAPSHOTS,
+			   config->load_from, SCAN_RECORDS);
+	else
+		end_scan_(config, records);
+}
+
+static void take_tail_(mmx_config_t *config, const mmx_log_records_t *records)
+{
+	uint64_t applied = mmx_fold_applied(config->fold);
+	size_t i;
+
+	if (records->first > applied + 1) {
+		fail_load_(config);
+		return;
+	}
+	for (i = 0; i < records->count; i++)
+		mmx_config_apply_(config, &records->records[i]);
+	config->stats.records_from_log +=
+		mmx_fold_applied(config->fold) - applied;
+	if (mmx_fold_applied(config->fold) + 1 >= records->next) {
+		finish_load_(config);
+		mmx_config_confirm_(config);
+	} else if (mmx_fold_applied(config->fold) > applied) {
+		read_tail_(config);
+	} else {
+		fail_load_(config);
+	}
+}
+
+void mmx_config_load_read_(mmx_config_t *config, mmx_config_stream_t stream,
+			   const mmx_log_records_t *records)
+{
+	mmx_config_stream_t expected = config->load == MMX_CONFIG_LOAD_TAIL
+					       ? MMX_CONFIG_RECORDS
+					       : MMX_CONFIG_SNAPSHOTS;
+
+	/* A long poll that was begun before the load may end during it. */
+	if (stream != expected)
+		return;
+	if (!records) {
+		fail_load_(config);
+		return;
+	}
+	switch (config->load) {
+	case MMX_CONFIG_LOAD_ENDS:
+		take_ends_(config, records);
+		break;
+	case MMX_CONFIG_LOAD_LAST:
+		take_last_(config, records);
+		break;
+	case MMX_CONFIG_LOAD_SCAN:
+		take_scan_(config, records);
+		break;
+	default:
+		take_tail_(config, records);
+		break;
+	}
+}
+
+static void start_load_(mmx_config_t *config, mmx_time_t now)
+{
+	const mmx_config_ahead_t *ahead = mmx_config_choose_ahead_(config);
+	bool alone = !config->transport || config->member_count <= 1;
+
+	if (ahead) {
+		config->load = MMX_CONFIG_LOAD_PEER;
+		config->load_peer = ahead->peer;
+		ask_peer_(config);
+	} else if (config->options.has_log && !config->checking &&
+		   (alone || now - config->started_at >= PEERS_FIRST)) {
+		read_next_(config, MMX_CONFIG_LOAD_ENDS, MMX_CONFIG_SNAPSHOTS,
+			   0, 1);
+	}
+}
+
+void mmx_config_load_tick_(mmx_config_t *config)
+{
+	mmx_time_t now = mmx_clock_now(config->clock);
+
+	if (config->served && now - config->served_at > SERVED_IDLE) {
+		mmx_snapshot_destroy(config->served);
+		config->served = NULL;
+	}
+	if (config->load == MMX_CONFIG_LOAD_PEER &&
+	    now >= config->load_deadline)
+		fail_peer_(config);
+	if (config->load == MMX_CONFIG_LOAD_IDLE &&
+	    mmx_config_wants_load_(config) && now >= config->load_not_before)
+		start_load_(config, now);
+}
+
+const uint8_t *mmx_config_serve_load(mmx_config_t *config, uint64_t applied,
+				     uint32_t part, size_t *length)
+{
+	mmx_time_t now = mmx_clock_now(config->clock);
+	mmx_snapshot_t *served = config->served;
+
+	if (!config->loaded || mmx_fold_applied(config->fold) == 0)
+		return NULL;
+	if (served && applied == mmx_snapshot_applied(served) &&
+	    part < mmx_snapshot_parts(served)) {
+		config->served_at = now;
+		config->stats.loads_served++;
+		return mmx_snapshot_part(served, part, length);
+	}
+	/* A node that begins now may take the snapshot of another one: the
+	 * records after it are kept and can be pulled. */
+	if (!served || now - config->served_created > SERVED_AGE) {
+		mmx_snapshot_destroy(served);
+		config->served = mmx_snapshot_create(config->fold);
+		config->served_created = now;
+	}
+	config->served_at = now;
+	config->stats.loads_served++;
+	return mmx_snapshot_part(config->served, 0, length);
+}
--- a/src/libmasticmux/include/private/config_state.h
+++ b/src/libmasticmux/include/private/config_state.h
@@ -55,6 +55,7 @@
 	mmx_timer_t tick;
 	mmx_fold_t *fold;
 	bool started;
+	mmx_time_t started_at;
 	bool loaded;
 	bool needs_load; /**< loaded, but records in between are gone */
 	mmx_config_stats_t stats;
@@ -78,6 +79,7 @@
 	bool pulling;
 	mmx_node_id_t pull_peer;
 	mmx_time_t pull_deadline;
+	unsigned int gap_answers; /**< pulls in a row that found a gap */
 
 	GQueue kept; /**< of mmx_config_kept_t; the last one is applied */
 	size_t kept_bytes;
@@ -94,13 +96,15 @@
 	mmx_time_t load_not_before;
 	mmx_time_t load_backoff;
 	mmx_snapshot_reader_t *load_reader;
-	mmx_fold_t *load_fold; /**< from a snapshot in the log */
-	uint64_t load_from;
-	uint64_t load_first;
+	mmx_fold_t *load_fold; /**< newest complete one of a scan */
+	uint64_t load_from;    /**< next offset of the scan */
+	bool load_rescan;      /**< the scan began at the first offset */
 
 	mmx_snapshot_t *served; /**< snapshot that peers are loading */
-	mmx_time_t served_at;
+	mmx_time_t served_at;	/**< last use */
+	mmx_time_t served_created;
 
+	bool check_armed;
 	bool checking; /**< whether a snapshot is due */
 	bool check_ends;
 	mmx_time_t check_at;
@@ -118,12 +122,18 @@
 /** Applies a record that follows; from the log or from a peer. */
 void mmx_config_apply_(mmx_config_t *config, const mmx_log_record_t *record);
 
-/** Replaces the fold if the new one is ahead; takes it over. */
+/**
+ * Replaces the fold if the new one is ahead; takes it over in any case. Says
+ * nothing about whether the node is loaded.
+ */
 bool mmx_config_replace_(mmx_config_t *config, mmx_fold_t *fold);
 
 /** Notes that the log has nothing newer than the applied offset. */
 void mmx_config_confirm_(mmx_config_t *config);
 
+/** Best peer to pull or load from now; NULL when there is none. */
+mmx_config_ahead_t *mmx_config_choose_ahead_(mmx_config_t *config);
+
 /** Forgets a peer that did not answer. */
 void mmx_config_drop_ahead_(mmx_config_t *config, mmx_node_id_t peer);
 
