Let the fold in force be replaced while requests are served

Change: entry and exit read the fold in force through a pointer for each request; without one a request is refused with no-configuration.

--- a/src/libmasticmux/entry.c
+++ b/src/libmasticmux/entry.c
@@ -16,7 +16,7 @@
 	mmx_task_t *http;
 	mmx_task_t *peer;
 	mmx_task_t *local_exit;
-	const mmx_fold_t *fold;
+	const mmx_fold_t *const *fold;
 	const mmx_directory_t *directory;
 	mmx_counters_t *counters;
 	mmx_pipeline_t pipeline;
@@ -376,7 +376,7 @@
 	return true;
 }
 
-bool mmx_entry_set_fold(mmx_entry_t *entry, const mmx_fold_t *fold)
+bool mmx_entry_set_fold(mmx_entry_t *entry, const mmx_fold_t *const *fold)
 {
 	if (entry->running)
 		return false;
--- a/src/libmasticmux/exit.c
+++ b/src/libmasticmux/exit.c
@@ -26,7 +26,7 @@
 	mmx_task_t *client;
 	const mmx_exit_observer_ops_t *observer;
 	void *observer_context;
-	const mmx_fold_t *fold;
+	const mmx_fold_t *const *fold;
 	mmx_log_t *log;
 	mmx_attempts_t *attempts;
 	target_list_t targets;
@@ -82,7 +82,8 @@
 {
 	mmx_policy_t policy;
 
-	if (!exit->fold || !mmx_fold_service(exit->fold, service, &policy))
+	if (!exit->fold || !*exit->fold ||
+	    !mmx_fold_service(*exit->fold, service, &policy))
 		return 0;
 	return policy.warm_up;
 }
@@ -725,7 +726,7 @@
 	return true;
 }
 
-bool mmx_exit_set_fold(mmx_exit_t *exit, const mmx_fold_t *fold)
+bool mmx_exit_set_fold(mmx_exit_t *exit, const mmx_fold_t *const *fold)
 {
 	if (exit->running)
 		return false;
--- a/src/libmasticmux/filter_account.c
+++ b/src/libmasticmux/filter_account.c
@@ -5,7 +5,7 @@
 
 typedef struct account_filter_t {
 	mmx_filter_t filter;
-	const mmx_fold_t *fold;
+	const mmx_fold_t *const *fold;
 } account_filter_t;
 
 static mmx_time_t timeout_(const mmx_exchange_t *exchange)
@@ -38,7 +38,7 @@
 
 	if (exchange->account[0]) {
 		exchange->has_account =
-			mmx_fold_account(self->fold, exchange->account,
+			mmx_fold_account(*self->fold, exchange->account,
 					 &exchange->account_parameters);
 		if (!exchange->has_account) {
 			mmx_entry_refuse(exchange, MMX_OUTCOME_NOT_RUN,
@@ -62,7 +62,7 @@
 	.destroy = destroy_,
 };
 
-mmx_filter_t *mmx_filter_account_create(const mmx_fold_t *fold)
+mmx_filter_t *mmx_filter_account_create(const mmx_fold_t *const *fold)
 {
 	account_filter_t *self = g_new0(account_filter_t, 1);
 
--- a/src/libmasticmux/filter_route.c
+++ b/src/libmasticmux/filter_route.c
@@ -5,7 +5,7 @@
 
 typedef struct route_filter_t {
 	mmx_filter_t filter;
-	const mmx_fold_t *fold;
+	const mmx_fold_t *const *fold;
 } route_filter_t;
 
 static mmx_filter_result_t process_(mmx_filter_t *filter,
@@ -14,12 +14,15 @@
 	const route_filter_t *self = (route_filter_t *)filter;
 	mmx_route_t route;
 
-	if (!mmx_fold_route(self->fold, exchange->host, exchange->path,
+	if (!*self->fold || mmx_fold_is_empty(*self->fold)) {
+		mmx_entry_refuse(exchange, MMX_OUTCOME_NOT_RUN,
+				 MMX_REASON_NO_CONFIGURATION);
+		return MMX_FILTER_DONE;
+	}
+	if (!mmx_fold_route(*self->fold, exchange->host, exchange->path,
 			    &route)) {
 		mmx_entry_refuse(exchange, MMX_OUTCOME_NOT_RUN,
-				 mmx_fold_is_empty(self->fold)
-					 ? MMX_REASON_NO_CONFIGURATION
-					 : MMX_REASON_UNKNOWN_SERVICE);
+				 MMX_REASON_UNKNOWN_SERVICE);
 		return MMX_FILTER_DONE;
 	}
 	g_strlcpy(exchange->service, route.service, sizeof(exchange->service));
@@ -38,7 +41,7 @@
 	.destroy = destroy_,
 };
 
-mmx_filter_t *mmx_filter_route_create(const mmx_fold_t *fold)
+mmx_filter_t *mmx_filter_route_create(const mmx_fold_t *const *fold)
 {
 	route_filter_t *self = g_new0(route_filter_t, 1);
 
--- a/src/libmasticmux/include/private/entry.h
+++ b/src/libmasticmux/include/private/entry.h
@@ -27,7 +27,8 @@
 bool mmx_entry_set_http(mmx_entry_t *entry, mmx_task_t *http);
 bool mmx_entry_set_peer(mmx_entry_t *entry, mmx_task_t *peer);
 bool mmx_entry_set_local_exit(mmx_entry_t *entry, mmx_task_t *exit);
-bool mmx_entry_set_fold(mmx_entry_t *entry, const mmx_fold_t *fold);
+/* *fold is read for each request; NULL while there is no configuration. */
+bool mmx_entry_set_fold(mmx_entry_t *entry, const mmx_fold_t *const *fold);
 bool mmx_entry_set_directory(mmx_entry_t *entry,
 			     const mmx_directory_t *directory);
 bool mmx_entry_set_counters(mmx_entry_t *entry, mmx_counters_t *counters);
@@ -65,8 +66,8 @@
 void mmx_entry_end(mmx_exchange_t *exchange);
 
 mmx_filter_t *mmx_filter_request_create(void);
-mmx_filter_t *mmx_filter_route_create(const mmx_fold_t *fold);
-mmx_filter_t *mmx_filter_account_create(const mmx_fold_t *fold);
+mmx_filter_t *mmx_filter_route_create(const mmx_fold_t *const *fold);
+mmx_filter_t *mmx_filter_account_create(const mmx_fold_t *const *fold);
 mmx_filter_t *mmx_filter_attempt_create(mmx_entry_t *entry);
 
 /* Messages that concern the attempt of an exchange, to the attempt filter. */
