--- /dev/null
+++ b/src/libmasticmux/http_caller.c
@@ -0,0 +1,620 @@
+#include "private/http_caller.h"
+
+#include <assert.h>
+#include <inttypes.h>
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <string.h>
+#include <sys/socket.h>
+
+#include "private/http_head.h"
+
+/* Unread input per connection, bytes; must hold a whole head. */
+#define INPUT_MAX (32 * 1024)
+/* Output below which more of a response is asked for, bytes. */
+#define OUTPUT_LOW (64 * 1024)
+/* Smallest credit worth a message while the response flows, bytes. */
+#define CREDIT_STEP (32 * 1024)
+
+const char *const mmx_http_close_string[MMX_HTTP_CLOSE_COUNT] = {
+	"idle",	       "slow-head", "slow-body",
+	"slow-reader", "limit",	    "broken-answer",
+};
+
+/* What a connection is waiting for; decides its timeout. */
+typedef enum wait_t {
+	WAIT_NONE, /* for the entry, which keeps the deadline */
+	WAIT_IDLE,
+	WAIT_HEAD,
+	WAIT_BODY,
+	WAIT_WRITE,
+	WAIT_LINGER,
+} wait_t;
+
+struct mmx_http_caller_t {
+	LIST_ENTRY(mmx_http_caller_t) entry;
+	mmx_http_shared_t *shared;
+	struct bufferevent *bev;
+	mmx_http_reader_t reader;
+	mmx_timer_t timer;
+	wait_t wait;
+	mmx_time_t deadline;
+	/* the request in progress */
+	uint64_t request; /* 0: none */
+	bool posted;	  /* the entry knows the request */
+	bool whole;	  /* its body has been read to the end */
+	bool head_method;
+	struct evbuffer *received; /* body bytes the entry has not got yet */
+	size_t credit;		   /* body bytes that the entry can take */
+	/* its answer */
+	bool answered;
+	bool close_after;
+	bool closing; /* nothing more is read or written but the output */
+	mmx_http_framing_t framing;
+	uint64_t remaining; /* of the answer's body, if framed by length */
+	size_t uncredited;  /* body bytes taken and not yet granted again */
+};
+
+static struct evbuffer *input_(const mmx_http_caller_t *caller)
+{
+	return bufferevent_get_input(caller->bev);
+}
+
+static struct evbuffer *output_(const mmx_http_caller_t *caller)
+{
+	return bufferevent_get_output(caller->bev);
+}
+
+static void forget_request_(mmx_http_caller_t *caller)
+{
+	if (caller->request)
+		g_hash_table_remove(caller->shared->requests,
+				    &caller->request);
+	caller->request = 0;
+}
+
+/* Ends the request before its answer; the entry is told if it knows it. */
+static void abandon_request_(mmx_http_caller_t *caller)
+{
+	mmx_http_shared_t *shared = caller->shared;
+
+	if (caller->request && caller->posted)
+		mmx_task_post(
+			shared->entry,
+			&mmx_new_caller_gone(caller->request)->message);
+	forget_request_(caller);
+}
+
+void mmx_http_caller_close(mmx_http_caller_t *caller)
+{
+	mmx_http_shared_t *shared = caller->shared;
+
+	abandon_request_(caller);
+	LIST_REMOVE(caller, entry);
+	shared->caller_count--;
+	mmx_counter_set(shared->connections, (int64_t)shared->caller_count);
+	mmx_timer_cancel(&caller->timer);
+	mmx_http_reader_finish(&caller->reader);
+	evbuffer_free(caller->received);
+	bufferevent_free(caller->bev);
+	g_free(caller);
+}
+
+static void close_counted_(mmx_http_caller_t *caller, mmx_http_close_t cause)
+{
+	mmx_counter_add(caller->shared->closed[cause], 1);
+	mmx_http_caller_close(caller);
+}
+
+/* Closes with a reset, so that a response cannot be taken for complete. */
+static void abort_(mmx_http_caller_t *caller)
+{
+	struct linger reset = {.l_onoff = 1, .l_linger = 0};
+
+	setsockopt(bufferevent_getfd(caller->bev), SOL_SOCKET, SO_LINGER,
+		   &reset, sizeof(reset));
+	close_counted_(caller, MMX_HTTP_CLOSE_BROKEN_ANSWER);
+}
+
+static wait_t current_wait_(const mmx_http_caller_t *caller)
+{
+	if (caller->wait == WAIT_LINGER)
+		return WAIT_LINGER;
+	if (evbuffer_get_length(output_(caller)) > 0)
+		return WAIT_WRITE;
+	if (caller->request == 0)
+		return mmx_http_reader_is_idle(&caller->reader, input_(caller))
+			       ? WAIT_IDLE
+			       : WAIT_HEAD;
+	if (!caller->whole && caller->credit > 0)
+		return WAIT_BODY;
+	return WAIT_NONE;
+}
+
+static mmx_time_t timeout_(const mmx_http_caller_t *caller)
+{
+	const mmx_http_entry_timeouts_t *timeouts = &caller->shared->timeouts;
+
+	switch (caller->wait) {
+	case WAIT_IDLE:
+		return timeouts->idle;
+	case WAIT_HEAD:
+		return timeouts->head;
+	case WAIT_BODY:
+		return timeouts->body;
+	case WAIT_WRITE:
+		return timeouts->write;
+	case WAIT_LINGER:
+		return timeouts->linger;
+	default:
+		return 0;
+	}
+}
+
+/*
+ * Called after every event. The timer is moved only to an earlier time; when
+ * it fires too early it is set again, which saves a move per request.
+ */
+static void update_timer_(mmx_http_caller_t *caller)
+{
+	wait_t wait = current_wait_(caller);
+	mmx_time_t now;
+	bool keeps = wait == caller->wait &&
+		     (wait == WAIT_IDLE || wait == WAIT_HEAD ||
+		      wait == WAIT_LINGER);
+
+	/* A head, once begun, gets no more time for further bytes. */
+	if (keeps)
+		return;
+	caller->wait = wait;
+	if (wait == WAIT_NONE)
+		return;
+	now = mmx_clock_now(caller->shared->clock);
+	caller->deadline = now + timeout_(caller);
+	if (!mmx_timer_is_set(&caller->timer) ||
+	    caller->timer.due > caller->deadline)
+		mmx_timer_set(&caller->timer, caller->deadline - now);
+}
+
+/* Half-closes and discards input for a while, so that the caller can read
+ * the answer: closing with unread input would reset the connection. */
+static void linger_(mmx_http_caller_t *caller)
+{
+	mmx_http_shared_t *shared = caller->shared;
+
+	shutdown(bufferevent_getfd(caller->bev), SHUT_WR);
+	evbuffer_drain(input_(caller), evbuffer_get_length(input_(caller)));
+	caller->wait = WAIT_LINGER;
+	caller->deadline =
+		mmx_clock_now(shared->clock) + shared->timeouts.linger;
+	mmx_timer_set(&caller->timer, shared->timeouts.linger);
+}
+
+/* Closes once the output is written; the caller may be freed by this. */
+static void close_when_written_(mmx_http_caller_t *caller)
+{
+	caller->closing = true;
+	if (evbuffer_get_length(output_(caller)) > 0)
+		update_timer_(caller);
+	else if (caller->wait != WAIT_LINGER)
+		linger_(caller);
+}
+
+static void write_refusal_head_(mmx_http_caller_t *caller, int status,
+				mmx_outcome_t outcome, mmx_reason_t reason)
+{
+	struct evbuffer *out = output_(caller);
+
+	mmx_http_write_status_line(out, status);
+	mmx_http_write_header(out, "Masticmux-Outcome",
+			      mmx_outcome_string[outcome]);
+	mmx_http_write_header(out, "Masticmux-Reason",
+			      mmx_reason_string[reason]);
+	mmx_http_write_header(out, "Content-Type", "text/plain");
+	mmx_http_write_header(out, "Connection", "close");
+	mmx_counter_add(caller->shared->refused[reason], 1);
+}
+
+/*
+ * Refuses what the caller sent. The request is not run if the entry was never
+ * told; after that it may have been started.
+ */
+static void refuse_(mmx_http_caller_t *caller, int status, mmx_reason_t reason,
+		    const char *detail)
+{
+	mmx_outcome_t outcome = caller->request && caller->posted
+					? MMX_OUTCOME_UNKNOWN
+					: MMX_OUTCOME_NOT_RUN;
+	char text[128];
+	int length;
+
+	if (caller->answered) {
+		abort_(caller);
+		return;
+	}
+	abandon_request_(caller);
+	length = snprintf(text, sizeof(text), "%s: %s\n",
+			  mmx_reason_string[reason], detail);
+	write_refusal_head_(caller, status, outcome, reason);
+	evbuffer_add_printf(output_(caller), "Content-Length: %d\r\n\r\n",
+			    length);
+	if (!caller->head_method)
+		evbuffer_add(output_(caller), text, (size_t)length);
+	close_when_written_(caller);
+}
+
+static void refuse_fault_(mmx_http_caller_t *caller)
+{
+	const char *detail = mmx_http_fault_string[caller->reader.fault];
+
+	switch (caller->reader.fault) {
+	case MMX_HTTP_FAULT_LINE_TOO_LONG:
+		refuse_(caller, 414, MMX_REASON_HEADER_TOO_LARGE, detail);
+		break;
+	case MMX_HTTP_FAULT_HEAD_TOO_LARGE:
+		refuse_(caller, 431, MMX_REASON_HEADER_TOO_LARGE, detail);
+		break;
+	default:
+		refuse_(caller, 400, MMX_REASON_BAD_REQUEST, detail);
+		break;
+	}
+}
+
+/* False if the request was refused. */
+static bool begin_request_(mmx_http_caller_t *caller)
+{
+	mmx_http_shared_t *shared = caller->shared;
+	mmx_http_reader_t *reader = &caller->reader;
+	const char *expect = mmx_head_find(reader->head, "Expect");
+
+	caller->head_method = strcmp(reader->head->method, "HEAD") == 0;
+	if (expect && strcasecmp(expect, "100-continue") != 0) {
+		refuse_(caller, 417, MMX_REASON_BAD_REQUEST, "expect");
+		return false;
+	}
+	if (expect && reader->minor == 1 &&
+	    reader->framing != MMX_HTTP_NO_BODY &&
+	    evbuffer_get_length(input_(caller)) == 0)
+		evbuffer_add_printf(output_(caller),
+				    "HTTP/1.1 100 Continue\r\n\r\n");
+	mmx_head_remove(reader->head, "Expect");
+	mmx_head_remove_hop_by_hop(reader->head);
+	caller->request = ++shared->last_request;
+	g_hash_table_insert(shared->requests, &caller->request, caller);
+	caller->posted = false;
+	caller->whole = false;
+	caller->answered = false;
+	caller->close_after = !reader->keep_alive;
+	caller->credit = MMX_WINDOW_BYTES;
+	caller->uncredited = 0;
+	mmx_counter_add(shared->request_total, 1);
+	return true;
+}
+
+/* Hands what was received to the entry, as far as its credit goes. */
+static void forward_(mmx_http_caller_t *caller)
+{
+	mmx_task_t *entry = caller->shared->entry;
+	size_t held = evbuffer_get_length(caller->received);
+	size_t part = MIN(held, caller->credit);
+	bool end = caller->whole && part == held;
+
+	if (caller->posted && part == 0 && !end)
+		return;
+	caller->credit -= part;
+	if (!caller->posted) {
+		mmx_request_t *request = mmx_new_request(caller->request);
+
+		request->head = g_steal_pointer(&caller->reader.head);
+		evbuffer_remove_buffer(caller->received, request->body, part);
+		request->body_end = end;
+		caller->posted = true;
+		mmx_task_post(entry, &request->message);
+	} else {
+		mmx_body_t *body = mmx_new_body(MMX_TO_TARGET);
+
+		body->request = caller->request;
+		evbuffer_remove_buffer(caller->received, body->data, part);
+		body->end = end;
+		mmx_task_post(entry, &body->message);
+	}
+}
+
+/* True if the connection can take the next step of a request. */
+static bool may_read_(const mmx_http_caller_t *caller)
+{
+	size_t held = evbuffer_get_length(caller->received);
+
+	if (caller->closing)
+		return false;
+	if (caller->request == 0)
+		return evbuffer_get_length(output_(caller)) <= OUTPUT_LOW;
+	return !caller->whole && (held == 0 || held < caller->credit);
+}
+
+/* Reads requests as far as input, credit and order allow. */
+static void feed_(mmx_http_caller_t *caller)
+{
+	while (may_read_(caller)) {
+		switch (mmx_http_reader_run(&caller->reader, input_(caller),
+					    caller->received)) {
+		case MMX_HTTP_HEAD:
+			if (!begin_request_(caller))
+				return;
+			break;
+		case MMX_HTTP_END:
+			caller->whole = true;
+			break;
+		case MMX_HTTP_DATA:
+			break;
+		case MMX_HTTP_FAILED:
+			refuse_fault_(caller);
+			return;
+		default:
+			goto out;
+		}
+	}
+out:
+	if (caller->request)
+		forward_(caller);
+	update_timer_(caller);
+}
+
+/* The answer is complete: closes, or goes on with the next request. */
+static void finish_answer_(mmx_http_caller_t *caller)
+{
+	bool unread = !caller->whole;
+
+	forget_request_(caller);
+	caller->answered = false;
+	caller->head_method = false;
+	evbuffer_drain(caller->received,
+		       evbuffer_get_length(caller->received));
+	if (caller->close_after || unread) {
+		close_when_written_(caller);
+		return;
+	}
+	mmx_http_reader_reset(&caller->reader);
+	feed_(caller);
+}
+
+static void grant_(mmx_http_caller_t *caller)
+{
+	size_t waiting = evbuffer_get_length(output_(caller));
+	size_t credit;
+	mmx_window_t *window;
+
+	if (!caller->request || !caller->answered ||
+	    caller->uncredited <= waiting)
+		return;
+	credit = caller->uncredited - waiting;
+	if (credit < CREDIT_STEP && waiting > 0)
+		return;
+	caller->uncredited -= credit;
+	window = mmx_new_window(MMX_TO_CALLER, (uint32_t)credit);
+	window->request = caller->request;
+	mmx_task_post(caller->shared->entry, &window->message);
+}
+
+/* Decides how the body of an answer is framed, and writes that. */
+static void frame_answer_(mmx_http_caller_t *caller, const mmx_answer_t *answer)
+{
+	struct evbuffer *out = output_(caller);
+	const mmx_head_t *head = answer->head;
+	uint64_t length = evbuffer_get_length(answer->body);
+	bool known = answer->body_end;
+	bool http_10 = caller->reader.minor == 0;
+
+	caller->framing = MMX_HTTP_NO_BODY;
+	if (mmx_http_status_without_body(head->status))
+		return;
+	if (caller->head_method || !known)
+		known = mmx_http_content_length(head, &length);
+	if (caller->head_method && !known)
+		return;
+	if (known) {
+		caller->framing = caller->head_method ? MMX_HTTP_NO_BODY
+						      : MMX_HTTP_LENGTH;
+		caller->remaining = length;
+		evbuffer_add_printf(out, "Content-Length: %" PRIu64 "\r\n",
+				    length);
+	} else if (http_10) {
+		caller->framing = MMX_HTTP_UNTIL_CLOSE;
+		caller->close_after = true;
+	} else {
+		caller->framing = MMX_HTTP_CHUNKED;
+		mmx_http_write_header(out, "Transfer-Encoding", "chunked");
+	}
+}
+
+static void write_answer_head_(mmx_http_caller_t *caller, mmx_answer_t *answer)
+{
+	struct evbuffer *out = output_(caller);
+
+	mmx_head_remove_hop_by_hop(answer->head);
+	/* A target must not speak for the proxy. */
+	mmx_head_remove(answer->head, "Masticmux-Outcome");
+	mmx_head_remove(answer->head, "Masticmux-Reason");
+	mmx_http_write_status_line(out, answer->head->status);
+	mmx_http_write_headers(out, answer->head);
+	mmx_http_write_header(out, "Masticmux-Outcome",
+			      mmx_outcome_string[answer->outcome]);
+	if (answer->reason != MMX_REASON_NONE) {
+		mmx_http_write_header(out, "Masticmux-Reason",
+				      mmx_reason_string[answer->reason]);
+		mmx_counter_add(caller->shared->refused[answer->reason], 1);
+	}
+	frame_answer_(caller, answer);
+	if (caller->shared->draining || !caller->whole)
+		caller->close_after = true;
+	if (caller->close_after)
+		mmx_http_write_header(out, "Connection", "close");
+	else if (caller->reader.minor == 0)
+		mmx_http_write_header(out, "Connection", "keep-alive");
+	evbuffer_add(out, "\r\n", 2);
+}
+
+/* Writes a part of the answer's body; frees the caller if it is broken. */
+static void write_part_(mmx_http_caller_t *caller, struct evbuffer *data,
+			bool end, bool failed)
+{
+	size_t length = evbuffer_get_length(data);
+	struct evbuffer *out = output_(caller);
+
+	if (caller->framing == MMX_HTTP_NO_BODY) {
+		evbuffer_drain(data, length);
+	} else if (caller->framing == MMX_HTTP_LENGTH) {
+		/* More or fewer bytes than announced: not the response. */
+		failed = failed || length > caller->remaining ||
+			 (end && length < caller->remaining);
+		caller->remaining -= MIN(length, caller->remaining);
+	}
+	if (failed) {
+		/* The entry has ended the request itself. */
+		if (end)
+			forget_request_(caller);
+		abort_(caller);
+		return;
+	}
+	caller->uncredited += length;
+	if (caller->framing == MMX_HTTP_CHUNKED)
+		mmx_http_write_chunk(out, data);
+	else
+		evbuffer_add_buffer(out, data);
+	if (end && caller->framing == MMX_HTTP_CHUNKED)
+		mmx_http_write_last_chunk(out);
+	if (end) {
+		finish_answer_(caller);
+		return;
+	}
+	grant_(caller);
+	update_timer_(caller);
+}
+
+void mmx_http_caller_answer(mmx_http_caller_t *caller, mmx_answer_t *answer)
+{
+	if (caller->answered) {
+		mmx_counter_add(caller->shared->stale_messages, 1);
+		return;
+	}
+	write_answer_head_(caller, answer);
+	caller->answered = true;
+	write_part_(caller, answer->body, answer->body_end, false);
+}
+
+void mmx_http_caller_body(mmx_http_caller_t *caller, mmx_body_t *body)
+{
+	if (!caller->answered) {
+		mmx_counter_add(caller->shared->stale_messages, 1);
+		return;
+	}
+	write_part_(caller, body->data, body->end, body->failed);
+}
+
+void mmx_http_caller_window(mmx_http_caller_t *caller, uint32_t credit)
+{
+	caller->credit += credit;
+	feed_(caller);
+}
+
+void mmx_http_caller_drain(mmx_http_caller_t *caller)
+{
+	if (caller->request == 0 && caller->wait == WAIT_IDLE)
+		mmx_http_caller_close(caller);
+}
+
+mmx_http_caller_t *mmx_http_caller_next(const mmx_http_caller_t *caller)
+{
+	return LIST_NEXT(caller, entry);
+}
+
+static void on_read_(struct bufferevent *bev, void *arg)
+{
+	mmx_http_caller_t *caller = arg;
+
+	if (caller->closing)
+		evbuffer_drain(input_(caller),
+			       evbuffer_get_length(input_(caller)));
+	else
+		feed_(caller);
+}
+
+static void on_write_(struct bufferevent *bev, void *arg)
+{
+	mmx_http_caller_t *caller = arg;
+
+	if (caller->closing) {
+		close_when_written_(caller);
+		return;
+	}
+	grant_(caller);
+	if (caller->request == 0)
+		feed_(caller);
+	else
+		update_timer_(caller);
+}
+
+static void on_event_(struct bufferevent *bev, short what, void *arg)
+{
+	if (what & (BEV_EVENT_EOF | BEV_EVENT_ERROR))
+		mmx_http_caller_close(arg);
+}
+
+static void on_timer_(void *arg)
+{
+	mmx_http_caller_t *caller = arg;
+	mmx_time_t now = mmx_clock_now(caller->shared->clock);
+
+	if (caller->wait == WAIT_NONE)
+		return;
+	if (now < caller->deadline) {
+		mmx_timer_set(&caller->timer, caller->deadline - now);
+		return;
+	}
+	switch (caller->wait) {
+	case WAIT_HEAD:
+		mmx_counter_add(caller->shared->closed[MMX_HTTP_CLOSE_SLOW_HEAD],
+				1);
+		refuse_(caller, 408, MMX_REASON_BAD_REQUEST, "slow head");
+		break;
+	case WAIT_BODY:
+		mmx_counter_add(caller->shared->closed[MMX_HTTP_CLOSE_SLOW_BODY],
+				1);
+		refuse_(caller, 408, MMX_REASON_BAD_REQUEST, "slow body");
+		break;
+	case WAIT_WRITE:
+		close_counted_(caller, MMX_HTTP_CLOSE_SLOW_READER);
+		break;
+	case WAIT_IDLE:
+		close_counted_(caller, MMX_HTTP_CLOSE_IDLE);
+		break;
+	default:
+		mmx_http_caller_close(caller);
+		break;
+	}
+}
+
+void mmx_http_caller_open(mmx_http_shared_t *shared, int fd)
+{
+	mmx_http_caller_t *caller = g_new0(mmx_http_caller_t, 1);
+	int on = 1;
+
+	caller->shared = shared;
+	caller->received = evbuffer_new();
+	mmx_http_reader_init(&caller->reader, MMX_HTTP_REQUEST);
+	mmx_timer_init(&caller->timer, shared->clock, on_timer_, caller);
+	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+	caller->bev = bufferevent_socket_new(shared->base, fd,
+					     BEV_OPT_CLOSE_ON_FREE);
+	bufferevent_setcb(caller->bev, on_read_, on_write_, on_event_, caller);
+	bufferevent_setwatermark(caller->bev, EV_READ, 0, INPUT_MAX);
+	bufferevent_setwatermark(caller->bev, EV_WRITE, OUTPUT_LOW, 0);
+	LIST_INSERT_HEAD(&shared->callers, caller, entry);
+	shared->caller_count++;
+	mmx_counter_set(shared->connections, (int64_t)shared->caller_count);
+	bufferevent_enable(caller->bev, EV_READ | EV_WRITE);
+	update_timer_(caller);
+}
--- /dev/null
+++ b/src/libmasticmux/include/private/listen.h
@@ -0,0 +1,34 @@
+/* Listening sockets on a numeric address. */
+#ifndef MASTICMUX_PRIVATE_LISTEN_H
+#define MASTICMUX_PRIVATE_LISTEN_H
+
+#include <event2/listener.h>
+
+#include "masticmux/error.h"
+#include "masticmux/settings.h"
+
+struct evhttp;
+struct sockaddr_storage;
+
+/*
+ * Makes a socket address.
+ *
+ * Returns its length, 0 when the host is not numeric.
+ */
+int mmx_socket_address(const mmx_address_t *address,
+		       struct sockaddr_storage *out);
+
+/*
+ * Listens on an address; port 0 takes a free one. *port receives the port.
+ * Returns NULL and fills the error on failure.
+ */
+struct evconnlistener *mmx_listen(struct event_base *base,
+				  const mmx_address_t *address,
+				  evconnlistener_cb accept, void *arg,
+				  uint16_t *port, mmx_error_t *error);
+
+/* The same for an evhttp server. */
+bool mmx_listen_http(struct evhttp *server, const mmx_address_t *address,
+		     uint16_t *port, mmx_error_t *error);
+
+#endif
