--- a/src/libmasticmux/attempts.c
+++ b/src/libmasticmux/attempts.c
@@ -183,9 +183,9 @@
 		free_record_(attempts, attempt);
 		return;
 	}
-	attempt->forget_at =
-		MAX(attempt->deadline, mmx_clock_now(attempts->clock)) +
-		KEEP_AFTER_DEADLINE_US;
+	attempt->forget_at = MAX(attempt->deadline,
+				 mmx_clock_now(attempts->clock)) +
+			     KEEP_AFTER_DEADLINE_US;
 	TAILQ_INSERT_TAIL(&attempts->ended, attempt, forget_entry);
 	attempts->ended_count++;
 	while (attempts->ended_count > attempts->record_max)
@@ -207,7 +207,8 @@
 		return;
 	}
 	/* The part is sent on as well, so it is copied. */
-	evbuffer_add(attempt->answer_body, evbuffer_pullup(part, -1), length);
+	evbuffer_add(attempt->answer_body,
+		     evbuffer_pullup(part, -1), length);
 	attempts->answer_bytes += length;
 }
 
--- a/src/libmasticmux/exit_target.c
+++ b/src/libmasticmux/exit_target.c
@@ -11,7 +11,8 @@
 mmx_exit_target_t *mmx_exit_target_create(mmx_target_id_t id,
 					  mmx_node_id_t node,
 					  mmx_incarnation_t incarnation,
-					  const char *name, const char *service)
+					  const char *name,
+					  const char *service)
 {
 	mmx_exit_target_t *target = g_new0(mmx_exit_target_t, 1);
 
@@ -40,9 +41,8 @@
 
 	if (target->warm_up <= 0 || warm >= target->warm_up)
 		return target->record.slots;
-	percent =
-		RAMP_START_PERCENT +
-		(uint64_t)(warm * (100 - RAMP_START_PERCENT) / target->warm_up);
+	percent = RAMP_START_PERCENT + (uint64_t)(warm * (100 - RAMP_START_PERCENT) /
+						  target->warm_up);
 	slots = target->record.slots * percent / 100;
 	return slots > 0 ? (unsigned int)slots : 1;
 }
--- a/src/libmasticmux/include/private/exit.h
+++ b/src/libmasticmux/include/private/exit.h
@@ -33,8 +33,8 @@
 
 /* Options; valid before init only, false afterwards. */
 bool mmx_exit_set_target_client(mmx_exit_t *exit, mmx_task_t *client);
-bool mmx_exit_set_observer(mmx_exit_t *exit, const mmx_exit_observer_ops_t *ops,
-			   void *context);
+bool mmx_exit_set_observer(mmx_exit_t *exit,
+			   const mmx_exit_observer_ops_t *ops, void *context);
 bool mmx_exit_set_fold(mmx_exit_t *exit, const mmx_fold_t *fold);
 bool mmx_exit_set_counters(mmx_exit_t *exit, mmx_counters_t *counters);
 bool mmx_exit_set_log(mmx_exit_t *exit, mmx_log_t *log);
--- a/src/libmasticmux/include/private/exit_target.h
+++ b/src/libmasticmux/include/private/exit_target.h
@@ -39,7 +39,8 @@
 				   mmx_time_t now);
 
 /* True when a request may start now. */
-bool mmx_exit_target_can_start(const mmx_exit_target_t *target, mmx_time_t now);
+bool mmx_exit_target_can_start(const mmx_exit_target_t *target,
+			       mmx_time_t now);
 
 /*
  * Decides on a request that has just arrived: MMX_REASON_NONE when it may
