--- /dev/null
+++ b/src/libmasticmux/include/private/node_parts.h
@@ -0,0 +1,71 @@
+/*
+ * The parts of a node and what they share. Each part is created from a row in
+ * the table of node.c, in that order, and destroyed in the opposite order.
+ */
+#ifndef MASTICMUX_PRIVATE_NODE_PARTS_H
+#define MASTICMUX_PRIVATE_NODE_PARTS_H
+
+#include "masticmux/counters.h"
+#include "masticmux/directory.h"
+#include "masticmux/fold.h"
+#include "masticmux/log.h"
+#include "masticmux/node.h"
+#include "masticmux/random.h"
+#include "masticmux/task.h"
+
+typedef struct mmx_part_t mmx_part_t;
+
+typedef struct mmx_part_ops_t {
+	const char *name;
+	/* Opens sockets and connects to other parts. */
+	bool (*init)(mmx_part_t *part, mmx_error_t *error);
+	/* Begins a planned stop; may be NULL. */
+	void (*drain)(mmx_part_t *part);
+	/* Work that a planned stop has to wait for; may be NULL. */
+	size_t (*in_progress)(const mmx_part_t *part);
+	void (*destroy)(mmx_part_t *part);
+} mmx_part_ops_t;
+
+struct mmx_part_t {
+	const mmx_part_ops_t *ops;
+	mmx_node_t *node;
+	TAILQ_ENTRY(mmx_part_t) entry;
+};
+
+typedef TAILQ_HEAD(mmx_part_list_t, mmx_part_t) mmx_part_list_t;
+
+struct mmx_entry_t;
+struct mmx_exit_t;
+struct mmx_target_client_t;
+
+/* Shared by the parts; each pointer is set by the part that owns it. */
+struct mmx_node_t {
+	const mmx_settings_t *settings;
+	struct event_base *base;
+	mmx_runtime_t *runtime;
+	mmx_clock_t *clock;
+	mmx_counters_t *counters;
+	mmx_log_t *log;
+	mmx_random_t random;
+	mmx_node_id_t id;
+	mmx_incarnation_t incarnation;
+	mmx_part_list_t parts;
+	bool draining;
+	mmx_timer_t drain_timer;
+	mmx_time_t drain_deadline;
+	struct event *signals[2];
+	const mmx_fold_t *fold;	    /* configuration: in force, or NULL */
+	mmx_directory_t *directory; /* fleet */
+	struct mmx_entry_t *entry;  /* path */
+	struct mmx_exit_t *exit;    /* path */
+};
+
+/* A target beside this node has changed: fleet announces it. */
+void mmx_part_fleet_announce(mmx_node_t *node,
+			     const mmx_target_record_t *record);
+
+mmx_part_t *mmx_part_fleet_create(mmx_node_t *node);
+mmx_part_t *mmx_part_path_create(mmx_node_t *node);
+mmx_part_t *mmx_part_config_create(mmx_node_t *node);
+
+#endif
--- a/src/masticmux/command_check.c
+++ b/src/masticmux/command_check.c
@@ -21,10 +21,11 @@
 	return is_readable;
 }
 
-static mmx_exit_t check_(const char *settings_path, const char *change_path)
+static mmx_exit_status_t check_(const char *settings_path,
+				const char *change_path)
 {
 	mmx_findings_t *findings = mmx_findings_create();
-	mmx_exit_t status = MMX_EXIT_OK;
+	mmx_exit_status_t status = MMX_EXIT_OK;
 
 	mmx_settings_destroy(mmx_settings_load(settings_path, findings));
 	if (change_path)
@@ -46,7 +47,7 @@
 	return status;
 }
 
-mmx_exit_t mmx_command_check(int argc, char **argv)
+mmx_exit_status_t mmx_command_check(int argc, char **argv)
 {
 	char *settings = NULL;
 	char *change = NULL;
@@ -57,7 +58,7 @@
 		 "change file to check as well", "FILE"},
 		G_OPTION_ENTRY_NULL,
 	};
-	mmx_exit_t status = MMX_EXIT_ERROR;
+	mmx_exit_status_t status = MMX_EXIT_ERROR;
 
 	if (mmx_command_parse(&argc, &argv, NULL,
 			      "Checks files and reports all findings as "
--- a/src/masticmux/commands.h
+++ b/src/masticmux/commands.h
@@ -9,12 +9,12 @@
 #include <stdbool.h>
 
 /** Exit statuses of every subcommand. */
-typedef enum mmx_exit_t {
+typedef enum mmx_exit_status_t {
 	MMX_EXIT_OK,
 	MMX_EXIT_ERROR,
 	MMX_EXIT_FINDINGS,
 	MMX_EXIT_COUNT
-} mmx_exit_t;
+} mmx_exit_status_t;
 
 extern const char *const mmx_exit_string[MMX_EXIT_COUNT];
 
@@ -27,10 +27,11 @@
 	 *
 	 * @param argc  arguments, with the name of the subcommand in argv[0]
 	 */
-	mmx_exit_t (*run)(int argc, char **argv);
+	mmx_exit_status_t (*run)(int argc, char **argv);
 } mmx_command_t;
 
-mmx_exit_t mmx_command_check(int argc, char **argv);
+mmx_exit_status_t mmx_command_check(int argc, char **argv);
+mmx_exit_status_t mmx_command_node(int argc, char **argv);
 
 /**
  * Parses the options of a subcommand; --help prints its usage and ends the
--- a/src/test_libmasticmux/suites.c
+++ b/src/test_libmasticmux/suites.c
@@ -6,6 +6,7 @@
 	{"directory", NULL, NULL, NULL, NULL, mmx_tests_directory},
 	{"error", NULL, NULL, NULL, NULL, mmx_tests_error},
 	{"fold", NULL, NULL, NULL, NULL, mmx_tests_fold},
+	{"history", NULL, NULL, NULL, NULL, mmx_tests_history},
 	{"peer", NULL, NULL, NULL, NULL, mmx_tests_peer},
 	{"snapshot", NULL, NULL, NULL, NULL, mmx_tests_snapshot},
 	{"task", NULL, NULL, NULL, NULL, mmx_tests_task},
