--- a/src/test_libmasticmux/test_directory.c
+++ b/src/test_libmasticmux/test_directory.c
@@ -31,11 +31,11 @@
 	const char *name;
 	uint64_t incarnation;
 	uint64_t version;
-	mmx_target_state_t state;
 	const char *service;
-	bool accepted;
 	size_t count; /* of the directory afterwards */
 	size_t left;  /* targets of service "a" afterwards */
+	mmx_target_state_t state;
+	bool accepted;
 } step_t;
 
 /* Guards against a late record that reverts a newer one, and against a wrong
@@ -43,15 +43,15 @@
 static void test_versions_(void)
 {
 	static const step_t steps[] = {
-		{"first", 5, 2, MMX_TARGET_COLD, "a", true, 1, 1},
-		{"same again", 5, 2, MMX_TARGET_WARM, "a", false, 1, 1},
-		{"older version", 5, 1, MMX_TARGET_WARM, "a", false, 1, 1},
-		{"newer version", 5, 3, MMX_TARGET_WARM, "a", true, 1, 1},
-		{"other service", 5, 4, MMX_TARGET_WARM, "b", true, 1, 0},
-		{"gone", 5, 6, MMX_TARGET_GONE, "b", true, 0, 0},
-		{"late after gone", 5, 5, MMX_TARGET_WARM, "a", false, 0, 0},
-		{"older incarnation", 4, 9, MMX_TARGET_WARM, "a", false, 0, 0},
-		{"new incarnation", 6, 1, MMX_TARGET_COLD, "a", true, 1, 1},
+		{"first", 5, 2, "a", 1, 1, MMX_TARGET_COLD, true},
+		{"same again", 5, 2, "a", 1, 1, MMX_TARGET_WARM, false},
+		{"older version", 5, 1, "a", 1, 1, MMX_TARGET_WARM, false},
+		{"newer version", 5, 3, "a", 1, 1, MMX_TARGET_WARM, true},
+		{"other service", 5, 4, "b", 1, 0, MMX_TARGET_WARM, true},
+		{"gone", 5, 6, "b", 0, 0, MMX_TARGET_GONE, true},
+		{"late after gone", 5, 5, "a", 0, 0, MMX_TARGET_WARM, false},
+		{"older incarnation", 4, 9, "a", 0, 0, MMX_TARGET_WARM, false},
+		{"new incarnation", 6, 1, "a", 1, 1, MMX_TARGET_COLD, true},
 	};
 	mmx_clock_t *clock = mmx_clock_create_paused();
 	mmx_directory_t *directory = mmx_directory_create(clock);
