--- a/src/libmasticmux/membership_state.c
+++ b/src/libmasticmux/membership_state.c
@@ -287,15 +287,17 @@
 
 void mmx_membership_restart_suspicion(mmx_membership_t *m)
 {
+	mmx_time_t now = mmx_clock_now(m->clock);
 	size_t i;
 
 	for (i = 0; i < mmx_member_table_present_count(m->table); i++) {
 		mmx_entry_t *entry = mmx_member_table_present_at(m->table, i);
 
-		if (entry->member.state != MMX_MEMBER_UNREACHABLE)
-			continue;
-		entry->since = mmx_clock_now(m->clock);
+		entry->since = now;
 		entry->reporter_count = 0;
+		/* Verdicts of others that were in the socket buffer may be as
+		 * old as the pause; they count as reports for a while. */
+		entry->heard = now;
 	}
 }
 
--- a/src/test_libmasticmux/fleet.h
+++ b/src/test_libmasticmux/fleet.h
@@ -13,12 +13,13 @@
 #include <string.h>
 
 #include "masticmux/membership.h"
+#include "masticmux/random.h"
 
 #define FLEET_STEP (10 * MMX_US_PER_MS)
 #define FLEET_SLOTS 64 /* steps that a packet may be under way */
 #define FLEET_TICK_STEPS (MMX_MEMBERSHIP_TICK / FLEET_STEP)
 #define FLEET_GROUPS 8
-#define FLEET_PORT 1000
+#define FLEET_PORT 1000U
 /* Datagrams that the socket buffer of a paused process holds. */
 #define FLEET_HELD 64
 
