--- a/src/test_libmasticmux/suites.c
+++ b/src/test_libmasticmux/suites.c
@@ -9,6 +9,7 @@
 	{"history", NULL, NULL, NULL, NULL, mmx_tests_history},
 	{"peer", NULL, NULL, NULL, NULL, mmx_tests_peer},
 	{"snapshot", NULL, NULL, NULL, NULL, mmx_tests_snapshot},
+	{"membership", NULL, NULL, NULL, NULL, mmx_tests_membership},
 	{"task", NULL, NULL, NULL, NULL, mmx_tests_task},
 	CU_SUITE_INFO_NULL,
 };
