--- a/src/test_libmasticmux/suites.c
+++ b/src/test_libmasticmux/suites.c
@@ -7,9 +7,9 @@
 	{"error", NULL, NULL, NULL, NULL, mmx_tests_error},
 	{"fold", NULL, NULL, NULL, NULL, mmx_tests_fold},
 	{"history", NULL, NULL, NULL, NULL, mmx_tests_history},
+	{"membership", NULL, NULL, NULL, NULL, mmx_tests_membership},
 	{"peer", NULL, NULL, NULL, NULL, mmx_tests_peer},
 	{"snapshot", NULL, NULL, NULL, NULL, mmx_tests_snapshot},
-	{"membership", NULL, NULL, NULL, NULL, mmx_tests_membership},
 	{"task", NULL, NULL, NULL, NULL, mmx_tests_task},
 	CU_SUITE_INFO_NULL,
 };
--- a/src/test_libmasticmux/suites.h
+++ b/src/test_libmasticmux/suites.h
@@ -10,9 +10,9 @@
 extern CU_TestInfo mmx_tests_error[];
 extern CU_TestInfo mmx_tests_fold[];
 extern CU_TestInfo mmx_tests_history[];
+extern CU_TestInfo mmx_tests_membership[];
 extern CU_TestInfo mmx_tests_peer[];
 extern CU_TestInfo mmx_tests_snapshot[];
-extern CU_TestInfo mmx_tests_membership[];
 extern CU_TestInfo mmx_tests_task[];
 
 extern CU_SuiteInfo mmx_test_suites[];
