Add the stand-ins for the log, targets and load

Cause: the demo, the benchmarks and the scripts need an outside log service, targets with gray failures and callers that check every answer.

--- /dev/null
+++ b/src/standin/server.c
@@ -0,0 +1,199 @@
+#include "standin/server.h"
+
+#include <event2/bufferevent.h>
+#include <event2/util.h>
+#include <arpa/inet.h>
+#include <glib.h>
+#include <signal.h>
+#include <stdio.h>
+#include <string.h>
+#include <sys/socket.h>
+
+#define MAX_HEADERS_BYTES (64 * 1024)
+
+static bool from_sockaddr_(const struct sockaddr_storage *ss,
+			   standin_address_t *address)
+{
+	const void *ip;
+
+	if (ss->ss_family == AF_INET) {
+		const struct sockaddr_in *in = (const void *)ss;
+
+		ip = &in->sin_addr;
+		address->port = ntohs(in->sin_port);
+	} else {
+		const struct sockaddr_in6 *in6 = (const void *)ss;
+
+		ip = &in6->sin6_addr;
+		address->port = ntohs(in6->sin6_port);
+	}
+	return inet_ntop(ss->ss_family, ip, address->host,
+			 sizeof(address->host)) != NULL;
+}
+
+static bool numeric_host_(const char *text, size_t length,
+			  standin_address_t *address)
+{
+	unsigned char ip[sizeof(struct in6_addr)];
+	int family = AF_INET;
+
+	if (length >= 2 && text[0] == '[' && text[length - 1] == ']') {
+		family = AF_INET6;
+		text++;
+		length -= 2;
+	}
+	if (length >= sizeof(address->host))
+		return false;
+	memcpy(address->host, text, length);
+	address->host[length] = '\0';
+	return inet_pton(family, address->host, ip) == 1;
+}
+
+bool standin_address_parse(const char *text, standin_address_t *address,
+			   mmx_error_t *error)
+{
+	const char *colon = strrchr(text, ':');
+	guint64 port = 0;
+
+	/* evutil_parse_sockaddr_port() refuses port 0. */
+	if (!colon ||
+	    !numeric_host_(text, (size_t)(colon - text), address) ||
+	    !g_ascii_string_to_unsigned(colon + 1, 10, 0, UINT16_MAX, &port,
+					NULL))
+		return mmx_error_set(error, MMX_ERROR_INVALID,
+				     "'%s' is not IP:PORT", text);
+	address->port = (uint16_t)port;
+	return true;
+}
+
+standin_address_t *standin_address_list(const char *text, size_t *count,
+					mmx_error_t *error)
+{
+	char **parts = g_strsplit(text, ",", -1);
+	size_t number = g_strv_length(parts);
+	standin_address_t *list = g_new0(standin_address_t, number + 1);
+	size_t i;
+
+	for (i = 0; i < number; i++) {
+		if (standin_address_parse(parts[i], &list[i], error))
+			continue;
+		g_free(list);
+		list = NULL;
+		break;
+	}
+	*count = list ? number : 0;
+	g_strfreev(parts);
+	return list;
+}
+
+static void on_signal_(evutil_socket_t fd, short what, void *arg)
+{
+	standin_server_t *server = arg;
+
+	if (server->on_stop)
+		server->on_stop(server->arg);
+	else
+		standin_server_stop(server);
+}
+
+static bool bind_(standin_server_t *server, const char *listen,
+		  mmx_error_t *error)
+{
+	struct evhttp_bound_socket *bound;
+	struct sockaddr_storage ss;
+	socklen_t length = sizeof(ss);
+
+	if (!standin_address_parse(listen, &server->address, error))
+		return false;
+	bound = evhttp_bind_socket_with_handle(server->http,
+					       server->address.host,
+					       server->address.port);
+	if (!bound)
+		return mmx_error_set(error, MMX_ERROR_IO,
+				     "cannot listen on %s: %s", listen,
+				     strerror(errno));
+	if (getsockname(evhttp_bound_socket_get_fd(bound),
+			(struct sockaddr *)&ss, &length) ||
+	    !from_sockaddr_(&ss, &server->address))
+		return mmx_error_set(error, MMX_ERROR_IO, "getsockname: %s",
+				     strerror(errno));
+	return true;
+}
+
+static void print_address_(const standin_address_t *address)
+{
+	bool v6 = strchr(address->host, ':') != NULL;
+
+	printf("listening %s%s%s:%u\n", v6 ? "[" : "", address->host,
+	       v6 ? "]" : "", address->port);
+	fflush(stdout);
+}
+
+bool standin_server_open(standin_server_t *server, const char *listen,
+			 size_t max_body,
+			 void (*on_request)(struct evhttp_request *, void *),
+			 void *arg, mmx_error_t *error)
+{
+	*server = (standin_server_t){.arg = arg};
+	signal(SIGPIPE, SIG_IGN);
+	server->base = event_base_new();
+	server->clock = mmx_clock_create(server->base);
+	server->http = evhttp_new(server->base);
+	evhttp_set_allowed_methods(server->http,
+				   EVHTTP_REQ_GET | EVHTTP_REQ_POST |
+					   EVHTTP_REQ_HEAD | EVHTTP_REQ_PUT |
+					   EVHTTP_REQ_DELETE |
+					   EVHTTP_REQ_OPTIONS |
+					   EVHTTP_REQ_PATCH);
+	evhttp_set_max_headers_size(server->http, MAX_HEADERS_BYTES);
+	evhttp_set_max_body_size(server->http, (ev_ssize_t)max_body);
+	evhttp_set_gencb(server->http, on_request, arg);
+	server->terminate[0] =
+		evsignal_new(server->base, SIGTERM, on_signal_, server);
+	server->terminate[1] =
+		evsignal_new(server->base, SIGINT, on_signal_, server);
+	event_add(server->terminate[0], NULL);
+	event_add(server->terminate[1], NULL);
+	if (!bind_(server, listen, error)) {
+		standin_server_close(server);
+		return false;
+	}
+	print_address_(&server->address);
+	return true;
+}
+
+void standin_server_run(standin_server_t *server)
+{
+	event_base_dispatch(server->base);
+}
+
+void standin_server_stop(standin_server_t *server)
+{
+	event_base_loopbreak(server->base);
+}
+
+void standin_server_close(standin_server_t *server)
+{
+	event_free(server->terminate[0]);
+	event_free(server->terminate[1]);
+	evhttp_free(server->http);
+	mmx_clock_destroy(server->clock);
+	event_base_free(server->base);
+}
+
+void standin_drop(struct evhttp_request *req, standin_drop_t how)
+{
+	struct evhttp_connection *conn = evhttp_request_get_connection(req);
+	struct linger linger = {.l_onoff = 1, .l_linger = 0};
+	int fd = bufferevent_getfd(evhttp_connection_get_bufferevent(conn));
+
+	if (how == STANDIN_DROP_RESET)
+		setsockopt(fd, SOL_SOCKET, SO_LINGER, &linger, sizeof(linger));
+	evhttp_connection_free(conn);
+}
+
+int standin_usage_error(const char *text)
+{
+	fprintf(stderr, "masticmux-standin: %s\n", text);
+	return 2;
+}
