--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -15,3 +15,68 @@
 	DEBIAN_FRONTEND=noninteractive apt-get install -q -y \
 		--no-install-recommends $missing
 }
+
+# Processes that start_program started and stop_program has not ended yet.
+PROGRAM_PIDS=""
+
+# start_program OUTPUT COMMAND...
+# Starts a program in the background and waits for its line "listening
+# ADDRESS" in OUTPUT; standard error goes to OUTPUT.err. Sets program_pid and
+# program_address, and program_control when a line "control ADDRESS" precedes.
+start_program() {
+	local output=$1 tries=0
+	shift
+	: >"$output"
+	"$@" >"$output" 2>"$output.err" &
+	program_pid=$!
+	PROGRAM_PIDS="$PROGRAM_PIDS $program_pid"
+	until grep -q '^listening ' "$output"; do
+		tries=$((tries + 1))
+		if ! kill -0 "$program_pid" 2>/dev/null ||
+			[ "$tries" -gt 600 ]; then
+			echo "did not start: $*" >&2
+			cat "$output.err" >&2
+			return 1
+		fi
+		sleep 0.05
+	done
+	program_address=$(sed -n 's/^listening //p' "$output" | head -n 1)
+	program_control=$(sed -n 's/^control //p' "$output" | head -n 1)
+}
+
+# forget_program PID: leaves the process out of stop_programs.
+forget_program() {
+	local pid rest=""
+	for pid in $PROGRAM_PIDS; do
+		[ "$pid" = "$1" ] || rest="$rest $pid"
+	done
+	PROGRAM_PIDS=$rest
+}
+
+# stop_program PID: ends a process with SIGTERM and returns its exit status.
+stop_program() {
+	forget_program "$1"
+	kill "$1" 2>/dev/null
+	wait "$1" 2>/dev/null
+}
+
+# stop_programs: ends every process that is still known, for a trap on EXIT.
+stop_programs() {
+	local pid
+	for pid in $PROGRAM_PIDS; do
+		stop_program "$pid"
+	done
+}
+
+# wait_until COMMAND...: repeats the command until it succeeds, for at most a
+# minute, so that the verdict does not depend on the speed of the machine.
+wait_until() {
+	local end=$((SECONDS + 60))
+	until "$@"; do
+		if [ "$SECONDS" -ge "$end" ]; then
+			echo "never true: $*" >&2
+			return 1
+		fi
+		sleep 0.02
+	done
+}
--- a/src/share/http_json.c
+++ b/src/share/http_json.c
@@ -15,9 +15,8 @@
 
 	value = json_loadb(text ? text : "", length, 0, &fault);
 	if (!value) {
-		mmx_error_set(error, MMX_ERROR_INVALID,
-			      "line %d column %d: %s", fault.line, fault.column,
-			      fault.text);
+		mmx_error_set(error, MMX_ERROR_INVALID, "line %d column %d: %s",
+			      fault.line, fault.column, fault.text);
 		return NULL;
 	}
 	if (!json_is_object(value)) {
--- a/src/standin/announcer.c
+++ b/src/standin/announcer.c
@@ -69,7 +69,7 @@
 			  announcer->lease_ms);
 	body = json_dumps(value, JSON_COMPACT);
 	json_decref(value);
-	if (!send_(announcer, EVHTTP_REQ_POST, "/v1/targets", body))
+	if (!send_(announcer, EVHTTP_REQ_POST, announcer->path, body))
 		announcer->failed++;
 	free(body);
 }
@@ -114,7 +114,7 @@
 		return;
 	}
 	announcer->leaving = true;
-	snprintf(path, sizeof(path), "/v1/targets/%s", announcer->name);
+	snprintf(path, sizeof(path), "%s/%s", announcer->path, announcer->name);
 	mmx_timer_set(&announcer->timer, LEAVE_US);
 	if (!send_(announcer, EVHTTP_REQ_DELETE, path, NULL))
 		standin_server_stop(announcer->server);
--- a/src/standin/announcer.h
+++ b/src/standin/announcer.h
@@ -14,6 +14,7 @@
 	standin_address_t node;
 	const char *name;
 	const char *service;
+	const char *path; /**< /v1/targets */
 	int slots;
 	int lease_ms;
 	/** State and load at the time of each announcement. */
--- a/src/standin/body_check.c
+++ b/src/standin/body_check.c
@@ -74,13 +74,12 @@
 	if (!root)
 		return BODY_NOT_WHOLE;
 	if (json_unpack(root, "{s:s,s:s,s:I}", "key", &key, "checksum",
-			&checksum, "bytes", &bytes))
+			&checksum, "bytes", &bytes) ||
+	    (uint64_t)bytes != check->request_bytes ||
+	    g_ascii_strtoull(checksum, NULL, 16) != check->checksum)
 		verdict = BODY_CORRUPT;
-	else if (strcmp(key, check->key) != 0)
+	if (key && strcmp(key, check->key) != 0)
 		verdict = BODY_OTHER_REQUEST;
-	else if ((uint64_t)bytes != check->request_bytes ||
-		 g_ascii_strtoull(checksum, NULL, 16) != check->checksum)
-		verdict = BODY_CORRUPT;
 	json_decref(root);
 	return verdict;
 }
--- a/src/standin/executions.c
+++ b/src/standin/executions.c
@@ -104,10 +104,10 @@
 	for (i = from; i < next; i++) {
 		const execution_t *execution = executions->ordered->pdata[i];
 
-		evbuffer_add_printf(
-			out, "%s\"%s\":{\"started\":%u,\"finished\":%u}",
-			i > from ? "," : "", execution->key, execution->started,
-			execution->finished);
+		evbuffer_add_printf(out,
+				    "%s\"%s\":{\"started\":%u,\"finished\":%u}",
+				    i > from ? "," : "", execution->key,
+				    execution->started, execution->finished);
 	}
 	evbuffer_add_printf(out, "}}\n");
 }
--- a/src/standin/histogram.c
+++ b/src/standin/histogram.c
@@ -37,8 +37,8 @@
 
 uint64_t histogram_percentile(const histogram_t *histogram, double percent)
 {
-	uint64_t rank = (uint64_t)ceil((double)histogram->total * percent /
-				       100.0);
+	uint64_t rank =
+		(uint64_t)ceil((double)histogram->total * percent / 100.0);
 	uint64_t seen = 0;
 	unsigned int i;
 
--- a/src/standin/load.c
+++ b/src/standin/load.c
@@ -59,6 +59,10 @@
 		 "Share of POST among all requests (0)", "N"},
 		{"key-percent", 0, 0, G_OPTION_ARG_INT, &load->key_percent,
 		 "Share of Idempotency-Key among the POSTs (0)", "N"},
+		{"repeat-percent", 0, 0, G_OPTION_ARG_INT,
+		 &load->repeat_percent,
+		 "Share of the requests with a key that are sent twice (0)",
+		 "N"},
 		{"account", 0, 0, G_OPTION_ARG_STRING, &a->account,
 		 "Client account", "NAME"},
 		{"timeout-ms", 0, 0, G_OPTION_ARG_INT, &load->timeout_ms,
@@ -99,14 +103,14 @@
 	if (!a->node || !a->host)
 		return mmx_error_set(error, MMX_ERROR_INVALID,
 				     "load: --node and --host are required");
-	if (load->rate <= 0 || load->duration_s <= 0 ||
-	    load->timeout_ms < 1 || !percent_(load->post_percent) ||
-	    !percent_(load->key_percent) || a->request_bytes < 0 ||
+	if (load->rate <= 0 || load->duration_s <= 0 || load->timeout_ms < 1 ||
+	    !percent_(load->post_percent) || !percent_(load->key_percent) ||
+	    !percent_(load->repeat_percent) || a->request_bytes < 0 ||
 	    a->response_bytes < 0 || a->connections < 1 || a->path[0] != '/')
 		return mmx_error_set(error, MMX_ERROR_INVALID,
 				     "load: an option is out of range");
-	a->load.nodes = standin_address_list(a->node, &a->load.node_count,
-					     error);
+	a->load.nodes =
+		standin_address_list(a->node, &a->load.node_count, error);
 	if (!a->load.nodes)
 		return false;
 	if ((size_t)a->connections < a->load.node_count)
@@ -122,7 +126,7 @@
 
 static int run_(arguments_t *a)
 {
-	struct event_base *base = event_base_new();
+	struct event_base *base = standin_base_new();
 	mmx_clock_t *clock = mmx_clock_create(base);
 	GArray *records = g_array_new(FALSE, TRUE, sizeof(load_record_t));
 	load_stats_t stats;
@@ -150,13 +154,12 @@
 
 int load_main(int argc, char **argv)
 {
-	arguments_t a = {.load = {.rate = 100,
-				  .duration_s = 10,
-				  .timeout_ms = 5000},
-			 .connections = 256,
-			 .min_completed = 1,
-			 .request_bytes = 64,
-			 .seed = 1};
+	arguments_t a = {
+		.load = {.rate = 100, .duration_s = 10, .timeout_ms = 5000},
+		.connections = 256,
+		.min_completed = 1,
+		.request_bytes = 64,
+		.seed = 1};
 	mmx_error_t error = {0};
 	int status;
 
--- a/src/standin/load_run.c
+++ b/src/standin/load_run.c
@@ -21,6 +21,9 @@
 const char *const load_fate_string[LOAD_FATE_COUNT] = {"unknown", "completed",
 						       "not-run"};
 
+const char *const load_repeat_string[LOAD_REPEAT_COUNT] = {"never", "at-once",
+							   "after"};
+
 static const char *const error_names_[] = {
 	[EVREQ_HTTP_TIMEOUT] = "no progress on the connection",
 	[EVREQ_HTTP_EOF] = "connection closed before the end of the answer",
@@ -78,6 +81,8 @@
 };
 
 static void send_(slot_t *slot, uint64_t sequence, mmx_time_t arrival);
+static void arrive_(run_t *run, uint64_t sequence, size_t node_index,
+		    mmx_time_t time);
 
 static load_record_t *record_(run_t *run, uint64_t sequence)
 {
@@ -90,14 +95,22 @@
 		event_base_loopbreak(run->base);
 }
 
-/* Draws method and repeatability of the next request. */
+static bool draw_(run_t *run, int percent)
+{
+	return mmx_random_below(&run->random, 100) < (uint64_t)percent;
+}
+
+/* Draws the kind of the next request. */
 static uint64_t new_request_(run_t *run)
 {
 	const load_options_t *options = run->options;
-	bool post = mmx_random_below(&run->random, 100) <
-		    (uint64_t)options->post_percent;
-	load_record_t record = {LOAD_FATE_UNKNOWN, !post};
+	load_record_t record = {.fate = LOAD_FATE_UNKNOWN};
 
+	record.repeatable = !draw_(run, options->post_percent);
+	record.keyed = !record.repeatable && draw_(run, options->key_percent);
+	if (record.keyed && draw_(run, options->repeat_percent))
+		record.repeat = draw_(run, 50) ? LOAD_REPEAT_AT_ONCE
+					       : LOAD_REPEAT_AFTER;
 	g_array_append_val(run->records, record);
 	return run->records->len - 1;
 }
@@ -122,21 +135,56 @@
 	}
 }
 
+/* Sends the repeat of a request that ended, through the next node. */
+static void repeat_(run_t *run, uint64_t sequence)
+{
+	load_record_t *record = record_(run, sequence);
+
+	if (record->repeat != LOAD_REPEAT_AFTER)
+		return;
+	record->repeat = LOAD_REPEAT_NEVER;
+	run->stats->repeated++;
+	arrive_(run, sequence, sequence + 1, mmx_clock_now(run->clock));
+}
+
+/*
+ * Notes what the caller was told. Of two answers under one key the first in
+ * the order completed, unknown, not-run counts: the second not-run speaks of
+ * the repeat only.
+ */
+static void note_fate_(run_t *run, uint64_t sequence, load_fate_t fate)
+{
+	load_record_t *record = record_(run, sequence);
+
+	if (!record->answered)
+		record->fate = fate;
+	else if (fate == LOAD_FATE_COMPLETED)
+		record->fate = fate;
+	else if (record->fate == LOAD_FATE_NOT_RUN)
+		record->fate = fate;
+	record->answered = true;
+}
+
 static void on_reopen_(void *arg)
 {
 	slot_t *slot = arg;
 
 	evhttp_connection_free(slot->conn);
 	slot->conn = NULL;
+	slot->run->busy--;
+	repeat_(slot->run, slot->sequence);
 	release_(slot);
 }
 
-/* A request ended without an answer; its connection is opened again. */
+/*
+ * A request ended without an answer. It counts as busy until its connection
+ * can be opened again, so that the run does not end before its repeat.
+ */
 static void fail_(slot_t *slot, const char *error)
 {
 	load_stats_count(slot->run->stats, LOAD_ERRORS, error);
+	note_fate_(slot->run, slot->sequence, LOAD_FATE_UNKNOWN);
 	mmx_timer_cancel(&slot->deadline);
-	slot->run->busy--;
 	mmx_timer_set(&slot->reopen, REOPEN_US);
 }
 
@@ -147,7 +195,9 @@
 	evhttp_connection_free(slot->conn);
 	slot->conn = NULL;
 	load_stats_count(slot->run->stats, LOAD_ERRORS, "no answer in time");
+	note_fate_(slot->run, slot->sequence, LOAD_FATE_UNKNOWN);
 	slot->run->busy--;
+	repeat_(slot->run, slot->sequence);
 	release_(slot);
 }
 
@@ -232,6 +282,7 @@
 	if (fate != LOAD_FATE_COMPLETED ||
 	    evhttp_request_get_response_code(req) != HTTP_OK)
 		return;
+	stats->checked_bodies++;
 	verdict = body_check_finish(&slot->body);
 	if (verdict != BODY_GOOD)
 		load_stats_violation(stats, body_verdict_string[verdict],
@@ -243,8 +294,8 @@
 	slot_t *slot = arg;
 	run_t *run = slot->run;
 	load_stats_t *stats = run->stats;
-	uint64_t latency = (uint64_t)(mmx_clock_now(run->clock) -
-				      slot->arrival);
+	uint64_t latency =
+		(uint64_t)(mmx_clock_now(run->clock) - slot->arrival);
 	char status[16];
 	load_fate_t fate;
 
@@ -260,13 +311,14 @@
 	load_stats_count(stats, LOAD_STATUSES, status);
 	fate = judge_(slot, evhttp_request_get_input_headers(req));
 	check_answer_(slot, req, fate);
-	record_(run, slot->sequence)->fate = fate;
+	note_fate_(run, slot->sequence, fate);
 	if (fate == LOAD_FATE_COMPLETED) {
 		stats->completed++;
 		histogram_add(&stats->latency_completed, latency);
 	} else {
 		histogram_add(&stats->latency_refused, latency);
 	}
+	repeat_(run, slot->sequence);
 	release_(slot);
 }
 
@@ -292,7 +344,7 @@
 	evhttp_add_header(headers, name, text);
 }
 
-static void add_headers_(slot_t *slot, struct evhttp_request *req, bool post)
+static void add_headers_(slot_t *slot, struct evhttp_request *req)
 {
 	const load_options_t *options = slot->run->options;
 	struct evkeyvalq *headers = evhttp_request_get_output_headers(req);
@@ -307,8 +359,7 @@
 	if (options->response_bytes > 0)
 		add_number_(headers, "X-Response-Bytes",
 			    options->response_bytes);
-	if (post && mmx_random_below(&slot->run->random, 100) <
-			    (uint64_t)options->key_percent)
+	if (record_(slot->run, slot->sequence)->keyed)
 		evhttp_add_header(headers, "Idempotency-Key", slot->key);
 }
 
@@ -342,15 +393,16 @@
 	slot->sequence = sequence;
 	slot->arrival = arrival;
 	slot->error = NULL;
-	g_snprintf(slot->key, sizeof(slot->key), "%s-%" PRIu64,
-		   run->stats->run, sequence);
+	g_snprintf(slot->key, sizeof(slot->key), "%s-%" PRIu64, run->stats->run,
+		   sequence);
 	evhttp_request_set_error_cb(req, on_error_);
 	evhttp_request_set_chunked_cb(req, on_part_);
-	add_headers_(slot, req, post);
+	add_headers_(slot, req);
 	if (post)
 		add_body_(slot, req);
 	else
-		body_check_init(&slot->body, slot->key, 0, pattern_hash(0, "", 0),
+		body_check_init(&slot->body, slot->key, 0,
+				pattern_hash(0, "", 0),
 				options->response_bytes);
 	run->busy++;
 	run->stats->sent++;
@@ -362,10 +414,11 @@
 		fail_(slot, "cannot connect");
 }
 
-static void arrive_(run_t *run, mmx_time_t time)
+/* Sends a request or lets it wait for a connection to its node. */
+static void arrive_(run_t *run, uint64_t sequence, size_t node_index,
+		    mmx_time_t time)
 {
-	uint64_t sequence = new_request_(run);
-	node_t *node = &run->nodes[sequence % run->options->node_count];
+	node_t *node = &run->nodes[node_index % run->options->node_count];
 	slot_t *slot = TAILQ_FIRST(&node->idle);
 	arrival_t *waiting;
 
@@ -387,16 +440,27 @@
 		run->stats->max_waiting = run->waiting;
 }
 
+static void arrive_new_(run_t *run, mmx_time_t time)
+{
+	uint64_t sequence = new_request_(run);
+
+	arrive_(run, sequence, sequence, time);
+	if (record_(run, sequence)->repeat != LOAD_REPEAT_AT_ONCE)
+		return;
+	run->stats->repeated++;
+	arrive_(run, sequence, sequence + 1, time);
+}
+
 static void on_next_(void *arg)
 {
 	run_t *run = arg;
 	mmx_time_t now = mmx_clock_now(run->clock);
 
 	while (run->next_time <= now && run->next_time < run->end) {
-		arrive_(run, run->next_time);
-		run->next_time += (mmx_time_t)(
-			-log(1 - mmx_random_unit(&run->random)) /
-			run->options->rate * (double)MMX_US_PER_S);
+		arrive_new_(run, run->next_time);
+		run->next_time +=
+			(mmx_time_t)(-log(1 - mmx_random_unit(&run->random)) /
+				     run->options->rate * (double)MMX_US_PER_S);
 	}
 	if (run->next_time < run->end) {
 		mmx_timer_set(&run->next, run->next_time - now);
@@ -415,8 +479,7 @@
 
 		slot->run = run;
 		slot->node = i % run->options->node_count;
-		mmx_timer_init(&slot->deadline, run->clock, on_deadline_,
-			       slot);
+		mmx_timer_init(&slot->deadline, run->clock, on_deadline_, slot);
 		mmx_timer_init(&slot->reopen, run->clock, on_reopen_, slot);
 		if (run->options->saturate)
 			release_(slot);
--- a/src/standin/load_stats.c
+++ b/src/standin/load_stats.c
@@ -15,9 +15,8 @@
 
 	*stats = (load_stats_t){0};
 	for (i = 0; i < LOAD_COUNT_COUNT; i++)
-		stats->counts[i] = g_hash_table_new_full(g_str_hash,
-							 g_str_equal, g_free,
-							 g_free);
+		stats->counts[i] = g_hash_table_new_full(
+			g_str_hash, g_str_equal, g_free, g_free);
 	stats->examples = g_string_new(NULL);
 }
 
@@ -36,8 +35,7 @@
 
 	if (!count) {
 		count = g_new0(uint64_t, 1);
-		g_hash_table_insert(stats->counts[kind], g_strdup(name),
-				    count);
+		g_hash_table_insert(stats->counts[kind], g_strdup(name), count);
 	}
 	(*count)++;
 }
@@ -76,23 +74,26 @@
 
 	g_hash_table_iter_init(&iter, counts);
 	while (g_hash_table_iter_next(&iter, &name, &count))
-		json_object_set_new(object, name,
-				    json_integer((json_int_t) *
-						 (uint64_t *)count));
+		json_object_set_new(
+			object, name,
+			json_integer((json_int_t) * (uint64_t *)count));
 	return object;
 }
 
 static void print_json_(const load_stats_t *stats, FILE *out)
 {
 	json_t *root = json_pack(
-		"{s:s,s:f,s:I,s:I,s:I,s:f,s:I,s:I,s:I,s:o,s:o}", "run",
-		stats->run, "elapsed_s", seconds_(stats), "sent_requests",
-		(json_int_t)stats->sent, "answered_requests",
+		"{s:s,s:f,s:I,s:I,s:I,s:f,s:I,s:I,s:I,s:I,s:I,s:I,s:o,s:o}",
+		"run", stats->run, "elapsed_s", seconds_(stats),
+		"sent_requests", (json_int_t)stats->sent, "answered_requests",
 		(json_int_t)stats->answered, "completed_requests",
 		(json_int_t)stats->completed, "requests_per_s", rate_(stats),
 		"request_body_bytes", (json_int_t)stats->request_body_bytes,
 		"response_body_bytes", (json_int_t)stats->response_body_bytes,
 		"max_waiting_requests", (json_int_t)stats->max_waiting,
+		"repeated_requests", (json_int_t)stats->repeated,
+		"checked_bodies", (json_int_t)stats->checked_bodies,
+		"checked_requests", (json_int_t)stats->checked_requests,
 		"latency_completed", histogram_json(&stats->latency_completed),
 		"latency_refused", histogram_json(&stats->latency_refused));
 	int i;
@@ -151,6 +152,12 @@
 		" bytes received; at most %" PRIu64 " requests waited\n",
 		stats->request_body_bytes, stats->response_body_bytes,
 		stats->max_waiting);
+	fprintf(out,
+		"repeated %" PRIu64
+		" requests under the same key; checked %" PRIu64
+		" bodies and the executions of %" PRIu64 " requests\n",
+		stats->repeated, stats->checked_bodies,
+		stats->checked_requests);
 	print_latency_("completed requests", &stats->latency_completed, out);
 	print_latency_("refused requests", &stats->latency_refused, out);
 	for (i = 0; i < LOAD_COUNT_COUNT; i++)
--- a/src/standin/load_stats.h
+++ b/src/standin/load_stats.h
@@ -29,6 +29,9 @@
 	uint64_t sent;
 	uint64_t answered;
 	uint64_t completed;
+	uint64_t repeated;	   /**< sent again under the same key */
+	uint64_t checked_bodies;   /**< answers whose body was checked */
+	uint64_t checked_requests; /**< compared with the executions */
 	uint64_t request_body_bytes;
 	uint64_t response_body_bytes;
 	uint64_t max_waiting; /**< most requests that waited to be sent */
@@ -43,8 +46,7 @@
 void load_stats_clear(load_stats_t *stats);
 
 /** Adds one to a named count. */
-void load_stats_count(load_stats_t *stats, load_count_t kind,
-		      const char *name);
+void load_stats_count(load_stats_t *stats, load_count_t kind, const char *name);
 
 /**
  * Counts a violation of a guarantee; the first ones are printed with the key.
--- a/src/standin/load_verify.c
+++ b/src/standin/load_verify.c
@@ -90,9 +90,9 @@
 	evhttp_connection_set_timeout(conn, FETCH_TIMEOUT_S);
 	do {
 		page = fetch_(base, conn, target->host, (size_t)next);
-		whole = page && !json_unpack(page, "{s:I,s:I,s:I}", "total",
-					     &total, "next", &next,
-					     "untracked", &untracked);
+		whole = page &&
+			!json_unpack(page, "{s:I,s:I,s:I}", "total", &total,
+				     "next", &next, "untracked", &untracked);
 		whole = whole && untracked == 0;
 		if (whole)
 			add_page_(page, prefix, executed);
@@ -106,8 +106,7 @@
 		   const char *key, load_stats_t *stats)
 {
 	if (!record->repeatable && executed->started > 1)
-		load_stats_violation(
-			stats, "request ran more than once", key);
+		load_stats_violation(stats, "request ran more than once", key);
 	if (record->fate == LOAD_FATE_NOT_RUN && executed->started > 0)
 		load_stats_violation(stats, "not-run request was started", key);
 	if (record->fate != LOAD_FATE_COMPLETED)
@@ -144,6 +143,7 @@
 			address);
 	}
 	for (i = 0; i < records->len && whole; i++) {
+		stats->checked_requests++;
 		g_snprintf(key, sizeof(key), "%s%zu", prefix, i);
 		check_(&g_array_index(records, load_record_t, i),
 		       &g_array_index(executed, executed_t, i), key, stats);
--- a/src/standin/log_service.c
+++ b/src/standin/log_service.c
@@ -24,8 +24,7 @@
 
 enum outage_t { OUTAGE_NONE, OUTAGE_REFUSE, OUTAGE_SILENT };
 
-static const char *const outage_choices_[] = {"none", "refuse", "silent",
-					      NULL};
+static const char *const outage_choices_[] = {"none", "refuse", "silent", NULL};
 
 enum lose_mode_t { LOSE_CLOSE, LOSE_SILENT };
 
@@ -187,8 +186,8 @@
 	const char *data = (const char *)evbuffer_pullup(body, -1);
 	uint64_t offset = 0;
 	uint64_t second;
-	log_append_t result = log_store_append(service->store, stream, data,
-					       length, &offset);
+	log_append_t result =
+		log_store_append(service->store, stream, data, length, &offset);
 
 	if (result != LOG_APPEND_OK) {
 		service->counts.appends_refused++;
@@ -254,9 +253,8 @@
 static void handle_stream_(service_t *service, struct evhttp_request *req)
 {
 	const struct evhttp_uri *uri = evhttp_request_get_evhttp_uri(req);
-	char *stream = evhttp_uridecode(evhttp_uri_get_path(uri) +
-						strlen(STREAMS_PREFIX),
-					0, NULL);
+	char *stream = evhttp_uridecode(
+		evhttp_uri_get_path(uri) + strlen(STREAMS_PREFIX), 0, NULL);
 
 	if (!stream || !stream[0] || strlen(stream) > LOG_STORE_NAME_MAX)
 		mmx_http_json_error(req, HTTP_BADREQUEST,
@@ -306,6 +304,11 @@
 		valid = object && fields_set(fault_fields_, &service->faults,
 					     object, &error);
 		json_decref(object);
+		if (valid)
+			valid = standin_server_refuse(&service->server,
+						      service->faults.outage ==
+							      OUTAGE_REFUSE,
+						      &error);
 		if (!valid) {
 			mmx_http_json_error(req, HTTP_BADREQUEST, error.text);
 			return;
@@ -341,8 +344,21 @@
 	}
 }
 
+static void drop_waiters_(service_t *service)
+{
+	waiter_t *waiter = TAILQ_FIRST(&service->waiters);
+
+	while (waiter) {
+		waiter_t *after = TAILQ_NEXT(waiter, entry);
+
+		standin_drop(end_waiter_(waiter), STANDIN_DROP_CLOSE);
+		waiter = after;
+	}
+}
+
 typedef struct options_t {
 	char *listen;
+	char *control;
 	int retention_s;
 	int appends_per_s;
 	int max_mib;
@@ -354,6 +370,9 @@
 		{"listen", 0, 0, G_OPTION_ARG_STRING, &options->listen,
 		 "Address to listen on; port 0 lets the kernel choose",
 		 "IP:PORT"},
+		{"control", 0, 0, G_OPTION_ARG_STRING, &options->control,
+		 "Second address; stays open while connections are refused",
+		 "IP:PORT"},
 		{"retention-s", 0, 0, G_OPTION_ARG_INT, &options->retention_s,
 		 "Age in seconds at which records expire (3600)", "N"},
 		{"appends-per-s", 0, 0, G_OPTION_ARG_INT,
@@ -399,18 +418,18 @@
 		.appends_per_s = (unsigned int)options.appends_per_s};
 	TAILQ_INIT(&service.waiters);
 	if (!standin_server_open(&service.server, options.listen,
-				 LOG_STORE_RECORD_MAX + 1, on_request_,
-				 &service, &error)) {
+				 options.control, LOG_STORE_RECORD_MAX + 1,
+				 on_request_, &service, &error)) {
 		g_free(options.listen);
+		g_free(options.control);
 		return standin_usage_error(error.text);
 	}
 	service.store = log_store_create(service.server.clock, &limits);
 	standin_server_run(&service.server);
-	while (!TAILQ_EMPTY(&service.waiters))
-		standin_drop(end_waiter_(TAILQ_FIRST(&service.waiters)),
-			     STANDIN_DROP_CLOSE);
+	drop_waiters_(&service);
 	log_store_destroy(service.store);
 	standin_server_close(&service.server);
 	g_free(options.listen);
+	g_free(options.control);
 	return 0;
 }
--- a/src/standin/log_store.c
+++ b/src/standin/log_store.c
@@ -73,8 +73,8 @@
 
 static void expire_(log_store_t *store, stream_t *stream)
 {
-	mmx_time_t limit = mmx_clock_now(store->clock) -
-			   store->limits.retention;
+	mmx_time_t limit =
+		mmx_clock_now(store->clock) - store->limits.retention;
 	GPtrArray *records = stream->records;
 
 	while (stream->head < records->len) {
@@ -109,8 +109,8 @@
 	mmx_time_t now = mmx_clock_now(store->clock);
 	double rate = store->limits.appends_per_s;
 
-	store->tokens += rate * (double)(now - store->refilled) /
-			 (double)MMX_US_PER_S;
+	store->tokens +=
+		rate * (double)(now - store->refilled) / (double)MMX_US_PER_S;
 	if (store->tokens > rate)
 		store->tokens = rate;
 	store->refilled = now;
@@ -136,8 +136,7 @@
 }
 
 log_append_t log_store_append(log_store_t *store, const char *name,
-			      const char *data, size_t length,
-			      uint64_t *offset)
+			      const char *data, size_t length, uint64_t *offset)
 {
 	stream_t *stream;
 	record_t *record;
@@ -193,8 +192,8 @@
 		       bytes < READ_BYTES_MAX;
 		     i++, max--) {
 			record_t *record = stream->records->pdata[i];
-			json_t *data = json_stringn(record->data,
-						    record->length);
+			json_t *data =
+				json_stringn(record->data, record->length);
 
 			json_array_append_new(
 				records, json_pack("{s:I,s:o}", "offset",
--- a/src/standin/log_store.h
+++ b/src/standin/log_store.h
@@ -18,8 +18,8 @@
 typedef struct log_store_t log_store_t;
 
 typedef struct log_store_limits_t {
-	mmx_time_t retention;	  /**< age at which records expire */
-	uint64_t max_bytes;	  /**< of all records together */
+	mmx_time_t retention;	    /**< age at which records expire */
+	uint64_t max_bytes;	    /**< of all records together */
 	unsigned int appends_per_s; /**< 1 or more, all streams together */
 } log_store_limits_t;
 
--- a/src/standin/main.c
+++ b/src/standin/main.c
@@ -1,6 +1,7 @@
 /* Test program, not shipped: stand-ins for what masticmux talks to. */
 #include <stdio.h>
 #include <string.h>
+#include <sys/resource.h>
 
 #include "standin/load.h"
 #include "standin/log_service.h"
@@ -32,6 +33,17 @@
 	return out == stdout ? 0 : 2;
 }
 
+/* A load with many connections needs more descriptors than the soft limit. */
+static void raise_descriptor_limit_(void)
+{
+	struct rlimit limit;
+
+	if (getrlimit(RLIMIT_NOFILE, &limit))
+		return;
+	limit.rlim_cur = limit.rlim_max;
+	setrlimit(RLIMIT_NOFILE, &limit);
+}
+
 int main(int argc, char **argv)
 {
 	size_t i;
@@ -40,6 +52,7 @@
 		return usage_(stderr);
 	if (strcmp(argv[1], "--help") == 0)
 		return usage_(stdout);
+	raise_descriptor_limit_();
 	for (i = 0; i < SUBCOMMANDS; i++)
 		if (strcmp(argv[1], subcommands_[i].name) == 0)
 			return subcommands_[i].run(argc - 1, argv + 1);
--- a/src/standin/pattern.c
+++ b/src/standin/pattern.c
@@ -71,8 +71,8 @@
 	if (kept_length != length) {
 		XXH64_reset(&kept, 0);
 		for (left = length; left > 0;) {
-			size_t part = left < PATTERN_BLOCK ? left
-							   : PATTERN_BLOCK;
+			size_t part =
+				left < PATTERN_BLOCK ? left : PATTERN_BLOCK;
 
 			XXH64_update(&kept, get_block_(), part);
 			left -= part;
--- a/src/standin/server.c
+++ b/src/standin/server.c
@@ -31,6 +31,18 @@
 			 sizeof(address->host)) != NULL;
 }
 
+struct event_base *standin_base_new(void)
+{
+	struct event_config *config = event_config_new();
+	struct event_base *base;
+
+	/* By default libevent reads a clock with a resolution of 4 ms. */
+	event_config_set_flag(config, EVENT_BASE_FLAG_PRECISE_TIMER);
+	base = event_base_new_with_config(config);
+	event_config_free(config);
+	return base;
+}
+
 static bool numeric_host_(const char *text, size_t length,
 			  standin_address_t *address)
 {
@@ -56,8 +68,7 @@
 	guint64 port = 0;
 
 	/* evutil_parse_sockaddr_port() refuses port 0. */
-	if (!colon ||
-	    !numeric_host_(text, (size_t)(colon - text), address) ||
+	if (!colon || !numeric_host_(text, (size_t)(colon - text), address) ||
 	    !g_ascii_string_to_unsigned(colon + 1, 10, 0, UINT16_MAX, &port,
 					NULL))
 		return mmx_error_set(error, MMX_ERROR_INVALID,
@@ -96,55 +107,85 @@
 		standin_server_stop(server);
 }
 
-static bool bind_(standin_server_t *server, const char *listen,
-		  mmx_error_t *error)
+static bool bind_(standin_server_t *server, standin_address_t *address,
+		  struct evhttp_bound_socket **bound, mmx_error_t *error)
 {
-	struct evhttp_bound_socket *bound;
-	struct sockaddr_storage ss;
+	struct sockaddr_storage ss = {0};
 	socklen_t length = sizeof(ss);
 
-	if (!standin_address_parse(listen, &server->address, error))
-		return false;
-	bound = evhttp_bind_socket_with_handle(server->http,
-					       server->address.host,
-					       server->address.port);
-	if (!bound)
-		return mmx_error_set(error, MMX_ERROR_IO,
-				     "cannot listen on %s: %s", listen,
-				     strerror(errno));
-	if (getsockname(evhttp_bound_socket_get_fd(bound),
+	*bound = evhttp_bind_socket_with_handle(server->http, address->host,
+						address->port);
+	if (!*bound)
+		return mmx_error_set(
+			error, MMX_ERROR_IO, "cannot listen on %s port %u: %s",
+			address->host, address->port, strerror(errno));
+	if (getsockname(evhttp_bound_socket_get_fd(*bound),
 			(struct sockaddr *)&ss, &length) ||
-	    !from_sockaddr_(&ss, &server->address))
+	    !from_sockaddr_(&ss, address))
 		return mmx_error_set(error, MMX_ERROR_IO, "getsockname: %s",
 				     strerror(errno));
 	return true;
 }
 
-static void print_address_(const standin_address_t *address)
+static void print_address_(const char *name, const standin_address_t *address)
 {
 	bool v6 = strchr(address->host, ':') != NULL;
 
-	printf("listening %s%s%s:%u\n", v6 ? "[" : "", address->host,
+	printf("%s %s%s%s:%u\n", name, v6 ? "[" : "", address->host,
 	       v6 ? "]" : "", address->port);
 	fflush(stdout);
 }
 
+/* The line "listening" comes last: it says that everything is ready. */
+static bool bind_all_(standin_server_t *server, const char *listen,
+		      const char *control, mmx_error_t *error)
+{
+	struct evhttp_bound_socket *bound;
+	standin_address_t address = {0};
+
+	if (control) {
+		if (!standin_address_parse(control, &address, error) ||
+		    !bind_(server, &address, &bound, error))
+			return false;
+		server->has_control = true;
+		print_address_("control", &address);
+	}
+	if (!standin_address_parse(listen, &server->address, error) ||
+	    !bind_(server, &server->address, &server->bound, error))
+		return false;
+	print_address_("listening", &server->address);
+	return true;
+}
+
+bool standin_server_refuse(standin_server_t *server, bool refuse,
+			   mmx_error_t *error)
+{
+	if (refuse == !server->bound)
+		return true;
+	if (!refuse)
+		return bind_(server, &server->address, &server->bound, error);
+	if (!server->has_control)
+		return true;
+	evhttp_del_accept_socket(server->http, server->bound);
+	server->bound = NULL;
+	return true;
+}
+
 bool standin_server_open(standin_server_t *server, const char *listen,
-			 size_t max_body,
+			 const char *control, size_t max_body,
 			 void (*on_request)(struct evhttp_request *, void *),
 			 void *arg, mmx_error_t *error)
 {
 	*server = (standin_server_t){.arg = arg};
 	signal(SIGPIPE, SIG_IGN);
-	server->base = event_base_new();
+	server->base = standin_base_new();
 	server->clock = mmx_clock_create(server->base);
 	server->http = evhttp_new(server->base);
-	evhttp_set_allowed_methods(server->http,
-				   EVHTTP_REQ_GET | EVHTTP_REQ_POST |
-					   EVHTTP_REQ_HEAD | EVHTTP_REQ_PUT |
-					   EVHTTP_REQ_DELETE |
-					   EVHTTP_REQ_OPTIONS |
-					   EVHTTP_REQ_PATCH);
+	evhttp_set_allowed_methods(
+		server->http, EVHTTP_REQ_GET | EVHTTP_REQ_POST |
+				      EVHTTP_REQ_HEAD | EVHTTP_REQ_PUT |
+				      EVHTTP_REQ_DELETE | EVHTTP_REQ_OPTIONS |
+				      EVHTTP_REQ_PATCH);
 	evhttp_set_max_headers_size(server->http, MAX_HEADERS_BYTES);
 	evhttp_set_max_body_size(server->http, (ev_ssize_t)max_body);
 	evhttp_set_gencb(server->http, on_request, arg);
@@ -154,12 +195,10 @@
 		evsignal_new(server->base, SIGINT, on_signal_, server);
 	event_add(server->terminate[0], NULL);
 	event_add(server->terminate[1], NULL);
-	if (!bind_(server, listen, error)) {
-		standin_server_close(server);
-		return false;
-	}
-	print_address_(&server->address);
-	return true;
+	if (bind_all_(server, listen, control, error))
+		return true;
+	standin_server_close(server);
+	return false;
 }
 
 void standin_server_run(standin_server_t *server)
@@ -184,11 +223,13 @@
 void standin_drop(struct evhttp_request *req, standin_drop_t how)
 {
 	struct evhttp_connection *conn = evhttp_request_get_connection(req);
-	struct linger linger = {.l_onoff = 1, .l_linger = 0};
+	struct sockaddr none = {.sa_family = AF_UNSPEC};
 	int fd = bufferevent_getfd(evhttp_connection_get_bufferevent(conn));
 
+	/* Dissolving the association sends RST. SO_LINGER would not do: evhttp
+	 * shuts the socket down before it closes it, which sends FIN. */
 	if (how == STANDIN_DROP_RESET)
-		setsockopt(fd, SOL_SOCKET, SO_LINGER, &linger, sizeof(linger));
+		connect(fd, &none, sizeof(none));
 	evhttp_connection_free(conn);
 }
 
--- a/src/standin/server.h
+++ b/src/standin/server.h
@@ -25,12 +25,17 @@
 	struct event_base *base;
 	mmx_clock_t *clock;
 	struct evhttp *http;
+	struct evhttp_bound_socket *bound;
+	bool has_control;
 	struct event *terminate[2];
-	standin_address_t address; /**< as bound */
+	standin_address_t address;  /**< as bound */
 	void (*on_stop)(void *arg); /**< on a signal; default: end the loop */
 	void *arg;
 } standin_server_t;
 
+/** Creates a loop whose timers are exact to less than a millisecond. */
+struct event_base *standin_base_new(void);
+
 /** Parses "IP:PORT"; port 0 lets the kernel choose. */
 bool standin_address_parse(const char *text, standin_address_t *address,
 			   mmx_error_t *error);
@@ -45,17 +50,30 @@
 					mmx_error_t *error);
 
 /**
- * Opens the server and prints its address.
+ * Opens the server and prints its address, and "control IP:PORT" for the
+ * second one.
  *
  * @param listen      "IP:PORT"
+ * @param control     second address that accepts the same requests, or NULL
  * @param max_body    longest request body in bytes
  * @param on_request  called for each request with arg
  */
 bool standin_server_open(standin_server_t *server, const char *listen,
-			 size_t max_body,
+			 const char *control, size_t max_body,
 			 void (*on_request)(struct evhttp_request *, void *),
 			 void *arg, mmx_error_t *error);
 
+/**
+ * Closes the listening socket, so that connections are refused, or opens it
+ * again on the same port. Open connections stay; the caller drops their
+ * requests. Without a control address, which could undo this, the socket stays
+ * open and the reset of each request is all that a client sees.
+ *
+ * @return false when the port cannot be bound again
+ */
+bool standin_server_refuse(standin_server_t *server, bool refuse,
+			   mmx_error_t *error);
+
 /** Runs the loop until standin_server_stop(). */
 void standin_server_run(standin_server_t *server);
 
--- a/src/standin/target.c
+++ b/src/standin/target.c
@@ -17,7 +17,9 @@
 	char *listen;
 	char *name;
 	char *service;
+	char *control;
 	char *announce;
+	char *announce_path;
 	char *distribution;
 	int slots;
 	int queue;
@@ -56,8 +58,9 @@
 	const target_counts_t *counts = &target->work.counts;
 
 	return json_pack(
-		"{s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I}", "requests",
-		(json_int_t)counts->requests, "answered",
+		"{s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I}", "requests",
+		(json_int_t)counts->requests, "requests_draining",
+		(json_int_t)counts->requests_draining, "answered",
 		(json_int_t)counts->answered, "refused_busy",
 		(json_int_t)counts->refused_busy, "refused_peer",
 		(json_int_t)counts->refused_peer, "refused_deadline",
@@ -80,12 +83,12 @@
 	json_object_update(status, part);
 	json_decref(part);
 	executions_totals(work->executions, &totals);
-	part = json_pack("{s:s,s:s,s:i,s:i,s:i,s:I,s:I,s:I,s:I,s:I,s:I}",
+	part = json_pack("{s:s,s:s,s:i,s:i,s:i,s:i,s:I,s:I,s:I,s:I,s:I,s:I}",
 			 "name", work->name, "state", state_(target), "slots",
 			 (int)work->slots, "running", (int)work->running,
-			 "queued", (int)work->queued, "keys",
-			 (json_int_t)totals.keys, "started",
-			 (json_int_t)totals.started, "finished",
+			 "stalled", (int)target_work_stalled(work), "queued",
+			 (int)work->queued, "keys", (json_int_t)totals.keys,
+			 "started", (json_int_t)totals.started, "finished",
 			 (json_int_t)totals.finished, "untracked",
 			 (json_int_t)totals.untracked, "announcements_accepted",
 			 (json_int_t)target->announcer.accepted,
@@ -112,6 +115,10 @@
 	if (json_object_get(object, "flap_period_ms"))
 		faults->flap_start = mmx_clock_now(target->server.clock);
 	json_decref(object);
+	if (!standin_server_refuse(&target->server, faults->refuse, &error)) {
+		mmx_http_json_error(req, HTTP_INTERNAL, error.text);
+		return false;
+	}
 	target->announcer.paused = faults->stop_announcing;
 	target_work_changed(&target->work);
 	announcer_update(&target->announcer);
@@ -144,8 +151,7 @@
 	if (evhttp_request_get_command(req) == EVHTTP_REQ_DELETE)
 		executions_clear(target->work.executions);
 	evhttp_parse_query_str(text ? text : "", &query);
-	executions_page(target->work.executions,
-			parameter_(&query, "from", 0),
+	executions_page(target->work.executions, parameter_(&query, "from", 0),
 			MIN(parameter_(&query, "max", PAGE_KEYS_DEFAULT),
 			    PAGE_KEYS_MAX),
 			body);
@@ -164,9 +170,9 @@
 
 	if (path && strcmp(path, "/probe") == 0) {
 		target->work.counts.probes++;
-		mmx_http_json_reply(req, HTTP_OK,
-				    json_pack("{s:s}", "state",
-					      state_(target)));
+		mmx_http_json_reply(
+			req, HTTP_OK,
+			json_pack("{s:s}", "state", state_(target)));
 	} else if (path && strcmp(path, "/control") == 0) {
 		control_(target, req);
 	} else if (path && strcmp(path, "/executions") == 0) {
@@ -196,6 +202,11 @@
 		 "Requests that wait for a slot; others get 503 (0)", "N"},
 		{"latency-ms", 0, 0, G_OPTION_ARG_DOUBLE, &o->latency_ms,
 		 "Mean latency in ms (5)", "N"},
+		{"announce-path", 0, 0, G_OPTION_ARG_STRING, &o->announce_path,
+		 "Path that announcements are sent to (/v1/targets)", "PATH"},
+		{"control", 0, 0, G_OPTION_ARG_STRING, &o->control,
+		 "Second address; stays open while connections are refused",
+		 "IP:PORT"},
 		{"distribution", 0, 0, G_OPTION_ARG_STRING, &o->distribution,
 		 "Of the latency: fixed, exponential, pareto (fixed)", "NAME"},
 		{"cold-ms", 0, 0, G_OPTION_ARG_DOUBLE, &o->cold_ms,
@@ -282,6 +293,7 @@
 	target->server.on_stop = on_stop_;
 	announcer->server = &target->server;
 	announcer->name = o->name;
+	announcer->path = o->announce_path;
 	announcer->service = o->service;
 	announcer->slots = o->slots;
 	announcer->lease_ms = o->lease_ms;
@@ -310,10 +322,12 @@
 	int status = 0;
 
 	options.distribution = g_strdup("fixed");
+	options.announce_path = g_strdup("/v1/targets");
 	if (!parse_(argc, argv, &options))
 		status = 2;
 	else if (!valid_(&options, &target, &error) ||
 		 !standin_server_open(&target.server, options.listen,
+				      options.control,
 				      (size_t)options.max_body_mib << 20,
 				      on_request_, &target, &error))
 		status = standin_usage_error(error.text);
@@ -322,7 +336,9 @@
 	g_free(options.listen);
 	g_free(options.name);
 	g_free(options.service);
+	g_free(options.control);
 	g_free(options.announce);
+	g_free(options.announce_path);
 	g_free(options.distribution);
 	return status;
 }
--- a/src/standin/target_faults.c
+++ b/src/standin/target_faults.c
@@ -10,12 +10,12 @@
 
 #define FLAG(name)                                                             \
 	{                                                                      \
-		#name, FIELD_BOOL, offsetof(target_faults_t, name), 0, 0, NULL \
+#name, FIELD_BOOL, offsetof(target_faults_t, name), 0, 0, NULL \
 	}
-#define NUMBER(name, min, max)                                                 \
-	{                                                                      \
-		#name, FIELD_NUMBER, offsetof(target_faults_t, name), min,     \
-			max, NULL                                              \
+#define NUMBER(name, min, max)                                             \
+	{                                                                  \
+#name, FIELD_NUMBER, offsetof(target_faults_t, name), min, \
+			max, NULL                                          \
 	}
 
 const field_t target_fault_fields[] = {
@@ -28,6 +28,8 @@
 	NUMBER(late_ms, 0, TIME_MAX_MS),
 	NUMBER(cut_bytes, -1, BYTES_MAX),
 	FLAG(close_without_answer),
+	FLAG(ignore_cancel),
+	FLAG(refuse),
 	{"refuse_from", FIELD_TEXT, offsetof(target_faults_t, refuse_from), 0,
 	 0, NULL},
 	FLAG(stop_announcing),
@@ -47,11 +49,10 @@
 
 bool target_faults_flapped(const target_faults_t *faults, mmx_time_t now)
 {
-	mmx_time_t period = (mmx_time_t)(faults->flap_period_ms *
-					 (double)MMX_US_PER_MS);
+	mmx_time_t period =
+		(mmx_time_t)(faults->flap_period_ms * (double)MMX_US_PER_MS);
 
-	return period > 0 &&
-	       (now - faults->flap_start) % period >= period / 2;
+	return period > 0 && (now - faults->flap_start) % period >= period / 2;
 }
 
 bool target_faults_stalled(const target_faults_t *faults, mmx_time_t now)
--- a/src/standin/target_faults.h
+++ b/src/standin/target_faults.h
@@ -14,14 +14,16 @@
 } flap_mode_t;
 
 typedef struct target_faults_t {
-	bool stall;	      /**< real requests wait, probes are answered */
-	double slow_factor;   /**< multiplies the latency */
-	double error_percent; /**< share of requests answered 500 */
+	bool stall;	       /**< real requests wait, probes are answered */
+	double slow_factor;    /**< multiplies the latency */
+	double error_percent;  /**< share of requests answered 500 */
 	double flap_period_ms; /**< 0: off; the first half is good */
 	int flap_mode;	       /**< flap_mode_t */
 	double late_ms;	       /**< from the finish to the answer */
 	double cut_bytes;      /**< -1: off; body bytes sent before a close */
 	bool close_without_answer;
+	bool ignore_cancel;   /**< runs on when the peer closes */
+	bool refuse;	      /**< refuses connections, resets requests */
 	char *refuse_from;    /**< IP address whose requests are reset */
 	bool stop_announcing; /**< lease runs out */
 	bool draining;	      /**< announces the state "draining" */
--- a/src/standin/target_work.c
+++ b/src/standin/target_work.c
@@ -66,6 +66,11 @@
 	work_t *work = arg;
 	target_work_t *target = work->target;
 
+	if (target->faults.ignore_cancel) {
+		mmx_timer_cancel(&work->deadline);
+		work->answer.req = NULL;
+		return;
+	}
 	target->counts.cancelled_by_peer++;
 	end_(work);
 	g_free(work);
@@ -78,6 +83,9 @@
 	target_work_t *target = work->target;
 	bool queued = work->state == WORK_QUEUED;
 
+	/* A stalled target does not notice deadlines either. */
+	if (work->state == WORK_STALLED)
+		return;
 	if (queued)
 		target->counts.refused_deadline++;
 	else
@@ -96,7 +104,9 @@
 	answer_t *answer = &work->answer;
 
 	end_(work);
-	if (faults->close_without_answer) {
+	if (!answer->req) {
+		target->counts.answers_withheld++;
+	} else if (faults->close_without_answer) {
 		target->counts.answers_withheld++;
 		standin_drop(answer->req, STANDIN_DROP_CLOSE);
 	} else if (faults->run_refused) {
@@ -109,9 +119,9 @@
 		target->counts.answered++;
 		answer->swapped = faults->swap_answers;
 		answer->corrupt = faults->corrupt;
-		answer->cut = faults->cut_bytes < 0 ? ANSWER_WHOLE
-						    : (uint64_t)
-							      faults->cut_bytes;
+		answer->cut = faults->cut_bytes < 0
+				      ? ANSWER_WHOLE
+				      : (uint64_t)faults->cut_bytes;
 		if (answer_send(answer))
 			target->counts.answers_cut++;
 	}
@@ -126,14 +136,14 @@
 	if (work->answer.key[0] && !faults->hide_executions) {
 		executions_finish(target->executions, work->answer.key);
 		if (faults->duplicate)
-			executions_finish(target->executions,
-					  work->answer.key);
+			executions_finish(target->executions, work->answer.key);
 	}
 	if (faults->late_ms > 0) {
 		target->running--;
 		work->state = WORK_LATE;
-		mmx_timer_set(&work->timer, (mmx_time_t)(faults->late_ms *
-							 MMX_US_PER_MS));
+		mmx_timer_cancel(&work->deadline);
+		mmx_timer_set(&work->timer,
+			      (mmx_time_t)(faults->late_ms * MMX_US_PER_MS));
 	} else {
 		send_answer_(work);
 	}
@@ -163,8 +173,7 @@
 	double cold_us = target->cold_ms * (double)MMX_US_PER_MS;
 
 	if ((double)age < cold_us)
-		ms *= COLD_FACTOR -
-		      (COLD_FACTOR - 1) * ((double)age / cold_us);
+		ms *= COLD_FACTOR - (COLD_FACTOR - 1) * ((double)age / cold_us);
 	return (mmx_time_t)(fmin(ms, LATENCY_MAX_MS) * (double)MMX_US_PER_MS);
 }
 
@@ -206,8 +215,7 @@
 	if (work->answer.key[0] && !faults->hide_executions) {
 		executions_start(target->executions, work->answer.key);
 		if (faults->duplicate)
-			executions_start(target->executions,
-					 work->answer.key);
+			executions_start(target->executions, work->answer.key);
 	}
 	work->state = WORK_RUNNING;
 	target->running++;
@@ -223,7 +231,7 @@
 	work_t *work;
 
 	while (target->queued > 0 && target->running < target->slots) {
-		TAILQ_FOREACH(work, &target->works, entry)
+		TAILQ_FOREACH (work, &target->works, entry)
 			if (work->state == WORK_QUEUED)
 				break;
 		assert(work);
@@ -239,6 +247,8 @@
 	char *peer = NULL;
 	ev_uint16_t port;
 
+	if (target->faults.refuse)
+		return true;
 	if (!refused || !refused[0])
 		return false;
 	evhttp_connection_get_peer(evhttp_request_get_connection(req), &peer,
@@ -281,6 +291,7 @@
 	work_t *work;
 
 	target->counts.requests++;
+	target->counts.requests_draining += target->faults.draining;
 	if (refuses_peer_(target, req)) {
 		target->counts.refused_peer++;
 		standin_drop(req, STANDIN_DROP_RESET);
@@ -324,8 +335,18 @@
 	}
 	mmx_timer_cancel(&target->flap);
 	if (half_ms > 0)
-		mmx_timer_set(&target->flap, (mmx_time_t)(half_ms *
-							  MMX_US_PER_MS));
+		mmx_timer_set(&target->flap,
+			      (mmx_time_t)(half_ms * MMX_US_PER_MS));
+}
+
+unsigned int target_work_stalled(const target_work_t *target)
+{
+	unsigned int count = 0;
+	work_t *work;
+
+	TAILQ_FOREACH (work, &target->works, entry)
+		count += work->state == WORK_STALLED;
+	return count;
 }
 
 bool target_work_cold(const target_work_t *target)
@@ -350,7 +371,8 @@
 	mmx_timer_cancel(&target->flap);
 	while ((work = TAILQ_FIRST(&target->works))) {
 		end_(work);
-		standin_drop(work->answer.req, STANDIN_DROP_CLOSE);
+		if (work->answer.req)
+			standin_drop(work->answer.req, STANDIN_DROP_CLOSE);
 		g_free(work);
 	}
 	fields_clear(target_fault_fields, &target->faults);
--- a/src/standin/target_work.h
+++ b/src/standin/target_work.h
@@ -28,6 +28,7 @@
 	uint64_t answered;
 	uint64_t refused_busy;
 	uint64_t refused_peer;
+	uint64_t requests_draining; /**< received while draining */
 	uint64_t refused_deadline;
 	uint64_t cancelled_by_peer;
 	uint64_t cancelled_by_deadline;
@@ -68,6 +69,9 @@
 /** Applies changed faults to the requests in progress. */
 void target_work_changed(target_work_t *target);
 
+/** Number of requests that hold a slot and make no progress. */
+unsigned int target_work_stalled(const target_work_t *target);
+
 /** True within cold_ms after the start. */
 bool target_work_cold(const target_work_t *target);
 
