--- a/src/libmasticmux/config.c
+++ b/src/libmasticmux/config.c
@@ -2,7 +2,6 @@
 
 #include <assert.h>
 #include <string.h>
-#include <xxhash.h>
 
 #define TICK (200 * MMX_US_PER_MS)
 #define PULL_TIMEOUT MMX_US_PER_S
@@ -19,7 +18,6 @@
 #define READER_BACKOFF_MAX (2 * MMX_US_PER_S)
 #define HELPER_BACKOFF_MIN (2 * MMX_US_PER_S)
 #define HELPER_BACKOFF_MAX (30 * MMX_US_PER_S)
-#define RANK_SEED 0x636f6e666967ULL
 
 const char *const mmx_config_stream_string[MMX_CONFIG_STREAM_COUNT] = {
 	MMX_CONFIG_STREAM,
@@ -48,11 +46,6 @@
 						: now - age;
 }
 
-static uint64_t score_(mmx_node_id_t node)
-{
-	return XXH64(&node, sizeof(node), RANK_SEED);
-}
-
 bool mmx_config_read_(mmx_config_t *config, mmx_config_stream_t stream,
 		      uint64_t from, unsigned int max, mmx_time_t wait)
 {
@@ -216,17 +209,6 @@
 	return !config->loaded || config->needs_load;
 }
 
-static bool is_remote_(const mmx_config_t *config, mmx_node_id_t peer)
-{
-	size_t i;
-
-	for (i = 0; i < config->member_count; i++)
-		if (config->members[i].id == peer)
-			return config->members[i].region !=
-			       config->options.region;
-	return true;
-}
-
 static void remove_ahead_(mmx_config_t *config, size_t index)
 {
 	config->ahead[index] = config->ahead[--config->ahead_count];
@@ -263,7 +245,7 @@
 			config->ahead[i].applied = applied;
 			return;
 		}
-	remote = is_remote_(config, peer);
+	remote = mmx_config_is_remote_(config, peer);
 	if (config->ahead_count < MMX_CONFIG_AHEAD_MAX)
 		entry = &config->ahead[config->ahead_count++];
 	for (i = 0; !entry && !remote && i < config->ahead_count; i++)
@@ -563,94 +545,6 @@
 	mmx_timer_set(&config->tick, jitter_(config, TICK));
 }
 
-static mmx_config_region_t *use_region_(mmx_config_t *config, uint64_t region)
-{
-	size_t i;
-
-	for (i = 0; i < config->region_count; i++)
-		if (config->regions[i].region == region)
-			return &config->regions[i];
-	if (config->region_count == MMX_CONFIG_REGIONS_MAX)
-		return NULL;
-	config->regions[config->region_count] =
-		(mmx_config_region_t){.region = region};
-	return &config->regions[config->region_count++];
-}
-
-static void rank_member_(mmx_config_region_t *region, mmx_node_id_t id)
-{
-	uint64_t score = score_(id);
-	size_t i = region->count;
-
-	if (i == MMX_CONFIG_READERS && score >= region->scores[i - 1])
-		return;
-	if (i < MMX_CONFIG_READERS)
-		region->count++;
-	else
-		i--;
-	while (i > 0 && region->scores[i - 1] > score) {
-		region->scores[i] = region->scores[i - 1];
-		region->readers[i] = region->readers[i - 1];
-		i--;
-	}
-	region->scores[i] = score;
-	region->readers[i] = id;
-}
-
-static void rank_self_(mmx_config_t *config)
-{
-	uint64_t own = score_(config->options.self);
-	size_t i;
-	size_t r;
-
-	config->rank = -1;
-	config->global_rank = 0;
-	for (i = 0; i < config->region_count; i++) {
-		const mmx_config_region_t *region = &config->regions[i];
-
-		for (r = 0; r < region->count; r++) {
-			if (region->readers[r] == config->options.self)
-				config->rank = (int)r;
-			config->global_rank += region->scores[r] < own;
-		}
-	}
-	if (config->rank < 0)
-		config->global_rank = -1;
-}
-
-void mmx_config_set_members(mmx_config_t *config,
-			    const mmx_config_member_t *members, size_t count)
-{
-	mmx_config_region_t *region;
-	size_t i;
-
-	g_free(config->members);
-	g_free(config->neighbours);
-	config->members = g_new(mmx_config_member_t, count + 1);
-	config->neighbours = g_new(mmx_node_id_t, count + 1);
-	config->member_count = 0;
-	config->neighbour_count = 0;
-	config->region_count = 0;
-	for (i = 0; i <= count; i++) {
-		mmx_config_member_t member = {config->options.self,
-					      config->options.region};
-
-		/* This node counts as alive, whether it is listed or not. */
-		if (i < count && members[i].id == config->options.self)
-			continue;
-		if (i < count)
-			member = members[i];
-		config->members[config->member_count++] = member;
-		if (i < count && member.region == config->options.region)
-			config->neighbours[config->neighbour_count++] =
-				member.id;
-		region = use_region_(config, member.region);
-		if (region)
-			rank_member_(region, member.id);
-	}
-	rank_self_(config);
-}
-
 bool mmx_config_serve_pull(mmx_config_t *config, uint64_t after,
 			   mmx_config_records_t *answer)
 {
@@ -706,11 +600,6 @@
 	       now_(config) - config->confirmed_at <= MMX_CONFIG_CURRENT_AGE;
 }
 
-int mmx_config_reader_rank(const mmx_config_t *config)
-{
-	return config->rank;
-}
-
 const mmx_config_stats_t *mmx_config_stats(const mmx_config_t *config)
 {
 	return &config->stats;
--- a/src/libmasticmux/include/private/config_state.h
+++ b/src/libmasticmux/include/private/config_state.h
@@ -131,6 +131,9 @@
 /** Notes that the log has nothing newer than the applied offset. */
 void mmx_config_confirm_(mmx_config_t *config);
 
+/** Whether a peer is in another region; an unknown one counts as such. */
+bool mmx_config_is_remote_(const mmx_config_t *config, mmx_node_id_t peer);
+
 /** Best peer to pull or load from now; NULL when there is none. */
 mmx_config_ahead_t *mmx_config_choose_ahead_(mmx_config_t *config);
 
