--- a/src/share/fake_fleet.c
+++ b/src/share/fake_fleet.c
@@ -356,8 +356,6 @@
 	fake_fleet_t *fleet = message->fleet;
 	node_t *to = &fleet->nodes[message->to];
 
-	LIST_REMOVE(message, entry);
-	LIST_INSERT_HEAD(&fleet->messages, message, entry);
 	if (message->kind < LOG_READ &&
 	    !reaches_(fleet, &fleet->nodes[message->from], to)) {
 		free_message_(message);
--- a/src/test_libmasticmux/suites.c
+++ b/src/test_libmasticmux/suites.c
@@ -2,6 +2,7 @@
 
 CU_SuiteInfo mmx_test_suites[] = {
 	{"clock", NULL, NULL, NULL, NULL, mmx_tests_clock},
+	{"config", NULL, NULL, NULL, NULL, mmx_tests_config},
 	{"error", NULL, NULL, NULL, NULL, mmx_tests_error},
 	{"fold", NULL, NULL, NULL, NULL, mmx_tests_fold},
 	{"snapshot", NULL, NULL, NULL, NULL, mmx_tests_snapshot},
--- a/src/test_libmasticmux/suites.h
+++ b/src/test_libmasticmux/suites.h
@@ -5,6 +5,7 @@
 #include <CUnit/CUnit.h>
 
 extern CU_TestInfo mmx_tests_clock[];
+extern CU_TestInfo mmx_tests_config[];
 extern CU_TestInfo mmx_tests_error[];
 extern CU_TestInfo mmx_tests_fold[];
 extern CU_TestInfo mmx_tests_snapshot[];
