--- a/src/test_libmasticmux/suites.c
+++ b/src/test_libmasticmux/suites.c
@@ -3,8 +3,8 @@
 CU_SuiteInfo mmx_test_suites[] = {
 	{"claims", NULL, NULL, NULL, NULL, mmx_tests_claims},
 	{"clock", NULL, NULL, NULL, NULL, mmx_tests_clock},
-	{"directory", NULL, NULL, NULL, NULL, mmx_tests_directory},
 	{"config", NULL, NULL, NULL, NULL, mmx_tests_config},
+	{"directory", NULL, NULL, NULL, NULL, mmx_tests_directory},
 	{"error", NULL, NULL, NULL, NULL, mmx_tests_error},
 	{"fold", NULL, NULL, NULL, NULL, mmx_tests_fold},
 	{"history", NULL, NULL, NULL, NULL, mmx_tests_history},
--- a/src/test_libmasticmux/suites.h
+++ b/src/test_libmasticmux/suites.h
@@ -6,8 +6,8 @@
 
 extern CU_TestInfo mmx_tests_claims[];
 extern CU_TestInfo mmx_tests_clock[];
-extern CU_TestInfo mmx_tests_directory[];
 extern CU_TestInfo mmx_tests_config[];
+extern CU_TestInfo mmx_tests_directory[];
 extern CU_TestInfo mmx_tests_error[];
 extern CU_TestInfo mmx_tests_fold[];
 extern CU_TestInfo mmx_tests_history[];
