--- a/src/libmasticmux/membership_state.c
+++ b/src/libmasticmux/membership_state.c
@@ -7,8 +7,11 @@
 
 #define REPORTS_TO_DIE 2
 #define SUSPICION_PER_DECADE (5 * MMX_US_PER_S)
-/* Sendings of an update per decade of members. Targets get fewer, because
- * directory sync repairs what is missed and there are more of them. */
+/* Sendings of an update: a base, which counts in small fleets where some go
+ * back to where the update came from, and more per decade of members. Targets
+ * get fewer, because directory sync repairs what is missed and there are more
+ * of them. */
+#define SENDINGS_BASE 3
 #define MEMBER_SENDINGS_PER_DECADE 4
 #define TARGET_SENDINGS_PER_DECADE 2
 /* Member updates leave this part of a datagram to targets. */
@@ -403,7 +406,7 @@
 {
 	double members = (double)mmx_member_table_present_count(m->table);
 	unsigned int decades = (unsigned int)ceil(log10(members + 1));
-	unsigned int limit = per_decade * (decades > 0 ? decades : 1);
+	unsigned int limit = SENDINGS_BASE + per_decade * decades;
 
 	return limit < MMX_BROADCAST_SENDINGS_MAX ? limit
 						  : MMX_BROADCAST_SENDINGS_MAX;
--- a/src/test_libmasticmux/suites.h
+++ b/src/test_libmasticmux/suites.h
@@ -7,6 +7,8 @@
 extern CU_TestInfo mmx_tests_clock[];
 extern CU_TestInfo mmx_tests_directory[];
 extern CU_TestInfo mmx_tests_error[];
+extern CU_TestInfo mmx_tests_gossip[];
+extern CU_TestInfo mmx_tests_gossip_codec[];
 extern CU_TestInfo mmx_tests_membership[];
 extern CU_TestInfo mmx_tests_task[];
 
