--- a/src/test_libmasticmux/fleet.h
+++ b/src/test_libmasticmux/fleet.h
@@ -151,10 +151,12 @@
 				  mmx_member_state_t before)
 {
 	instance_t *instance = arg;
-	const instance_t *subject = fleet_find_(instance->fleet, member->id);
+	const instance_t *subject;
 
-	if (member->state == MMX_MEMBER_DEAD && before != member->state &&
-	    subject && subject->membership && !subject->paused &&
+	if (member->state != MMX_MEMBER_DEAD || before == member->state)
+		return;
+	subject = fleet_find_(instance->fleet, member->id);
+	if (subject && subject->membership && !subject->paused &&
 	    subject->record.incarnation == member->incarnation)
 		instance->fleet->false_dead++;
 }
--- a/src/test_libmasticmux/test_membership.c
+++ b/src/test_libmasticmux/test_membership.c
@@ -278,7 +278,167 @@
 	}
 }
 
+/* Guards against a new process that takes over the name of a running one. */
+static void test_name_conflict_(void)
+{
+	fleet_t *fleet = fleet_create_(6, 2, 1, 3);
+	instance_t *second = &fleet->instances[5];
+	const mmx_member_t *seen;
+	size_t i;
+
+	for (i = 0; i < 5; i++)
+		fleet_start_(&fleet->instances[i]);
+	fleet_run_(fleet, 20 * MMX_US_PER_S);
+	g_strlcpy(second->name, fleet->instances[4].name, sizeof(second->name));
+	fleet_start_(second);
+	fleet_run_(fleet, 10 * MMX_US_PER_S);
+	CU_ASSERT_TRUE(second->conflicts > 0);
+	CU_ASSERT_FALSE(mmx_membership_joined(second->membership));
+	seen = mmx_membership_find(fleet->instances[0].membership,
+				   second->record.id);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(seen);
+	CU_ASSERT_EQUAL(seen->incarnation,
+			fleet->instances[4].record.incarnation);
+	CU_ASSERT_EQUAL(seen->state, MMX_MEMBER_ALIVE);
+	/* Once the first has crashed, the name is free. */
+	fleet_stop_(&fleet->instances[4]);
+	fleet_run_(fleet, 20 * MMX_US_PER_S);
+	CU_ASSERT_TRUE(mmx_membership_joined(second->membership));
+	seen = mmx_membership_find(fleet->instances[0].membership,
+				   second->record.id);
+	CU_ASSERT_EQUAL(seen->incarnation, second->record.incarnation);
+	fleet_destroy_(fleet);
+}
+
+/* Guards against a replaced process that resumes and is not told. */
+static void test_replaced_while_paused_(void)
+{
+	fleet_t *fleet = fleet_create_(6, 2, 1, 4);
+	instance_t *first = &fleet->instances[4];
+	instance_t *second = &fleet->instances[5];
+	size_t i;
+
+	for (i = 0; i < 5; i++)
+		fleet_start_(&fleet->instances[i]);
+	fleet_run_(fleet, 20 * MMX_US_PER_S);
+	first->paused = true;
+	fleet_run_(fleet, 20 * MMX_US_PER_S);
+	g_strlcpy(second->name, first->name, sizeof(second->name));
+	fleet_start_(second);
+	fleet_run_(fleet, 10 * MMX_US_PER_S);
+	CU_ASSERT_TRUE(mmx_membership_joined(second->membership));
+	fleet_resume_(first);
+	fleet_run_(fleet, 10 * MMX_US_PER_S);
+	CU_ASSERT_TRUE(first->conflicts > 0);
+	CU_ASSERT_EQUAL(mmx_membership_find(fleet->instances[0].membership,
+					    second->record.id)
+				->incarnation,
+			second->record.incarnation);
+	fleet_destroy_(fleet);
+}
+
+/* Guards against a target that lives on in other directories although its
+ * node no longer has it and forgot that it withdrew it. */
+static void test_withdraw_(void)
+{
+	fleet_t *fleet = fleet_create_(4, 1, 1, 5);
+	instance_t *owner = &fleet->instances[2];
+	instance_t *other = &fleet->instances[0];
+	mmx_target_record_t record = {.slots = 1, .version = 50};
+
+	start_all_(fleet);
+	fleet_run_(fleet, 20 * MMX_US_PER_S);
+	g_strlcpy(record.name, "stale", sizeof(record.name));
+	g_strlcpy(record.service, "s", sizeof(record.service));
+	record.id = mmx_directory_id(owner->name, "stale");
+	record.node = owner->record.id;
+	record.incarnation = owner->record.incarnation;
+	CU_ASSERT_TRUE(mmx_directory_update(other->directory, &record));
+	fleet_run_(fleet, 120 * MMX_US_PER_S);
+	CU_ASSERT_EQUAL(mmx_directory_count(other->directory), 4);
+	CU_ASSERT_EQUAL(fleet_wrong_directories_(fleet), 0);
+	fleet_destroy_(fleet);
+}
+
+/* Guards against a view by region or zone that is wrong, and against an
+ * offset that does not travel with probes. */
+static void test_queries_(void)
+{
+	fleet_t *fleet = fleet_create_(12, 3, 0, 6);
+	const mmx_membership_t *m;
+	const mmx_member_t *alive[12];
+	size_t i;
+
+	start_all_(fleet);
+	fleet_run_(fleet, 20 * MMX_US_PER_S);
+	mmx_membership_set_offset(fleet->instances[3].membership, 500);
+	fleet_stop_(&fleet->instances[1]);
+	fleet_run_(fleet, 30 * MMX_US_PER_S);
+	m = fleet->instances[0].membership;
+	CU_ASSERT_EQUAL(mmx_membership_alive(m, NULL, NULL, alive, 12), 11);
+	CU_ASSERT_EQUAL(mmx_membership_alive(m, "region-1", NULL, alive, 12),
+			3);
+	for (i = 0; i < 3; i++)
+		CU_ASSERT_STRING_EQUAL(alive[i]->region, "region-1");
+	CU_ASSERT_EQUAL(
+		mmx_membership_alive(m, "region-0", "zone-0-1", alive, 1), 2);
+	CU_ASSERT_EQUAL(mmx_membership_alive(m, "elsewhere", NULL, NULL, 0), 0);
+	CU_ASSERT_EQUAL(mmx_membership_find(m, fleet->instances[3].record.id)
+				->applied_offset,
+			500);
+	fleet_destroy_(fleet);
+}
+
+/* Guards against death on the word of one member: in a fleet of two, the one
+ * that is left cannot tell a crash from its own isolation. */
+static void test_one_reporter_(void)
+{
+	fleet_t *fleet = fleet_create_(2, 1, 1, 7);
+	const mmx_membership_t *m;
+
+	start_all_(fleet);
+	fleet_run_(fleet, 10 * MMX_US_PER_S);
+	fleet_stop_(&fleet->instances[1]);
+	fleet_run_(fleet, 120 * MMX_US_PER_S);
+	m = fleet->instances[0].membership;
+	CU_ASSERT_EQUAL(mmx_membership_count(m, MMX_MEMBER_UNREACHABLE), 1);
+	CU_ASSERT_EQUAL(
+		mmx_membership_reports(m, fleet->instances[1].record.id), 1);
+	CU_ASSERT_EQUAL(mmx_membership_count(m, MMX_MEMBER_DEAD), 0);
+	fleet_destroy_(fleet);
+}
+
+/* Guards against a table that grows with every node that ever was, and
+ * against dead members that are forgotten while they may come back. */
+static void test_memory_(void)
+{
+	fleet_t *fleet = fleet_create_(5, 1, 2, 8);
+	const mmx_membership_t *m;
+
+	start_all_(fleet);
+	fleet_run_(fleet, 10 * MMX_US_PER_S);
+	fleet_stop_(&fleet->instances[4]);
+	m = fleet->instances[0].membership;
+	fleet_run_(fleet, 20 * MMX_US_PER_S);
+	/* The jump counts as a pause of every process. */
+	mmx_clock_advance(fleet->clock, 23 * 3600 * MMX_US_PER_S);
+	fleet_run_(fleet, 70 * MMX_US_PER_S);
+	CU_ASSERT_EQUAL(mmx_membership_count(m, MMX_MEMBER_DEAD), 1);
+	CU_ASSERT_EQUAL(mmx_directory_count(fleet->instances[0].directory), 10);
+	mmx_clock_advance(fleet->clock, 3600 * MMX_US_PER_S);
+	fleet_run_(fleet, 70 * MMX_US_PER_S);
+	CU_ASSERT_EQUAL(mmx_membership_count(m, MMX_MEMBER_DEAD), 0);
+	CU_ASSERT_EQUAL(mmx_directory_count(fleet->instances[0].directory), 8);
+	fleet_destroy_(fleet);
+}
+
 CU_TestInfo mmx_tests_membership[] = {
 	{"faults of one and many members", test_scenarios_},
+	{"name of a running process", test_name_conflict_},
+	{"replaced while paused", test_replaced_while_paused_},
+	{"stale target of a node", test_withdraw_},
+	{"queries", test_queries_},
+	{"one reporter", test_one_reporter_},
+	{"memory of lost members", test_memory_},
 	CU_TEST_INFO_NULL,
 };
