--- a/src/test_libmasticmux/suites.c
+++ b/src/test_libmasticmux/suites.c
@@ -8,6 +8,8 @@
 	{"error", NULL, NULL, NULL, NULL, mmx_tests_error},
 	{"fold", NULL, NULL, NULL, NULL, mmx_tests_fold},
 	{"history", NULL, NULL, NULL, NULL, mmx_tests_history},
+	{"gossip", NULL, NULL, NULL, NULL, mmx_tests_gossip},
+	{"gossip_codec", NULL, NULL, NULL, NULL, mmx_tests_gossip_codec},
 	{"membership", NULL, NULL, NULL, NULL, mmx_tests_membership},
 	{"peer", NULL, NULL, NULL, NULL, mmx_tests_peer},
 	{"snapshot", NULL, NULL, NULL, NULL, mmx_tests_snapshot},
--- a/src/test_libmasticmux/suites.h
+++ b/src/test_libmasticmux/suites.h
@@ -11,6 +11,8 @@
 extern CU_TestInfo mmx_tests_error[];
 extern CU_TestInfo mmx_tests_fold[];
 extern CU_TestInfo mmx_tests_history[];
+extern CU_TestInfo mmx_tests_gossip[];
+extern CU_TestInfo mmx_tests_gossip_codec[];
 extern CU_TestInfo mmx_tests_membership[];
 extern CU_TestInfo mmx_tests_peer[];
 extern CU_TestInfo mmx_tests_snapshot[];
