--- a/src/libmasticmux/config.c
+++ b/src/libmasticmux/config.c
@@ -517,6 +517,8 @@
 
 void mmx_config_destroy(mmx_config_t *config)
 {
+	size_t i;
+
 	if (!config)
 		return;
 	mmx_timer_cancel(&config->tick);
@@ -524,6 +526,8 @@
 	mmx_fold_destroy(config->fold);
 	mmx_fold_destroy(config->load_fold);
 	mmx_snapshot_reader_destroy(config->load_reader);
+	for (i = 0; i < MMX_CONFIG_SCANS; i++)
+		mmx_snapshot_reader_destroy(config->scan_readers[i]);
 	mmx_snapshot_destroy(config->served);
 	mmx_snapshot_destroy(config->writing);
 	g_free(config->pull_answer);
--- a/src/libmasticmux/config_load.c
+++ b/src/libmasticmux/config_load.c
@@ -49,6 +49,12 @@
 
 static void clear_load_(mmx_config_t *config)
 {
+	size_t i;
+
+	for (i = 0; i < MMX_CONFIG_SCANS; i++) {
+		mmx_snapshot_reader_destroy(config->scan_readers[i]);
+		config->scan_readers[i] = NULL;
+	}
 	mmx_snapshot_reader_destroy(config->load_reader);
 	config->load_reader = mmx_snapshot_reader_create();
 	mmx_fold_destroy(config->load_fold);
@@ -198,23 +204,61 @@
 		   SCAN_RECORDS);
 }
 
+/* Snapshots of several writers may be interleaved and any of them may be
+ * unfinished, so that a scan collects the newest few side by side. */
+static mmx_snapshot_reader_t *scan_reader_(mmx_config_t *config,
+					   uint64_t applied)
+{
+	mmx_snapshot_reader_t **oldest = &config->scan_readers[0];
+	size_t i;
+
+	for (i = 0; i < MMX_CONFIG_SCANS; i++) {
+		mmx_snapshot_reader_t **reader = &config->scan_readers[i];
+
+		if (!*reader)
+			*reader = mmx_snapshot_reader_create();
+		if (mmx_snapshot_reader_applied(*reader) == applied)
+			return *reader;
+		if (mmx_snapshot_reader_applied(*reader) <
+		    mmx_snapshot_reader_applied(*oldest))
+			oldest = reader;
+	}
+	return *oldest;
+}
+
+static void scan_part_(mmx_config_t *config, const uint8_t *part, size_t length)
+{
+	mmx_snapshot_reader_t *reader;
+	mmx_snapshot_head_t head;
+	mmx_fold_t *fold;
+
+	if (!mmx_snapshot_head(part, length, &head))
+		return;
+	reader = scan_reader_(config, head.applied);
+	if (mmx_snapshot_reader_add(reader, part, length) !=
+	    MMX_SNAPSHOT_COMPLETE)
+		return;
+	fold = mmx_snapshot_reader_load(reader, NULL);
+	if (!fold)
+		config->stats.loads_invalid++;
+	if (fold &&
+	    (!config->load_fold ||
+	     mmx_fold_applied(fold) > mmx_fold_applied(config->load_fold))) {
+		mmx_fold_destroy(config->load_fold);
+		config->load_fold = fold;
+	} else {
+		mmx_fold_destroy(fold);
+	}
+}
+
 static void scan_record_(mmx_config_t *config, const mmx_log_record_t *record)
 {
 	size_t length = 0;
 	uint8_t *part = mmx_config_unwrap_part_(record, &length, NULL);
-	mmx_fold_t *fold;
 
 	config->load_from = record->offset + 1;
-	if (part && mmx_snapshot_reader_add(config->load_reader, part,
-					    length) == MMX_SNAPSHOT_COMPLETE) {
-		fold = mmx_snapshot_reader_load(config->load_reader, NULL);
-		if (fold) {
-			mmx_fold_destroy(config->load_fold);
-			config->load_fold = fold;
-		} else {
-			config->stats.loads_invalid++;
-		}
-	}
+	if (part)
+		scan_part_(config, part, length);
 	g_free(part);
 }
 
--- a/src/libmasticmux/include/private/config_state.h
+++ b/src/libmasticmux/include/private/config_state.h
@@ -9,6 +9,8 @@
 
 #define MMX_CONFIG_REGIONS_MAX 64
 #define MMX_CONFIG_AHEAD_MAX 8
+/** Snapshots that a scan of the log collects side by side. */
+#define MMX_CONFIG_SCANS 3
 /** Time before the first use of anything: the past. */
 #define MMX_CONFIG_LONG_AGO (-MMX_TIME_NEVER / 2)
 
@@ -96,6 +98,7 @@
 	mmx_time_t load_not_before;
 	mmx_time_t load_backoff;
 	mmx_snapshot_reader_t *load_reader;
+	mmx_snapshot_reader_t *scan_readers[MMX_CONFIG_SCANS];
 	mmx_fold_t *load_fold; /**< newest complete one of a scan */
 	uint64_t load_from;    /**< next offset of the scan */
 	bool load_rescan;      /**< the scan began at the first offset */
--- a/src/share/fake_fleet.c
+++ b/src/share/fake_fleet.c
@@ -1,16 +1,10 @@
-#include "share/fake_fleet.h"
+#include "share/fake_fleet_state.h"
 
-#include <glib.h>
 #include <string.h>
 #include <xxhash.h>
 
-#include "masticmux/random.h"
-
-#define NEAR_DELAY 500LL
-#define FAR_DELAY (30 * MMX_US_PER_MS)
 #define REORDER_DELAY (200 * MMX_US_PER_MS)
 #define PROBE_INTERVAL MMX_US_PER_S
-#define LOG_TIMEOUT (2 * MMX_US_PER_S)
 /* Bytes of a message beyond its records: IP, RPC header, digest, fields. */
 #define NEWS_BYTES 140
 #define CALL_BYTES 160
@@ -18,79 +12,12 @@
 /* The share of PING and ACK that is due to the configuration. */
 #define PROBE_BYTES 24
 
-typedef struct stream_t {
-	GPtrArray *records; /* of char *, NULL when expired */
-	uint64_t first;
-} stream_t;
-
-typedef struct node_t {
-	fake_fleet_t *fleet;
-	mmx_config_t *config;
-	mmx_node_id_t id;
-	size_t region;
-	uint32_t generation;
-	bool isolated;
-	uint64_t highest;
-	mmx_timer_t probe;
-} node_t;
-
-typedef enum kind_t {
-	NEWS,
-	PULL,
-	PULLED,
-	LOAD,
-	LOADED,
-	LOG_READ,
-	LOG_APPEND,
-	KIND_COUNT
-} kind_t;
-
-/* A message on its way, or a call to the log until its answer. */
-typedef struct message_t {
-	LIST_ENTRY(message_t) entry;
-	mmx_timer_t timer;
-	fake_fleet_t *fleet;
-	kind_t kind;
-	size_t from;
-	size_t to;
-	uint32_t generation; /* of the receiver, for calls to the log */
-	mmx_config_news_t news;
-	uint64_t offset;
-	uint32_t part;
-	mmx_config_stream_t stream;
-	unsigned int max;
-	bool waiting; /* long poll that may end early */
-	mmx_log_result_t result;
-	GBytes *data; /* LOADED; NULL: refused */
-	mmx_log_record_t *records;
-	size_t count;
-} message_t;
-
-struct fake_fleet_t {
-	fake_fleet_options_t options;
-	mmx_clock_t *clock;
-	mmx_random_t random;
-	node_t *nodes;
-	size_t count;
-	GHashTable *index; /* node id -> node_t */
-	LIST_HEAD(, message_t) messages;
-	stream_t streams[MMX_CONFIG_STREAM_COUNT];
-	bool log_down[FAKE_FLEET_REGIONS_MAX];
-	bool blocked[FAKE_FLEET_REGIONS_MAX][FAKE_FLEET_REGIONS_MAX];
-	unsigned int lost_answers;
-	size_t reverts;
-	uint64_t bytes;
-	uint64_t appends;
-	uint64_t reads;
-	uint64_t read_bytes;
-};
-
 static bool chance_(fake_fleet_t *fleet, unsigned int percent)
 {
 	return percent && mmx_random_below(&fleet->random, 100) < percent;
 }
 
-static void free_message_(message_t *message)
+static void free_message_(fake_message_t *message)
 {
 	size_t i;
 
@@ -106,10 +33,10 @@
 
 static void on_message_(void *arg);
 
-static message_t *new_message_(fake_fleet_t *fleet, kind_t kind, size_t from,
-			       size_t to)
+fake_message_t *fake_fleet_message(fake_fleet_t *fleet, fake_kind_t kind,
+				   size_t from, size_t to)
 {
-	message_t *message = g_new0(message_t, 1);
+	fake_message_t *message = g_new0(fake_message_t, 1);
 
 	message->fleet = fleet;
 	message->kind = kind;
@@ -120,8 +47,8 @@
 	return message;
 }
 
-static bool reaches_(const fake_fleet_t *fleet, const node_t *from,
-		     const node_t *to)
+static bool reaches_(const fake_fleet_t *fleet, const fake_node_t *from,
+		     const fake_node_t *to)
 {
 	return !from->isolated && !to->isolated &&
 	       !fleet->blocked[from->region][to->region];
@@ -140,11 +67,11 @@
 
 /* Sends or loses a message. Only NEWS may be doubled: the others are calls
  * and answers on a connection. */
-static void send_(message_t *message, size_t bytes)
+static void send_(fake_message_t *message, size_t bytes)
 {
 	fake_fleet_t *fleet = message->fleet;
-	const node_t *from = &fleet->nodes[message->from];
-	const node_t *to = &fleet->nodes[message->to];
+	const fake_node_t *from = &fleet->nodes[message->from];
+	const fake_node_t *to = &fleet->nodes[message->to];
 
 	fleet->bytes += bytes;
 	if (!reaches_(fleet, from, to) ||
@@ -154,8 +81,8 @@
 	}
 	if (message->kind == NEWS &&
 	    chance_(fleet, fleet->options.duplicate_percent)) {
-		message_t *twin =
-			new_message_(fleet, NEWS, message->from, message->to);
+		fake_message_t *twin = fake_fleet_message(
+			fleet, NEWS, message->from, message->to);
 
 		twin->news = message->news;
 		mmx_timer_set(&twin->timer,
@@ -167,12 +94,12 @@
 
 static size_t find_(const fake_fleet_t *fleet, mmx_node_id_t id)
 {
-	const node_t *node = g_hash_table_lookup(fleet->index, &id);
+	const fake_node_t *node = g_hash_table_lookup(fleet->index, &id);
 
 	return (size_t)(node - fleet->nodes);
 }
 
-static size_t index_(const node_t *node)
+size_t fake_fleet_index(const fake_node_t *node)
 {
 	return (size_t)(node - node->fleet->nodes);
 }
@@ -180,9 +107,10 @@
 static void send_news_(void *arg, mmx_node_id_t peer,
 		       const mmx_config_news_t *news)
 {
-	node_t *node = arg;
-	message_t *message = new_message_(node->fleet, NEWS, index_(node),
-					  find_(node->fleet, peer));
+	fake_node_t *node = arg;
+	fake_message_t *message =
+		fake_fleet_message(node->fleet, NEWS, fake_fleet_index(node),
+				   find_(node->fleet, peer));
 
 	message->news = *news;
 	send_(message, NEWS_BYTES);
@@ -190,9 +118,10 @@
 
 static void send_pull_(void *arg, mmx_node_id_t peer, uint64_t after)
 {
-	node_t *node = arg;
-	message_t *message = new_message_(node->fleet, PULL, index_(node),
-					  find_(node->fleet, peer));
+	fake_node_t *node = arg;
+	fake_message_t *message =
+		fake_fleet_message(node->fleet, PULL, fake_fleet_index(node),
+				   find_(node->fleet, peer));
 
 	message->offset = after;
 	send_(message, CALL_BYTES);
@@ -201,9 +130,10 @@
 static void send_load_(void *arg, mmx_node_id_t peer, uint64_t applied,
 		       uint32_t part)
 {
-	node_t *node = arg;
-	message_t *message = new_message_(node->fleet, LOAD, index_(node),
-					  find_(node->fleet, peer));
+	fake_node_t *node = arg;
+	fake_message_t *message =
+		fake_fleet_message(node->fleet, LOAD, fake_fleet_index(node),
+				   find_(node->fleet, peer));
 
 	message->offset = applied;
 	message->part = part;
@@ -216,8 +146,8 @@
 	send_load_,
 };
 
-static void copy_records_(message_t *message, const mmx_log_record_t *records,
-			  size_t count)
+static void copy_records_(fake_message_t *message,
+			  const mmx_log_record_t *records, size_t count)
 {
 	size_t i;
 
@@ -230,10 +160,11 @@
 	}
 }
 
-static void answer_pull_(const message_t *call)
+static void answer_pull_(const fake_message_t *call)
 {
 	fake_fleet_t *fleet = call->fleet;
-	message_t *answer = new_message_(fleet, PULLED, call->to, call->from);
+	fake_message_t *answer =
+		fake_fleet_message(fleet, PULLED, call->to, call->from);
 	mmx_config_records_t records;
 	size_t bytes = CALL_BYTES;
 	size_t i;
@@ -251,10 +182,11 @@
 	send_(answer, bytes);
 }
 
-static void answer_load_(const message_t *call)
+static void answer_load_(const fake_message_t *call)
 {
 	fake_fleet_t *fleet = call->fleet;
-	message_t *answer = new_message_(fleet, LOADED, call->to, call->from);
+	fake_message_t *answer =
+		fake_fleet_message(fleet, LOADED, call->to, call->from);
 	size_t length = 0;
 	const uint8_t *part =
 		mmx_config_serve_load(fleet->nodes[call->to].config,
@@ -265,7 +197,7 @@
 	send_(answer, CALL_BYTES + length);
 }
 
-static void take_pulled_(const message_t *message, mmx_node_id_t peer)
+static void take_pulled_(const fake_message_t *message, mmx_node_id_t peer)
 {
 	mmx_config_records_t records = {
 		.news = message->news,
@@ -278,7 +210,7 @@
 			     &records);
 }
 
-static void take_loaded_(const message_t *message, mmx_node_id_t peer)
+static void take_loaded_(const fake_message_t *message, mmx_node_id_t peer)
 {
 	gsize length = 0;
 	const uint8_t *part =
@@ -288,39 +220,10 @@
 			     part, length);
 }
 
-static uint64_t next_(const stream_t *stream)
-{
-	return stream->records->len;
-}
-
-static void answer_read_(const message_t *call)
-{
-	fake_fleet_t *fleet = call->fleet;
-	const stream_t *stream = &fleet->streams[call->stream];
-	mmx_log_records_t records = {.first = stream->first,
-				     .next = next_(stream)};
-	mmx_log_record_t *list = g_new0(mmx_log_record_t, call->max);
-	uint64_t offset = MAX(call->offset, stream->first);
-
-	for (; offset < records.next && records.count < call->max; offset++) {
-		mmx_log_record_t *record = &list[records.count++];
-
-		record->offset = offset;
-		record->data = stream->records->pdata[offset];
-		record->length = strlen(record->data);
-		fleet->read_bytes += record->length;
-	}
-	records.records = list;
-	mmx_config_on_read(fleet->nodes[call->to].config, call->stream,
-			   call->result,
-			   call->result == MMX_LOG_OK ? &records : NULL);
-	g_free(list);
-}
-
-static void take_(const message_t *message)
+static void take_(const fake_message_t *message)
 {
 	fake_fleet_t *fleet = message->fleet;
-	node_t *to = &fleet->nodes[message->to];
+	fake_node_t *to = &fleet->nodes[message->to];
 	mmx_node_id_t peer = fleet->nodes[message->from].id;
 
 	switch (message->kind) {
@@ -341,7 +244,7 @@
 		break;
 	case LOG_READ:
 		if (message->generation == to->generation)
-			answer_read_(message);
+			fake_fleet_log_answer(message);
 		break;
 	default:
 		if (message->generation == to->generation)
@@ -352,9 +255,9 @@
 
 static void on_message_(void *arg)
 {
-	message_t *message = arg;
+	fake_message_t *message = arg;
 	fake_fleet_t *fleet = message->fleet;
-	node_t *to = &fleet->nodes[message->to];
+	fake_node_t *to = &fleet->nodes[message->to];
 
 	if (message->kind < LOG_READ &&
 	    !reaches_(fleet, &fleet->nodes[message->from], to)) {
@@ -365,108 +268,26 @@
 	free_message_(message);
 }
 
-static bool reaches_log_(const node_t *node)
-{
-	return !node->isolated && !node->fleet->log_down[node->region];
-}
-
-static mmx_time_t log_delay_(const node_t *node)
-{
-	return 2 * (node->region == 0 ? NEAR_DELAY : FAR_DELAY);
-}
-
-/* The log is in region 0. A read that has to wait ends at the append. */
-static void read_(void *arg, mmx_config_stream_t stream, uint64_t from,
-		  unsigned int max, mmx_time_t wait)
-{
-	node_t *node = arg;
-	fake_fleet_t *fleet = node->fleet;
-	message_t *call =
-		new_message_(fleet, LOG_READ, index_(node), index_(node));
-
-	fleet->reads++;
-	call->generation = node->generation;
-	call->stream = stream;
-	call->offset = from;
-	call->max = max;
-	if (!reaches_log_(node)) {
-		call->result = MMX_LOG_UNKNOWN;
-		mmx_timer_set(&call->timer, LOG_TIMEOUT);
-		return;
-	}
-	call->waiting = wait > 0 && from >= next_(&fleet->streams[stream]);
-	mmx_timer_set(&call->timer,
-		      log_delay_(node) + (call->waiting ? wait : 0));
-}
-
-/* Ends the long polls that a new record answers, and fails those of nodes
- * that cannot reach the log any more when they time out. */
-static void wake_(fake_fleet_t *fleet, mmx_config_stream_t stream)
-{
-	message_t *call;
-
-	LIST_FOREACH (call, &fleet->messages, entry) {
-		const node_t *node = &fleet->nodes[call->to];
-
-		if (call->kind != LOG_READ || !call->waiting ||
-		    call->stream != stream || !reaches_log_(node))
-			continue;
-		call->waiting = false;
-		mmx_timer_set(&call->timer, log_delay_(node));
-	}
-}
-
-static uint64_t append_record_(fake_fleet_t *fleet, mmx_config_stream_t stream,
-			       char *record)
-{
-	g_ptr_array_add(fleet->streams[stream].records, record);
-	wake_(fleet, stream);
-	return next_(&fleet->streams[stream]) - 1;
-}
-
-static void append_(void *arg, const char *data, size_t length)
-{
-	node_t *node = arg;
-	fake_fleet_t *fleet = node->fleet;
-	message_t *call =
-		new_message_(fleet, LOG_APPEND, index_(node), index_(node));
-
-	fleet->appends++;
-	call->generation = node->generation;
-	call->result = MMX_LOG_UNKNOWN;
-	if (!reaches_log_(node)) {
-		mmx_timer_set(&call->timer, LOG_TIMEOUT);
-		return;
-	}
-	append_record_(fleet, MMX_CONFIG_SNAPSHOTS, g_strndup(data, length));
-	if (fleet->lost_answers > 0) {
-		fleet->lost_answers--;
-		mmx_timer_set(&call->timer, LOG_TIMEOUT);
-		return;
-	}
-	call->result = MMX_LOG_OK;
-	mmx_timer_set(&call->timer, log_delay_(node));
-}
-
 static void on_applied_(void *arg, const mmx_fold_result_t *result)
 {
-	node_t *node = arg;
+	fake_node_t *node = arg;
 
 	if (result->offset <= node->highest)
 		node->fleet->reverts++;
 	node->highest = result->offset;
 }
 
-static const mmx_config_log_ops_t log_ = {read_, append_, on_applied_};
+static const mmx_config_log_ops_t log_ = {fake_fleet_log_read,
+					  fake_fleet_log_append, on_applied_};
 
 static void on_probe_(void *arg)
 {
-	node_t *node = arg;
+	fake_node_t *node = arg;
 	fake_fleet_t *fleet = node->fleet;
 	uint64_t applied = mmx_fold_applied(mmx_config_fold(node->config));
-	node_t *peer =
+	fake_node_t *peer =
 		&fleet->nodes[mmx_random_below(&fleet->random, fleet->count)];
-	message_t *message;
+	fake_message_t *message;
 	mmx_config_news_t news;
 
 	mmx_timer_set(&node->probe, PROBE_INTERVAL);
@@ -476,13 +297,17 @@
 	if (peer == node)
 		return;
 	if (mmx_config_news(node->config, &news)) {
-		message = new_message_(fleet, NEWS, index_(node), index_(peer));
+		message =
+			fake_fleet_message(fleet, NEWS, fake_fleet_index(node),
+					   fake_fleet_index(peer));
 		message->news = news;
 		send_(message, PROBE_BYTES);
 	}
 	if (reaches_(fleet, node, peer) &&
 	    mmx_config_news(peer->config, &news)) {
-		message = new_message_(fleet, NEWS, index_(peer), index_(node));
+		message =
+			fake_fleet_message(fleet, NEWS, fake_fleet_index(peer),
+					   fake_fleet_index(node));
 		message->news = news;
 		send_(message, PROBE_BYTES);
 	}
@@ -493,7 +318,7 @@
 	return XXH64(&region, sizeof(region), 1);
 }
 
-static void start_node_(node_t *node)
+static void start_node_(fake_node_t *node)
 {
 	fake_fleet_t *fleet = node->fleet;
 	mmx_config_options_t options = {
@@ -525,15 +350,16 @@
 	LIST_INIT(&fleet->messages);
 	for (i = 0; i < MMX_CONFIG_STREAM_COUNT; i++) {
 		fleet->streams[i].records =
-			g_ptr_array_new_with_free_func(g_free);
+			g_array_new(FALSE, FALSE, sizeof(fake_record_t));
 		/* Offset 0 is never applied. */
-		append_record_(fleet, (mmx_config_stream_t)i, g_strdup("{}"));
+		fake_fleet_append_to(fleet, (mmx_config_stream_t)i,
+				     g_strdup("{}"));
 	}
 	fleet->count = options->regions * options->nodes_per_region;
-	fleet->nodes = g_new0(node_t, fleet->count);
+	fleet->nodes = g_new0(fake_node_t, fleet->count);
 	fleet->index = g_hash_table_new(g_int64_hash, g_int64_equal);
 	for (i = 0; i < fleet->count; i++) {
-		node_t *node = &fleet->nodes[i];
+		fake_node_t *node = &fleet->nodes[i];
 
 		node->fleet = fleet;
 		node->id = XXH64(&i, sizeof(i), 0);
@@ -550,7 +376,7 @@
 
 void fake_fleet_destroy(fake_fleet_t *fleet)
 {
-	message_t *message;
+	fake_message_t *message;
 	size_t i;
 
 	while ((message = LIST_FIRST(&fleet->messages)))
@@ -559,8 +385,11 @@
 		mmx_timer_cancel(&fleet->nodes[i].probe);
 		mmx_config_destroy(fleet->nodes[i].config);
 	}
-	for (i = 0; i < MMX_CONFIG_STREAM_COUNT; i++)
-		g_ptr_array_free(fleet->streams[i].records, TRUE);
+	for (i = 0; i < MMX_CONFIG_STREAM_COUNT; i++) {
+		fake_fleet_expire(fleet, (mmx_config_stream_t)i,
+				  fleet->streams[i].records->len);
+		g_array_free(fleet->streams[i].records, TRUE);
+	}
 	g_hash_table_destroy(fleet->index);
 	g_free(fleet->nodes);
 	mmx_clock_destroy(fleet->clock);
@@ -587,44 +416,6 @@
 	return fleet->nodes[node].config;
 }
 
-uint64_t fake_fleet_append(fake_fleet_t *fleet, char *record)
-{
-	return append_record_(fleet, MMX_CONFIG_RECORDS, record);
-}
-
-void fake_fleet_expire(fake_fleet_t *fleet, mmx_config_stream_t stream,
-		       uint64_t first)
-{
-	stream_t *expired = &fleet->streams[stream];
-
-	for (; expired->first < first; expired->first++) {
-		g_free(expired->records->pdata[expired->first]);
-		expired->records->pdata[expired->first] = NULL;
-	}
-}
-
-uint64_t fake_fleet_next(const fake_fleet_t *fleet, mmx_config_stream_t stream)
-{
-	return next_(&fleet->streams[stream]);
-}
-
-void fake_fleet_lose_answers(fake_fleet_t *fleet, unsigned int appends)
-{
-	fleet->lost_answers = appends;
-}
-
-void fake_fleet_set_log(fake_fleet_t *fleet, size_t region, bool reachable)
-{
-	message_t *call;
-
-	fleet->log_down[region] = !reachable;
-	/* Open long polls of the region get no answer. */
-	LIST_FOREACH (call, &fleet->messages, entry)
-		if (!reachable && call->kind == LOG_READ &&
-		    fleet->nodes[call->to].region == region)
-			call->result = MMX_LOG_UNKNOWN;
-}
-
 void fake_fleet_block(fake_fleet_t *fleet, size_t from, size_t to, bool blocked)
 {
 	fleet->blocked[from][to] = blocked;
@@ -637,11 +428,11 @@
 	size_t j;
 
 	for (i = 0; i < fleet->count; i++) {
-		const node_t *node = &fleet->nodes[i];
+		const fake_node_t *node = &fleet->nodes[i];
 		size_t count = 0;
 
 		for (j = 0; j < fleet->count; j++) {
-			const node_t *other = &fleet->nodes[j];
+			const fake_node_t *other = &fleet->nodes[j];
 
 			if (j != i && (!reaches_(fleet, node, other) ||
 				       !reaches_(fleet, other, node)))
@@ -656,7 +447,7 @@
 
 void fake_fleet_isolate(fake_fleet_t *fleet, size_t node, bool isolated)
 {
-	message_t *call;
+	fake_message_t *call;
 
 	fleet->nodes[node].isolated = isolated;
 	LIST_FOREACH (call, &fleet->messages, entry)
@@ -666,7 +457,7 @@
 
 void fake_fleet_restart(fake_fleet_t *fleet, size_t node)
 {
-	node_t *restarted = &fleet->nodes[node];
+	fake_node_t *restarted = &fleet->nodes[node];
 
 	mmx_timer_cancel(&restarted->probe);
 	mmx_config_destroy(restarted->config);
--- a/src/share/fake_fleet.h
+++ b/src/share/fake_fleet.h
@@ -19,7 +19,7 @@
 	unsigned int loss_percent;
 	unsigned int duplicate_percent;
 	unsigned int reorder_percent;
-	mmx_time_t retention; /**< 0: one hour */
+	mmx_time_t retention; /**< of the log; 0: one hour */
 	uint64_t seed;
 } fake_fleet_options_t;
 
@@ -38,6 +38,10 @@
 /** Appends to the stream `config` and frees the record; returns its offset. */
 uint64_t fake_fleet_append(fake_fleet_t *fleet, char *record);
 
+/** Appends to any stream and frees the record; returns its offset. */
+uint64_t fake_fleet_append_to(fake_fleet_t *fleet, mmx_config_stream_t stream,
+			      char *record);
+
 /** Drops the oldest records of a stream up to an offset. */
 void fake_fleet_expire(fake_fleet_t *fleet, mmx_config_stream_t stream,
 		       uint64_t first);
--- a/src/test_libmasticmux/config_support.c
+++ b/src/test_libmasticmux/config_support.c
@@ -25,6 +25,19 @@
 	return finish_(change, id);
 }
 
+char *test_accounts_record(const char *id, const char *name, int count)
+{
+	mmx_change_t *change = mmx_change_create();
+	char full[MMX_NAME_MAX + 1];
+	int i;
+
+	for (i = 0; i < count; i++) {
+		g_snprintf(full, sizeof(full), "%s-%d", name, i);
+		mmx_change_add_account(change, full);
+	}
+	return finish_(change, id);
+}
+
 char *test_template_record(const char *id, const char *name, uint64_t base)
 {
 	mmx_change_t *change = mmx_change_create();
--- a/src/test_libmasticmux/config_support.h
+++ b/src/test_libmasticmux/config_support.h
@@ -8,6 +8,9 @@
 char *test_account_record(const char *id, const char *name, uint64_t base,
 			  uint8_t floor_percent);
 
+/* A change with accounts NAME-0, NAME-1 and so on. */
+char *test_accounts_record(const char *id, const char *name, int count);
+
 /* A change with one template. */
 char *test_template_record(const char *id, const char *name, uint64_t base);
 
--- a/src/test_libmasticmux/test_config.c
+++ b/src/test_libmasticmux/test_config.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "config_support.h"
+#include "private/config_state.h"
 #include "share/fake_fleet.h"
 
 #define SECOND MMX_US_PER_S
@@ -360,6 +361,171 @@
 	check_healed_(fleet, 21);
 }
 
+static const fake_fleet_options_t small_ = {
+	.regions = 1,
+	.nodes_per_region = 4,
+	.retention = 600 * SECOND,
+	.seed = 2,
+};
+
+static uint64_t count_snapshots_(const fake_fleet_t *fleet)
+{
+	uint64_t written = 0;
+	size_t i;
+
+	for (i = 0; i < fake_fleet_count(fleet); i++)
+		written += mmx_config_stats(fake_fleet_config(fleet, i))
+				   ->snapshots_written;
+	return written;
+}
+
+static void restart_all_(fake_fleet_t *fleet)
+{
+	size_t i;
+
+	for (i = 0; i < fake_fleet_count(fleet); i++)
+		fake_fleet_restart(fleet, i);
+}
+
+/* Guards against a configuration that expires with the log when nobody
+ * publishes, against a snapshot by each reader, and a fleet that does not
+ * start from snapshot and tail after all instances were replaced. */
+static void test_restart_(void)
+{
+	fake_fleet_t *fleet = started_(&small_);
+	uint64_t offset;
+	uint64_t written;
+
+	fake_fleet_append(fleet, test_accounts_record("a", "a", 2100));
+	fake_fleet_append(fleet, test_accounts_record("b", "b", 2100));
+	fake_fleet_run(fleet, 3600 * SECOND);
+	written = count_snapshots_(fleet);
+	CU_ASSERT_TRUE(written >= 3600 / 600 * 3 - 1);
+	CU_ASSERT_TRUE(written <= 3600 / 600 * 3 + 3);
+	offset = add_account_(fleet, "tail");
+	fake_fleet_run(fleet, 10 * SECOND);
+	restart_all_(fleet);
+	CU_ASSERT_EQUAL(fake_fleet_in_force(fleet, 0), 0);
+	check_healed_(fleet, offset);
+}
+
+/* Guards against a snapshot that is not written although the log holds more
+ * records than a new node should read, and against a node that fell behind
+ * the records kept by peers and log and stays there. */
+static void test_many_records_(void)
+{
+	fake_fleet_t *fleet = started_(&small_);
+	uint64_t offset = 0;
+	char name[32];
+	int i;
+
+	fake_fleet_run(fleet, 20 * SECOND);
+	CU_ASSERT_EQUAL(count_snapshots_(fleet), 1);
+	fake_fleet_isolate(fleet, 0, true);
+	for (i = 0; i < MMX_CONFIG_SNAPSHOT_RECORDS + 10; i++) {
+		g_snprintf(name, sizeof(name), "account-%d", i);
+		offset = add_account_(fleet, name);
+	}
+	fake_fleet_run(fleet, 30 * SECOND);
+	CU_ASSERT_EQUAL(count_snapshots_(fleet), 2);
+	fake_fleet_expire(fleet, MMX_CONFIG_RECORDS, offset - 5);
+	fake_fleet_isolate(fleet, 0, false);
+	check_healed_(fleet, offset);
+}
+
+typedef struct writers_case_t {
+	const char *name;
+	const char *order; /* writer A or B and its part; x: something else */
+} writers_case_t;
+
+static void append_part_(fake_fleet_t *fleet, const mmx_snapshot_t *snapshot,
+			 uint32_t part)
+{
+	size_t length;
+	size_t size;
+	const uint8_t *data = mmx_snapshot_part(snapshot, part, &length);
+
+	fake_fleet_append_to(fleet, MMX_CONFIG_SNAPSHOTS,
+			     mmx_config_wrap_part_(data, length, 0, &size));
+}
+
+static void append_order_(fake_fleet_t *fleet, const char *order,
+			  mmx_snapshot_t *const writers[2])
+{
+	const char *c;
+
+	for (c = order; *c; c++) {
+		if (*c == 'x')
+			fake_fleet_append_to(
+				fleet, MMX_CONFIG_SNAPSHOTS,
+				g_strdup("{\"snapshot\":\"eA==\"}"));
+		else if (*c == 'A' || *c == 'B')
+			append_part_(fleet, writers[*c - 'A'],
+				     (uint32_t)(c[1] - '0'));
+	}
+}
+
+/* Guards against two writers, an unfinished snapshot or foreign records that
+ * keep a new fleet from starting or mix two states. Snapshot A is at offset 3,
+ * B at 4; the records up to 3 have expired. */
+static void test_writers_(void)
+{
+	static const writers_case_t cases[] = {
+		{"one after the other", "A0 A1 B0 B1"},
+		{"interleaved", "A0 B0 A1 B1"},
+		{"each part twice", "A0 A0 A1 A1"},
+		{"answer of the first part lost", "A0 A0 A1"},
+		{"two writers of the same", "A0 A1 A0 A1"},
+		{"newest unfinished", "A0 A1 B0"},
+		{"older one last", "B0 B1 A0 A1"},
+		{"reversed parts", "A1 A0"},
+		{"foreign records", "x A0 x A1 x"},
+		{"unfinished ones around", "B0 A0 A1 B0"},
+	};
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		fake_fleet_t *fleet = started_(&small_);
+		mmx_snapshot_t *writers[2];
+		mmx_config_t *config = fake_fleet_config(fleet, 0);
+		uint64_t offset;
+
+		fake_fleet_append(fleet, test_accounts_record("a", "a", 2100));
+		fake_fleet_append(fleet, test_accounts_record("b", "b", 2100));
+		fake_fleet_run(fleet, SECOND);
+		writers[0] = mmx_snapshot_create(mmx_config_fold(config));
+		offset = add_account_(fleet, "tail");
+		fake_fleet_run(fleet, SECOND);
+		writers[1] = mmx_snapshot_create(mmx_config_fold(config));
+		CU_ASSERT_EQUAL_FATAL(mmx_snapshot_parts(writers[0]), 2);
+		fake_fleet_expire(fleet, MMX_CONFIG_SNAPSHOTS,
+				  fake_fleet_next(fleet, MMX_CONFIG_SNAPSHOTS));
+		append_order_(fleet, cases[i].order, writers);
+		fake_fleet_expire(fleet, MMX_CONFIG_RECORDS, 4);
+		restart_all_(fleet);
+		check_healed_(fleet, offset);
+		mmx_snapshot_destroy(writers[0]);
+		mmx_snapshot_destroy(writers[1]);
+	}
+}
+
+/* Guards against a writer that stops or doubles a snapshot when answers to
+ * its appends are lost. */
+static void test_lost_answers_(void)
+{
+	fake_fleet_t *fleet = started_(&small_);
+	uint64_t offset;
+
+	fake_fleet_append(fleet, test_accounts_record("a", "a", 2100));
+	offset = fake_fleet_append(fleet, test_accounts_record("b", "b", 2100));
+	fake_fleet_lose_answers(fleet, 3);
+	fake_fleet_run(fleet, 60 * SECOND);
+	CU_ASSERT_EQUAL(count_snapshots_(fleet), 1);
+	fake_fleet_expire(fleet, MMX_CONFIG_RECORDS, offset + 1);
+	restart_all_(fleet);
+	check_healed_(fleet, offset);
+}
+
 CU_TestInfo mmx_tests_config[] = {
 	{"conflict", test_conflict_},
 	{"network faults", test_network_},
@@ -371,5 +537,9 @@
 	{"log outage", test_log_outage_},
 	{"partition of regions", test_partition_},
 	{"link between regions", test_link_},
+	{"restart of all nodes", test_restart_},
+	{"many records", test_many_records_},
+	{"writers of snapshots", test_writers_},
+	{"lost answers", test_lost_answers_},
 	CU_TEST_INFO_NULL,
 };
