--- /dev/null
+++ b/include/masticmux/config_task.h
@@ -0,0 +1,85 @@
+/**
+ * Config task: runs the module config of a node on the runtime, with the log
+ * client below it. Connections to other nodes are not its own: they come as
+ * the table mmx_config_transport_ops_t, and what arrives from them is posted.
+ *
+ * Life: create, start, (post, query), destroy.
+ */
+#ifndef MASTICMUX_CONFIG_TASK_H
+#define MASTICMUX_CONFIG_TASK_H
+
+#include "masticmux/config.h"
+#include "masticmux/counters.h"
+#include "masticmux/log.h"
+#include "masticmux/settings.h"
+#include "masticmux/task.h"
+
+typedef struct mmx_config_task_t mmx_config_task_t;
+
+/**
+ * Receives the answer that goes to a peer.
+ *
+ * @param data  bytes that are valid in the call, or NULL: refused
+ */
+typedef void (*mmx_config_answer_fn_t)(void *arg, const uint8_t *data,
+				       size_t length);
+
+/**
+ * Creates the task of a node.
+ *
+ * @param runtime        with a live clock
+ * @param settings       outlives the task
+ * @param transport      outlives the task; its functions are called from the
+ *                       task and must not post to it before they return
+ * @param transport_arg  first argument of the functions of the table
+ * @param counters       outlives the task; may be NULL
+ * @param log            outlives the task; may be NULL
+ */
+mmx_config_task_t *
+mmx_config_task_create(mmx_runtime_t *runtime, const mmx_settings_t *settings,
+		       const mmx_config_transport_ops_t *transport,
+		       void *transport_arg, mmx_counters_t *counters,
+		       mmx_log_t *log, uint64_t seed);
+void mmx_config_task_destroy(mmx_config_task_t *task);
+
+/** Starts working. Valid once; members may be posted before. */
+void mmx_config_task_start(mmx_config_task_t *task);
+
+/** Node id and region id of a name, as they stand in members. */
+mmx_node_id_t mmx_config_node_id(const char *name);
+uint64_t mmx_config_region_id(const char *name);
+
+/** Posts the alive nodes. The array is copied. */
+void mmx_config_task_post_members(mmx_config_task_t *task,
+				  const mmx_config_member_t *members,
+				  size_t count);
+
+/** Posts news from NEWS, PING or ACK. */
+void mmx_config_task_post_news(mmx_config_task_t *task, mmx_node_id_t peer,
+			       const mmx_config_news_t *news);
+
+/**
+ * Posts the answer to a pull or a load that this node sent.
+ *
+ * @param data  copied; NULL: the call failed
+ */
+void mmx_config_task_post_pulled(mmx_config_task_t *task, mmx_node_id_t peer,
+				 const uint8_t *data, size_t length);
+void mmx_config_task_post_loaded(mmx_config_task_t *task, mmx_node_id_t peer,
+				 const uint8_t *data, size_t length);
+
+/**
+ * Posts a peer's CONFIG_PULL or CONFIG_LOAD.
+ *
+ * @param fn  receives the answer once, unless the task is destroyed before
+ */
+void mmx_config_task_post_pull(mmx_config_task_t *task, uint64_t after,
+			       mmx_config_answer_fn_t fn, void *arg);
+void mmx_config_task_post_load(mmx_config_task_t *task, uint64_t applied,
+			       uint32_t part, mmx_config_answer_fn_t fn,
+			       void *arg);
+
+/** Query: the module, for its const functions. Valid until destroyed. */
+const mmx_config_t *mmx_config_task_config(const mmx_config_task_t *task);
+
+#endif
