--- a/src/libmasticmux/include/private/peer_internal.h
+++ b/src/libmasticmux/include/private/peer_internal.h
@@ -1,7 +1,9 @@
 /*
- * Shared by the files of the peer task: peer.c (task, listener, inbound
- * records), peer_link.c (one connection and its liveness), peer_node.c
- * (the way to one other node) and peer_call.c (generic calls).
+ * Shared by the files of the peer task: peer.c (task and listener),
+ * peer_link.c (one connection and its liveness), peer_node.c (the way to one
+ * other node), peer_entry.c (messages of this node's entry), peer_inbound.c
+ * (records received, messages of this node's exit) and peer_call.c (generic
+ * calls).
  */
 #ifndef MASTICMUX_PRIVATE_PEER_INTERNAL_H
 #define MASTICMUX_PRIVATE_PEER_INTERNAL_H
@@ -55,6 +57,7 @@
 	mmx_peer_node_t *node;
 	uint64_t sent_link;  /* EXECUTE went out here; body parts follow it */
 	uint64_t reply_link; /* the response is expected here */
+	uint32_t xid;	     /* of EXECUTE on sent_link */
 } mmx_peer_attempt_t;
 
 /* An attempt of another entry that this node's exit works on. */
@@ -111,6 +114,7 @@
 	mmx_time_t null_at;
 	mmx_time_t silent_at;
 	mmx_time_t resumed_at; /* end of the last pause of this process */
+	mmx_time_t check_at;   /* when the check is due */
 	mmx_timer_t check;
 	mmx_connection_usage_t counted;
 };
@@ -210,6 +214,16 @@
 			 mmx_message_t *message);
 void mmx_peer_link_reply_status(mmx_peer_link_t *link, uint32_t xid,
 				mmx_rpc_status_t status);
+/* Sends a body in records of at most MMX_WIRE_BODY_MAX bytes. */
+void mmx_peer_link_parts(mmx_peer_link_t *link, mmx_procedure_t procedure,
+			 mmx_body_t *body);
+/*
+ * Takes from a first body part what exceeds one record; NULL when it fits.
+ * The rest then carries the end.
+ */
+mmx_body_t *mmx_peer_body_rest(struct evbuffer *first, bool *end,
+			       const mmx_attempt_id_t *attempt,
+			       mmx_direction_t direction);
 /* Registers a call that expects a reply; returns its xid. */
 uint32_t mmx_peer_link_expect(mmx_peer_link_t *link,
 			      mmx_peer_pending_t *pending);
@@ -222,17 +236,34 @@
 			const mmx_rpc_header_t *header, struct evbuffer *args);
 void mmx_peer_from_exit(mmx_peer_t *peer, mmx_message_t *message);
 
+/* peer_entry.c */
+void mmx_peer_from_entry(mmx_peer_t *peer, mmx_message_t *message);
+/* Sends what has waited for this link and empties the list. */
+void mmx_peer_entry_send(mmx_peer_link_t *link, mmx_message_list_t *list);
+/* Ends what waited for a connection that could not be made. */
+void mmx_peer_entry_fail(mmx_peer_node_t *node, mmx_peer_refusal_t why);
+
 /* peer_node.c */
 mmx_peer_node_t *mmx_peer_node_get(mmx_peer_t *peer,
 				   const mmx_peer_place_t *place);
 void mmx_peer_node_free(mmx_peer_node_t *node);
 bool mmx_peer_node_is_unused(const mmx_peer_node_t *node);
-void mmx_peer_from_entry(mmx_peer_t *peer, mmx_message_t *message);
+void mmx_peer_node_dial(mmx_peer_node_t *node);
+/* A link for new attempts and calls; may be NULL. */
+mmx_peer_link_t *mmx_peer_node_usable(mmx_peer_node_t *node);
+/* False when an attempt cannot wait for a connection, with the reason. */
+bool mmx_peer_node_may_wait(mmx_peer_node_t *node, mmx_peer_refusal_t *why);
+void mmx_peer_node_wait(mmx_peer_node_t *node, mmx_message_t *message);
+/* Empties the list of waiting messages into another one. */
+void mmx_peer_node_take(mmx_peer_node_t *node, mmx_message_list_t *list);
+/* Posts PATH_LOST to the entry. */
+void mmx_peer_node_lose(mmx_peer_node_t *node, mmx_node_id_t exit,
+			bool connect_failed);
 void mmx_peer_node_ready(mmx_peer_link_t *link);
 void mmx_peer_node_silent(mmx_peer_link_t *link);
 void mmx_peer_node_resumed(mmx_peer_link_t *link);
 void mmx_peer_node_closed(mmx_peer_link_t *link, mmx_close_reason_t reason);
-/* The link for a new call, or NULL after queueing or failing it. */
+/* Sends a generic call, queues it for a connection, or fails it. */
 void mmx_peer_node_submit(mmx_peer_node_t *node, mmx_peer_pending_t *pending);
 mmx_peer_attempt_t *mmx_peer_attempt_find(mmx_peer_t *peer,
 					  const mmx_attempt_id_t *id);
--- a/src/libmasticmux/peer_inbound.c
+++ b/src/libmasticmux/peer_inbound.c
@@ -66,6 +66,18 @@
 	return mmx_peer_link_outstanding(link) >= MMX_PEER_SERVED_MAX;
 }
 
+static void refuse_full_(mmx_peer_link_t *link, uint32_t xid,
+			 const mmx_attempt_id_t *attempt)
+{
+	mmx_response_t *response = mmx_new_response(attempt);
+
+	response->reason = MMX_REASON_OVERLOADED;
+	response->body_end = true;
+	mmx_peer_refused(link->peer, MMX_REFUSAL_SERVED);
+	mmx_peer_link_reply(link, xid, &response->message);
+	mmx_message_destroy(&response->message);
+}
+
 static void on_execute_(mmx_peer_link_t *link, uint32_t xid,
 			struct evbuffer *args)
 {
@@ -85,7 +97,7 @@
 		return;
 	}
 	if (is_full_(link)) {
-		refuse_call_(link, xid, MMX_REFUSAL_SERVED);
+		refuse_full_(link, xid, &execute->attempt);
 		mmx_message_destroy(&execute->message);
 		return;
 	}
@@ -303,7 +315,7 @@
 		end_if_(attempt, true);
 		mmx_peer_end_attempt(
 			link->peer, &pending->attempt, remote_node_(link),
-			refused ? MMX_REASON_OVERLOADED : MMX_REASON_PATH_LOST,
+			refused ? MMX_REASON_BAD_REQUEST : MMX_REASON_PATH_LOST,
 			!refused);
 		return;
 	}
@@ -398,16 +410,12 @@
 static void reply_response_(mmx_peer_link_t *link, mmx_peer_served_t *served,
 			    mmx_message_t *message)
 {
-	bool sent;
-
-	if (served->execute_due) {
-		served->execute_due = false;
-		sent = mmx_peer_link_reply(link, served->execute_xid, message);
-	} else {
-		sent = mmx_peer_link_call(link, MMX_PROCEDURE_RESPONSE, 0,
-					  message);
+	if (!served->execute_due) {
+		mmx_peer_link_call(link, MMX_PROCEDURE_RESPONSE, 0, message);
+		return;
 	}
-	(void)sent;
+	served->execute_due = false;
+	mmx_peer_link_reply(link, served->execute_xid, message);
 }
 
 /* A head that exceeds the limits of the wire becomes a refusal. */
@@ -427,28 +435,11 @@
 	evbuffer_drain(response->body, evbuffer_get_length(response->body));
 }
 
-static void push_parts_(mmx_peer_link_t *link, mmx_body_t *body)
-{
-	mmx_body_t *part;
-
-	while (evbuffer_get_length(body->data) > MMX_WIRE_BODY_MAX) {
-		part = mmx_new_body(body->direction);
-		part->attempt = body->attempt;
-		evbuffer_remove_buffer(body->data, part->data,
-				       MMX_WIRE_BODY_MAX);
-		mmx_peer_link_call(link, MMX_PROCEDURE_RESPONSE_BODY, 0,
-				   &part->message);
-		mmx_message_destroy(&part->message);
-	}
-	mmx_peer_link_call(link, MMX_PROCEDURE_RESPONSE_BODY, 0,
-			   &body->message);
-}
-
 static void from_exit_response_(mmx_peer_link_t *link, mmx_response_t *response)
 {
 	mmx_peer_served_t *served =
 		g_hash_table_lookup(link->served, &response->attempt);
-	mmx_body_t *rest = NULL;
+	mmx_body_t *rest;
 
 	if (!served || !served->execute_open) {
 		mmx_peer_drop(link->peer, MMX_DROP_NOT_SERVED);
@@ -457,18 +448,11 @@
 	limit_head_(link->peer, response);
 	served->execute_open =
 		response->reason == MMX_REASON_NONE && !response->body_end;
-	if (evbuffer_get_length(response->body) > MMX_WIRE_BODY_MAX) {
-		rest = mmx_new_body(MMX_TO_CALLER);
-		rest->attempt = response->attempt;
-		rest->end = response->body_end;
-		response->body_end = false;
-		evbuffer_add_buffer(rest->data, response->body);
-		evbuffer_remove_buffer(rest->data, response->body,
-				       MMX_WIRE_BODY_MAX);
-	}
+	rest = mmx_peer_body_rest(response->body, &response->body_end,
+				  &response->attempt, MMX_TO_CALLER);
 	reply_response_(link, served, &response->message);
 	if (rest) {
-		push_parts_(link, rest);
+		mmx_peer_link_parts(link, MMX_PROCEDURE_RESPONSE_BODY, rest);
 		mmx_message_destroy(&rest->message);
 	}
 	finish_served_(link, served);
@@ -483,13 +467,35 @@
 		mmx_peer_drop(link->peer, MMX_DROP_NOT_SERVED);
 		return;
 	}
-	push_parts_(link, body);
+	mmx_peer_link_parts(link, MMX_PROCEDURE_RESPONSE_BODY, body);
 	if (body->end || body->failed) {
 		served->execute_open = false;
 		finish_served_(link, served);
 	}
 }
 
+/*
+ * After a fence the earlier connection of that entry gets nothing more for the
+ * attempt; without this it would count as outstanding there for ever.
+ */
+static void close_elsewhere_(mmx_peer_link_t *link, const mmx_attempt_id_t *id)
+{
+	mmx_peer_served_t *served;
+	mmx_peer_link_t *other;
+
+	LIST_FOREACH (other, &link->peer->all, entry) {
+		if (other == link || other->node || !other->ready ||
+		    remote_node_(other) != remote_node_(link))
+			continue;
+		served = g_hash_table_lookup(other->served, id);
+		if (!served)
+			continue;
+		served->execute_open = false;
+		served->execute_due = false;
+		finish_served_(other, served);
+	}
+}
+
 static void from_exit_fence_reply_(mmx_peer_link_t *link,
 				   mmx_fence_reply_t *reply)
 {
@@ -509,6 +515,7 @@
 		mmx_peer_link_reply_status(link, served->fence_xid,
 					   MMX_RPC_SYSTEM_ERROR);
 	}
+	close_elsewhere_(link, &reply->attempt);
 	finish_served_(link, served);
 }
 
--- a/src/libmasticmux/peer_link.c
+++ b/src/libmasticmux/peer_link.c
@@ -6,7 +6,7 @@
 
 /* A check that fires this much late means that the process was paused; what
  * arrived meanwhile has not been read yet. Microseconds. */
-#define PAUSE_MIN (250 * MMX_US_PER_MS)
+#define PAUSE_MIN (150 * MMX_US_PER_MS)
 /* An accepted connection has to greet in this time, microseconds. */
 #define GREETING_TIMEOUT (2 * MMX_US_PER_S)
 /* The rest of a record has to come in this time, microseconds. */
@@ -117,7 +117,9 @@
 	} else if (mmx_connection_is_mid_record(link->connection)) {
 		left = start + RECORD_TIMEOUT - now;
 		reason = MMX_CLOSE_STALLED;
-	} else if (mmx_peer_link_outstanding(link) > 0) {
+	} else if (g_hash_table_size(link->served) > 0) {
+		/* Generic calls do not count: a caller that has given up one
+		 * of them no longer checks the connection. */
 		left = silence_start_(link) + MMX_PEER_ORIGIN_TIMEOUT - now;
 		reason = MMX_CLOSE_SILENT;
 	} else {
@@ -135,21 +137,26 @@
 	mmx_time_t now = mmx_clock_now(link->peer->clock);
 	mmx_time_t left;
 
-	if (now - link->check.due > PAUSE_MIN)
+	if (now - link->check_at > PAUSE_MIN)
 		link->resumed_at = now;
 	collect_usage_(link);
 	left = link->node ? check_outgoing_(link, now)
 			  : check_accepted_(link, now);
-	if (!mmx_connection_is_closed(link->connection))
-		mmx_timer_set(&link->check, MAX(left, MMX_US_PER_MS));
+	if (mmx_connection_is_closed(link->connection))
+		return;
+	left = MAX(left, MMX_US_PER_MS);
+	link->check_at = now + left;
+	mmx_timer_set(&link->check, left);
 }
 
 static void check_within_(mmx_peer_link_t *link, mmx_time_t delay)
 {
 	mmx_time_t due = mmx_clock_now(link->peer->clock) + delay;
 
-	if (!mmx_timer_is_set(&link->check) || link->check.due > due)
-		mmx_timer_set(&link->check, delay);
+	if (mmx_timer_is_set(&link->check) && link->check_at <= due)
+		return;
+	link->check_at = due;
+	mmx_timer_set(&link->check, delay);
 }
 
 size_t mmx_peer_link_outstanding(const mmx_peer_link_t *link)
@@ -179,10 +186,38 @@
 				       : MMX_PEER_ORIGIN_TIMEOUT);
 }
 
+/*
+ * True when a later process of the same name is connected: two processes must
+ * not act under one identity, and the later one is the one that is meant.
+ */
+static bool has_successor_(const mmx_peer_link_t *link)
+{
+	const mmx_hello_t *remote = mmx_connection_remote(link->connection);
+	const mmx_hello_t *other_remote;
+	const mmx_peer_link_t *other;
+
+	LIST_FOREACH (other, &link->peer->all, entry) {
+		if (!other->ready)
+			continue;
+		other_remote = mmx_connection_remote(other->connection);
+		if (other_remote->node == remote->node &&
+		    other_remote->incarnation > remote->incarnation)
+			return true;
+	}
+	return false;
+}
+
 static void on_ready_(mmx_connection_t *connection, void *owner)
 {
 	mmx_peer_link_t *link = owner;
 
+	if (has_successor_(link)) {
+		mmx_counter_add(link->peer->counters
+					.session[MMX_SESSION_OLD_INCARNATION],
+				1);
+		mmx_connection_close(connection, MMX_CLOSE_SESSION);
+		return;
+	}
 	link->ready = true;
 	link->used_at = mmx_clock_now(link->peer->clock);
 	if (link->node)
@@ -208,7 +243,7 @@
 	mmx_timer_cancel(&link->check);
 	collect_usage_(link);
 	mmx_counter_add(peer->counters.closed[reason], 1);
-	if (reason == MMX_CLOSE_SESSION)
+	if (reason == MMX_CLOSE_SESSION && result != MMX_SESSION_OK)
 		mmx_counter_add(peer->counters.session[result], 1);
 	g_hash_table_remove(peer->links, &link->id);
 	LIST_REMOVE(link, entry);
@@ -340,6 +375,39 @@
 	return send_message_(link, &header, message);
 }
 
+void mmx_peer_link_parts(mmx_peer_link_t *link, mmx_procedure_t procedure,
+			 mmx_body_t *body)
+{
+	mmx_body_t *part;
+
+	while (evbuffer_get_length(body->data) > MMX_WIRE_BODY_MAX) {
+		part = mmx_new_body(body->direction);
+		part->attempt = body->attempt;
+		evbuffer_remove_buffer(body->data, part->data,
+				       MMX_WIRE_BODY_MAX);
+		mmx_peer_link_call(link, procedure, 0, &part->message);
+		mmx_message_destroy(&part->message);
+	}
+	mmx_peer_link_call(link, procedure, 0, &body->message);
+}
+
+mmx_body_t *mmx_peer_body_rest(struct evbuffer *first, bool *end,
+			       const mmx_attempt_id_t *attempt,
+			       mmx_direction_t direction)
+{
+	mmx_body_t *rest;
+
+	if (evbuffer_get_length(first) <= MMX_WIRE_BODY_MAX)
+		return NULL;
+	rest = mmx_new_body(direction);
+	rest->attempt = *attempt;
+	rest->end = *end;
+	*end = false;
+	evbuffer_add_buffer(rest->data, first);
+	evbuffer_remove_buffer(rest->data, first, MMX_WIRE_BODY_MAX);
+	return rest;
+}
+
 bool mmx_peer_link_reply(mmx_peer_link_t *link, uint32_t xid,
 			 mmx_message_t *message)
 {
