Test wire, rpc and session with tables of cases

Flags of RESPONSE and BODY were compared with the largest known flag, so a flag between two known ones was taken; the table of refusals found it.

Flags are compared with a mask. The time limits of the peer become part of its configuration, so that tests can use short ones.

--- a/src/libmasticmux/include/private/peer.h
+++ b/src/libmasticmux/include/private/peer.h
@@ -24,17 +24,25 @@
 #include "private/connection.h"
 #include "private/messages.h"
 
-/* Times of the connections between nodes, microseconds. */
-#define MMX_PEER_CONNECT_TIMEOUT (500 * MMX_US_PER_MS)
-#define MMX_PEER_NULL_INTERVAL (150 * MMX_US_PER_MS)
-#define MMX_PEER_PATH_TIMEOUT (500 * MMX_US_PER_MS)
-/* The receiving side waits longer, so that the entry decides first. */
-#define MMX_PEER_ORIGIN_TIMEOUT (2 * MMX_US_PER_S)
-/* A silent connection is closed after this time without progress. */
-#define MMX_PEER_SILENT_AGE (5 * MMX_US_PER_S)
-#define MMX_PEER_IDLE_TIMEOUT (60 * MMX_US_PER_S)
-#define MMX_PEER_BACKOFF_MIN (100 * MMX_US_PER_MS)
-#define MMX_PEER_BACKOFF_MAX (5 * MMX_US_PER_S)
+/* Time limits of the connections between nodes, microseconds. */
+typedef struct mmx_peer_times_t {
+	mmx_time_t connect;	  /* TCP connect and HELLO, dialing side */
+	mmx_time_t greeting;	  /* HELLO, accepting side */
+	mmx_time_t null_interval; /* between NULL calls while busy */
+	mmx_time_t path;	  /* silence while busy, dialing side */
+	mmx_time_t origin;	  /* the same, accepting side: longer, so that
+				   * the entry decides first */
+	mmx_time_t silent_age;	  /* until a silent connection is closed */
+	mmx_time_t record;	  /* silence in the middle of a record */
+	mmx_time_t idle;
+	mmx_time_t backoff_min; /* after a failed connect; doubles */
+	mmx_time_t backoff_max;
+	mmx_time_t fence_retry; /* longest wait of a fence for a new attempt
+				 * to connect */
+} mmx_peer_times_t;
+
+extern const mmx_peer_times_t mmx_peer_times_default;
+
 /* Connections in each direction; at the design size a node talks to at most
  * 4,200 others, few of them at a time. */
 #define MMX_PEER_CONNECTIONS_MAX 4096
@@ -71,7 +79,8 @@
 	mmx_counters_t *counters;
 	mmx_log_t *log; /* NULL: no lines */
 	mmx_random_t *random;
-	size_t connections_max; /* in each direction; 0: the default */
+	size_t connections_max;	       /* in each direction; 0: the default */
+	const mmx_peer_times_t *times; /* NULL: the defaults */
 } mmx_peer_config_t;
 
 /* Requires a runtime with a libevent loop. */
--- a/src/libmasticmux/include/private/peer_internal.h
+++ b/src/libmasticmux/include/private/peer_internal.h
@@ -165,6 +165,7 @@
 struct mmx_peer_t {
 	mmx_task_t task;
 	mmx_peer_config_t config;
+	mmx_peer_times_t times;
 	mmx_session_identity_t identity;
 	mmx_node_id_t id;
 	mmx_clock_t *clock;
--- a/src/libmasticmux/peer.c
+++ b/src/libmasticmux/peer.c
@@ -16,6 +16,20 @@
 #define DRAIN_INTERVAL (20 * MMX_US_PER_MS)
 #define LISTEN_BACKLOG 512
 
+const mmx_peer_times_t mmx_peer_times_default = {
+	.connect = 500 * MMX_US_PER_MS,
+	.greeting = 2 * MMX_US_PER_S,
+	.null_interval = 150 * MMX_US_PER_MS,
+	.path = 500 * MMX_US_PER_MS,
+	.origin = 2 * MMX_US_PER_S,
+	.silent_age = 5 * MMX_US_PER_S,
+	.record = 5 * MMX_US_PER_S,
+	.idle = 60 * MMX_US_PER_S,
+	.backoff_min = 100 * MMX_US_PER_MS,
+	.backoff_max = 5 * MMX_US_PER_S,
+	.fence_retry = 200 * MMX_US_PER_MS,
+};
+
 const char *const mmx_peer_drop_string[MMX_DROP_COUNT] = {
 	"origin-closed", "not-served", "unknown-attempt",
 	"late-reply",	 "unexpected", "malformed",
@@ -215,6 +229,7 @@
 	peer->config = *config;
 	if (peer->config.connections_max == 0)
 		peer->config.connections_max = MMX_PEER_CONNECTIONS_MAX;
+	peer->times = config->times ? *config->times : mmx_peer_times_default;
 	peer->identity = (mmx_session_identity_t){
 		.keys = config->keys,
 		.key_count = config->key_count,
--- a/src/libmasticmux/peer_entry.c
+++ b/src/libmasticmux/peer_entry.c
@@ -5,10 +5,6 @@
 
 #include "private/wire.h"
 
-/* Fences wait at most this long for a new connection after a failed one,
- * microseconds: an outcome depends on them. */
-#define FENCE_RETRY (200 * MMX_US_PER_MS)
-
 static mmx_peer_pending_t *expect_(mmx_peer_link_t *link,
 				   mmx_procedure_t procedure,
 				   const mmx_attempt_id_t *attempt)
@@ -84,7 +80,8 @@
 			execute = (mmx_execute_t *)message;
 			attempt =
 				mmx_peer_attempt_find(peer, &execute->attempt);
-			mmx_peer_attempt_remove(attempt);
+			if (attempt)
+				mmx_peer_attempt_remove(attempt);
 			mmx_peer_refused(peer, why);
 			mmx_peer_end_attempt(peer, &execute->attempt, node->id,
 					     MMX_REASON_PATH_LOST, false);
@@ -202,8 +199,8 @@
 	if (now >= node->retry_at)
 		mmx_peer_node_dial(node);
 	else if (!mmx_timer_is_set(&node->retry))
-		mmx_timer_set(&node->retry,
-			      MIN(node->retry_at - now, FENCE_RETRY));
+		mmx_timer_set(&node->retry, MIN(node->retry_at - now,
+						peer->times.fence_retry));
 }
 
 /* BODY, WINDOW or CANCEL of an attempt. */
--- a/src/libmasticmux/peer_link.c
+++ b/src/libmasticmux/peer_link.c
@@ -7,13 +7,6 @@
 /* A check that fires this much late means that the process was paused; what
  * arrived meanwhile has not been read yet. Microseconds. */
 #define PAUSE_MIN (150 * MMX_US_PER_MS)
-/* An accepted connection has to greet in this time, microseconds. */
-#define GREETING_TIMEOUT (2 * MMX_US_PER_S)
-/* The rest of a record has to come in this time, microseconds. */
-#define RECORD_TIMEOUT (5 * MMX_US_PER_S)
-/* The accepting side closes an idle connection later than the other side, so
- * that a request does not meet a connection that is being closed. */
-#define IDLE_EXTRA (10 * MMX_US_PER_S)
 /* xid of NULL calls; their replies are not matched. */
 #define NULL_XID 0
 
@@ -63,25 +56,27 @@
 {
 	mmx_time_t start = silence_start_(link);
 
-	if (link->silent && start > link->silent_at) {
+	if (link->silent &&
+	    mmx_connection_received_at(link->connection) > link->silent_at) {
 		link->silent = false;
 		mmx_peer_node_resumed(link);
 	}
-	if (!link->silent && now - start >= MMX_PEER_PATH_TIMEOUT) {
+	if (!link->silent && now - start >= link->peer->times.path) {
 		link->silent = true;
 		link->silent_at = now;
 		mmx_peer_node_silent(link);
 	}
-	if (link->silent && now - link->silent_at >= MMX_PEER_SILENT_AGE) {
+	if (link->silent &&
+	    now - link->silent_at >= link->peer->times.silent_age) {
 		mmx_connection_close(link->connection, MMX_CLOSE_SILENT);
 		return 0;
 	}
-	if (now - link->null_at >= MMX_PEER_NULL_INTERVAL)
+	if (now - link->null_at >= link->peer->times.null_interval)
 		send_null_(link, now);
 	if (link->silent)
-		return MMX_PEER_NULL_INTERVAL;
-	return MIN(link->null_at + MMX_PEER_NULL_INTERVAL,
-		   start + MMX_PEER_PATH_TIMEOUT) -
+		return link->peer->times.null_interval;
+	return MIN(link->null_at + link->peer->times.null_interval,
+		   start + link->peer->times.path) -
 	       now;
 }
 
@@ -90,15 +85,15 @@
 	mmx_time_t left;
 
 	if (!link->ready) {
-		left = link->created_at + MMX_PEER_CONNECT_TIMEOUT - now;
+		left = link->created_at + link->peer->times.connect - now;
 		if (left <= 0)
 			mmx_connection_close(link->connection,
 					     MMX_CLOSE_TIMEOUT);
 		return left;
 	}
-	if (mmx_peer_link_outstanding(link) > 0)
+	if (link->silent || mmx_peer_link_outstanding(link) > 0)
 		return check_busy_outgoing_(link, now);
-	left = link->used_at + MMX_PEER_IDLE_TIMEOUT - now;
+	left = link->used_at + link->peer->times.idle - now;
 	if (left <= 0)
 		mmx_connection_close(link->connection, MMX_CLOSE_IDLE);
 	return left;
@@ -108,27 +103,29 @@
 {
 	mmx_time_t received = mmx_connection_received_at(link->connection);
 	mmx_time_t start = MAX(received, link->resumed_at);
-	mmx_time_t left = MMX_PEER_ORIGIN_TIMEOUT;
+	mmx_time_t left = link->peer->times.origin;
 	mmx_close_reason_t reason = MMX_CLOSE_LOCAL;
 
 	if (!link->ready) {
-		left = link->created_at + GREETING_TIMEOUT - now;
+		left = link->created_at + link->peer->times.greeting - now;
 		reason = MMX_CLOSE_TIMEOUT;
 	} else if (mmx_connection_is_mid_record(link->connection)) {
-		left = start + RECORD_TIMEOUT - now;
+		left = start + link->peer->times.record - now;
 		reason = MMX_CLOSE_STALLED;
 	} else if (g_hash_table_size(link->served) > 0) {
 		/* Generic calls do not count: a caller that has given up one
 		 * of them no longer checks the connection. */
-		left = silence_start_(link) + MMX_PEER_ORIGIN_TIMEOUT - now;
+		left = silence_start_(link) + link->peer->times.origin - now;
 		reason = MMX_CLOSE_SILENT;
 	} else {
-		left = start + MMX_PEER_IDLE_TIMEOUT + IDLE_EXTRA - now;
+		/* Later than the dialing side, so that a request does not
+		 * meet a connection that is being closed. */
+		left = start + link->peer->times.idle * 5 / 4 - now;
 		reason = MMX_CLOSE_IDLE;
 	}
 	if (left <= 0)
 		mmx_connection_close(link->connection, reason);
-	return MIN(left, RECORD_TIMEOUT);
+	return MIN(left, link->peer->times.record);
 }
 
 static void on_check_(void *arg)
@@ -182,8 +179,8 @@
 	now = mmx_clock_now(link->peer->clock);
 	link->busy_since = now;
 	link->null_at = now;
-	check_within_(link, link->node ? MMX_PEER_NULL_INTERVAL
-				       : MMX_PEER_ORIGIN_TIMEOUT);
+	check_within_(link, link->node ? link->peer->times.null_interval
+				       : link->peer->times.origin);
 }
 
 /*
@@ -336,8 +333,8 @@
 	}
 	mmx_counter_set(peer->counters.connections,
 			(int64_t)(peer->outgoing + peer->incoming));
-	check_within_(link,
-		      link->node ? MMX_PEER_CONNECT_TIMEOUT : GREETING_TIMEOUT);
+	check_within_(link, link->node ? link->peer->times.connect
+				       : link->peer->times.greeting);
 }
 
 mmx_peer_link_t *mmx_peer_link_find(mmx_peer_t *peer, uint64_t id)
--- a/src/libmasticmux/peer_node.c
+++ b/src/libmasticmux/peer_node.c
@@ -180,9 +180,9 @@
 {
 	mmx_peer_pending_t *pending;
 	mmx_peer_t *peer = node->peer;
-	mmx_time_t doubled = MAX(node->backoff * 2, MMX_PEER_BACKOFF_MIN);
+	mmx_time_t doubled = MAX(node->backoff * 2, peer->times.backoff_min);
 
-	node->backoff = MIN(doubled, MMX_PEER_BACKOFF_MAX);
+	node->backoff = MIN(doubled, peer->times.backoff_max);
 	/* Half of it is random, so that the nodes that lost one peer do not
 	 * all return at the same moment. */
 	node->retry_at =
--- a/src/libmasticmux/wire.c
+++ b/src/libmasticmux/wire.c
@@ -40,6 +40,13 @@
 	return *value <= max || refuse_(xdrs, what);
 }
 
+static bool flags_(XDR *xdrs, uint32_t *flags, uint32_t known)
+{
+	if (!xdr_uint32_t(xdrs, flags))
+		return refuse_(xdrs, "truncated");
+	return (*flags & ~known) == 0 || refuse_(xdrs, "unknown flag");
+}
+
 static bool hyper_(XDR *xdrs, uint64_t *value)
 {
 	return xdr_uint64_t(xdrs, value) || refuse_(xdrs, "truncated");
@@ -232,8 +239,8 @@
 	    !hyper_(xdrs, &execute->target) ||
 	    !token_(xdrs, execute->service, MMX_NAME_MAX) ||
 	    !text_(xdrs, execute->account, MMX_NAME_MAX) ||
-	    !word_(xdrs, &flags, FLAG_BODY_END | FLAG_REPEATABLE | FLAG_TRIAL,
-		   "unknown flag") ||
+	    !flags_(xdrs, &flags,
+		    FLAG_BODY_END | FLAG_REPEATABLE | FLAG_TRIAL) ||
 	    !duration_(xdrs, &execute->remaining) ||
 	    !trace_(xdrs, &execute->trace) ||
 	    !request_head_(xdrs, &execute->head))
@@ -253,8 +260,7 @@
 
 	if (!attempt_(xdrs, &response->attempt) ||
 	    !word_(xdrs, &reason, MMX_REASON_COUNT - 1, "unknown reason") ||
-	    !word_(xdrs, &flags, FLAG_BODY_END | FLAG_STARTED,
-		   "unknown flag") ||
+	    !flags_(xdrs, &flags, FLAG_BODY_END | FLAG_STARTED) ||
 	    !response_head_(xdrs, &response->head) ||
 	    !load_(xdrs, &response->load) ||
 	    !duration_(xdrs, &response->queue_time) ||
@@ -278,7 +284,7 @@
 	if (!attempt_(xdrs, &body->attempt) ||
 	    !word_(xdrs, &direction, MMX_DIRECTION_COUNT - 1,
 		   "unknown direction") ||
-	    !word_(xdrs, &flags, FLAG_BODY_END | FLAG_FAILED, "unknown flag"))
+	    !flags_(xdrs, &flags, FLAG_BODY_END | FLAG_FAILED))
 		return false;
 	body->direction = direction;
 	body->failed = flags & FLAG_FAILED;
--- a/src/test_libmasticmux/suites.c
+++ b/src/test_libmasticmux/suites.c
@@ -5,6 +5,9 @@
 	{"directory", NULL, NULL, NULL, NULL, mmx_tests_directory},
 	{"error", NULL, NULL, NULL, NULL, mmx_tests_error},
 	{"peer", NULL, NULL, NULL, NULL, mmx_tests_peer},
+	{"rpc", NULL, NULL, NULL, NULL, mmx_tests_rpc},
+	{"session", NULL, NULL, NULL, NULL, mmx_tests_session},
 	{"task", NULL, NULL, NULL, NULL, mmx_tests_task},
+	{"wire", NULL, NULL, NULL, NULL, mmx_tests_wire},
 	CU_SUITE_INFO_NULL,
 };
--- a/src/test_libmasticmux/suites.h
+++ b/src/test_libmasticmux/suites.h
@@ -8,7 +8,10 @@
 extern CU_TestInfo mmx_tests_directory[];
 extern CU_TestInfo mmx_tests_error[];
 extern CU_TestInfo mmx_tests_peer[];
+extern CU_TestInfo mmx_tests_rpc[];
+extern CU_TestInfo mmx_tests_session[];
 extern CU_TestInfo mmx_tests_task[];
+extern CU_TestInfo mmx_tests_wire[];
 
 extern CU_SuiteInfo mmx_test_suites[];
 
