--- a/src/libmasticmux/peer_link.c
+++ b/src/libmasticmux/peer_link.c
@@ -6,14 +6,7 @@
 
 /* A check that fires this much late means that the process was paused; what
  * arrived meanwhile has not been read yet. Microseconds. */
-#define PAUSE_MIN (250 * MMX_US_PER_MS)
-/* An accepted connection has to greet in this time, microseconds. */
-#define GREETING_TIMEOUT (2 * MMX_US_PER_S)
-/* The rest of a record has to come in this time, microseconds. */
-#define RECORD_TIMEOUT (5 * MMX_US_PER_S)
-/* The accepting side closes an idle connection later than the other side, so
- * that a request does not meet a connection that is being closed. */
-#define IDLE_EXTRA (10 * MMX_US_PER_S)
+#define PAUSE_MIN (150 * MMX_US_PER_MS)
 /* xid of NULL calls; their replies are not matched. */
 #define NULL_XID 0
 
@@ -63,25 +56,27 @@
 {
 	mmx_time_t start = silence_start_(link);
 
-	if (link->silent && start > link->silent_at) {
+	if (link->silent &&
+	    mmx_connection_received_at(link->connection) > link->silent_at) {
 		link->silent = false;
 		mmx_peer_node_resumed(link);
 	}
-	if (!link->silent && now - start >= MMX_PEER_PATH_TIMEOUT) {
+	if (!link->silent && now - start >= link->peer->times.path) {
 		link->silent = true;
 		link->silent_at = now;
 		mmx_peer_node_silent(link);
 	}
-	if (link->silent && now - link->silent_at >= MMX_PEER_SILENT_AGE) {
+	if (link->silent &&
+	    now - link->silent_at >= link->peer->times.silent_age) {
 		mmx_connection_close(link->connection, MMX_CLOSE_SILENT);
 		return 0;
 	}
-	if (now - link->null_at >= MMX_PEER_NULL_INTERVAL)
+	if (now - link->null_at >= link->peer->times.null_interval)
 		send_null_(link, now);
 	if (link->silent)
-		return MMX_PEER_NULL_INTERVAL;
-	return MIN(link->null_at + MMX_PEER_NULL_INTERVAL,
-		   start + MMX_PEER_PATH_TIMEOUT) -
+		return link->peer->times.null_interval;
+	return MIN(link->null_at + link->peer->times.null_interval,
+		   start + link->peer->times.path) -
 	       now;
 }
 
@@ -90,15 +85,15 @@
 	mmx_time_t left;
 
 	if (!link->ready) {
-		left = link->created_at + MMX_PEER_CONNECT_TIMEOUT - now;
+		left = link->created_at + link->peer->times.connect - now;
 		if (left <= 0)
 			mmx_connection_close(link->connection,
 					     MMX_CLOSE_TIMEOUT);
 		return left;
 	}
-	if (mmx_peer_link_outstanding(link) > 0)
+	if (link->silent || mmx_peer_link_outstanding(link) > 0)
 		return check_busy_outgoing_(link, now);
-	left = link->used_at + MMX_PEER_IDLE_TIMEOUT - now;
+	left = link->used_at + link->peer->times.idle - now;
 	if (left <= 0)
 		mmx_connection_close(link->connection, MMX_CLOSE_IDLE);
 	return left;
@@ -108,25 +103,29 @@
 {
 	mmx_time_t received = mmx_connection_received_at(link->connection);
 	mmx_time_t start = MAX(received, link->resumed_at);
-	mmx_time_t left = MMX_PEER_ORIGIN_TIMEOUT;
+	mmx_time_t left = link->peer->times.origin;
 	mmx_close_reason_t reason = MMX_CLOSE_LOCAL;
 
 	if (!link->ready) {
-		left = link->created_at + GREETING_TIMEOUT - now;
+		left = link->created_at + link->peer->times.greeting - now;
 		reason = MMX_CLOSE_TIMEOUT;
 	} else if (mmx_connection_is_mid_record(link->connection)) {
-		left = start + RECORD_TIMEOUT - now;
+		left = start + link->peer->times.record - now;
 		reason = MMX_CLOSE_STALLED;
-	} else if (mmx_peer_link_outstanding(link) > 0) {
-		left = silence_start_(link) + MMX_PEER_ORIGIN_TIMEOUT - now;
+	} else if (g_hash_table_size(link->served) > 0) {
+		/* Generic calls do not count: a caller that has given up one
+		 * of them no longer checks the connection. */
+		left = silence_start_(link) + link->peer->times.origin - now;
 		reason = MMX_CLOSE_SILENT;
 	} else {
-		left = start + MMX_PEER_IDLE_TIMEOUT + IDLE_EXTRA - now;
+		/* Later than the dialing side, so that a request does not
+		 * meet a connection that is being closed. */
+		left = start + link->peer->times.idle * 5 / 4 - now;
 		reason = MMX_CLOSE_IDLE;
 	}
 	if (left <= 0)
 		mmx_connection_close(link->connection, reason);
-	return MIN(left, RECORD_TIMEOUT);
+	return MIN(left, link->peer->times.record);
 }
 
 static void on_check_(void *arg)
@@ -135,21 +134,26 @@
 	mmx_time_t now = mmx_clock_now(link->peer->clock);
 	mmx_time_t left;
 
-	if (now - link->check.due > PAUSE_MIN)
+	if (now - link->check_at > PAUSE_MIN)
 		link->resumed_at = now;
 	collect_usage_(link);
 	left = link->node ? check_outgoing_(link, now)
 			  : check_accepted_(link, now);
-	if (!mmx_connection_is_closed(link->connection))
-		mmx_timer_set(&link->check, MAX(left, MMX_US_PER_MS));
+	if (mmx_connection_is_closed(link->connection))
+		return;
+	left = MAX(left, MMX_US_PER_MS);
+	link->check_at = now + left;
+	mmx_timer_set(&link->check, left);
 }
 
 static void check_within_(mmx_peer_link_t *link, mmx_time_t delay)
 {
 	mmx_time_t due = mmx_clock_now(link->peer->clock) + delay;
 
-	if (!mmx_timer_is_set(&link->check) || link->check.due > due)
-		mmx_timer_set(&link->check, delay);
+	if (mmx_timer_is_set(&link->check) && link->check_at <= due)
+		return;
+	link->check_at = due;
+	mmx_timer_set(&link->check, delay);
 }
 
 size_t mmx_peer_link_outstanding(const mmx_peer_link_t *link)
@@ -175,14 +179,42 @@
 	now = mmx_clock_now(link->peer->clock);
 	link->busy_since = now;
 	link->null_at = now;
-	check_within_(link, link->node ? MMX_PEER_NULL_INTERVAL
-				       : MMX_PEER_ORIGIN_TIMEOUT);
+	check_within_(link, link->node ? link->peer->times.null_interval
+				       : link->peer->times.origin);
+}
+
+/*
+ * True when a later process of the same name is connected: two processes must
+ * not act under one identity, and the later one is the one that is meant.
+ */
+static bool has_successor_(const mmx_peer_link_t *link)
+{
+	const mmx_hello_t *remote = mmx_connection_remote(link->connection);
+	const mmx_hello_t *other_remote;
+	const mmx_peer_link_t *other;
+
+	LIST_FOREACH (other, &link->peer->all, entry) {
+		if (!other->ready)
+			continue;
+		other_remote = mmx_connection_remote(other->connection);
+		if (other_remote->node == remote->node &&
+		    other_remote->incarnation > remote->incarnation)
+			return true;
+	}
+	return false;
 }
 
 static void on_ready_(mmx_connection_t *connection, void *owner)
 {
 	mmx_peer_link_t *link = owner;
 
+	if (has_successor_(link)) {
+		mmx_counter_add(link->peer->counters
+					.session[MMX_SESSION_OLD_INCARNATION],
+				1);
+		mmx_connection_close(connection, MMX_CLOSE_SESSION);
+		return;
+	}
 	link->ready = true;
 	link->used_at = mmx_clock_now(link->peer->clock);
 	if (link->node)
@@ -208,7 +240,7 @@
 	mmx_timer_cancel(&link->check);
 	collect_usage_(link);
 	mmx_counter_add(peer->counters.closed[reason], 1);
-	if (reason == MMX_CLOSE_SESSION)
+	if (reason == MMX_CLOSE_SESSION && result != MMX_SESSION_OK)
 		mmx_counter_add(peer->counters.session[result], 1);
 	g_hash_table_remove(peer->links, &link->id);
 	LIST_REMOVE(link, entry);
@@ -301,8 +333,8 @@
 	}
 	mmx_counter_set(peer->counters.connections,
 			(int64_t)(peer->outgoing + peer->incoming));
-	check_within_(link,
-		      link->node ? MMX_PEER_CONNECT_TIMEOUT : GREETING_TIMEOUT);
+	check_within_(link, link->node ? link->peer->times.connect
+				       : link->peer->times.greeting);
 }
 
 mmx_peer_link_t *mmx_peer_link_find(mmx_peer_t *peer, uint64_t id)
@@ -340,6 +372,39 @@
 	return send_message_(link, &header, message);
 }
 
+void mmx_peer_link_parts(mmx_peer_link_t *link, mmx_procedure_t procedure,
+			 mmx_body_t *body)
+{
+	mmx_body_t *part;
+
+	while (evbuffer_get_length(body->data) > MMX_WIRE_BODY_MAX) {
+		part = mmx_new_body(body->direction);
+		part->attempt = body->attempt;
+		evbuffer_remove_buffer(body->data, part->data,
+				       MMX_WIRE_BODY_MAX);
+		mmx_peer_link_call(link, procedure, 0, &part->message);
+		mmx_message_destroy(&part->message);
+	}
+	mmx_peer_link_call(link, procedure, 0, &body->message);
+}
+
+mmx_body_t *mmx_peer_body_rest(struct evbuffer *first, bool *end,
+			       const mmx_attempt_id_t *attempt,
+			       mmx_direction_t direction)
+{
+	mmx_body_t *rest;
+
+	if (evbuffer_get_length(first) <= MMX_WIRE_BODY_MAX)
+		return NULL;
+	rest = mmx_new_body(direction);
+	rest->attempt = *attempt;
+	rest->end = *end;
+	*end = false;
+	evbuffer_add_buffer(rest->data, first);
+	evbuffer_remove_buffer(rest->data, first, MMX_WIRE_BODY_MAX);
+	return rest;
+}
+
 bool mmx_peer_link_reply(mmx_peer_link_t *link, uint32_t xid,
 			 mmx_message_t *message)
 {
--- a/src/test_libmasticmux/suites.c
+++ b/src/test_libmasticmux/suites.c
@@ -13,6 +13,9 @@
 	{"membership", NULL, NULL, NULL, NULL, mmx_tests_membership},
 	{"peer", NULL, NULL, NULL, NULL, mmx_tests_peer},
 	{"snapshot", NULL, NULL, NULL, NULL, mmx_tests_snapshot},
+	{"rpc", NULL, NULL, NULL, NULL, mmx_tests_rpc},
+	{"session", NULL, NULL, NULL, NULL, mmx_tests_session},
 	{"task", NULL, NULL, NULL, NULL, mmx_tests_task},
+	{"wire", NULL, NULL, NULL, NULL, mmx_tests_wire},
 	CU_SUITE_INFO_NULL,
 };
