--- a/src/test_libmasticmux/suites.h
+++ b/src/test_libmasticmux/suites.h
@@ -15,9 +15,9 @@
 extern CU_TestInfo mmx_tests_history[];
 extern CU_TestInfo mmx_tests_membership[];
 extern CU_TestInfo mmx_tests_peer[];
-extern CU_TestInfo mmx_tests_snapshot[];
 extern CU_TestInfo mmx_tests_rpc[];
 extern CU_TestInfo mmx_tests_session[];
+extern CU_TestInfo mmx_tests_snapshot[];
 extern CU_TestInfo mmx_tests_task[];
 extern CU_TestInfo mmx_tests_wire[];
 
