Fix leaks and lint findings in the stand-ins

Change: defaults are set after parsing; the bound port is read by getnameinfo; lists are freed by walking them; a reset dissolves the TCP association, since evhttp would send FIN first.

--- a/src/standin/load.c
+++ b/src/standin/load.c
@@ -106,7 +106,8 @@
 	if (load->rate <= 0 || load->duration_s <= 0 || load->timeout_ms < 1 ||
 	    !percent_(load->post_percent) || !percent_(load->key_percent) ||
 	    !percent_(load->repeat_percent) || a->request_bytes < 0 ||
-	    a->response_bytes < 0 || a->connections < 1 || a->path[0] != '/')
+	    a->response_bytes < 0 || a->connections < 1 ||
+	    (a->path && a->path[0] != '/'))
 		return mmx_error_set(error, MMX_ERROR_INVALID,
 				     "load: an option is out of range");
 	a->load.nodes =
@@ -163,14 +164,13 @@
 	mmx_error_t error = {0};
 	int status;
 
-	a.path = g_strdup("/");
 	if (!parse_(argc, argv, &a)) {
 		status = 2;
 	} else if (!valid_(&a, &error)) {
 		status = standin_usage_error(error.text);
 	} else {
 		a.load.host = a.host;
-		a.load.path = a.path;
+		a.load.path = a.path ? a.path : "/";
 		a.load.account = a.account;
 		a.load.seed = (uint64_t)a.seed;
 		a.load.request_bytes = (uint64_t)a.request_bytes;
--- a/src/standin/load_run.c
+++ b/src/standin/load_run.c
@@ -156,11 +156,8 @@
 {
 	load_record_t *record = record_(run, sequence);
 
-	if (!record->answered)
-		record->fate = fate;
-	else if (fate == LOAD_FATE_COMPLETED)
-		record->fate = fate;
-	else if (record->fate == LOAD_FATE_NOT_RUN)
+	if (!record->answered || fate == LOAD_FATE_COMPLETED ||
+	    record->fate == LOAD_FATE_NOT_RUN)
 		record->fate = fate;
 	record->answered = true;
 }
--- a/src/standin/server.c
+++ b/src/standin/server.c
@@ -4,6 +4,7 @@
 #include <event2/util.h>
 #include <arpa/inet.h>
 #include <glib.h>
+#include <netdb.h>
 #include <signal.h>
 #include <stdio.h>
 #include <string.h>
@@ -11,24 +12,19 @@
 
 #define MAX_HEADERS_BYTES (64 * 1024)
 
-static bool from_sockaddr_(const struct sockaddr_storage *ss,
-			   standin_address_t *address)
+/* Reads the port that a socket was bound to. */
+static bool bound_port_(int fd, uint16_t *port)
 {
-	const void *ip;
-
-	if (ss->ss_family == AF_INET) {
-		const struct sockaddr_in *in = (const void *)ss;
-
-		ip = &in->sin_addr;
-		address->port = ntohs(in->sin_port);
-	} else {
-		const struct sockaddr_in6 *in6 = (const void *)ss;
+	struct sockaddr_storage ss = {0};
+	socklen_t length = sizeof(ss);
+	char text[NI_MAXSERV];
 
-		ip = &in6->sin6_addr;
-		address->port = ntohs(in6->sin6_port);
-	}
-	return inet_ntop(ss->ss_family, ip, address->host,
-			 sizeof(address->host)) != NULL;
+	if (getsockname(fd, (struct sockaddr *)&ss, &length) ||
+	    getnameinfo((struct sockaddr *)&ss, length, NULL, 0, text,
+			sizeof(text), NI_NUMERICSERV))
+		return false;
+	*port = (uint16_t)g_ascii_strtoull(text, NULL, 10);
+	return true;
 }
 
 struct event_base *standin_base_new(void)
@@ -110,20 +106,15 @@
 static bool bind_(standin_server_t *server, standin_address_t *address,
 		  struct evhttp_bound_socket **bound, mmx_error_t *error)
 {
-	struct sockaddr_storage ss = {0};
-	socklen_t length = sizeof(ss);
-
 	*bound = evhttp_bind_socket_with_handle(server->http, address->host,
 						address->port);
 	if (!*bound)
 		return mmx_error_set(
 			error, MMX_ERROR_IO, "cannot listen on %s port %u: %s",
 			address->host, address->port, strerror(errno));
-	if (getsockname(evhttp_bound_socket_get_fd(*bound),
-			(struct sockaddr *)&ss, &length) ||
-	    !from_sockaddr_(&ss, address))
-		return mmx_error_set(error, MMX_ERROR_IO, "getsockname: %s",
-				     strerror(errno));
+	if (!bound_port_(evhttp_bound_socket_get_fd(*bound), &address->port))
+		return mmx_error_set(error, MMX_ERROR_IO,
+				     "cannot read the bound port");
 	return true;
 }
 
@@ -229,7 +220,7 @@
 	/* Dissolving the association sends RST. SO_LINGER would not do: evhttp
 	 * shuts the socket down before it closes it, which sends FIN. */
 	if (how == STANDIN_DROP_RESET)
-		connect(fd, &none, sizeof(none));
+		(void)connect(fd, &none, sizeof(none));
 	evhttp_connection_free(conn);
 }
 
--- a/src/standin/target.c
+++ b/src/standin/target.c
@@ -262,7 +262,8 @@
 	    o->max_keys < 0 || o->max_body_mib < 1)
 		return mmx_error_set(error, MMX_ERROR_INVALID,
 				     "target: a number is out of range");
-	if (!distribution_(o->distribution, &target->work.distribution))
+	if (o->distribution &&
+	    !distribution_(o->distribution, &target->work.distribution))
 		return mmx_error_set(error, MMX_ERROR_INVALID,
 				     "target: --distribution is fixed, "
 				     "exponential or pareto");
@@ -293,7 +294,7 @@
 	target->server.on_stop = on_stop_;
 	announcer->server = &target->server;
 	announcer->name = o->name;
-	announcer->path = o->announce_path;
+	announcer->path = o->announce_path ? o->announce_path : "/v1/targets";
 	announcer->service = o->service;
 	announcer->slots = o->slots;
 	announcer->lease_ms = o->lease_ms;
@@ -321,8 +322,6 @@
 	mmx_error_t error = {0};
 	int status = 0;
 
-	options.distribution = g_strdup("fixed");
-	options.announce_path = g_strdup("/v1/targets");
 	if (!parse_(argc, argv, &options))
 		status = 2;
 	else if (!valid_(&options, &target, &error) ||
--- a/src/standin/target_work.c
+++ b/src/standin/target_work.c
@@ -366,14 +366,17 @@
 
 void target_work_destroy(target_work_t *target)
 {
-	work_t *work;
+	work_t *work = TAILQ_FIRST(&target->works);
 
 	mmx_timer_cancel(&target->flap);
-	while ((work = TAILQ_FIRST(&target->works))) {
+	while (work) {
+		work_t *after = TAILQ_NEXT(work, entry);
+
 		end_(work);
 		if (work->answer.req)
 			standin_drop(work->answer.req, STANDIN_DROP_CLOSE);
 		g_free(work);
+		work = after;
 	}
 	fields_clear(target_fault_fields, &target->faults);
 }
