Test the readers of settings and changes

Cause: each kind of mistake needs its place and text, and a damaged file must not end the process. Mutated files showed that toml++ 3.3 fails assertions of its own on texts such as "[.]", that a route with a faulty prefix was also reported as a duplicate, and that text after a NUL byte was misquoted.

--- a/Makefile
+++ b/Makefile
@@ -86,10 +86,11 @@
 format-check:
 	clang-format --dry-run -Werror $(FORMAT_SRC)
 
+LINT_JOBS ?= 10
 LINT_FLAGS = $(CPPFLAGS) $(PKG_CFLAGS) $(TEST_CFLAGS) -std=gnu11
 
 lint:
-	@printf '%s\n' $(LINT_SRC) | xargs -P 10 -n 1 sh -c \
+	@printf '%s\n' $(LINT_SRC) | xargs -P $(LINT_JOBS) -n 1 sh -c \
 		'clang-tidy --quiet "$$@" -- $(LINT_FLAGS) 2>/dev/null' lint
 	@sh scripts/lint-static.sh
 
--- a/src/libmasticmux/change_read.c
+++ b/src/libmasticmux/change_read.c
@@ -65,16 +65,19 @@
 	*(uint32_t *)((char *)into + rule->offset) = mask;
 }
 
-#define INTEGER_(key, presence, low, high, unit, scale, type, member)         \
-	{                                                                     \
-		key, MMX_TREE_INTEGER, presence, mmx_schema_read_integer,     \
-			NULL, low, high, unit, scale, offsetof(type, member), \
-			sizeof(((type *)NULL)->member)                        \
+/* at: offset of the structure of this type in what the table is read into. */
+#define INTEGER_(key, presence, low, high, unit, scale, at, type, member) \
+	{                                                                 \
+		key, MMX_TREE_INTEGER, presence, mmx_schema_read_integer, \
+			NULL, low, high, unit, scale,                     \
+			(at) + offsetof(type, member),                    \
+			sizeof(((type *)NULL)->member)                    \
 	}
-#define METHODS_(key, presence, type, member)                                \
-	{                                                                    \
-		key, MMX_TREE_ARRAY, presence, read_methods_, METHODS_VALID, \
-			.offset = offsetof(type, member)                     \
+#define METHODS_(presence, at, type)                                   \
+	{                                                              \
+		"repeatable", MMX_TREE_ARRAY, presence, read_methods_, \
+			METHODS_VALID,                                 \
+			.offset = (at) + offsetof(type, repeatable)    \
 	}
 #define NAME_(key, presence, type, member)                                 \
 	{                                                                  \
@@ -82,35 +85,35 @@
 			NAME_VALID, .offset = offsetof(type, member),      \
 				    .size = sizeof(((type *)NULL)->member) \
 	}
-#define BASE_(type)                                                         \
-	INTEGER_("base", MMX_PRESENCE_REQUIRED, 0, MMX_REVISION_MAX,        \
-		 "(revision that the object replaces, 0 for a new one)", 1, \
+#define BASE_(type)                                                            \
+	INTEGER_("base", MMX_PRESENCE_REQUIRED, 0, MMX_REVISION_MAX,           \
+		 "(revision that the object replaces, 0 for a new one)", 1, 0, \
 		 type, base)
 
 /* In the order of mmx_policy_field_t; need: presence of the main fields, rest:
  * presence of the fields with a default. */
-#define POLICY_(need, rest, type, policy)                                      \
-	INTEGER_("deadline_ms", need, 1, MMX_DEADLINE_MAX / MMX_US_PER_MS,     \
-		 "milliseconds", MMX_US_PER_MS, type, policy.deadline),        \
-		METHODS_("repeatable", rest, type, policy.repeatable),         \
-		INTEGER_("floor_percent", need, 0, 100,                        \
-			 "percent of the announced slots", 1, type,            \
-			 policy.floor_percent),                                \
-		INTEGER_("floor_slots", rest, 0, UINT16_MAX, "slots", 1, type, \
-			 policy.floor_slots),                                  \
-		INTEGER_("detection_weight", need, 0, 100,                     \
-			 "(0: no false ejection, 100: fast)", 1, type,         \
-			 policy.detection_weight),                             \
-		INTEGER_("retry_percent", rest, 0, 100,                        \
-			 "retries per 100 successes", 1, type,                 \
-			 policy.retry_percent),                                \
-		INTEGER_("warm_up_ms", rest, 0,                                \
-			 MMX_WARM_UP_MAX / MMX_US_PER_MS, "milliseconds",      \
-			 MMX_US_PER_MS, type, policy.warm_up)
+#define POLICY_(need, rest, at)                                              \
+	INTEGER_("deadline_ms", need, 1, MMX_DEADLINE_MAX / MMX_US_PER_MS,   \
+		 "milliseconds", MMX_US_PER_MS, at, mmx_policy_t, deadline), \
+		METHODS_(rest, at, mmx_policy_t),                            \
+		INTEGER_("floor_percent", need, 0, 100,                      \
+			 "percent of the announced slots", 1, at,            \
+			 mmx_policy_t, floor_percent),                       \
+		INTEGER_("floor_slots", rest, 0, UINT16_MAX, "slots", 1, at, \
+			 mmx_policy_t, floor_slots),                         \
+		INTEGER_("detection_weight", need, 0, 100,                   \
+			 "(0: no false ejection, 100: fast)", 1, at,         \
+			 mmx_policy_t, detection_weight),                    \
+		INTEGER_("retry_percent", rest, 0, 100,                      \
+			 "retries per 100 successes", 1, at, mmx_policy_t,   \
+			 retry_percent),                                     \
+		INTEGER_("warm_up_ms", rest, 0,                              \
+			 MMX_WARM_UP_MAX / MMX_US_PER_MS, "milliseconds",    \
+			 MMX_US_PER_MS, at, mmx_policy_t, warm_up)
 
 static const mmx_rule_t template_rules_[] = {
 	POLICY_(MMX_PRESENCE_REQUIRED, MMX_PRESENCE_RECORD,
-		mmx_change_template_t, policy),
+		offsetof(mmx_change_template_t, policy)),
 	BASE_(mmx_change_template_t),
 };
 
@@ -183,7 +186,7 @@
 
 static const mmx_rule_t route_rules_[] = {
 	POLICY_(MMX_PRESENCE_OPTIONAL, MMX_PRESENCE_OPTIONAL,
-		mmx_change_route_t, override.values),
+		offsetof(mmx_change_route_t, override.values)),
 	{"host", MMX_TREE_STRING, MMX_PRESENCE_REQUIRED, read_host_,
 	 .valid = HOST_VALID},
 	{"path_prefix", MMX_TREE_STRING, MMX_PRESENCE_RECORD, read_path_prefix_,
@@ -218,6 +221,7 @@
 			mmx_change_service_t *service)
 {
 	static const mmx_rule_t element = {.key = "route", .valid = "a table"};
+	size_t before = mmx_findings_count(schema->findings);
 	mmx_change_route_t *route;
 
 	if (mmx_tree_kind(node) != MMX_TREE_TABLE) {
@@ -229,7 +233,8 @@
 		mmx_schema_read(schema, node, route_rules_,
 				G_N_ELEMENTS(route_rules_), route) &
 		(MMX_POLICY_BIT(MMX_POLICY_FIELD_COUNT) - 1);
-	if (*route->host)
+	/* A route with a fault keeps defaults that may equal another route. */
+	if (mmx_findings_count(schema->findings) == before)
 		check_duplicate_route_(schema, node, route);
 }
 
@@ -276,16 +281,15 @@
 static const mmx_rule_t account_rules_[] = {
 	BASE_(mmx_change_account_t),
 	INTEGER_("floor_percent", MMX_PRESENCE_RECORD, 0, 100,
-		 "percent of the slots of each service", 1,
+		 "percent of the slots of each service", 1, 0,
 		 mmx_change_account_t, floor_percent),
 	INTEGER_("ceiling_percent", MMX_PRESENCE_RECORD, 1, 100,
-		 "percent of the slots of each service", 1,
+		 "percent of the slots of each service", 1, 0,
 		 mmx_change_account_t, ceiling_percent),
 	INTEGER_("deadline_ms", MMX_PRESENCE_OPTIONAL, 1,
 		 MMX_DEADLINE_MAX / MMX_US_PER_MS, "milliseconds",
-		 MMX_US_PER_MS, mmx_change_account_t, deadline),
-	METHODS_("repeatable", MMX_PRESENCE_OPTIONAL, mmx_change_account_t,
-		 repeatable),
+		 MMX_US_PER_MS, 0, mmx_change_account_t, deadline),
+	METHODS_(MMX_PRESENCE_OPTIONAL, 0, mmx_change_account_t),
 };
 
 static void read_account_(mmx_schema_t *schema, const mmx_tree_node_t *table,
@@ -367,7 +371,7 @@
 	mmx_schema_init(&schema, file, findings, is_record, &reading);
 	mmx_schema_read(&schema, root, root_rules_, G_N_ELEMENTS(root_rules_),
 			change);
-	if (STAILQ_EMPTY(&change->templates) &&
+	if (!mmx_findings_count(findings) && STAILQ_EMPTY(&change->templates) &&
 	    STAILQ_EMPTY(&change->services) && STAILQ_EMPTY(&change->accounts))
 		mmx_schema_report(&schema, (mmx_tree_place_t){.line = 0},
 				  "the change holds no object; it needs at "
--- a/src/libmasticmux/schema.c
+++ b/src/libmasticmux/schema.c
@@ -72,21 +72,28 @@
 char *mmx_schema_quote(const char *text, size_t length)
 {
 	GString *quoted = g_string_new(NULL);
-	char *valid = g_utf8_make_valid(text, (gssize)length);
-	const char *at = valid;
+	const char *end = text + length;
 	int count = 0;
 
-	for (; *at && count < QUOTE_MAX; at = g_utf8_next_char(at), count++) {
-		gunichar character = g_utf8_get_char(at);
+	for (; text < end && count < QUOTE_MAX; count++) {
+		gunichar character = (unsigned char)*text;
+		size_t bytes = 1;
 
+		if (character >= 0x80) {
+			character = g_utf8_get_char_validated(text, end - text);
+			if (character >= (gunichar)-2)
+				character = 0xfffd; /* replacement character */
+			else
+				bytes = (size_t)(g_utf8_next_char(text) - text);
+		}
 		if (g_unichar_isprint(character))
 			g_string_append_unichar(quoted, character);
 		else
 			g_string_append_printf(quoted, "\\u%04x", character);
+		text += bytes;
 	}
-	if (*at)
+	if (text < end)
 		g_string_append(quoted, "...");
-	g_free(valid);
 	return g_string_free(quoted, FALSE);
 }
 
--- a/src/share/toml_bridge.cc
+++ b/src/share/toml_bridge.cc
@@ -5,10 +5,25 @@
 #include <cstdio>
 #include <cstring>
 #include <exception>
+#include <stdexcept>
 #include <string>
 #include <string_view>
 #include <vector>
 
+// toml++ 3.3 reaches some of its assertions on invalid texts, for example after
+// a dot at the end of a key. As an exception they become findings; with NDEBUG
+// the library would assume instead that they hold.
+#undef NDEBUG
+struct AssertionFailure : std::logic_error {
+	using std::logic_error::logic_error;
+};
+[[noreturn]] static void fail_assertion(const char *condition)
+{
+	throw AssertionFailure(condition);
+}
+#define TOML_ASSERT(condition) \
+	((condition) ? void(0) : fail_assertion(#condition))
+
 #include <toml++/toml.h>
 
 namespace
@@ -126,6 +141,64 @@
 	return !failed && text.size() <= MMX_TOML_FILE_MAX;
 }
 
+bool has_assertion_failure(std::string_view text)
+{
+	try {
+		return toml::parse(text).empty() && false;
+	} catch (const AssertionFailure &) {
+		return true;
+	} catch (const std::exception &) {
+		return false;
+	}
+}
+
+// True if a character starts there, or the text ends.
+bool is_boundary(std::string_view text, size_t at)
+{
+	return at == text.size() ||
+	       (static_cast<unsigned char>(text[at]) & 0xc0) != 0x80;
+}
+
+// The parser goes through the text once, so that a beginning of it fails if
+// and only if it holds the place of the failure. A beginning that ends inside
+// a character fails in another way and is not tried.
+size_t find_failure(std::string_view text)
+{
+	size_t low = 0;
+	size_t high = text.size();
+
+	while (low < high) {
+		size_t middle = low + (high - low) / 2;
+
+		while (!is_boundary(text, middle))
+			middle--;
+		if (has_assertion_failure(text.substr(0, middle))) {
+			high = middle;
+			continue;
+		}
+		low = middle + 1;
+		while (!is_boundary(text, low))
+			low++;
+	}
+	return low;
+}
+
+// Place of the last character of a beginning of a text, as toml++ counts it.
+mmx_tree_place_t place_of_last(std::string_view beginning)
+{
+	mmx_tree_place_t place = {1, 0};
+
+	for (size_t i = 0; i < beginning.size(); i++) {
+		if (i && beginning[i - 1] == '\n') {
+			place.line++;
+			place.column = 0;
+		}
+		if (is_boundary(beginning, i))
+			place.column++;
+	}
+	return place;
+}
+
 } // namespace
 
 extern "C" mmx_tree_node_t *mmx_toml_parse(const char *file, const char *text,
@@ -147,6 +220,13 @@
 				 "syntax error: %.*s",
 				 static_cast<int>(error.description().size()),
 				 error.description().data());
+	} catch (const AssertionFailure &) {
+		std::string_view whole{text, length};
+		mmx_tree_place_t place =
+			place_of_last(whole.substr(0, find_failure(whole)));
+
+		mmx_findings_add(findings, file, place.line, place.column,
+				 "syntax error: unexpected character");
 	} catch (const std::exception &error) {
 		mmx_findings_add(findings, file, 0, 0, "cannot parse: %s",
 				 error.what());
--- a/src/test_libmasticmux/suites.h
+++ b/src/test_libmasticmux/suites.h
@@ -4,8 +4,14 @@
 
 #include <CUnit/CUnit.h>
 
+extern CU_TestInfo mmx_tests_address[];
+extern CU_TestInfo mmx_tests_change[];
+extern CU_TestInfo mmx_tests_change_json[];
 extern CU_TestInfo mmx_tests_clock[];
 extern CU_TestInfo mmx_tests_error[];
+extern CU_TestInfo mmx_tests_mutation[];
+extern CU_TestInfo mmx_tests_schema[];
+extern CU_TestInfo mmx_tests_settings[];
 extern CU_TestInfo mmx_tests_task[];
 
 extern CU_SuiteInfo mmx_test_suites[];
