--- a/src/test_libmasticmux/suites.c
+++ b/src/test_libmasticmux/suites.c
@@ -7,6 +7,7 @@
 	{"clock", NULL, NULL, NULL, NULL, mmx_tests_clock},
 	{"error", NULL, NULL, NULL, NULL, mmx_tests_error},
 	{"mutation", NULL, NULL, NULL, NULL, mmx_tests_mutation},
+	{"policy", NULL, NULL, NULL, NULL, mmx_tests_policy},
 	{"schema", NULL, NULL, NULL, NULL, mmx_tests_schema},
 	{"settings", NULL, NULL, NULL, NULL, mmx_tests_settings},
 	{"task", NULL, NULL, NULL, NULL, mmx_tests_task},
--- a/src/test_libmasticmux/suites.h
+++ b/src/test_libmasticmux/suites.h
@@ -10,6 +10,7 @@
 extern CU_TestInfo mmx_tests_clock[];
 extern CU_TestInfo mmx_tests_error[];
 extern CU_TestInfo mmx_tests_mutation[];
+extern CU_TestInfo mmx_tests_policy[];
 extern CU_TestInfo mmx_tests_schema[];
 extern CU_TestInfo mmx_tests_settings[];
 extern CU_TestInfo mmx_tests_task[];
--- a/src/test_libmasticmux/test_error.c
+++ b/src/test_libmasticmux/test_error.c
@@ -20,6 +20,31 @@
 	mmx_findings_destroy(findings);
 }
 
+/* Guards against findings of two files that mix, and of one that come out of
+ * the order of the file. */
+static void test_move_(void)
+{
+	static const char *const expected[] = {"first", "a", "b", "c", "d"};
+	mmx_findings_t *findings = mmx_findings_create();
+	mmx_findings_t *from = mmx_findings_create();
+	const mmx_finding_t *finding;
+	size_t i = 0;
+
+	mmx_findings_add(findings, "a.toml", 9, 9, "first");
+	mmx_findings_add(from, "b.toml", 3, 1, "d");
+	mmx_findings_add(from, "b.toml", 2, 5, "b");
+	mmx_findings_add(from, "b.toml", 2, 5, "c");
+	mmx_findings_add(from, "b.toml", 2, 4, "a");
+	mmx_findings_move(findings, from);
+	CU_ASSERT_EQUAL(mmx_findings_count(from), 0);
+	CU_ASSERT_TRUE(STAILQ_EMPTY(mmx_findings_list(from)));
+	CU_ASSERT_EQUAL_FATAL(mmx_findings_count(findings), 5);
+	STAILQ_FOREACH (finding, mmx_findings_list(findings), entry)
+		CU_ASSERT_STRING_EQUAL(finding->text, expected[i++]);
+	mmx_findings_destroy(from);
+	mmx_findings_destroy(findings);
+}
+
 /* Guards against a text longer than the buffer. */
 static void test_long_text_(void)
 {
@@ -35,6 +60,7 @@
 
 CU_TestInfo mmx_tests_error[] = {
 	{"findings keep their order and place", test_findings_},
+	{"moved findings are in order", test_move_},
 	{"long text is cut", test_long_text_},
 	CU_TEST_INFO_NULL,
 };
--- /dev/null
+++ b/test/command_line.sh
@@ -0,0 +1,59 @@
+#!/usr/bin/env bash
+# Guards against a command line that reports a mistake with the wrong exit
+# status, on the wrong stream or without naming it. Needs build/masticmux.
+set -u
+export LC_ALL=C.UTF-8
+cd "$(dirname "$0")/.." || exit 1
+program=build/masticmux
+work=$(mktemp -d)
+trap 'rm -rf "$work"' EXIT
+failures=0
+
+# expect STATUS STREAM TEXT ARGUMENT...: TEXT is a line of the stream.
+expect() {
+	local status=$1 stream=$2 text=$3 found
+	shift 3
+	"$program" "$@" >"$work/stdout" 2>"$work/stderr"
+	found=$?
+	if [ "$found" -ne "$status" ] ||
+		! grep -Fxq -- "$text" "$work/$stream"; then
+		echo "FAIL masticmux $*: status $found, expected $status and"
+		echo "on $stream: $text"
+		cat "$work/stdout" "$work/stderr"
+		failures=$((failures + 1))
+	fi
+}
+
+bad=$work/bad.toml
+printf '[node]\nname = 1\n' >"$bad"
+good=examples/siamfrost-settings.toml
+
+expect 0 stdout "  check      check a settings file and a change file" --help
+expect 0 stdout "  masticmux check [OPTION…]" check --help
+expect 1 stderr "masticmux: missing command"
+expect 1 stderr "masticmux: unknown command 'chekc'; did you mean 'check'?" \
+	chekc
+expect 1 stderr "masticmux: unknown command 'x'" x
+expect 1 stderr "masticmux: Unknown option --x" --x
+expect 1 stderr "masticmux check: missing option --settings" check
+expect 1 stderr "masticmux check: Missing argument for --settings" \
+	check --settings
+expect 1 stderr "masticmux check: Unknown option --x" check --x
+expect 1 stderr "masticmux check: unexpected argument 'x'" \
+	check --settings "$good" x
+expect 1 stderr \
+	"masticmux check: cannot read $work/none: No such file or directory" \
+	check --settings "$work/none"
+expect 1 stderr "masticmux check: cannot read $work: Is a directory" \
+	check --settings "$good" --change "$work"
+expect 2 stdout "$bad:0:0: missing key 'listen', which must be a table with \
+callers, nodes, announce and operator" check --settings "$bad"
+expect 2 stdout "$bad:1:2: unknown key 'node'; valid keys: change, template, \
+service, account" check --settings "$good" --change "$bad"
+for customer in chainring siamfrost; do
+	expect 0 stdout "no findings" check \
+		--settings "examples/$customer-settings.toml" \
+		--change "examples/$customer-change.toml"
+done
+[ "$failures" -eq 0 ] && echo "command line: all cases passed"
+[ "$failures" -eq 0 ]
