--- a/src/test_libmasticmux/suites.c
+++ b/src/test_libmasticmux/suites.c
@@ -1,11 +1,18 @@
 #include "suites.h"
 
 CU_SuiteInfo mmx_test_suites[] = {
+	{"address", NULL, NULL, NULL, NULL, mmx_tests_address},
+	{"change", NULL, NULL, NULL, NULL, mmx_tests_change},
+	{"change json", NULL, NULL, NULL, NULL, mmx_tests_change_json},
 	{"claims", NULL, NULL, NULL, NULL, mmx_tests_claims},
 	{"clock", NULL, NULL, NULL, NULL, mmx_tests_clock},
 	{"config", NULL, NULL, NULL, NULL, mmx_tests_config},
 	{"directory", NULL, NULL, NULL, NULL, mmx_tests_directory},
 	{"error", NULL, NULL, NULL, NULL, mmx_tests_error},
+	{"mutation", NULL, NULL, NULL, NULL, mmx_tests_mutation},
+	{"policy", NULL, NULL, NULL, NULL, mmx_tests_policy},
+	{"schema", NULL, NULL, NULL, NULL, mmx_tests_schema},
+	{"settings", NULL, NULL, NULL, NULL, mmx_tests_settings},
 	{"fold", NULL, NULL, NULL, NULL, mmx_tests_fold},
 	{"gossip", NULL, NULL, NULL, NULL, mmx_tests_gossip},
 	{"gossip_codec", NULL, NULL, NULL, NULL, mmx_tests_gossip_codec},
