--- /dev/null
+++ b/src/libmasticmux/backoff.c
@@ -0,0 +1,29 @@
+#include "private/backoff.h"
+
+mmx_time_t mmx_backoff_fail(mmx_backoff_t *backoff, mmx_time_t now)
+{
+	mmx_time_t health = now - backoff->healthy_since;
+
+	if (!backoff->delay) {
+		backoff->delay = MMX_BACKOFF_FIRST_US;
+		backoff->healthy_since = now;
+		return backoff->delay;
+	}
+	backoff->delay *= 2;
+	while (health >= MMX_BACKOFF_HEALTH_US &&
+	       backoff->delay > MMX_BACKOFF_FIRST_US) {
+		backoff->delay /= 2;
+		health -= MMX_BACKOFF_HEALTH_US;
+	}
+	if (backoff->delay > MMX_BACKOFF_MAX_US)
+		backoff->delay = MMX_BACKOFF_MAX_US;
+	if (backoff->delay < MMX_BACKOFF_FIRST_US)
+		backoff->delay = MMX_BACKOFF_FIRST_US;
+	backoff->healthy_since = now;
+	return backoff->delay;
+}
+
+void mmx_backoff_recover(mmx_backoff_t *backoff, mmx_time_t now)
+{
+	backoff->healthy_since = now;
+}
--- /dev/null
+++ b/src/libmasticmux/balance.c
@@ -0,0 +1,315 @@
+#include "masticmux/balance.h"
+
+#include <assert.h>
+#include <glib.h>
+#include <string.h>
+
+/* Candidates looked at in one ring; a larger ring is sampled from a random
+ * position, so that a choice has a bounded cost. */
+#define CANDIDATES_MAX 64
+
+const char *const mmx_ring_string[MMX_RING_COUNT] = {
+	"zone",
+	"region",
+	"remote",
+};
+
+const char *const mmx_use_string[MMX_USE_COUNT] = {
+	"normal", "avoid", "trial", "last-resort", "none",
+};
+
+typedef struct target_t {
+	mmx_target_id_t id;
+	mmx_time_t reported;
+	uint32_t others; /* load of other entries, as last reported */
+	uint32_t outstanding;
+	uint16_t slots;
+	uint8_t use;
+	uint8_t ring;
+} target_t;
+
+struct mmx_balance_t {
+	target_t *targets; /* in order of ring */
+	size_t count;
+	size_t space;
+	size_t ring_start[MMX_RING_COUNT + 1];
+	uint32_t uses[MMX_USE_COUNT]; /* number of targets of each use */
+};
+
+typedef struct candidates_t {
+	const target_t *target[CANDIDATES_MAX];
+	size_t count;
+} candidates_t;
+
+mmx_balance_t *mmx_balance_create(void)
+{
+	return g_new0(mmx_balance_t, 1);
+}
+
+void mmx_balance_destroy(mmx_balance_t *balance)
+{
+	if (!balance)
+		return;
+	g_free(balance->targets);
+	g_free(balance);
+}
+
+static target_t *find_(const mmx_balance_t *balance, mmx_target_id_t id)
+{
+	size_t i;
+
+	for (i = 0; i < balance->count; i++)
+		if (balance->targets[i].id == id)
+			return &balance->targets[i];
+	return NULL;
+}
+
+static void take_out_(mmx_balance_t *balance, target_t *target)
+{
+	size_t at = (size_t)(target - balance->targets);
+	size_t ring;
+
+	for (ring = target->ring + 1U; ring <= MMX_RING_COUNT; ring++)
+		balance->ring_start[ring]--;
+	balance->uses[target->use]--;
+	balance->count--;
+	memmove(target, target + 1, (balance->count - at) * sizeof(*target));
+}
+
+static void put_in_(mmx_balance_t *balance, const target_t *target)
+{
+	size_t at = balance->ring_start[target->ring + 1U];
+	size_t ring;
+
+	if (balance->count == balance->space) {
+		balance->space = balance->space ? 2 * balance->space : 4;
+		balance->targets = g_renew(target_t, balance->targets,
+					   balance->space);
+	}
+	memmove(&balance->targets[at + 1], &balance->targets[at],
+		(balance->count - at) * sizeof(*target));
+	balance->targets[at] = *target;
+	for (ring = target->ring + 1U; ring <= MMX_RING_COUNT; ring++)
+		balance->ring_start[ring]++;
+	balance->uses[target->use]++;
+	balance->count++;
+}
+
+void mmx_balance_set(mmx_balance_t *balance, mmx_target_id_t target,
+		     uint16_t slots, mmx_ring_t ring)
+{
+	target_t *known = find_(balance, target);
+	target_t value = {.id = target, .use = MMX_USE_NORMAL};
+
+	assert(slots > 0 && ring < MMX_RING_COUNT);
+	if (known) {
+		value = *known;
+		take_out_(balance, known);
+	}
+	value.slots = slots;
+	value.ring = (uint8_t)ring;
+	put_in_(balance, &value);
+}
+
+void mmx_balance_remove(mmx_balance_t *balance, mmx_target_id_t target)
+{
+	target_t *known = find_(balance, target);
+
+	if (known)
+		take_out_(balance, known);
+}
+
+void mmx_balance_set_use(mmx_balance_t *balance, mmx_target_id_t target,
+			 mmx_use_t use)
+{
+	target_t *known = find_(balance, target);
+
+	assert(use < MMX_USE_COUNT);
+	if (!known)
+		return;
+	balance->uses[known->use]--;
+	balance->uses[use]++;
+	known->use = (uint8_t)use;
+}
+
+void mmx_balance_report(mmx_balance_t *balance, mmx_target_id_t target,
+			uint32_t load, mmx_time_t now)
+{
+	target_t *known = find_(balance, target);
+
+	if (!known)
+		return;
+	/* The reported load contains this entry's own requests. */
+	known->others = load > known->outstanding ? load - known->outstanding :
+						    0;
+	known->reported = now;
+}
+
+void mmx_balance_start(mmx_balance_t *balance, mmx_target_id_t target)
+{
+	target_t *known = find_(balance, target);
+
+	if (known)
+		known->outstanding++;
+}
+
+void mmx_balance_finish(mmx_balance_t *balance, mmx_target_id_t target)
+{
+	target_t *known = find_(balance, target);
+
+	if (known && known->outstanding)
+		known->outstanding--;
+}
+
+/* An old report would keep away the requests that bring a new one. */
+static uint64_t load_(const target_t *target, mmx_time_t now)
+{
+	uint64_t load = target->outstanding;
+
+	if (now - target->reported <= MMX_BALANCE_REPORT_US)
+		load += target->others;
+	return load;
+}
+
+static bool is_free_(const target_t *target, mmx_time_t now)
+{
+	return load_(target, now) < target->slots;
+}
+
+static const target_t *less_loaded_(const target_t *a, const target_t *b,
+				    mmx_time_t now)
+{
+	return load_(b, now) * a->slots < load_(a, now) * b->slots ? b : a;
+}
+
+static bool is_tried_(const mmx_balance_request_t *request, mmx_target_id_t id)
+{
+	size_t i;
+
+	for (i = 0; i < request->tried_count; i++)
+		if (request->tried[i] == id)
+			return true;
+	return false;
+}
+
+static void collect_(const mmx_balance_t *balance,
+		     const mmx_balance_request_t *request, mmx_use_t use,
+		     mmx_ring_t ring, mmx_random_t *random,
+		     candidates_t *candidates)
+{
+	size_t start = balance->ring_start[ring];
+	size_t size = balance->ring_start[ring + 1] - start;
+	size_t offset = 0;
+	size_t i;
+
+	candidates->count = 0;
+	if (size > CANDIDATES_MAX)
+		offset = mmx_random_below(random, size);
+	for (i = 0; i < size && candidates->count < CANDIDATES_MAX; i++) {
+		size_t at = offset + i < size ? offset + i : offset + i - size;
+		const target_t *target = &balance->targets[start + at];
+
+		if (target->use == use && !is_tried_(request, target->id))
+			candidates->target[candidates->count++] = target;
+	}
+}
+
+static const target_t *pick_two_(const candidates_t *candidates,
+				 mmx_random_t *random, mmx_time_t now)
+{
+	size_t first = mmx_random_below(random, candidates->count);
+	size_t second;
+
+	if (candidates->count == 1)
+		return candidates->target[0];
+	second = mmx_random_below(random, candidates->count - 1);
+	if (second >= first)
+		second++;
+	return less_loaded_(candidates->target[first],
+			    candidates->target[second], now);
+}
+
+static const target_t *pick_free_(const candidates_t *candidates,
+				  mmx_random_t *random, mmx_time_t now)
+{
+	const target_t *best;
+	size_t i;
+
+	if (!candidates->count)
+		return NULL;
+	best = pick_two_(candidates, random, now);
+	if (is_free_(best, now))
+		return best;
+	for (i = 0; i < candidates->count; i++)
+		best = less_loaded_(best, candidates->target[i], now);
+	return is_free_(best, now) ? best : NULL;
+}
+
+/* Least loaded of two in the nearest ring that has any target of this use, or
+ * with only_free the nearest target that has a free slot. */
+static const target_t *pick_use_(const mmx_balance_t *balance,
+				 const mmx_balance_request_t *request,
+				 mmx_use_t use, bool only_free,
+				 mmx_random_t *random, mmx_time_t now)
+{
+	candidates_t candidates;
+	const target_t *target;
+	mmx_ring_t ring;
+
+	if (!balance->uses[use])
+		return NULL;
+	for (ring = MMX_RING_ZONE; ring < MMX_RING_COUNT; ring++) {
+		collect_(balance, request, use, ring, random, &candidates);
+		if (!candidates.count)
+			continue;
+		target = only_free ? pick_free_(&candidates, random, now) :
+				     pick_two_(&candidates, random, now);
+		if (target)
+			return target;
+	}
+	return NULL;
+}
+
+bool mmx_balance_choose(const mmx_balance_t *balance,
+			const mmx_balance_request_t *request,
+			mmx_random_t *random, mmx_time_t now,
+			mmx_balance_choice_t *choice)
+{
+	/* A free slot at a suspect target comes before a queue elsewhere. */
+	static const struct {
+		mmx_use_t use;
+		bool only_free;
+	} order[] = {
+		{MMX_USE_NORMAL, true},	 {MMX_USE_AVOID, true},
+		{MMX_USE_NORMAL, false}, {MMX_USE_AVOID, false},
+		{MMX_USE_LAST_RESORT, false},
+	};
+	const target_t *target = NULL;
+	size_t i;
+
+	if (request->repeatable)
+		target = pick_use_(balance, request, MMX_USE_TRIAL, false,
+				   random, now);
+	for (i = 0; !target && i < sizeof(order) / sizeof(order[0]); i++)
+		target = pick_use_(balance, request, order[i].use,
+				   order[i].only_free, random, now);
+	if (!target)
+		return false;
+	choice->target = target->id;
+	choice->ring = target->ring;
+	choice->trial = target->use == MMX_USE_TRIAL;
+	return true;
+}
+
+uint32_t mmx_balance_outstanding(const mmx_balance_t *balance,
+				 mmx_target_id_t target)
+{
+	const target_t *known = find_(balance, target);
+
+	return known ? known->outstanding : 0;
+}
+
+size_t mmx_balance_count(const mmx_balance_t *balance)
+{
+	return balance->count;
+}
--- /dev/null
+++ b/src/libmasticmux/detection.c
@@ -0,0 +1,326 @@
+#include "masticmux/detection.h"
+
+#include <assert.h>
+#include <glib.h>
+#include <math.h>
+
+/* With drift k a CUSUM of Exp(1) exceeds h with a probability of about
+ * exp(-t h) per request, where t solves k = -ln(1 - t) / t: t = 0.80 for
+ * k = 2 and 0.94 for k = 3. The thresholds below give less than one false
+ * alarm in 5e7 requests (a day of both customers' traffic) at weight 100. */
+#define DRIFT_CAREFUL 3.0
+#define DRIFT_FAST 2.0
+#define FAILING_CAREFUL 30.0
+#define FAILING_FAST 24.0
+/* Suspicion only changes the order of choice, so it may come earlier. */
+#define SUSPECT_SHARE 0.6
+/* A single request must not make a target suspect, however old it is. */
+#define SINGLE_SHARE 0.5
+/* Bounds how much good evidence a recovered target needs. */
+#define SCORE_MAX_SHARE 1.5
+/* Hysteresis keeps a score near a threshold from changing the level often. */
+#define CLEAR_SHARE 0.5
+/* Without requests the score of a suspect target halves in this time, so
+ * that it is chosen again and new evidence arrives. */
+#define DECAY_HALF_LIFE_US (10 * MMX_US_PER_S)
+/* Error rate of a failing target: at least this, or a multiple of the
+ * peers'. */
+#define ERROR_RATE_FAILING 0.1
+#define ERROR_RATE_FACTOR 4.0
+#define ERROR_RATE_MAX 0.9
+
+const char *const mmx_suspicion_string[MMX_SUSPICION_COUNT] = {
+	"healthy",
+	"suspect",
+	"failing",
+};
+
+const char *const mmx_evidence_kind_string[MMX_EVIDENCE_KIND_COUNT] = {
+	"none",	      "latency",      "age",	      "errors",	      "refused",
+	"trials",     "no-progress",  "attempt-lost", "response-lost",
+};
+
+const char *const mmx_result_string[MMX_RESULT_COUNT] = {
+	"success",
+	"error",
+	"abandoned",
+};
+
+struct mmx_detection_t {
+	const mmx_clock_t *clock;
+	mmx_detection_limits_t limits;
+	mmx_latency_model_t peers;
+	TAILQ_HEAD(, mmx_detection_request_t) requests;
+	size_t in_progress;
+	double latency; /* CUSUM of completed requests */
+	double errors;	/* CUSUM of log-likelihood ratios */
+	double error_step;
+	double success_step;
+	double score;
+	mmx_suspicion_t level;
+	mmx_evidence_t evidence;
+	mmx_time_t evaluated;
+	uint8_t trials;
+	bool refused;
+	bool cleared;
+};
+
+void mmx_detection_limits(uint8_t weight, mmx_detection_limits_t *limits)
+{
+	double fast = weight / 100.0;
+
+	assert(weight <= 100);
+	limits->drift = DRIFT_CAREFUL + fast * (DRIFT_FAST - DRIFT_CAREFUL);
+	limits->failing =
+		FAILING_CAREFUL + fast * (FAILING_FAST - FAILING_CAREFUL);
+	limits->suspect = SUSPECT_SHARE * limits->failing;
+	limits->single = SINGLE_SHARE * limits->failing;
+}
+
+/* Steps of the log-likelihood ratio of a failing against a healthy target. */
+static void set_error_steps_(mmx_detection_t *detection, double healthy)
+{
+	double failing = fmax(ERROR_RATE_FAILING, ERROR_RATE_FACTOR * healthy);
+
+	failing = fmin(failing, ERROR_RATE_MAX);
+	if (healthy >= failing) {
+		detection->error_step = 0;
+		detection->success_step = 0;
+		return;
+	}
+	detection->error_step = log(failing / healthy);
+	detection->success_step = log((1 - failing) / (1 - healthy));
+}
+
+mmx_detection_t *mmx_detection_create(const mmx_clock_t *clock, uint8_t weight)
+{
+	mmx_detection_t *detection = g_new0(mmx_detection_t, 1);
+	mmx_latency_summary_t empty = {.requests = 0};
+
+	assert(clock);
+	detection->clock = clock;
+	detection->evaluated = mmx_clock_now(clock);
+	TAILQ_INIT(&detection->requests);
+	mmx_detection_set_weight(detection, weight);
+	mmx_detection_set_peers(detection, &empty);
+	return detection;
+}
+
+void mmx_detection_destroy(mmx_detection_t *detection)
+{
+	if (!detection)
+		return;
+	assert(TAILQ_EMPTY(&detection->requests));
+	g_free(detection);
+}
+
+void mmx_detection_set_weight(mmx_detection_t *detection, uint8_t weight)
+{
+	mmx_detection_limits(weight, &detection->limits);
+}
+
+void mmx_detection_set_peers(mmx_detection_t *detection,
+			     const mmx_latency_summary_t *peers)
+{
+	mmx_latency_model_prepare(&detection->peers, peers);
+	set_error_steps_(detection, detection->peers.error_rate);
+}
+
+void mmx_detection_start(mmx_detection_t *detection,
+			 mmx_detection_request_t *request, bool trial)
+{
+	request->started = mmx_clock_now(detection->clock);
+	request->trial = trial;
+	TAILQ_INSERT_TAIL(&detection->requests, request, entry);
+	detection->in_progress++;
+}
+
+static double evidence_of_(const mmx_detection_t *detection,
+			   mmx_time_t latency)
+{
+	return fmin(mmx_latency_model_evidence(&detection->peers, latency),
+		    detection->limits.single);
+}
+
+static double bounded_(const mmx_detection_t *detection, double score)
+{
+	double most = SCORE_MAX_SHARE * detection->limits.failing;
+
+	return fmin(fmax(score, 0), most);
+}
+
+static void clear_(mmx_detection_t *detection)
+{
+	detection->latency = 0;
+	detection->errors = 0;
+	detection->refused = false;
+	detection->trials = 0;
+	detection->cleared = true;
+}
+
+static void count_trial_(mmx_detection_t *detection, bool good)
+{
+	if (!good) {
+		detection->trials = 0;
+		return;
+	}
+	if (++detection->trials >= MMX_DETECTION_TRIALS)
+		clear_(detection);
+}
+
+bool mmx_detection_finish(mmx_detection_t *detection,
+			  mmx_detection_request_t *request,
+			  mmx_result_t result)
+{
+	mmx_time_t latency = mmx_clock_now(detection->clock) -
+			     request->started;
+	double excess = evidence_of_(detection, latency) -
+			detection->limits.drift;
+	bool good = result == MMX_RESULT_SUCCESS && excess <= 0;
+
+	assert(result < MMX_RESULT_COUNT);
+	TAILQ_REMOVE(&detection->requests, request, entry);
+	detection->in_progress--;
+	/* Errors may be returned early and abandoned requests are censored:
+	 * a short latency of either does not speak for the target. */
+	if (result != MMX_RESULT_SUCCESS)
+		excess = fmax(excess, 0);
+	detection->latency = bounded_(detection, detection->latency + excess);
+	if (result == MMX_RESULT_ERROR)
+		detection->errors = bounded_(
+			detection, detection->errors + detection->error_step);
+	if (result == MMX_RESULT_SUCCESS) {
+		detection->refused = false;
+		detection->errors =
+			bounded_(detection,
+				 detection->errors + detection->success_step);
+	}
+	if (request->trial)
+		count_trial_(detection, good);
+	return good;
+}
+
+void mmx_detection_refused(mmx_detection_t *detection)
+{
+	detection->refused = true;
+	detection->trials = 0;
+}
+
+/* Evidence of the requests in progress, each as if it completed now, as far
+ * as it exceeds the drift. */
+static double age_score_(const mmx_detection_t *detection, mmx_time_t now)
+{
+	const mmx_detection_request_t *request;
+	double sum = 0;
+	double excess;
+
+	TAILQ_FOREACH (request, &detection->requests, entry) {
+		excess = evidence_of_(detection, now - request->started) -
+			 detection->limits.drift;
+		/* The list is in order of start: the rest is younger. */
+		if (excess <= 0)
+			break;
+		sum += excess;
+	}
+	return sum;
+}
+
+static void decay_(mmx_detection_t *detection, mmx_time_t now)
+{
+	double halves = (double)(now - detection->evaluated) /
+			(double)DECAY_HALF_LIFE_US;
+	double factor;
+
+	detection->evaluated = now;
+	/* A failing target is cleared by requests only, never by time. */
+	if (detection->level == MMX_SUSPICION_FAILING ||
+	    (detection->latency <= 0 && detection->errors <= 0))
+		return;
+	factor = exp2(-halves);
+	detection->latency *= factor;
+	detection->errors *= factor;
+}
+
+static mmx_suspicion_t level_(const mmx_detection_t *detection)
+{
+	const mmx_detection_limits_t *limits = &detection->limits;
+
+	if (detection->score >= limits->failing)
+		return MMX_SUSPICION_FAILING;
+	if (detection->score < CLEAR_SHARE * limits->suspect)
+		return MMX_SUSPICION_HEALTHY;
+	if (detection->level != MMX_SUSPICION_HEALTHY)
+		return detection->level;
+	return detection->score >= limits->suspect ? MMX_SUSPICION_SUSPECT :
+						     MMX_SUSPICION_HEALTHY;
+}
+
+static mmx_evidence_kind_t score_(mmx_detection_t *detection, double age)
+{
+	double latency = bounded_(detection, detection->latency + age);
+	double most = SCORE_MAX_SHARE * detection->limits.failing;
+
+	if (detection->refused) {
+		detection->score = most;
+		return MMX_EVIDENCE_REFUSED;
+	}
+	detection->score = fmax(latency, detection->errors);
+	if (detection->errors > latency)
+		return MMX_EVIDENCE_ERRORS;
+	return age > detection->latency ? MMX_EVIDENCE_AGE :
+					  MMX_EVIDENCE_LATENCY;
+}
+
+static void record_(mmx_detection_t *detection, mmx_evidence_kind_t kind,
+		    mmx_time_t now)
+{
+	const mmx_detection_limits_t *limits = &detection->limits;
+	mmx_evidence_t *evidence = &detection->evidence;
+
+	evidence->kind = kind;
+	evidence->value = detection->score;
+	evidence->time = now;
+	evidence->threshold = limits->failing;
+	if (detection->level == MMX_SUSPICION_SUSPECT)
+		evidence->threshold = limits->suspect;
+	if (detection->level == MMX_SUSPICION_HEALTHY) {
+		evidence->threshold = CLEAR_SHARE * limits->suspect;
+		if (detection->cleared)
+			evidence->kind = MMX_EVIDENCE_TRIALS;
+	}
+}
+
+bool mmx_detection_evaluate(mmx_detection_t *detection)
+{
+	mmx_time_t now = mmx_clock_now(detection->clock);
+	mmx_suspicion_t before = detection->level;
+	mmx_evidence_kind_t kind;
+
+	decay_(detection, now);
+	kind = score_(detection, age_score_(detection, now));
+	detection->level = level_(detection);
+	if (detection->level != before)
+		record_(detection, kind, now);
+	detection->cleared = false;
+	return detection->level != before;
+}
+
+double mmx_detection_score(const mmx_detection_t *detection)
+{
+	return detection->score;
+}
+
+mmx_suspicion_t mmx_detection_level(const mmx_detection_t *detection)
+{
+	return detection->level;
+}
+
+const mmx_evidence_t *mmx_detection_evidence(const mmx_detection_t *detection)
+{
+	return &detection->evidence;
+}
+
+size_t mmx_detection_in_progress(const mmx_detection_t *detection)
+{
+	return detection->in_progress;
+}
--- /dev/null
+++ b/src/libmasticmux/ejection.c
@@ -0,0 +1,489 @@
+#include "masticmux/ejection.h"
+
+#include <assert.h>
+#include <glib.h>
+#include <string.h>
+
+#include "private/backoff.h"
+
+/* The service as a whole is slow when one in this many targets is suspect,
+ * but never because of a single one: a pool of three has to be able to eject
+ * its one bad target. */
+#define SHED_SHARE 3
+#define SHED_SUSPECTS_MIN 2
+/* A slowdown reaches the targets within this time; those that were ejected
+ * first return when it turns out to be one. */
+#define SHED_ONSET_US (10 * MMX_US_PER_S)
+
+const char *const mmx_availability_string[MMX_AVAILABILITY_COUNT] = {
+	"available", "cold", "draining", "unreachable", "dead",
+};
+
+const char *const mmx_ejection_state_string[MMX_EJECTION_STATE_COUNT] = {
+	"in-use",
+	"ejected",
+	"trial",
+	"trying",
+};
+
+typedef struct target_t {
+	mmx_target_id_t id;
+	double score;
+	mmx_time_t ejected_at;
+	mmx_time_t trial_at;
+	mmx_backoff_t backoff;
+	uint32_t ejections;
+	uint16_t slots;
+	uint8_t availability;
+	uint8_t level;
+	uint8_t state;
+	uint8_t use;
+	uint8_t successes;
+	bool elsewhere;
+} target_t;
+
+struct mmx_ejection_t {
+	mmx_clock_t *clock;
+	mmx_timer_t timer; /* earliest end of a back-off */
+	mmx_ejection_fn_t changed;
+	void *arg;
+	target_t *targets;
+	size_t count;
+	size_t space;
+	uint16_t floor_slots;
+	uint8_t floor_percent;
+	bool shed;
+	bool ignore_floor;
+};
+
+static bool is_usable_(const target_t *target)
+{
+	return target->availability == MMX_AVAILABLE ||
+	       target->availability == MMX_AVAILABILITY_COLD;
+}
+
+static bool is_ejected_(const target_t *target)
+{
+	return target->state != MMX_EJECTION_IN_USE;
+}
+
+/* Slots that count as capacity while the target is not ejected here. */
+static uint32_t capacity_of_(const target_t *target)
+{
+	if (target->availability != MMX_AVAILABLE || target->elsewhere)
+		return 0;
+	return target->slots;
+}
+
+static mmx_use_t use_(const target_t *target)
+{
+	switch (target->availability) {
+	case MMX_AVAILABILITY_DRAINING:
+	case MMX_AVAILABILITY_DEAD:
+		return MMX_USE_NONE;
+	case MMX_AVAILABILITY_UNREACHABLE:
+		return is_ejected_(target) ? MMX_USE_NONE :
+					     MMX_USE_LAST_RESORT;
+	default:
+		break;
+	}
+	switch (target->state) {
+	case MMX_EJECTION_TRIAL:
+		return MMX_USE_TRIAL;
+	case MMX_EJECTION_EJECTED:
+	case MMX_EJECTION_TRYING:
+		return MMX_USE_NONE;
+	default:
+		return target->level == MMX_SUSPICION_HEALTHY ? MMX_USE_NORMAL :
+								MMX_USE_AVOID;
+	}
+}
+
+static void publish_(mmx_ejection_t *ejection)
+{
+	size_t i;
+
+	for (i = 0; i < ejection->count; i++) {
+		target_t *target = &ejection->targets[i];
+		mmx_use_t use = use_(target);
+
+		if (target->use == use)
+			continue;
+		target->use = (uint8_t)use;
+		if (ejection->changed)
+			ejection->changed(ejection->arg, target->id, use);
+	}
+}
+
+static void set_timer_(mmx_ejection_t *ejection)
+{
+	mmx_time_t next = MMX_TIME_NEVER;
+	size_t i;
+
+	for (i = 0; i < ejection->count; i++)
+		if (ejection->targets[i].state == MMX_EJECTION_EJECTED &&
+		    ejection->targets[i].trial_at < next)
+			next = ejection->targets[i].trial_at;
+	if (next == MMX_TIME_NEVER)
+		mmx_timer_cancel(&ejection->timer);
+	else
+		mmx_timer_set(&ejection->timer,
+			      next - mmx_clock_now(ejection->clock));
+}
+
+static void eject_(target_t *target, mmx_time_t now)
+{
+	target->state = MMX_EJECTION_EJECTED;
+	target->ejected_at = now;
+	target->trial_at = now + mmx_backoff_fail(&target->backoff, now);
+	target->successes = 0;
+	target->ejections++;
+}
+
+/* Back to use although the target has not proved to be healthy. */
+static void readmit_(target_t *target, mmx_time_t now)
+{
+	target->state = MMX_EJECTION_IN_USE;
+	mmx_backoff_recover(&target->backoff, now);
+}
+
+static bool is_slow_(const mmx_ejection_t *ejection)
+{
+	size_t usable = 0;
+	size_t suspects = 0;
+	size_t i;
+
+	for (i = 0; i < ejection->count; i++) {
+		const target_t *target = &ejection->targets[i];
+
+		if (!is_usable_(target))
+			continue;
+		usable++;
+		if (is_ejected_(target) ||
+		    target->level != MMX_SUSPICION_HEALTHY)
+			suspects++;
+	}
+	return suspects >= SHED_SUSPECTS_MIN &&
+	       SHED_SHARE * suspects >= usable;
+}
+
+static void update_shed_(mmx_ejection_t *ejection, mmx_time_t now)
+{
+	bool slow = is_slow_(ejection);
+	size_t i;
+
+	if (slow && !ejection->shed)
+		for (i = 0; i < ejection->count; i++) {
+			target_t *target = &ejection->targets[i];
+
+			if (is_ejected_(target) &&
+			    now - target->ejected_at <= SHED_ONSET_US)
+				readmit_(target, now);
+		}
+	ejection->shed = slow;
+}
+
+static gint compare_rank_(gconstpointer a, gconstpointer b)
+{
+	const target_t *left = *(const target_t *const *)a;
+	const target_t *right = *(const target_t *const *)b;
+
+	if (left->score != right->score)
+		return left->score > right->score ? -1 : 1;
+	return left->id < right->id ? -1 : left->id > right->id;
+}
+
+static GPtrArray *rank_(const mmx_ejection_t *ejection)
+{
+	GPtrArray *ranked = g_ptr_array_new();
+	size_t i;
+
+	for (i = 0; i < ejection->count; i++) {
+		target_t *target = &ejection->targets[i];
+
+		if (!is_usable_(target))
+			continue;
+		if (is_ejected_(target) ||
+		    (!ejection->shed && target->level == MMX_SUSPICION_FAILING))
+			g_ptr_array_add(ranked, target);
+	}
+	g_ptr_array_sort(ranked, compare_rank_);
+	return ranked;
+}
+
+static uint32_t capacity_unejected_(const mmx_ejection_t *ejection)
+{
+	uint32_t slots = 0;
+	size_t i;
+
+	for (i = 0; i < ejection->count; i++)
+		slots += capacity_of_(&ejection->targets[i]);
+	return slots;
+}
+
+/* Recomputes the set of ejected targets: the top of the ranking, as far as
+ * the floor allows. */
+static void settle_(mmx_ejection_t *ejection)
+{
+	mmx_time_t now = mmx_clock_now(ejection->clock);
+	uint32_t floor = mmx_ejection_floor(ejection);
+	uint32_t capacity = capacity_unejected_(ejection);
+	GPtrArray *ranked;
+	bool fits = true;
+	guint i;
+
+	update_shed_(ejection, now);
+	ranked = rank_(ejection);
+	for (i = 0; i < ranked->len; i++) {
+		target_t *target = ranked->pdata[i];
+		uint32_t slots = capacity_of_(target);
+
+		fits = fits && capacity >= floor + slots;
+		if (fits || ejection->ignore_floor) {
+			capacity -= slots;
+			if (!is_ejected_(target))
+				eject_(target, now);
+		} else if (is_ejected_(target)) {
+			readmit_(target, now);
+		}
+	}
+	g_ptr_array_free(ranked, TRUE);
+	set_timer_(ejection);
+	publish_(ejection);
+}
+
+static void on_timer_(void *arg)
+{
+	mmx_ejection_t *ejection = arg;
+	mmx_time_t now = mmx_clock_now(ejection->clock);
+	size_t i;
+
+	for (i = 0; i < ejection->count; i++)
+		if (ejection->targets[i].state == MMX_EJECTION_EJECTED &&
+		    ejection->targets[i].trial_at <= now)
+			ejection->targets[i].state = MMX_EJECTION_TRIAL;
+	set_timer_(ejection);
+	publish_(ejection);
+}
+
+mmx_ejection_t *mmx_ejection_create(mmx_clock_t *clock, uint8_t floor_percent,
+				    uint16_t floor_slots,
+				    mmx_ejection_fn_t changed, void *arg)
+{
+	mmx_ejection_t *ejection = g_new0(mmx_ejection_t, 1);
+
+	assert(clock && floor_percent <= 100);
+	ejection->clock = clock;
+	ejection->changed = changed;
+	ejection->arg = arg;
+	ejection->floor_percent = floor_percent;
+	ejection->floor_slots = floor_slots;
+	mmx_timer_init(&ejection->timer, clock, on_timer_, ejection);
+	return ejection;
+}
+
+void mmx_ejection_destroy(mmx_ejection_t *ejection)
+{
+	if (!ejection)
+		return;
+	mmx_timer_cancel(&ejection->timer);
+	g_free(ejection->targets);
+	g_free(ejection);
+}
+
+void mmx_ejection_set_floor(mmx_ejection_t *ejection, uint8_t floor_percent,
+			    uint16_t floor_slots)
+{
+	assert(floor_percent <= 100);
+	ejection->floor_percent = floor_percent;
+	ejection->floor_slots = floor_slots;
+	settle_(ejection);
+}
+
+static target_t *find_(const mmx_ejection_t *ejection, mmx_target_id_t id)
+{
+	size_t i;
+
+	for (i = 0; i < ejection->count; i++)
+		if (ejection->targets[i].id == id)
+			return &ejection->targets[i];
+	return NULL;
+}
+
+void mmx_ejection_set(mmx_ejection_t *ejection, mmx_target_id_t target,
+		      uint16_t slots, mmx_availability_t availability)
+{
+	target_t *known = find_(ejection, target);
+
+	assert(slots > 0 && availability < MMX_AVAILABILITY_COUNT);
+	if (!known) {
+		if (ejection->count == ejection->space) {
+			ejection->space =
+				ejection->space ? 2 * ejection->space : 4;
+			ejection->targets = g_renew(target_t, ejection->targets,
+						    ejection->space);
+		}
+		known = &ejection->targets[ejection->count++];
+		*known = (target_t){.id = target, .use = MMX_USE_NORMAL};
+	}
+	known->slots = slots;
+	known->availability = (uint8_t)availability;
+	settle_(ejection);
+}
+
+void mmx_ejection_remove(mmx_ejection_t *ejection, mmx_target_id_t target)
+{
+	target_t *known = find_(ejection, target);
+
+	if (!known)
+		return;
+	*known = ejection->targets[--ejection->count];
+	settle_(ejection);
+}
+
+void mmx_ejection_report(mmx_ejection_t *ejection, mmx_target_id_t target,
+			 mmx_suspicion_t level, double score)
+{
+	target_t *known = find_(ejection, target);
+	mmx_suspicion_t before;
+
+	assert(level < MMX_SUSPICION_COUNT);
+	if (!known)
+		return;
+	before = known->level;
+	if (before == level && known->score == score)
+		return;
+	known->level = (uint8_t)level;
+	known->score = score;
+	/* The score matters for ranking only, and only failing or ejected
+	 * targets are ranked. */
+	if (before != level || level == MMX_SUSPICION_FAILING ||
+	    is_ejected_(known))
+		settle_(ejection);
+}
+
+void mmx_ejection_set_elsewhere(mmx_ejection_t *ejection,
+				mmx_target_id_t target, bool ejected)
+{
+	target_t *known = find_(ejection, target);
+
+	if (!known || known->elsewhere == ejected)
+		return;
+	known->elsewhere = ejected;
+	settle_(ejection);
+}
+
+bool mmx_ejection_trial_start(mmx_ejection_t *ejection, mmx_target_id_t target)
+{
+	target_t *known = find_(ejection, target);
+
+	if (!known || known->state != MMX_EJECTION_TRIAL)
+		return false;
+	known->state = MMX_EJECTION_TRYING;
+	publish_(ejection);
+	return true;
+}
+
+void mmx_ejection_trial_finish(mmx_ejection_t *ejection,
+			       mmx_target_id_t target, bool good)
+{
+	target_t *known = find_(ejection, target);
+	mmx_time_t now = mmx_clock_now(ejection->clock);
+
+	if (!known || known->state != MMX_EJECTION_TRYING)
+		return;
+	if (!good) {
+		known->state = MMX_EJECTION_EJECTED;
+		known->successes = 0;
+		known->trial_at =
+			now + mmx_backoff_fail(&known->backoff, now);
+	} else if (++known->successes < MMX_DETECTION_TRIALS) {
+		known->state = MMX_EJECTION_TRIAL;
+	} else {
+		known->state = MMX_EJECTION_IN_USE;
+		known->level = MMX_SUSPICION_HEALTHY;
+		known->score = 0;
+		mmx_backoff_recover(&known->backoff, now);
+	}
+	settle_(ejection);
+}
+
+bool mmx_ejection_must_shed(const mmx_ejection_t *ejection)
+{
+	return ejection->shed;
+}
+
+uint32_t mmx_ejection_capacity(const mmx_ejection_t *ejection)
+{
+	uint32_t slots = 0;
+	size_t i;
+
+	for (i = 0; i < ejection->count; i++)
+		if (!is_ejected_(&ejection->targets[i]))
+			slots += capacity_of_(&ejection->targets[i]);
+	return slots;
+}
+
+uint32_t mmx_ejection_floor(const mmx_ejection_t *ejection)
+{
+	uint32_t announced = 0;
+	uint32_t floor;
+	size_t i;
+
+	for (i = 0; i < ejection->count; i++)
+		announced += ejection->targets[i].slots;
+	floor = (announced * ejection->floor_percent + 99) / 100;
+	return floor > ejection->floor_slots ? floor : ejection->floor_slots;
+}
+
+size_t mmx_ejection_ejected(const mmx_ejection_t *ejection)
+{
+	size_t ejected = 0;
+	size_t i;
+
+	for (i = 0; i < ejection->count; i++)
+		ejected += is_ejected_(&ejection->targets[i]);
+	return ejected;
+}
+
+bool mmx_ejection_info(const mmx_ejection_t *ejection, mmx_target_id_t target,
+		       mmx_ejection_info_t *info)
+{
+	const target_t *known = find_(ejection, target);
+
+	if (!known)
+		return false;
+	info->state = known->state;
+	info->use = known->use;
+	info->level = known->level;
+	info->score = known->score;
+	info->ejected_at = known->ejected_at;
+	info->trial_at = known->trial_at;
+	info->trial_successes = known->successes;
+	info->ejections = known->ejections;
+	return true;
+}
+
+bool mmx_ejection_floor_holds(const mmx_ejection_t *ejection)
+{
+	uint32_t remaining = 0;
+	bool ejected = false;
+	size_t i;
+
+	for (i = 0; i < ejection->count; i++) {
+		const target_t *target = &ejection->targets[i];
+
+		if (is_usable_(target) && is_ejected_(target))
+			ejected = true;
+		if (target->availability == MMX_AVAILABLE &&
+		    !target->elsewhere && !is_ejected_(target))
+			remaining += target->slots;
+	}
+	return !ejected || remaining >= mmx_ejection_floor(ejection);
+}
+
+void mmx_ejection_ignore_floor(mmx_ejection_t *ejection, bool ignore)
+{
+	ejection->ignore_floor = ignore;
+	settle_(ejection);
+}
--- /dev/null
+++ b/src/libmasticmux/include/private/backoff.h
@@ -0,0 +1,27 @@
+/*
+ * Back-off of a target or path that failed: doubles each time it fails again
+ * and halves with each period of health.
+ */
+#ifndef MASTICMUX_PRIVATE_BACKOFF_H
+#define MASTICMUX_PRIVATE_BACKOFF_H
+
+#include "masticmux/types.h"
+
+#define MMX_BACKOFF_FIRST_US (2 * MMX_US_PER_S)
+#define MMX_BACKOFF_MAX_US (60 * MMX_US_PER_S)
+/* Time of health after which the next back-off is half as long. */
+#define MMX_BACKOFF_HEALTH_US (300 * MMX_US_PER_S)
+
+/* Zero-initialised: never failed. */
+typedef struct mmx_backoff_t {
+	mmx_time_t delay;	  /* last one, 0: none yet */
+	mmx_time_t healthy_since; /* end of the last failure */
+} mmx_backoff_t;
+
+/* Delay after a failure at the given time. */
+mmx_time_t mmx_backoff_fail(mmx_backoff_t *backoff, mmx_time_t now);
+
+/* The target or path is healthy again from now on. */
+void mmx_backoff_recover(mmx_backoff_t *backoff, mmx_time_t now);
+
+#endif
