Add path detection

Cause: a bad connection between entry and exit must not be held against the target. Change: module path, judged by progress and by what the exit answers.

--- a/include/masticmux/detection.h
+++ b/include/masticmux/detection.h
@@ -41,13 +41,13 @@
 /** What a level was derived from. */
 typedef enum mmx_evidence_kind_t {
 	MMX_EVIDENCE_NONE,
-	MMX_EVIDENCE_LATENCY,	   /**< completed requests too slow */
-	MMX_EVIDENCE_AGE,	   /**< requests in progress too old */
-	MMX_EVIDENCE_ERRORS,	   /**< more errors than at peers */
-	MMX_EVIDENCE_REFUSED,	   /**< connection refused */
-	MMX_EVIDENCE_TRIALS,	   /**< trial requests succeeded */
-	MMX_EVIDENCE_NO_PROGRESS,  /**< path: nothing received */
-	MMX_EVIDENCE_ATTEMPT_LOST, /**< path: the exit never saw an attempt */
+	MMX_EVIDENCE_LATENCY,	    /**< completed requests too slow */
+	MMX_EVIDENCE_AGE,	    /**< requests in progress too old */
+	MMX_EVIDENCE_ERRORS,	    /**< more errors than at peers */
+	MMX_EVIDENCE_REFUSED,	    /**< connection refused */
+	MMX_EVIDENCE_TRIALS,	    /**< trial requests succeeded */
+	MMX_EVIDENCE_NO_PROGRESS,   /**< path: nothing received */
+	MMX_EVIDENCE_ATTEMPT_LOST,  /**< path: the exit never saw an attempt */
 	MMX_EVIDENCE_RESPONSE_LOST, /**< path: a response did not arrive */
 	MMX_EVIDENCE_KIND_COUNT
 } mmx_evidence_kind_t;
@@ -57,7 +57,7 @@
 /** Evidence that led to the current level, for "masticmux explain". */
 typedef struct mmx_evidence_t {
 	mmx_evidence_kind_t kind;
-	double value;	  /**< what was measured, in nats; path: seconds */
+	double value;	  /**< nats; no progress: seconds; losses: a count */
 	double threshold; /**< what it was compared with, same unit */
 	mmx_time_t time;  /**< when the level was reached */
 } mmx_evidence_t;
@@ -103,8 +103,7 @@
  * @param clock   outlives the result
  * @param weight  0..100, asserted
  */
-mmx_detection_t *mmx_detection_create(const mmx_clock_t *clock,
-				      uint8_t weight);
+mmx_detection_t *mmx_detection_create(const mmx_clock_t *clock, uint8_t weight);
 
 /** Destroys it; no request may be in progress. NULL is allowed. */
 void mmx_detection_destroy(mmx_detection_t *detection);
@@ -152,8 +151,7 @@
 mmx_suspicion_t mmx_detection_level(const mmx_detection_t *detection);
 
 /** Evidence that led to the level; valid until the next evaluation. */
-const mmx_evidence_t *
-mmx_detection_evidence(const mmx_detection_t *detection);
+const mmx_evidence_t *mmx_detection_evidence(const mmx_detection_t *detection);
 
 /** Number of requests in progress. */
 size_t mmx_detection_in_progress(const mmx_detection_t *detection);
--- a/include/masticmux/ejection.h
+++ b/include/masticmux/ejection.h
@@ -106,8 +106,7 @@
  * @return false when the target is not due for one; then the request must not
  *         be sent as a trial
  */
-bool mmx_ejection_trial_start(mmx_ejection_t *ejection,
-			      mmx_target_id_t target);
+bool mmx_ejection_trial_start(mmx_ejection_t *ejection, mmx_target_id_t target);
 
 /**
  * Ends a trial request. Ignored when the target has left the trial meanwhile.
@@ -115,8 +114,8 @@
  * @param good  result of mmx_detection_finish() at the exit; false when there
  *              was no response
  */
-void mmx_ejection_trial_finish(mmx_ejection_t *ejection,
-			       mmx_target_id_t target, bool good);
+void mmx_ejection_trial_finish(mmx_ejection_t *ejection, mmx_target_id_t target,
+			       bool good);
 
 /** True while the service as a whole is slow and load must be shed. */
 bool mmx_ejection_must_shed(const mmx_ejection_t *ejection);
--- a/include/masticmux/latency.h
+++ b/include/masticmux/latency.h
@@ -43,8 +43,8 @@
  * Adds one completion. Latencies of errors are not counted, since a target
  * that fails early is not fast.
  */
-void mmx_latency_summary_add(mmx_latency_summary_t *summary,
-			     mmx_time_t latency, bool error);
+void mmx_latency_summary_add(mmx_latency_summary_t *summary, mmx_time_t latency,
+			     bool error);
 
 /** Adds all completions of another summary; counts saturate. */
 void mmx_latency_summary_merge(mmx_latency_summary_t *summary,
--- a/src/libmasticmux/balance.c
+++ b/src/libmasticmux/balance.c
@@ -83,8 +83,8 @@
 
 	if (balance->count == balance->space) {
 		balance->space = balance->space ? 2 * balance->space : 4;
-		balance->targets = g_renew(target_t, balance->targets,
-					   balance->space);
+		balance->targets =
+			g_renew(target_t, balance->targets, balance->space);
 	}
 	memmove(&balance->targets[at + 1], &balance->targets[at],
 		(balance->count - at) * sizeof(*target));
@@ -140,8 +140,8 @@
 	if (!known)
 		return;
 	/* The reported load contains this entry's own requests. */
-	known->others = load > known->outstanding ? load - known->outstanding :
-						    0;
+	known->others =
+		load > known->outstanding ? load - known->outstanding : 0;
 	known->reported = now;
 }
 
@@ -262,8 +262,8 @@
 		collect_(balance, request, use, ring, random, &candidates);
 		if (!candidates.count)
 			continue;
-		target = only_free ? pick_free_(&candidates, random, now) :
-				     pick_two_(&candidates, random, now);
+		target = only_free ? pick_free_(&candidates, random, now)
+				   : pick_two_(&candidates, random, now);
 		if (target)
 			return target;
 	}
@@ -280,8 +280,8 @@
 		mmx_use_t use;
 		bool only_free;
 	} order[] = {
-		{MMX_USE_NORMAL, true},	 {MMX_USE_AVOID, true},
-		{MMX_USE_NORMAL, false}, {MMX_USE_AVOID, false},
+		{MMX_USE_NORMAL, true},	      {MMX_USE_AVOID, true},
+		{MMX_USE_NORMAL, false},      {MMX_USE_AVOID, false},
 		{MMX_USE_LAST_RESORT, false},
 	};
 	const target_t *target = NULL;
--- a/src/libmasticmux/detection.c
+++ b/src/libmasticmux/detection.c
@@ -36,8 +36,8 @@
 };
 
 const char *const mmx_evidence_kind_string[MMX_EVIDENCE_KIND_COUNT] = {
-	"none",	      "latency",      "age",	      "errors",	      "refused",
-	"trials",     "no-progress",  "attempt-lost", "response-lost",
+	"none",	  "latency",	 "age",		 "errors",	  "refused",
+	"trials", "no-progress", "attempt-lost", "response-lost",
 };
 
 const char *const mmx_result_string[MMX_RESULT_COUNT] = {
@@ -135,8 +135,7 @@
 	detection->in_progress++;
 }
 
-static double evidence_of_(const mmx_detection_t *detection,
-			   mmx_time_t latency)
+static double evidence_of_(const mmx_detection_t *detection, mmx_time_t latency)
 {
 	return fmin(mmx_latency_model_evidence(&detection->peers, latency),
 		    detection->limits.single);
@@ -169,13 +168,11 @@
 }
 
 bool mmx_detection_finish(mmx_detection_t *detection,
-			  mmx_detection_request_t *request,
-			  mmx_result_t result)
+			  mmx_detection_request_t *request, mmx_result_t result)
 {
-	mmx_time_t latency = mmx_clock_now(detection->clock) -
-			     request->started;
-	double excess = evidence_of_(detection, latency) -
-			detection->limits.drift;
+	mmx_time_t latency = mmx_clock_now(detection->clock) - request->started;
+	double excess =
+		evidence_of_(detection, latency) - detection->limits.drift;
 	bool good = result == MMX_RESULT_SUCCESS && excess <= 0;
 
 	assert(result < MMX_RESULT_COUNT);
@@ -191,9 +188,8 @@
 			detection, detection->errors + detection->error_step);
 	if (result == MMX_RESULT_SUCCESS) {
 		detection->refused = false;
-		detection->errors =
-			bounded_(detection,
-				 detection->errors + detection->success_step);
+		detection->errors = bounded_(
+			detection, detection->errors + detection->success_step);
 	}
 	if (request->trial)
 		count_trial_(detection, good);
@@ -251,8 +247,8 @@
 		return MMX_SUSPICION_HEALTHY;
 	if (detection->level != MMX_SUSPICION_HEALTHY)
 		return detection->level;
-	return detection->score >= limits->suspect ? MMX_SUSPICION_SUSPECT :
-						     MMX_SUSPICION_HEALTHY;
+	return detection->score >= limits->suspect ? MMX_SUSPICION_SUSPECT
+						   : MMX_SUSPICION_HEALTHY;
 }
 
 static mmx_evidence_kind_t score_(mmx_detection_t *detection, double age)
@@ -267,8 +263,8 @@
 	detection->score = fmax(latency, detection->errors);
 	if (detection->errors > latency)
 		return MMX_EVIDENCE_ERRORS;
-	return age > detection->latency ? MMX_EVIDENCE_AGE :
-					  MMX_EVIDENCE_LATENCY;
+	return age > detection->latency ? MMX_EVIDENCE_AGE
+					: MMX_EVIDENCE_LATENCY;
 }
 
 static void record_(mmx_detection_t *detection, mmx_evidence_kind_t kind,
--- a/src/libmasticmux/ejection.c
+++ b/src/libmasticmux/ejection.c
@@ -82,8 +82,7 @@
 	case MMX_AVAILABILITY_DEAD:
 		return MMX_USE_NONE;
 	case MMX_AVAILABILITY_UNREACHABLE:
-		return is_ejected_(target) ? MMX_USE_NONE :
-					     MMX_USE_LAST_RESORT;
+		return is_ejected_(target) ? MMX_USE_NONE : MMX_USE_LAST_RESORT;
 	default:
 		break;
 	}
@@ -94,8 +93,8 @@
 	case MMX_EJECTION_TRYING:
 		return MMX_USE_NONE;
 	default:
-		return target->level == MMX_SUSPICION_HEALTHY ? MMX_USE_NORMAL :
-								MMX_USE_AVOID;
+		return target->level == MMX_SUSPICION_HEALTHY ? MMX_USE_NORMAL
+							      : MMX_USE_AVOID;
 	}
 }
 
@@ -163,8 +162,7 @@
 		    target->level != MMX_SUSPICION_HEALTHY)
 			suspects++;
 	}
-	return suspects >= SHED_SUSPECTS_MIN &&
-	       SHED_SHARE * suspects >= usable;
+	return suspects >= SHED_SUSPECTS_MIN && SHED_SHARE * suspects >= usable;
 }
 
 static void update_shed_(mmx_ejection_t *ejection, mmx_time_t now)
@@ -384,8 +382,8 @@
 	return true;
 }
 
-void mmx_ejection_trial_finish(mmx_ejection_t *ejection,
-			       mmx_target_id_t target, bool good)
+void mmx_ejection_trial_finish(mmx_ejection_t *ejection, mmx_target_id_t target,
+			       bool good)
 {
 	target_t *known = find_(ejection, target);
 	mmx_time_t now = mmx_clock_now(ejection->clock);
@@ -395,8 +393,7 @@
 	if (!good) {
 		known->state = MMX_EJECTION_EJECTED;
 		known->successes = 0;
-		known->trial_at =
-			now + mmx_backoff_fail(&known->backoff, now);
+		known->trial_at = now + mmx_backoff_fail(&known->backoff, now);
 	} else if (++known->successes < MMX_DETECTION_TRIALS) {
 		known->state = MMX_EJECTION_TRIAL;
 	} else {
--- a/src/libmasticmux/latency.c
+++ b/src/libmasticmux/latency.c
@@ -7,7 +7,7 @@
 #define BUCKETS_PER_OCTAVE 2.0
 /* Hill's estimate needs some tens of observations; with 50 its standard
  * error is 14%. */
-#define TAIL_SAMPLES (MMX_LATENCY_SAMPLES_MIN / 2)
+#define TAIL_SAMPLES (MMX_LATENCY_SAMPLES_MIN / 2.0)
 /* Bounds of the tail exponent. Below 0.8 a stall would hardly count; above 4
  * a few samples of a light tail would make any unusual latency decisive. */
 #define EXPONENT_MIN 0.8
@@ -42,15 +42,14 @@
 	*value = *value > UINT32_MAX - by ? UINT32_MAX : *value + by;
 }
 
-void mmx_latency_summary_add(mmx_latency_summary_t *summary,
-			     mmx_time_t latency, bool error)
+void mmx_latency_summary_add(mmx_latency_summary_t *summary, mmx_time_t latency,
+			     bool error)
 {
 	add_saturated_(&summary->requests, 1);
 	if (error)
 		add_saturated_(&summary->errors, 1);
 	else
-		add_saturated_(&summary->count[mmx_latency_bucket(latency)],
-			       1);
+		add_saturated_(&summary->count[mmx_latency_bucket(latency)], 1);
 }
 
 void mmx_latency_summary_merge(mmx_latency_summary_t *summary,
@@ -181,9 +180,8 @@
 	memset(model, 0, sizeof(*model));
 	for (i = 0; i < MMX_LATENCY_BUCKETS; i++)
 		total += summary->count[i];
-	model->error_rate =
-		(float)((summary->errors + PRIOR_ERRORS) /
-			(summary->requests + PRIOR_REQUESTS));
+	model->error_rate = (float)((summary->errors + PRIOR_ERRORS) /
+				    (summary->requests + PRIOR_REQUESTS));
 	model->valid = total >= MMX_LATENCY_SAMPLES_MIN;
 	if (!model->valid)
 		return;
--- /dev/null
+++ b/src/libmasticmux/path.c
@@ -0,0 +1,141 @@
+#include "masticmux/path.h"
+
+#include <assert.h>
+#include <math.h>
+
+#include "private/backoff.h"
+
+/* A single loss is what a broken connection costs, and a new connection
+ * cures it; the path itself is failing when losses repeat. */
+#define LOSSES_SUSPECT 0.5
+#define LOSSES_FAILING 2.5
+/* An exit that does not answer on a new connection either is out of reach. */
+#define LOSSES_NO_ANSWER 3.0
+#define LOSSES_HALF_LIFE_US (30 * MMX_US_PER_S)
+#define LOSSES_MAX 6.0
+
+const char *const mmx_path_answer_string[MMX_PATH_ANSWER_COUNT] = {
+	"running",
+	"finished",
+	"unseen",
+	"none",
+};
+
+void mmx_path_init(mmx_path_t *path, mmx_time_t timeout, mmx_time_t now)
+{
+	assert(timeout > 0);
+	*path = (mmx_path_t){
+		.timeout = timeout,
+		.waiting_since = now,
+		.updated = now,
+	};
+}
+
+void mmx_path_sent(mmx_path_t *path, mmx_time_t now)
+{
+	if (!path->outstanding++)
+		path->waiting_since = now;
+}
+
+void mmx_path_progress(mmx_path_t *path, mmx_time_t now)
+{
+	path->waiting_since = now;
+}
+
+void mmx_path_done(mmx_path_t *path)
+{
+	assert(path->outstanding > 0);
+	path->outstanding--;
+}
+
+static void decay_(mmx_path_t *path, mmx_time_t now)
+{
+	double halves =
+		(double)(now - path->updated) / (double)LOSSES_HALF_LIFE_US;
+
+	path->updated = now;
+	if (path->losses > 0)
+		path->losses *= exp2(-halves);
+}
+
+static void fail_(mmx_path_t *path, mmx_time_t now)
+{
+	mmx_backoff_t backoff = {path->backoff_delay, path->backoff_since};
+
+	if (now < path->failed_until)
+		return;
+	path->failed_until = now + mmx_backoff_fail(&backoff, now);
+	mmx_backoff_recover(&backoff, path->failed_until);
+	path->backoff_delay = backoff.delay;
+	path->backoff_since = backoff.healthy_since;
+}
+
+static void record_(mmx_path_t *path, mmx_evidence_kind_t kind, double value,
+		    double threshold, mmx_time_t now)
+{
+	path->evidence = (mmx_evidence_t){kind, value, threshold, now};
+}
+
+void mmx_path_answer(mmx_path_t *path, mmx_path_answer_t answer, mmx_time_t now)
+{
+	mmx_evidence_kind_t kind = MMX_EVIDENCE_ATTEMPT_LOST;
+
+	assert(answer < MMX_PATH_ANSWER_COUNT);
+	decay_(path, now);
+	path->waiting_since = now;
+	switch (answer) {
+	case MMX_PATH_ANSWER_RUNNING:
+		return;
+	case MMX_PATH_ANSWER_FINISHED:
+		kind = MMX_EVIDENCE_RESPONSE_LOST;
+		path->losses += 1;
+		break;
+	case MMX_PATH_ANSWER_NONE:
+		kind = MMX_EVIDENCE_NO_PROGRESS;
+		path->losses += LOSSES_NO_ANSWER;
+		break;
+	default:
+		path->losses += 1;
+		break;
+	}
+	path->losses = fmin(path->losses, LOSSES_MAX);
+	record_(path, kind, path->losses, LOSSES_SUSPECT, now);
+	if (path->losses >= LOSSES_FAILING) {
+		path->evidence.threshold = LOSSES_FAILING;
+		fail_(path, now);
+	}
+}
+
+bool mmx_path_must_ask(const mmx_path_t *path, mmx_time_t now)
+{
+	return path->outstanding > 0 &&
+	       now - path->waiting_since >= path->timeout;
+}
+
+bool mmx_path_evaluate(mmx_path_t *path, mmx_time_t now)
+{
+	mmx_suspicion_t before = path->level;
+
+	decay_(path, now);
+	path->level = MMX_SUSPICION_HEALTHY;
+	if (now < path->failed_until)
+		path->level = MMX_SUSPICION_FAILING;
+	else if (path->losses >= LOSSES_SUSPECT || mmx_path_must_ask(path, now))
+		path->level = MMX_SUSPICION_SUSPECT;
+	if (path->level == MMX_SUSPICION_SUSPECT &&
+	    before == MMX_SUSPICION_HEALTHY && mmx_path_must_ask(path, now))
+		record_(path, MMX_EVIDENCE_NO_PROGRESS,
+			(double)(now - path->waiting_since) / MMX_US_PER_S,
+			(double)path->timeout / MMX_US_PER_S, now);
+	return path->level != before;
+}
+
+mmx_suspicion_t mmx_path_level(const mmx_path_t *path)
+{
+	return path->level;
+}
+
+const mmx_evidence_t *mmx_path_evidence(const mmx_path_t *path)
+{
+	return &path->evidence;
+}
