--- a/Makefile
+++ b/Makefile
@@ -23,16 +23,19 @@
 TEST_SRC := $(wildcard src/test_libmasticmux/*.c)
 SCENARIO_SRC := $(wildcard test/*.c)
 BENCH_SRC := $(wildcard bench/*.c)
+# Linked into every benchmark.
+BENCH_MODEL_SRC := $(wildcard bench/model/*.c)
 
 obj = $(patsubst %.c,$(BUILD)/obj/%.o,$(patsubst %.cc,$(BUILD)/obj/%.o,$(1)))
 LIB_OBJ := $(call obj,$(LIB_SRC) $(SHARE_SRC) $(SHARE_CXX))
 LIB := $(BUILD)/libmasticmux.a
 FORMAT_SRC := $(LIB_SRC) $(SHARE_SRC) $(SHARE_CXX) $(PROGRAM_SRC) \
 	$(STANDIN_SRC) $(TEST_SRC) $(SCENARIO_SRC) $(BENCH_SRC) \
-	$(wildcard include/masticmux/*.h src/*/*.h test/*.h bench/*.h \
+	$(BENCH_MODEL_SRC) \
+	$(wildcard include/masticmux/*.h src/*/*.h test/*.h bench/*.h bench/*/*.h \
 	src/libmasticmux/include/private/*.h)
 LINT_SRC := $(LIB_SRC) $(SHARE_SRC) $(PROGRAM_SRC) $(STANDIN_SRC) \
-	$(TEST_SRC) $(SCENARIO_SRC) $(BENCH_SRC)
+	$(TEST_SRC) $(SCENARIO_SRC) $(BENCH_SRC) $(BENCH_MODEL_SRC)
 BENCHES := $(patsubst bench/%.c,$(BUILD)/bench/%,$(BENCH_SRC))
 
 programs = $(if $(PROGRAM_SRC),$(BUILD)/masticmux) \
@@ -59,7 +62,7 @@
 $(BUILD)/scenario-tests: $(call obj,$(SCENARIO_SRC)) $(LIB)
 	@$(CXX) $(SAN) -o $@ $^ $(PKG_LIBS) $(TEST_LIBS) -lm
 
-$(BUILD)/bench/%: $(BUILD)/obj/bench/%.o $(LIB)
+$(BUILD)/bench/%: $(BUILD)/obj/bench/%.o $(call obj,$(BENCH_MODEL_SRC)) $(LIB)
 	@mkdir -p $(@D)
 	@$(CXX) $(SAN) -o $@ $^ $(PKG_LIBS) -lm
 
--- a/include/masticmux/detection.h
+++ b/include/masticmux/detection.h
@@ -47,7 +47,8 @@
 	MMX_EVIDENCE_REFUSED,	    /**< connection refused */
 	MMX_EVIDENCE_TRIALS,	    /**< trial requests succeeded */
 	MMX_EVIDENCE_NO_PROGRESS,   /**< path: nothing received */
-	MMX_EVIDENCE_ATTEMPT_LOST,  /**< path: the exit never saw an attempt */
+	MMX_EVIDENCE_NO_ANSWER,	    /**< path: none on a new connection */
+	MMX_EVIDENCE_ATTEMPT_LOST,  /**< path: exit never saw an attempt */
 	MMX_EVIDENCE_RESPONSE_LOST, /**< path: a response did not arrive */
 	MMX_EVIDENCE_KIND_COUNT
 } mmx_evidence_kind_t;
--- a/include/masticmux/ejection.h
+++ b/include/masticmux/ejection.h
@@ -100,6 +100,14 @@
 void mmx_ejection_set_elsewhere(mmx_ejection_t *ejection,
 				mmx_target_id_t target, bool ejected);
 
+/**
+ * Takes over the level of the path to a target's exit (see path.h). A target
+ * behind a failing path is no capacity for this entry and is used as a last
+ * resort only; unknown targets are allowed.
+ */
+void mmx_ejection_set_path(mmx_ejection_t *ejection, mmx_target_id_t target,
+			   mmx_suspicion_t level);
+
 /**
  * Starts the trial request of a target.
  *
--- a/src/libmasticmux/detection.c
+++ b/src/libmasticmux/detection.c
@@ -36,8 +36,8 @@
 };
 
 const char *const mmx_evidence_kind_string[MMX_EVIDENCE_KIND_COUNT] = {
-	"none",	  "latency",	 "age",		 "errors",	  "refused",
-	"trials", "no-progress", "attempt-lost", "response-lost",
+	"none",	  "latency",	 "age",	      "errors",	      "refused",
+	"trials", "no-progress", "no-answer", "attempt-lost", "response-lost",
 };
 
 const char *const mmx_result_string[MMX_RESULT_COUNT] = {
--- a/src/libmasticmux/ejection.c
+++ b/src/libmasticmux/ejection.c
@@ -36,6 +36,7 @@
 	uint16_t slots;
 	uint8_t availability;
 	uint8_t level;
+	uint8_t path;
 	uint8_t state;
 	uint8_t use;
 	uint8_t successes;
@@ -58,6 +59,8 @@
 
 static bool is_usable_(const target_t *target)
 {
+	if (target->path == MMX_SUSPICION_FAILING)
+		return false;
 	return target->availability == MMX_AVAILABLE ||
 	       target->availability == MMX_AVAILABILITY_COLD;
 }
@@ -70,32 +73,27 @@
 /* Slots that count as capacity while the target is not ejected here. */
 static uint32_t capacity_of_(const target_t *target)
 {
-	if (target->availability != MMX_AVAILABLE || target->elsewhere)
+	if (target->availability != MMX_AVAILABLE || target->elsewhere ||
+	    target->path == MMX_SUSPICION_FAILING)
 		return 0;
 	return target->slots;
 }
 
 static mmx_use_t use_(const target_t *target)
 {
-	switch (target->availability) {
-	case MMX_AVAILABILITY_DRAINING:
-	case MMX_AVAILABILITY_DEAD:
+	if (target->availability == MMX_AVAILABILITY_DRAINING ||
+	    target->availability == MMX_AVAILABILITY_DEAD)
 		return MMX_USE_NONE;
-	case MMX_AVAILABILITY_UNREACHABLE:
+	if (!is_usable_(target))
 		return is_ejected_(target) ? MMX_USE_NONE : MMX_USE_LAST_RESORT;
-	default:
-		break;
-	}
-	switch (target->state) {
-	case MMX_EJECTION_TRIAL:
+	if (target->state == MMX_EJECTION_TRIAL)
 		return MMX_USE_TRIAL;
-	case MMX_EJECTION_EJECTED:
-	case MMX_EJECTION_TRYING:
+	if (is_ejected_(target))
 		return MMX_USE_NONE;
-	default:
-		return target->level == MMX_SUSPICION_HEALTHY ? MMX_USE_NORMAL
-							      : MMX_USE_AVOID;
-	}
+	return target->level == MMX_SUSPICION_HEALTHY &&
+			       target->path == MMX_SUSPICION_HEALTHY
+		       ? MMX_USE_NORMAL
+		       : MMX_USE_AVOID;
 }
 
 static void publish_(mmx_ejection_t *ejection)
@@ -371,6 +369,18 @@
 	settle_(ejection);
 }
 
+void mmx_ejection_set_path(mmx_ejection_t *ejection, mmx_target_id_t target,
+			   mmx_suspicion_t level)
+{
+	target_t *known = find_(ejection, target);
+
+	assert(level < MMX_SUSPICION_COUNT);
+	if (!known || known->path == level)
+		return;
+	known->path = (uint8_t)level;
+	settle_(ejection);
+}
+
 bool mmx_ejection_trial_start(mmx_ejection_t *ejection, mmx_target_id_t target)
 {
 	target_t *known = find_(ejection, target);
@@ -473,6 +483,7 @@
 		if (is_usable_(target) && is_ejected_(target))
 			ejected = true;
 		if (target->availability == MMX_AVAILABLE &&
+		    target->path != MMX_SUSPICION_FAILING &&
 		    !target->elsewhere && !is_ejected_(target))
 			remaining += target->slots;
 	}
--- a/src/libmasticmux/path.c
+++ b/src/libmasticmux/path.c
@@ -91,7 +91,7 @@
 		path->losses += 1;
 		break;
 	case MMX_PATH_ANSWER_NONE:
-		kind = MMX_EVIDENCE_NO_PROGRESS;
+		kind = MMX_EVIDENCE_NO_ANSWER;
 		path->losses += LOSSES_NO_ANSWER;
 		break;
 	default:
