Avoid suspect targets and return them by trials

Cause: a stalled target that only few requests had reached never became failing, and time alone brought it back. Change: suspect targets are avoided until trials or the exit clear them; exits admit one trial at a time; back-offs are spread; ejection pauses while a slowdown ends.

--- a/bench/bench_detection.c
+++ b/bench/bench_detection.c
@@ -61,6 +61,7 @@
 	uint64_t undetected; /* runs without detection */
 	uint64_t not_ejected;
 	uint64_t false_ejections;
+	uint64_t false_avoided;
 	uint64_t floor_violations;
 } row_t;
 
@@ -133,6 +134,7 @@
 		       (double)(model->result.requests - warm.requests) /
 		       trials_;
 	row->false_ejections += model->result.false_ejections;
+	row->false_avoided += model->result.false_avoided;
 	row->floor_violations += model->result.floor_violations;
 	row->hours += (double)end / HOUR_US * TARGETS * SERVICES_MAX;
 	model_finish(model);
@@ -148,6 +150,7 @@
 	row->failed =
 		(double)model->result.failed / (double)model->result.requests;
 	row->false_ejections = model->result.false_ejections;
+	row->false_avoided = model->result.false_avoided;
 	row->floor_violations = model->result.floor_violations;
 	row->hours = (double)hours_ * TARGETS * SERVICES_MAX;
 	model_finish(model);
@@ -208,11 +211,11 @@
 	print_number_(quantile_(row->last, 1));
 	print_number_(quantile_(row->ejected, 0.5));
 	printf(" %6" G_GUINT64_FORMAT, row->not_ejected);
-	printf(" %7.2f %7.3f %6" G_GUINT64_FORMAT " %9.5f %6" G_GUINT64_FORMAT
-	       "\n",
+	printf(" %7.2f %7.3f %6" G_GUINT64_FORMAT
+	       " %9.5f %9.5f %6" G_GUINT64_FORMAT "\n",
 	       100 * row->share, 100 * row->failed, row->false_ejections,
 	       (double)row->false_ejections / row->hours,
-	       row->floor_violations);
+	       (double)row->false_avoided / row->hours, row->floor_violations);
 	fflush(stdout);
 }
 
@@ -225,11 +228,12 @@
 	       "shed), runs without one, last new request (worst),\n"
 	       "ejection (p50), runs without one; %% of new requests sent to "
 	       "the faulty target;\n%% of requests failed; false ejections, "
-	       "and per target and hour; floor violations\n\n"
-	       "%-13s %-26s %7s %7s %7s %6s %7s %7s %6s %7s %7s %6s %9s %6s\n",
+	       "and per target and hour; healthy targets avoided per target and "
+	       "hour; floor violations\n\n"
+	       "%-13s %-26s %7s %7s %7s %6s %7s %7s %6s %7s %7s %6s %9s %9s %6s\n",
 	       seed_, trials_, hours_, rate_, "fault", "policy", "p50", "p99",
 	       "worst", "none", "last", "eject", "none", "share%", "fail%",
-	       "false", "/target/h", "floor");
+	       "false", "/target/h", "avoided/h", "floor");
 }
 
 static json_t *number_(double value)
@@ -240,7 +244,7 @@
 static json_t *row_json_(const row_t *row)
 {
 	return json_pack(
-		"{s:s,s:s,s:o,s:o,s:o,s:I,s:o,s:o,s:I,s:f,s:f,s:I,s:f,s:I}",
+		"{s:s,s:s,s:o,s:o,s:o,s:I,s:o,s:o,s:I,s:f,s:f,s:I,s:f,s:f,s:I}",
 		"fault", fault_string_[row->fault], "policy",
 		row->contender->name, "detected_p50_s",
 		number_(quantile_(row->detected, 0.5)), "detected_p99_s",
@@ -252,7 +256,9 @@
 		(json_int_t)row->not_ejected, "share_to_faulty", row->share,
 		"share_failed", row->failed, "false_ejections",
 		(json_int_t)row->false_ejections, "false_per_target_hour",
-		(double)row->false_ejections / row->hours, "floor_violations",
+		(double)row->false_ejections / row->hours,
+		"avoided_per_target_hour",
+		(double)row->false_avoided / row->hours, "floor_violations",
 		(json_int_t)row->floor_violations);
 }
 
--- a/bench/model/model.c
+++ b/bench/model/model.c
@@ -269,6 +269,11 @@
 	if (request->entry_done) {
 		request->exit_done = true;
 		release_(model, request);
+	} else if (request->trial &&
+		   !mmx_detection_may_try(target->detection)) {
+		request->refused = true;
+		request->result = MMX_RESULT_ERROR;
+		respond_(model, request);
 	} else if (target->running < SLOTS) {
 		start_call_(model, request);
 	} else if (target->queued < QUEUE_MAX) {
@@ -285,6 +290,12 @@
 	view_t *view = &model->views[request->entry][request->service];
 	mmx_time_t now = mmx_clock_now(model->clock);
 
+	/* A refusal means that the request did not run; it costs no budget. */
+	if (request->refused && !request->retried) {
+		send_(model, request->service, request->entry, request->arrived,
+		      request->target);
+		return;
+	}
 	if (request->retried || now - request->arrived >= DEADLINE_US ||
 	    !mmx_retry_take(&view->retry, now)) {
 		model->result.failed++;
--- a/bench/model/model.h
+++ b/bench/model/model.h
@@ -137,6 +137,7 @@
 	uint8_t next;
 	uint8_t service;
 	bool ejected[TARGETS];
+	bool avoided[TARGETS];
 	bool changed; /* a target's use, since it was last followed */
 } view_t;
 
@@ -155,6 +156,7 @@
 	uint64_t to_faulty; /* new requests after the onset, without trials */
 	uint64_t after_onset;
 	uint64_t false_ejections;
+	uint64_t false_avoided; /* targets without a fault that were avoided */
 	uint64_t floor_violations;
 	mmx_time_t quiet_from; /* start of the first 2 s without a request */
 	mmx_time_t last_sent;
--- a/bench/model/policy.c
+++ b/bench/model/policy.c
@@ -79,6 +79,24 @@
 		view->model->result.floor_violations++;
 }
 
+/* Counts targets without a fault that are avoided; like ejections, once for
+ * all entries. */
+static void count_avoided_(view_t *view, size_t target)
+{
+	model_t *model = view->model;
+	const target_t *which = &model->targets[view->service][target];
+	size_t entry;
+
+	if (view->avoided[target])
+		return;
+	for (entry = 0; entry < ENTRIES; entry++)
+		if (model->views[entry][view->service].avoided[target])
+			break;
+	view->avoided[target] = true;
+	if (entry == ENTRIES && mmx_clock_now(model->clock) > which->bad_until)
+		model->result.false_avoided++;
+}
+
 /* Follows the ejections of a view after an operation on it. */
 static void follow_(view_t *view)
 {
@@ -95,7 +113,11 @@
 				  view->model->targets[view->service][i].id,
 				  &info);
 		policy_ejected(view->model, view, i,
-			       info.state != MMX_EJECTION_IN_USE);
+			       info.state == MMX_EJECTION_EJECTED);
+		if (info.state != MMX_EJECTION_AVOIDED)
+			view->avoided[i] = false;
+		else
+			count_avoided_(view, i);
 	}
 	check_floor_(view);
 	if (mmx_ejection_must_shed(view->ejection) &&
@@ -120,8 +142,9 @@
 	view->service = (uint8_t)service;
 	mmx_retry_init(&view->retry, RETRY_PERCENT, 0);
 	view->balance = mmx_balance_create();
-	view->ejection = mmx_ejection_create(model->clock, FLOOR_PERCENT,
-					     FLOOR_SLOTS, on_use_, view);
+	view->ejection =
+		mmx_ejection_create(model->clock, &model->random, FLOOR_PERCENT,
+				    FLOOR_SLOTS, on_use_, view);
 	for (i = 0; i < TARGETS; i++) {
 		target_t *target = &model->targets[service][i];
 
@@ -244,7 +267,9 @@
 				       now);
 	if (request->result == MMX_RESULT_SUCCESS)
 		mmx_retry_success(&view->retry);
-	if (request->trial)
+	if (request->trial && request->refused)
+		mmx_ejection_trial_refused(view->ejection, id);
+	else if (request->trial)
 		mmx_ejection_trial_finish(view->ejection, id, request->good);
 	follow_(view);
 }
--- a/include/masticmux/balance.h
+++ b/include/masticmux/balance.h
@@ -33,7 +33,8 @@
 typedef enum mmx_use_t {
 	MMX_USE_NORMAL,
 	MMX_USE_AVOID,	     /**< suspect: chosen when no other has a slot */
-	MMX_USE_TRIAL,	     /**< due for one repeatable trial request */
+	MMX_USE_AVOID_TRIAL, /**< suspect, and due for a trial request */
+	MMX_USE_TRIAL,	     /**< ejected, and due for a trial request */
 	MMX_USE_LAST_RESORT, /**< unreachable: chosen when nothing else is */
 	MMX_USE_NONE,	     /**< ejected, draining or dead */
 	MMX_USE_COUNT
@@ -93,7 +94,8 @@
 
 /**
  * Chooses a target. A target that is due for a trial is chosen first when the
- * request is repeatable. The result is not yet counted as outstanding.
+ * request is repeatable, but not one in another region while the service has
+ * targets in the entry's own. The result is not yet counted as outstanding.
  *
  * @return false when there is no capacity: no target may be used
  */
--- a/include/masticmux/detection.h
+++ b/include/masticmux/detection.h
@@ -135,7 +135,16 @@
 			  mmx_detection_request_t *request,
 			  mmx_result_t result);
 
-/** The target refused a connection: it is failing from now on. */
+/**
+ * True when no trial request is in progress. The exit refuses a trial
+ * otherwise, so that many entries together send one at a time.
+ */
+bool mmx_detection_may_try(const mmx_detection_t *detection);
+
+/**
+ * The target refused a connection: it is failing until
+ * MMX_DETECTION_TRIALS consecutive requests of any kind succeed.
+ */
 void mmx_detection_refused(mmx_detection_t *detection);
 
 /**
--- a/include/masticmux/ejection.h
+++ b/include/masticmux/ejection.h
@@ -1,12 +1,16 @@
 /**
  * Ejection: an entry's view of which targets of one service it may use.
  *
- * Failing targets are ranked by score, then id, and ejected from the top as
- * long as the capacity that remains is at least the floor. Capacity that
- * counts is available, not ejected here and not known to be ejected
- * elsewhere. When a third of the targets are suspect at once, the service as
- * a whole is slow: no target is ejected, and load must be shed. An ejected
- * target returns after a back-off by trial requests.
+ * A suspect target is avoided: it keeps its capacity but is chosen after
+ * others. Failing targets are ranked by score, then id, and ejected from the
+ * top as long as the capacity that remains is at least the floor; the rest is
+ * avoided. Capacity that counts is available, reachable, not ejected here and
+ * not known to be ejected elsewhere. When a third of the targets are suspect
+ * at once, the service as a whole is slow: no target is ejected, and load
+ * must be shed.
+ *
+ * Avoided and ejected targets return when the exit reports them healthy, or
+ * after a back-off by consecutive successes of trial requests, one at a time.
  *
  * The floor is enforced at the end of every operation: when capacity is lost
  * for another reason, ejected targets return to use, lowest rank first.
@@ -35,25 +39,35 @@
 
 extern const char *const mmx_availability_string[MMX_AVAILABILITY_COUNT];
 
-/** Where a target is in its ejection. */
+/** What is decided about a target. */
 typedef enum mmx_ejection_state_t {
 	MMX_EJECTION_IN_USE,
-	MMX_EJECTION_EJECTED, /**< waits for the back-off */
-	MMX_EJECTION_TRIAL,   /**< due for a trial request */
-	MMX_EJECTION_TRYING,  /**< one trial request is in progress */
+	MMX_EJECTION_AVOIDED,
+	MMX_EJECTION_EJECTED,
 	MMX_EJECTION_STATE_COUNT
 } mmx_ejection_state_t;
 
 extern const char *const mmx_ejection_state_string[MMX_EJECTION_STATE_COUNT];
 
+/** Where the trial of an avoided or ejected target is. */
+typedef enum mmx_trial_t {
+	MMX_TRIAL_WAITING, /**< for the end of the back-off */
+	MMX_TRIAL_DUE,	   /**< for the next repeatable request */
+	MMX_TRIAL_RUNNING, /**< one trial request is in progress */
+	MMX_TRIAL_COUNT
+} mmx_trial_t;
+
+extern const char *const mmx_trial_string[MMX_TRIAL_COUNT];
+
 /** View of one target, for status and explain. */
 typedef struct mmx_ejection_info_t {
 	mmx_ejection_state_t state;
 	mmx_use_t use;
 	mmx_suspicion_t level;	 /**< as last reported */
 	double score;		 /**< as last reported, nats */
-	mmx_time_t ejected_at;	 /**< valid unless in use */
-	mmx_time_t trial_at;	 /**< end of the back-off */
+	mmx_trial_t trial;	 /**< valid unless in use */
+	mmx_time_t ejected_at;	 /**< valid while ejected */
+	mmx_time_t trial_at;	 /**< end of the back-off, unless in use */
 	uint8_t trial_successes; /**< consecutive */
 	uint32_t ejections;	 /**< since the target was added */
 } mmx_ejection_info_t;
@@ -70,10 +84,12 @@
  * @param clock          outlives the result
  * @param floor_percent  0..100 of the announced slots, asserted
  * @param floor_slots    absolute minimum of slots
+ * @param random         spreads the trials of many entries; outlives the
+ *                       result
  * @param changed        may be NULL
  */
-mmx_ejection_t *mmx_ejection_create(mmx_clock_t *clock, uint8_t floor_percent,
-				    uint16_t floor_slots,
+mmx_ejection_t *mmx_ejection_create(mmx_clock_t *clock, mmx_random_t *random,
+				    uint8_t floor_percent, uint16_t floor_slots,
 				    mmx_ejection_fn_t changed, void *arg);
 void mmx_ejection_destroy(mmx_ejection_t *ejection);
 
@@ -125,6 +141,13 @@
 void mmx_ejection_trial_finish(mmx_ejection_t *ejection, mmx_target_id_t target,
 			       bool good);
 
+/**
+ * The exit refused a trial request because another one is in progress. The
+ * trial is due again after the first back-off.
+ */
+void mmx_ejection_trial_refused(mmx_ejection_t *ejection,
+				mmx_target_id_t target);
+
 /** True while the service as a whole is slow and load must be shed. */
 bool mmx_ejection_must_shed(const mmx_ejection_t *ejection);
 
@@ -134,7 +157,7 @@
 /** Slots that ejections must leave. */
 uint32_t mmx_ejection_floor(const mmx_ejection_t *ejection);
 
-/** Number of targets that are ejected, including those under trial. */
+/** Number of targets that are ejected. */
 size_t mmx_ejection_ejected(const mmx_ejection_t *ejection);
 
 /** View of a target; false when unknown. */
--- a/src/libmasticmux/balance.c
+++ b/src/libmasticmux/balance.c
@@ -15,9 +15,13 @@
 };
 
 const char *const mmx_use_string[MMX_USE_COUNT] = {
-	"normal", "avoid", "trial", "last-resort", "none",
+	"normal", "avoid", "avoid-trial", "trial", "last-resort", "none",
 };
 
+#define BIT(use) (1U << (use))
+#define AVOID (BIT(MMX_USE_AVOID) | BIT(MMX_USE_AVOID_TRIAL))
+#define ANY_TRIAL (BIT(MMX_USE_TRIAL) | BIT(MMX_USE_AVOID_TRIAL))
+
 typedef struct target_t {
 	mmx_target_id_t id;
 	mmx_time_t reported;
@@ -193,7 +197,7 @@
 }
 
 static void collect_(const mmx_balance_t *balance,
-		     const mmx_balance_request_t *request, mmx_use_t use,
+		     const mmx_balance_request_t *request, uint32_t uses,
 		     mmx_ring_t ring, mmx_random_t *random,
 		     candidates_t *candidates)
 {
@@ -209,7 +213,8 @@
 		size_t at = offset + i < size ? offset + i : offset + i - size;
 		const target_t *target = &balance->targets[start + at];
 
-		if (target->use == use && !is_tried_(request, target->id))
+		if ((BIT(target->use) & uses) &&
+		    !is_tried_(request, target->id))
 			candidates->target[candidates->count++] = target;
 	}
 }
@@ -245,21 +250,32 @@
 	return is_free_(best, now) ? best : NULL;
 }
 
-/* Least loaded of two in the nearest ring that has any target of this use, or
- * with only_free the nearest target that has a free slot. */
+static bool has_(const mmx_balance_t *balance, uint32_t uses)
+{
+	mmx_use_t use;
+
+	for (use = MMX_USE_NORMAL; use < MMX_USE_COUNT; use++)
+		if ((BIT(use) & uses) && balance->uses[use])
+			return true;
+	return false;
+}
+
+/* Least loaded of two in the nearest ring that has any target of these uses,
+ * or with only_free the nearest target that has a free slot. */
 static const target_t *pick_use_(const mmx_balance_t *balance,
 				 const mmx_balance_request_t *request,
-				 mmx_use_t use, bool only_free,
-				 mmx_random_t *random, mmx_time_t now)
+				 uint32_t uses, bool only_free,
+				 mmx_ring_t farthest, mmx_random_t *random,
+				 mmx_time_t now)
 {
 	candidates_t candidates;
 	const target_t *target;
 	mmx_ring_t ring;
 
-	if (!balance->uses[use])
+	if (!has_(balance, uses))
 		return NULL;
-	for (ring = MMX_RING_ZONE; ring < MMX_RING_COUNT; ring++) {
-		collect_(balance, request, use, ring, random, &candidates);
+	for (ring = MMX_RING_ZONE; ring <= farthest; ring++) {
+		collect_(balance, request, uses, ring, random, &candidates);
 		if (!candidates.count)
 			continue;
 		target = only_free ? pick_free_(&candidates, random, now)
@@ -270,6 +286,20 @@
 	return NULL;
 }
 
+/* A trial in another region would bring nothing but a slow response, unless
+ * the service has no targets nearer. */
+static const target_t *pick_trial_(const mmx_balance_t *balance,
+				   const mmx_balance_request_t *request,
+				   mmx_random_t *random, mmx_time_t now)
+{
+	mmx_ring_t farthest = balance->ring_start[MMX_RING_REMOTE]
+				      ? MMX_RING_REGION
+				      : MMX_RING_REMOTE;
+
+	return pick_use_(balance, request, ANY_TRIAL, false, farthest, random,
+			 now);
+}
+
 bool mmx_balance_choose(const mmx_balance_t *balance,
 			const mmx_balance_request_t *request,
 			mmx_random_t *random, mmx_time_t now,
@@ -277,27 +307,27 @@
 {
 	/* A free slot at a suspect target comes before a queue elsewhere. */
 	static const struct {
-		mmx_use_t use;
+		uint32_t uses;
 		bool only_free;
 	} order[] = {
-		{MMX_USE_NORMAL, true},	      {MMX_USE_AVOID, true},
-		{MMX_USE_NORMAL, false},      {MMX_USE_AVOID, false},
-		{MMX_USE_LAST_RESORT, false},
+		{BIT(MMX_USE_NORMAL), true},	   {AVOID, true},
+		{BIT(MMX_USE_NORMAL), false},	   {AVOID, false},
+		{BIT(MMX_USE_LAST_RESORT), false},
 	};
 	const target_t *target = NULL;
 	size_t i;
 
 	if (request->repeatable)
-		target = pick_use_(balance, request, MMX_USE_TRIAL, false,
-				   random, now);
+		target = pick_trial_(balance, request, random, now);
+	choice->trial = target != NULL;
 	for (i = 0; !target && i < sizeof(order) / sizeof(order[0]); i++)
-		target = pick_use_(balance, request, order[i].use,
-				   order[i].only_free, random, now);
+		target = pick_use_(balance, request, order[i].uses,
+				   order[i].only_free, MMX_RING_REMOTE, random,
+				   now);
 	if (!target)
 		return false;
 	choice->target = target->id;
 	choice->ring = target->ring;
-	choice->trial = target->use == MMX_USE_TRIAL;
 	return true;
 }
 
--- a/src/libmasticmux/detection.c
+++ b/src/libmasticmux/detection.c
@@ -15,14 +15,15 @@
 /* Suspicion only changes the order of choice, so it may come earlier. */
 #define SUSPECT_SHARE 0.6
 /* A single request must not make a target suspect, however old it is. */
-#define SINGLE_SHARE 0.5
+#define SINGLE_SHARE 0.6
 /* Bounds how much good evidence a recovered target needs. */
 #define SCORE_MAX_SHARE 1.5
 /* Hysteresis keeps a score near a threshold from changing the level often. */
 #define CLEAR_SHARE 0.5
-/* Without requests the score of a suspect target halves in this time, so
- * that it is chosen again and new evidence arrives. */
+/* The score halves in this time. While the target is suspect requests are
+ * rare, and time alone must not bring it back before trials do. */
 #define DECAY_HALF_LIFE_US (10 * MMX_US_PER_S)
+#define DECAY_SUSPECT_HALF_LIFE_US (60 * MMX_US_PER_S)
 /* Error rate of a failing target: at least this, or a multiple of the
  * peers'. */
 #define ERROR_RATE_FAILING 0.1
@@ -52,6 +53,7 @@
 	mmx_latency_model_t peers;
 	TAILQ_HEAD(, mmx_detection_request_t) requests;
 	size_t in_progress;
+	size_t trials_running;
 	double latency; /* CUSUM of completed requests */
 	double errors;	/* CUSUM of log-likelihood ratios */
 	double error_step;
@@ -133,6 +135,7 @@
 	request->trial = trial;
 	TAILQ_INSERT_TAIL(&detection->requests, request, entry);
 	detection->in_progress++;
+	detection->trials_running += trial;
 }
 
 static double evidence_of_(const mmx_detection_t *detection, mmx_time_t latency)
@@ -178,6 +181,7 @@
 	assert(result < MMX_RESULT_COUNT);
 	TAILQ_REMOVE(&detection->requests, request, entry);
 	detection->in_progress--;
+	detection->trials_running -= request->trial;
 	/* Errors may be returned early and abandoned requests are censored:
 	 * a short latency of either does not speak for the target. */
 	if (result != MMX_RESULT_SUCCESS)
@@ -186,12 +190,10 @@
 	if (result == MMX_RESULT_ERROR)
 		detection->errors = bounded_(
 			detection, detection->errors + detection->error_step);
-	if (result == MMX_RESULT_SUCCESS) {
-		detection->refused = false;
+	if (result == MMX_RESULT_SUCCESS)
 		detection->errors = bounded_(
 			detection, detection->errors + detection->success_step);
-	}
-	if (request->trial)
+	if (request->trial || detection->refused)
 		count_trial_(detection, good);
 	return good;
 }
@@ -223,8 +225,11 @@
 
 static void decay_(mmx_detection_t *detection, mmx_time_t now)
 {
-	double halves = (double)(now - detection->evaluated) /
-			(double)DECAY_HALF_LIFE_US;
+	mmx_time_t half_life = detection->level == MMX_SUSPICION_HEALTHY
+				       ? DECAY_HALF_LIFE_US
+				       : DECAY_SUSPECT_HALF_LIFE_US;
+	double halves =
+		(double)(now - detection->evaluated) / (double)half_life;
 	double factor;
 
 	detection->evaluated = now;
@@ -320,3 +325,8 @@
 {
 	return detection->in_progress;
 }
+
+bool mmx_detection_may_try(const mmx_detection_t *detection)
+{
+	return !detection->trials_running;
+}
--- a/src/libmasticmux/ejection.c
+++ b/src/libmasticmux/ejection.c
@@ -14,6 +14,11 @@
 /* A slowdown reaches the targets within this time; those that were ejected
  * first return when it turns out to be one. */
 #define SHED_ONSET_US (10 * MMX_US_PER_S)
+/* When a slowdown ends, exits need this long to judge by what is normal now;
+ * the last ones to do so are not ejected meanwhile. */
+#define SHED_HOLD_US (10 * MMX_US_PER_S)
+/* Random part of a back-off. */
+#define JITTER_SHARE 0.5
 
 const char *const mmx_availability_string[MMX_AVAILABILITY_COUNT] = {
 	"available", "cold", "draining", "unreachable", "dead",
@@ -21,9 +26,14 @@
 
 const char *const mmx_ejection_state_string[MMX_EJECTION_STATE_COUNT] = {
 	"in-use",
+	"avoided",
 	"ejected",
-	"trial",
-	"trying",
+};
+
+const char *const mmx_trial_string[MMX_TRIAL_COUNT] = {
+	"waiting",
+	"due",
+	"running",
 };
 
 typedef struct target_t {
@@ -38,6 +48,7 @@
 	uint8_t level;
 	uint8_t path;
 	uint8_t state;
+	uint8_t trial;
 	uint8_t use;
 	uint8_t successes;
 	bool elsewhere;
@@ -45,12 +56,14 @@
 
 struct mmx_ejection_t {
 	mmx_clock_t *clock;
+	mmx_random_t *random;
 	mmx_timer_t timer; /* earliest end of a back-off */
 	mmx_ejection_fn_t changed;
 	void *arg;
 	target_t *targets;
 	size_t count;
 	size_t space;
+	mmx_time_t hold_until; /* no new ejections before */
 	uint16_t floor_slots;
 	uint8_t floor_percent;
 	bool shed;
@@ -67,7 +80,7 @@
 
 static bool is_ejected_(const target_t *target)
 {
-	return target->state != MMX_EJECTION_IN_USE;
+	return target->state == MMX_EJECTION_EJECTED;
 }
 
 /* Slots that count as capacity while the target is not ejected here. */
@@ -86,14 +99,14 @@
 		return MMX_USE_NONE;
 	if (!is_usable_(target))
 		return is_ejected_(target) ? MMX_USE_NONE : MMX_USE_LAST_RESORT;
-	if (target->state == MMX_EJECTION_TRIAL)
-		return MMX_USE_TRIAL;
 	if (is_ejected_(target))
-		return MMX_USE_NONE;
-	return target->level == MMX_SUSPICION_HEALTHY &&
-			       target->path == MMX_SUSPICION_HEALTHY
-		       ? MMX_USE_NORMAL
-		       : MMX_USE_AVOID;
+		return target->trial == MMX_TRIAL_DUE ? MMX_USE_TRIAL
+						      : MMX_USE_NONE;
+	if (target->state == MMX_EJECTION_AVOIDED)
+		return target->trial == MMX_TRIAL_DUE ? MMX_USE_AVOID_TRIAL
+						      : MMX_USE_AVOID;
+	return target->path == MMX_SUSPICION_HEALTHY ? MMX_USE_NORMAL
+						     : MMX_USE_AVOID;
 }
 
 static void publish_(mmx_ejection_t *ejection)
@@ -112,13 +125,19 @@
 	}
 }
 
+static bool is_waiting_(const target_t *target)
+{
+	return target->state != MMX_EJECTION_IN_USE &&
+	       target->trial == MMX_TRIAL_WAITING;
+}
+
 static void set_timer_(mmx_ejection_t *ejection)
 {
 	mmx_time_t next = MMX_TIME_NEVER;
 	size_t i;
 
 	for (i = 0; i < ejection->count; i++)
-		if (ejection->targets[i].state == MMX_EJECTION_EJECTED &&
+		if (is_waiting_(&ejection->targets[i]) &&
 		    ejection->targets[i].trial_at < next)
 			next = ejection->targets[i].trial_at;
 	if (next == MMX_TIME_NEVER)
@@ -128,20 +147,51 @@
 			      next - mmx_clock_now(ejection->clock));
 }
 
-static void eject_(target_t *target, mmx_time_t now)
+/* Entries learn of a failure together; the random part keeps their trials
+ * from arriving together. */
+static void wait_(mmx_ejection_t *ejection, target_t *target, mmx_time_t delay)
 {
-	target->state = MMX_EJECTION_EJECTED;
-	target->ejected_at = now;
-	target->trial_at = now + mmx_backoff_fail(&target->backoff, now);
+	double spread = JITTER_SHARE * mmx_random_unit(ejection->random);
+
+	target->trial = MMX_TRIAL_WAITING;
+	target->trial_at = mmx_clock_now(ejection->clock) + delay +
+			   (mmx_time_t)(spread * (double)delay);
 	target->successes = 0;
+}
+
+static void avoid_(mmx_ejection_t *ejection, target_t *target)
+{
+	mmx_time_t now = mmx_clock_now(ejection->clock);
+
+	if (target->state == MMX_EJECTION_IN_USE)
+		wait_(ejection, target,
+		      mmx_backoff_fail(&target->backoff, now));
+	target->state = MMX_EJECTION_AVOIDED;
+}
+
+/* The back-off of an avoided target goes on when it is ejected. */
+static void eject_(mmx_ejection_t *ejection, target_t *target)
+{
+	avoid_(ejection, target);
+	target->state = MMX_EJECTION_EJECTED;
+	target->ejected_at = mmx_clock_now(ejection->clock);
 	target->ejections++;
 }
 
-/* Back to use although the target has not proved to be healthy. */
-static void readmit_(target_t *target, mmx_time_t now)
+static void reinstate_(mmx_ejection_t *ejection, target_t *target)
 {
 	target->state = MMX_EJECTION_IN_USE;
-	mmx_backoff_recover(&target->backoff, now);
+	mmx_backoff_recover(&target->backoff, mmx_clock_now(ejection->clock));
+}
+
+static void follow_level_(mmx_ejection_t *ejection, target_t *target)
+{
+	if (target->level == MMX_SUSPICION_HEALTHY) {
+		if (target->state != MMX_EJECTION_IN_USE)
+			reinstate_(ejection, target);
+	} else if (target->state == MMX_EJECTION_IN_USE) {
+		avoid_(ejection, target);
+	}
 }
 
 static bool is_slow_(const mmx_ejection_t *ejection)
@@ -156,8 +206,7 @@
 		if (!is_usable_(target))
 			continue;
 		usable++;
-		if (is_ejected_(target) ||
-		    target->level != MMX_SUSPICION_HEALTHY)
+		if (target->state != MMX_EJECTION_IN_USE)
 			suspects++;
 	}
 	return suspects >= SHED_SUSPECTS_MIN && SHED_SHARE * suspects >= usable;
@@ -174,8 +223,10 @@
 
 			if (is_ejected_(target) &&
 			    now - target->ejected_at <= SHED_ONSET_US)
-				readmit_(target, now);
+				avoid_(ejection, target);
 		}
+	if (slow)
+		ejection->hold_until = now + SHED_HOLD_US;
 	ejection->shed = slow;
 }
 
@@ -192,6 +243,7 @@
 static GPtrArray *rank_(const mmx_ejection_t *ejection)
 {
 	GPtrArray *ranked = g_ptr_array_new();
+	mmx_time_t now = mmx_clock_now(ejection->clock);
 	size_t i;
 
 	for (i = 0; i < ejection->count; i++) {
@@ -200,7 +252,8 @@
 		if (!is_usable_(target))
 			continue;
 		if (is_ejected_(target) ||
-		    (!ejection->shed && target->level == MMX_SUSPICION_FAILING))
+		    (now >= ejection->hold_until &&
+		     target->level == MMX_SUSPICION_FAILING))
 			g_ptr_array_add(ranked, target);
 	}
 	g_ptr_array_sort(ranked, compare_rank_);
@@ -226,8 +279,11 @@
 	uint32_t capacity = capacity_unejected_(ejection);
 	GPtrArray *ranked;
 	bool fits = true;
+	size_t n;
 	guint i;
 
+	for (n = 0; n < ejection->count; n++)
+		follow_level_(ejection, &ejection->targets[n]);
 	update_shed_(ejection, now);
 	ranked = rank_(ejection);
 	for (i = 0; i < ranked->len; i++) {
@@ -238,9 +294,9 @@
 		if (fits || ejection->ignore_floor) {
 			capacity -= slots;
 			if (!is_ejected_(target))
-				eject_(target, now);
+				eject_(ejection, target);
 		} else if (is_ejected_(target)) {
-			readmit_(target, now);
+			avoid_(ejection, target);
 		}
 	}
 	g_ptr_array_free(ranked, TRUE);
@@ -255,21 +311,22 @@
 	size_t i;
 
 	for (i = 0; i < ejection->count; i++)
-		if (ejection->targets[i].state == MMX_EJECTION_EJECTED &&
+		if (is_waiting_(&ejection->targets[i]) &&
 		    ejection->targets[i].trial_at <= now)
-			ejection->targets[i].state = MMX_EJECTION_TRIAL;
+			ejection->targets[i].trial = MMX_TRIAL_DUE;
 	set_timer_(ejection);
 	publish_(ejection);
 }
 
-mmx_ejection_t *mmx_ejection_create(mmx_clock_t *clock, uint8_t floor_percent,
-				    uint16_t floor_slots,
+mmx_ejection_t *mmx_ejection_create(mmx_clock_t *clock, mmx_random_t *random,
+				    uint8_t floor_percent, uint16_t floor_slots,
 				    mmx_ejection_fn_t changed, void *arg)
 {
 	mmx_ejection_t *ejection = g_new0(mmx_ejection_t, 1);
 
-	assert(clock && floor_percent <= 100);
+	assert(clock && random && floor_percent <= 100);
 	ejection->clock = clock;
+	ejection->random = random;
 	ejection->changed = changed;
 	ejection->arg = arg;
 	ejection->floor_percent = floor_percent;
@@ -381,13 +438,24 @@
 	settle_(ejection);
 }
 
+static target_t *find_trial_(const mmx_ejection_t *ejection, mmx_target_id_t id,
+			     mmx_trial_t trial)
+{
+	target_t *known = find_(ejection, id);
+
+	if (!known || known->state == MMX_EJECTION_IN_USE ||
+	    known->trial != trial)
+		return NULL;
+	return known;
+}
+
 bool mmx_ejection_trial_start(mmx_ejection_t *ejection, mmx_target_id_t target)
 {
-	target_t *known = find_(ejection, target);
+	target_t *known = find_trial_(ejection, target, MMX_TRIAL_DUE);
 
-	if (!known || known->state != MMX_EJECTION_TRIAL)
+	if (!known)
 		return false;
-	known->state = MMX_EJECTION_TRYING;
+	known->trial = MMX_TRIAL_RUNNING;
 	publish_(ejection);
 	return true;
 }
@@ -395,26 +463,33 @@
 void mmx_ejection_trial_finish(mmx_ejection_t *ejection, mmx_target_id_t target,
 			       bool good)
 {
-	target_t *known = find_(ejection, target);
+	target_t *known = find_trial_(ejection, target, MMX_TRIAL_RUNNING);
 	mmx_time_t now = mmx_clock_now(ejection->clock);
 
-	if (!known || known->state != MMX_EJECTION_TRYING)
+	if (!known)
 		return;
 	if (!good) {
-		known->state = MMX_EJECTION_EJECTED;
-		known->successes = 0;
-		known->trial_at = now + mmx_backoff_fail(&known->backoff, now);
+		wait_(ejection, known, mmx_backoff_fail(&known->backoff, now));
 	} else if (++known->successes < MMX_DETECTION_TRIALS) {
-		known->state = MMX_EJECTION_TRIAL;
+		known->trial = MMX_TRIAL_DUE;
 	} else {
-		known->state = MMX_EJECTION_IN_USE;
 		known->level = MMX_SUSPICION_HEALTHY;
 		known->score = 0;
-		mmx_backoff_recover(&known->backoff, now);
 	}
 	settle_(ejection);
 }
 
+void mmx_ejection_trial_refused(mmx_ejection_t *ejection,
+				mmx_target_id_t target)
+{
+	target_t *known = find_trial_(ejection, target, MMX_TRIAL_RUNNING);
+
+	if (!known)
+		return;
+	wait_(ejection, known, MMX_BACKOFF_FIRST_US);
+	settle_(ejection);
+}
+
 bool mmx_ejection_must_shed(const mmx_ejection_t *ejection)
 {
 	return ejection->shed;
@@ -461,6 +536,7 @@
 	if (!known)
 		return false;
 	info->state = known->state;
+	info->trial = known->trial;
 	info->use = known->use;
 	info->level = known->level;
 	info->score = known->score;
