--- a/src/share/fake_fleet.c
+++ b/src/share/fake_fleet.c
@@ -275,6 +275,8 @@
 	if (result->offset <= node->highest)
 		node->fleet->reverts++;
 	node->highest = result->offset;
+	if (node->observer)
+		node->observer(node->observer_arg, result);
 }
 
 static const mmx_config_log_ops_t log_ = {fake_fleet_log_read,
@@ -467,6 +469,14 @@
 	mmx_config_start(restarted->config);
 }
 
+void fake_fleet_observe(fake_fleet_t *fleet, size_t node,
+			void (*fn)(void *arg, const mmx_fold_result_t *result),
+			void *arg)
+{
+	fleet->nodes[node].observer = fn;
+	fleet->nodes[node].observer_arg = arg;
+}
+
 size_t fake_fleet_in_force(const fake_fleet_t *fleet, uint64_t offset)
 {
 	size_t count = 0;
--- a/src/share/fake_fleet.h
+++ b/src/share/fake_fleet.h
@@ -68,6 +68,11 @@
 /** Replaces a node by a new one without configuration. */
 void fake_fleet_restart(fake_fleet_t *fleet, size_t node);
 
+/** Calls a function for each record that a node applies; NULL: none. */
+void fake_fleet_observe(fake_fleet_t *fleet, size_t node,
+			void (*fn)(void *arg, const mmx_fold_result_t *result),
+			void *arg);
+
 /** Number of nodes that have applied the offset or a later one. */
 size_t fake_fleet_in_force(const fake_fleet_t *fleet, uint64_t offset);
 
--- a/src/share/fake_fleet_state.h
+++ b/src/share/fake_fleet_state.h
@@ -29,6 +29,8 @@
 	bool isolated;
 	uint64_t highest;
 	mmx_timer_t probe;
+	void (*observer)(void *arg, const mmx_fold_result_t *result);
+	void *observer_arg;
 } fake_node_t;
 
 typedef enum fake_kind_t {
