--- a/src/masticmux/commands.c
+++ b/src/masticmux/commands.c
@@ -3,9 +3,7 @@
 #include <stdio.h>
 
 const char *const mmx_exit_string[MMX_EXIT_COUNT] = {
-	"ok",
-	"error",
-	"findings",
+	"ok", "error", "findings", "rejected", "unknown",
 };
 
 bool mmx_command_parse(int *argc, char ***argv, const char *usage,
--- a/src/masticmux/commands.h
+++ b/src/masticmux/commands.h
@@ -13,6 +13,8 @@
 	MMX_EXIT_OK,
 	MMX_EXIT_ERROR,
 	MMX_EXIT_FINDINGS,
+	MMX_EXIT_REJECTED, /**< a change that was not accepted */
+	MMX_EXIT_UNKNOWN,  /**< a change whose outcome is not known */
 	MMX_EXIT_COUNT
 } mmx_exit_t;
 
@@ -31,6 +33,7 @@
 } mmx_command_t;
 
 mmx_exit_t mmx_command_check(int argc, char **argv);
+mmx_exit_t mmx_command_publish(int argc, char **argv);
 
 /**
  * Parses the options of a subcommand; --help prints its usage and ends the
