--- a/src/test_libmasticmux/suites.c
+++ b/src/test_libmasticmux/suites.c
@@ -16,6 +16,7 @@
 	{"mutation", NULL, NULL, NULL, NULL, mmx_tests_mutation},
 	{"peer", NULL, NULL, NULL, NULL, mmx_tests_peer},
 	{"policy", NULL, NULL, NULL, NULL, mmx_tests_policy},
+	{"publish", NULL, NULL, NULL, NULL, mmx_tests_publish},
 	{"rpc", NULL, NULL, NULL, NULL, mmx_tests_rpc},
 	{"schema", NULL, NULL, NULL, NULL, mmx_tests_schema},
 	{"session", NULL, NULL, NULL, NULL, mmx_tests_session},
--- a/src/test_libmasticmux/suites.h
+++ b/src/test_libmasticmux/suites.h
@@ -20,6 +20,7 @@
 extern CU_TestInfo mmx_tests_mutation[];
 extern CU_TestInfo mmx_tests_peer[];
 extern CU_TestInfo mmx_tests_policy[];
+extern CU_TestInfo mmx_tests_publish[];
 extern CU_TestInfo mmx_tests_rpc[];
 extern CU_TestInfo mmx_tests_schema[];
 extern CU_TestInfo mmx_tests_session[];
