--- a/include/masticmux/config_task.h
+++ b/include/masticmux/config_task.h
@@ -42,6 +42,18 @@
 		       mmx_log_t *log, uint64_t seed);
 void mmx_config_task_destroy(mmx_config_task_t *task);
 
+/**
+ * Told after each input which fold is in force, since loading a snapshot
+ * replaces it.
+ *
+ * @param fold  NULL while there is no configuration
+ */
+typedef void (*mmx_config_watch_fn_t)(void *arg, const mmx_fold_t *fold);
+
+/** Sets the one watcher. Valid before start. */
+void mmx_config_task_set_watch(mmx_config_task_t *task,
+			       mmx_config_watch_fn_t fn, void *arg);
+
 /** Starts working. Valid once; members may be posted before. */
 void mmx_config_task_start(mmx_config_task_t *task);
 
--- a/include/masticmux/gossip_codec.h
+++ b/include/masticmux/gossip_codec.h
@@ -23,7 +23,7 @@
 #define MMX_DIGEST_BYTES 16
 
 /** Bytes of a datagram without updates, with the longest key id. */
-#define MMX_DATAGRAM_HEADER 148
+#define MMX_DATAGRAM_HEADER 164
 /** Bytes left for updates. */
 #define MMX_DATAGRAM_ROOM (MMX_DATAGRAM_MAX - MMX_DATAGRAM_HEADER)
 #define MMX_OPINION_BYTES 32
@@ -73,6 +73,15 @@
 
 extern const char *const mmx_gossip_reject_string[MMX_GOSSIP_REJECT_COUNT];
 
+/**
+ * How long ago the sender learned that its configuration is current, and that
+ * it heard of a reader of the log; microseconds, MMX_TIME_NEVER: unknown.
+ */
+typedef struct mmx_gossip_ages_t {
+	mmx_time_t confirmed;
+	mmx_time_t reader;
+} mmx_gossip_ages_t;
+
 /** One datagram, decoded. */
 typedef struct mmx_gossip_message_t {
 	mmx_gossip_procedure_t procedure;
@@ -85,6 +94,7 @@
 	mmx_node_id_t recipient;       /**< 0: whoever has the address */
 	mmx_node_id_t subject;	       /**< probed member, else 0 */
 	uint64_t offset;	       /**< highest configuration offset */
+	mmx_gossip_ages_t ages;	       /**< of the configuration */
 	size_t member_count;
 	size_t opinion_count;
 	size_t target_count;
--- a/include/masticmux/membership.h
+++ b/include/masticmux/membership.h
@@ -52,6 +52,11 @@
 	void (*target_changed)(void *arg, const mmx_target_record_t *record);
 	/** A node knows a configuration offset above the own one. */
 	void (*offset_seen)(void *arg, mmx_node_id_t node, uint64_t offset);
+	/** Fills the ages that a datagram to another node carries. */
+	void (*fill_ages)(void *arg, mmx_gossip_ages_t *ages);
+	/** A datagram of a known node: its configuration offset and ages. */
+	void (*news_seen)(void *arg, mmx_node_id_t node, uint64_t offset,
+			  const mmx_gossip_ages_t *ages);
 	/** Another process at this address has the own name, or a name with
 	 *  the same hash. A process that is joining must stop. */
 	void (*conflict)(void *arg, const mmx_address_t *other);
--- a/src/libmasticmux/config_task.c
+++ b/src/libmasticmux/config_task.c
@@ -81,6 +81,8 @@
 	mmx_log_t *log;
 	read_arg_t reads[MMX_CONFIG_STREAM_COUNT];
 	mmx_timer_t report;
+	mmx_config_watch_fn_t watch;
+	void *watch_arg;
 	bool was_loaded;
 	bool was_current;
 	mmx_counter_t *applied;
@@ -130,12 +132,23 @@
 	send_load_,
 };
 
+static void tell_watch_(const mmx_config_task_t *task)
+{
+	const mmx_config_t *config = task->config;
+
+	if (task->watch)
+		task->watch(task->watch_arg, mmx_config_is_loaded(config)
+						     ? mmx_config_fold(config)
+						     : NULL);
+}
+
 static void on_read_(void *arg, mmx_log_result_t result,
 		     const mmx_log_records_t *records)
 {
 	const read_arg_t *read = arg;
 
 	mmx_config_on_read(read->task->config, read->stream, result, records);
+	tell_watch_(read->task);
 }
 
 static void on_appended_(void *arg, mmx_log_result_t result, uint64_t offset)
@@ -239,6 +252,7 @@
 		answer_load_(task, input);
 		break;
 	}
+	tell_watch_(task);
 	mmx_message_destroy(message);
 }
 
@@ -364,6 +378,13 @@
 	g_free(task);
 }
 
+void mmx_config_task_set_watch(mmx_config_task_t *task,
+			       mmx_config_watch_fn_t fn, void *arg)
+{
+	task->watch = fn;
+	task->watch_arg = arg;
+}
+
 void mmx_config_task_start(mmx_config_task_t *task)
 {
 	mmx_config_start(task->config);
@@ -379,7 +400,8 @@
 	g_free(input);
 }
 
-static const mmx_message_ops_t message_ops_ = {"config input", destroy_input_};
+static const mmx_message_ops_t message_ops_ = {"config input", 0,
+					       destroy_input_};
 
 static input_message_t *new_input_(input_t kind, mmx_node_id_t peer)
 {
--- a/src/libmasticmux/gossip.c
+++ b/src/libmasticmux/gossip.c
@@ -170,6 +170,21 @@
 	gossip->user_ops->offset_seen(gossip->arg, node, offset);
 }
 
+static void fill_ages_(void *arg, mmx_gossip_ages_t *ages)
+{
+	mmx_gossip_t *gossip = arg;
+
+	gossip->user_ops->fill_ages(gossip->arg, ages);
+}
+
+static void news_seen_(void *arg, mmx_node_id_t node, uint64_t offset,
+		       const mmx_gossip_ages_t *ages)
+{
+	mmx_gossip_t *gossip = arg;
+
+	gossip->user_ops->news_seen(gossip->arg, node, offset, ages);
+}
+
 static void conflict_(void *arg, const mmx_address_t *other)
 {
 	mmx_gossip_t *gossip = arg;
@@ -188,6 +203,8 @@
 	gossip->ops.target_changed =
 		ops->target_changed ? target_changed_ : NULL;
 	gossip->ops.offset_seen = ops->offset_seen ? offset_seen_ : NULL;
+	gossip->ops.fill_ages = ops->fill_ages ? fill_ages_ : NULL;
+	gossip->ops.news_seen = ops->news_seen ? news_seen_ : NULL;
 	gossip->ops.conflict = ops->conflict ? conflict_ : NULL;
 }
 
--- a/src/libmasticmux/gossip_codec.c
+++ b/src/libmasticmux/gossip_codec.c
@@ -118,6 +118,16 @@
 	return true;
 }
 
+static bool xdr_age_(XDR *xdrs, mmx_time_t *age)
+{
+	uint64_t value = (uint64_t)*age;
+
+	if (!xdr_uint64_t(xdrs, &value) || value > MMX_TIME_NEVER)
+		return false;
+	*age = (mmx_time_t)value;
+	return true;
+}
+
 static bool xdr_body_(XDR *xdrs, mmx_gossip_message_t *message)
 {
 	return xdr_uint32_t(xdrs, &message->flags) &&
@@ -126,6 +136,8 @@
 	       xdr_uint64_t(xdrs, &message->recipient) &&
 	       xdr_uint64_t(xdrs, &message->subject) &&
 	       xdr_uint64_t(xdrs, &message->offset) &&
+	       xdr_age_(xdrs, &message->ages.confirmed) &&
+	       xdr_age_(xdrs, &message->ages.reader) &&
 	       xdr_count_(xdrs, &message->member_count, MMX_DATAGRAM_MEMBERS) &&
 	       xdr_count_(xdrs, &message->opinion_count,
 			  MMX_DATAGRAM_OPINIONS) &&
--- a/src/libmasticmux/http_caller.c
+++ b/src/libmasticmux/http_caller.c
@@ -71,8 +71,7 @@
 static void forget_request_(mmx_http_caller_t *caller)
 {
 	if (caller->request)
-		g_hash_table_remove(caller->shared->requests,
-				    &caller->request);
+		g_hash_table_remove(caller->shared->requests, &caller->request);
 	caller->request = 0;
 }
 
@@ -82,9 +81,8 @@
 	mmx_http_shared_t *shared = caller->shared;
 
 	if (caller->request && caller->posted)
-		mmx_task_post(
-			shared->entry,
-			&mmx_new_caller_gone(caller->request)->message);
+		mmx_task_post(shared->entry,
+			      &mmx_new_caller_gone(caller->request)->message);
 	forget_request_(caller);
 }
 
@@ -162,9 +160,9 @@
 {
 	wait_t wait = current_wait_(caller);
 	mmx_time_t now;
-	bool keeps = wait == caller->wait &&
-		     (wait == WAIT_IDLE || wait == WAIT_HEAD ||
-		      wait == WAIT_LINGER);
+	bool keeps =
+		wait == caller->wait &&
+		(wait == WAIT_IDLE || wait == WAIT_HEAD || wait == WAIT_LINGER);
 
 	/* A head, once begun, gets no more time for further bytes. */
 	if (keeps)
@@ -371,8 +369,7 @@
 	forget_request_(caller);
 	caller->answered = false;
 	caller->head_method = false;
-	evbuffer_drain(caller->received,
-		       evbuffer_get_length(caller->received));
+	evbuffer_drain(caller->received, evbuffer_get_length(caller->received));
 	if (caller->close_after || unread) {
 		close_when_written_(caller);
 		return;
@@ -576,13 +573,13 @@
 	}
 	switch (caller->wait) {
 	case WAIT_HEAD:
-		mmx_counter_add(caller->shared->closed[MMX_HTTP_CLOSE_SLOW_HEAD],
-				1);
+		mmx_counter_add(
+			caller->shared->closed[MMX_HTTP_CLOSE_SLOW_HEAD], 1);
 		refuse_(caller, 408, MMX_REASON_BAD_REQUEST, "slow head");
 		break;
 	case WAIT_BODY:
-		mmx_counter_add(caller->shared->closed[MMX_HTTP_CLOSE_SLOW_BODY],
-				1);
+		mmx_counter_add(
+			caller->shared->closed[MMX_HTTP_CLOSE_SLOW_BODY], 1);
 		refuse_(caller, 408, MMX_REASON_BAD_REQUEST, "slow body");
 		break;
 	case WAIT_WRITE:
@@ -607,8 +604,8 @@
 	mmx_http_reader_init(&caller->reader, MMX_HTTP_REQUEST);
 	mmx_timer_init(&caller->timer, shared->clock, on_timer_, caller);
 	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
-	caller->bev = bufferevent_socket_new(shared->base, fd,
-					     BEV_OPT_CLOSE_ON_FREE);
+	caller->bev =
+		bufferevent_socket_new(shared->base, fd, BEV_OPT_CLOSE_ON_FREE);
 	bufferevent_setcb(caller->bev, on_read_, on_write_, on_event_, caller);
 	bufferevent_setwatermark(caller->bev, EV_READ, 0, INPUT_MAX);
 	bufferevent_setwatermark(caller->bev, EV_WRITE, OUTPUT_LOW, 0);
--- a/src/libmasticmux/http_head.c
+++ b/src/libmasticmux/http_head.c
@@ -75,7 +75,8 @@
 
 		at += strspn(at, " \t,");
 		span = strcspn(at, ",");
-		while (span > 0 && (at[span - 1] == ' ' || at[span - 1] == '\t'))
+		while (span > 0 &&
+		       (at[span - 1] == ' ' || at[span - 1] == '\t'))
 			span--;
 		if (span == length && strncasecmp(at, token, length) == 0)
 			return true;
@@ -283,8 +284,8 @@
 	uri = head->uri + strlen(scheme);
 	host_length = strcspn(uri, "/?");
 	host = g_strndup(uri, host_length);
-	uri = g_strconcat(uri[host_length] == '/' ? "" : "/",
-			  uri + host_length, NULL);
+	uri = g_strconcat(uri[host_length] == '/' ? "" : "/", uri + host_length,
+			  NULL);
 	mmx_head_remove(head, "Host");
 	mmx_head_add(head, "Host", host);
 	g_free(host);
@@ -338,8 +339,8 @@
 	/* Both, or two of one: peers may disagree on the end of the body. */
 	if (encodings > 1 || (encodings && (lengths || reader->minor == 0)))
 		return MMX_HTTP_FAULT_ENCODING;
-	if (encodings &&
-	    strcasecmp(mmx_head_find(head, "Transfer-Encoding"), "chunked") != 0)
+	if (encodings && strcasecmp(mmx_head_find(head, "Transfer-Encoding"),
+				    "chunked") != 0)
 		return MMX_HTTP_FAULT_ENCODING;
 	if (lengths > 1 ||
 	    (lengths && !mmx_http_content_length(head, &reader->length)))
@@ -405,9 +406,8 @@
 void mmx_http_write_status_line(struct evbuffer *out, int status)
 {
 	phrase_t key = {.status = status};
-	const phrase_t *phrase =
-		bsearch(&key, phrases_, G_N_ELEMENTS(phrases_),
-			sizeof(phrases_[0]), compare_phrases_);
+	const phrase_t *phrase = bsearch(&key, phrases_, G_N_ELEMENTS(phrases_),
+					 sizeof(phrases_[0]), compare_phrases_);
 
 	evbuffer_add_printf(out, "HTTP/1.1 %d %s\r\n", status,
 			    phrase ? phrase->text : "");
--- a/src/libmasticmux/http_reader.c
+++ b/src/libmasticmux/http_reader.c
@@ -22,10 +22,9 @@
 };
 
 const char *const mmx_http_fault_string[MMX_HTTP_FAULT_COUNT] = {
-	"none",		  "start-line",	   "version",
-	"header",	  "host",	   "content-length",
-	"transfer-encoding", "chunk",	   "line-too-long",
-	"head-too-large", "truncated",
+	"none",		 "start-line",	   "version",		"header",
+	"host",		 "content-length", "transfer-encoding", "chunk",
+	"line-too-long", "head-too-large", "truncated",
 };
 
 const char *const mmx_http_framing_string[MMX_HTTP_FRAMING_COUNT] = {
@@ -234,8 +233,8 @@
 	bool good;
 
 	if (!line) {
-		struct evbuffer_ptr feed = evbuffer_search_eol(
-			input, NULL, NULL, EVBUFFER_EOL_LF);
+		struct evbuffer_ptr feed =
+			evbuffer_search_eol(input, NULL, NULL, EVBUFFER_EOL_LF);
 
 		if (reader->fault || feed.pos >= 0)
 			return fail_(reader, MMX_HTTP_FAULT_CHUNK);
@@ -246,8 +245,7 @@
 	free(line);
 	if (!good)
 		return fail_(reader, MMX_HTTP_FAULT_CHUNK);
-	reader->state =
-		reader->remaining ? STATE_CHUNK_DATA : STATE_TRAILER;
+	reader->state = reader->remaining ? STATE_CHUNK_DATA : STATE_TRAILER;
 	return MMX_HTTP_DATA;
 }
 
--- a/src/libmasticmux/include/private/node_parts.h
+++ b/src/libmasticmux/include/private/node_parts.h
@@ -8,6 +8,7 @@
 #include "masticmux/counters.h"
 #include "masticmux/directory.h"
 #include "masticmux/fold.h"
+#include "masticmux/gossip_codec.h"
 #include "masticmux/log.h"
 #include "masticmux/node.h"
 #include "masticmux/random.h"
@@ -34,9 +35,11 @@
 
 typedef TAILQ_HEAD(mmx_part_list_t, mmx_part_t) mmx_part_list_t;
 
+struct mmx_config_task_t;
 struct mmx_entry_t;
 struct mmx_exit_t;
-struct mmx_target_client_t;
+struct mmx_gossip_t;
+struct mmx_peer_t;
 
 /* Shared by the parts; each pointer is set by the part that owns it. */
 struct mmx_node_t {
@@ -54,16 +57,27 @@
 	mmx_timer_t drain_timer;
 	mmx_time_t drain_deadline;
 	struct event *signals[2];
-	const mmx_fold_t *fold;	    /* configuration: in force, or NULL */
-	mmx_directory_t *directory; /* fleet */
-	struct mmx_entry_t *entry;  /* path */
-	struct mmx_exit_t *exit;    /* path */
+	mmx_part_t *config_part;
+	struct mmx_config_task_t *config; /* config */
+	const mmx_fold_t *fold;		  /* config: in force, or NULL */
+	mmx_directory_t *directory;	  /* fleet */
+	struct mmx_gossip_t *gossip;	  /* fleet */
+	struct mmx_peer_t *peer;	  /* fleet */
+	struct mmx_entry_t *entry;	  /* path */
+	struct mmx_exit_t *exit;	  /* path */
 };
 
 /* A target beside this node has changed: fleet announces it. */
 void mmx_part_fleet_announce(mmx_node_t *node,
 			     const mmx_target_record_t *record);
 
+/* The alive members may have changed: config chooses its readers anew. */
+void mmx_part_config_members_changed(mmx_node_t *node);
+/* Functions of mmx_membership_ops_t; arg is the node. */
+void mmx_part_config_fill_ages(void *arg, mmx_gossip_ages_t *ages);
+void mmx_part_config_news_seen(void *arg, mmx_node_id_t from, uint64_t offset,
+			       const mmx_gossip_ages_t *ages);
+
 mmx_part_t *mmx_part_fleet_create(mmx_node_t *node);
 mmx_part_t *mmx_part_path_create(mmx_node_t *node);
 mmx_part_t *mmx_part_config_create(mmx_node_t *node);
--- a/src/libmasticmux/membership.c
+++ b/src/libmasticmux/membership.c
@@ -153,6 +153,10 @@
 	message->recipient = 0;
 	message->subject = 0;
 	message->offset = m->self->member.applied_offset;
+	message->ages.confirmed = MMX_TIME_NEVER;
+	message->ages.reader = MMX_TIME_NEVER;
+	if (m->ops->fill_ages)
+		m->ops->fill_ages(m->arg, &message->ages);
 	message->member_count = 0;
 	message->opinion_count = 0;
 	message->target_count = 0;
@@ -487,6 +491,9 @@
 	if (message->offset > m->self->member.applied_offset &&
 	    m->ops->offset_seen)
 		m->ops->offset_seen(m->arg, message->sender, message->offset);
+	if (m->ops->news_seen)
+		m->ops->news_seen(m->arg, message->sender, message->offset,
+				  &message->ages);
 }
 
 static void apply_updates_(mmx_membership_t *m,
--- /dev/null
+++ b/src/libmasticmux/node.c
@@ -0,0 +1,158 @@
+#include "masticmux/node.h"
+
+#include <assert.h>
+#include <event2/event.h>
+#include <glib.h>
+#include <openssl/rand.h>
+#include <signal.h>
+#include <string.h>
+#include <xxhash.h>
+
+#include "private/entry.h"
+#include "private/exit.h"
+#include "private/node_parts.h"
+
+/* A planned stop ends at the latest after this time. */
+#define DRAIN_MAX_US (60 * MMX_US_PER_S)
+/* Others hear of the stop before the listeners close. */
+#define DRAIN_POLL_US (50 * MMX_US_PER_MS)
+
+static mmx_part_t *(*const part_table_[])(mmx_node_t *node) = {
+	mmx_part_fleet_create,
+	mmx_part_config_create,
+	mmx_part_path_create,
+};
+
+static size_t in_progress_(const mmx_node_t *node)
+{
+	const mmx_part_t *part;
+	size_t total = 0;
+
+	TAILQ_FOREACH (part, &node->parts, entry)
+		if (part->ops->in_progress)
+			total += part->ops->in_progress(part);
+	return total;
+}
+
+static void on_drain_poll_(void *arg)
+{
+	mmx_node_t *node = arg;
+
+	if (in_progress_(node) > 0 &&
+	    mmx_clock_now(node->clock) < node->drain_deadline) {
+		mmx_timer_set(&node->drain_timer, DRAIN_POLL_US);
+		return;
+	}
+	event_base_loopbreak(node->base);
+}
+
+static void on_signal_(evutil_socket_t number, short what, void *arg)
+{
+	mmx_node_t *node = arg;
+	mmx_part_t *part;
+
+	if (node->draining)
+		return;
+	node->draining = true;
+	mmx_log_event(node->log, MMX_LOG_INFO, "node_draining", "node",
+		      node->settings->node_name, NULL);
+	node->drain_deadline = mmx_clock_now(node->clock) + DRAIN_MAX_US;
+	TAILQ_FOREACH (part, &node->parts, entry)
+		if (part->ops->drain)
+			part->ops->drain(part);
+	mmx_timer_set(&node->drain_timer, DRAIN_POLL_US);
+}
+
+static uint64_t random_seed_(void)
+{
+	uint64_t seed = 0;
+
+	if (RAND_bytes((unsigned char *)&seed, sizeof(seed)) != 1)
+		abort();
+	return seed;
+}
+
+mmx_node_t *mmx_node_create(const mmx_settings_t *settings)
+{
+	mmx_node_t *node = g_new0(mmx_node_t, 1);
+	size_t i;
+
+	assert(settings);
+	node->settings = settings;
+	node->base = event_base_new();
+	node->runtime = mmx_runtime_create(node->base);
+	node->clock = mmx_runtime_clock(node->runtime);
+	node->counters = mmx_counters_create();
+	node->log = mmx_log_create(node->clock, stderr, MMX_LOG_INFO);
+	mmx_random_seed(&node->random, random_seed_());
+	node->id = XXH64(settings->node_name, strlen(settings->node_name), 0);
+	node->incarnation = mmx_clock_wall(node->clock);
+	TAILQ_INIT(&node->parts);
+	mmx_timer_init(&node->drain_timer, node->clock, on_drain_poll_, node);
+	node->entry = mmx_entry_create(node->runtime, node->id,
+				       node->incarnation,
+				       mmx_random_next(&node->random));
+	node->exit = mmx_exit_create(node->runtime, node->id,
+				     settings->node_name, node->incarnation);
+	for (i = 0; i < G_N_ELEMENTS(part_table_); i++) {
+		mmx_part_t *part = part_table_[i](node);
+
+		part->node = node;
+		TAILQ_INSERT_TAIL(&node->parts, part, entry);
+	}
+	return node;
+}
+
+void mmx_node_destroy(mmx_node_t *node)
+{
+	mmx_part_t *part;
+	size_t i;
+
+	if (!node)
+		return;
+	mmx_timer_cancel(&node->drain_timer);
+	while ((part = TAILQ_LAST(&node->parts, mmx_part_list_t))) {
+		TAILQ_REMOVE(&node->parts, part, entry);
+		part->ops->destroy(part);
+	}
+	/* Parts post to these two until they are destroyed. */
+	mmx_entry_destroy(node->entry);
+	mmx_exit_destroy(node->exit);
+	for (i = 0; i < G_N_ELEMENTS(node->signals); i++)
+		if (node->signals[i])
+			event_free(node->signals[i]);
+	mmx_log_destroy(node->log);
+	mmx_runtime_destroy(node->runtime);
+	mmx_counters_destroy(node->counters);
+	event_base_free(node->base);
+	g_free(node);
+}
+
+bool mmx_node_init(mmx_node_t *node, mmx_error_t *error)
+{
+	static const int numbers[] = {SIGTERM, SIGINT};
+	mmx_part_t *part;
+	size_t i;
+
+	TAILQ_FOREACH (part, &node->parts, entry)
+		if (!part->ops->init(part, error))
+			return false;
+	signal(SIGPIPE, SIG_IGN);
+	for (i = 0; i < G_N_ELEMENTS(numbers); i++) {
+		node->signals[i] =
+			evsignal_new(node->base, numbers[i], on_signal_, node);
+		event_add(node->signals[i], NULL);
+	}
+	return true;
+}
+
+bool mmx_node_run(mmx_node_t *node)
+{
+	mmx_log_event(node->log, MMX_LOG_INFO, "node_started", "node",
+		      node->settings->node_name, "zone", node->settings->zone,
+		      "region", node->settings->region, NULL);
+	event_base_dispatch(node->base);
+	mmx_log_event(node->log, MMX_LOG_INFO, "node_stopped", "node",
+		      node->settings->node_name, NULL);
+	return in_progress_(node) == 0;
+}
--- /dev/null
+++ b/src/libmasticmux/part_config.c
@@ -0,0 +1,285 @@
+/* Part "config": the configuration in force, and its way between nodes. */
+#include <glib.h>
+
+#include "masticmux/config_task.h"
+#include "masticmux/gossip.h"
+#include "private/node_parts.h"
+#include "private/peer.h"
+
+#define PULL_TIMEOUT_US (2 * MMX_US_PER_S)
+#define PULL_ARGUMENT_BYTES 8
+#define LOAD_ARGUMENT_BYTES 12
+
+typedef struct config_part_t {
+	mmx_part_t part;
+	bool members_posted; /* a post is waiting in the loop */
+	mmx_timer_t members_timer;
+} config_part_t;
+
+/* A call of this node, or one that it answers. */
+typedef struct call_t {
+	mmx_node_t *node;
+	mmx_node_id_t peer;
+	mmx_peer_ticket_t ticket;
+} call_t;
+
+/* --- numbers on the wire ----------------------------------------------- */
+
+static void put_number_(uint8_t *to, uint64_t value, int bytes)
+{
+	int i;
+
+	for (i = 0; i < bytes; i++)
+		to[i] = (uint8_t)(value >> (8 * (bytes - 1 - i)));
+}
+
+static uint64_t get_number_(const uint8_t *from, int bytes)
+{
+	uint64_t value = 0;
+	int i;
+
+	for (i = 0; i < bytes; i++)
+		value = value << 8 | from[i];
+	return value;
+}
+
+/* --- calls to peers ---------------------------------------------------- */
+
+static call_t *new_call_(mmx_node_t *node, mmx_node_id_t peer)
+{
+	call_t *call = g_new0(call_t, 1);
+
+	call->node = node;
+	call->peer = peer;
+	return call;
+}
+
+static void on_pulled_(void *arg, mmx_peer_result_t result,
+		       const uint8_t *bytes, size_t length)
+{
+	call_t *call = arg;
+
+	mmx_config_task_post_pulled(call->node->config, call->peer,
+				    result == MMX_PEER_OK ? bytes : NULL,
+				    length);
+	g_free(call);
+}
+
+static void on_loaded_(void *arg, mmx_peer_result_t result,
+		       const uint8_t *bytes, size_t length)
+{
+	call_t *call = arg;
+
+	mmx_config_task_post_loaded(call->node->config, call->peer,
+				    result == MMX_PEER_OK ? bytes : NULL,
+				    length);
+	g_free(call);
+}
+
+static void send_news_(void *arg, mmx_node_id_t peer,
+		       const mmx_config_news_t *news)
+{
+	mmx_node_t *node = arg;
+
+	mmx_gossip_set_offset(node->gossip, news->applied);
+	mmx_gossip_send_news(node->gossip, peer);
+}
+
+static void send_pull_(void *arg, mmx_node_id_t peer, uint64_t after)
+{
+	mmx_node_t *node = arg;
+	mmx_peer_place_t place = {.node = peer};
+	uint8_t argument[PULL_ARGUMENT_BYTES];
+
+	put_number_(argument, after, 8);
+	mmx_peer_call(node->peer, &place, MMX_PROCEDURE_CONFIG_PULL, argument,
+		      sizeof(argument), PULL_TIMEOUT_US, on_pulled_,
+		      new_call_(node, peer));
+}
+
+static void send_load_(void *arg, mmx_node_id_t peer, uint64_t applied,
+		       uint32_t part)
+{
+	mmx_node_t *node = arg;
+	mmx_peer_place_t place = {.node = peer};
+	uint8_t argument[LOAD_ARGUMENT_BYTES];
+
+	put_number_(argument, applied, 8);
+	put_number_(argument + 8, part, 4);
+	mmx_peer_call(node->peer, &place, MMX_PROCEDURE_CONFIG_LOAD, argument,
+		      sizeof(argument), PULL_TIMEOUT_US, on_loaded_,
+		      new_call_(node, peer));
+}
+
+static const mmx_config_transport_ops_t transport_ops_ = {
+	send_news_,
+	send_pull_,
+	send_load_,
+};
+
+/* --- calls by peers ---------------------------------------------------- */
+
+static void answer_(void *arg, const uint8_t *data, size_t length)
+{
+	call_t *call = arg;
+
+	if (data)
+		mmx_peer_answer(call->node->peer, &call->ticket, data, length);
+	else
+		mmx_peer_refuse(call->node->peer, &call->ticket);
+	g_free(call);
+}
+
+static void serve_pull_(void *arg, const mmx_peer_ticket_t *ticket,
+			const uint8_t *bytes, size_t length)
+{
+	mmx_node_t *node = arg;
+	call_t *call;
+
+	if (length != PULL_ARGUMENT_BYTES) {
+		mmx_peer_refuse(node->peer, ticket);
+		return;
+	}
+	call = new_call_(node, ticket->caller);
+	call->ticket = *ticket;
+	mmx_config_task_post_pull(node->config, get_number_(bytes, 8), answer_,
+				  call);
+}
+
+static void serve_load_(void *arg, const mmx_peer_ticket_t *ticket,
+			const uint8_t *bytes, size_t length)
+{
+	mmx_node_t *node = arg;
+	call_t *call;
+
+	if (length != LOAD_ARGUMENT_BYTES) {
+		mmx_peer_refuse(node->peer, ticket);
+		return;
+	}
+	call = new_call_(node, ticket->caller);
+	call->ticket = *ticket;
+	mmx_config_task_post_load(node->config, get_number_(bytes, 8),
+				  (uint32_t)get_number_(bytes + 8, 4), answer_,
+				  call);
+}
+
+/* --- news and members -------------------------------------------------- */
+
+void mmx_part_config_fill_ages(void *arg, mmx_gossip_ages_t *ages)
+{
+	const mmx_node_t *node = arg;
+	mmx_config_news_t news;
+
+	if (!node->config ||
+	    !mmx_config_news(mmx_config_task_config(node->config), &news))
+		return;
+	ages->confirmed = news.confirmed_age;
+	ages->reader = news.reader_age;
+}
+
+void mmx_part_config_news_seen(void *arg, mmx_node_id_t from, uint64_t offset,
+			       const mmx_gossip_ages_t *ages)
+{
+	mmx_node_t *node = arg;
+	const mmx_config_news_t news = {
+		.applied = offset,
+		.confirmed_age = ages->confirmed,
+		.reader_age = ages->reader,
+	};
+
+	if (node->config)
+		mmx_config_task_post_news(node->config, from, &news);
+}
+
+static void collect_member_(void *arg, const mmx_member_t *member)
+{
+	GArray *members = arg;
+	const mmx_config_member_t item = {
+		.id = member->id,
+		.region = mmx_config_region_id(member->region),
+	};
+
+	if (member->state == MMX_MEMBER_ALIVE)
+		g_array_append_val(members, item);
+}
+
+static void on_members_timer_(void *arg)
+{
+	config_part_t *self = arg;
+	mmx_node_t *node = self->part.node;
+	GArray *members =
+		g_array_new(FALSE, FALSE, sizeof(mmx_config_member_t));
+
+	mmx_membership_each(mmx_gossip_membership(node->gossip),
+			    collect_member_, members);
+	mmx_config_task_post_members(node->config,
+				     (mmx_config_member_t *)members->data,
+				     members->len);
+	g_array_free(members, TRUE);
+}
+
+void mmx_part_config_members_changed(mmx_node_t *node)
+{
+	config_part_t *self = (config_part_t *)node->config_part;
+
+	/* One list for all changes of a moment. */
+	if (self->members_timer.clock &&
+	    !mmx_timer_is_set(&self->members_timer))
+		mmx_timer_set(&self->members_timer, 10 * MMX_US_PER_MS);
+}
+
+static void watch_(void *arg, const mmx_fold_t *fold)
+{
+	mmx_node_t *node = arg;
+
+	node->fold = fold;
+	if (fold)
+		mmx_gossip_set_offset(node->gossip, mmx_fold_applied(fold));
+}
+
+/* --- part -------------------------------------------------------------- */
+
+static bool init_(mmx_part_t *part, mmx_error_t *error)
+{
+	config_part_t *self = (config_part_t *)part;
+	mmx_node_t *node = part->node;
+
+	mmx_timer_init(&self->members_timer, node->clock, on_members_timer_,
+		       self);
+	node->config = mmx_config_task_create(
+		node->runtime, node->settings, &transport_ops_, node,
+		node->counters, node->log, mmx_random_next(&node->random));
+	mmx_config_task_set_watch(node->config, watch_, node);
+	mmx_peer_register(node->peer, MMX_PROCEDURE_CONFIG_PULL, serve_pull_,
+			  node);
+	mmx_peer_register(node->peer, MMX_PROCEDURE_CONFIG_LOAD, serve_load_,
+			  node);
+	mmx_part_config_members_changed(node);
+	mmx_config_task_start(node->config);
+	return true;
+}
+
+static void destroy_(mmx_part_t *part)
+{
+	config_part_t *self = (config_part_t *)part;
+
+	if (self->members_timer.clock)
+		mmx_timer_cancel(&self->members_timer);
+	mmx_config_task_destroy(part->node->config);
+	g_free(self);
+}
+
+static const mmx_part_ops_t ops_ = {
+	.name = "config",
+	.init = init_,
+	.destroy = destroy_,
+};
+
+mmx_part_t *mmx_part_config_create(mmx_node_t *node)
+{
+	config_part_t *self = g_new0(config_part_t, 1);
+
+	self->part.ops = &ops_;
+	node->config_part = &self->part;
+	return &self->part;
+}
--- /dev/null
+++ b/src/libmasticmux/part_fleet.c
@@ -0,0 +1,254 @@
+/*
+ * Part "fleet": the other nodes. Membership and directory by datagrams, the
+ * peer connections, and the calls on them that belong to no other part:
+ * DIRECTORY_SYNC and STOP.
+ */
+#include <glib.h>
+#include <event2/event.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "masticmux/gossip.h"
+#include "private/entry.h"
+#include "private/exit.h"
+#include "private/node_parts.h"
+#include "private/peer.h"
+
+#define SYNC_TIMEOUT_US (5 * MMX_US_PER_S)
+#define DIRECTORY_EXPIRY_AGE_US (24 * 3600 * MMX_US_PER_S)
+#define DIRECTORY_EXPIRY_INTERVAL_US (60 * MMX_US_PER_S)
+
+typedef struct fleet_t {
+	mmx_part_t part;
+	mmx_peer_resolver_t resolver;
+	mmx_timer_t expiry;
+} fleet_t;
+
+/* A sync request that waits for its answer. */
+typedef struct sync_call_t {
+	mmx_node_t *node;
+	mmx_node_id_t peer;
+} sync_call_t;
+
+/* --- membership -------------------------------------------------------- */
+
+static void on_sync_answer_(void *arg, mmx_peer_result_t result,
+			    const uint8_t *bytes, size_t length)
+{
+	sync_call_t *call = arg;
+	mmx_membership_t *membership =
+		mmx_gossip_membership(call->node->gossip);
+
+	if (result == MMX_PEER_OK)
+		mmx_membership_sync_reply(membership, call->peer, bytes,
+					  length);
+	else
+		mmx_membership_sync_failed(membership, call->peer);
+	g_free(call);
+}
+
+static void sync_request_(void *arg, const mmx_member_t *peer,
+			  const uint8_t *data, size_t size)
+{
+	mmx_node_t *node = arg;
+	mmx_peer_place_t place = {.node = peer->id, .address = peer->nodes};
+	sync_call_t *call = g_new0(sync_call_t, 1);
+
+	call->node = node;
+	call->peer = peer->id;
+	mmx_peer_call(node->peer, &place, MMX_PROCEDURE_DIRECTORY_SYNC, data,
+		      size, SYNC_TIMEOUT_US, on_sync_answer_, call);
+}
+
+static void serve_sync_(void *arg, const mmx_peer_ticket_t *ticket,
+			const uint8_t *bytes, size_t length)
+{
+	mmx_node_t *node = arg;
+	uint8_t *reply = NULL;
+	size_t reply_size = 0;
+
+	if (mmx_membership_sync_serve(mmx_gossip_membership(node->gossip),
+				      bytes, length, &reply, &reply_size))
+		mmx_peer_answer(node->peer, ticket, reply, reply_size);
+	else
+		mmx_peer_refuse(node->peer, ticket);
+	free(reply);
+}
+
+static void changed_(void *arg, const mmx_member_t *member,
+		     mmx_member_state_t before)
+{
+	mmx_node_t *node = arg;
+
+	if (before != member->state)
+		mmx_log_event(node->log, MMX_LOG_INFO, "member_state", "member",
+			      member->name, "zone", member->zone, "state",
+			      mmx_member_state_string[member->state], NULL);
+	mmx_part_config_members_changed(node);
+}
+
+static void conflict_(void *arg, const mmx_address_t *other)
+{
+	mmx_node_t *node = arg;
+	char address[MMX_ADDRESS_MAX + 10];
+
+	mmx_address_format(other, address, sizeof(address));
+	mmx_log_event(node->log, MMX_LOG_ERROR, "node_name_conflict", "node",
+		      node->settings->node_name, "other", address, NULL);
+	event_base_loopbreak(node->base);
+}
+
+static const mmx_membership_ops_t membership_ops_ = {
+	.sync_request = sync_request_,
+	.changed = changed_,
+	.fill_ages = mmx_part_config_fill_ages,
+	.news_seen = mmx_part_config_news_seen,
+	.conflict = conflict_,
+};
+
+void mmx_part_fleet_announce(mmx_node_t *node,
+			     const mmx_target_record_t *record)
+{
+	mmx_gossip_announce(node->gossip, record);
+}
+
+/* --- peer connections -------------------------------------------------- */
+
+static bool resolve_(mmx_peer_resolver_t *resolver, mmx_node_id_t id,
+		     mmx_address_t *address, mmx_incarnation_t *incarnation)
+{
+	fleet_t *fleet =
+		(fleet_t *)((char *)resolver - offsetof(fleet_t, resolver));
+	const mmx_member_t *member = mmx_membership_find(
+		mmx_gossip_membership(fleet->part.node->gossip), id);
+
+	if (!member || member->nodes.port == 0)
+		return false;
+	*address = member->nodes;
+	*incarnation = member->incarnation;
+	return true;
+}
+
+static const mmx_peer_resolver_ops_t resolver_ops_ = {resolve_};
+
+/* Planned stop of a target beside this node, asked for by another node. */
+static void serve_stop_(void *arg, const mmx_peer_ticket_t *ticket,
+			const uint8_t *bytes, size_t length)
+{
+	mmx_node_t *node = arg;
+	char name[MMX_NAME_MAX + 1];
+	uint8_t reply[8];
+	uint64_t left;
+	int i;
+
+	if (length == 0 || length > MMX_NAME_MAX) {
+		mmx_peer_refuse(node->peer, ticket);
+		return;
+	}
+	memcpy(name, bytes, length);
+	name[length] = '\0';
+	if (!mmx_exit_stop_target(node->exit, name)) {
+		mmx_peer_refuse(node->peer, ticket);
+		return;
+	}
+	left = mmx_exit_in_progress(node->exit, name);
+	for (i = 0; i < 8; i++)
+		reply[i] = (uint8_t)(left >> (8 * (7 - i)));
+	mmx_peer_answer(node->peer, ticket, reply, sizeof(reply));
+}
+
+static bool start_peer_(fleet_t *fleet, mmx_error_t *error)
+{
+	mmx_node_t *node = fleet->part.node;
+	const mmx_settings_t *settings = node->settings;
+	const mmx_peer_config_t config = {
+		.node_name = settings->node_name,
+		.incarnation = node->incarnation,
+		.keys = settings->fleet_keys,
+		.key_count = settings->fleet_key_count,
+		.listen = settings->listen_nodes,
+		.resolver = &fleet->resolver,
+		.entry = mmx_entry_task(node->entry),
+		.exit = mmx_exit_task(node->exit),
+		.counters = node->counters,
+		.log = node->log,
+		.random = &node->random,
+	};
+
+	node->peer = mmx_peer_create(node->runtime, &config);
+	mmx_peer_register(node->peer, MMX_PROCEDURE_DIRECTORY_SYNC, serve_sync_,
+			  node);
+	mmx_peer_register(node->peer, MMX_PROCEDURE_STOP, serve_stop_, node);
+	return mmx_peer_start(node->peer, error);
+}
+
+/* --- part -------------------------------------------------------------- */
+
+static void on_expiry_(void *arg)
+{
+	fleet_t *fleet = arg;
+
+	mmx_directory_expire(fleet->part.node->directory,
+			     DIRECTORY_EXPIRY_AGE_US);
+	mmx_timer_set(&fleet->expiry, DIRECTORY_EXPIRY_INTERVAL_US);
+}
+
+static bool init_(mmx_part_t *part, mmx_error_t *error)
+{
+	fleet_t *fleet = (fleet_t *)part;
+	mmx_node_t *node = part->node;
+	const mmx_gossip_config_t config = {
+		.settings = node->settings,
+		.incarnation = node->incarnation,
+		.random_seed = mmx_random_next(&node->random),
+		.counters = node->counters,
+	};
+
+	fleet->resolver.ops = &resolver_ops_;
+	mmx_timer_init(&fleet->expiry, node->clock, on_expiry_, fleet);
+	if (!start_peer_(fleet, error))
+		return false;
+	node->gossip =
+		mmx_gossip_create(&config, node->runtime, node->directory,
+				  &membership_ops_, node, error);
+	if (!node->gossip)
+		return false;
+	mmx_timer_set(&fleet->expiry, DIRECTORY_EXPIRY_INTERVAL_US);
+	return true;
+}
+
+static void drain_(mmx_part_t *part)
+{
+	mmx_gossip_leave(part->node->gossip);
+}
+
+static void destroy_(mmx_part_t *part)
+{
+	fleet_t *fleet = (fleet_t *)part;
+	mmx_node_t *node = part->node;
+
+	if (fleet->expiry.clock)
+		mmx_timer_cancel(&fleet->expiry);
+	if (node->gossip)
+		mmx_gossip_destroy(node->gossip);
+	if (node->peer)
+		mmx_peer_destroy(node->peer);
+	mmx_directory_destroy(node->directory);
+	g_free(fleet);
+}
+
+static const mmx_part_ops_t ops_ = {
+	.name = "fleet",
+	.init = init_,
+	.drain = drain_,
+	.destroy = destroy_,
+};
+
+mmx_part_t *mmx_part_fleet_create(mmx_node_t *node)
+{
+	fleet_t *fleet = g_new0(fleet_t, 1);
+
+	fleet->part.ops = &ops_;
+	node->directory = mmx_directory_create(node->clock);
+	return &fleet->part;
+}
--- a/src/libmasticmux/target_client.c
+++ b/src/libmasticmux/target_client.c
@@ -228,8 +228,8 @@
 		return;
 	connection->credit -= part;
 	if (!connection->head_posted) {
-		mmx_call_event_t *event = mmx_new_call_event(
-			&connection->attempt, MMX_CALL_HEAD);
+		mmx_call_event_t *event =
+			mmx_new_call_event(&connection->attempt, MMX_CALL_HEAD);
 
 		event->head = g_steal_pointer(&connection->reader.head);
 		mmx_head_remove_hop_by_hop(event->head);
@@ -252,9 +252,8 @@
 
 static mmx_http_event_t read_step_(connection_t *connection)
 {
-	mmx_http_event_t event =
-		mmx_http_reader_run(&connection->reader, input_(connection),
-				    connection->received);
+	mmx_http_event_t event = mmx_http_reader_run(
+		&connection->reader, input_(connection), connection->received);
 
 	if (event == MMX_HTTP_MORE && connection->ended)
 		event = mmx_http_reader_eof(&connection->reader);
@@ -382,9 +381,9 @@
 	mmx_http_reader_init(&connection->reader, MMX_HTTP_RESPONSE);
 	mmx_timer_init(&connection->timer, client->clock, on_timer_,
 		       connection);
-	connection->bev = bufferevent_socket_new(client->base, -1,
-						 BEV_OPT_CLOSE_ON_FREE |
-							 BEV_OPT_DEFER_CALLBACKS);
+	connection->bev = bufferevent_socket_new(
+		client->base, -1,
+		BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
 	bufferevent_setcb(connection->bev, on_read_, on_write_, on_event_,
 			  connection);
 	bufferevent_setwatermark(connection->bev, EV_READ, 0, INPUT_MAX);
@@ -628,10 +627,9 @@
 	char labels[64];
 	int i;
 
-	client->connection_gauge =
-		mmx_counters_get(counters, MMX_GAUGE,
-				 "masticmux_target_connections", "",
-				 "Open connections to targets.");
+	client->connection_gauge = mmx_counters_get(
+		counters, MMX_GAUGE, "masticmux_target_connections", "",
+		"Open connections to targets.");
 	client->connects = mmx_counters_get(
 		counters, MMX_COUNTER, "masticmux_target_connects_total", "",
 		"Connections opened to targets.");
--- /dev/null
+++ b/src/masticmux/command_node.c
@@ -0,0 +1,55 @@
+/* node: runs the process beside a target instance. */
+#include <stdio.h>
+
+#include "commands.h"
+#include "masticmux/node.h"
+
+static mmx_exit_status_t run_(const mmx_settings_t *settings)
+{
+	mmx_node_t *node = mmx_node_create(settings);
+	mmx_error_t error = {MMX_ERROR_NONE, ""};
+	mmx_exit_status_t status = MMX_EXIT_ERROR;
+
+	if (!mmx_node_init(node, &error))
+		fprintf(stderr, "masticmux node: %s\n", error.text);
+	else if (mmx_node_run(node))
+		status = MMX_EXIT_OK;
+	else
+		fprintf(stderr, "masticmux node: stopped with requests in "
+				"progress\n");
+	mmx_node_destroy(node);
+	return status;
+}
+
+mmx_exit_status_t mmx_command_node(int argc, char **argv)
+{
+	char *path = NULL;
+	const GOptionEntry entries[] = {
+		{"settings", 0, 0, G_OPTION_ARG_FILENAME, &path,
+		 "settings file of this node", "FILE"},
+		G_OPTION_ENTRY_NULL,
+	};
+	mmx_findings_t *findings = mmx_findings_create();
+	mmx_settings_t *settings = NULL;
+	mmx_exit_status_t status = MMX_EXIT_ERROR;
+
+	if (mmx_command_parse(&argc, &argv, NULL,
+			      "Runs the process beside a target instance until "
+			      "SIGTERM.\nExit status: 0 stopped with nothing "
+			      "in progress, 2 findings in the settings, 1 "
+			      "other errors.",
+			      entries, 0) &&
+	    mmx_command_require("node", "settings", path)) {
+		settings = mmx_settings_load(path, findings);
+		if (settings) {
+			status = run_(settings);
+		} else {
+			mmx_findings_print(findings, stderr);
+			status = MMX_EXIT_FINDINGS;
+		}
+	}
+	mmx_settings_destroy(settings);
+	mmx_findings_destroy(findings);
+	g_free(path);
+	return status;
+}
--- a/src/masticmux/command_publish.c
+++ b/src/masticmux/command_publish.c
@@ -309,8 +309,9 @@
 	g_free(command);
 }
 
-static mmx_exit_status_t run_(const options_t *options, const mmx_settings_t *settings,
-		       const char *id, const char *record)
+static mmx_exit_status_t run_(const options_t *options,
+			      const mmx_settings_t *settings, const char *id,
+			      const char *record)
 {
 	publisher_t publisher = {
 		.options = options, .settings = settings, .id = id};
@@ -334,8 +335,8 @@
 }
 
 static mmx_exit_status_t publish_change_(const options_t *options,
-				  const mmx_settings_t *settings,
-				  mmx_change_t *change)
+					 const mmx_settings_t *settings,
+					 mmx_change_t *change)
 {
 	mmx_exit_status_t status = MMX_EXIT_REJECTED;
 	size_t length;
@@ -357,7 +358,8 @@
 	return status;
 }
 
-static mmx_exit_status_t publish_file_(const options_t *options, const char *path)
+static mmx_exit_status_t publish_file_(const options_t *options,
+				       const char *path)
 {
 	mmx_findings_t *findings = mmx_findings_create();
 	mmx_settings_t *settings =
--- a/src/masticmux/commands.h
+++ b/src/masticmux/commands.h
@@ -33,6 +33,7 @@
 } mmx_command_t;
 
 mmx_exit_status_t mmx_command_check(int argc, char **argv);
+mmx_exit_status_t mmx_command_node(int argc, char **argv);
 mmx_exit_status_t mmx_command_publish(int argc, char **argv);
 
 /**
--- a/src/masticmux/main.c
+++ b/src/masticmux/main.c
@@ -10,6 +10,7 @@
 	{"check", "check a settings file and a change file", mmx_command_check},
 	{"publish", "publish a change and report its outcome",
 	 mmx_command_publish},
+	{"node", "run the process beside a target instance", mmx_command_node},
 };
 
 static char *describe_commands_(void)
