--- a/include/masticmux/membership.h
+++ b/include/masticmux/membership.h
@@ -130,6 +130,9 @@
 void mmx_membership_sync_failed(mmx_membership_t *membership,
 				mmx_node_id_t peer);
 
+/** Number of updates that wait to be piggybacked. */
+size_t mmx_membership_pending(const mmx_membership_t *membership);
+
 /** Own record. */
 const mmx_member_t *mmx_membership_self(const mmx_membership_t *membership);
 
--- a/src/libmasticmux/include/private/membership_parts.h
+++ b/src/libmasticmux/include/private/membership_parts.h
@@ -75,6 +75,7 @@
 	uint32_t next_xid;
 	bool joined;
 	bool leaving;
+	bool bulk; /* records in hand are not spread further */
 	mmx_membership_counters_t counters;
 };
 
--- a/src/libmasticmux/membership.c
+++ b/src/libmasticmux/membership.c
@@ -19,7 +19,11 @@
  * apart or forgot each other join. */
 #define SEED_PROBE_EVERY 60
 #define PROBES_MAX 512
-#define UPDATES_MAX 8192
+/* Updates that wait to be piggybacked. The loss of a region of 840 members
+ * gives up to 2,520 reports; target updates that are dropped are repaired by
+ * directory sync. */
+#define MEMBER_UPDATES_MAX 8192
+#define TARGET_UPDATES_MAX 2048
 #define EXPIRY_PERIOD (60 * MMX_US_PER_S)
 #define TOMBSTONE_AGE (600 * MMX_US_PER_S)
 /* Members told at once about a planned stop. */
@@ -98,8 +102,8 @@
 	self.refutation = 0;
 	self.state = MMX_MEMBER_ALIVE;
 	m->self = mmx_member_table_put(m->table, &self);
-	m->member_updates = mmx_broadcast_create(UPDATES_MAX);
-	m->target_updates = mmx_broadcast_create(UPDATES_MAX);
+	m->member_updates = mmx_broadcast_create(MEMBER_UPDATES_MAX);
+	m->target_updates = mmx_broadcast_create(TARGET_UPDATES_MAX);
 	TAILQ_INIT(&m->probes);
 	m->next_xid = (uint32_t)mmx_random_next(&m->random);
 	m->last_tick = mmx_clock_now(clock);
--- a/src/libmasticmux/membership_query.c
+++ b/src/libmasticmux/membership_query.c
@@ -2,6 +2,12 @@
 
 #include "private/membership_parts.h"
 
+size_t mmx_membership_pending(const mmx_membership_t *membership)
+{
+	return mmx_broadcast_count(membership->member_updates) +
+	       mmx_broadcast_count(membership->target_updates);
+}
+
 const mmx_member_t *mmx_membership_self(const mmx_membership_t *membership)
 {
 	return &membership->self->member;
--- a/src/libmasticmux/membership_state.c
+++ b/src/libmasticmux/membership_state.c
@@ -41,6 +41,13 @@
 		m->ops->changed(m->arg, &entry->member, before);
 }
 
+static void spread_member_(mmx_membership_t *m, mmx_node_id_t id,
+			   mmx_node_id_t reporter, bool full)
+{
+	if (!m->bulk)
+		mmx_broadcast_add(m->member_updates, id, reporter, full);
+}
+
 static void set_state_(mmx_membership_t *m, mmx_entry_t *entry,
 		       uint32_t refutation, mmx_member_state_t state)
 {
@@ -48,8 +55,7 @@
 
 	mmx_member_table_set(m->table, entry, refutation, state);
 	if (state != MMX_MEMBER_UNREACHABLE)
-		mmx_broadcast_add(m->member_updates, entry->member.id, 0,
-				  false);
+		spread_member_(m, entry->member.id, 0, false);
 	if (before == MMX_MEMBER_DEAD && state == MMX_MEMBER_ALIVE)
 		m->rejoined = entry->member.id;
 	if (before != state)
@@ -62,6 +68,7 @@
 		return;
 	mmx_counter_add(m->counters.refutations, 1);
 	set_state_(m, m->self, refutation + 1, MMX_MEMBER_ALIVE);
+	mmx_broadcast_add(m->member_updates, m->self->member.id, 0, false);
 }
 
 /* Queues a probe that decides between two views of a member. */
@@ -82,8 +89,7 @@
 		set_state_(m, entry, entry->member.refutation,
 			   MMX_MEMBER_UNREACHABLE);
 	if (mmx_member_table_report(entry, reporter))
-		mmx_broadcast_add(m->member_updates, entry->member.id, reporter,
-				  false);
+		spread_member_(m, entry->member.id, reporter, false);
 }
 
 static bool heard_lately_(const mmx_membership_t *m, const mmx_entry_t *entry)
@@ -199,7 +205,7 @@
 	entry = mmx_member_table_put(m->table, &record);
 	mmx_directory_remove_older(m->directory, member->id,
 				   member->incarnation);
-	mmx_broadcast_add(m->member_updates, member->id, 0, true);
+	spread_member_(m, member->id, 0, true);
 	changed_(m, entry, before);
 }
 
@@ -239,7 +245,8 @@
 		return false;
 	if (!mmx_directory_update(m->directory, record))
 		return false;
-	mmx_broadcast_add(m->target_updates, record->id, 0, true);
+	if (!m->bulk)
+		mmx_broadcast_add(m->target_updates, record->id, 0, true);
 	mmx_counter_set(m->counters.targets,
 			(int64_t)mmx_directory_count(m->directory));
 	if (m->ops->target_changed)
--- a/src/libmasticmux/membership_sync.c
+++ b/src/libmasticmux/membership_sync.c
@@ -16,6 +16,9 @@
 /* Largest encoded target and member: all names and addresses 63 bytes. */
 #define TARGET_BYTES_MAX 172
 #define MEMBER_BYTES_MAX 372
+/* More records than this in a message come from a join or a healed partition.
+ * Spreading them further would send every node what most already have. */
+#define SPREAD_MAX 32
 #define FIRST_TARGET_BUCKET MMX_SYNC_MEMBER_BUCKETS
 
 /* A sync that this node asked for. */
@@ -363,6 +366,7 @@
 {
 	guint i;
 
+	m->bulk = message->members->len + message->targets->len > SPREAD_MAX;
 	for (i = 0; i < message->members->len; i++)
 		mmx_membership_apply_member(
 			m, &g_array_index(message->members, mmx_member_t, i),
@@ -384,6 +388,7 @@
 			mmx_broadcast_add(m->target_updates, record->id, 0,
 					  true);
 	}
+	m->bulk = false;
 }
 
 static mmx_sync_message_t *serve_records_(mmx_membership_t *m,
