Freeze open connections in the stand-ins

Cause: the fault model names open connections that become unresponsive for good while new ones work; neither stand-in could simulate it. Result: test/standin.sh passes with the release and the sanitizer build.

--- a/src/standin/fields.c
+++ b/src/standin/fields.c
@@ -67,23 +67,31 @@
 	}
 }
 
-static bool fault_(const field_t *field, mmx_error_t *error)
+/* What a field requires, as text for g_free(). */
+static char *requirement_(const field_t *field)
 {
 	char *choices;
+	char *text;
 
 	if (field->type == FIELD_NUMBER)
-		return mmx_error_set(error, MMX_ERROR_INVALID,
-				     "%s: a number from %g to %g is required",
-				     field->key, field->min, field->max);
-	if (field->type == FIELD_CHOICE) {
-		choices = g_strjoinv(", ", (char **)field->choices);
-		mmx_error_set(error, MMX_ERROR_INVALID,
-			      "%s: one of %s is required", field->key, choices);
-		g_free(choices);
-		return false;
-	}
-	return mmx_error_set(error, MMX_ERROR_INVALID, "%s: %s is required",
-			     field->key, field_type_string[field->type]);
+		return g_strdup_printf("a number from %g to %g", field->min,
+				       field->max);
+	if (field->type != FIELD_CHOICE)
+		return g_strdup(field_type_string[field->type]);
+	choices = g_strjoinv(", ", (char **)field->choices);
+	text = g_strdup_printf("one of %s", choices);
+	g_free(choices);
+	return text;
+}
+
+static bool fault_(const field_t *field, mmx_error_t *error)
+{
+	char *requirement = requirement_(field);
+
+	mmx_error_set(error, MMX_ERROR_INVALID, "%s: %s is required",
+		      field->key, requirement);
+	g_free(requirement);
+	return false;
 }
 
 bool fields_set(const field_t *fields, void *base, json_t *object,
@@ -131,6 +139,20 @@
 	return object;
 }
 
+char *fields_help(const field_t *fields)
+{
+	GString *help = g_string_new("Keys of POST /control (JSON):\n");
+	char *requirement;
+
+	for (; fields->key; fields++) {
+		requirement = requirement_(fields);
+		g_string_append_printf(help, "  %-22s %s\n", fields->key,
+				       requirement);
+		g_free(requirement);
+	}
+	return g_string_free(help, FALSE);
+}
+
 void fields_clear(const field_t *fields, void *base)
 {
 	for (; fields->key; fields++) {
--- a/src/standin/fields.h
+++ b/src/standin/fields.h
@@ -44,6 +44,9 @@
 /** All fields with their present values, a new reference. */
 json_t *fields_get(const field_t *fields, const void *base);
 
+/** Lines that explain the keys, for --help; freed with g_free(). */
+char *fields_help(const field_t *fields);
+
 /** Frees the texts. */
 void fields_clear(const field_t *fields, void *base);
 
--- a/src/standin/load_stats.c
+++ b/src/standin/load_stats.c
@@ -115,6 +115,8 @@
 	static const double percents[] = {50, 90, 99, 99.9};
 	size_t i;
 
+	if (histogram->total == 0)
+		return;
 	fprintf(out, "latency of %s:", name);
 	for (i = 0; i < G_N_ELEMENTS(percents); i++)
 		fprintf(out, " p%g %.3f ms,", percents[i],
--- a/src/standin/log_service.c
+++ b/src/standin/log_service.c
@@ -36,6 +36,7 @@
 	double lose_answers;
 	int lose_mode;
 	bool duplicate;
+	bool freeze_open;
 } faults_t;
 
 static const field_t fault_fields_[] = {
@@ -48,6 +49,8 @@
 	{"lose_mode", FIELD_CHOICE, offsetof(faults_t, lose_mode), 0, 0,
 	 lose_choices_},
 	{"duplicate", FIELD_BOOL, offsetof(faults_t, duplicate), 0, 0, NULL},
+	{"freeze_open", FIELD_BOOL, offsetof(faults_t, freeze_open), 0, 0,
+	 NULL},
 	{NULL, FIELD_BOOL, 0, 0, 0, NULL},
 };
 
@@ -119,9 +122,17 @@
 
 static void answer_read_(waiter_t *waiter)
 {
-	json_t *reply = log_store_read(waiter->service->store, waiter->stream,
-				       waiter->from, waiter->max);
+	service_t *service = waiter->service;
+	json_t *reply;
 
+	if (standin_server_frozen(&service->server, waiter->req)) {
+		mmx_timer_cancel(&waiter->timer);
+		waiter->kind = WAIT_FOREVER;
+		service->counts.requests_unanswered++;
+		return;
+	}
+	reply = log_store_read(service->store, waiter->stream, waiter->from,
+			       waiter->max);
 	mmx_http_json_reply(end_waiter_(waiter), HTTP_OK, reply);
 }
 
@@ -304,6 +315,8 @@
 		valid = object && fields_set(fault_fields_, &service->faults,
 					     object, &error);
 		json_decref(object);
+		standin_server_freeze(&service->server,
+				      service->faults.freeze_open);
 		if (valid)
 			valid = standin_server_refuse(&service->server,
 						      service->faults.outage ==
@@ -331,7 +344,8 @@
 	} else if (service->faults.outage == OUTAGE_REFUSE) {
 		service->counts.requests_refused_outage++;
 		standin_drop(req, STANDIN_DROP_RESET);
-	} else if (service->faults.outage == OUTAGE_SILENT) {
+	} else if (standin_server_frozen(&service->server, req) ||
+		   service->faults.outage == OUTAGE_SILENT) {
 		service->counts.requests_unanswered++;
 		begin_waiter_(service, req, WAIT_FOREVER);
 	} else if (service->faults.slow_ms > 0) {
@@ -383,8 +397,11 @@
 		G_OPTION_ENTRY_NULL};
 	GOptionContext *context = g_option_context_new(NULL);
 	GError *error = NULL;
+	char *help = fields_help(fault_fields_);
 	bool parsed;
 
+	g_option_context_set_description(context, help);
+	g_free(help);
 	g_option_context_add_main_entries(context, entries, NULL);
 	parsed = g_option_context_parse(context, &argc, &argv, &error);
 	g_option_context_free(context);
--- a/src/standin/server.c
+++ b/src/standin/server.c
@@ -162,6 +162,37 @@
 	return true;
 }
 
+/* Numbers a new connection. An entry is replaced when its address is used
+ * again, so there are no more entries than connections at the peak. */
+static struct bufferevent *on_connection_(struct event_base *base, void *arg)
+{
+	standin_server_t *server = arg;
+	struct bufferevent *bev = bufferevent_socket_new(base, -1, 0);
+
+	server->connection_count++;
+	g_hash_table_insert(server->connections, bev,
+			    (gpointer)server->connection_count);
+	return bev;
+}
+
+void standin_server_freeze(standin_server_t *server, bool freeze)
+{
+	if (!freeze)
+		server->frozen = 0;
+	else if (server->frozen == 0)
+		server->frozen = server->connection_count;
+}
+
+bool standin_server_frozen(const standin_server_t *server,
+			   struct evhttp_request *req)
+{
+	struct bufferevent *bev = evhttp_connection_get_bufferevent(
+		evhttp_request_get_connection(req));
+
+	return (uintptr_t)g_hash_table_lookup(server->connections, bev) <=
+	       server->frozen;
+}
+
 bool standin_server_open(standin_server_t *server, const char *listen,
 			 const char *control, size_t max_body,
 			 void (*on_request)(struct evhttp_request *, void *),
@@ -179,6 +210,8 @@
 				      EVHTTP_REQ_PATCH);
 	evhttp_set_max_headers_size(server->http, MAX_HEADERS_BYTES);
 	evhttp_set_max_body_size(server->http, (ev_ssize_t)max_body);
+	server->connections = g_hash_table_new(NULL, NULL);
+	evhttp_set_bevcb(server->http, on_connection_, server);
 	evhttp_set_gencb(server->http, on_request, arg);
 	server->terminate[0] =
 		evsignal_new(server->base, SIGTERM, on_signal_, server);
@@ -207,6 +240,7 @@
 	event_free(server->terminate[0]);
 	event_free(server->terminate[1]);
 	evhttp_free(server->http);
+	g_hash_table_destroy(server->connections);
 	mmx_clock_destroy(server->clock);
 	event_base_free(server->base);
 }
--- a/src/standin/server.h
+++ b/src/standin/server.h
@@ -9,6 +9,7 @@
 
 #include <event2/event.h>
 #include <event2/http.h>
+#include <glib.h>
 
 #include "masticmux/clock.h"
 #include "masticmux/error.h"
@@ -28,6 +29,9 @@
 	struct evhttp_bound_socket *bound;
 	bool has_control;
 	struct event *terminate[2];
+	GHashTable *connections; /**< number of each by its bufferevent */
+	uintptr_t connection_count;
+	uintptr_t frozen; /**< connections up to this number are frozen */
 	standin_address_t address;  /**< as bound */
 	void (*on_stop)(void *arg); /**< on a signal; default: end the loop */
 	void *arg;
@@ -74,6 +78,16 @@
 bool standin_server_refuse(standin_server_t *server, bool refuse,
 			   mmx_error_t *error);
 
+/**
+ * Freezes the connections that are open now, or thaws all. New connections
+ * work; a frozen one is to get no answer any more.
+ */
+void standin_server_freeze(standin_server_t *server, bool freeze);
+
+/** True when the request came on a frozen connection. */
+bool standin_server_frozen(const standin_server_t *server,
+			   struct evhttp_request *req);
+
 /** Runs the loop until standin_server_stop(). */
 void standin_server_run(standin_server_t *server);
 
--- a/src/standin/target.c
+++ b/src/standin/target.c
@@ -58,8 +58,8 @@
 	const target_counts_t *counts = &target->work.counts;
 
 	return json_pack(
-		"{s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I}", "requests",
-		(json_int_t)counts->requests, "requests_draining",
+		"{s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I}",
+		"requests", (json_int_t)counts->requests, "requests_draining",
 		(json_int_t)counts->requests_draining, "answered",
 		(json_int_t)counts->answered, "refused_busy",
 		(json_int_t)counts->refused_busy, "refused_peer",
@@ -69,7 +69,8 @@
 		(json_int_t)counts->cancelled_by_deadline, "errors_injected",
 		(json_int_t)counts->errors_injected, "answers_cut",
 		(json_int_t)counts->answers_cut, "answers_withheld",
-		(json_int_t)counts->answers_withheld, "probes",
+		(json_int_t)counts->answers_withheld, "requests_frozen",
+		(json_int_t)counts->requests_frozen, "probes",
 		(json_int_t)counts->probes);
 }
 
@@ -222,8 +223,11 @@
 		G_OPTION_ENTRY_NULL};
 	GOptionContext *context = g_option_context_new(NULL);
 	GError *error = NULL;
+	char *help = fields_help(target_fault_fields);
 	bool parsed;
 
+	g_option_context_set_description(context, help);
+	g_free(help);
 	g_option_context_add_main_entries(context, entries, NULL);
 	parsed = g_option_context_parse(context, &argc, &argv, &error);
 	g_option_context_free(context);
--- a/src/standin/target_faults.c
+++ b/src/standin/target_faults.c
@@ -28,6 +28,7 @@
 	NUMBER(late_ms, 0, TIME_MAX_MS),
 	NUMBER(cut_bytes, -1, BYTES_MAX),
 	FLAG(close_without_answer),
+	FLAG(freeze_open),
 	FLAG(ignore_cancel),
 	FLAG(refuse),
 	{"refuse_from", FIELD_TEXT, offsetof(target_faults_t, refuse_from), 0,
--- a/src/standin/target_faults.h
+++ b/src/standin/target_faults.h
@@ -22,6 +22,7 @@
 	double late_ms;	       /**< from the finish to the answer */
 	double cut_bytes;      /**< -1: off; body bytes sent before a close */
 	bool close_without_answer;
+	bool freeze_open;     /**< open connections get no answer */
 	bool ignore_cancel;   /**< runs on when the peer closes */
 	bool refuse;	      /**< refuses connections, resets requests */
 	char *refuse_from;    /**< IP address whose requests are reset */
--- a/src/standin/target_work.c
+++ b/src/standin/target_work.c
@@ -25,7 +25,8 @@
 	WORK_QUEUED,
 	WORK_RUNNING,
 	WORK_STALLED, /**< holds a slot, makes no progress */
-	WORK_LATE     /**< finished, the answer is delayed */
+	WORK_LATE,    /**< finished, the answer is delayed */
+	WORK_FROZEN   /**< on a frozen connection, waits for its close */
 } work_state_t;
 
 struct work_t {
@@ -66,7 +67,7 @@
 	work_t *work = arg;
 	target_work_t *target = work->target;
 
-	if (target->faults.ignore_cancel) {
+	if (target->faults.ignore_cancel && work->state != WORK_FROZEN) {
 		mmx_timer_cancel(&work->deadline);
 		work->answer.req = NULL;
 		return;
@@ -97,12 +98,27 @@
 	start_next_(target);
 }
 
+/* Gives the slot back and never answers. */
+static void freeze_(work_t *work)
+{
+	mmx_timer_cancel(&work->timer);
+	mmx_timer_cancel(&work->deadline);
+	if (holds_slot_(work))
+		work->target->running--;
+	work->state = WORK_FROZEN;
+	work->target->counts.requests_frozen++;
+}
+
 static void send_answer_(work_t *work)
 {
 	target_work_t *target = work->target;
 	const target_faults_t *faults = &target->faults;
 	answer_t *answer = &work->answer;
 
+	if (answer->req && standin_server_frozen(target->server, answer->req)) {
+		freeze_(work);
+		return;
+	}
 	end_(work);
 	if (!answer->req) {
 		target->counts.answers_withheld++;
@@ -289,6 +305,7 @@
 void target_work_request(target_work_t *target, struct evhttp_request *req)
 {
 	work_t *work;
+	bool frozen;
 
 	target->counts.requests++;
 	target->counts.requests_draining += target->faults.draining;
@@ -297,7 +314,8 @@
 		standin_drop(req, STANDIN_DROP_RESET);
 		return;
 	}
-	if (target->running >= target->slots &&
+	frozen = standin_server_frozen(target->server, req);
+	if (!frozen && target->running >= target->slots &&
 	    target->queued >= target->queue_max) {
 		refuse_busy_(target, req);
 		return;
@@ -305,7 +323,10 @@
 	work = create_(target, req);
 	peer_watch_start(&work->watch, target->server->base, req,
 			 on_peer_closed_, work);
-	if (target->running < target->slots) {
+	if (frozen) {
+		work->state = WORK_LATE;
+		freeze_(work);
+	} else if (target->running < target->slots) {
 		start_(work);
 	} else {
 		work->state = WORK_QUEUED;
@@ -333,6 +354,7 @@
 			progress_(work);
 		work = after;
 	}
+	standin_server_freeze(target->server, target->faults.freeze_open);
 	mmx_timer_cancel(&target->flap);
 	if (half_ms > 0)
 		mmx_timer_set(&target->flap,
--- a/src/standin/target_work.h
+++ b/src/standin/target_work.h
@@ -35,6 +35,7 @@
 	uint64_t errors_injected;
 	uint64_t answers_cut;
 	uint64_t answers_withheld;
+	uint64_t requests_frozen; /**< on frozen connections */
 	uint64_t probes;
 } target_counts_t;
 
--- a/test/standin.sh
+++ b/test/standin.sh
@@ -59,6 +59,24 @@
 	wait "$pending_pid"
 }
 
+# freezes ADDRESS PATH COUNT: a connection that is open when freeze_open is set gets
+# no second answer, a new one does.
+freezes() {
+	local socket line count
+	count=$(control_value "$1" "$3")
+	exec {socket}<>"/dev/tcp/${1%:*}/${1##*:}" || return 1
+	printf 'GET %s HTTP/1.1\r\nHost: shop\r\n\r\n' "$2" >&"$socket"
+	read -r line <&"$socket"
+	set_fault "$1" '{"freeze_open":true}'
+	printf 'GET %s HTTP/1.1\r\nHost: shop\r\n\r\n' "$2" >&"$socket"
+	wait_until control_is "$1" "$3" $((count + 1)) &&
+		[ "$(status_of "http://$1$2")" = 200 ]
+	line=$?
+	exec {socket}>&-
+	set_fault "$1" '{"freeze_open":false}'
+	return "$line"
+}
+
 append() { get -d "$2" "http://$log/streams/$1"; }
 read_stream() { get "http://$log/streams/$1?from=$2&max=10&wait_ms=$3"; }
 
@@ -113,6 +131,8 @@
 	check "duplicate delivered" text_is "$(read_stream d 1 0)" \
 		'{"first":1,"next":3,"records":[{"offset":1,"data":"twice"},{"offset":2,"data":"twice"}]}'
 	set_fault "$log" '{"duplicate":false}'
+	check "freezes open connections" freezes "$log" \
+		"/streams/a?from=1" requests_unanswered
 	check "not UTF-8" text_is \
 		"$(printf '\377' | status_of --data-binary @- "http://$log/streams/a")" 400
 }
@@ -223,6 +243,7 @@
 	check "flaps to stall" wait_until flap_stalls
 	set_fault "$target" '{"flap_period_ms":0,"flap_mode":"error"}'
 
+	check "freezes open connections" freezes "$target" /x requests_frozen
 	set_fault "$target" '{"late_ms":600000}'
 	begin_pending -H 'X-Request-Key: k3' "http://$target/x"
 	check "finishes before a late answer" wait_until contains_execution \
