--- a/src/test_libmasticmux/suites.c
+++ b/src/test_libmasticmux/suites.c
@@ -4,6 +4,7 @@
 	{"clock", NULL, NULL, NULL, NULL, mmx_tests_clock},
 	{"directory", NULL, NULL, NULL, NULL, mmx_tests_directory},
 	{"error", NULL, NULL, NULL, NULL, mmx_tests_error},
+	{"http_entry", NULL, NULL, NULL, NULL, mmx_tests_http_entry},
 	{"task", NULL, NULL, NULL, NULL, mmx_tests_task},
 	CU_SUITE_INFO_NULL,
 };
