--- /dev/null
+++ b/src/libmasticmux/include/private/exporter.h
@@ -0,0 +1,36 @@
+/*
+ * Exporter: sends finished spans to the collector, OTLP over HTTP in JSON.
+ *
+ * Spans go in batches, one at a time. A batch that the collector did not take
+ * for a passing reason is kept and sent again after a back-off; meanwhile the
+ * bounded queue of the trace fills up and counts what it drops.
+ *
+ * Life: create, destroy. It works by itself from the first timer on.
+ */
+#ifndef MASTICMUX_PRIVATE_EXPORTER_H
+#define MASTICMUX_PRIVATE_EXPORTER_H
+
+#include <jansson.h>
+
+#include "masticmux/settings.h"
+#include "private/trace.h"
+
+typedef struct mmx_exporter_t mmx_exporter_t;
+
+/*
+ * Runtime, trace and counters (or NULL) outlive the exporter.
+ *
+ * collector  host and port; spans go to POST /v1/traces
+ * node       name of the node, sent as service.instance.id
+ */
+mmx_exporter_t *mmx_exporter_create(mmx_runtime_t *runtime, mmx_trace_t *trace,
+				    const mmx_address_t *collector,
+				    const char *node, mmx_counters_t *counters);
+
+/* Drops and counts the batch that was not delivered. */
+void mmx_exporter_destroy(mmx_exporter_t *exporter);
+
+/* One span in OTLP JSON. */
+json_t *mmx_exporter_span_json(const mmx_span_t *span);
+
+#endif
