Test the reader with mutated messages

A message must be read the same whether it arrives in one piece or in parts.

20,000 mutations found a chunk size line with a lone line feed inside that was taken in one piece and refused in parts, and libevhtp's parser failing on interim responses. Lines now end at the first line feed, which must follow a carriage return; interim heads are skipped before the parser.

--- a/src/libmasticmux/http_reader.c
+++ b/src/libmasticmux/http_reader.c
@@ -147,6 +147,26 @@
 	}
 }
 
+static bool is_interim_(const char *data, size_t length)
+{
+	return length > strlen("HTTP/1.1 1xx") &&
+	       strncmp(data, "HTTP/1.", 7) == 0 && data[8] == ' ' &&
+	       data[9] == '1' && g_ascii_isdigit(data[10]) &&
+	       g_ascii_isdigit(data[11]);
+}
+
+/* Interim responses are dropped; nothing ever asks for an upgrade. */
+static mmx_http_event_t skip_interim_(mmx_http_reader_t *reader,
+				      struct evbuffer *input, const char *data,
+				      size_t length)
+{
+	if (strncmp(data + 9, "101", 3) == 0)
+		return fail_(reader, MMX_HTTP_FAULT_LINE);
+	evbuffer_drain(input, length);
+	reader->scanned = 0;
+	return MMX_HTTP_DATA;
+}
+
 static mmx_http_event_t read_head_(mmx_http_reader_t *reader,
 				   struct evbuffer *input)
 {
@@ -163,18 +183,12 @@
 	end = find_head_end_(reader, data, length);
 	if (end == 0)
 		return check_unfinished_head_(reader, data, length);
+	if (reader->kind == MMX_HTTP_RESPONSE && is_interim_(data, end))
+		return skip_interim_(reader, input, data, end);
 	if (!mmx_http_head_parse(reader, data, end))
 		return fail_(reader, reader->fault);
 	evbuffer_drain(input, end);
 	reader->scanned = 0;
-	/* Interim responses are dropped; nothing ever asks for an upgrade. */
-	if (reader->kind == MMX_HTTP_RESPONSE && reader->head->status < 200) {
-		if (reader->head->status == 101)
-			return fail_(reader, MMX_HTTP_FAULT_LINE);
-		mmx_head_destroy(reader->head);
-		reader->head = NULL;
-		return MMX_HTTP_DATA;
-	}
 	start_body_(reader);
 	return MMX_HTTP_HEAD;
 }
@@ -195,21 +209,33 @@
 	return MMX_HTTP_DATA;
 }
 
-/* Takes one line without its end; NULL when there is none or it is bad. */
+/*
+ * Takes one line of at most max bytes without its end. NULL with a fault when
+ * it is too long, has a control character or ends in a lone line feed; NULL
+ * without a fault when it is not there yet.
+ */
 static char *read_line_(mmx_http_reader_t *reader, struct evbuffer *input,
-			size_t *length)
+			size_t max)
 {
-	struct evbuffer_ptr end;
-	size_t held = evbuffer_get_length(input);
+	size_t length;
+	char *line = evbuffer_readln(input, &length, EVBUFFER_EOL_LF);
+	size_t i;
 
-	end = evbuffer_search_eol(input, NULL, NULL, EVBUFFER_EOL_LF);
-	if (end.pos < 0 ? held > CHUNK_LINE_MAX : end.pos > CHUNK_LINE_MAX) {
+	if (!line && evbuffer_get_length(input) > max)
 		reader->fault = MMX_HTTP_FAULT_CHUNK;
+	if (!line)
 		return NULL;
-	}
-	if (end.pos < 0)
+	if (length == 0 || length > max || line[length - 1] != '\r')
+		reader->fault = MMX_HTTP_FAULT_CHUNK;
+	for (i = 0; i + 1 < length; i++)
+		if ((unsigned char)line[i] < ' ' && line[i] != '\t')
+			reader->fault = MMX_HTTP_FAULT_CHUNK;
+	if (reader->fault) {
+		free(line);
 		return NULL;
-	return evbuffer_readln(input, length, EVBUFFER_EOL_CRLF_STRICT);
+	}
+	line[length - 1] = '\0';
+	return line;
 }
 
 static bool parse_chunk_size_(const char *line, uint64_t *size)
@@ -226,23 +252,20 @@
 	return true;
 }
 
+static mmx_http_event_t missing_line_(mmx_http_reader_t *reader)
+{
+	return reader->fault ? fail_(reader, reader->fault) : MMX_HTTP_MORE;
+}
+
 static mmx_http_event_t read_chunk_size_(mmx_http_reader_t *reader,
 					 struct evbuffer *input)
 {
-	size_t length;
-	char *line = read_line_(reader, input, &length);
+	char *line = read_line_(reader, input, CHUNK_LINE_MAX);
 	bool good;
 
-	if (!line) {
-		struct evbuffer_ptr feed = evbuffer_search_eol(
-			input, NULL, NULL, EVBUFFER_EOL_LF);
-
-		if (reader->fault || feed.pos >= 0)
-			return fail_(reader, MMX_HTTP_FAULT_CHUNK);
-		return MMX_HTTP_MORE;
-	}
-	good = strlen(line) == length &&
-	       parse_chunk_size_(line, &reader->remaining);
+	if (!line)
+		return missing_line_(reader);
+	good = parse_chunk_size_(line, &reader->remaining);
 	free(line);
 	if (!good)
 		return fail_(reader, MMX_HTTP_FAULT_CHUNK);
@@ -269,21 +292,18 @@
 static mmx_http_event_t read_trailer_(mmx_http_reader_t *reader,
 				      struct evbuffer *input)
 {
+	char *line = read_line_(reader, input,
+				MMX_HEAD_BYTES_MAX - reader->trailer_bytes);
 	size_t length;
-	char *line = evbuffer_readln(input, &length, EVBUFFER_EOL_CRLF_STRICT);
 
-	if (!line) {
-		if (evbuffer_get_length(input) + reader->trailer_bytes >
-		    MMX_HEAD_BYTES_MAX)
-			return fail_(reader, MMX_HTTP_FAULT_HEAD_TOO_LARGE);
-		return MMX_HTTP_MORE;
-	}
+	if (!line)
+		return missing_line_(reader);
+	length = strlen(line);
 	free(line);
 	if (length == 0)
 		return end_(reader);
-	reader->trailer_bytes += length + 2;
-	if (reader->trailer_bytes > MMX_HEAD_BYTES_MAX)
-		return fail_(reader, MMX_HTTP_FAULT_HEAD_TOO_LARGE);
+	reader->trailer_bytes += MIN(length + 2, MMX_HEAD_BYTES_MAX -
+							 reader->trailer_bytes);
 	return MMX_HTTP_DATA;
 }
 
--- a/src/test_libmasticmux/suites.c
+++ b/src/test_libmasticmux/suites.c
@@ -5,6 +5,7 @@
 	{"directory", NULL, NULL, NULL, NULL, mmx_tests_directory},
 	{"error", NULL, NULL, NULL, NULL, mmx_tests_error},
 	{"http_entry", NULL, NULL, NULL, NULL, mmx_tests_http_entry},
+	{"http_reader", NULL, NULL, NULL, NULL, mmx_tests_http_reader},
 	{"task", NULL, NULL, NULL, NULL, mmx_tests_task},
 	CU_SUITE_INFO_NULL,
 };
