--- a/src/test_libmasticmux/suites.c
+++ b/src/test_libmasticmux/suites.c
@@ -12,6 +12,8 @@
 	{"gossip", NULL, NULL, NULL, NULL, mmx_tests_gossip},
 	{"gossip_codec", NULL, NULL, NULL, NULL, mmx_tests_gossip_codec},
 	{"history", NULL, NULL, NULL, NULL, mmx_tests_history},
+	{"http_entry", NULL, NULL, NULL, NULL, mmx_tests_http_entry},
+	{"http_reader", NULL, NULL, NULL, NULL, mmx_tests_http_reader},
 	{"membership", NULL, NULL, NULL, NULL, mmx_tests_membership},
 	{"mutation", NULL, NULL, NULL, NULL, mmx_tests_mutation},
 	{"peer", NULL, NULL, NULL, NULL, mmx_tests_peer},
--- a/src/test_libmasticmux/suites.h
+++ b/src/test_libmasticmux/suites.h
@@ -16,6 +16,8 @@
 extern CU_TestInfo mmx_tests_gossip[];
 extern CU_TestInfo mmx_tests_gossip_codec[];
 extern CU_TestInfo mmx_tests_history[];
+extern CU_TestInfo mmx_tests_http_entry[];
+extern CU_TestInfo mmx_tests_http_reader[];
 extern CU_TestInfo mmx_tests_membership[];
 extern CU_TestInfo mmx_tests_mutation[];
 extern CU_TestInfo mmx_tests_peer[];
