--- a/src/test_libmasticmux/suites.h
+++ b/src/test_libmasticmux/suites.h
@@ -7,7 +7,9 @@
 extern CU_TestInfo mmx_tests_clock[];
 extern CU_TestInfo mmx_tests_directory[];
 extern CU_TestInfo mmx_tests_error[];
+extern CU_TestInfo mmx_tests_hostile[];
 extern CU_TestInfo mmx_tests_peer[];
+extern CU_TestInfo mmx_tests_peer_faults[];
 extern CU_TestInfo mmx_tests_rpc[];
 extern CU_TestInfo mmx_tests_session[];
 extern CU_TestInfo mmx_tests_task[];
