Add tests of entry, exit, attempts, targets and filters

Scripts of steps at entry and exit with fake tasks around them, tables for attempts, target admission and the pipeline; switches for the safety rules.

--- /dev/null
+++ b/src/libmasticmux/guards.c
@@ -0,0 +1,11 @@
+#include "private/guards.h"
+
+const mmx_guards_t mmx_guards_all = {
+	.fence = true,
+	.watermark = true,
+	.incarnation = true,
+	.draining = true,
+	.match = true,
+	.finish = true,
+	.floor = true,
+};
--- /dev/null
+++ b/src/test_libmasticmux/fakes.h
@@ -0,0 +1,44 @@
+/*
+ * A fake task that writes each message it receives as one word into a trace,
+ * and helpers for tests whose cases are scripts of steps.
+ */
+#ifndef MASTICMUX_TEST_FAKES_H
+#define MASTICMUX_TEST_FAKES_H
+
+#include <CUnit/CUnit.h>
+#include <glib.h>
+
+#include "masticmux/fold.h"
+#include "private/messages.h"
+
+typedef struct fake_t {
+	mmx_task_t task;
+	GString *trace;
+} fake_t;
+
+/* One case: steps separated by ';' and the trace that they must give. */
+typedef struct script_case_t {
+	const char *name;
+	const char *script;
+	const char *trace;
+} script_case_t;
+
+void fake_init(fake_t *fake, mmx_runtime_t *runtime, GString *trace);
+
+/* Value of "name=value" among the words of a step, or the fallback. */
+long fake_number(char **words, const char *name, long fallback);
+
+/* True if a word of the step is exactly this. */
+bool fake_flag(char **words, const char *flag);
+
+/* Calls step for each step of the script with its words. */
+void fake_run(const char *script, void (*step)(char **words, void *arg),
+	      void *arg);
+
+/* Compares the trace with that of the case; prints both if they differ. */
+void fake_compare(const script_case_t *c, const GString *trace);
+
+/* Applies a change to a fold at its next offset and destroys the change. */
+void fake_apply(mmx_fold_t *fold, mmx_change_t *change);
+
+#endif
--- /dev/null
+++ b/src/test_libmasticmux/test_entry.c
@@ -0,0 +1,448 @@
+#include "suites.h"
+
+#include <event2/buffer.h>
+
+#include "fakes.h"
+#include "private/entry.h"
+
+#define NODE 10
+#define INCARNATION 1
+#define TARGETS 5
+
+typedef struct rig_t {
+	mmx_runtime_t *runtime;
+	mmx_fold_t *fold;
+	mmx_directory_t *directory;
+	mmx_entry_t *entry;
+	fake_t http;
+	fake_t peer;
+	GString *trace;
+} rig_t;
+
+static void configure_(mmx_fold_t *fold)
+{
+	mmx_change_t *change = mmx_change_create();
+	mmx_change_template_t *template = mmx_change_add_template(change, "t");
+	mmx_change_service_t *service = mmx_change_add_service(change, "s");
+	mmx_change_account_t *account = mmx_change_add_account(change, "a");
+
+	template->policy.deadline = 2 * MMX_US_PER_S;
+	template->policy.repeatable = MMX_METHODS_SAFE;
+	template->policy.floor_slots = 1;
+	template->policy.retry_percent = 100;
+	g_strlcpy(service->template_name, "t", sizeof(service->template_name));
+	mmx_change_add_route(service, "s.test", "/");
+	account->ceiling_percent = 100;
+	account->deadline = 300 * MMX_US_PER_MS;
+	account->has_repeatable = true;
+	account->repeatable = MMX_METHOD_BIT(MMX_METHOD_POST);
+	fake_apply(fold, change);
+}
+
+/* Targets of five nodes, this one among them. */
+static void add_targets_(mmx_directory_t *directory, size_t count)
+{
+	size_t i;
+
+	for (i = 0; i < count; i++) {
+		mmx_target_record_t record = {
+			.id = 100 + i,
+			.node = NODE + i,
+			.incarnation = 1,
+			.version = 1,
+			.name = "t",
+			.service = "s",
+			.slots = 3,
+			.state = MMX_TARGET_WARM,
+		};
+
+		mmx_directory_update(directory, &record);
+	}
+}
+
+static void add_bytes_(struct evbuffer *to, long size)
+{
+	char *bytes = g_malloc0((gsize)size);
+
+	evbuffer_add(to, bytes, (size_t)size);
+	g_free(bytes);
+}
+
+static void request_(rig_t *rig, char **words)
+{
+	mmx_request_t *request =
+		mmx_new_request((uint64_t)fake_number(words, "n", 1));
+
+	request->head = mmx_head_create_request(
+		fake_flag(words, "get") ? "GET" : "POST",
+		fake_flag(words, "bad-path") ? "x" : "/p");
+	if (!fake_flag(words, "no-host"))
+		mmx_head_add(request->head, "Host",
+			     fake_flag(words, "other") ? "o.test" : "s.test");
+	if (fake_flag(words, "key"))
+		mmx_head_add(request->head, "Idempotency-Key", "k");
+	if (fake_flag(words, "a") || fake_flag(words, "b"))
+		mmx_head_add(request->head, "Masticmux-Account",
+			     fake_flag(words, "a") ? "a" : "b");
+	if (fake_number(words, "ms", 0))
+		mmx_head_add(request->head, "Masticmux-Timeout-Ms", "500");
+	if (fake_flag(words, "bad-timeout"))
+		mmx_head_add(request->head, "Masticmux-Timeout-Ms", "soon");
+	request->body_end = !fake_flag(words, "open");
+	mmx_task_post(mmx_entry_task(rig->entry), &request->message);
+}
+
+static mmx_attempt_id_t id_(char **words)
+{
+	return (mmx_attempt_id_t){
+		.entry = NODE,
+		.incarnation = (uint64_t)fake_number(words, "inc", INCARNATION),
+		.sequence = (uint64_t)fake_number(words, "n", 1),
+	};
+}
+
+static void response_(rig_t *rig, char **words, bool refusal)
+{
+	mmx_attempt_id_t id = id_(words);
+	mmx_response_t *response = mmx_new_response(&id);
+	int i;
+
+	response->body_end = refusal || fake_flag(words, "end");
+	if (refusal) {
+		for (i = 1; i < MMX_REASON_COUNT; i++)
+			if (fake_flag(words, mmx_reason_string[i]))
+				response->reason = (mmx_reason_t)i;
+		response->started = fake_flag(words, "started");
+	} else {
+		response->head = mmx_head_create_response(200);
+		add_bytes_(response->body, fake_number(words, "size", 3));
+	}
+	mmx_task_post(mmx_entry_task(rig->entry), &response->message);
+}
+
+static void body_(rig_t *rig, char **words, mmx_direction_t direction)
+{
+	mmx_body_t *body = mmx_new_body(direction);
+
+	if (direction == MMX_TO_CALLER)
+		body->attempt = id_(words);
+	else
+		body->request = (uint64_t)fake_number(words, "n", 1);
+	add_bytes_(body->data, fake_number(words, "size", 4));
+	body->failed = fake_flag(words, "failed");
+	body->end = body->failed || fake_flag(words, "end");
+	mmx_task_post(mmx_entry_task(rig->entry), &body->message);
+}
+
+static void fence_reply_(rig_t *rig, char **words)
+{
+	mmx_attempt_id_t id = id_(words);
+	mmx_fence_reply_t *reply;
+	int i;
+
+	for (i = 0; i < MMX_FENCE_STATE_COUNT; i++)
+		if (fake_flag(words, mmx_fence_state_string[i]))
+			break;
+	reply = mmx_new_fence_reply(&id, (mmx_fence_state_t)i);
+	if (fake_flag(words, "head")) {
+		reply->head = mmx_head_create_response(200);
+		add_bytes_(reply->body, fake_number(words, "size", 7));
+	}
+	mmx_task_post(mmx_entry_task(rig->entry), &reply->message);
+}
+
+static void other_step_(rig_t *rig, char **words)
+{
+	mmx_task_t *task = mmx_entry_task(rig->entry);
+	uint64_t i;
+
+	if (g_str_equal(words[0], "lost"))
+		for (i = 0; i < TARGETS; i++)
+			mmx_task_post(task,
+				      &mmx_new_path_lost(NODE + i)->message);
+	else if (g_str_equal(words[0], "caller-gone"))
+		mmx_task_post(task, &mmx_new_caller_gone((uint64_t)fake_number(
+							 words, "n", 1))
+					     ->message);
+	else if (g_str_equal(words[0], "wait"))
+		mmx_clock_advance(mmx_runtime_clock(rig->runtime),
+				  fake_number(words, "ms", 1) * MMX_US_PER_MS);
+	else if (g_str_equal(words[0], "drain"))
+		mmx_entry_drain(rig->entry);
+	else if (g_str_equal(words[0], "count"))
+		g_string_append_printf(rig->trace, "in-progress:%zu ",
+				       mmx_entry_in_progress(rig->entry));
+	else if (g_str_equal(words[0], "targets"))
+		add_targets_(rig->directory,
+			     (size_t)fake_number(words, "count", TARGETS));
+	else
+		CU_FAIL("unknown step");
+}
+
+static void step_(char **words, void *arg)
+{
+	rig_t *rig = arg;
+
+	if (g_str_equal(words[0], "request"))
+		request_(rig, words);
+	else if (g_str_equal(words[0], "response"))
+		response_(rig, words, false);
+	else if (g_str_equal(words[0], "refuse"))
+		response_(rig, words, true);
+	else if (g_str_equal(words[0], "body"))
+		body_(rig, words, MMX_TO_CALLER);
+	else if (g_str_equal(words[0], "request-body"))
+		body_(rig, words, MMX_TO_TARGET);
+	else if (g_str_equal(words[0], "fence-reply"))
+		fence_reply_(rig, words);
+	else
+		other_step_(rig, words);
+	mmx_runtime_deliver(rig->runtime);
+}
+
+static void run_case_(const script_case_t *c, bool configured)
+{
+	rig_t rig = {.trace = g_string_new("")};
+
+	rig.runtime = mmx_runtime_create(NULL);
+	rig.fold = mmx_fold_create();
+	if (configured)
+		configure_(rig.fold);
+	rig.directory =
+		mmx_directory_create(mmx_runtime_clock(rig.runtime));
+	fake_init(&rig.http, rig.runtime, rig.trace);
+	fake_init(&rig.peer, rig.runtime, rig.trace);
+	rig.entry = mmx_entry_create(rig.runtime, NODE, INCARNATION, 1);
+	mmx_entry_set_http(rig.entry, &rig.http.task);
+	mmx_entry_set_peer(rig.entry, &rig.peer.task);
+	mmx_entry_set_local_exit(rig.entry, &rig.peer.task);
+	mmx_entry_set_fold(rig.entry, rig.fold);
+	mmx_entry_set_directory(rig.entry, rig.directory);
+	mmx_entry_init(rig.entry);
+	fake_run(c->script, step_, &rig);
+	fake_compare(c, rig.trace);
+	mmx_entry_destroy(rig.entry);
+	mmx_directory_destroy(rig.directory);
+	mmx_fold_destroy(rig.fold);
+	mmx_runtime_destroy(rig.runtime);
+	g_string_free(rig.trace, TRUE);
+}
+
+static void run_(const script_case_t *cases, size_t count)
+{
+	size_t i;
+
+	for (i = 0; i < count; i++)
+		run_case_(&cases[i], true);
+}
+
+/* Guards against a refusal that names the wrong reason or status. */
+static void test_refusals_(void)
+{
+	static const script_case_t empty = {
+		"nothing is configured", "targets; request",
+		"answer1:not-run:no-configuration:503:26:end "};
+	static const script_case_t cases[] = {
+		{"no host", "targets; request no-host",
+		 "answer1:not-run:bad-request:400:21:end "},
+		{"bad path", "targets; request bad-path",
+		 "answer1:not-run:bad-request:400:21:end "},
+		{"bad timeout", "targets; request bad-timeout",
+		 "answer1:not-run:bad-request:400:21:end "},
+		{"unknown service", "targets; request other",
+		 "answer1:not-run:unknown-service:404:25:end "},
+		{"unknown account", "targets; request b",
+		 "answer1:not-run:unknown-account:403:25:end "},
+		{"no target", "request",
+		 "answer1:not-run:no-capacity:503:21:end "},
+		{"draining", "targets; drain; request; count",
+		 "answer1:not-run:shutting-down:503:23:end in-progress:0 "},
+		{"reasons between nodes are not shown to callers",
+		 "targets count=1; request; refuse draining",
+		 "execute1:0 answer1:not-run:no-capacity:503:21:end "},
+		{"neither is an earlier process of an exit",
+		 "targets count=1; request; refuse wrong-incarnation",
+		 "execute1:0 answer1:not-run:path-lost:503:19:end "},
+		{"request body that breaks off",
+		 "targets; request open; request-body failed; "
+		 "refuse bad-request",
+		 "execute1:0:open body1:4:end:failed "
+		 "answer1:not-run:bad-request:400:21:end "},
+	};
+
+	run_case_(&empty, false);
+	run_(cases, sizeof(cases) / sizeof(cases[0]));
+}
+
+/* Guards against a second run of a request that must not be repeated, and
+ * against not-run for one that may have run. */
+static void test_attempts_(void)
+{
+	static const script_case_t cases[] = {
+		{"completed", "targets; request; response end; count",
+		 "execute1:0 answer1:completed:none:200:3:end in-progress:0 "},
+		{"refused, sent elsewhere",
+		 "targets; request; refuse overloaded; response n=2 end",
+		 "execute1:0 execute2:0 answer1:completed:none:200:3:end "},
+		{"refused everywhere",
+		 "targets; request; refuse overloaded; refuse n=2 overloaded; "
+		 "refuse n=3 overloaded; refuse n=4 overloaded",
+		 "execute1:0 execute2:0 execute3:0 execute4:0 "
+		 "answer1:not-run:overloaded:503:20:end "},
+		{"failed, not repeatable",
+		 "targets; request; refuse target-failed started",
+		 "execute1:0 answer1:unknown:target-failed:502:23:end "},
+		{"failed, repeatable",
+		 "targets; request get; refuse target-failed started; "
+		 "response n=2 end",
+		 "execute1:0 execute2:0 answer1:completed:none:200:3:end "},
+		{"failed, then refused elsewhere",
+		 "targets count=2; request get; refuse target-failed started; "
+		 "refuse n=2 overloaded",
+		 "execute1:0 execute2:0 "
+		 "answer1:unknown:overloaded:504:20:end "},
+		{"the key makes it not repeatable",
+		 "targets; request get key; refuse target-failed started",
+		 "execute1:0 answer1:unknown:target-failed:502:23:end "},
+		{"the account makes it repeatable",
+		 "targets; request a; refuse target-failed started; "
+		 "response n=2 end",
+		 "execute1:0 execute2:0 answer1:completed:none:200:3:end "},
+		{"forgotten", "targets; request; refuse forgotten started",
+		 "execute1:0 answer1:unknown:path-lost:504:19:end "},
+		{"late response of an attempt that was given up",
+		 "targets; request get; refuse target-failed started; "
+		 "response n=1 end; response n=2 size=5 end",
+		 "execute1:0 execute2:0 answer1:completed:none:200:5:end "},
+		{"response to an earlier process of this entry",
+		 "targets; request; response inc=0 end; response end",
+		 "execute1:0 answer1:completed:none:200:3:end "},
+		{"body already passed on, not sent again",
+		 "targets; request open; request-body size=70000; "
+		 "refuse overloaded",
+		 "execute1:0:open body1:70000 "
+		 "answer1:not-run:overloaded:503:20:end "},
+		{"body held, sent again",
+		 "targets; request open; request-body size=60000 end; "
+		 "refuse overloaded; response n=2 end",
+		 "execute1:0:open body1:60000:end execute2:60000 "
+		 "answer1:completed:none:200:3:end "},
+		{"a body that broke off is not sent again",
+		 "targets; request open; request-body failed; "
+		 "refuse target-failed",
+		 "execute1:0:open body1:4:end:failed "
+		 "answer1:not-run:target-failed:502:23:end "},
+		{"caller gone", "targets; request; caller-gone; count",
+		 "execute1:0 cancel1 in-progress:0 "},
+	};
+
+	run_(cases, sizeof(cases) / sizeof(cases[0]));
+}
+
+/* Guards against silence that is taken for "did not run". */
+static void test_fence_(void)
+{
+	static const script_case_t cases[] = {
+		{"path lost, repeatable",
+		 "targets; request get; lost; response n=2 end",
+		 "execute1:0 cancel1 execute2:0 "
+		 "answer1:completed:none:200:3:end "},
+		{"path lost, fenced",
+		 "targets; request; lost; fence-reply fenced; "
+		 "response n=2 end",
+		 "execute1:0 fence1 execute2:0 "
+		 "answer1:completed:none:200:3:end "},
+		{"path lost, running",
+		 "targets; request; lost; fence-reply running; response end",
+		 "execute1:0 fence1 answer1:completed:none:200:3:end "},
+		{"path lost, finished",
+		 "targets; request; lost; fence-reply finished head",
+		 "execute1:0 fence1 answer1:completed:none:200:7:end "},
+		{"path lost, finished without the response",
+		 "targets; request; lost; fence-reply finished",
+		 "execute1:0 fence1 answer1:unknown:answer-truncated:502:26:end "},
+		{"path lost, forgotten",
+		 "targets; request; lost; fence-reply forgotten",
+		 "execute1:0 fence1 answer1:unknown:path-lost:504:19:end "},
+		{"no reply by the deadline",
+		 "targets; request; lost; wait ms=500; wait ms=1600",
+		 "execute1:0 fence1 fence1 fence1 fence1 cancel1 "
+		 "answer1:unknown:deadline-exceeded:504:27:end "},
+		{"lost again while it runs",
+		 "targets; request; lost; fence-reply running; lost; "
+		 "fence-reply finished head",
+		 "execute1:0 fence1 fence1 answer1:completed:none:200:7:end "},
+		{"first part by the old connection, the whole by the new one",
+		 "targets; request; lost; response; fence-reply running; "
+		 "fence-reply finished head",
+		 "execute1:0 fence1 answer1:completed:none:200:7:end "},
+		{"silent at the deadline",
+		 "targets; request; wait ms=1900; refuse deadline-exceeded",
+		 "execute1:0 fence1 "
+		 "answer1:not-run:deadline-exceeded:504:27:end "},
+		{"deadline of the caller", "targets; request ms=500; wait ms=500",
+		 "execute1:0 fence1 cancel1 "
+		 "answer1:unknown:deadline-exceeded:504:27:end "},
+		{"deadline of the account",
+		 "targets; request get a; wait ms=299; wait ms=1; count",
+		 "execute1:0 fence1 cancel1 "
+		 "answer1:unknown:deadline-exceeded:504:27:end in-progress:0 "},
+	};
+
+	run_(cases, sizeof(cases) / sizeof(cases[0]));
+}
+
+/* Guards against a part of a response that looks like the whole, and against
+ * a second answer to one request. */
+static void test_responses_(void)
+{
+	static const script_case_t cases[] = {
+		{"held until whole", "targets; request; response; body; body end",
+		 "execute1:0 answer1:completed:none:200:11:end "},
+		{"held part broken off, repeatable",
+		 "targets; request get; response; body failed; "
+		 "response n=2 size=9 end",
+		 "execute1:0 execute2:0 answer1:completed:none:200:9:end "},
+		{"held part broken off, not repeatable",
+		 "targets; request; response; body failed",
+		 "execute1:0 answer1:unknown:answer-truncated:502:26:end "},
+		{"too long to hold",
+		 "targets; request; response size=70000; body; body end; count",
+		 "execute1:0 answer1:completed:none:200:70000 body1:4 "
+		 "body1:4:end in-progress:0 "},
+		{"broken off after it was passed on",
+		 "targets; request get; response size=70000; body failed; "
+		 "count",
+		 "execute1:0 answer1:completed:none:200:70000 "
+		 "body1:4:end:failed in-progress:0 "},
+		{"path lost after it was passed on",
+		 "targets; request get; response size=70000; lost; count",
+		 "execute1:0 answer1:completed:none:200:70000 cancel1 "
+		 "body1:0:end:failed in-progress:0 "},
+		{"deadline after it was passed on",
+		 "targets; request get; response size=70000; wait ms=2000; "
+		 "count",
+		 "execute1:0 answer1:completed:none:200:70000 cancel1 "
+		 "body1:0:end:failed in-progress:0 "},
+		{"the rest can only come by a fencing reply",
+		 "targets; request; lost; response size=70000; "
+		 "fence-reply running; fence-reply finished; count",
+		 "execute1:0 fence1 answer1:completed:none:200:70000 cancel1 "
+		 "body1:0:end:failed in-progress:0 "},
+		{"refused after it was passed on",
+		 "targets; request; response size=70000; "
+		 "refuse target-failed started; count",
+		 "execute1:0 answer1:completed:none:200:70000 cancel1 "
+		 "body1:0:end:failed in-progress:0 "},
+	};
+
+	run_(cases, sizeof(cases) / sizeof(cases[0]));
+}
+
+CU_TestInfo mmx_tests_entry[] = {
+	{"refusals", test_refusals_},
+	{"attempts", test_attempts_},
+	{"fencing", test_fence_},
+	{"responses", test_responses_},
+	CU_TEST_INFO_NULL,
+};
--- /dev/null
+++ b/src/test_libmasticmux/test_exit.c
@@ -0,0 +1,340 @@
+#include "suites.h"
+
+#include <event2/buffer.h>
+
+#include "fakes.h"
+#include "masticmux/random.h"
+#include "private/exit.h"
+
+#define NODE 20
+#define INCARNATION 5
+#define ENTRY 10
+
+typedef struct rig_t {
+	mmx_runtime_t *runtime;
+	mmx_exit_t *exit;
+	fake_t client;
+	fake_t origin;
+	GString *trace;
+	unsigned int versions; /* records given to the observer */
+	uint16_t slots;	       /* of the last one */
+} rig_t;
+
+static void target_changed_(void *context, const mmx_target_record_t *record)
+{
+	rig_t *rig = context;
+
+	rig->versions++;
+	rig->slots = record->slots;
+}
+
+static const mmx_exit_observer_ops_t observer_ = {target_changed_};
+
+static mmx_attempt_id_t id_(char **words)
+{
+	return (mmx_attempt_id_t){
+		.entry = ENTRY,
+		.incarnation = 1,
+		.sequence = (uint64_t)fake_number(words, "n", 1),
+	};
+}
+
+static void announce_(rig_t *rig, char **words, mmx_target_state_t state)
+{
+	mmx_target_announced_t *announced = mmx_new_target_announced();
+
+	g_strlcpy(announced->name, "t", sizeof(announced->name));
+	g_strlcpy(announced->service,
+		  fake_flag(words, "other") ? "other" : "s",
+		  sizeof(announced->service));
+	announced->slots = (uint16_t)fake_number(words, "slots", 1);
+	announced->state = state;
+	announced->lease =
+		fake_number(words, "lease", 3600 * 1000) * MMX_US_PER_MS;
+	mmx_task_post(mmx_exit_task(rig->exit), &announced->message);
+}
+
+static void execute_(rig_t *rig, char **words)
+{
+	mmx_execute_t *execute = mmx_new_execute();
+
+	execute->attempt = id_(words);
+	execute->exit = NODE;
+	execute->exit_incarnation =
+		(uint64_t)fake_number(words, "inc", INCARNATION);
+	execute->target = mmx_directory_id("node", "t");
+	g_strlcpy(execute->service, "s", sizeof(execute->service));
+	execute->repeatable = fake_flag(words, "get");
+	execute->remaining = fake_number(words, "ms", 1000) * MMX_US_PER_MS;
+	execute->head = mmx_head_create_request("POST", "/");
+	execute->body_end = !fake_flag(words, "open");
+	execute->origin.task = &rig->origin.task;
+	execute->origin.connection = (uint64_t)fake_number(words, "conn", 1);
+	mmx_task_post(mmx_exit_task(rig->exit), &execute->message);
+}
+
+static void fence_(rig_t *rig, char **words)
+{
+	mmx_attempt_id_t id = id_(words);
+	mmx_fence_t *fence = mmx_new_fence(&id);
+
+	fence->exit = NODE;
+	fence->exit_incarnation =
+		(uint64_t)fake_number(words, "inc", INCARNATION);
+	fence->origin.task = &rig->origin.task;
+	fence->origin.connection = (uint64_t)fake_number(words, "conn", 2);
+	mmx_task_post(mmx_exit_task(rig->exit), &fence->message);
+}
+
+static void event_(rig_t *rig, char **words, mmx_call_result_t result)
+{
+	mmx_attempt_id_t id = id_(words);
+	mmx_call_event_t *event = mmx_new_call_event(&id, result);
+
+	if (result == MMX_CALL_HEAD) {
+		event->head = mmx_head_create_response(200);
+		evbuffer_add(event->body, "abc", 3);
+		event->body_end = fake_flag(words, "end");
+	}
+	mmx_task_post(mmx_exit_task(rig->exit), &event->message);
+}
+
+static void body_(rig_t *rig, char **words, mmx_direction_t direction)
+{
+	mmx_body_t *body = mmx_new_body(direction);
+
+	body->attempt = id_(words);
+	evbuffer_add(body->data, "defg", 4);
+	body->failed = fake_flag(words, "failed");
+	body->end = body->failed || fake_flag(words, "end");
+	mmx_task_post(mmx_exit_task(rig->exit), &body->message);
+}
+
+static void other_step_(rig_t *rig, char **words)
+{
+	mmx_attempt_id_t id = id_(words);
+	mmx_task_t *task = mmx_exit_task(rig->exit);
+
+	if (g_str_equal(words[0], "cancel"))
+		mmx_task_post(task, &mmx_new_cancel(&id)->message);
+	else if (g_str_equal(words[0], "lost"))
+		mmx_task_post(task, &mmx_new_origin_lost((uint64_t)fake_number(
+						words, "conn", 1))
+					     ->message);
+	else if (g_str_equal(words[0], "stop"))
+		mmx_exit_stop_target(rig->exit, "t");
+	else if (g_str_equal(words[0], "wait"))
+		mmx_clock_advance(mmx_runtime_clock(rig->runtime),
+				  fake_number(words, "ms", 1) * MMX_US_PER_MS);
+	else if (g_str_equal(words[0], "count"))
+		g_string_append_printf(rig->trace, "in-progress:%zu ",
+				       mmx_exit_in_progress(rig->exit, "t"));
+	else if (g_str_equal(words[0], "versions"))
+		g_string_append_printf(rig->trace, "versions:%u:%u ",
+				       rig->versions, rig->slots);
+	else
+		CU_FAIL("unknown step");
+}
+
+static void step_(char **words, void *arg)
+{
+	rig_t *rig = arg;
+
+	if (g_str_equal(words[0], "execute"))
+		execute_(rig, words);
+	else if (g_str_equal(words[0], "fence"))
+		fence_(rig, words);
+	else if (g_str_equal(words[0], "head"))
+		event_(rig, words, MMX_CALL_HEAD);
+	else if (g_str_equal(words[0], "fail"))
+		event_(rig, words, MMX_CALL_FAILED);
+	else if (g_str_equal(words[0], "not-sent"))
+		event_(rig, words, MMX_CALL_NOT_SENT);
+	else if (g_str_equal(words[0], "body"))
+		body_(rig, words, MMX_TO_CALLER);
+	else if (g_str_equal(words[0], "request-body"))
+		body_(rig, words, MMX_TO_TARGET);
+	else if (g_str_equal(words[0], "warm"))
+		announce_(rig, words, MMX_TARGET_WARM);
+	else if (g_str_equal(words[0], "cold"))
+		announce_(rig, words, MMX_TARGET_COLD);
+	else if (g_str_equal(words[0], "gone"))
+		announce_(rig, words, MMX_TARGET_GONE);
+	else
+		other_step_(rig, words);
+	mmx_runtime_deliver(rig->runtime);
+}
+
+static void run_(const script_case_t *cases, size_t count)
+{
+	size_t i;
+
+	for (i = 0; i < count; i++) {
+		rig_t rig = {.trace = g_string_new("")};
+
+		rig.runtime = mmx_runtime_create(NULL);
+		fake_init(&rig.client, rig.runtime, rig.trace);
+		fake_init(&rig.origin, rig.runtime, rig.trace);
+		rig.exit = mmx_exit_create(rig.runtime, NODE, "node",
+					   INCARNATION);
+		mmx_exit_set_target_client(rig.exit, &rig.client.task);
+		mmx_exit_set_observer(rig.exit, &observer_, &rig);
+		mmx_exit_init(rig.exit);
+		fake_run(cases[i].script, step_, &rig);
+		fake_compare(&cases[i], rig.trace);
+		mmx_exit_destroy(rig.exit);
+		mmx_runtime_destroy(rig.runtime);
+		g_string_free(rig.trace, TRUE);
+	}
+}
+
+/* Guards against an attempt that starts twice, or starts although its origin
+ * was told that it does not. */
+static void test_once_(void)
+{
+	static const script_case_t cases[] = {
+		{"runs", "warm; execute; head; body end; count",
+		 "call1 response1:200 body1:4:end in-progress:0 "},
+		{"copies", "warm; execute; execute; head end; execute",
+		 "call1 response1:200:end "},
+		{"meant for an earlier process", "warm; execute inc=4",
+		 "refused1:wrong-incarnation "},
+		{"fenced before it arrives", "warm; fence; execute",
+		 "fence1:fenced refused1:fenced "},
+		{"fenced in the queue",
+		 "warm; execute; execute n=2; fence n=2; head end; execute n=2",
+		 "call1 fence2:fenced response1:200:end refused2:fenced "},
+		{"refused, then a copy", "execute; warm; execute",
+		 "refused1:draining refused1:fenced "},
+		{"fence to an earlier process", "warm; fence inc=4",
+		 "fence1:forgotten "},
+		{"not sent", "warm; execute; not-sent; fence; execute; count",
+		 "call1 refused1:target-failed fence1:fenced refused1:fenced "
+		 "in-progress:0 "},
+		{"forgotten",
+		 "warm; execute n=9; head n=9 end; wait ms=40000; execute n=8; "
+		 "fence n=9",
+		 "call9 response9:200:end refused8:forgotten:started "
+		 "fence9:forgotten "},
+		{"expires in the queue",
+		 "warm; execute; execute n=2 ms=50; wait ms=100; head end",
+		 "call1 refused2:deadline-exceeded response1:200:end "},
+		{"cancelled in the queue",
+		 "warm; execute; execute n=2; cancel n=2; head end; "
+		 "execute n=2",
+		 "call1 response1:200:end refused2:fenced "},
+		{"of another service", "warm other; execute",
+		 "refused1:draining "},
+	};
+
+	run_(cases, sizeof(cases) / sizeof(cases[0]));
+}
+
+/* Guards against a response that is lost with its connection although the
+ * exit still has it, and against slots that are never freed. */
+static void test_fence_(void)
+{
+	static const script_case_t cases[] = {
+		{"running, no head yet",
+		 "warm; execute; lost; fence; head; body end",
+		 "call1 fence1:running response1:200 body1:4:end "},
+		{"running, head sent on the old connection",
+		 "warm; execute; head; fence; body end",
+		 "call1 response1:200 fence1:running fence1:finished:7 "},
+		{"running, head came while nobody listened",
+		 "warm; execute; lost; head; fence; body end",
+		 "call1 fence1:running fence1:finished:7 "},
+		{"finished", "warm; execute; lost; head end; fence; fence",
+		 "call1 fence1:finished:3 fence1:finished:3 "},
+		{"response broken off",
+		 "warm; execute; head; lost; body failed; fence",
+		 "call1 response1:200 fence1:finished "},
+		{"failed while nobody listened",
+		 "warm; execute; lost; fail; fence; count",
+		 "call1 fence1:finished in-progress:0 "},
+		{"connection of the fencing query lost as well",
+		 "warm; execute; lost; fence; lost conn=2; head end; fence",
+		 "call1 fence1:running fence1:finished:3 "},
+		{"fail is reported with started", "warm; execute; fail",
+		 "call1 refused1:target-failed:started "},
+	};
+
+	run_(cases, sizeof(cases) / sizeof(cases[0]));
+}
+
+/* Guards against work for callers that have left, and against cancelling what
+ * must not be interrupted. */
+static void test_abandon_(void)
+{
+	static const script_case_t cases[] = {
+		{"repeatable is cancelled",
+		 "warm; execute get; execute n=2; cancel",
+		 "call1 call-cancel1 call2 "},
+		{"other is left to finish",
+		 "warm; execute; cancel; count; head end; count",
+		 "call1 in-progress:1 in-progress:0 "},
+		{"connection lost",
+		 "warm slots=2; execute get; execute n=2; execute n=3 conn=9; "
+		 "execute n=4; lost; count",
+		 "call1 call2 call-cancel1 call3 in-progress:2 "},
+		{"request body that can't be completed any more",
+		 "warm; execute open; lost; count",
+		 "call1 call-cancel1 in-progress:0 "},
+		{"request body that breaks off in the queue",
+		 "warm; execute; execute n=2 open; request-body n=2 failed; "
+		 "head end",
+		 "call1 refused2:bad-request response1:200:end "},
+		{"request body goes on",
+		 "warm; execute open; request-body; request-body end",
+		 "call1 body1:4 body1:4:end "},
+	};
+
+	run_(cases, sizeof(cases) / sizeof(cases[0]));
+}
+
+/* Guards against new work at a target that leaves, and against a planned stop
+ * that interrupts work in progress. */
+static void test_stop_(void)
+{
+	static const script_case_t cases[] = {
+		{"nothing new, the rest finishes",
+		 "warm; execute; execute n=2; stop; execute n=3; head end; "
+		 "head n=2 end; count",
+		 "call1 refused3:draining response1:200:end call2 "
+		 "response2:200:end in-progress:0 "},
+		{"a long queue is given back",
+		 "warm; execute ms=20000; execute n=2 ms=20000; stop; "
+		 "wait ms=2500; head end; count",
+		 "call1 refused2:draining response1:200:end in-progress:0 "},
+		{"outlives a renewal", "warm; stop; warm; execute",
+		 "refused1:draining "},
+		{"outlives a lapsed lease",
+		 "warm lease=200; stop; wait ms=500; warm; execute",
+		 "refused1:draining "},
+		{"a new process of the target ends it",
+		 "warm lease=200; stop; wait ms=500; cold; execute",
+		 "call1 "},
+		{"so does leaving", "warm; stop; gone; warm; execute",
+		 "call1 "},
+		{"a target that has left gives its queue back",
+		 "warm; execute; execute n=2; gone; head end",
+		 "call1 refused2:draining response1:200:end "},
+		{"a lapsed lease gives the queue back",
+		 "warm lease=200; execute; execute n=2; wait ms=500",
+		 "call1 refused2:draining "},
+		{"a change of slots is announced",
+		 "warm; versions; warm slots=3; versions; warm slots=3; "
+		 "versions",
+		 "versions:1:1 versions:2:3 versions:2:3 "},
+	};
+
+	run_(cases, sizeof(cases) / sizeof(cases[0]));
+}
+
+CU_TestInfo mmx_tests_exit[] = {
+	{"an attempt runs at most once", test_once_},
+	{"fencing queries", test_fence_},
+	{"abandoned attempts", test_abandon_},
+	{"targets that leave", test_stop_},
+	CU_TEST_INFO_NULL,
+};
