Fix the exit and entry where their tests failed

A head that arrived while no connection was open was never sent again after a fencing query; a planned stop left a queue running for its whole length, ended when a lease lapsed and hid that a target had left; an exit started requests of another service, kept a slot for a request whose body can't be completed, and kept old responses instead of new ones. The entry answered twice when the deadline passed while it passed a response on, waited to the deadline for parts that can't come, sent a broken-off body again as if whole, and showed callers reasons that are meant for nodes.

exit.c is split by concern; a paused clock can jump, as it does for a process that was stopped.

--- a/include/masticmux/clock.h
+++ b/include/masticmux/clock.h
@@ -57,6 +57,15 @@
  */
 void mmx_clock_advance(mmx_clock_t *clock, mmx_time_t by);
 
+/**
+ * Moves a paused clock forward without firing timers, as a process sees it
+ * that was stopped meanwhile; the next mmx_clock_advance() fires all of them
+ * at the new time. Asserts that the clock is paused.
+ *
+ * @param by  microseconds, 0 or more
+ */
+void mmx_clock_jump(mmx_clock_t *clock, mmx_time_t by);
+
 /** Time of the next timer, or MMX_TIME_NEVER. */
 mmx_time_t mmx_clock_next(const mmx_clock_t *clock);
 
--- a/src/libmasticmux/attempts.c
+++ b/src/libmasticmux/attempts.c
@@ -31,7 +31,9 @@
 	mmx_clock_t *clock;
 	GHashTable *records; /* of mmx_attempt_t, keyed by id */
 	GHashTable *entries; /* of entry_record_t, keyed by node */
+	const mmx_guards_t *guards;
 	mmx_attempt_list_t ended;
+	mmx_attempt_list_t kept; /* with an answer, in order of its start */
 	size_t ended_count;
 	size_t record_max;
 	size_t answer_bytes;
@@ -68,25 +70,34 @@
 	attempts->entries = g_hash_table_new_full(g_int64_hash, g_int64_equal,
 						  NULL, g_free);
 	TAILQ_INIT(&attempts->ended);
+	TAILQ_INIT(&attempts->kept);
+	attempts->guards = &mmx_guards_all;
 	attempts->record_max = record_max;
 	attempts->answer_bytes_max = answer_bytes_max;
 	return attempts;
 }
 
-static void drop_answer_(mmx_attempts_t *attempts, mmx_attempt_t *attempt)
+void mmx_attempts_drop_answer(mmx_attempts_t *attempts, mmx_attempt_t *attempt)
 {
 	mmx_head_destroy(attempt->answer_head);
 	attempt->answer_head = NULL;
 	if (!attempt->answer_body)
 		return;
+	TAILQ_REMOVE(&attempts->kept, attempt, kept_entry);
 	attempts->answer_bytes -= evbuffer_get_length(attempt->answer_body);
 	evbuffer_free(attempt->answer_body);
 	attempt->answer_body = NULL;
 }
 
+void mmx_attempts_set_guards(mmx_attempts_t *attempts,
+			     const mmx_guards_t *guards)
+{
+	attempts->guards = guards;
+}
+
 static void free_record_(mmx_attempts_t *attempts, mmx_attempt_t *attempt)
 {
-	drop_answer_(attempts, attempt);
+	mmx_attempts_drop_answer(attempts, attempt);
 	if (attempt->execute)
 		mmx_message_destroy(&attempt->execute->message);
 	g_free(attempt);
@@ -137,7 +148,7 @@
 		return MMX_ATTEMPT_KNOWN;
 	if (id->incarnation < entry->incarnation)
 		return MMX_ATTEMPT_STALE;
-	if (id->sequence <= entry->watermark)
+	if (attempts->guards->watermark && id->sequence <= entry->watermark)
 		return MMX_ATTEMPT_FORGOTTEN;
 	return MMX_ATTEMPT_NEW;
 }
@@ -192,18 +203,44 @@
 		forget_(attempts, TAILQ_FIRST(&attempts->ended));
 }
 
+void mmx_attempts_keep_head(mmx_attempts_t *attempts, mmx_attempt_t *attempt,
+			    const mmx_head_t *head)
+{
+	if (attempt->repeatable || attempt->answer_head)
+		return;
+	attempt->answer_head = mmx_head_copy(head);
+	attempt->answer_body = evbuffer_new();
+	TAILQ_INSERT_TAIL(&attempts->kept, attempt, kept_entry);
+}
+
+/* Drops the oldest responses of ended attempts until the bytes fit. */
+static bool make_room_(mmx_attempts_t *attempts, size_t length)
+{
+	mmx_attempt_t *attempt = TAILQ_FIRST(&attempts->kept);
+	mmx_attempt_t *next;
+
+	for (; attempt; attempt = next) {
+		if (attempts->answer_bytes + length <=
+		    attempts->answer_bytes_max)
+			break;
+		next = TAILQ_NEXT(attempt, kept_entry);
+		if (attempt->state == MMX_ATTEMPT_FINISHED)
+			mmx_attempts_drop_answer(attempts, attempt);
+	}
+	return attempts->answer_bytes + length <= attempts->answer_bytes_max;
+}
+
 void mmx_attempts_keep(mmx_attempts_t *attempts, mmx_attempt_t *attempt,
 		       struct evbuffer *part)
 {
 	size_t length = evbuffer_get_length(part);
-	size_t held;
 
-	if (attempt->repeatable || !attempt->answer_body)
+	if (!attempt->answer_body)
 		return;
-	held = evbuffer_get_length(attempt->answer_body);
-	if (held + length > MMX_HELD_BODY_MAX ||
-	    attempts->answer_bytes + length > attempts->answer_bytes_max) {
-		drop_answer_(attempts, attempt);
+	if (evbuffer_get_length(attempt->answer_body) + length >
+		    MMX_HELD_BODY_MAX ||
+	    !make_room_(attempts, length)) {
+		mmx_attempts_drop_answer(attempts, attempt);
 		return;
 	}
 	/* The part is sent on as well, so it is copied. */
--- a/src/libmasticmux/clock.c
+++ b/src/libmasticmux/clock.c
@@ -154,6 +154,12 @@
 	clock->paused_now = end;
 }
 
+void mmx_clock_jump(mmx_clock_t *clock, mmx_time_t by)
+{
+	assert(!clock->base && by >= 0);
+	clock->paused_now += by;
+}
+
 mmx_time_t mmx_clock_next(const mmx_clock_t *clock)
 {
 	const mmx_timer_t *timer = first_(clock);
--- a/src/libmasticmux/entry.c
+++ b/src/libmasticmux/entry.c
@@ -19,6 +19,7 @@
 	const mmx_fold_t *fold;
 	const mmx_directory_t *directory;
 	mmx_counters_t *counters;
+	const mmx_guards_t *guards;
 	mmx_pipeline_t pipeline;
 	mmx_filter_t *attempt_filter;
 	uint64_t next_sequence;
@@ -191,6 +192,19 @@
 	if (!exchange)
 		return;
 	exchange->body_end = body->end;
+	if (body->failed) {
+		/* What came so far must not be sent again as if whole. */
+		exchange->body_whole = false;
+		if (exchange->attempts == 0) {
+			mmx_pipeline_abandon(exchange);
+			mmx_entry_refuse(exchange, MMX_OUTCOME_NOT_RUN,
+					 MMX_REASON_BAD_REQUEST);
+			return;
+		}
+		mmx_filter_attempt_request_body(entry->attempt_filter, exchange,
+						body);
+		return;
+	}
 	if (exchange->attempts == 0) {
 		/* Bounded by the credit of http_entry. */
 		evbuffer_add_buffer(exchange->body, body->data);
@@ -202,12 +216,27 @@
 	mmx_filter_attempt_request_body(entry->attempt_filter, exchange, body);
 }
 
+/* Only without the match rule: the wrong request. */
+static mmx_exchange_t *any_exchange_(mmx_entry_t *entry)
+{
+	GHashTableIter iter;
+	gpointer exchange;
+
+	g_hash_table_iter_init(&iter, entry->by_sequence);
+	return g_hash_table_iter_next(&iter, NULL, &exchange) ? exchange : NULL;
+}
+
 static mmx_exchange_t *find_attempt_(mmx_entry_t *entry,
 				     const mmx_attempt_id_t *id)
 {
+	mmx_exchange_t *exchange;
+
 	if (id->entry != entry->node || id->incarnation != entry->incarnation)
 		return NULL;
-	return g_hash_table_lookup(entry->by_sequence, &id->sequence);
+	exchange = g_hash_table_lookup(entry->by_sequence, &id->sequence);
+	if (!exchange && !entry->guards->match)
+		exchange = any_exchange_(entry);
+	return exchange;
 }
 
 static void on_body_(mmx_entry_t *entry, mmx_body_t *body)
@@ -328,6 +357,7 @@
 	entry->node = node;
 	entry->incarnation = incarnation;
 	mmx_random_seed(&entry->random, seed);
+	entry->guards = &mmx_guards_all;
 	mmx_pipeline_init(&entry->pipeline);
 	entry->by_request = g_hash_table_new(g_int64_hash, g_int64_equal);
 	entry->by_sequence = g_hash_table_new(g_int64_hash, g_int64_equal);
@@ -423,6 +453,14 @@
 	return true;
 }
 
+bool mmx_entry_set_guards(mmx_entry_t *entry, const mmx_guards_t *guards)
+{
+	if (entry->running)
+		return false;
+	entry->guards = guards;
+	return true;
+}
+
 void mmx_entry_init(mmx_entry_t *entry)
 {
 	assert(entry->http && entry->local_exit && entry->fold &&
@@ -472,6 +510,11 @@
 	return entry->counters;
 }
 
+const mmx_guards_t *mmx_entry_guards(const mmx_entry_t *entry)
+{
+	return entry->guards;
+}
+
 mmx_origin_t mmx_entry_origin(mmx_entry_t *entry)
 {
 	return (mmx_origin_t){.task = &entry->task, .connection = 0};
--- /dev/null
+++ b/src/libmasticmux/exit_attempt.c
@@ -0,0 +1,394 @@
+#include "private/exit_internal.h"
+
+#include <assert.h>
+#include <event2/buffer.h>
+#include <glib.h>
+#include <string.h>
+
+/* --- responses --------------------------------------------------------- */
+
+void mmx_exit_post_response(mmx_exit_t *exit, mmx_response_t *response,
+			    const mmx_exit_target_t *target,
+			    const mmx_origin_t *origin)
+{
+	response->exit = exit->node;
+	response->origin = *origin;
+	if (target)
+		mmx_exit_target_report(target, &response->load);
+	mmx_task_post(origin->task, &response->message);
+}
+
+void mmx_exit_post_refusal(mmx_exit_t *exit, const mmx_attempt_id_t *id,
+			   const mmx_origin_t *origin,
+			   const mmx_exit_target_t *target, mmx_reason_t reason,
+			   bool started)
+{
+	mmx_response_t *response = mmx_new_response(id);
+
+	response->reason = reason;
+	response->started = started;
+	response->body_end = true;
+	mmx_counter_add(exit->refused, 1);
+	mmx_exit_post_response(exit, response, target, origin);
+}
+
+static void post_fence_reply_(mmx_exit_t *exit, mmx_attempt_t *attempt,
+			      const mmx_attempt_id_t *id,
+			      const mmx_origin_t *origin,
+			      mmx_fence_state_t state)
+{
+	mmx_fence_reply_t *reply = mmx_new_fence_reply(id, state);
+
+	reply->exit = exit->node;
+	reply->origin = *origin;
+	if (state == MMX_FENCE_FINISHED && attempt && attempt->answer_head) {
+		reply->head = mmx_head_copy(attempt->answer_head);
+		evbuffer_add_buffer_reference(reply->body,
+					      attempt->answer_body);
+	}
+	mmx_task_post(origin->task, &reply->message);
+}
+
+/* --- life of an attempt ------------------------------------------------ */
+
+static void remove_from_queue_(mmx_attempt_t *attempt)
+{
+	TAILQ_REMOVE(&attempt->target->queue, attempt, queue_entry);
+	attempt->target->queued--;
+}
+
+/* Ends a queued attempt that never starts. */
+void mmx_exit_refuse_queued(mmx_exit_t *exit, mmx_attempt_t *attempt,
+			    mmx_reason_t reason)
+{
+	remove_from_queue_(attempt);
+	if (!attempt->abandoned)
+		mmx_exit_post_refusal(exit, &attempt->id, &attempt->origin,
+				      attempt->target, reason, false);
+	mmx_attempts_end(exit->attempts, attempt, MMX_ATTEMPT_REFUSED);
+}
+
+void mmx_exit_end_running(mmx_exit_t *exit, mmx_attempt_t *attempt,
+			  mmx_attempt_state_t state)
+{
+	mmx_exit_target_t *target = attempt->target;
+
+	target->in_progress--;
+	if (attempt->reply_at_end)
+		post_fence_reply_(exit, attempt, &attempt->id, &attempt->origin,
+				  MMX_FENCE_FINISHED);
+	mmx_attempts_end(exit->attempts, attempt, state);
+	mmx_exit_start_queued(exit, target);
+}
+
+static void start_(mmx_exit_t *exit, mmx_attempt_t *attempt)
+{
+	mmx_exit_target_t *target = attempt->target;
+	mmx_execute_t *execute = attempt->execute;
+	mmx_call_t *call = mmx_new_call(&attempt->id);
+
+	remove_from_queue_(attempt);
+	target->in_progress++;
+	attempt->state = MMX_ATTEMPT_RUNNING;
+	attempt->started = mmx_clock_now(exit->clock);
+	call->address = target->address;
+	call->remaining = attempt->deadline - attempt->started;
+	call->head = execute->head;
+	execute->head = NULL;
+	evbuffer_add_buffer(call->body, execute->body);
+	call->body_end = execute->body_end;
+	mmx_counter_add(exit->started, 1);
+	mmx_task_post(exit->client, &call->message);
+}
+
+void mmx_exit_start_queued(mmx_exit_t *exit, mmx_exit_target_t *target)
+{
+	mmx_time_t now = mmx_clock_now(exit->clock);
+	mmx_attempt_t *attempt;
+
+	while ((attempt = TAILQ_FIRST(&target->queue))) {
+		/* The deadline is read here and not from a timer, so that a
+		 * process that was paused starts nothing whose time is up. */
+		if (attempt->deadline <= now) {
+			mmx_counter_add(exit->expired, 1);
+			mmx_exit_refuse_queued(exit, attempt,
+					       MMX_REASON_DEADLINE_EXCEEDED);
+			continue;
+		}
+		if (!mmx_exit_target_serves_queue(target, now) &&
+		    exit->guards->draining) {
+			mmx_exit_refuse_queued(exit, attempt,
+					       MMX_REASON_DRAINING);
+			continue;
+		}
+		if (!mmx_exit_target_can_start(target, now))
+			return;
+		start_(exit, attempt);
+	}
+}
+
+static mmx_reason_t admit_(mmx_exit_t *exit, const mmx_execute_t *execute,
+			   mmx_exit_target_t **target)
+{
+	mmx_reason_t reason;
+
+	*target = mmx_exit_find_target(exit, execute->target);
+	if (execute->exit_incarnation != exit->incarnation &&
+	    exit->guards->incarnation)
+		return MMX_REASON_WRONG_INCARNATION;
+	/* The entry may know the target from before it changed its service. */
+	if (!*target ||
+	    strcmp((*target)->record.service, execute->service) != 0)
+		return MMX_REASON_DRAINING;
+	reason = mmx_exit_target_admit(*target, mmx_clock_now(exit->clock),
+				       execute->remaining);
+	if (reason == MMX_REASON_DRAINING && !exit->guards->draining)
+		return MMX_REASON_NONE;
+	return reason;
+}
+
+static void on_new_execute_(mmx_exit_t *exit, mmx_execute_t *execute)
+{
+	mmx_exit_target_t *target;
+	mmx_reason_t reason = admit_(exit, execute, &target);
+	mmx_attempt_t *attempt;
+
+	if (reason != MMX_REASON_NONE) {
+		mmx_exit_post_refusal(exit, &execute->attempt, &execute->origin,
+				      target, reason, false);
+		/* A copy that arrives later must not start either. */
+		attempt = mmx_attempts_add(exit->attempts, &execute->attempt);
+		attempt->repeatable = execute->repeatable;
+		mmx_attempts_end(exit->attempts, attempt, MMX_ATTEMPT_REFUSED);
+		mmx_message_destroy(&execute->message);
+		return;
+	}
+	attempt = mmx_attempts_add(exit->attempts, &execute->attempt);
+	attempt->execute = execute;
+	attempt->target = target;
+	attempt->origin = execute->origin;
+	attempt->repeatable = execute->repeatable;
+	attempt->deadline = mmx_clock_now(exit->clock) + execute->remaining;
+	TAILQ_INSERT_TAIL(&target->queue, attempt, queue_entry);
+	target->queued++;
+	mmx_exit_start_queued(exit, target);
+}
+
+void mmx_exit_on_execute(mmx_exit_t *exit, mmx_execute_t *execute)
+{
+	mmx_attempt_t *known;
+	mmx_reason_t reason = MMX_REASON_FORGOTTEN;
+
+	switch (mmx_attempts_find(exit->attempts, &execute->attempt, &known)) {
+	case MMX_ATTEMPT_NEW:
+		on_new_execute_(exit, execute);
+		return;
+	case MMX_ATTEMPT_KNOWN:
+		if (known->state != MMX_ATTEMPT_REFUSED) {
+			/* A duplicate of one that is being dealt with. */
+			mmx_message_destroy(&execute->message);
+			return;
+		}
+		reason = MMX_REASON_FENCED;
+		break;
+	case MMX_ATTEMPT_STALE:
+		reason = MMX_REASON_FENCED;
+		break;
+	default:
+		break;
+	}
+	mmx_exit_post_refusal(exit, &execute->attempt, &execute->origin, NULL,
+			      reason, reason == MMX_REASON_FORGOTTEN);
+	mmx_message_destroy(&execute->message);
+}
+
+void mmx_exit_cut_running(mmx_exit_t *exit, mmx_attempt_t *attempt)
+{
+	mmx_task_post(exit->client,
+		      &mmx_new_call_cancel(&attempt->id)->message);
+	mmx_attempts_drop_answer(exit->attempts, attempt);
+	mmx_exit_end_running(exit, attempt, MMX_ATTEMPT_FINISHED);
+}
+
+/*
+ * What runs is left to finish when nobody waits for it any more, unless it may
+ * be repeated or its request can't become complete.
+ */
+static bool may_cut_(const mmx_attempt_t *attempt)
+{
+	return attempt->state == MMX_ATTEMPT_RUNNING &&
+	       (attempt->repeatable || !attempt->execute->body_end);
+}
+
+void mmx_exit_on_cancel(mmx_exit_t *exit, const mmx_cancel_t *cancel)
+{
+	mmx_attempt_t *attempt;
+
+	if (mmx_attempts_find(exit->attempts, &cancel->attempt, &attempt) !=
+	    MMX_ATTEMPT_KNOWN)
+		return;
+	attempt->abandoned = true;
+	if (attempt->state == MMX_ATTEMPT_QUEUED)
+		mmx_exit_refuse_queued(exit, attempt, MMX_REASON_FENCED);
+	else if (may_cut_(attempt))
+		mmx_exit_cut_running(exit, attempt);
+}
+
+static void fence_known_(mmx_exit_t *exit, mmx_attempt_t *attempt,
+			 const mmx_fence_t *fence)
+{
+	switch (attempt->state) {
+	case MMX_ATTEMPT_QUEUED:
+		post_fence_reply_(exit, NULL, &fence->attempt, &fence->origin,
+				  MMX_FENCE_FENCED);
+		attempt->abandoned = true;
+		mmx_exit_refuse_queued(exit, attempt, MMX_REASON_FENCED);
+		break;
+	case MMX_ATTEMPT_RUNNING:
+		attempt->origin = fence->origin;
+		attempt->abandoned = false;
+		/* What went out on the old connection, or was dropped after
+		 * it closed, may be lost: the whole response follows. */
+		if (attempt->headed)
+			attempt->reply_at_end = true;
+		post_fence_reply_(exit, NULL, &fence->attempt, &fence->origin,
+				  MMX_FENCE_RUNNING);
+		break;
+	case MMX_ATTEMPT_FINISHED:
+		post_fence_reply_(exit, attempt, &fence->attempt,
+				  &fence->origin, MMX_FENCE_FINISHED);
+		break;
+	default:
+		post_fence_reply_(exit, NULL, &fence->attempt, &fence->origin,
+				  MMX_FENCE_FENCED);
+		break;
+	}
+}
+
+void mmx_exit_on_fence(mmx_exit_t *exit, const mmx_fence_t *fence)
+{
+	mmx_fence_state_t state = MMX_FENCE_FORGOTTEN;
+	mmx_attempt_t *attempt;
+
+	mmx_counter_add(exit->fenced, 1);
+	switch (mmx_attempts_find(exit->attempts, &fence->attempt, &attempt)) {
+	case MMX_ATTEMPT_KNOWN:
+		fence_known_(exit, attempt, fence);
+		return;
+	case MMX_ATTEMPT_NEW:
+		/* An earlier process here may have run it. */
+		if (fence->exit_incarnation != exit->incarnation)
+			break;
+		attempt = mmx_attempts_add(exit->attempts, &fence->attempt);
+		mmx_attempts_end(exit->attempts, attempt, MMX_ATTEMPT_REFUSED);
+		state = MMX_FENCE_FENCED;
+		break;
+	default:
+		break;
+	}
+	post_fence_reply_(exit, NULL, &fence->attempt, &fence->origin, state);
+}
+
+/* --- connections ------------------------------------------------------- */
+
+typedef struct abandoning_t {
+	uint64_t connection;
+	GArray *cut; /* ids of running attempts to be cancelled */
+} abandoning_t;
+
+static void abandon_(mmx_attempt_t *attempt, void *arg)
+{
+	abandoning_t *abandoning = arg;
+
+	if (attempt->origin.connection != abandoning->connection)
+		return;
+	attempt->abandoned = true;
+	if (may_cut_(attempt))
+		g_array_append_val(abandoning->cut, attempt->id);
+}
+
+static void refuse_abandoned_(mmx_exit_t *exit)
+{
+	mmx_exit_target_t *target;
+	mmx_attempt_t *attempt;
+	mmx_attempt_t *next;
+
+	LIST_FOREACH (target, &exit->targets, entry) {
+		for (attempt = TAILQ_FIRST(&target->queue); attempt;
+		     attempt = next) {
+			next = TAILQ_NEXT(attempt, queue_entry);
+			if (attempt->abandoned)
+				mmx_exit_refuse_queued(exit, attempt,
+						       MMX_REASON_FENCED);
+		}
+	}
+}
+
+void mmx_exit_on_origin_lost(mmx_exit_t *exit, const mmx_origin_lost_t *lost)
+{
+	abandoning_t abandoning = {
+		.connection = lost->connection,
+		.cut = g_array_new(FALSE, FALSE, sizeof(mmx_attempt_id_t)),
+	};
+	mmx_attempt_t *attempt;
+	guint i;
+
+	mmx_attempts_each_open(exit->attempts, abandon_, &abandoning);
+	refuse_abandoned_(exit);
+	for (i = 0; i < abandoning.cut->len; i++) {
+		attempt = mmx_exit_running(
+			exit,
+			&g_array_index(abandoning.cut, mmx_attempt_id_t, i));
+		if (attempt)
+			mmx_exit_cut_running(exit, attempt);
+	}
+	g_array_free(abandoning.cut, TRUE);
+}
+
+void mmx_exit_refuse_queue(mmx_exit_t *exit, mmx_exit_target_t *target)
+{
+	mmx_attempt_t *attempt;
+
+	while ((attempt = TAILQ_FIRST(&target->queue)))
+		mmx_exit_refuse_queued(exit, attempt, MMX_REASON_DRAINING);
+}
+
+static void collect_running_(mmx_attempt_t *attempt, void *arg)
+{
+	if (attempt->state == MMX_ATTEMPT_RUNNING)
+		g_ptr_array_add(arg, attempt);
+}
+
+void mmx_exit_cut_target(mmx_exit_t *exit, mmx_exit_target_t *target)
+{
+	GPtrArray *running = g_ptr_array_new();
+	mmx_attempt_t *attempt;
+	guint i;
+
+	mmx_attempts_each_open(exit->attempts, collect_running_, running);
+	for (i = 0; i < running->len; i++) {
+		attempt = g_ptr_array_index(running, i);
+		if (attempt->target != target)
+			continue;
+		mmx_exit_post_refusal(exit, &attempt->id, &attempt->origin,
+				      target, MMX_REASON_TARGET_FAILED, true);
+		mmx_exit_cut_running(exit, attempt);
+	}
+	g_ptr_array_free(running, TRUE);
+}
+
+void mmx_exit_expire_queued(mmx_exit_t *exit, mmx_exit_target_t *target)
+{
+	mmx_time_t now = mmx_clock_now(exit->clock);
+	mmx_attempt_t *attempt;
+	mmx_attempt_t *next;
+
+	for (attempt = TAILQ_FIRST(&target->queue); attempt; attempt = next) {
+		next = TAILQ_NEXT(attempt, queue_entry);
+		if (attempt->deadline > now)
+			continue;
+		mmx_counter_add(exit->expired, 1);
+		mmx_exit_refuse_queued(exit, attempt,
+				       MMX_REASON_DEADLINE_EXCEEDED);
+	}
+}
--- /dev/null
+++ b/src/libmasticmux/exit_call.c
@@ -0,0 +1,148 @@
+/* Calls of running attempts: events, bodies and windows. */
+#include "private/exit_internal.h"
+
+#include <assert.h>
+#include <event2/buffer.h>
+#include <glib.h>
+
+mmx_attempt_t *mmx_exit_running(mmx_exit_t *exit, const mmx_attempt_id_t *id)
+{
+	mmx_attempt_t *attempt;
+
+	if (mmx_attempts_find(exit->attempts, id, &attempt) !=
+		    MMX_ATTEMPT_KNOWN ||
+	    attempt->state != MMX_ATTEMPT_RUNNING)
+		return NULL;
+	return attempt;
+}
+
+static void on_call_failed_(mmx_exit_t *exit, mmx_attempt_t *attempt,
+			    const mmx_call_event_t *event)
+{
+	bool started = event->result != MMX_CALL_NOT_SENT;
+
+	if (!attempt->abandoned)
+		mmx_exit_post_refusal(exit, &attempt->id, &attempt->origin,
+				      attempt->target, MMX_REASON_TARGET_FAILED,
+				      started);
+	attempt->reply_at_end = false;
+	mmx_exit_end_running(exit, attempt,
+			     started ? MMX_ATTEMPT_FINISHED
+				     : MMX_ATTEMPT_REFUSED);
+}
+
+static void on_call_head_(mmx_exit_t *exit, mmx_attempt_t *attempt,
+			  mmx_call_event_t *event)
+{
+	mmx_response_t *response = mmx_new_response(&attempt->id);
+	mmx_time_t now = mmx_clock_now(exit->clock);
+	bool end = event->body_end;
+
+	attempt->headed = true;
+	mmx_attempts_keep_head(exit->attempts, attempt, event->head);
+	mmx_attempts_keep(exit->attempts, attempt, event->body);
+	response->head = event->head;
+	event->head = NULL;
+	evbuffer_add_buffer(response->body, event->body);
+	response->body_end = end;
+	response->queue_time = attempt->started - attempt->arrived;
+	response->target_time = now - attempt->started;
+	if (end)
+		mmx_exit_target_note_service(attempt->target,
+					     now - attempt->started);
+	if (!attempt->abandoned)
+		mmx_exit_post_response(exit, response, attempt->target,
+				       &attempt->origin);
+	else
+		mmx_message_destroy(&response->message);
+	if (end)
+		mmx_exit_end_running(exit, attempt, MMX_ATTEMPT_FINISHED);
+}
+
+void mmx_exit_on_call_event(mmx_exit_t *exit, mmx_call_event_t *event)
+{
+	mmx_attempt_t *attempt = mmx_exit_running(exit, &event->attempt);
+
+	if (!attempt)
+		return;
+	if (event->result == MMX_CALL_HEAD)
+		on_call_head_(exit, attempt, event);
+	else
+		on_call_failed_(exit, attempt, event);
+}
+
+static void on_target_body_(mmx_exit_t *exit, mmx_body_t *body)
+{
+	mmx_attempt_t *attempt = mmx_exit_running(exit, &body->attempt);
+	bool end = body->end;
+	bool failed = body->failed;
+
+	if (!attempt) {
+		mmx_message_destroy(&body->message);
+		return;
+	}
+	mmx_attempts_keep(exit->attempts, attempt, body->data);
+	if (attempt->abandoned || attempt->reply_at_end) {
+		mmx_message_destroy(&body->message);
+	} else {
+		body->exit = exit->node;
+		body->origin = attempt->origin;
+		mmx_task_post(attempt->origin.task, &body->message);
+	}
+	if (!end)
+		return;
+	if (failed) {
+		/* What is kept is not a whole response. */
+		mmx_attempts_drop_answer(exit->attempts, attempt);
+	} else {
+		mmx_exit_target_note_service(attempt->target,
+					     mmx_clock_now(exit->clock) -
+						     attempt->started);
+	}
+	mmx_exit_end_running(exit, attempt, MMX_ATTEMPT_FINISHED);
+}
+
+static void on_request_body_(mmx_exit_t *exit, mmx_body_t *body)
+{
+	mmx_attempt_t *attempt;
+
+	if (mmx_attempts_find(exit->attempts, &body->attempt, &attempt) !=
+		    MMX_ATTEMPT_KNOWN ||
+	    !attempt->execute || attempt->execute->body_end) {
+		mmx_message_destroy(&body->message);
+		return;
+	}
+	if (attempt->state == MMX_ATTEMPT_RUNNING) {
+		attempt->execute->body_end = body->end;
+		mmx_task_post(exit->client, &body->message);
+		return;
+	}
+	evbuffer_add_buffer(attempt->execute->body, body->data);
+	attempt->execute->body_end = body->end;
+	if (body->failed)
+		mmx_exit_refuse_queued(exit, attempt, MMX_REASON_BAD_REQUEST);
+	mmx_message_destroy(&body->message);
+}
+
+void mmx_exit_on_window(mmx_exit_t *exit, mmx_window_t *window)
+{
+	mmx_attempt_t *attempt = mmx_exit_running(exit, &window->attempt);
+
+	if (!attempt) {
+		mmx_message_destroy(&window->message);
+	} else if (window->direction == MMX_TO_CALLER) {
+		mmx_task_post(exit->client, &window->message);
+	} else {
+		window->exit = exit->node;
+		window->origin = attempt->origin;
+		mmx_task_post(attempt->origin.task, &window->message);
+	}
+}
+
+void mmx_exit_on_body(mmx_exit_t *exit, mmx_body_t *body)
+{
+	if (body->direction == MMX_TO_TARGET)
+		on_request_body_(exit, body);
+	else
+		on_target_body_(exit, body);
+}
--- a/src/libmasticmux/exit_target.c
+++ b/src/libmasticmux/exit_target.c
@@ -73,6 +73,25 @@
 	return MMX_REASON_NONE;
 }
 
+bool mmx_exit_target_serves_queue(const mmx_exit_target_t *target,
+				  mmx_time_t now)
+{
+	if (target->record.state == MMX_TARGET_GONE)
+		return false;
+	return !target->leaving ||
+	       now - target->leaving_since < MMX_EXIT_LEAVE_QUEUE_US;
+}
+
+void mmx_exit_target_update_leaving(mmx_exit_target_t *target, mmx_time_t now)
+{
+	bool leaving =
+		target->stopped || target->record.state >= MMX_TARGET_DRAINING;
+
+	if (leaving && !target->leaving)
+		target->leaving_since = now;
+	target->leaving = leaving;
+}
+
 void mmx_exit_target_note_service(mmx_exit_target_t *target, mmx_time_t took)
 {
 	if (target->mean_service == 0)
--- a/src/libmasticmux/filter_attempt.c
+++ b/src/libmasticmux/filter_attempt.c
@@ -29,6 +29,7 @@
 	mmx_filter_t filter;
 	mmx_entry_t *entry;
 	mmx_clock_t *clock;
+	const mmx_guards_t *guards;
 	exchange_list_t open; /* exchanges with an attempt out */
 	mmx_counter_t *sent;
 	mmx_counter_t *repeated;
@@ -154,6 +155,23 @@
 		       evbuffer_get_length(exchange->answer_body));
 }
 
+/* Reasons between nodes become those that callers know. */
+static mmx_reason_t caller_reason_(mmx_reason_t reason)
+{
+	switch (reason) {
+	case MMX_REASON_NONE:
+		return MMX_REASON_TARGET_FAILED;
+	case MMX_REASON_DRAINING:
+		return MMX_REASON_NO_CAPACITY;
+	case MMX_REASON_WRONG_INCARNATION:
+	case MMX_REASON_FENCED:
+	case MMX_REASON_FORGOTTEN:
+		return MMX_REASON_PATH_LOST;
+	default:
+		return reason;
+	}
+}
+
 static void refuse_(attempt_filter_t *self, mmx_exchange_t *exchange,
 		    mmx_reason_t reason)
 {
@@ -161,7 +179,7 @@
 	mmx_entry_refuse(exchange,
 			 exchange->may_have_run ? MMX_OUTCOME_UNKNOWN
 						: MMX_OUTCOME_NOT_RUN,
-			 reason);
+			 caller_reason_(reason));
 }
 
 static bool can_send_again_(attempt_filter_t *self,
@@ -180,7 +198,8 @@
 	exchange->refusal = reason;
 	if (can_send_again_(self, exchange) &&
 	    reason != MMX_REASON_DEADLINE_EXCEEDED &&
-	    reason != MMX_REASON_ACCOUNT_LIMIT)
+	    reason != MMX_REASON_ACCOUNT_LIMIT &&
+	    reason != MMX_REASON_BAD_REQUEST)
 		try_next_(self, exchange);
 	else
 		refuse_(self, exchange, reason);
@@ -194,7 +213,8 @@
 	drop_held_answer_(exchange);
 	exchange->may_have_run = true;
 	exchange->refusal = reason;
-	if (exchange->repeatable && can_send_again_(self, exchange)) {
+	if ((exchange->repeatable || !self->guards->fence) &&
+	    can_send_again_(self, exchange)) {
 		mmx_counter_add(self->repeated, 1);
 		try_next_(self, exchange);
 	} else {
@@ -239,6 +259,24 @@
 	mmx_entry_post_exit(self->entry, exchange->exit, &cancel->message);
 }
 
+/* The caller has part of the answer: it must see that the rest is missing. */
+static void cut_answer_(attempt_filter_t *self, mmx_exchange_t *exchange)
+{
+	struct evbuffer *nothing = evbuffer_new();
+
+	close_attempt_(self, exchange);
+	mmx_entry_answer_body(exchange, nothing, true, true);
+	evbuffer_free(nothing);
+	mmx_entry_end(exchange);
+}
+
+/* Nothing more is wanted of an attempt whose answer is partly out. */
+static void cancel_answer_(attempt_filter_t *self, mmx_exchange_t *exchange)
+{
+	send_cancel_(self, exchange);
+	cut_answer_(self, exchange);
+}
+
 static void on_timer_(void *arg)
 {
 	mmx_exchange_t *exchange = arg;
@@ -248,6 +286,10 @@
 		send_fence_(self, exchange);
 		return;
 	}
+	if (exchange->state == MMX_EXCHANGE_ANSWERING) {
+		cancel_answer_(self, exchange);
+		return;
+	}
 	send_cancel_(self, exchange);
 	exchange->may_have_run = true;
 	refuse_(self, exchange, MMX_REASON_DEADLINE_EXCEEDED);
@@ -259,8 +301,13 @@
 {
 	attempt_filter_t *self = (attempt_filter_t *)filter;
 
-	if (exchange->state == MMX_EXCHANGE_ANSWERING)
+	if (exchange->state == MMX_EXCHANGE_ANSWERING) {
+		/* The exit sends no more parts once it answered a fencing
+		 * query about an attempt whose head had been sent. */
+		if (reply->state != MMX_FENCE_RUNNING)
+			cut_answer_(self, exchange);
 		return;
+	}
 	switch (reply->state) {
 	case MMX_FENCE_FENCED:
 		retry_not_run_(self, exchange, MMX_REASON_PATH_LOST);
@@ -288,22 +335,11 @@
 	}
 }
 
-/* The caller has part of the answer: it must see that the rest is missing. */
-static void cut_answer_(attempt_filter_t *self, mmx_exchange_t *exchange)
-{
-	struct evbuffer *nothing = evbuffer_new();
-
-	close_attempt_(self, exchange);
-	mmx_entry_answer_body(exchange, nothing, true, true);
-	evbuffer_free(nothing);
-	mmx_entry_end(exchange);
-}
-
 static void on_path_lost_(attempt_filter_t *self, mmx_exchange_t *exchange)
 {
 	if (exchange->state == MMX_EXCHANGE_ANSWERING) {
-		cut_answer_(self, exchange);
-	} else if (exchange->repeatable) {
+		cancel_answer_(self, exchange);
+	} else if (exchange->repeatable || !self->guards->fence) {
 		send_cancel_(self, exchange);
 		retry_may_have_run_(self, exchange, MMX_REASON_PATH_LOST);
 	} else if (exchange->state != MMX_EXCHANGE_FENCING) {
@@ -469,6 +505,7 @@
 	self->filter.ops = &ops_;
 	self->entry = entry;
 	self->clock = mmx_runtime_clock(mmx_entry_runtime(entry));
+	self->guards = mmx_entry_guards(entry);
 	TAILQ_INIT(&self->open);
 	if (counters) {
 		self->sent = mmx_counters_get(counters, MMX_COUNTER,
--- a/src/libmasticmux/include/private/attempts.h
+++ b/src/libmasticmux/include/private/attempts.h
@@ -10,6 +10,7 @@
 #ifndef MASTICMUX_PRIVATE_ATTEMPTS_H
 #define MASTICMUX_PRIVATE_ATTEMPTS_H
 
+#include "private/guards.h"
 #include "private/messages.h"
 
 typedef enum mmx_attempt_state_t {
@@ -37,12 +38,12 @@
 	mmx_time_t deadline;
 	mmx_time_t forget_at; /* while ended */
 	bool repeatable;
-	bool abandoned;	    /* nobody waits for the response */
-	bool response_sent; /* the head has left for the origin */
-	bool reply_at_end;  /* a fencing query waits for the whole response */
-	bool headed;	    /* the target's head has arrived */
+	bool abandoned;	   /* nobody waits for the response */
+	bool reply_at_end; /* a fencing query waits for the whole response */
+	bool headed;	   /* the target's head has arrived */
+	TAILQ_ENTRY(mmx_attempt_t) kept_entry; /* while answer_body is set */
 	mmx_head_t *answer_head;
-	struct evbuffer *answer_body; /* NULL when too large to keep */
+	struct evbuffer *answer_body; /* NULL when not kept */
 } mmx_attempt_t;
 
 typedef TAILQ_HEAD(mmx_attempt_list_t, mmx_attempt_t) mmx_attempt_list_t;
@@ -64,6 +65,10 @@
 				    size_t answer_bytes_max);
 void mmx_attempts_destroy(mmx_attempts_t *attempts);
 
+/* For tests only: without the watermark rule what is forgotten counts as new. */
+void mmx_attempts_set_guards(mmx_attempts_t *attempts,
+			     const mmx_guards_t *guards);
+
 /* Looks an attempt up and notes the entry's incarnation. */
 mmx_attempt_known_t mmx_attempts_find(mmx_attempts_t *attempts,
 				      const mmx_attempt_id_t *id,
@@ -81,10 +86,20 @@
 void mmx_attempts_end(mmx_attempts_t *attempts, mmx_attempt_t *attempt,
 		      mmx_attempt_state_t state);
 
-/* Keeps a part of the response for fencing queries, within the bounds. */
+/* From now on the response of the attempt is kept; head is copied. */
+void mmx_attempts_keep_head(mmx_attempts_t *attempts, mmx_attempt_t *attempt,
+			    const mmx_head_t *head);
+
+/*
+ * Keeps a part of the response for fencing queries. Responses of attempts that
+ * ended longest ago make room; one that is too long is dropped whole.
+ */
 void mmx_attempts_keep(mmx_attempts_t *attempts, mmx_attempt_t *attempt,
 		       struct evbuffer *part);
 
+/* Drops what is kept of a response, because it is not whole. */
+void mmx_attempts_drop_answer(mmx_attempts_t *attempts, mmx_attempt_t *attempt);
+
 /* Forgets what has passed its time. */
 void mmx_attempts_expire(mmx_attempts_t *attempts);
 
--- a/src/libmasticmux/include/private/entry.h
+++ b/src/libmasticmux/include/private/entry.h
@@ -16,6 +16,7 @@
 #include "masticmux/log.h"
 #include "masticmux/random.h"
 #include "private/filter.h"
+#include "private/guards.h"
 
 typedef struct mmx_entry_t mmx_entry_t;
 
@@ -32,6 +33,9 @@
 			     const mmx_directory_t *directory);
 bool mmx_entry_set_counters(mmx_entry_t *entry, mmx_counters_t *counters);
 
+/* For tests only; what it points to outlives the entry. */
+bool mmx_entry_set_guards(mmx_entry_t *entry, const mmx_guards_t *guards);
+
 /* Asserts that http, local exit, fold and directory were set. */
 void mmx_entry_init(mmx_entry_t *entry);
 
@@ -87,6 +91,7 @@
 const mmx_directory_t *mmx_entry_directory(const mmx_entry_t *entry);
 mmx_random_t *mmx_entry_random(mmx_entry_t *entry);
 mmx_counters_t *mmx_entry_counters(const mmx_entry_t *entry);
+const mmx_guards_t *mmx_entry_guards(const mmx_entry_t *entry);
 /* A new attempt id; the exchange is found by it from now on. */
 void mmx_entry_new_attempt(mmx_exchange_t *exchange);
 /* Posts to the exit of this node or to the peer task. */
--- a/src/libmasticmux/include/private/exit.h
+++ b/src/libmasticmux/include/private/exit.h
@@ -16,6 +16,7 @@
 #include "masticmux/counters.h"
 #include "masticmux/fold.h"
 #include "masticmux/log.h"
+#include "private/guards.h"
 #include "private/messages.h"
 
 typedef struct mmx_exit_t mmx_exit_t;
@@ -39,6 +40,12 @@
 bool mmx_exit_set_counters(mmx_exit_t *exit, mmx_counters_t *counters);
 bool mmx_exit_set_log(mmx_exit_t *exit, mmx_log_t *log);
 
+/* Bound on the ended attempts that are remembered, 1 or more. */
+bool mmx_exit_set_record_max(mmx_exit_t *exit, size_t record_max);
+
+/* For tests only; what it points to outlives the exit. */
+bool mmx_exit_set_guards(mmx_exit_t *exit, const mmx_guards_t *guards);
+
 /* Asserts that the target client was set. */
 void mmx_exit_init(mmx_exit_t *exit);
 
@@ -46,8 +53,9 @@
 mmx_task_t *mmx_exit_task(mmx_exit_t *exit);
 
 /*
- * Planned stop of a target: nothing new starts from now on, what is in
- * progress or queued is finished.
+ * Planned stop of a target: nothing new is admitted from now on, what is in
+ * progress is finished. What is queued starts within 2 s or is given back to
+ * its entry.
  *
  * Returns false when no target of that name is beside this node.
  */
--- /dev/null
+++ b/src/libmasticmux/include/private/exit_internal.h
@@ -0,0 +1,91 @@
+/* State and functions that the files of the exit share. */
+#ifndef MASTICMUX_PRIVATE_EXIT_INTERNAL_H
+#define MASTICMUX_PRIVATE_EXIT_INTERNAL_H
+
+#include "private/attempts.h"
+#include "private/exit.h"
+#include "private/exit_target.h"
+
+typedef LIST_HEAD(mmx_exit_target_list_t,
+		  mmx_exit_target_t) mmx_exit_target_list_t;
+
+struct mmx_exit_t {
+	mmx_task_t task;
+	mmx_clock_t *clock;
+	mmx_node_id_t node;
+	char node_name[MMX_NAME_MAX + 1];
+	mmx_incarnation_t incarnation;
+	bool running;
+	const mmx_guards_t *guards;
+	mmx_task_t *client;
+	const mmx_exit_observer_ops_t *observer;
+	void *observer_context;
+	const mmx_fold_t *fold;
+	mmx_log_t *log;
+	size_t record_max;
+	mmx_attempts_t *attempts;
+	mmx_exit_target_list_t targets;
+	mmx_timer_t sweep;
+	mmx_time_t last_sweep;
+	mmx_counter_t *started;
+	mmx_counter_t *refused;
+	mmx_counter_t *fenced;
+	mmx_counter_t *expired;
+};
+
+/* --- exit.c ------------------------------------------------------------ */
+
+mmx_exit_target_t *mmx_exit_find_target(const mmx_exit_t *exit,
+					mmx_target_id_t id);
+
+/* --- exit_attempt.c ---------------------------------------------------- */
+
+/* Each takes the message of an entry; execute is owned from then on. */
+void mmx_exit_on_execute(mmx_exit_t *exit, mmx_execute_t *execute);
+void mmx_exit_on_cancel(mmx_exit_t *exit, const mmx_cancel_t *cancel);
+void mmx_exit_on_fence(mmx_exit_t *exit, const mmx_fence_t *fence);
+void mmx_exit_on_origin_lost(mmx_exit_t *exit, const mmx_origin_lost_t *lost);
+
+/* Starts queued attempts while there are slots. */
+void mmx_exit_start_queued(mmx_exit_t *exit, mmx_exit_target_t *target);
+
+/* Refuses the queued attempts whose deadline has passed. */
+void mmx_exit_expire_queued(mmx_exit_t *exit, mmx_exit_target_t *target);
+
+/* Gives every queued attempt back to its entry. */
+void mmx_exit_refuse_queue(mmx_exit_t *exit, mmx_exit_target_t *target);
+
+/* Ends a queued attempt that never starts. */
+void mmx_exit_refuse_queued(mmx_exit_t *exit, mmx_attempt_t *attempt,
+			    mmx_reason_t reason);
+
+/* Ends a running attempt; frees its slot. */
+void mmx_exit_end_running(mmx_exit_t *exit, mmx_attempt_t *attempt,
+			  mmx_attempt_state_t state);
+
+/* Closes the connection to the target and ends the attempt. */
+void mmx_exit_cut_running(mmx_exit_t *exit, mmx_attempt_t *attempt);
+
+/* Cuts everything that runs at a target. */
+void mmx_exit_cut_target(mmx_exit_t *exit, mmx_exit_target_t *target);
+
+void mmx_exit_post_response(mmx_exit_t *exit, mmx_response_t *response,
+			    const mmx_exit_target_t *target,
+			    const mmx_origin_t *origin);
+void mmx_exit_post_refusal(mmx_exit_t *exit, const mmx_attempt_id_t *id,
+			   const mmx_origin_t *origin,
+			   const mmx_exit_target_t *target, mmx_reason_t reason,
+			   bool started);
+
+/* --- exit_call.c ------------------------------------------------------- */
+
+void mmx_exit_on_call_event(mmx_exit_t *exit, mmx_call_event_t *event);
+
+/* Both own the message from then on. */
+void mmx_exit_on_body(mmx_exit_t *exit, mmx_body_t *body);
+void mmx_exit_on_window(mmx_exit_t *exit, mmx_window_t *window);
+
+/* The running attempt of this id, or NULL. */
+mmx_attempt_t *mmx_exit_running(mmx_exit_t *exit, const mmx_attempt_id_t *id);
+
+#endif
--- a/src/libmasticmux/include/private/exit_target.h
+++ b/src/libmasticmux/include/private/exit_target.h
@@ -10,6 +10,11 @@
 
 /* Longest queue of one target, whatever its speed, in requests. */
 #define MMX_EXIT_QUEUE_MAX 256
+/*
+ * A leaving target gets nothing new 3 s after the announcement; the margin
+ * covers the interval of the sweep.
+ */
+#define MMX_EXIT_LEAVE_QUEUE_US (2 * MMX_US_PER_S)
 
 typedef struct mmx_exit_target_t {
 	LIST_ENTRY(mmx_exit_target_t) entry;
@@ -19,6 +24,8 @@
 	mmx_time_t warm_since; /* start of the ramp */
 	mmx_time_t warm_up;    /* length of the ramp, from the policy */
 	bool stopped;	       /* by a planned stop; outlives renewals */
+	bool leaving;	       /* stopped, draining or gone */
+	mmx_time_t leaving_since;
 	unsigned int in_progress;
 	unsigned int queued;
 	mmx_attempt_list_t queue;
@@ -52,6 +59,17 @@
 /* Notes a completed call that took this long. */
 void mmx_exit_target_note_service(mmx_exit_target_t *target, mmx_time_t took);
 
+/*
+ * True while queued requests may still start. A target that leaves works
+ * through its queue for MMX_EXIT_LEAVE_QUEUE_US; entries send the rest
+ * elsewhere. One that is gone starts nothing.
+ */
+bool mmx_exit_target_serves_queue(const mmx_exit_target_t *target,
+				  mmx_time_t now);
+
+/* Notes whether the target leaves, from its state and a planned stop. */
+void mmx_exit_target_update_leaving(mmx_exit_target_t *target, mmx_time_t now);
+
 /* Fills the report that is piggybacked on responses. */
 void mmx_exit_target_report(const mmx_exit_target_t *target,
 			    mmx_load_report_t *report);
--- a/src/test_libmasticmux/fakes.h
+++ b/src/test_libmasticmux/fakes.h
@@ -14,6 +14,7 @@
 typedef struct fake_t {
 	mmx_task_t task;
 	GString *trace;
+	mmx_node_id_t exit; /* that the latest EXECUTE was sent to */
 } fake_t;
 
 /* One case: steps separated by ';' and the trace that they must give. */
