--- a/src/test_libmasticmux/suites.c
+++ b/src/test_libmasticmux/suites.c
@@ -2,12 +2,17 @@
 
 CU_SuiteInfo mmx_test_suites[] = {
 	{"address", NULL, NULL, NULL, NULL, mmx_tests_address},
+	{"attempts", NULL, NULL, NULL, NULL, mmx_tests_attempts},
 	{"change", NULL, NULL, NULL, NULL, mmx_tests_change},
 	{"claims", NULL, NULL, NULL, NULL, mmx_tests_claims},
 	{"clock", NULL, NULL, NULL, NULL, mmx_tests_clock},
 	{"config", NULL, NULL, NULL, NULL, mmx_tests_config},
 	{"directory", NULL, NULL, NULL, NULL, mmx_tests_directory},
+	{"entry", NULL, NULL, NULL, NULL, mmx_tests_entry},
 	{"error", NULL, NULL, NULL, NULL, mmx_tests_error},
+	{"exit", NULL, NULL, NULL, NULL, mmx_tests_exit},
+	{"exit_target", NULL, NULL, NULL, NULL, mmx_tests_exit_target},
+	{"filter", NULL, NULL, NULL, NULL, mmx_tests_filter},
 	{"fold", NULL, NULL, NULL, NULL, mmx_tests_fold},
 	{"gossip", NULL, NULL, NULL, NULL, mmx_tests_gossip},
 	{"gossip_codec", NULL, NULL, NULL, NULL, mmx_tests_gossip_codec},
