Settle claims for the entry and for other nodes

Cause: claims of many nodes have to share appends, or the log service would get one per request. Change: part claims with owners by rendezvous hashing and a fallback to the own node; messages CLAIM and CLAIM_RESULT.

--- a/src/libmasticmux/include/private/messages.h
+++ b/src/libmasticmux/include/private/messages.h
@@ -10,6 +10,7 @@
  *   exit --CALL, BODY, WINDOW, CALL_CANCEL--> target_client
  *   target_client --CALL_EVENT, BODY, WINDOW--> exit
  *   announce --TARGET_ANNOUNCED--> exit
+ *   entry --CLAIM--> claims, claims --CLAIM_RESULT--> entry
  *
  * Every message is created with its mmx_new_ function, owns what it points
  * to, and is freed with mmx_message_destroy().
@@ -20,6 +21,7 @@
 #include "masticmux/directory.h"
 #include "masticmux/settings.h"
 #include "masticmux/task.h"
+#include "private/claims.h"
 #include "private/head.h"
 
 struct evbuffer;
@@ -47,6 +49,8 @@
 	MMX_MESSAGE_CALL_CANCEL,
 	MMX_MESSAGE_TARGET_ANNOUNCED,
 	MMX_MESSAGE_EVIDENCE,
+	MMX_MESSAGE_CLAIM,
+	MMX_MESSAGE_CLAIM_RESULT,
 	MMX_MESSAGE_KIND_COUNT
 } mmx_message_kind_t;
 
@@ -281,6 +285,20 @@
 	mmx_origin_t origin;
 } mmx_evidence_t;
 
+/* entry -> claims: may this attempt run for the Idempotency-Key? */
+typedef struct mmx_claim_request_t {
+	mmx_message_t message;
+	mmx_claim_t claim;
+} mmx_claim_request_t;
+
+/* claims -> entry. */
+typedef struct mmx_claim_reply_t {
+	mmx_message_t message;
+	mmx_attempt_id_t attempt; /* that asked */
+	mmx_claim_result_t result;
+	mmx_claim_holder_t holder; /* valid unless unavailable */
+} mmx_claim_reply_t;
+
 mmx_request_t *mmx_new_request(uint64_t request);
 mmx_answer_t *mmx_new_answer(uint64_t request);
 mmx_caller_gone_t *mmx_new_caller_gone(uint64_t request);
@@ -300,5 +318,8 @@
 mmx_call_cancel_t *mmx_new_call_cancel(const mmx_attempt_id_t *attempt);
 mmx_target_announced_t *mmx_new_target_announced(void);
 mmx_evidence_t *mmx_new_evidence(void);
+mmx_claim_request_t *mmx_new_claim_request(const mmx_claim_t *claim);
+mmx_claim_reply_t *mmx_new_claim_reply(const mmx_attempt_id_t *attempt,
+				       mmx_claim_result_t result);
 
 #endif
--- a/src/libmasticmux/include/private/node_parts.h
+++ b/src/libmasticmux/include/private/node_parts.h
@@ -58,6 +58,8 @@
 	mmx_time_t drain_deadline;
 	struct event *signals[2];
 	mmx_part_t *config_part;
+	mmx_part_t *claims_part;
+	mmx_task_t *claims;		  /* claims: takes CLAIM messages */
 	struct mmx_config_task_t *config; /* config */
 	const mmx_fold_t *fold;		  /* config: in force, or NULL */
 	mmx_directory_t *directory;	  /* fleet */
@@ -73,6 +75,8 @@
 
 /* The alive members may have changed: config chooses its readers anew. */
 void mmx_part_config_members_changed(mmx_node_t *node);
+/* The same: claims chooses the owners of its partitions anew. */
+void mmx_part_claims_members_changed(mmx_node_t *node);
 /* Functions of mmx_membership_ops_t; arg is the node. */
 void mmx_part_config_fill_ages(void *arg, mmx_gossip_ages_t *ages);
 void mmx_part_config_news_seen(void *arg, mmx_node_id_t from, uint64_t offset,
@@ -81,5 +85,6 @@
 mmx_part_t *mmx_part_fleet_create(mmx_node_t *node);
 mmx_part_t *mmx_part_path_create(mmx_node_t *node);
 mmx_part_t *mmx_part_config_create(mmx_node_t *node);
+mmx_part_t *mmx_part_claims_create(mmx_node_t *node);
 
 #endif
--- a/src/libmasticmux/messages.c
+++ b/src/libmasticmux/messages.c
@@ -4,11 +4,11 @@
 #include <glib.h>
 
 const char *const mmx_message_kind_string[MMX_MESSAGE_KIND_COUNT] = {
-	"request",  "answer",	   "caller-gone", "execute",
-	"response", "body",	   "window",	  "cancel",
-	"fence",    "fence-reply", "path-lost",	  "origin-lost",
-	"call",	    "call-event",  "call-cancel", "target-announced",
-	"evidence",
+	"request",  "answer",	   "caller-gone",  "execute",
+	"response", "body",	   "window",	   "cancel",
+	"fence",    "fence-reply", "path-lost",	   "origin-lost",
+	"call",	    "call-event",  "call-cancel",  "target-announced",
+	"evidence", "claim",	   "claim-result",
 };
 
 const char *const mmx_direction_string[MMX_DIRECTION_COUNT] = {
@@ -124,6 +124,8 @@
 	{"call-cancel", MMX_MESSAGE_CALL_CANCEL, destroy_plain_},
 	{"target-announced", MMX_MESSAGE_TARGET_ANNOUNCED, destroy_plain_},
 	{"evidence", MMX_MESSAGE_EVIDENCE, destroy_plain_},
+	{"claim", MMX_MESSAGE_CLAIM, destroy_plain_},
+	{"claim-result", MMX_MESSAGE_CLAIM_RESULT, destroy_plain_},
 };
 
 static void *new_(size_t size, mmx_message_kind_t kind)
@@ -282,3 +284,23 @@
 {
 	return new_(sizeof(mmx_evidence_t), MMX_MESSAGE_EVIDENCE);
 }
+
+mmx_claim_request_t *mmx_new_claim_request(const mmx_claim_t *claim)
+{
+	mmx_claim_request_t *message =
+		new_(sizeof(*message), MMX_MESSAGE_CLAIM);
+
+	message->claim = *claim;
+	return message;
+}
+
+mmx_claim_reply_t *mmx_new_claim_reply(const mmx_attempt_id_t *attempt,
+				       mmx_claim_result_t result)
+{
+	mmx_claim_reply_t *message =
+		new_(sizeof(*message), MMX_MESSAGE_CLAIM_RESULT);
+
+	message->attempt = *attempt;
+	message->result = result;
+	return message;
+}
--- a/src/libmasticmux/node.c
+++ b/src/libmasticmux/node.c
@@ -20,6 +20,7 @@
 static mmx_part_t *(*const part_table_[])(mmx_node_t *node) = {
 	mmx_part_fleet_create,
 	mmx_part_config_create,
+	mmx_part_claims_create,
 	mmx_part_path_create,
 };
 
--- a/src/libmasticmux/part_fleet.c
+++ b/src/libmasticmux/part_fleet.c
@@ -85,6 +85,7 @@
 			      member->name, "zone", member->zone, "state",
 			      mmx_member_state_string[member->state], NULL);
 	mmx_part_config_members_changed(node);
+	mmx_part_claims_members_changed(node);
 }
 
 static void conflict_(void *arg, const mmx_address_t *other)
