--- a/src/libmasticmux/announce.c
+++ b/src/libmasticmux/announce.c
@@ -68,8 +68,8 @@
 	const json_t *value = json_object_get(object, key);
 
 	if (!json_is_string(value)) {
-		mmx_error_set(error, MMX_ERROR_INVALID,
-			      "'%s' must be a string", key);
+		mmx_error_set(error, MMX_ERROR_INVALID, "'%s' must be a string",
+			      key);
 		return NULL;
 	}
 	return json_string_value(value);
@@ -160,10 +160,10 @@
 	if (!json_is_object(object))
 		return mmx_error_set(error, MMX_ERROR_INVALID,
 				     "the body must be a JSON object");
-	json_object_foreach (object, key, value)
-		if (!is_member_(key))
-			return mmx_error_set(error, MMX_ERROR_INVALID,
-					     "unknown member '%.64s'", key);
+	json_object_foreach(object, key, value) if (
+		!is_member_(key)) return mmx_error_set(error, MMX_ERROR_INVALID,
+						       "unknown member '%.64s'",
+						       key);
 	return true;
 }
 
@@ -199,8 +199,8 @@
 					   mmx_error_t *error)
 {
 	json_error_t json_error;
-	json_t *object = json_loadb(text, length, JSON_REJECT_DUPLICATES,
-				    &json_error);
+	json_t *object =
+		json_loadb(text, length, JSON_REJECT_DUPLICATES, &json_error);
 	mmx_target_announced_t *announced;
 
 	if (!object) {
@@ -256,9 +256,9 @@
 {
 	struct evbuffer *body = evhttp_request_get_input_buffer(request);
 	mmx_error_t error = {.code = MMX_ERROR_NONE};
-	mmx_target_announced_t *announced = mmx_announce_parse(
-		(const char *)evbuffer_pullup(body, -1),
-		evbuffer_get_length(body), &error);
+	mmx_target_announced_t *announced =
+		mmx_announce_parse((const char *)evbuffer_pullup(body, -1),
+				   evbuffer_get_length(body), &error);
 
 	if (announced)
 		accept_(announce, request, announced);
--- a/src/libmasticmux/exporter.c
+++ b/src/libmasticmux/exporter.c
@@ -163,10 +163,9 @@
 	}
 	drop_batch_(exporter);
 	exporter->backoff = 0;
-	mmx_timer_set(&exporter->timer,
-		      mmx_trace_queued(exporter->trace) >= BATCH_MAX
-			      ? 0
-			      : INTERVAL);
+	mmx_timer_set(
+		&exporter->timer,
+		mmx_trace_queued(exporter->trace) >= BATCH_MAX ? 0 : INTERVAL);
 }
 
 static void send_(mmx_exporter_t *exporter)
@@ -225,9 +224,9 @@
 	exporter->trace = trace;
 	exporter->node = g_strdup(node);
 	exporter->host = g_strdup(host);
-	exporter->connection = evhttp_connection_base_new(
-		mmx_runtime_base(runtime), NULL, collector->host,
-		collector->port);
+	exporter->connection =
+		evhttp_connection_base_new(mmx_runtime_base(runtime), NULL,
+					   collector->host, collector->port);
 	evhttp_connection_set_timeout(exporter->connection, TIMEOUT_S);
 	evhttp_connection_set_retries(exporter->connection, 0);
 	evhttp_connection_set_max_body_size(exporter->connection, RESPONSE_MAX);
--- a/src/libmasticmux/http_caller.c
+++ b/src/libmasticmux/http_caller.c
@@ -11,13 +11,12 @@
 #include <sys/socket.h>
 
 #include "private/http_head.h"
+#include "private/http_writer.h"
 
 /* Unread input per connection, bytes; must hold a whole head. */
 #define INPUT_MAX (32 * 1024)
 /* Output below which more of a response is asked for, bytes. */
 #define OUTPUT_LOW (64 * 1024)
-/* Smallest credit worth a message while the response flows, bytes. */
-#define CREDIT_STEP (32 * 1024)
 
 const char *const mmx_http_close_string[MMX_HTTP_CLOSE_COUNT] = {
 	"idle",	       "slow-head", "slow-body",
@@ -53,9 +52,7 @@
 	bool answered;
 	bool close_after;
 	bool closing; /* nothing more is read or written but the output */
-	mmx_http_framing_t framing;
-	uint64_t remaining; /* of the answer's body, if framed by length */
-	size_t uncredited;  /* body bytes taken and not yet granted again */
+	mmx_http_writer_t writer;
 };
 
 static struct evbuffer *input_(const mmx_http_caller_t *caller)
@@ -71,8 +68,7 @@
 static void forget_request_(mmx_http_caller_t *caller)
 {
 	if (caller->request)
-		g_hash_table_remove(caller->shared->requests,
-				    &caller->request);
+		g_hash_table_remove(caller->shared->requests, &caller->request);
 	caller->request = 0;
 }
 
@@ -82,9 +78,8 @@
 	mmx_http_shared_t *shared = caller->shared;
 
 	if (caller->request && caller->posted)
-		mmx_task_post(
-			shared->entry,
-			&mmx_new_caller_gone(caller->request)->message);
+		mmx_task_post(shared->entry,
+			      &mmx_new_caller_gone(caller->request)->message);
 	forget_request_(caller);
 }
 
@@ -162,9 +157,9 @@
 {
 	wait_t wait = current_wait_(caller);
 	mmx_time_t now;
-	bool keeps = wait == caller->wait &&
-		     (wait == WAIT_IDLE || wait == WAIT_HEAD ||
-		      wait == WAIT_LINGER);
+	bool keeps =
+		wait == caller->wait &&
+		(wait == WAIT_IDLE || wait == WAIT_HEAD || wait == WAIT_LINGER);
 
 	/* A head, once begun, gets no more time for further bytes. */
 	if (keeps)
@@ -289,7 +284,6 @@
 	caller->answered = false;
 	caller->close_after = !reader->keep_alive;
 	caller->credit = MMX_WINDOW_BYTES;
-	caller->uncredited = 0;
 	mmx_counter_add(shared->request_total, 1);
 	return true;
 }
@@ -371,8 +365,7 @@
 	forget_request_(caller);
 	caller->answered = false;
 	caller->head_method = false;
-	evbuffer_drain(caller->received,
-		       evbuffer_get_length(caller->received));
+	evbuffer_drain(caller->received, evbuffer_get_length(caller->received));
 	if (caller->close_after || unread) {
 		close_when_written_(caller);
 		return;
@@ -383,18 +376,15 @@
 
 static void grant_(mmx_http_caller_t *caller)
 {
-	size_t waiting = evbuffer_get_length(output_(caller));
-	size_t credit;
+	uint32_t credit;
 	mmx_window_t *window;
 
-	if (!caller->request || !caller->answered ||
-	    caller->uncredited <= waiting)
+	if (!caller->request || !caller->answered)
 		return;
-	credit = caller->uncredited - waiting;
-	if (credit < CREDIT_STEP && waiting > 0)
+	credit = mmx_http_writer_take_credit(&caller->writer, output_(caller));
+	if (credit == 0)
 		return;
-	caller->uncredited -= credit;
-	window = mmx_new_window(MMX_TO_CALLER, (uint32_t)credit);
+	window = mmx_new_window(MMX_TO_CALLER, credit);
 	window->request = caller->request;
 	mmx_task_post(caller->shared->entry, &window->message);
 }
@@ -406,26 +396,24 @@
 	const mmx_head_t *head = answer->head;
 	uint64_t length = evbuffer_get_length(answer->body);
 	bool known = answer->body_end;
-	bool http_10 = caller->reader.minor == 0;
 
-	caller->framing = MMX_HTTP_NO_BODY;
+	mmx_http_writer_init(&caller->writer, MMX_HTTP_NO_BODY, 0);
 	if (mmx_http_status_without_body(head->status))
 		return;
 	if (caller->head_method || !known)
 		known = mmx_http_content_length(head, &length);
-	if (caller->head_method && !known)
-		return;
-	if (known) {
-		caller->framing = caller->head_method ? MMX_HTTP_NO_BODY
-						      : MMX_HTTP_LENGTH;
-		caller->remaining = length;
+	if (known)
 		evbuffer_add_printf(out, "Content-Length: %" PRIu64 "\r\n",
 				    length);
-	} else if (http_10) {
-		caller->framing = MMX_HTTP_UNTIL_CLOSE;
+	if (caller->head_method)
+		return;
+	if (known) {
+		mmx_http_writer_init(&caller->writer, MMX_HTTP_LENGTH, length);
+	} else if (caller->reader.minor == 0) {
+		mmx_http_writer_init(&caller->writer, MMX_HTTP_UNTIL_CLOSE, 0);
 		caller->close_after = true;
 	} else {
-		caller->framing = MMX_HTTP_CHUNKED;
+		mmx_http_writer_init(&caller->writer, MMX_HTTP_CHUNKED, 0);
 		mmx_http_write_header(out, "Transfer-Encoding", "chunked");
 	}
 }
@@ -461,37 +449,18 @@
 static void write_part_(mmx_http_caller_t *caller, struct evbuffer *data,
 			bool end, bool failed)
 {
-	size_t length = evbuffer_get_length(data);
-	struct evbuffer *out = output_(caller);
-
-	if (caller->framing == MMX_HTTP_NO_BODY) {
-		evbuffer_drain(data, length);
-	} else if (caller->framing == MMX_HTTP_LENGTH) {
-		/* More or fewer bytes than announced: not the response. */
-		failed = failed || length > caller->remaining ||
-			 (end && length < caller->remaining);
-		caller->remaining -= MIN(length, caller->remaining);
-	}
-	if (failed) {
+	if (failed ||
+	    !mmx_http_writer_add(&caller->writer, data, end, output_(caller))) {
 		/* The entry has ended the request itself. */
 		if (end)
 			forget_request_(caller);
 		abort_(caller);
-		return;
-	}
-	caller->uncredited += length;
-	if (caller->framing == MMX_HTTP_CHUNKED)
-		mmx_http_write_chunk(out, data);
-	else
-		evbuffer_add_buffer(out, data);
-	if (end && caller->framing == MMX_HTTP_CHUNKED)
-		mmx_http_write_last_chunk(out);
-	if (end) {
+	} else if (end) {
 		finish_answer_(caller);
-		return;
+	} else {
+		grant_(caller);
+		update_timer_(caller);
 	}
-	grant_(caller);
-	update_timer_(caller);
 }
 
 void mmx_http_caller_answer(mmx_http_caller_t *caller, mmx_answer_t *answer)
@@ -576,13 +545,13 @@
 	}
 	switch (caller->wait) {
 	case WAIT_HEAD:
-		mmx_counter_add(caller->shared->closed[MMX_HTTP_CLOSE_SLOW_HEAD],
-				1);
+		mmx_counter_add(
+			caller->shared->closed[MMX_HTTP_CLOSE_SLOW_HEAD], 1);
 		refuse_(caller, 408, MMX_REASON_BAD_REQUEST, "slow head");
 		break;
 	case WAIT_BODY:
-		mmx_counter_add(caller->shared->closed[MMX_HTTP_CLOSE_SLOW_BODY],
-				1);
+		mmx_counter_add(
+			caller->shared->closed[MMX_HTTP_CLOSE_SLOW_BODY], 1);
 		refuse_(caller, 408, MMX_REASON_BAD_REQUEST, "slow body");
 		break;
 	case WAIT_WRITE:
@@ -607,8 +576,8 @@
 	mmx_http_reader_init(&caller->reader, MMX_HTTP_REQUEST);
 	mmx_timer_init(&caller->timer, shared->clock, on_timer_, caller);
 	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
-	caller->bev = bufferevent_socket_new(shared->base, fd,
-					     BEV_OPT_CLOSE_ON_FREE);
+	caller->bev =
+		bufferevent_socket_new(shared->base, fd, BEV_OPT_CLOSE_ON_FREE);
 	bufferevent_setcb(caller->bev, on_read_, on_write_, on_event_, caller);
 	bufferevent_setwatermark(caller->bev, EV_READ, 0, INPUT_MAX);
 	bufferevent_setwatermark(caller->bev, EV_WRITE, OUTPUT_LOW, 0);
--- a/src/libmasticmux/http_entry.c
+++ b/src/libmasticmux/http_entry.c
@@ -86,18 +86,15 @@
 	char labels[64];
 	int i;
 
-	shared->connections =
-		mmx_counters_get(counters, MMX_GAUGE,
-				 "masticmux_http_connections", "",
-				 "Open connections of callers.");
-	shared->request_total =
-		mmx_counters_get(counters, MMX_COUNTER,
-				 "masticmux_http_requests_total", "",
-				 "Requests with a valid head.");
-	shared->stale_messages =
-		mmx_counters_get(counters, MMX_COUNTER,
-				 "masticmux_http_stale_messages_total", "",
-				 "Messages for requests that had ended.");
+	shared->connections = mmx_counters_get(counters, MMX_GAUGE,
+					       "masticmux_http_connections", "",
+					       "Open connections of callers.");
+	shared->request_total = mmx_counters_get(
+		counters, MMX_COUNTER, "masticmux_http_requests_total", "",
+		"Requests with a valid head.");
+	shared->stale_messages = mmx_counters_get(
+		counters, MMX_COUNTER, "masticmux_http_stale_messages_total",
+		"", "Messages for requests that had ended.");
 	for (i = 1; i < MMX_REASON_COUNT; i++) {
 		snprintf(labels, sizeof(labels), "reason=\"%s\"",
 			 mmx_reason_string[i]);
--- a/src/libmasticmux/http_head.c
+++ b/src/libmasticmux/http_head.c
@@ -1,52 +1,13 @@
 #include "private/http_head.h"
 
-#include <event2/buffer.h>
 #include <evhtp/parser.h>
 #include <glib.h>
-#include <inttypes.h>
 #include <string.h>
 #include <strings.h>
 
 /* Decimal digits of a Content-Length that fit into 63 bits. */
 #define LENGTH_DIGITS_MAX 18
 
-typedef struct phrase_t {
-	int status;
-	const char *text;
-} phrase_t;
-
-static const phrase_t phrases_[] = {
-	{200, "OK"},
-	{201, "Created"},
-	{202, "Accepted"},
-	{204, "No Content"},
-	{206, "Partial Content"},
-	{301, "Moved Permanently"},
-	{302, "Found"},
-	{303, "See Other"},
-	{304, "Not Modified"},
-	{307, "Temporary Redirect"},
-	{308, "Permanent Redirect"},
-	{400, "Bad Request"},
-	{401, "Unauthorized"},
-	{403, "Forbidden"},
-	{404, "Not Found"},
-	{405, "Method Not Allowed"},
-	{408, "Request Timeout"},
-	{409, "Conflict"},
-	{410, "Gone"},
-	{413, "Content Too Large"},
-	{414, "URI Too Long"},
-	{417, "Expectation Failed"},
-	{422, "Unprocessable Content"},
-	{429, "Too Many Requests"},
-	{431, "Request Header Fields Too Large"},
-	{500, "Internal Server Error"},
-	{502, "Bad Gateway"},
-	{503, "Service Unavailable"},
-	{504, "Gateway Timeout"},
-};
-
 /* State of one run of the parser. */
 typedef struct parse_t {
 	mmx_http_reader_t *reader;
@@ -75,7 +36,8 @@
 
 		at += strspn(at, " \t,");
 		span = strcspn(at, ",");
-		while (span > 0 && (at[span - 1] == ' ' || at[span - 1] == '\t'))
+		while (span > 0 &&
+		       (at[span - 1] == ' ' || at[span - 1] == '\t'))
 			span--;
 		if (span == length && strncasecmp(at, token, length) == 0)
 			return true;
@@ -283,8 +245,8 @@
 	uri = head->uri + strlen(scheme);
 	host_length = strcspn(uri, "/?");
 	host = g_strndup(uri, host_length);
-	uri = g_strconcat(uri[host_length] == '/' ? "" : "/",
-			  uri + host_length, NULL);
+	uri = g_strconcat(uri[host_length] == '/' ? "" : "/", uri + host_length,
+			  NULL);
 	mmx_head_remove(head, "Host");
 	mmx_head_add(head, "Host", host);
 	g_free(host);
@@ -338,8 +300,8 @@
 	/* Both, or two of one: peers may disagree on the end of the body. */
 	if (encodings > 1 || (encodings && (lengths || reader->minor == 0)))
 		return MMX_HTTP_FAULT_ENCODING;
-	if (encodings &&
-	    strcasecmp(mmx_head_find(head, "Transfer-Encoding"), "chunked") != 0)
+	if (encodings && strcasecmp(mmx_head_find(head, "Transfer-Encoding"),
+				    "chunked") != 0)
 		return MMX_HTTP_FAULT_ENCODING;
 	if (lengths > 1 ||
 	    (lengths && !mmx_http_content_length(head, &reader->length)))
@@ -396,51 +358,3 @@
 	decide_keep_alive_(reader);
 	return true;
 }
-
-static int compare_phrases_(const void *a, const void *b)
-{
-	return ((const phrase_t *)a)->status - ((const phrase_t *)b)->status;
-}
-
-void mmx_http_write_status_line(struct evbuffer *out, int status)
-{
-	phrase_t key = {.status = status};
-	const phrase_t *phrase =
-		bsearch(&key, phrases_, G_N_ELEMENTS(phrases_),
-			sizeof(phrases_[0]), compare_phrases_);
-
-	evbuffer_add_printf(out, "HTTP/1.1 %d %s\r\n", status,
-			    phrase ? phrase->text : "");
-}
-
-void mmx_http_write_header(struct evbuffer *out, const char *name,
-			   const char *value)
-{
-	evbuffer_add(out, name, strlen(name));
-	evbuffer_add(out, ": ", 2);
-	evbuffer_add(out, value, strlen(value));
-	evbuffer_add(out, "\r\n", 2);
-}
-
-void mmx_http_write_headers(struct evbuffer *out, const mmx_head_t *head)
-{
-	const mmx_header_t *header;
-
-	STAILQ_FOREACH (header, &head->headers, entry)
-		if (strcasecmp(header->name, "Content-Length") != 0)
-			mmx_http_write_header(out, header->name, header->value);
-}
-
-void mmx_http_write_chunk(struct evbuffer *out, struct evbuffer *data)
-{
-	if (evbuffer_get_length(data) == 0)
-		return;
-	evbuffer_add_printf(out, "%zx\r\n", evbuffer_get_length(data));
-	evbuffer_add_buffer(out, data);
-	evbuffer_add(out, "\r\n", 2);
-}
-
-void mmx_http_write_last_chunk(struct evbuffer *out)
-{
-	evbuffer_add(out, "0\r\n\r\n", 5);
-}
--- a/src/libmasticmux/http_reader.c
+++ b/src/libmasticmux/http_reader.c
@@ -22,10 +22,9 @@
 };
 
 const char *const mmx_http_fault_string[MMX_HTTP_FAULT_COUNT] = {
-	"none",		  "start-line",	   "version",
-	"header",	  "host",	   "content-length",
-	"transfer-encoding", "chunk",	   "line-too-long",
-	"head-too-large", "truncated",
+	"none",		 "start-line",	   "version",		"header",
+	"host",		 "content-length", "transfer-encoding", "chunk",
+	"line-too-long", "head-too-large", "truncated",
 };
 
 const char *const mmx_http_framing_string[MMX_HTTP_FRAMING_COUNT] = {
@@ -269,8 +268,7 @@
 	free(line);
 	if (!good)
 		return fail_(reader, MMX_HTTP_FAULT_CHUNK);
-	reader->state =
-		reader->remaining ? STATE_CHUNK_DATA : STATE_TRAILER;
+	reader->state = reader->remaining ? STATE_CHUNK_DATA : STATE_TRAILER;
 	return MMX_HTTP_DATA;
 }
 
@@ -302,8 +300,8 @@
 	free(line);
 	if (length == 0)
 		return end_(reader);
-	reader->trailer_bytes += MIN(length + 2, MMX_HEAD_BYTES_MAX -
-							 reader->trailer_bytes);
+	reader->trailer_bytes +=
+		MIN(length + 2, MMX_HEAD_BYTES_MAX - reader->trailer_bytes);
 	return MMX_HTTP_DATA;
 }
 
--- a/src/libmasticmux/include/private/http_entry.h
+++ b/src/libmasticmux/include/private/http_entry.h
@@ -47,8 +47,7 @@
 				 const mmx_http_entry_timeouts_t *timeouts);
 
 /* The timeouts that are in force, to change some of them. */
-mmx_http_entry_timeouts_t
-mmx_http_entry_timeouts(const mmx_http_entry_t *http);
+mmx_http_entry_timeouts_t mmx_http_entry_timeouts(const mmx_http_entry_t *http);
 
 /* Starts to listen; port 0 takes a free one, see mmx_http_entry_port(). */
 bool mmx_http_entry_init(mmx_http_entry_t *http, const mmx_address_t *address,
--- a/src/libmasticmux/include/private/operator.h
+++ b/src/libmasticmux/include/private/operator.h
@@ -26,8 +26,7 @@
 	MMX_OPERATOR_METHOD_COUNT
 } mmx_operator_method_t;
 
-extern const char
-	*const mmx_operator_method_string[MMX_OPERATOR_METHOD_COUNT];
+extern const char *const mmx_operator_method_string[MMX_OPERATOR_METHOD_COUNT];
 
 /* One request for a registered path. */
 typedef struct mmx_operator_request_t {
--- a/src/libmasticmux/listen.c
+++ b/src/libmasticmux/listen.c
@@ -77,10 +77,9 @@
 		server, address->host, address->port);
 
 	if (!socket)
-		return mmx_error_set(error, MMX_ERROR_IO,
-				     "cannot listen on %s port %u: %s",
-				     address->host, address->port,
-				     strerror(errno));
+		return mmx_error_set(
+			error, MMX_ERROR_IO, "cannot listen on %s port %u: %s",
+			address->host, address->port, strerror(errno));
 	*port = bound_port_(evhttp_bound_socket_get_fd(socket));
 	return true;
 }
--- a/src/libmasticmux/operator.c
+++ b/src/libmasticmux/operator.c
@@ -168,8 +168,7 @@
 
 static void run_route_(const route_t *route, struct evhttp_request *request)
 {
-	json_t *query =
-		parse_query_(evhttp_request_get_evhttp_uri(request));
+	json_t *query = parse_query_(evhttp_request_get_evhttp_uri(request));
 	json_t *body = NULL;
 	json_t *answer;
 
@@ -220,9 +219,9 @@
 	server->base = mmx_runtime_base(runtime);
 	server->counters = counters;
 	SLIST_INIT(&server->routes);
-	server->heap_bytes = mmx_counters_get(
-		counters, MMX_GAUGE, "masticmux_heap_bytes", "",
-		"Memory in use by the allocator.");
+	server->heap_bytes =
+		mmx_counters_get(counters, MMX_GAUGE, "masticmux_heap_bytes",
+				 "", "Memory in use by the allocator.");
 	server->resident_bytes = mmx_counters_get(
 		counters, MMX_GAUGE, "masticmux_resident_bytes", "",
 		"Resident size of the process.");
--- a/src/libmasticmux/trace.c
+++ b/src/libmasticmux/trace.c
@@ -112,9 +112,9 @@
 	trace->sampling = THOUSAND;
 	STAILQ_INIT(&trace->queue);
 	if (counters) {
-		trace->finished = mmx_counters_get(
-			counters, MMX_COUNTER, "masticmux_spans_total", "",
-			"Spans that were finished.");
+		trace->finished = mmx_counters_get(counters, MMX_COUNTER,
+						   "masticmux_spans_total", "",
+						   "Spans that were finished.");
 		trace->dropped = mmx_counters_get(
 			counters, MMX_COUNTER, "masticmux_spans_dropped_total",
 			"", "Spans that never reached the collector.");
--- a/src/test_libmasticmux/test_http_entry.c
+++ b/src/test_libmasticmux/test_http_entry.c
@@ -15,11 +15,11 @@
 	mmx_http_entry_t *http;
 	int requests;
 	int gone;
-	bool silent;	    /* answers nothing */
-	bool grants;	    /* grants credit for what it gets */
-	uint64_t request;   /* the last one */
-	size_t body_bytes;  /* of the last one */
-	size_t credit;	    /* granted by http_entry */
+	bool silent;	   /* answers nothing */
+	bool grants;	   /* grants credit for what it gets */
+	uint64_t request;  /* the last one */
+	size_t body_bytes; /* of the last one */
+	size_t credit;	   /* granted by http_entry */
 	GString *body;
 	mmx_head_t *head;
 } fake_entry_t;
@@ -154,41 +154,72 @@
 #define OK "HTTP/1.1 200 OK\r\n"
 
 static const exchange_case_t exchanges_[] = {
-	{"get", "GET /a?b=c HTTP/1.1\r\n" HOST "\r\n",
+	{"get",
+	 "GET /a?b=c HTTP/1.1\r\n" HOST "\r\n",
 	 {OK "X-Target: t\r\nMasticmux-Outcome: completed\r\n"
 	     "Content-Length: 13\r\n\r\n<GET /a?b=c >"},
-	 1, false},
-	{"head", "HEAD /a HTTP/1.1\r\n" HOST "Connection: close\r\n\r\n",
-	 {OK, "Connection: close\r\n\r\n"}, 1, true},
-	{"length", "POST / HTTP/1.1\r\n" HOST "Content-Length: 5\r\n\r\nhello",
-	 {OK, "<POST / hello>"}, 1, false},
+	 1,
+	 false},
+	{"head",
+	 "HEAD /a HTTP/1.1\r\n" HOST "Connection: close\r\n\r\n",
+	 {OK, "Connection: close\r\n\r\n"},
+	 1,
+	 true},
+	{"length",
+	 "POST / HTTP/1.1\r\n" HOST "Content-Length: 5\r\n\r\nhello",
+	 {OK, "<POST / hello>"},
+	 1,
+	 false},
 	{"chunks, extension and trailer",
 	 "POST / HTTP/1.1\r\n" HOST "Transfer-Encoding: chunked\r\n\r\n"
 	 "3;a=b\r\nhel\r\n002\r\nlo\r\n0\r\nX-T: v\r\n\r\n",
-	 {OK, "<POST / hello>"}, 1, false},
+	 {OK, "<POST / hello>"},
+	 1,
+	 false},
 	{"pipelined requests are answered in order",
 	 "GET /1 HTTP/1.1\r\n" HOST "\r\n"
 	 "POST /2 HTTP/1.1\r\n" HOST "Content-Length: 2\r\n\r\nhi"
 	 "GET /3 HTTP/1.1\r\n" HOST "\r\n",
-	 {"<GET /1 >", "<POST /2 hi>", "<GET /3 >"}, 3, false},
+	 {"<GET /1 >", "<POST /2 hi>", "<GET /3 >"},
+	 3,
+	 false},
 	{"1.0 closes", "GET / HTTP/1.0\r\n\r\n", {OK, "<GET / >"}, 1, true},
-	{"1.0 keep-alive", "GET / HTTP/1.0\r\nConnection: keep-alive\r\n\r\n",
-	 {"Connection: keep-alive\r\n", "<GET / >"}, 1, false},
-	{"close", "GET / HTTP/1.1\r\n" HOST "Connection: a, Close\r\n\r\n",
-	 {"Connection: close\r\n", "<GET / >"}, 1, true},
-	{"absolute form", "GET http://o:1/x HTTP/1.1\r\n" HOST "\r\n",
-	 {OK, "<GET /x >"}, 1, false},
-	{"blank lines first", "\r\n\r\nGET / HTTP/1.1\r\n" HOST "\r\n",
-	 {OK, "<GET / >"}, 1, false},
+	{"1.0 keep-alive",
+	 "GET / HTTP/1.0\r\nConnection: keep-alive\r\n\r\n",
+	 {"Connection: keep-alive\r\n", "<GET / >"},
+	 1,
+	 false},
+	{"close",
+	 "GET / HTTP/1.1\r\n" HOST "Connection: a, Close\r\n\r\n",
+	 {"Connection: close\r\n", "<GET / >"},
+	 1,
+	 true},
+	{"absolute form",
+	 "GET http://o:1/x HTTP/1.1\r\n" HOST "\r\n",
+	 {OK, "<GET /x >"},
+	 1,
+	 false},
+	{"blank lines first",
+	 "\r\n\r\nGET / HTTP/1.1\r\n" HOST "\r\n",
+	 {OK, "<GET / >"},
+	 1,
+	 false},
 	{"continue",
 	 "POST / HTTP/1.1\r\n" HOST "Expect: 100-continue\r\n"
 	 "Content-Length: 1\r\n\r\n",
-	 {"HTTP/1.1 100 Continue\r\n\r\n"}, 1, false},
-	{"unusual method", "REPORT / HTTP/1.1\r\n" HOST "\r\n",
-	 {OK, "<REPORT / >"}, 1, false},
+	 {"HTTP/1.1 100 Continue\r\n\r\n"},
+	 1,
+	 false},
+	{"unusual method",
+	 "REPORT / HTTP/1.1\r\n" HOST "\r\n",
+	 {OK, "<REPORT / >"},
+	 1,
+	 false},
 	{"bad request after a good one",
 	 "GET / HTTP/1.1\r\n" HOST "\r\nGET / HTTP/1.1\r\n\r\n",
-	 {OK, "<GET / >", "HTTP/1.1 400 ", "not-run"}, 1, true},
+	 {OK, "<GET / >", "HTTP/1.1 400 ", "not-run"},
+	 1,
+	 true},
 };
 
 static bool occur_in_order_(const char *text, const char *const *expected)
@@ -316,8 +347,9 @@
 	 "bad-request"},
 	{"101 headers", GET HOST, "A: b\r\n", 100, "\r\n", "431",
 	 "header-too-large"},
-	{"17 KiB of headers", GET HOST, "Abcdefgh: 0123456789abcdef0123456789\r\n",
-	 600, "\r\n", "431", "header-too-large"},
+	{"17 KiB of headers", GET HOST,
+	 "Abcdefgh: 0123456789abcdef0123456789\r\n", 600, "\r\n", "431",
+	 "header-too-large"},
 	{"endless header", GET HOST "A: ", "aaaaaaaa", 4000, "", "431",
 	 "header-too-large"},
 	{"endless request line", "GET /", "aaaaaaaa", 4000, "", "414",
@@ -373,8 +405,8 @@
 /* Sends a mutated request and checks that the answer, if any, is complete. */
 static void send_mutated_(setup_t *setup, mmx_random_t *random)
 {
-	const exchange_case_t *seed = &exchanges_[mmx_random_below(
-		random, G_N_ELEMENTS(exchanges_))];
+	const exchange_case_t *seed =
+		&exchanges_[mmx_random_below(random, G_N_ELEMENTS(exchanges_))];
 	GString *data = g_string_new(seed->sent);
 	uint64_t changes = 1 + mmx_random_below(random, 5);
 	wire_t wire;
@@ -545,8 +577,8 @@
 	window = mmx_new_window(MMX_TO_TARGET, MMX_WINDOW_BYTES);
 	window->request = setup.entry.request;
 	mmx_task_post(mmx_http_entry_task(setup.http), &window->message);
-	CU_ASSERT_TRUE(wire_send(&wire, data,
-				 UPLOAD - MMX_WINDOW_BYTES - 1024));
+	CU_ASSERT_TRUE(
+		wire_send(&wire, data, UPLOAD - MMX_WINDOW_BYTES - 1024));
 	CU_ASSERT_TRUE(wire_expect(&wire, OK));
 	CU_ASSERT_EQUAL(setup.entry.body_bytes, UPLOAD);
 	wire_close(&wire);
--- a/src/test_libmasticmux/test_http_reader.c
+++ b/src/test_libmasticmux/test_http_reader.c
@@ -64,8 +64,7 @@
 	} while (at < length && outcome.event == MMX_HTTP_MORE);
 	outcome.fault = reader.fault;
 	outcome.left = evbuffer_get_length(input) + length - at;
-	g_string_append_len(outcome.text,
-			    (char *)evbuffer_pullup(body, -1),
+	g_string_append_len(outcome.text, (char *)evbuffer_pullup(body, -1),
 			    (gssize)evbuffer_get_length(body));
 	mmx_http_reader_finish(&reader);
 	evbuffer_free(input);
