--- a/src/libmasticmux/http_caller.c
+++ b/src/libmasticmux/http_caller.c
@@ -37,6 +37,7 @@
 	LIST_ENTRY(mmx_http_caller_t) entry;
 	mmx_http_shared_t *shared;
 	struct bufferevent *bev;
+	bool stopped; /* reading is disabled */
 	mmx_http_reader_t reader;
 	mmx_timer_t timer;
 	wait_t wait;
@@ -182,6 +183,7 @@
 
 	shutdown(bufferevent_getfd(caller->bev), SHUT_WR);
 	evbuffer_drain(input_(caller), evbuffer_get_length(input_(caller)));
+	bufferevent_enable(caller->bev, EV_READ);
 	caller->wait = WAIT_LINGER;
 	caller->deadline =
 		mmx_clock_now(shared->clock) + shared->timeouts.linger;
@@ -329,6 +331,24 @@
 	return !caller->whole && (held == 0 || held < caller->credit);
 }
 
+/*
+ * Stops reading while there is much unread input. A high watermark is no
+ * means for this: libevent 2.1.12 calls the read callback again and again
+ * while the input stays at it.
+ */
+static void limit_input_(mmx_http_caller_t *caller)
+{
+	bool stop = evbuffer_get_length(input_(caller)) >= INPUT_MAX;
+
+	if (stop == caller->stopped)
+		return;
+	caller->stopped = stop;
+	if (stop)
+		bufferevent_disable(caller->bev, EV_READ);
+	else
+		bufferevent_enable(caller->bev, EV_READ);
+}
+
 /* Reads requests as far as input, credit and order allow. */
 static void feed_(mmx_http_caller_t *caller)
 {
@@ -354,6 +374,7 @@
 out:
 	if (caller->request)
 		forward_(caller);
+	limit_input_(caller);
 	update_timer_(caller);
 }
 
@@ -579,7 +600,6 @@
 	caller->bev =
 		bufferevent_socket_new(shared->base, fd, BEV_OPT_CLOSE_ON_FREE);
 	bufferevent_setcb(caller->bev, on_read_, on_write_, on_event_, caller);
-	bufferevent_setwatermark(caller->bev, EV_READ, 0, INPUT_MAX);
 	bufferevent_setwatermark(caller->bev, EV_WRITE, OUTPUT_LOW, 0);
 	LIST_INSERT_HEAD(&shared->callers, caller, entry);
 	shared->caller_count++;
--- a/src/libmasticmux/target_connection.c
+++ b/src/libmasticmux/target_connection.c
@@ -28,7 +28,8 @@
 	struct bufferevent *bev;
 	mmx_timer_t timer; /* of the connect, the call or the idle time */
 	bool connected;
-	bool ended; /* the target has closed its side */
+	bool ended;   /* the target has closed its side */
+	bool stopped; /* reading is disabled */
 	bool in_use;
 	/* the call */
 	mmx_attempt_id_t attempt;
@@ -192,6 +193,24 @@
 	return event;
 }
 
+/*
+ * Stops reading while there is much unread input. A high watermark is no
+ * means for this: libevent 2.1.12 calls the read callback again and again
+ * while the input stays at it.
+ */
+static void limit_input_(mmx_target_connection_t *connection)
+{
+	bool stop = evbuffer_get_length(input_(connection)) >= INPUT_MAX;
+
+	if (stop == connection->stopped)
+		return;
+	connection->stopped = stop;
+	if (stop)
+		bufferevent_disable(connection->bev, EV_READ);
+	else
+		bufferevent_enable(connection->bev, EV_READ);
+}
+
 /* Reads the response as far as input and credit allow. */
 static void feed_(mmx_target_connection_t *connection)
 {
@@ -208,6 +227,7 @@
 		connection->whole = event == MMX_HTTP_END;
 		held = evbuffer_get_length(connection->received);
 	}
+	limit_input_(connection);
 	forward_(connection);
 }
 
@@ -302,7 +322,6 @@
 		BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
 	bufferevent_setcb(connection->bev, on_read_, on_write_, on_event_,
 			  connection);
-	bufferevent_setwatermark(connection->bev, EV_READ, 0, INPUT_MAX);
 	bufferevent_setwatermark(connection->bev, EV_WRITE, OUTPUT_LOW, 0);
 	evbuffer_add_cb(output_(connection), on_output_, connection);
 	LIST_INSERT_HEAD(&shared->connections, connection, entry);
--- a/src/test_libmasticmux/suites.c
+++ b/src/test_libmasticmux/suites.c
@@ -6,6 +6,7 @@
 	{"error", NULL, NULL, NULL, NULL, mmx_tests_error},
 	{"http_entry", NULL, NULL, NULL, NULL, mmx_tests_http_entry},
 	{"http_reader", NULL, NULL, NULL, NULL, mmx_tests_http_reader},
+	{"target_client", NULL, NULL, NULL, NULL, mmx_tests_target_client},
 	{"task", NULL, NULL, NULL, NULL, mmx_tests_task},
 	CU_SUITE_INFO_NULL,
 };
--- a/src/test_libmasticmux/suites.h
+++ b/src/test_libmasticmux/suites.h
@@ -9,6 +9,7 @@
 extern CU_TestInfo mmx_tests_error[];
 extern CU_TestInfo mmx_tests_http_entry[];
 extern CU_TestInfo mmx_tests_http_reader[];
+extern CU_TestInfo mmx_tests_target_client[];
 extern CU_TestInfo mmx_tests_task[];
 
 extern CU_SuiteInfo mmx_test_suites[];
--- a/src/test_libmasticmux/test_http_entry.c
+++ b/src/test_libmasticmux/test_http_entry.c
@@ -549,6 +549,8 @@
 }
 
 #define UPLOAD (4 * 1024 * 1024)
+/* More than the credit and what http_entry holds unread. */
+#define FIRST_PART (MMX_WINDOW_BYTES + 128 * 1024)
 
 static bool window_is_full_(void *arg)
 {
@@ -568,7 +570,7 @@
 	setup.entry.grants = false;
 	wire_open(&wire, &setup.fixture, mmx_http_entry_port(setup.http));
 	wire_send(&wire, head, strlen(head));
-	CU_ASSERT_TRUE(wire_send(&wire, data, MMX_WINDOW_BYTES + 1024));
+	CU_ASSERT_TRUE(wire_send(&wire, data, FIRST_PART));
 	CU_ASSERT_TRUE(
 		fixture_wait(&setup.fixture, window_is_full_, &setup.entry));
 	fixture_turn(&setup.fixture);
@@ -578,7 +580,7 @@
 	window->request = setup.entry.request;
 	mmx_task_post(mmx_http_entry_task(setup.http), &window->message);
 	CU_ASSERT_TRUE(
-		wire_send(&wire, data, UPLOAD - MMX_WINDOW_BYTES - 1024));
+		wire_send(&wire, data, UPLOAD - FIRST_PART));
 	CU_ASSERT_TRUE(wire_expect(&wire, OK));
 	CU_ASSERT_EQUAL(setup.entry.body_bytes, UPLOAD);
 	wire_close(&wire);
