--- a/src/libmasticmux/exporter.c
+++ b/src/libmasticmux/exporter.c
@@ -9,9 +9,7 @@
 #include <string.h>
 
 #define BATCH_MAX 256
-/* Spans wait this long for a batch to fill. */
 #define INTERVAL (1 * MMX_US_PER_S)
-#define BACKOFF_MIN (1 * MMX_US_PER_S)
 #define BACKOFF_MAX (60 * MMX_US_PER_S)
 #define TIMEOUT_S 10
 /* The collector's response is not read beyond its status. */
@@ -28,6 +26,8 @@
 	char *node;
 	char *host;
 	struct evhttp_connection *connection;
+	bool initialised;
+	mmx_time_t interval;
 	mmx_timer_t timer;
 	mmx_time_t backoff; /* 0 while the collector responds */
 	char *batch;	    /* JSON that was not yet delivered */
@@ -134,7 +134,7 @@
 	mmx_counter_add(exporter->failures, 1);
 	exporter->backoff = exporter->backoff
 				    ? MIN(2 * exporter->backoff, BACKOFF_MAX)
-				    : BACKOFF_MIN;
+				    : exporter->interval;
 	mmx_timer_set(&exporter->timer, exporter->backoff);
 }
 
@@ -163,9 +163,10 @@
 	}
 	drop_batch_(exporter);
 	exporter->backoff = 0;
-	mmx_timer_set(
-		&exporter->timer,
-		mmx_trace_queued(exporter->trace) >= BATCH_MAX ? 0 : INTERVAL);
+	mmx_timer_set(&exporter->timer,
+		      mmx_trace_queued(exporter->trace) >= BATCH_MAX
+			      ? 0
+			      : exporter->interval);
 }
 
 static void send_(mmx_exporter_t *exporter)
@@ -198,7 +199,7 @@
 	if (exporter->batch)
 		send_(exporter);
 	else
-		mmx_timer_set(&exporter->timer, INTERVAL);
+		mmx_timer_set(&exporter->timer, exporter->interval);
 }
 
 static void register_counters_(mmx_exporter_t *exporter,
@@ -222,6 +223,7 @@
 	assert(mmx_runtime_base(runtime) && collector->port);
 	mmx_address_format(collector, host, sizeof(host));
 	exporter->trace = trace;
+	exporter->interval = INTERVAL;
 	exporter->node = g_strdup(node);
 	exporter->host = g_strdup(host);
 	exporter->connection =
@@ -234,12 +236,27 @@
 					       HEADERS_MAX);
 	mmx_timer_init(&exporter->timer, mmx_runtime_clock(runtime), on_timer_,
 		       exporter);
-	mmx_timer_set(&exporter->timer, INTERVAL);
 	if (counters)
 		register_counters_(exporter, counters);
 	return exporter;
 }
 
+bool mmx_exporter_set_interval(mmx_exporter_t *exporter, mmx_time_t interval)
+{
+	assert(interval > 0);
+	if (exporter->initialised)
+		return false;
+	exporter->interval = interval;
+	return true;
+}
+
+void mmx_exporter_init(mmx_exporter_t *exporter)
+{
+	assert(!exporter->initialised);
+	exporter->initialised = true;
+	mmx_timer_set(&exporter->timer, exporter->interval);
+}
+
 void mmx_exporter_destroy(mmx_exporter_t *exporter)
 {
 	if (!exporter)
--- /dev/null
+++ b/src/test_libmasticmux/test_announce.c
@@ -0,0 +1,190 @@
+#include "suites.h"
+
+#include <string.h>
+
+#include "http_fixture.h"
+#include "private/announce.h"
+
+#define GOOD                                                               \
+	"{\"name\":\"t1\",\"service\":\"shop\",\"address\":\"127.0.0.1\"," \
+	"\"port\":80,\"slots\":3,\"state\":\"warm\",\"load\":0.5,"         \
+	"\"lease_ms\":3000}"
+#define WITH(name, service, address, port, slots, state, rest)            \
+	"{\"name\":" name ",\"service\":" service ",\"address\":" address \
+	",\"port\":" port ",\"slots\":" slots ",\"state\":" state "," rest "}"
+#define LEASE "\"lease_ms\":3000"
+#define T "\"t1\""
+#define S "\"shop\""
+#define A "\"127.0.0.1\""
+#define W "\"warm\""
+#define LONG "aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa"
+
+typedef struct parse_case_t {
+	const char *name;
+	const char *text;
+	const char *error; /* part of the message; NULL if valid */
+} parse_case_t;
+
+static const parse_case_t parses_[] = {
+	{"good", GOOD, NULL},
+	{"no load", WITH(T, S, A, "80", "3", W, LEASE), NULL},
+	{"IPv6", WITH(T, S, "\"::1\"", "80", "3", W, LEASE), NULL},
+	{"not JSON", "{", "not JSON"},
+	{"empty", "", "not JSON"},
+	{"two values", GOOD GOOD, "not JSON"},
+	{"repeated member", WITH(T, S, A, "80", "3", W, LEASE "," LEASE),
+	 "not JSON"},
+	{"array", "[]", "object"},
+	{"unknown member", WITH(T, S, A, "80", "3", W, LEASE ",\"x\":1"),
+	 "unknown member 'x'"},
+	{"no lease", WITH(T, S, A, "80", "3", W, "\"load\":1"), "lease_ms"},
+	{"number as name", WITH("1", S, A, "80", "3", W, LEASE), "'name'"},
+	{"empty name", WITH("\"\"", S, A, "80", "3", W, LEASE), "'name'"},
+	{"long name", WITH("\"" LONG "\"", S, A, "80", "3", W, LEASE),
+	 "'name'"},
+	{"slash in name", WITH("\"a/b\"", S, A, "80", "3", W, LEASE), "'name'"},
+	{"quote in service", WITH(T, "\"a\\\"\"", A, "80", "3", W, LEASE),
+	 "'service'"},
+	{"host name", WITH(T, S, "\"localhost\"", "80", "3", W, LEASE),
+	 "'address'"},
+	{"port 0", WITH(T, S, A, "0", "3", W, LEASE), "'port'"},
+	{"port 65536", WITH(T, S, A, "65536", "3", W, LEASE), "'port'"},
+	{"port as text", WITH(T, S, A, "\"80\"", "3", W, LEASE), "'port'"},
+	{"fraction of a slot", WITH(T, S, A, "80", "1.5", W, LEASE), "'slots'"},
+	{"no slots", WITH(T, S, A, "80", "0", W, LEASE), "'slots'"},
+	{"unknown state", WITH(T, S, A, "80", "3", "\"hot\"", LEASE),
+	 "'state'"},
+	{"negative load", WITH(T, S, A, "80", "3", W, LEASE ",\"load\":-1"),
+	 "'load'"},
+	{"short lease", WITH(T, S, A, "80", "3", W, "\"lease_ms\":99"),
+	 "lease_ms"},
+	{"long lease", WITH(T, S, A, "80", "3", W, "\"lease_ms\":600001"),
+	 "lease_ms"},
+};
+
+/* Guards against announcements that are half understood. */
+static void test_parse_(void)
+{
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(parses_); i++) {
+		const parse_case_t *item = &parses_[i];
+		mmx_error_t error = {.text = ""};
+		mmx_target_announced_t *announced = mmx_announce_parse(
+			item->text, strlen(item->text), &error);
+		bool good = item->error ? !announced && strstr(error.text,
+							       item->error)
+					: announced != NULL;
+
+		CU_ASSERT_TRUE(good);
+		if (!good)
+			printf("\n%s: %s\n", item->name, error.text);
+		if (announced)
+			mmx_message_destroy(&announced->message);
+	}
+}
+
+typedef struct fake_exit_t {
+	mmx_task_t task;
+	int count;
+	mmx_target_announced_t last;
+} fake_exit_t;
+
+static void handle_(mmx_task_t *task, mmx_message_t *message)
+{
+	fake_exit_t *exit = (fake_exit_t *)task;
+
+	CU_ASSERT_EQUAL(message->ops->kind, MMX_MESSAGE_TARGET_ANNOUNCED);
+	exit->count++;
+	exit->last = *(mmx_target_announced_t *)message;
+	mmx_message_destroy(message);
+}
+
+static const mmx_task_ops_t ops_ = {"fake_exit", handle_};
+
+typedef struct http_case_t {
+	const char *name;
+	const char *line;
+	const char *body;
+	const char *status;
+	int count; /* messages to the exit */
+	mmx_target_state_t state;
+} http_case_t;
+
+static const http_case_t https_[] = {
+	{"announce", "POST /v1/targets", GOOD, "200", 1, MMX_TARGET_WARM},
+	{"leave", "DELETE /v1/targets/t1", "", "200", 1, MMX_TARGET_GONE},
+	{"bad body", "POST /v1/targets", "{}", "400", 0, 0},
+	{"no name", "DELETE /v1/targets/", "", "400", 0, 0},
+	{"encoded name", "DELETE /v1/targets/a%2fb", "", "400", 0, 0},
+	{"delete all", "DELETE /v1/targets", "", "405", 0, 0},
+	{"read", "GET /v1/targets", "", "405", 0, 0},
+	{"other path", "POST /v1/targetsx", GOOD, "404", 0, 0},
+	{"query", "POST /v1/targets?x", GOOD, "404", 0, 0},
+};
+
+/* Guards against answers that do not say what was done. */
+static void test_http_(void)
+{
+	mmx_address_t address = {.host = "127.0.0.1"};
+	fixture_t fixture;
+	fake_exit_t exit = {.count = 0};
+	mmx_announce_t *announce;
+	size_t i;
+
+	fixture_open(&fixture);
+	mmx_task_init(&exit.task, &ops_, fixture.runtime);
+	announce = mmx_announce_create(fixture.runtime, &exit.task,
+				       fixture.counters);
+	CU_ASSERT_TRUE_FATAL(mmx_announce_init(announce, &address, NULL));
+	for (i = 0; i < G_N_ELEMENTS(https_); i++) {
+		const http_case_t *item = &https_[i];
+		char *sent = g_strdup_printf(
+			"%s HTTP/1.1\r\nHost: n\r\nConnection: close\r\n"
+			"Content-Length: %zu\r\n\r\n%s",
+			item->line, strlen(item->body), item->body);
+		char *status = g_strdup_printf("HTTP/1.1 %s ", item->status);
+		wire_t wire;
+
+		exit.count = 0;
+		wire_open(&wire, &fixture, mmx_announce_port(announce));
+		wire_send(&wire, sent, strlen(sent));
+		CU_ASSERT_TRUE(wire_expect_closed(&wire));
+		CU_ASSERT_TRUE(g_str_has_prefix(wire.in->str, status));
+		CU_ASSERT_EQUAL(exit.count, item->count);
+		if (item->count) {
+			CU_ASSERT_STRING_EQUAL(exit.last.name, "t1");
+			CU_ASSERT_EQUAL(exit.last.state, item->state);
+		}
+		wire_close(&wire);
+		g_free(sent);
+		g_free(status);
+	}
+	mmx_announce_destroy(announce);
+	fixture_close(&fixture);
+}
+
+/* Guards against announcements from other instances. */
+static void test_loopback_only_(void)
+{
+	mmx_address_t address = {.host = "0.0.0.0"};
+	fixture_t fixture;
+	fake_exit_t exit = {.count = 0};
+	mmx_announce_t *announce;
+	mmx_error_t error;
+
+	fixture_open(&fixture);
+	mmx_task_init(&exit.task, &ops_, fixture.runtime);
+	announce = mmx_announce_create(fixture.runtime, &exit.task, NULL);
+	CU_ASSERT_FALSE(mmx_announce_init(announce, &address, &error));
+	CU_ASSERT_PTR_NOT_NULL(strstr(error.text, "not loopback"));
+	mmx_announce_destroy(announce);
+	fixture_close(&fixture);
+}
+
+CU_TestInfo mmx_tests_announce[] = {
+	{"bodies", test_parse_},
+	{"requests", test_http_},
+	{"loopback only", test_loopback_only_},
+	CU_TEST_INFO_NULL,
+};
--- a/src/test_libmasticmux/test_http_entry.c
+++ b/src/test_libmasticmux/test_http_entry.c
@@ -579,8 +579,7 @@
 	window = mmx_new_window(MMX_TO_TARGET, MMX_WINDOW_BYTES);
 	window->request = setup.entry.request;
 	mmx_task_post(mmx_http_entry_task(setup.http), &window->message);
-	CU_ASSERT_TRUE(
-		wire_send(&wire, data, UPLOAD - FIRST_PART));
+	CU_ASSERT_TRUE(wire_send(&wire, data, UPLOAD - FIRST_PART));
 	CU_ASSERT_TRUE(wire_expect(&wire, OK));
 	CU_ASSERT_EQUAL(setup.entry.body_bytes, UPLOAD);
 	wire_close(&wire);
--- /dev/null
+++ b/src/test_libmasticmux/test_operator.c
@@ -0,0 +1,101 @@
+#include "suites.h"
+
+#include <string.h>
+
+#include "http_fixture.h"
+#include "private/operator.h"
+
+typedef struct operator_case_t {
+	const char *name;
+	const char *line;
+	const char *body;
+	const char *status;
+	const char *expected; /* part of the response */
+} operator_case_t;
+
+static const operator_case_t cases_[] = {
+	{"metrics", "GET /metrics", "", "200",
+	 "# TYPE masticmux_resident_bytes gauge\nmasticmux_resident_bytes "},
+	{"health", "GET /healthz", "", "200", "ok\n"},
+	{"query", "GET /echo?id=a%20b&x=", "", "200", "\"id\": \"a b\""},
+	{"body", "POST /stop", "{\"target\":\"t1\"}", "202",
+	 "\"target\": \"t1\""},
+	{"bad body", "POST /stop", "{", "400", "not JSON"},
+	{"handler finds nothing", "GET /nothing", "", "404", "not found"},
+	{"no such path", "GET /else", "", "404", "no such path"},
+	{"other method", "GET /stop", "", "405", "method not allowed"},
+	{"bad query", "GET /echo?a&&=b", "", "400", "malformed query"},
+};
+
+static json_t *echo_(mmx_operator_request_t *request, void *context)
+{
+	return json_deep_copy(request->query);
+}
+
+static json_t *stop_(mmx_operator_request_t *request, void *context)
+{
+	request->status = 202;
+	return json_deep_copy(request->body);
+}
+
+static json_t *nothing_(mmx_operator_request_t *request, void *context)
+{
+	return NULL;
+}
+
+static void run_(fixture_t *fixture, mmx_operator_t *server,
+		 const operator_case_t *item)
+{
+	char *sent = g_strdup_printf(
+		"%s HTTP/1.1\r\nHost: n\r\nConnection: close\r\n"
+		"Content-Length: %zu\r\n\r\n%s",
+		item->line, strlen(item->body), item->body);
+	char *status = g_strdup_printf("HTTP/1.1 %s ", item->status);
+	wire_t wire;
+	bool good;
+
+	wire_open(&wire, fixture, mmx_operator_port(server));
+	wire_send(&wire, sent, strlen(sent));
+	good = wire_expect_closed(&wire) &&
+	       g_str_has_prefix(wire.in->str, status) &&
+	       strstr(wire.in->str, item->expected);
+	CU_ASSERT_TRUE(good);
+	if (!good)
+		printf("\n%s: %s\n", item->name, wire.in->str);
+	wire_close(&wire);
+	g_free(sent);
+	g_free(status);
+}
+
+/* Guards against operators that read a wrong status or no reason. */
+static void test_requests_(void)
+{
+	static const operator_case_t draining = {"draining", "GET /healthz", "",
+						 "503", "draining\n"};
+	mmx_address_t address = {.host = "127.0.0.1"};
+	fixture_t fixture;
+	mmx_operator_t *server;
+	size_t i;
+
+	fixture_open(&fixture);
+	server = mmx_operator_create(fixture.runtime, fixture.counters);
+	mmx_operator_register(server, MMX_OPERATOR_GET, "/echo", echo_, NULL);
+	mmx_operator_register(server, MMX_OPERATOR_POST, "/stop", stop_, NULL);
+	mmx_operator_register(server, MMX_OPERATOR_GET, "/nothing", nothing_,
+			      NULL);
+	CU_ASSERT_TRUE_FATAL(mmx_operator_init(server, &address, NULL));
+	for (i = 0; i < G_N_ELEMENTS(cases_); i++)
+		run_(&fixture, server, &cases_[i]);
+	mmx_operator_set_draining(server, true);
+	run_(&fixture, server, &draining);
+	CU_ASSERT_TRUE(mmx_counters_get(fixture.counters, MMX_GAUGE,
+					"masticmux_heap_bytes", "", "")
+			       ->value > 0);
+	mmx_operator_destroy(server);
+	fixture_close(&fixture);
+}
+
+CU_TestInfo mmx_tests_operator[] = {
+	{"requests", test_requests_},
+	CU_TEST_INFO_NULL,
+};
--- a/src/test_libmasticmux/test_target_client.c
+++ b/src/test_libmasticmux/test_target_client.c
@@ -103,8 +103,8 @@
 	target->accepted++;
 	g_string_truncate(target->received, 0);
 	target->received_bytes = 0;
-	target->newest = bufferevent_socket_new(target->base, fd,
-						BEV_OPT_CLOSE_ON_FREE);
+	target->newest =
+		bufferevent_socket_new(target->base, fd, BEV_OPT_CLOSE_ON_FREE);
 	bufferevent_setcb(target->newest, on_target_read_, NULL,
 			  on_target_event_, target);
 	bufferevent_enable(target->newest, EV_READ | EV_WRITE);
@@ -353,8 +353,7 @@
 	return finish_(setup) && exit->broken == item->broken &&
 	       exit->heads == (item->result == MMX_CALL_HEAD) &&
 	       exit->failed == (item->result == MMX_CALL_FAILED) &&
-	       exit->not_sent == 0 &&
-	       strcmp(exit->body->str, item->body) == 0;
+	       exit->not_sent == 0 && strcmp(exit->body->str, item->body) == 0;
 }
 
 /* Guards against a broken response that passes as whole, and against a
@@ -450,11 +449,9 @@
 	mmx_call_t *call;
 
 	create_(&setup);
-	CU_ASSERT_TRUE(
-		mmx_target_client_set_connections_max(setup.client, 1));
+	CU_ASSERT_TRUE(mmx_target_client_set_connections_max(setup.client, 1));
 	mmx_target_client_init(setup.client);
-	CU_ASSERT_FALSE(
-		mmx_target_client_set_connections_max(setup.client, 2));
+	CU_ASSERT_FALSE(mmx_target_client_set_connections_max(setup.client, 2));
 	call = new_call_(&setup, "GET");
 	call->address.port = 1;
 	post_(&setup, call);
