--- a/src/test_libmasticmux/suites.c
+++ b/src/test_libmasticmux/suites.c
@@ -2,6 +2,7 @@
 
 CU_SuiteInfo mmx_test_suites[] = {
 	{"address", NULL, NULL, NULL, NULL, mmx_tests_address},
+	{"announce", NULL, NULL, NULL, NULL, mmx_tests_announce},
 	{"attempts", NULL, NULL, NULL, NULL, mmx_tests_attempts},
 	{"change", NULL, NULL, NULL, NULL, mmx_tests_change},
 	{"claims", NULL, NULL, NULL, NULL, mmx_tests_claims},
@@ -12,6 +13,7 @@
 	{"error", NULL, NULL, NULL, NULL, mmx_tests_error},
 	{"exit", NULL, NULL, NULL, NULL, mmx_tests_exit},
 	{"exit_target", NULL, NULL, NULL, NULL, mmx_tests_exit_target},
+	{"exporter", NULL, NULL, NULL, NULL, mmx_tests_exporter},
 	{"filter", NULL, NULL, NULL, NULL, mmx_tests_filter},
 	{"fold", NULL, NULL, NULL, NULL, mmx_tests_fold},
 	{"gossip", NULL, NULL, NULL, NULL, mmx_tests_gossip},
@@ -22,6 +24,7 @@
 	{"http_reader", NULL, NULL, NULL, NULL, mmx_tests_http_reader},
 	{"membership", NULL, NULL, NULL, NULL, mmx_tests_membership},
 	{"mutation", NULL, NULL, NULL, NULL, mmx_tests_mutation},
+	{"operator", NULL, NULL, NULL, NULL, mmx_tests_operator},
 	{"peer", NULL, NULL, NULL, NULL, mmx_tests_peer},
 	{"policy", NULL, NULL, NULL, NULL, mmx_tests_policy},
 	{"publish", NULL, NULL, NULL, NULL, mmx_tests_publish},
@@ -30,7 +33,9 @@
 	{"session", NULL, NULL, NULL, NULL, mmx_tests_session},
 	{"settings", NULL, NULL, NULL, NULL, mmx_tests_settings},
 	{"snapshot", NULL, NULL, NULL, NULL, mmx_tests_snapshot},
+	{"target_client", NULL, NULL, NULL, NULL, mmx_tests_target_client},
 	{"task", NULL, NULL, NULL, NULL, mmx_tests_task},
+	{"trace", NULL, NULL, NULL, NULL, mmx_tests_trace},
 	{"wire", NULL, NULL, NULL, NULL, mmx_tests_wire},
 	CU_SUITE_INFO_NULL,
 };
