--- a/src/libmasticmux/peer.c
+++ b/src/libmasticmux/peer.c
@@ -312,19 +312,19 @@
 
 static uint16_t bound_port_(int fd)
 {
-	struct sockaddr_storage storage;
-	socklen_t size = sizeof(storage);
+	/* The port is at the same place in both families. */
+	struct sockaddr_in6 address = {.sin6_port = 0};
+	socklen_t size = sizeof(address);
 
-	if (getsockname(fd, (struct sockaddr *)&storage, &size) != 0)
+	if (getsockname(fd, (struct sockaddr *)&address, &size) != 0)
 		return 0;
-	/* The port is at the same place in both families. */
-	return ntohs(((struct sockaddr_in *)&storage)->sin_port);
+	return ntohs(address.sin6_port);
 }
 
 bool mmx_peer_start(mmx_peer_t *peer, mmx_error_t *error)
 {
 	const mmx_address_t *listen = &peer->config.listen;
-	struct sockaddr_storage storage;
+	struct sockaddr_storage storage = {0};
 	socklen_t size;
 
 	assert(!peer->listener);
--- a/src/libmasticmux/peer_link.c
+++ b/src/libmasticmux/peer_link.c
@@ -103,8 +103,8 @@
 {
 	mmx_time_t received = mmx_connection_received_at(link->connection);
 	mmx_time_t start = MAX(received, link->resumed_at);
-	mmx_time_t left = link->peer->times.origin;
-	mmx_close_reason_t reason = MMX_CLOSE_LOCAL;
+	mmx_close_reason_t reason;
+	mmx_time_t left;
 
 	if (!link->ready) {
 		left = link->created_at + link->peer->times.greeting - now;
--- a/src/libmasticmux/session.c
+++ b/src/libmasticmux/session.c
@@ -217,7 +217,7 @@
 	if (identity->key_count == 0)
 		return key_id[0] == '\0';
 	if (session->side == MMX_SESSION_CLIENT)
-		return strcmp(session->key->id, key_id) == 0;
+		return session->key && strcmp(session->key->id, key_id) == 0;
 	for (i = 0; i < identity->key_count; i++) {
 		if (strcmp(identity->keys[i].id, key_id) != 0)
 			continue;
--- a/src/libmasticmux/wire.c
+++ b/src/libmasticmux/wire.c
@@ -218,11 +218,11 @@
 
 	if (!word_(xdrs, &status, 999, "status out of range"))
 		return false;
-	if (status == 0)
-		return !*head || refuse_(xdrs, "status out of range");
+	if (status == 0 && !*head)
+		return true;
 	if (status < 100)
 		return refuse_(xdrs, "status out of range");
-	if (xdrs->x_op == XDR_DECODE)
+	if (!*head)
 		*head = mmx_head_create_response((int)status);
 	return headers_(xdrs, *head);
 }
@@ -450,7 +450,7 @@
 {
 	size_t length = evbuffer_get_length(args);
 	size_t padded;
-	uint32_t word;
+	uint32_t word = 0;
 
 	if (evbuffer_copyout(args, &word, UNIT) < UNIT)
 		return mmx_error_set(error, MMX_ERROR_INVALID, "truncated");
@@ -507,8 +507,8 @@
 	const form_t *form = &forms_[kind];
 	uint32_t body_max = form->body ? MMX_WIRE_BODY_MAX : 0;
 	mmx_message_t *message;
-	size_t fields;
-	uint32_t body;
+	size_t fields = 0;
+	uint32_t body = 0;
 
 	assert(form->filter);
 	if (!split_(args, body_max, &body, &fields, error))
@@ -556,8 +556,8 @@
 {
 	const char *reason = NULL;
 	uint8_t *start;
-	uint32_t body;
-	size_t size;
+	uint32_t body = 0;
+	size_t size = 0;
 	bool done;
 	XDR xdrs;
 
@@ -586,8 +586,8 @@
 
 bool mmx_wire_decode_bytes(struct evbuffer *args, mmx_error_t *error)
 {
-	uint32_t body;
-	size_t fields;
+	uint32_t body = 0;
+	size_t fields = 0;
 
 	if (!split_(args, MMX_WIRE_BYTES_MAX, &body, &fields, error))
 		return false;
