--- a/src/libmasticmux/connection.c
+++ b/src/libmasticmux/connection.c
@@ -85,9 +85,10 @@
 		return;
 	}
 	evbuffer_drain(parts->rest, evbuffer_get_length(parts->rest));
+	/* The owner may close it here; then no HELLO goes back. */
+	connection->config.ops->ready(connection, connection->config.owner);
 	if (!client)
 		say_hello_(connection, true, header->xid);
-	connection->config.ops->ready(connection, connection->config.owner);
 }
 
 static void on_record_(mmx_connection_t *connection)
--- a/src/libmasticmux/include/private/connection.h
+++ b/src/libmasticmux/include/private/connection.h
@@ -46,7 +46,8 @@
 typedef struct mmx_connection_t mmx_connection_t;
 
 typedef struct mmx_connection_ops_t {
-	/* The session is open. */
+	/* The session is open; nothing may be sent from inside this by the
+	 * side that accepted, whose HELLO follows. */
 	void (*ready)(mmx_connection_t *connection, void *owner);
 	/* A verified record; args follow the header and belong to the caller. */
 	void (*record)(mmx_connection_t *connection, void *owner,
--- a/src/test_libmasticmux/peer_world.h
+++ b/src/test_libmasticmux/peer_world.h
@@ -44,12 +44,12 @@
 	size_t key_count_a;
 	const mmx_fleet_key_t *keys_b;
 	size_t key_count_b;
-	const mmx_peer_times_t *times; /* NULL: short ones */
+	const mmx_peer_times_t *times; /* NULL: mmx_test_times */
 	bool relay;
 } mmx_test_options_t;
 
-/* Long limits but for what the faults need, so that no limit is reached only
- * because the machine is busy. */
+/* Long limits, so that none is reached only because the machine is busy; tests
+ * shorten the one that they are about. */
 extern const mmx_peer_times_t mmx_test_times;
 
 mmx_test_world_t *mmx_test_world_create(const mmx_test_options_t *options);
--- a/src/test_libmasticmux/test_peer_faults.c
+++ b/src/test_libmasticmux/test_peer_faults.c
@@ -98,10 +98,18 @@
  */
 static void test_silent_connection_(void)
 {
-	mmx_test_world_t *world = mmx_test_world_create(&relayed_);
-	mmx_execute_t *execute = mmx_test_deliver(world, 1);
+	mmx_test_options_t options = relayed_;
+	mmx_peer_times_t times = mmx_test_times;
+	mmx_test_world_t *world;
+	mmx_execute_t *execute;
 	mmx_origin_t origin;
 
+	/* Longer than what counts as a pause of the process. */
+	times.path = 200 * MMX_US_PER_MS;
+	options.times = &times;
+	world = mmx_test_world_create(&options);
+	execute = mmx_test_deliver(world, 1);
+
 	mmx_test_relay_freeze(world->relay);
 	expect_path_lost_(world, false);
 	post_(world, &mmx_test_fence(1)->message);
@@ -261,7 +269,8 @@
 	const char *what;
 	const uint8_t *bytes;
 	size_t length;
-	const char *reason; /* counted by node b */
+	const char *reason;  /* counted by node b */
+	mmx_time_t greeting; /* time limit of node b */
 } raw_case_t;
 
 /* A NULL call without HELLO. */
@@ -273,14 +282,16 @@
 
 static const raw_case_t raws_[] = {
 	{"garbage", (const uint8_t *)"\x80\0\0\x08garbage!", 12,
-	 "reason=\"malformed\""},
+	 "reason=\"malformed\"", 10 * MMX_US_PER_S},
 	{"HTTP", (const uint8_t *)"GET / HTTP/1.1\r\n\r\n", 18,
-	 "reason=\"oversize\""},
+	 "reason=\"oversize\"", 10 * MMX_US_PER_S},
 	{"oversize record", (const uint8_t *)"\x80\x10\0\x01", 4,
-	 "reason=\"oversize\""},
-	{"call before HELLO", early_, sizeof(early_), "reason=\"session\""},
-	{"half a record, then silence", early_, 20, "reason=\"timeout\""},
-	{"silence", NULL, 0, "reason=\"timeout\""},
+	 "reason=\"oversize\"", 10 * MMX_US_PER_S},
+	{"call before HELLO", early_, sizeof(early_), "reason=\"session\"",
+	 10 * MMX_US_PER_S},
+	{"half a record, then silence", early_, 20, "reason=\"timeout\"",
+	 50 * MMX_US_PER_MS},
+	{"silence", NULL, 0, "reason=\"timeout\"", 50 * MMX_US_PER_MS},
 };
 
 /* Guards against clients that are no nodes: each is closed and counted. */
@@ -293,10 +304,10 @@
 	struct bufferevent *client;
 	size_t i;
 
-	times.greeting = 50 * MMX_US_PER_MS;
 	options.times = &times;
 	address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
 	for (i = 0; i < G_N_ELEMENTS(raws_); i++) {
+		times.greeting = raws_[i].greeting;
 		world = mmx_test_world_create(&options);
 		address.sin_port = htons(mmx_peer_port(world->b.peer));
 		client = bufferevent_socket_new(world->base, -1,
@@ -398,6 +409,64 @@
 	mmx_test_world_destroy(world);
 }
 
+/*
+ * Guards against a pause of this process that is taken for a fault of the
+ * path: bytes that arrived meanwhile have only not been read yet.
+ */
+static void test_paused_process_(void)
+{
+	mmx_test_options_t options = relayed_;
+	mmx_peer_times_t times = mmx_test_times;
+	mmx_test_world_t *world;
+	int64_t nulls;
+
+	times.path = 200 * MMX_US_PER_MS;
+	options.times = &times;
+	world = mmx_test_world_create(&options);
+	mmx_message_destroy(&mmx_test_deliver(world, 1)->message);
+	nulls = mmx_test_counter(&world->a, "masticmux_peer_null_calls_total",
+				 "");
+	/* The sleep is the fault; nothing is waited for. */
+	g_usleep(2 * 200 * G_USEC_PER_SEC / 1000);
+	mmx_test_until(world, &world->a, "masticmux_peer_null_calls_total", "",
+		       nulls + 3);
+	CU_ASSERT_EQUAL(mmx_test_counter(&world->a,
+					 "masticmux_peer_path_lost_total", ""),
+			0);
+	mmx_test_world_destroy(world);
+}
+
+/* Guards against two processes that act under one name: the earlier one is
+ * refused where the later one is connected. */
+static void test_two_processes_(void)
+{
+	mmx_test_world_t *world = mmx_test_world_create(&relayed_);
+	mmx_peer_config_t config = {
+		.node_name = world->a.name,
+		.incarnation = MMX_TEST_INCARNATION - 1,
+		.keys = &key_,
+		.key_count = 1,
+		.resolver = &world->a.resolver,
+		.entry = &world->a.entry.task,
+		.exit = &world->a.exit.task,
+		.counters = world->a.counters,
+		.random = &world->random,
+		.times = &mmx_test_times,
+	};
+	mmx_peer_t *earlier = mmx_peer_create(world->runtime, &config);
+	mmx_execute_t *execute = mmx_test_deliver(world, 1);
+
+	mmx_message_destroy(&execute->message);
+	execute = mmx_test_execute(2);
+	execute->attempt.incarnation--;
+	mmx_task_post(mmx_peer_task(earlier), &execute->message);
+	mmx_test_until(world, &world->b, SESSION, "reason=\"old-incarnation\"",
+		       1);
+	CU_ASSERT_EQUAL(world->b.exit.count, 0);
+	mmx_peer_destroy(earlier);
+	mmx_test_world_destroy(world);
+}
+
 CU_TestInfo mmx_tests_peer_faults[] = {
 	{"a silent connection is replaced", test_silent_connection_},
 	{"a response follows the fence", test_response_after_fence_},
@@ -411,5 +480,7 @@
 	{"idle connections are closed", test_idle_},
 	{"foreign attempts are refused", test_foreign_attempt_},
 	{"long heads are refused", test_long_heads_},
+	{"a pause is no fault of the path", test_paused_process_},
+	{"the earlier of two processes is refused", test_two_processes_},
 	CU_TEST_INFO_NULL,
 };
