--- a/src/test_libmasticmux/suites.h
+++ b/src/test_libmasticmux/suites.h
@@ -5,13 +5,18 @@
 #include <CUnit/CUnit.h>
 
 extern CU_TestInfo mmx_tests_address[];
+extern CU_TestInfo mmx_tests_attempts[];
 extern CU_TestInfo mmx_tests_change[];
 extern CU_TestInfo mmx_tests_change_json[];
 extern CU_TestInfo mmx_tests_claims[];
 extern CU_TestInfo mmx_tests_clock[];
 extern CU_TestInfo mmx_tests_config[];
 extern CU_TestInfo mmx_tests_directory[];
+extern CU_TestInfo mmx_tests_entry[];
 extern CU_TestInfo mmx_tests_error[];
+extern CU_TestInfo mmx_tests_exit[];
+extern CU_TestInfo mmx_tests_exit_target[];
+extern CU_TestInfo mmx_tests_filter[];
 extern CU_TestInfo mmx_tests_fold[];
 extern CU_TestInfo mmx_tests_gossip[];
 extern CU_TestInfo mmx_tests_gossip_codec[];
