Test the decision modules

Cause: the modules had no tests. Change: tables for latency, detection, path, ejection, balance and retry; the floor is checked after every random operation and with the guard off. An abandoned request that was old keeps its target suspect until trials.

--- a/bench/bench_detection.c
+++ b/bench/bench_detection.c
@@ -32,8 +32,8 @@
 };
 
 static const char *const fault_string_[FAULT_COUNT] = {
-	"stall",	"slow-5x",	"errors-20%",	"flapping",
-	"one-way-loss", "service-slow", "heavy-tailed",
+	"stall",	"slow-5x",	"errors-20%",  "flapping",
+	"one-way-loss", "service-slow", "heavy-stall", "heavy-tailed",
 };
 
 typedef struct contender_t {
--- a/bench/model/model.c
+++ b/bench/model/model.c
@@ -79,9 +79,15 @@
 	return -mean * log(1.0 - mmx_random_unit(&model->random));
 }
 
+static bool is_heavy_(const model_t *model)
+{
+	return model->options.fault == FAULT_HEAVY ||
+	       model->options.fault == FAULT_HEAVY_STALL;
+}
+
 static double service_time_(model_t *model)
 {
-	bool heavy = model->options.fault == FAULT_HEAVY;
+	bool heavy = is_heavy_(model);
 	double exponent = heavy ? HEAVY_EXPONENT : TAIL_EXPONENT;
 	double unit = mmx_random_unit(&model->random);
 	double radius;
@@ -509,6 +515,7 @@
 	targets[0].bad_until = MMX_TIME_NEVER;
 	switch (model->options.fault) {
 	case FAULT_STALL:
+	case FAULT_HEAVY_STALL:
 		set_stalled_(model, &targets[0], true);
 		break;
 	case FAULT_SLOW:
--- a/bench/model/model.h
+++ b/bench/model/model.h
@@ -51,6 +51,7 @@
 	FAULT_FLAP,
 	FAULT_ONE_WAY,
 	FAULT_SERVICE_SLOW,
+	FAULT_HEAVY_STALL, /* a stall in heavy-tailed traffic */
 	FAULT_HEAVY,
 	FAULT_COUNT
 } fault_t;
--- a/include/masticmux/detection.h
+++ b/include/masticmux/detection.h
@@ -68,7 +68,8 @@
 	double drift;	/**< evidence per request that is expected, nats */
 	double suspect; /**< score from which a target is suspect, nats */
 	double failing; /**< score from which a target is failing, nats */
-	double single;	/**< most that a single request contributes, nats */
+	double stuck;  /**< age of requests that makes a target suspect, nats */
+	double single; /**< most that a single request contributes, nats */
 } mmx_detection_limits_t;
 
 /**
--- a/src/libmasticmux/detection.c
+++ b/src/libmasticmux/detection.c
@@ -14,12 +14,24 @@
 #define FAILING_FAST 24.0
 /* Suspicion only changes the order of choice, so it may come earlier. */
 #define SUSPECT_SHARE 0.6
-/* A single request must not make a target suspect, however old it is. */
+/* However old, a single request must not make a target failing, but two may:
+ * a target that others avoid already gets few more. */
 #define SINGLE_SHARE 0.6
+/* Age of requests in progress from which a target is suspect, above the
+ * drift. One request in 4e5 (weight 0) or 2e3 (weight 100) of a healthy
+ * target gets that old. A stalled target may hold a single request only, so
+ * waiting for a second one would mean to send it. */
+#define STUCK_CAREFUL 10.0
+#define STUCK_FAST 5.5
 /* Bounds how much good evidence a recovered target needs. */
 #define SCORE_MAX_SHARE 1.5
 /* Hysteresis keeps a score near a threshold from changing the level often. */
 #define CLEAR_SHARE 0.5
+/* An old request that never completed keeps its target suspect for this time,
+ * unless trials clear it before. */
+#define HOLD_US (60 * MMX_US_PER_S)
+/* Below it, so that trials clear the level. */
+#define CLEARED_SHARE 0.45
 /* The score halves in this time. While the target is suspect requests are
  * rare, and time alone must not bring it back before trials do. */
 #define DECAY_HALF_LIFE_US (10 * MMX_US_PER_S)
@@ -59,10 +71,13 @@
 	double error_step;
 	double success_step;
 	double score;
+	double age;
 	mmx_suspicion_t level;
 	mmx_evidence_t evidence;
 	mmx_time_t evaluated;
 	uint8_t trials;
+	mmx_time_t hold_until; /* suspect until then; 0: no hold */
+	double held;	       /* evidence of the request that holds */
 	bool refused;
 	bool cleared;
 };
@@ -76,6 +91,7 @@
 	limits->failing =
 		FAILING_CAREFUL + fast * (FAILING_FAST - FAILING_CAREFUL);
 	limits->suspect = SUSPECT_SHARE * limits->failing;
+	limits->stuck = STUCK_CAREFUL + fast * (STUCK_FAST - STUCK_CAREFUL);
 	limits->single = SINGLE_SHARE * limits->failing;
 }
 
@@ -151,11 +167,16 @@
 	return fmin(fmax(score, 0), most);
 }
 
+/* What is left of a score makes a target that fails again suspect sooner. */
 static void clear_(mmx_detection_t *detection)
 {
-	detection->latency = 0;
-	detection->errors = 0;
+	double left = CLEARED_SHARE * detection->limits.suspect;
+
+	detection->latency = fmin(detection->latency, left);
+	detection->errors = fmin(detection->errors, left);
 	detection->refused = false;
+	detection->hold_until = 0;
+	detection->held = 0;
 	detection->trials = 0;
 	detection->cleared = true;
 }
@@ -187,13 +208,16 @@
 	if (result != MMX_RESULT_SUCCESS)
 		excess = fmax(excess, 0);
 	detection->latency = bounded_(detection, detection->latency + excess);
+	if (result == MMX_RESULT_ABANDONED && excess >= detection->limits.stuck)
+		detection->hold_until =
+			mmx_clock_now(detection->clock) + HOLD_US;
 	if (result == MMX_RESULT_ERROR)
 		detection->errors = bounded_(
 			detection, detection->errors + detection->error_step);
 	if (result == MMX_RESULT_SUCCESS)
 		detection->errors = bounded_(
 			detection, detection->errors + detection->success_step);
-	if (request->trial || detection->refused)
+	if (request->trial || detection->refused || detection->hold_until)
 		count_trial_(detection, good);
 	return good;
 }
@@ -248,28 +272,33 @@
 
 	if (detection->score >= limits->failing)
 		return MMX_SUSPICION_FAILING;
-	if (detection->score < CLEAR_SHARE * limits->suspect)
+	if (detection->level == MMX_SUSPICION_HEALTHY) {
+		if (detection->score >= limits->suspect ||
+		    detection->age >= limits->stuck || detection->hold_until)
+			return MMX_SUSPICION_SUSPECT;
+		return MMX_SUSPICION_HEALTHY;
+	}
+	if (!detection->hold_until &&
+	    detection->score < CLEAR_SHARE * limits->suspect &&
+	    detection->age < CLEAR_SHARE * limits->stuck)
 		return MMX_SUSPICION_HEALTHY;
-	if (detection->level != MMX_SUSPICION_HEALTHY)
-		return detection->level;
-	return detection->score >= limits->suspect ? MMX_SUSPICION_SUSPECT
-						   : MMX_SUSPICION_HEALTHY;
+	return detection->level;
 }
 
-static mmx_evidence_kind_t score_(mmx_detection_t *detection, double age)
+static mmx_evidence_kind_t score_(mmx_detection_t *detection)
 {
-	double latency = bounded_(detection, detection->latency + age);
-	double most = SCORE_MAX_SHARE * detection->limits.failing;
+	double latency =
+		bounded_(detection, detection->latency + detection->age);
 
 	if (detection->refused) {
-		detection->score = most;
+		detection->score = SCORE_MAX_SHARE * detection->limits.failing;
 		return MMX_EVIDENCE_REFUSED;
 	}
 	detection->score = fmax(latency, detection->errors);
 	if (detection->errors > latency)
 		return MMX_EVIDENCE_ERRORS;
-	return age > detection->latency ? MMX_EVIDENCE_AGE
-					: MMX_EVIDENCE_LATENCY;
+	return detection->age > detection->latency ? MMX_EVIDENCE_AGE
+						   : MMX_EVIDENCE_LATENCY;
 }
 
 static void record_(mmx_detection_t *detection, mmx_evidence_kind_t kind,
@@ -282,8 +311,14 @@
 	evidence->value = detection->score;
 	evidence->time = now;
 	evidence->threshold = limits->failing;
-	if (detection->level == MMX_SUSPICION_SUSPECT)
+	if (detection->level == MMX_SUSPICION_SUSPECT) {
 		evidence->threshold = limits->suspect;
+		if (detection->score < limits->suspect) {
+			evidence->kind = MMX_EVIDENCE_AGE;
+			evidence->value = fmax(detection->age, detection->held);
+			evidence->threshold = limits->stuck;
+		}
+	}
 	if (detection->level == MMX_SUSPICION_HEALTHY) {
 		evidence->threshold = CLEAR_SHARE * limits->suspect;
 		if (detection->cleared)
@@ -298,7 +333,12 @@
 	mmx_evidence_kind_t kind;
 
 	decay_(detection, now);
-	kind = score_(detection, age_score_(detection, now));
+	if (now >= detection->hold_until) {
+		detection->hold_until = 0;
+		detection->held = 0;
+	}
+	detection->age = age_score_(detection, now);
+	kind = score_(detection);
 	detection->level = level_(detection);
 	if (detection->level != before)
 		record_(detection, kind, now);
--- a/src/test_libmasticmux/suites.h
+++ b/src/test_libmasticmux/suites.h
@@ -4,8 +4,13 @@
 
 #include <CUnit/CUnit.h>
 
+extern CU_TestInfo mmx_tests_balance[];
 extern CU_TestInfo mmx_tests_clock[];
+extern CU_TestInfo mmx_tests_detection[];
+extern CU_TestInfo mmx_tests_ejection[];
 extern CU_TestInfo mmx_tests_error[];
+extern CU_TestInfo mmx_tests_latency[];
+extern CU_TestInfo mmx_tests_retry[];
 extern CU_TestInfo mmx_tests_task[];
 
 extern CU_SuiteInfo mmx_test_suites[];
--- /dev/null
+++ b/src/test_libmasticmux/test_balance.c
@@ -0,0 +1,293 @@
+#include "suites.h"
+
+#include "masticmux/balance.h"
+
+#define TARGETS_MAX 6
+#define CHOICES 600
+
+typedef struct spec_t {
+	mmx_ring_t ring;
+	mmx_use_t use;
+	int outstanding;
+	uint32_t others;
+} spec_t;
+
+typedef struct choice_case_t {
+	const char *name;
+	bool repeatable;
+	mmx_target_id_t tried; /* 0: none */
+	spec_t targets[TARGETS_MAX];
+	int count;
+	const char *expected; /* y: chosen sometimes, n: never, - all: none */
+} choice_case_t;
+
+static mmx_balance_t *create_(const spec_t *specs, int count)
+{
+	mmx_balance_t *balance = mmx_balance_create();
+	mmx_target_id_t id;
+	int n;
+
+	for (id = 1; id <= (mmx_target_id_t)count; id++) {
+		const spec_t *spec = &specs[id - 1];
+
+		mmx_balance_set(balance, id, 3, spec->ring);
+		mmx_balance_set_use(balance, id, spec->use);
+		for (n = 0; n < spec->outstanding; n++)
+			mmx_balance_start(balance, id);
+		mmx_balance_report(balance, id,
+				   spec->others + (uint32_t)spec->outstanding,
+				   0);
+	}
+	return balance;
+}
+
+#define OPEN MMX_USE_NORMAL
+#define ZONE MMX_RING_ZONE
+#define REGION MMX_RING_REGION
+#define REMOTE MMX_RING_REMOTE
+
+/* Guards against targets that must not be chosen, against requests that leave
+ * the zone or region needlessly, and against trials with other requests. */
+static void test_choices_(void)
+{
+	static const choice_case_t cases[] = {
+		{"nearest ring",
+		 true,
+		 0,
+		 {{ZONE, OPEN, 0, 0},
+		  {ZONE, OPEN, 0, 0},
+		  {REGION, OPEN, 0, 0},
+		  {REMOTE, OPEN, 0, 0}},
+		 4,
+		 "yynn"},
+		{"no free slot near",
+		 true,
+		 0,
+		 {{ZONE, OPEN, 3, 0},
+		  {REGION, OPEN, 0, 0},
+		  {REMOTE, OPEN, 0, 0}},
+		 3,
+		 "nyn"},
+		{"load of other entries",
+		 true,
+		 0,
+		 {{ZONE, OPEN, 0, 3},
+		  {REGION, OPEN, 0, 0},
+		  {REMOTE, OPEN, 0, 0}},
+		 3,
+		 "nyn"},
+		{"less loaded of two",
+		 true,
+		 0,
+		 {{ZONE, OPEN, 1, 0}, {ZONE, OPEN, 0, 2}},
+		 2,
+		 "yn"},
+		{"any free slot of the ring",
+		 true,
+		 0,
+		 {{ZONE, OPEN, 3, 0},
+		  {ZONE, OPEN, 3, 0},
+		  {ZONE, OPEN, 2, 0},
+		  {REGION, OPEN, 0, 0}},
+		 4,
+		 "nnyn"},
+		{"all busy: queue near",
+		 true,
+		 0,
+		 {{ZONE, OPEN, 3, 0}, {REGION, OPEN, 3, 0}},
+		 2,
+		 "yn"},
+		{"avoid while others have slots",
+		 true,
+		 0,
+		 {{ZONE, MMX_USE_AVOID, 0, 0}, {REMOTE, OPEN, 0, 0}},
+		 2,
+		 "ny"},
+		{"avoid before a queue",
+		 true,
+		 0,
+		 {{ZONE, MMX_USE_AVOID, 0, 0}, {ZONE, OPEN, 3, 0}},
+		 2,
+		 "yn"},
+		{"only suspects",
+		 true,
+		 0,
+		 {{ZONE, MMX_USE_AVOID, 0, 0}, {REGION, MMX_USE_AVOID, 0, 0}},
+		 2,
+		 "yn"},
+		{"trial first",
+		 true,
+		 0,
+		 {{ZONE, OPEN, 0, 0}, {REGION, MMX_USE_TRIAL, 0, 0}},
+		 2,
+		 "ny"},
+		{"trial of a suspect",
+		 true,
+		 0,
+		 {{ZONE, OPEN, 0, 0}, {REGION, MMX_USE_AVOID_TRIAL, 0, 0}},
+		 2,
+		 "ny"},
+		{"no trial with others",
+		 false,
+		 0,
+		 {{ZONE, OPEN, 0, 0}, {ZONE, MMX_USE_TRIAL, 0, 0}},
+		 2,
+		 "yn"},
+		{"no trial far away",
+		 true,
+		 0,
+		 {{ZONE, OPEN, 0, 0}, {REMOTE, MMX_USE_TRIAL, 0, 0}},
+		 2,
+		 "yn"},
+		{"trial far away if all are",
+		 true,
+		 0,
+		 {{REMOTE, OPEN, 0, 0}, {REMOTE, MMX_USE_TRIAL, 0, 0}},
+		 2,
+		 "ny"},
+		{"ejected or draining",
+		 true,
+		 0,
+		 {{ZONE, MMX_USE_NONE, 0, 0}, {REMOTE, OPEN, 0, 0}},
+		 2,
+		 "ny"},
+		{"last resort",
+		 true,
+		 0,
+		 {{ZONE, MMX_USE_NONE, 0, 0},
+		  {ZONE, MMX_USE_LAST_RESORT, 0, 0}},
+		 2,
+		 "ny"},
+		{"last resort after suspects",
+		 true,
+		 0,
+		 {{REMOTE, MMX_USE_AVOID, 3, 0},
+		  {ZONE, MMX_USE_LAST_RESORT, 0, 0}},
+		 2,
+		 "yn"},
+		{"tried before",
+		 true,
+		 1,
+		 {{ZONE, OPEN, 0, 0}, {REMOTE, OPEN, 0, 0}},
+		 2,
+		 "ny"},
+		{"no capacity", true, 0, {{ZONE, MMX_USE_NONE, 0, 0}}, 1, "n"},
+		{"only ejected, not repeatable",
+		 false,
+		 0,
+		 {{ZONE, MMX_USE_TRIAL, 0, 0}},
+		 1,
+		 "n"},
+		{"no targets", true, 0, {{ZONE, OPEN, 0, 0}}, 0, ""},
+	};
+	size_t i;
+	int n;
+
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		const choice_case_t *c = &cases[i];
+		mmx_balance_t *balance = create_(c->targets, c->count);
+		mmx_balance_request_t request = {c->repeatable, &c->tried,
+						 c->tried != 0};
+		int chosen[TARGETS_MAX] = {0};
+		mmx_random_t random;
+		bool any = false;
+
+		mmx_random_seed(&random, 9);
+		for (n = 0; n < c->count; n++)
+			any = any || c->expected[n] == 'y';
+		for (n = 0; n < CHOICES; n++) {
+			mmx_balance_choice_t choice;
+			bool ok = mmx_balance_choose(balance, &request, &random,
+						     0, &choice);
+
+			CU_ASSERT_EQUAL(ok, any);
+			if (!ok)
+				break;
+			chosen[choice.target - 1]++;
+			CU_ASSERT_EQUAL(choice.ring,
+					c->targets[choice.target - 1].ring);
+		}
+		for (n = 0; n < c->count; n++)
+			CU_ASSERT_EQUAL(chosen[n] > 0, c->expected[n] == 'y');
+		mmx_balance_destroy(balance);
+	}
+}
+
+/* Guards against load that gathers at a few targets. */
+static void test_spread_(void)
+{
+	static const spec_t specs[TARGETS_MAX] = {{ZONE, OPEN, 0, 0}};
+	mmx_balance_t *balance = create_(specs, TARGETS_MAX);
+	mmx_balance_request_t request = {.repeatable = true};
+	mmx_balance_choice_t choice;
+	mmx_random_t random;
+	mmx_target_id_t id;
+	int n;
+
+	mmx_random_seed(&random, 1);
+	for (n = 0; n < 2 * TARGETS_MAX; n++) {
+		CU_ASSERT_TRUE_FATAL(mmx_balance_choose(balance, &request,
+							&random, 0, &choice));
+		mmx_balance_start(balance, choice.target);
+	}
+	for (id = 1; id <= TARGETS_MAX; id++)
+		CU_ASSERT_TRUE(mmx_balance_outstanding(balance, id) >= 1 &&
+			       mmx_balance_outstanding(balance, id) <= 3);
+	mmx_balance_destroy(balance);
+}
+
+/* Guards against a target that an old report keeps without requests. */
+static void test_old_report_(void)
+{
+	static const spec_t specs[] = {{ZONE, OPEN, 0, 30},
+				       {REGION, OPEN, 0, 0}};
+	mmx_balance_t *balance = create_(specs, 2);
+	mmx_balance_request_t request = {.repeatable = true};
+	mmx_balance_choice_t choice;
+	mmx_random_t random;
+
+	mmx_random_seed(&random, 1);
+	mmx_balance_choose(balance, &request, &random, MMX_BALANCE_REPORT_US,
+			   &choice);
+	CU_ASSERT_EQUAL(choice.target, 2);
+	mmx_balance_choose(balance, &request, &random,
+			   MMX_BALANCE_REPORT_US + 1, &choice);
+	CU_ASSERT_EQUAL(choice.target, 1);
+	mmx_balance_destroy(balance);
+}
+
+/* Guards against lost counts when a target changes its ring or leaves. */
+static void test_change_(void)
+{
+	static const spec_t specs[] = {
+		{ZONE, OPEN, 2, 0}, {REGION, OPEN, 0, 0}, {REMOTE, OPEN, 0, 0}};
+	mmx_balance_t *balance = create_(specs, 3);
+	mmx_balance_request_t request = {.repeatable = true};
+	mmx_balance_choice_t choice;
+	mmx_random_t random;
+
+	mmx_random_seed(&random, 1);
+	mmx_balance_set(balance, 1, 3, MMX_RING_REMOTE);
+	CU_ASSERT_EQUAL(mmx_balance_outstanding(balance, 1), 2);
+	CU_ASSERT_EQUAL(mmx_balance_count(balance), 3);
+	mmx_balance_choose(balance, &request, &random, 0, &choice);
+	CU_ASSERT_EQUAL(choice.target, 2);
+	mmx_balance_remove(balance, 2);
+	mmx_balance_remove(balance, 2);
+	mmx_balance_choose(balance, &request, &random, 0, &choice);
+	CU_ASSERT_EQUAL(choice.target, 3);
+	mmx_balance_finish(balance, 1);
+	mmx_balance_finish(balance, 1);
+	mmx_balance_finish(balance, 1);
+	CU_ASSERT_EQUAL(mmx_balance_outstanding(balance, 1), 0);
+	mmx_balance_finish(balance, 77);
+	mmx_balance_destroy(balance);
+}
+
+CU_TestInfo mmx_tests_balance[] = {
+	{"rings, uses and loads decide", test_choices_},
+	{"requests spread", test_spread_},
+	{"old reports are not believed", test_old_report_},
+	{"targets change and leave", test_change_},
+	CU_TEST_INFO_NULL,
+};
