--- a/bench/bench_detection.c
+++ b/bench/bench_detection.c
@@ -295,7 +295,7 @@
 		print_head_();
 	for (fault = 0; fault < FAULT_COUNT; fault++)
 		for (i = 0; i < G_N_ELEMENTS(contenders_); i++) {
-			if (only_ && strcmp(only_, fault_string_[fault]))
+			if (only_ && strcmp(only_, fault_string_[fault]) != 0)
 				continue;
 			run_(&row, fault, &contenders_[i]);
 			if (as_json_)
--- a/bench/model/model.c
+++ b/bench/model/model.c
@@ -216,7 +216,7 @@
 
 		target->queued--;
 		memmove(target->queue, target->queue + 1,
-			target->queued * sizeof(target->queue[0]));
+			target->queued * sizeof(request_t *));
 		start_call_(model, request);
 	}
 }
@@ -268,6 +268,13 @@
 	start_queued_(model, target);
 }
 
+static bool is_refused_(const target_t *target, const request_t *request)
+{
+	if (request->trial && !mmx_detection_may_try(target->detection))
+		return true;
+	return target->running == SLOTS && target->queued == QUEUE_MAX;
+}
+
 static void on_at_exit_(model_t *model, request_t *request)
 {
 	target_t *target = target_of_(model, request);
@@ -275,19 +282,14 @@
 	if (request->entry_done) {
 		request->exit_done = true;
 		release_(model, request);
-	} else if (request->trial &&
-		   !mmx_detection_may_try(target->detection)) {
+	} else if (is_refused_(target, request)) {
 		request->refused = true;
 		request->result = MMX_RESULT_ERROR;
 		respond_(model, request);
 	} else if (target->running < SLOTS) {
 		start_call_(model, request);
-	} else if (target->queued < QUEUE_MAX) {
-		target->queue[target->queued++] = request;
 	} else {
-		request->refused = true;
-		request->result = MMX_RESULT_ERROR;
-		respond_(model, request);
+		target->queue[target->queued++] = request;
 	}
 }
 
@@ -343,8 +345,7 @@
 		if (target->queue[i] == request) {
 			target->queued--;
 			memmove(&target->queue[i], &target->queue[i + 1],
-				(target->queued - i) *
-					sizeof(target->queue[0]));
+				(target->queued - i) * sizeof(request_t *));
 			request->exit_done = true;
 			return;
 		}
@@ -581,16 +582,10 @@
 	push_(model, SUMMARY_PERIOD_US, EVENT_SUMMARY, NULL, 0, 0);
 }
 
-static void handle_(model_t *model, const event_t *event)
+static void handle_request_(model_t *model, event_type_t type,
+			    request_t *request)
 {
-	request_t *request = event->request;
-
-	if (request && request->generation != event->generation)
-		return;
-	switch (event->type) {
-	case EVENT_ARRIVAL:
-		on_arrival_(model, event->a);
-		break;
+	switch (type) {
 	case EVENT_AT_EXIT:
 		on_at_exit_(model, request);
 		break;
@@ -601,9 +596,23 @@
 	case EVENT_AT_ENTRY:
 		on_at_entry_(model, request);
 		break;
-	case EVENT_DEADLINE:
+	default:
 		on_deadline_(model, request);
 		break;
+	}
+}
+
+static void handle_(model_t *model, const event_t *event)
+{
+	if (event->request) {
+		if (event->request->generation == event->generation)
+			handle_request_(model, event->type, event->request);
+		return;
+	}
+	switch (event->type) {
+	case EVENT_ARRIVAL:
+		on_arrival_(model, event->a);
+		break;
 	case EVENT_EVALUATE:
 		on_evaluate_(model);
 		break;
--- a/src/test_libmasticmux/test_ejection.c
+++ b/src/test_libmasticmux/test_ejection.c
@@ -61,13 +61,13 @@
 
 typedef struct rank_case_t {
 	const char *name;
-	uint8_t floor_percent;
-	uint16_t floor_slots;
+	int floor_percent;
+	int floor_slots;
 	int targets;
+	int shed;
 	const char *availability; /* a, c, d, u, x: dead, e: elsewhere */
 	double failing[6];	  /* scores of targets 1.., 0: healthy */
 	const char *states;
-	bool shed;
 } rank_case_t;
 
 static void apply_availability_(fixture_t *fixture, const char *availability)
@@ -92,22 +92,22 @@
 static void test_ranking_(void)
 {
 	static const rank_case_t cases[] = {
-		{"room for both", 60, 0, 12, "", {40, 0, 50}, "eueuuu", 0},
-		{"equal scores by id", 84, 0, 12, "", {0, 40, 40}, "ueauuu", 0},
-		{"one over the floor", 84, 0, 12, "", {40, 0, 50}, "aueuuu", 0},
-		{"floor of all", 100, 0, 12, "", {40}, "auuuuu", 0},
-		{"minimum of slots", 0, 34, 12, "", {40}, "auuuuu", 0},
-		{"just above it", 0, 33, 12, "", {40}, "euuuuu", 0},
-		{"planned stops", 84, 0, 12, "aaaadd", {40}, "auuuuu", 0},
-		{"cold", 84, 0, 12, "acc", {40}, "auuuuu", 0},
-		{"unreachable", 84, 0, 12, "auu", {40}, "auuuuu", 0},
-		{"dead", 84, 0, 12, "axx", {40}, "auuuuu", 0},
-		{"ejected elsewhere", 84, 0, 12, "aee", {40}, "auuuuu", 0},
-		{"cold and failing", 60, 0, 12, "c", {40}, "euuuuu", 0},
-		{"whole service", 0, 0, 12, "", {9, 9, 9, 9}, "aaaauu", 1},
-		{"less than a third", 0, 0, 12, "", {9, 9, 9}, "eeeuuu", 0},
-		{"one of three", 60, 0, 3, "", {40}, "euu", 0},
-		{"two of three", 0, 0, 3, "", {40, 40}, "aau", 1},
+		{"room for both", 60, 0, 12, 0, "", {40, 0, 50}, "eueuuu"},
+		{"equal scores by id", 84, 0, 12, 0, "", {0, 40, 40}, "ueauuu"},
+		{"one over the floor", 84, 0, 12, 0, "", {40, 0, 50}, "aueuuu"},
+		{"floor of all", 100, 0, 12, 0, "", {40}, "auuuuu"},
+		{"minimum of slots", 0, 34, 12, 0, "", {40}, "auuuuu"},
+		{"just above it", 0, 33, 12, 0, "", {40}, "euuuuu"},
+		{"planned stops", 84, 0, 12, 0, "aaaadd", {40}, "auuuuu"},
+		{"cold", 84, 0, 12, 0, "acc", {40}, "auuuuu"},
+		{"unreachable", 84, 0, 12, 0, "auu", {40}, "auuuuu"},
+		{"dead", 84, 0, 12, 0, "axx", {40}, "auuuuu"},
+		{"ejected elsewhere", 84, 0, 12, 0, "aee", {40}, "auuuuu"},
+		{"cold and failing", 60, 0, 12, 0, "c", {40}, "euuuuu"},
+		{"whole service", 0, 0, 12, 1, "", {9, 9, 9, 9}, "aaaauu"},
+		{"less than a third", 0, 0, 12, 0, "", {9, 9, 9}, "eeeuuu"},
+		{"one of three", 60, 0, 3, 0, "", {40}, "euu"},
+		{"two of three", 0, 0, 3, 1, "", {40, 40}, "aau"},
 	};
 	size_t i;
 	mmx_target_id_t id;
@@ -115,8 +115,8 @@
 	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
 		fixture_t fixture;
 
-		set_up_(&fixture, cases[i].floor_percent, cases[i].floor_slots,
-			cases[i].targets);
+		set_up_(&fixture, (uint8_t)cases[i].floor_percent,
+			(uint16_t)cases[i].floor_slots, cases[i].targets);
 		apply_availability_(&fixture, cases[i].availability);
 		for (id = 1; id <= 6; id++)
 			if (cases[i].failing[id - 1] > 0)
--- a/src/test_libmasticmux/test_latency.c
+++ b/src/test_libmasticmux/test_latency.c
@@ -105,7 +105,7 @@
 	int n;
 
 	for (i = 0; i < sizeof(exponents) / sizeof(exponents[0]); i++) {
-		double at;
+		int at;
 
 		memset(&summary, 0, sizeof(summary));
 		mmx_random_seed(&random, 7 + i);
@@ -120,7 +120,7 @@
 		}
 		mmx_latency_model_prepare(&model, &summary);
 		CU_ASSERT_TRUE(model.valid);
-		for (at = 1; at <= 14; at += 1) {
+		for (at = 1; at <= 14; at++) {
 			double latency = 5000 * exp(at / exponents[i]);
 			double got = mmx_latency_model_evidence(
 				&model, (mmx_time_t)latency);
