--- a/src/libmasticmux/exit_attempt.c
+++ b/src/libmasticmux/exit_attempt.c
@@ -277,7 +277,8 @@
 		return;
 	case MMX_ATTEMPT_NEW:
 		/* An earlier process here may have run it. */
-		if (fence->exit_incarnation != exit->incarnation)
+		if (fence->exit_incarnation != exit->incarnation &&
+		    exit->guards->incarnation)
 			break;
 		attempt = mmx_attempts_add(exit->attempts, &fence->attempt);
 		mmx_attempts_end(exit->attempts, attempt, MMX_ATTEMPT_REFUSED);
--- a/test/caller.c
+++ b/test/caller.c
@@ -5,6 +5,8 @@
 
 /* Answers come at the deadline at the latest, plus this. */
 #define ANSWER_BOUND_US (100 * MMX_US_PER_MS)
+#define UPLOAD_PARTS 4
+#define UPLOAD_GAP_US (20 * MMX_US_PER_MS)
 #define RECHECK_US (100 * MMX_US_PER_MS)
 /* deadline-exceeded may come this long before the deadline, see the entry. */
 #define EARLY_MAX_US (120 * MMX_US_PER_MS)
@@ -285,14 +287,43 @@
 	g_snprintf(text, sizeof(text), "%lld",
 		   (long long)(timeout / MMX_US_PER_MS));
 	mmx_head_add(message->head, "Masticmux-Timeout-Ms", text);
-	message->body_end = true;
+	g_snprintf(text, sizeof(text), "%zu", request->upload);
+	mmx_head_add(message->head, "X-Body", text);
+	message->body_end = request->upload == 0;
 	return message;
 }
 
-request_t *caller_send(world_t *world, node_t *node, const char *service,
-		       const char *method, mmx_time_t timeout, size_t size,
-		       const char *account, bool key)
+/* The body of a request, in four parts. */
+static void upload_(void *arg)
 {
+	request_t *request = arg;
+	size_t part = request->upload / UPLOAD_PARTS;
+	mmx_body_t *body;
+	char *bytes;
+
+	if (request->gone || request->ended || !request->node->up ||
+	    request->node->incarnation != request->incarnation)
+		return;
+	body = mmx_new_body(MMX_TO_TARGET);
+	body->request = request->id;
+	bytes = g_malloc0(part);
+	evbuffer_add(body->data, bytes, part);
+	g_free(bytes);
+	request->uploaded += part;
+	body->end = request->uploaded == request->upload;
+	mmx_task_post(mmx_entry_task(request->node->entry), &body->message);
+	if (!body->end)
+		world_after(request->world,
+			    world_uniform(request->world, 0, UPLOAD_GAP_US),
+			    upload_, request, NULL);
+}
+
+request_t *caller_send(world_t *world, node_t *node,
+		       const caller_request_t *what)
+{
+	const char *service = what->service;
+	const char *method = what->method;
+	mmx_time_t timeout = what->timeout;
 	request_t *request;
 	mmx_request_t *message;
 
@@ -303,21 +334,24 @@
 	request->id = ++world->next_request;
 	request->node = node;
 	request->incarnation = node->incarnation;
-	request->repeatable = strcmp(method, "GET") == 0 && !key;
-	request->size = size;
+	request->repeatable = strcmp(method, "GET") == 0 && !what->key;
+	request->size = what->size;
+	request->upload = what->upload / UPLOAD_PARTS * UPLOAD_PARTS;
 	request->created = world_now(world);
 	request->deadline = request->created + timeout;
 	request->body = g_string_new("");
 	g_hash_table_insert(world->requests, &request->id, request);
 	world->stats.requests++;
 	message = message_(request, service, method, timeout);
-	if (key)
+	if (what->key)
 		mmx_head_add(message->head, "Idempotency-Key", "key");
-	if (account)
-		mmx_head_add(message->head, "Masticmux-Account", account);
+	if (what->account)
+		mmx_head_add(message->head, "Masticmux-Account", what->account);
 	world_trace(world, request->id, "%s %s to %s, %lld ms", method, service,
 		    node->name, (long long)(timeout / MMX_US_PER_MS));
 	mmx_task_post(mmx_entry_task(node->entry), &message->message);
+	if (request->upload > 0)
+		upload_(request);
 	world_after(world, timeout + ANSWER_BOUND_US, check_answered_, request,
 		    NULL);
 	return request;
--- a/test/generator.lua
+++ b/test/generator.lua
@@ -118,6 +118,7 @@
 		for _, service in ipairs(s.services) do
 			f:load{service = service.name, rate = s.rate, ms = 2000,
 				get = f:random(100) / 100, key = 0.1, large = 0.05,
+				upload = 0.1,
 				leave = 0.03, timeout = 200 + f:random(2500)}
 		end
 		for _ = 1, 1 + f:random(3) do
--- a/test/lua_api.c
+++ b/test/lua_api.c
@@ -246,6 +246,7 @@
 	double get;	   /* share */
 	double key;	   /* share */
 	double large;	   /* share of responses that can't be held */
+	double upload;	   /* share of requests with a body of their own */
 	double leave;	   /* share of callers that leave early */
 	mmx_time_t timeout;
 	size_t size;
@@ -264,19 +265,24 @@
 static void send_one_(const load_t *load)
 {
 	bool get = world_unit(world_) < load->get;
-	bool key = world_unit(world_) < load->key;
-	bool large = world_unit(world_) < load->large;
 	bool leave = world_unit(world_) < load->leave;
+	caller_request_t what = {
+		.service = load->service,
+		.method = get ? "GET" : "POST",
+		.account = load->account[0] ? load->account : NULL,
+		.key = world_unit(world_) < load->key,
+		.timeout = load->timeout,
+		.size = world_unit(world_) < load->large ? 100000 : load->size,
+		.upload = world_unit(world_) < load->upload
+				  ? mmx_random_below(&world_->random, 100000)
+				  : 0,
+	};
 	unsigned int n =
 		load->node ? load->node - 1
 			   : (unsigned int)mmx_random_below(&world_->random,
 							    world_->node_count);
-	request_t *request;
+	request_t *request = caller_send(world_, &world_->nodes[n], &what);
 
-	request = caller_send(world_, &world_->nodes[n], load->service,
-			      get ? "GET" : "POST", load->timeout,
-			      large ? 100000 : load->size,
-			      load->account[0] ? load->account : NULL, key);
 	if (request && leave)
 		world_after(world_, world_uniform(world_, 0, load->timeout),
 			    leave_, request, NULL);
@@ -311,6 +317,7 @@
 	load->get = number_(lua, 2, "get", 0.5);
 	load->key = number_(lua, 2, "key", 0);
 	load->large = number_(lua, 2, "large", 0);
+	load->upload = number_(lua, 2, "upload", 0);
 	load->leave = number_(lua, 2, "leave", 0);
 	load->timeout = ms_(lua, 2, "timeout", 1000);
 	load->size = (size_t)number_(lua, 2, "size", 40);
@@ -322,11 +329,16 @@
 /* fleet:request{node=, service=, method=, ...} -> id, or nil. */
 static int request_(lua_State *lua)
 {
-	request_t *request = caller_send(
-		world_, node_(lua, 2, "node"), string_(lua, 2, "service", "a"),
-		string_(lua, 2, "method", "POST"), ms_(lua, 2, "timeout", 1000),
-		(size_t)number_(lua, 2, "size", 40),
-		string_(lua, 2, "account", NULL), bool_(lua, 2, "key"));
+	caller_request_t what = {
+		.service = string_(lua, 2, "service", "a"),
+		.method = string_(lua, 2, "method", "POST"),
+		.account = string_(lua, 2, "account", NULL),
+		.key = bool_(lua, 2, "key"),
+		.timeout = ms_(lua, 2, "timeout", 1000),
+		.size = (size_t)number_(lua, 2, "size", 40),
+		.upload = (size_t)number_(lua, 2, "upload", 0),
+	};
+	request_t *request = caller_send(world_, node_(lua, 2, "node"), &what);
 
 	if (!request)
 		return 0;
--- a/test/main.c
+++ b/test/main.c
@@ -44,12 +44,14 @@
 {
 	guint i;
 
+	if (strstr(line, "#0 ") && !strstr(line, " gets "))
+		return true;
+	if (strcmp(tag, "#0 ") == 0)
+		return false;
 	if (strstr(line, tag))
 		return true;
 	if (!strstr(line, "#0 "))
 		return false;
-	if (!strstr(line, " gets "))
-		return true;
 	for (i = 0; i < attempts->len; i++)
 		if (strstr(line, g_ptr_array_index(attempts, i)))
 			return true;
--- a/test/target.c
+++ b/test/target.c
@@ -17,9 +17,11 @@
 	char *key;
 	uint64_t request;
 	size_t size;
-	bool whole;   /* the request has arrived whole */
-	bool running; /* has a slot */
-	bool heard;   /* the exit still waits for events */
+	size_t body;	 /* bytes of the request's body so far */
+	size_t expected; /* of all of it */
+	bool whole;	 /* the request has arrived whole */
+	bool running;	 /* has a slot */
+	bool heard;	 /* the exit still waits for events */
 	bool answered;
 	mmx_time_t started;
 	unsigned int references; /* events that are scheduled */
@@ -200,6 +202,10 @@
 	target_t *target = call->target;
 
 	call->whole = true;
+	if (call->body != call->expected)
+		world_break(target->world, GUARANTEE_RESPONSE, call->request,
+			    "runs with %zu of %zu bytes of its body",
+			    call->body, call->expected);
 	target->executions++;
 	target->world->stats.executions++;
 	world_trace(target->world, call->request, "runs at %s as %s",
@@ -245,6 +251,9 @@
 	call->key = key_(&message->attempt);
 	call->request = g_ascii_strtoull(request, NULL, 10);
 	call->size = (size_t)g_ascii_strtoull(size, NULL, 10);
+	call->body = evbuffer_get_length(message->body);
+	call->expected = (size_t)g_ascii_strtoull(
+		mmx_head_find(message->head, "X-Body"), NULL, 10);
 	call->heard = true;
 	call->started = world_now(node->world);
 	call->references = 1;
@@ -275,6 +284,7 @@
 
 	if (!call || call->whole)
 		return;
+	call->body += evbuffer_get_length(body->data);
 	if (body->failed) {
 		post_result_(call, MMX_CALL_FAILED);
 		forget_(call);
--- a/test/world.c
+++ b/test/world.c
@@ -6,6 +6,9 @@
 /* Delay of a change of a target's record on its way to the other nodes. */
 #define GOSSIP_MIN_US (20 * MMX_US_PER_MS)
 #define GOSSIP_MAX_US (400 * MMX_US_PER_MS)
+/* Some changes are lost and only repaired later. */
+#define GOSSIP_LOST_SHARE 0.05
+#define GOSSIP_REPAIR_US (8 * MMX_US_PER_S)
 #define GOSSIP_RETRY_US (500 * MMX_US_PER_MS)
 /* Time after which the others treat the targets of a node as gone. */
 #define DEAD_AFTER_US (5 * MMX_US_PER_S)
@@ -136,6 +139,13 @@
 	g_free(gossip);
 }
 
+static mmx_time_t gossip_delay_(world_t *world)
+{
+	if (world_unit(world) < GOSSIP_LOST_SHARE)
+		return world_uniform(world, 0, GOSSIP_REPAIR_US);
+	return world_uniform(world, GOSSIP_MIN_US, GOSSIP_MAX_US);
+}
+
 static void target_changed_(void *context, const mmx_target_record_t *record)
 {
 	node_t *from = context;
@@ -155,10 +165,9 @@
 		gossip->record = *record;
 		/* Members pass news on, so one-way loss only delays it. */
 		world_after(world,
-			    world_uniform(world, GOSSIP_MIN_US, GOSSIP_MAX_US) +
-				    (world->lost[from->index][i]
-					     ? GOSSIP_RETRY_US
-					     : 0),
+			    gossip_delay_(world) + (world->lost[from->index][i]
+							    ? GOSSIP_RETRY_US
+							    : 0),
 			    deliver_gossip_, gossip, g_free);
 	}
 }
--- a/test/world.h
+++ b/test/world.h
@@ -118,6 +118,8 @@
 	mmx_incarnation_t incarnation; /* of the entry */
 	bool repeatable;
 	size_t size; /* of the response's body */
+	size_t upload;
+	size_t uploaded;
 	mmx_time_t created;
 	mmx_time_t deadline;
 	unsigned int executions;
@@ -244,9 +246,21 @@
 /* --- caller.c ---------------------------------------------------------- */
 
 void caller_init_node(node_t *node);
-request_t *caller_send(world_t *world, node_t *node, const char *service,
-		       const char *method, mmx_time_t timeout, size_t size,
-		       const char *account, bool key);
+
+/* What a caller sends. */
+typedef struct caller_request_t {
+	const char *service;
+	const char *method;
+	const char *account; /* or NULL */
+	bool key;	     /* with an Idempotency-Key */
+	mmx_time_t timeout;
+	size_t size;   /* of the response's body */
+	size_t upload; /* of its own body, sent in parts */
+} caller_request_t;
+
+/* NULL when the node takes no connection. */
+request_t *caller_send(world_t *world, node_t *node,
+		       const caller_request_t *what);
 void caller_leave(request_t *request);
 /* A request has begun to run at a target. */
 void caller_executed(world_t *world, uint64_t id, const target_t *target);
