--- a/src/libmasticmux/exit.c
+++ b/src/libmasticmux/exit.c
@@ -62,7 +62,8 @@
 {
 	mmx_policy_t policy;
 
-	if (!exit->fold || !mmx_fold_service(exit->fold, service, &policy))
+	if (!exit->fold || !*exit->fold ||
+	    !mmx_fold_service(*exit->fold, service, &policy))
 		return 0;
 	return policy.warm_up;
 }
@@ -255,7 +256,7 @@
 	return true;
 }
 
-bool mmx_exit_set_fold(mmx_exit_t *exit, const mmx_fold_t *fold)
+bool mmx_exit_set_fold(mmx_exit_t *exit, const mmx_fold_t *const *fold)
 {
 	if (exit->running)
 		return false;
--- a/src/libmasticmux/include/private/exit_internal.h
+++ b/src/libmasticmux/include/private/exit_internal.h
@@ -20,7 +20,7 @@
 	mmx_task_t *client;
 	const mmx_exit_observer_ops_t *observer;
 	void *observer_context;
-	const mmx_fold_t *fold;
+	const mmx_fold_t *const *fold;
 	mmx_log_t *log;
 	size_t record_max;
 	mmx_attempts_t *attempts;
--- a/src/test_libmasticmux/test_entry.c
+++ b/src/test_libmasticmux/test_entry.c
@@ -12,6 +12,7 @@
 typedef struct rig_t {
 	mmx_runtime_t *runtime;
 	mmx_fold_t *fold;
+	const mmx_fold_t *in_force;
 	mmx_directory_t *directory;
 	mmx_entry_t *entry;
 	fake_t http;
@@ -204,6 +205,7 @@
 
 	rig.runtime = mmx_runtime_create(NULL);
 	rig.fold = mmx_fold_create();
+	rig.in_force = rig.fold;
 	if (configured)
 		configure_(rig.fold);
 	rig.directory = mmx_directory_create(mmx_runtime_clock(rig.runtime));
@@ -213,7 +215,7 @@
 	mmx_entry_set_http(rig.entry, &rig.http.task);
 	mmx_entry_set_peer(rig.entry, &rig.peer.task);
 	mmx_entry_set_local_exit(rig.entry, &rig.peer.task);
-	mmx_entry_set_fold(rig.entry, rig.fold);
+	mmx_entry_set_fold(rig.entry, &rig.in_force);
 	mmx_entry_set_directory(rig.entry, rig.directory);
 	mmx_entry_init(rig.entry);
 	fake_run(c->script, step_, &rig);
--- a/test/world.c
+++ b/test/world.c
@@ -256,7 +256,7 @@
 				     node->incarnation);
 	mmx_exit_set_target_client(node->exit, &node->client.task);
 	mmx_exit_set_observer(node->exit, &observer_, node);
-	mmx_exit_set_fold(node->exit, world->fold);
+	mmx_exit_set_fold(node->exit, &world->in_force);
 	mmx_exit_set_guards(node->exit, &world->guards);
 	if (world->record_max)
 		mmx_exit_set_record_max(node->exit, world->record_max);
@@ -267,7 +267,7 @@
 	mmx_entry_set_http(node->entry, &node->http.task);
 	mmx_entry_set_peer(node->entry, &node->peer.task);
 	mmx_entry_set_local_exit(node->entry, &node->local.task);
-	mmx_entry_set_fold(node->entry, world->fold);
+	mmx_entry_set_fold(node->entry, &world->in_force);
 	mmx_entry_set_directory(node->entry, node->directory);
 	mmx_entry_set_guards(node->entry, &world->guards);
 	mmx_entry_init(node->entry);
@@ -430,6 +430,7 @@
 	world->clock = mmx_clock_create_paused();
 	mmx_random_seed(&world->random, seed);
 	world->fold = mmx_fold_create();
+	world->in_force = world->fold;
 	world->guards = mmx_guards_all;
 	world->cancelled =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
--- a/test/world.h
+++ b/test/world.h
@@ -149,6 +149,7 @@
 	mmx_clock_t *clock;
 	mmx_random_t random;
 	mmx_fold_t *fold;
+	const mmx_fold_t *in_force;
 	mmx_guards_t guards;
 	size_t record_max;
 	node_t nodes[NODES_MAX];
