--- a/src/test_libmasticmux/suites.h
+++ b/src/test_libmasticmux/suites.h
@@ -35,6 +35,13 @@
 extern CU_TestInfo mmx_tests_session[];
 extern CU_TestInfo mmx_tests_settings[];
 extern CU_TestInfo mmx_tests_snapshot[];
+extern CU_TestInfo mmx_tests_balance[];
+extern CU_TestInfo mmx_tests_clock[];
+extern CU_TestInfo mmx_tests_detection[];
+extern CU_TestInfo mmx_tests_ejection[];
+extern CU_TestInfo mmx_tests_error[];
+extern CU_TestInfo mmx_tests_latency[];
+extern CU_TestInfo mmx_tests_retry[];
 extern CU_TestInfo mmx_tests_task[];
 extern CU_TestInfo mmx_tests_wire[];
 
