--- a/src/test_libmasticmux/test_detection.c
+++ b/src/test_libmasticmux/test_detection.c
@@ -236,6 +236,33 @@
 	}
 }
 
+/* Guards against a slow target that looks fast because it fails early, or
+ * because callers give up early. */
+static void test_early_end_(void)
+{
+	static const mmx_result_t results[] = {MMX_RESULT_ERROR,
+					       MMX_RESULT_ABANDONED};
+	size_t i;
+	int n;
+
+	for (i = 0; i < sizeof(results) / sizeof(results[0]); i++) {
+		fixture_t fixture;
+		double before;
+
+		set_up_(&fixture, 100);
+		for (n = 0; n < 4; n++)
+			request_(&fixture, 90 * MS, MMX_RESULT_SUCCESS, false);
+		before = mmx_detection_score(fixture.detection);
+		CU_ASSERT_TRUE(before > 0);
+		for (n = 0; n < 3; n++)
+			request_(&fixture, MS / 2, results[i], false);
+		/* Only time lowers it, by less than a thousandth here. */
+		CU_ASSERT_TRUE(mmx_detection_score(fixture.detection) >
+			       before * 0.999);
+		tear_down_(&fixture);
+	}
+}
+
 /* Guards against verdicts when there are no peers to compare with, or when
  * the peers fail as often. */
 static void test_no_outlier_(void)
@@ -381,6 +408,7 @@
 	{"age of requests in progress counts", test_stall_},
 	{"a refused connection is failing at once", test_refused_},
 	{"only good trials clear a failing target", test_trials_},
+	{"an early end is no good evidence", test_early_end_},
 	{"without an outlier nobody is suspect", test_no_outlier_},
 	{"thresholds follow the weight", test_weights_},
 	{"path and target are told apart", test_path_},
