--- a/src/test_libmasticmux/test_detection.c
+++ b/src/test_libmasticmux/test_detection.c
@@ -318,6 +318,35 @@
 	STEP_NONE,
 } path_step_t;
 
+static mmx_time_t path_step_(mmx_path_t *path, path_step_t step, mmx_time_t now)
+{
+	switch (step) {
+	case STEP_WAIT:
+		return now + 600 * MS;
+	case STEP_BACKOFF:
+		return now + 2000 * MS;
+	case STEP_SENT:
+		mmx_path_sent(path, now);
+		break;
+	case STEP_PROGRESS:
+		mmx_path_progress(path, now);
+		break;
+	case STEP_RUNNING:
+		mmx_path_answer(path, MMX_PATH_ANSWER_RUNNING, now);
+		break;
+	case STEP_FINISHED:
+		mmx_path_answer(path, MMX_PATH_ANSWER_FINISHED, now);
+		break;
+	case STEP_UNSEEN:
+		mmx_path_answer(path, MMX_PATH_ANSWER_UNSEEN, now);
+		break;
+	default:
+		mmx_path_answer(path, MMX_PATH_ANSWER_NONE, now);
+		break;
+	}
+	return now;
+}
+
 /* Guards against a slow target that is held against the path, and against a
  * path that stays in use although attempts are lost on it. */
 static void test_path_(void)
@@ -372,28 +401,7 @@
 
 		mmx_path_init(&path, MMX_PATH_TIMEOUT_US, now);
 		for (n = 0; cases[i].steps[n] != STEP_END; n++) {
-			path_step_t step = cases[i].steps[n];
-
-			if (step == STEP_WAIT)
-				now += 600 * MS;
-			else if (step == STEP_BACKOFF)
-				now += 2000 * MS;
-			else if (step == STEP_SENT)
-				mmx_path_sent(&path, now);
-			else if (step == STEP_PROGRESS)
-				mmx_path_progress(&path, now);
-			else if (step == STEP_RUNNING)
-				mmx_path_answer(&path, MMX_PATH_ANSWER_RUNNING,
-						now);
-			else if (step == STEP_FINISHED)
-				mmx_path_answer(&path, MMX_PATH_ANSWER_FINISHED,
-						now);
-			else if (step == STEP_UNSEEN)
-				mmx_path_answer(&path, MMX_PATH_ANSWER_UNSEEN,
-						now);
-			else
-				mmx_path_answer(&path, MMX_PATH_ANSWER_NONE,
-						now);
+			now = path_step_(&path, cases[i].steps[n], now);
 			mmx_path_evaluate(&path, now);
 		}
 		CU_ASSERT_EQUAL(mmx_path_level(&path), cases[i].level);
