--- a/src/standin/log_service.c
+++ b/src/standin/log_service.c
@@ -337,7 +337,9 @@
 		evhttp_uri_get_path(evhttp_request_get_evhttp_uri(req));
 	waiter_t *waiter;
 
-	if (strcmp(path, "/control") == 0) {
+	if (!path) {
+		mmx_http_json_error(req, HTTP_BADREQUEST, "no path");
+	} else if (strcmp(path, "/control") == 0) {
 		control_(service, req);
 	} else if (!g_str_has_prefix(path, STREAMS_PREFIX)) {
 		mmx_http_json_error(req, HTTP_NOTFOUND, "unknown path");
