--- a/src/test_libmasticmux/suites.h
+++ b/src/test_libmasticmux/suites.h
@@ -12,14 +12,14 @@
 extern CU_TestInfo mmx_tests_config[];
 extern CU_TestInfo mmx_tests_directory[];
 extern CU_TestInfo mmx_tests_error[];
-extern CU_TestInfo mmx_tests_mutation[];
-extern CU_TestInfo mmx_tests_policy[];
-extern CU_TestInfo mmx_tests_schema[];
-extern CU_TestInfo mmx_tests_settings[];
 extern CU_TestInfo mmx_tests_fold[];
 extern CU_TestInfo mmx_tests_history[];
 extern CU_TestInfo mmx_tests_membership[];
+extern CU_TestInfo mmx_tests_mutation[];
 extern CU_TestInfo mmx_tests_peer[];
+extern CU_TestInfo mmx_tests_policy[];
+extern CU_TestInfo mmx_tests_schema[];
+extern CU_TestInfo mmx_tests_settings[];
 extern CU_TestInfo mmx_tests_snapshot[];
 extern CU_TestInfo mmx_tests_task[];
 
--- a/src/test_libmasticmux/test_mutation.c
+++ b/src/test_libmasticmux/test_mutation.c
@@ -81,6 +81,8 @@
 	"[a.b.c]",
 	"a.b.c = 1\n",
 	"\xe0\xb8\x81",
+	"\xc3\xa9",
+	"\xe3\x80\x82",
 };
 
 static void insert_(GString *text, size_t at, mmx_random_t *random)
--- a/src/test_libmasticmux/test_settings.c
+++ b/src/test_libmasticmux/test_settings.c
@@ -73,6 +73,7 @@
 	{11, "[.]", "11:2: syntax error: unexpected character"},
 	{11, "  [\xc3\xa9\xc3\xa9]",
 	 "11:4: syntax error: unexpected character"},
+	{11, "[\xe3\x80\x82]", "11:2: syntax error: unexpected character"},
 	{11, "[", "11:2: syntax error: unexpected character"},
 	{16, "[[ .a", "16:4: syntax error: unexpected character"},
 	/* unknown and missing keys, wrong kinds */
