--- a/src/test_libmasticmux/suites.c
+++ b/src/test_libmasticmux/suites.c
@@ -2,7 +2,6 @@
 
 CU_SuiteInfo mmx_test_suites[] = {
 	{"address", NULL, NULL, NULL, NULL, mmx_tests_address},
-	{"change json", NULL, NULL, NULL, NULL, mmx_tests_change_json},
 	{"announce", NULL, NULL, NULL, NULL, mmx_tests_announce},
 	{"attempts", NULL, NULL, NULL, NULL, mmx_tests_attempts},
 	{"balance", NULL, NULL, NULL, NULL, mmx_tests_balance},
@@ -29,9 +28,6 @@
 	{"latency", NULL, NULL, NULL, NULL, mmx_tests_latency},
 	{"membership", NULL, NULL, NULL, NULL, mmx_tests_membership},
 	{"mutation", NULL, NULL, NULL, NULL, mmx_tests_mutation},
-	{"peer", NULL, NULL, NULL, NULL, mmx_tests_peer},
-	{"policy", NULL, NULL, NULL, NULL, mmx_tests_policy},
-	{"schema", NULL, NULL, NULL, NULL, mmx_tests_schema},
 	{"operator", NULL, NULL, NULL, NULL, mmx_tests_operator},
 	{"peer", NULL, NULL, NULL, NULL, mmx_tests_peer},
 	{"policy", NULL, NULL, NULL, NULL, mmx_tests_policy},
