--- a/src/libmasticmux/trace.c
+++ b/src/libmasticmux/trace.c
@@ -92,7 +92,7 @@
 void mmx_traceparent_format(const mmx_trace_context_t *context,
 			    char out[MMX_TRACEPARENT_SIZE])
 {
-	memcpy(out, "00-", 3);
+	snprintf(out, MMX_TRACEPARENT_SIZE, "00-");
 	format_hex_(context->trace_id, 16, out + 3);
 	out[35] = '-';
 	format_hex_(context->span_id, 8, out + 36);
--- a/src/test_libmasticmux/test_target_client.c
+++ b/src/test_libmasticmux/test_target_client.c
@@ -489,7 +489,7 @@
 	getsockname(server, (struct sockaddr *)&address, &length);
 	for (i = 0; i < SOCKETS; i++) {
 		sockets[i] = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
-		connect(sockets[i], (struct sockaddr *)&address, length);
+		(void)connect(sockets[i], (struct sockaddr *)&address, length);
 	}
 	create_(&setup);
 	CU_ASSERT_TRUE(mmx_target_client_set_connect_timeout(
