--- /dev/null
+++ b/src/test_libmasticmux/test_config_wire.c
@@ -0,0 +1,88 @@
+#include "suites.h"
+
+#include <glib.h>
+#include <string.h>
+
+#include "masticmux/config_wire.h"
+
+/* Guards against news that change on the way and ages that overflow. */
+static void test_news_(void)
+{
+	static const mmx_config_news_t cases[][2] = {
+		{{0, 0, 0}, {0, 0, 0}},
+		{{7, 1500, 2000000}, {7, 1000, 2000000}},
+		{{MMX_REVISION_MAX, MMX_TIME_NEVER, MMX_TIME_NEVER},
+		 {MMX_REVISION_MAX, MMX_TIME_NEVER, MMX_TIME_NEVER}},
+		{{1, -5, MMX_TIME_NEVER - 1},
+		 {1, MMX_TIME_NEVER, MMX_TIME_NEVER}},
+	};
+	char buffer[MMX_CONFIG_NEWS_BYTES];
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		mmx_config_news_t sent = cases[i][0];
+		mmx_config_news_t received = {0};
+		XDR xdr;
+
+		xdrmem_create(&xdr, buffer, sizeof(buffer), XDR_ENCODE);
+		CU_ASSERT_TRUE(mmx_config_wire_news(&xdr, &sent));
+		CU_ASSERT_EQUAL(xdr_getpos(&xdr), MMX_CONFIG_NEWS_BYTES);
+		xdrmem_create(&xdr, buffer, sizeof(buffer), XDR_DECODE);
+		CU_ASSERT_TRUE(mmx_config_wire_news(&xdr, &received));
+		CU_ASSERT_EQUAL(received.applied, cases[i][1].applied);
+		CU_ASSERT_EQUAL(received.confirmed_age,
+				cases[i][1].confirmed_age);
+		CU_ASSERT_EQUAL(received.reader_age, cases[i][1].reader_age);
+	}
+}
+
+/* Guards against records that change on the way, and against bytes that crash
+ * the decoder: every cut and every changed byte is tried. */
+static void test_records_(void)
+{
+	const mmx_log_record_t list[] = {
+		{5, "{}", 2}, {6, "", 0}, {7, "a\0b", 3}, {8, "1234", 4}};
+	mmx_config_records_t sent = {
+		.news = {9, 1000, 2000},
+		.first = 5,
+		.records = list,
+		.count = G_N_ELEMENTS(list),
+	};
+	mmx_config_records_t received;
+	mmx_log_record_t *taken = NULL;
+	size_t length;
+	uint8_t *data = mmx_config_wire_put_records(&sent, &length);
+	size_t i;
+
+	CU_ASSERT_TRUE_FATAL(
+		mmx_config_wire_get_records(data, length, &received, &taken));
+	CU_ASSERT_EQUAL_FATAL(received.count, sent.count);
+	CU_ASSERT_EQUAL(received.news.confirmed_age, 1000);
+	for (i = 0; i < sent.count; i++) {
+		CU_ASSERT_EQUAL(taken[i].offset, list[i].offset);
+		CU_ASSERT_EQUAL_FATAL(taken[i].length, list[i].length);
+		CU_ASSERT_EQUAL(
+			memcmp(taken[i].data, list[i].data, list[i].length), 0);
+	}
+	g_free(taken);
+	for (i = 0; i < 2 * length; i++) {
+		size_t size = i < length ? i : length;
+		uint8_t *damaged = g_memdup2(data, size ? size : 1);
+		bool valid;
+
+		if (i >= length)
+			damaged[i - length] ^= 0xff;
+		valid = mmx_config_wire_get_records(damaged, size, &received,
+						    &taken);
+		CU_ASSERT_TRUE(i >= length || !valid);
+		g_free(taken);
+		g_free(damaged);
+	}
+	g_free(data);
+}
+
+CU_TestInfo mmx_tests_config_wire[] = {
+	{"news", test_news_},
+	{"records", test_records_},
+	CU_TEST_INFO_NULL,
+};
