--- /dev/null
+++ b/src/libmasticmux/exit.c
@@ -0,0 +1,373 @@
+#include "private/exit_internal.h"
+
+#include <assert.h>
+#include <glib.h>
+#include <string.h>
+
+/* Ended attempts that are remembered, and bytes of their responses. */
+#define RECORD_MAX 65536
+#define ANSWER_BYTES_MAX (16 * 1024 * 1024)
+/* Leases, queued deadlines and old records are checked this often. */
+#define SWEEP_INTERVAL_US (100 * MMX_US_PER_MS)
+/* A sweep that comes later than this tells that the process was paused. */
+#define PAUSE_MIN_US MMX_US_PER_S
+
+/* --- targets ----------------------------------------------------------- */
+
+mmx_exit_target_t *mmx_exit_find_target(const mmx_exit_t *exit,
+					mmx_target_id_t id)
+{
+	mmx_exit_target_t *target;
+
+	LIST_FOREACH (target, &exit->targets, entry)
+		if (target->record.id == id)
+			return target;
+	return NULL;
+}
+
+static mmx_exit_target_t *find_target_name_(const mmx_exit_t *exit,
+					    const char *name)
+{
+	mmx_exit_target_t *target;
+
+	LIST_FOREACH (target, &exit->targets, entry)
+		if (strcmp(target->record.name, name) == 0)
+			return target;
+	return NULL;
+}
+
+/* Gives the record to the observer under a new version. */
+static void publish_(mmx_exit_t *exit, mmx_exit_target_t *target)
+{
+	target->record.version++;
+	if (exit->observer)
+		exit->observer->target_changed(exit->observer_context,
+					       &target->record);
+}
+
+static void set_state_(mmx_exit_t *exit, mmx_exit_target_t *target,
+		       mmx_target_state_t state)
+{
+	if (target->record.version > 0 && target->record.state == state)
+		return;
+	target->record.state = state;
+	mmx_exit_target_update_leaving(target, mmx_clock_now(exit->clock));
+	mmx_log_event(exit->log, MMX_LOG_INFO, "target_state", "target",
+		      target->record.name, "service", target->record.service,
+		      "state", mmx_target_state_string[state], NULL);
+	publish_(exit, target);
+}
+
+static mmx_time_t warm_up_(const mmx_exit_t *exit, const char *service)
+{
+	mmx_policy_t policy;
+
+	if (!exit->fold || !*exit->fold ||
+	    !mmx_fold_service(*exit->fold, service, &policy))
+		return 0;
+	return policy.warm_up;
+}
+
+static mmx_exit_target_t *add_target_(mmx_exit_t *exit,
+				      const mmx_target_announced_t *announced)
+{
+	mmx_exit_target_t *target;
+
+	target = mmx_exit_target_create(
+		mmx_directory_id(exit->node_name, announced->name), exit->node,
+		exit->incarnation, announced->name, announced->service);
+	/* Only a target that says it is cold needs the ramp. */
+	target->warm_since = -(mmx_time_t)MMX_TIME_NEVER / 2;
+	LIST_INSERT_HEAD(&exit->targets, target, entry);
+	return target;
+}
+
+/* Takes over what a renewal may change besides the state. */
+static void update_target_(mmx_exit_t *exit, mmx_exit_target_t *target,
+			   const mmx_target_announced_t *announced)
+{
+	mmx_target_record_t *record = &target->record;
+
+	target->address = announced->address;
+	target->lease_until = mmx_clock_now(exit->clock) + announced->lease;
+	if (record->slots == announced->slots &&
+	    strcmp(record->service, announced->service) == 0)
+		return;
+	if (strcmp(record->service, announced->service) != 0)
+		mmx_exit_refuse_queue(exit, target);
+	record->slots = announced->slots;
+	g_strlcpy(record->service, announced->service, sizeof(record->service));
+	if (record->version > 0)
+		publish_(exit, target);
+}
+
+/*
+ * A planned stop ends when the target has left, or when a new process of it
+ * announces itself. A target whose lease only lapsed, because it or this node
+ * was paused, stays stopped.
+ */
+static void update_stopped_(mmx_exit_target_t *target,
+			    mmx_target_state_t announced)
+{
+	if (announced == MMX_TARGET_GONE ||
+	    (announced == MMX_TARGET_COLD &&
+	     target->record.state == MMX_TARGET_GONE))
+		target->stopped = false;
+}
+
+static void on_announced_(mmx_exit_t *exit,
+			  const mmx_target_announced_t *announced)
+{
+	mmx_exit_target_t *target = find_target_name_(exit, announced->name);
+	mmx_target_state_t state = announced->state;
+
+	if (!target && state == MMX_TARGET_GONE)
+		return;
+	if (!target)
+		target = add_target_(exit, announced);
+	if (state == MMX_TARGET_COLD &&
+	    (target->record.version == 0 ||
+	     target->record.state != MMX_TARGET_COLD)) {
+		target->warm_since = mmx_clock_now(exit->clock);
+		target->warm_up = warm_up_(exit, announced->service);
+	}
+	update_target_(exit, target, announced);
+	update_stopped_(target, state);
+	if (target->stopped && state < MMX_TARGET_DRAINING)
+		state = MMX_TARGET_DRAINING;
+	set_state_(exit, target, state);
+	mmx_exit_target_update_leaving(target, mmx_clock_now(exit->clock));
+	mmx_exit_start_queued(exit, target);
+}
+
+/* --- sweep ------------------------------------------------------------- */
+
+static void on_sweep_(void *arg)
+{
+	mmx_exit_t *exit = arg;
+	mmx_time_t now = mmx_clock_now(exit->clock);
+	mmx_time_t late = now - exit->last_sweep - SWEEP_INTERVAL_US;
+	mmx_exit_target_t *target;
+
+	exit->last_sweep = now;
+	mmx_attempts_expire(exit->attempts);
+	LIST_FOREACH (target, &exit->targets, entry) {
+		/* Renewals could not be read while this process was paused. */
+		if (late > PAUSE_MIN_US && target->lease_until < MMX_TIME_NEVER)
+			target->lease_until += late;
+		mmx_exit_expire_queued(exit, target);
+		if (target->lease_until <= now)
+			set_state_(exit, target, MMX_TARGET_GONE);
+		mmx_exit_start_queued(exit, target);
+	}
+	mmx_timer_set(&exit->sweep, SWEEP_INTERVAL_US);
+}
+
+/* --- task -------------------------------------------------------------- */
+
+static void handle_(mmx_task_t *task, mmx_message_t *message)
+{
+	mmx_exit_t *exit = (mmx_exit_t *)task;
+
+	switch ((mmx_message_kind_t)message->ops->kind) {
+	case MMX_MESSAGE_EXECUTE:
+		mmx_exit_on_execute(exit, (mmx_execute_t *)message);
+		return;
+	case MMX_MESSAGE_BODY:
+		mmx_exit_on_body(exit, (mmx_body_t *)message);
+		return;
+	case MMX_MESSAGE_WINDOW:
+		mmx_exit_on_window(exit, (mmx_window_t *)message);
+		return;
+	case MMX_MESSAGE_CANCEL:
+		mmx_exit_on_cancel(exit, (mmx_cancel_t *)message);
+		break;
+	case MMX_MESSAGE_FENCE:
+		mmx_exit_on_fence(exit, (mmx_fence_t *)message);
+		break;
+	case MMX_MESSAGE_ORIGIN_LOST:
+		mmx_exit_on_origin_lost(exit, (mmx_origin_lost_t *)message);
+		break;
+	case MMX_MESSAGE_TARGET_ANNOUNCED:
+		on_announced_(exit, (mmx_target_announced_t *)message);
+		break;
+	case MMX_MESSAGE_CALL_EVENT:
+		mmx_exit_on_call_event(exit, (mmx_call_event_t *)message);
+		break;
+	default:
+		assert(!"message kind that the exit does not take");
+	}
+	mmx_message_destroy(message);
+}
+
+static const mmx_task_ops_t task_ops_ = {"exit", handle_};
+
+mmx_exit_t *mmx_exit_create(mmx_runtime_t *runtime, mmx_node_id_t node,
+			    const char *node_name,
+			    mmx_incarnation_t incarnation)
+{
+	mmx_exit_t *exit = g_new0(mmx_exit_t, 1);
+
+	mmx_task_init(&exit->task, &task_ops_, runtime);
+	exit->clock = mmx_runtime_clock(runtime);
+	exit->node = node;
+	g_strlcpy(exit->node_name, node_name, sizeof(exit->node_name));
+	exit->incarnation = incarnation;
+	exit->guards = &mmx_guards_all;
+	exit->record_max = RECORD_MAX;
+	LIST_INIT(&exit->targets);
+	mmx_timer_init(&exit->sweep, exit->clock, on_sweep_, exit);
+	return exit;
+}
+
+void mmx_exit_destroy(mmx_exit_t *exit)
+{
+	mmx_exit_target_t *target;
+
+	if (!exit)
+		return;
+	mmx_timer_cancel(&exit->sweep);
+	mmx_task_finish(&exit->task);
+	while ((target = LIST_FIRST(&exit->targets))) {
+		LIST_REMOVE(target, entry);
+		TAILQ_INIT(&target->queue);
+		target->in_progress = 0;
+		mmx_exit_target_destroy(target);
+	}
+	mmx_attempts_destroy(exit->attempts);
+	g_free(exit);
+}
+
+bool mmx_exit_set_target_client(mmx_exit_t *exit, mmx_task_t *client)
+{
+	if (exit->running)
+		return false;
+	exit->client = client;
+	return true;
+}
+
+bool mmx_exit_set_observer(mmx_exit_t *exit, const mmx_exit_observer_ops_t *ops,
+			   void *context)
+{
+	if (exit->running)
+		return false;
+	exit->observer = ops;
+	exit->observer_context = context;
+	return true;
+}
+
+bool mmx_exit_set_fold(mmx_exit_t *exit, const mmx_fold_t *const *fold)
+{
+	if (exit->running)
+		return false;
+	exit->fold = fold;
+	return true;
+}
+
+bool mmx_exit_set_counters(mmx_exit_t *exit, mmx_counters_t *counters)
+{
+	if (exit->running)
+		return false;
+	exit->started = mmx_counters_get(
+		counters, MMX_COUNTER, "masticmux_exit_started_total", "",
+		"Attempts started at targets beside this node.");
+	exit->refused = mmx_counters_get(counters, MMX_COUNTER,
+					 "masticmux_exit_refused_total", "",
+					 "Attempts refused by this exit.");
+	exit->fenced = mmx_counters_get(counters, MMX_COUNTER,
+					"masticmux_exit_fence_total", "",
+					"Fencing queries received.");
+	exit->expired = mmx_counters_get(
+		counters, MMX_COUNTER, "masticmux_exit_expired_total", "",
+		"Queued attempts whose deadline passed before the start.");
+	return true;
+}
+
+bool mmx_exit_set_record_max(mmx_exit_t *exit, size_t record_max)
+{
+	if (exit->running)
+		return false;
+	exit->record_max = record_max;
+	return true;
+}
+
+bool mmx_exit_set_guards(mmx_exit_t *exit, const mmx_guards_t *guards)
+{
+	if (exit->running)
+		return false;
+	exit->guards = guards;
+	return true;
+}
+
+bool mmx_exit_set_log(mmx_exit_t *exit, mmx_log_t *log)
+{
+	if (exit->running)
+		return false;
+	exit->log = log;
+	return true;
+}
+
+void mmx_exit_init(mmx_exit_t *exit)
+{
+	assert(exit->client && !exit->running);
+	exit->running = true;
+	exit->attempts = mmx_attempts_create(exit->clock, exit->record_max,
+					     ANSWER_BYTES_MAX);
+	mmx_attempts_set_guards(exit->attempts, exit->guards);
+	exit->last_sweep = mmx_clock_now(exit->clock);
+	mmx_timer_set(&exit->sweep, SWEEP_INTERVAL_US);
+}
+
+mmx_task_t *mmx_exit_task(mmx_exit_t *exit)
+{
+	return &exit->task;
+}
+
+static void stop_target_(mmx_exit_t *exit, mmx_exit_target_t *target)
+{
+	target->stopped = true;
+	if (target->record.state != MMX_TARGET_GONE)
+		set_state_(exit, target, MMX_TARGET_DRAINING);
+	if (!exit->guards->finish)
+		mmx_exit_cut_target(exit, target);
+}
+
+bool mmx_exit_stop_target(mmx_exit_t *exit, const char *name)
+{
+	mmx_exit_target_t *target = find_target_name_(exit, name);
+
+	if (!target)
+		return false;
+	stop_target_(exit, target);
+	return true;
+}
+
+void mmx_exit_stop_all(mmx_exit_t *exit)
+{
+	mmx_exit_target_t *target;
+
+	LIST_FOREACH (target, &exit->targets, entry)
+		stop_target_(exit, target);
+}
+
+size_t mmx_exit_in_progress(const mmx_exit_t *exit, const char *name)
+{
+	const mmx_exit_target_t *target;
+	size_t total = 0;
+
+	LIST_FOREACH (target, &exit->targets, entry)
+		if (!name || strcmp(target->record.name, name) == 0)
+			total += target->in_progress + target->queued;
+	return total;
+}
+
+bool mmx_exit_load(const mmx_exit_t *exit, mmx_target_id_t id,
+		   mmx_load_report_t *report)
+{
+	const mmx_exit_target_t *target = mmx_exit_find_target(exit, id);
+
+	if (!target)
+		return false;
+	mmx_exit_target_report(target, report);
+	return true;
+}
--- a/src/masticmux/command_publish.c
+++ b/src/masticmux/command_publish.c
@@ -55,7 +55,7 @@
 	size_t alive;
 };
 
-static const mmx_exit_t exits_[MMX_PUBLISH_OUTCOME_COUNT] = {
+static const mmx_exit_status_t exits_[MMX_PUBLISH_OUTCOME_COUNT] = {
 	[MMX_PUBLISH_ACCEPTED] = MMX_EXIT_OK,
 	[MMX_PUBLISH_REJECTED] = MMX_EXIT_REJECTED,
 	[MMX_PUBLISH_UNKNOWN] = MMX_EXIT_UNKNOWN,
@@ -309,12 +309,13 @@
 	g_free(command);
 }
 
-static mmx_exit_t run_(const options_t *options, const mmx_settings_t *settings,
-		       const char *id, const char *record)
+static mmx_exit_status_t run_(const options_t *options,
+			      const mmx_settings_t *settings, const char *id,
+			      const char *record)
 {
 	publisher_t publisher = {
 		.options = options, .settings = settings, .id = id};
-	mmx_exit_t status;
+	mmx_exit_status_t status;
 
 	open_(&publisher, record);
 	publish_(&publisher);
@@ -333,11 +334,11 @@
 	return fflush(stdout) ? MMX_EXIT_ERROR : status;
 }
 
-static mmx_exit_t publish_change_(const options_t *options,
-				  const mmx_settings_t *settings,
-				  mmx_change_t *change)
+static mmx_exit_status_t publish_change_(const options_t *options,
+					 const mmx_settings_t *settings,
+					 mmx_change_t *change)
 {
-	mmx_exit_t status = MMX_EXIT_REJECTED;
+	mmx_exit_status_t status = MMX_EXIT_REJECTED;
 	size_t length;
 	char *record;
 
@@ -357,13 +358,14 @@
 	return status;
 }
 
-static mmx_exit_t publish_file_(const options_t *options, const char *path)
+static mmx_exit_status_t publish_file_(const options_t *options,
+				       const char *path)
 {
 	mmx_findings_t *findings = mmx_findings_create();
 	mmx_settings_t *settings =
 		mmx_settings_load(options->settings, findings);
 	mmx_change_t *change = path ? mmx_change_load(path, findings) : NULL;
-	mmx_exit_t status = MMX_EXIT_FINDINGS;
+	mmx_exit_status_t status = MMX_EXIT_FINDINGS;
 
 	if (mmx_findings_count(findings)) {
 		mmx_findings_print(findings, stderr);
@@ -403,7 +405,7 @@
 	return false;
 }
 
-mmx_exit_t mmx_command_publish(int argc, char **argv)
+mmx_exit_status_t mmx_command_publish(int argc, char **argv)
 {
 	options_t options = {.timeout_s =
 				     (int)(MMX_PUBLISH_TIMEOUT / MMX_US_PER_S)};
@@ -422,7 +424,7 @@
 		 "print the outcome as JSON", NULL},
 		G_OPTION_ENTRY_NULL,
 	};
-	mmx_exit_t status = MMX_EXIT_ERROR;
+	mmx_exit_status_t status = MMX_EXIT_ERROR;
 
 	if (mmx_command_parse(
 		    &argc, &argv, "[CHANGE.toml]",
--- a/src/test_libmasticmux/suites.h
+++ b/src/test_libmasticmux/suites.h
@@ -4,15 +4,51 @@
 
 #include <CUnit/CUnit.h>
 
+extern CU_TestInfo mmx_tests_address[];
+extern CU_TestInfo mmx_tests_announce[];
+extern CU_TestInfo mmx_tests_attempts[];
+extern CU_TestInfo mmx_tests_balance[];
+extern CU_TestInfo mmx_tests_change[];
+extern CU_TestInfo mmx_tests_change_json[];
+extern CU_TestInfo mmx_tests_claims[];
 extern CU_TestInfo mmx_tests_clock[];
 extern CU_TestInfo mmx_tests_config[];
 extern CU_TestInfo mmx_tests_config_wire[];
+extern CU_TestInfo mmx_tests_detection[];
+extern CU_TestInfo mmx_tests_directory[];
+extern CU_TestInfo mmx_tests_ejection[];
+extern CU_TestInfo mmx_tests_entry[];
 extern CU_TestInfo mmx_tests_error[];
+extern CU_TestInfo mmx_tests_exit[];
+extern CU_TestInfo mmx_tests_exit_target[];
+extern CU_TestInfo mmx_tests_exporter[];
+extern CU_TestInfo mmx_tests_filter[];
 extern CU_TestInfo mmx_tests_fold[];
 extern CU_TestInfo mmx_tests_log_client[];
+extern CU_TestInfo mmx_tests_gossip[];
+extern CU_TestInfo mmx_tests_gossip_codec[];
+extern CU_TestInfo mmx_tests_history[];
+extern CU_TestInfo mmx_tests_hostile[];
+extern CU_TestInfo mmx_tests_http_entry[];
+extern CU_TestInfo mmx_tests_http_reader[];
+extern CU_TestInfo mmx_tests_latency[];
+extern CU_TestInfo mmx_tests_membership[];
+extern CU_TestInfo mmx_tests_mutation[];
+extern CU_TestInfo mmx_tests_operator[];
+extern CU_TestInfo mmx_tests_peer[];
+extern CU_TestInfo mmx_tests_peer_faults[];
+extern CU_TestInfo mmx_tests_policy[];
 extern CU_TestInfo mmx_tests_publish[];
+extern CU_TestInfo mmx_tests_retry[];
+extern CU_TestInfo mmx_tests_rpc[];
+extern CU_TestInfo mmx_tests_schema[];
+extern CU_TestInfo mmx_tests_session[];
+extern CU_TestInfo mmx_tests_settings[];
 extern CU_TestInfo mmx_tests_snapshot[];
+extern CU_TestInfo mmx_tests_target_client[];
 extern CU_TestInfo mmx_tests_task[];
+extern CU_TestInfo mmx_tests_trace[];
+extern CU_TestInfo mmx_tests_wire[];
 
 extern CU_SuiteInfo mmx_test_suites[];
 
