Ignore SIGPIPE in publish and in the unit tests

A log service that closes a connection while a request is written ended the process with SIGPIPE; the log client's test showed it. The node ignores the signal already; publish and the unit tests do so now.

--- a/src/masticmux/command_publish.c
+++ b/src/masticmux/command_publish.c
@@ -5,6 +5,7 @@
 #include <inttypes.h>
 #include <jansson.h>
 #include <openssl/rand.h>
+#include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -317,6 +318,8 @@
 		.options = options, .settings = settings, .id = id};
 	mmx_exit_status_t status;
 
+	/* A log service that closes a connection must not end the process. */
+	signal(SIGPIPE, SIG_IGN);
 	open_(&publisher, record);
 	publish_(&publisher);
 	status = exits_[publisher.result.outcome];
--- a/src/test_libmasticmux/main.c
+++ b/src/test_libmasticmux/main.c
@@ -1,5 +1,6 @@
 /* Runs every suite; exits 1 if a check failed. */
 #include <CUnit/Basic.h>
+#include <signal.h>
 
 #include "suites.h"
 
@@ -7,6 +8,8 @@
 {
 	unsigned int failures;
 
+	/* As in a node: writing to a closed connection is an error only. */
+	signal(SIGPIPE, SIG_IGN);
 	if (CU_initialize_registry() != CUE_SUCCESS)
 		return 1;
 	if (CU_register_suites(mmx_test_suites) != CUE_SUCCESS) {
