--- a/src/libmasticmux/include/private/membership_parts.h
+++ b/src/libmasticmux/include/private/membership_parts.h
@@ -114,6 +114,9 @@
 
 /* Starts a sync with a member unless one is under way. */
 void mmx_membership_sync_start(mmx_membership_t *m, const mmx_entry_t *peer);
+
+/* Moves the next sync to a random moment of the next 10 s, if it is later. */
+void mmx_membership_sync_hasten(mmx_membership_t *m);
 void mmx_membership_sync_tick(mmx_membership_t *m);
 void mmx_membership_sync_destroy(mmx_membership_t *m);
 
--- a/src/libmasticmux/membership_state.c
+++ b/src/libmasticmux/membership_state.c
@@ -37,6 +37,10 @@
 		mmx_counter_set(m->counters.states[s],
 				(int64_t)mmx_member_table_state_count(
 					m->table, (mmx_member_state_t)s));
+	/* A member that is new or back brings targets; updates on probes alone
+	 * left some nodes without them until their next sync, 40 s later. */
+	if (entry->member.state == MMX_MEMBER_ALIVE)
+		mmx_membership_sync_hasten(m);
 	if (m->ops->changed)
 		m->ops->changed(m->arg, &entry->member, before);
 }
--- a/src/libmasticmux/membership_sync.c
+++ b/src/libmasticmux/membership_sync.c
@@ -6,6 +6,8 @@
 #include "masticmux/directory_sync.h"
 #include "private/membership_parts.h"
 
+/* A sync that a change of members asks for follows within this time. */
+#define SYNC_HASTENED_US (10 * MMX_US_PER_S)
 #define SYNC_TIMEOUT (10 * MMX_US_PER_S)
 /* Least time between syncs that follow a member's return. */
 #define REJOIN_SYNC_PERIOD (5 * MMX_US_PER_S)
@@ -173,6 +175,16 @@
 		mmx_membership_sync_start(m, peer);
 }
 
+void mmx_membership_sync_hasten(mmx_membership_t *m)
+{
+	mmx_time_t next = mmx_clock_now(m->clock) +
+			  (mmx_time_t)mmx_random_below(&m->random,
+						       SYNC_HASTENED_US);
+
+	if (next < m->next_sync)
+		m->next_sync = next;
+}
+
 typedef struct listing_t {
 	GArray *hashes;
 	uint16_t bucket;
