Report the node's answer to announcements in the target stand-in

Cause: an announcement that a node refuses was only visible as a count, and the target accepted names that a node refuses. Change: one line on standard error when the answer changes; names follow the node's rule.

--- a/src/standin/announcer.c
+++ b/src/standin/announcer.c
@@ -2,7 +2,9 @@
 
 #include <event2/buffer.h>
 #include <jansson.h>
+#include <stdio.h>
 #include <stdlib.h>
+#include <string.h>
 
 #define LEASE_PARTS 3
 /* Until the first announcement is accepted; the node may start later. */
@@ -10,6 +12,24 @@
 #define LEAVE_US (500 * MMX_US_PER_MS)
 #define CONNECT_TIMEOUT_S 2
 
+/* One line on standard error when the node's answer changes. */
+static void report_change_(announcer_t *announcer, struct evhttp_request *req,
+			   int status)
+{
+	struct evbuffer *body =
+		req ? evhttp_request_get_input_buffer(req) : NULL;
+	char text[256] = "";
+
+	if (status == announcer->last_status)
+		return;
+	announcer->last_status = status;
+	if (body)
+		evbuffer_copyout(body, text, sizeof(text) - 1);
+	text[strcspn(text, "\r\n")] = '\0';
+	fprintf(stderr, "announcement of %s: status %d %s\n", announcer->name,
+		status, text);
+}
+
 static void on_reply_(struct evhttp_request *req, void *arg)
 {
 	announcer_t *announcer = arg;
@@ -20,6 +40,7 @@
 		standin_server_stop(announcer->server);
 		return;
 	}
+	report_change_(announcer, req, status);
 	if (status >= 200 && status < 300)
 		announcer->accepted++;
 	else
--- a/src/standin/announcer.h
+++ b/src/standin/announcer.h
@@ -26,6 +26,7 @@
 	uint64_t failed;
 	struct evhttp_connection *conn;
 	mmx_timer_t timer;
+	int last_status; /**< of the node's answer; 0: no answer */
 	bool outstanding;
 	bool repeat; /**< changed while one was outstanding */
 	bool started;
--- a/src/standin/target.c
+++ b/src/standin/target.c
@@ -251,16 +251,24 @@
 	return false;
 }
 
+/* Names that a node accepts in an announcement. */
+static bool name_(const char *text)
+{
+	return strlen(text) <= MMX_NAME_MAX && !strchr(text, ':') &&
+	       executions_key_valid(text);
+}
+
 static bool valid_(const options_t *o, target_t *target, mmx_error_t *error)
 {
 	if (!o->listen || !o->name || !o->service)
 		return mmx_error_set(error, MMX_ERROR_INVALID,
 				     "target: --listen, --name and --service "
 				     "are required");
-	if (!executions_key_valid(o->name) || !executions_key_valid(o->service))
+	if (!name_(o->name) || !name_(o->service))
 		return mmx_error_set(error, MMX_ERROR_INVALID,
-				     "target: names consist of letters, "
-				     "digits and ._:-");
+				     "target: names are 1 to %d letters, "
+				     "digits and ._-",
+				     MMX_NAME_MAX);
 	if (o->slots < 1 || o->slots > 65535 || o->queue < 0 ||
 	    o->latency_ms < 0 || o->cold_ms < 0 || o->lease_ms < 3 ||
 	    o->max_keys < 0 || o->max_body_mib < 1)
