Tell a live member that others hold it dead

The probe carries the claim. New tests: a partition in which the seeds are lost, no verdict taken over after a partition heals, a claim of death.

--- a/src/libmasticmux/membership.c
+++ b/src/libmasticmux/membership.c
@@ -194,6 +194,7 @@
 static mmx_probe_t *probe_(mmx_membership_t *m, const mmx_entry_t *entry,
 			   mmx_probe_kind_t kind)
 {
+	mmx_gossip_message_t *message;
 	mmx_probe_t *probe;
 
 	if (m->probe_count == PROBES_MAX)
@@ -207,7 +208,13 @@
 	TAILQ_INSERT_TAIL(&m->probes, probe, entry);
 	m->probe_count++;
 	mmx_counter_add(m->counters.probes, 1);
-	send_(m, message_(m, MMX_GOSSIP_PING, probe->xid), entry, NULL);
+	message = message_(m, MMX_GOSSIP_PING, probe->xid);
+	if (entry->verifying && entry->member.state == MMX_MEMBER_ALIVE) {
+		/* Others hold it dead; it refutes only what it hears of. */
+		mmx_membership_add_opinion(m, message, entry, 0);
+		message->opinions[0].state = MMX_MEMBER_DEAD;
+	}
+	send_(m, message, entry, NULL);
 	return probe;
 }
 
@@ -332,10 +339,10 @@
 	entry = mmx_member_table_find(m->table, m->verify[--m->verify_count]);
 	if (!entry)
 		return;
-	entry->verifying = false;
 	probe_(m, entry,
 	       mmx_member_table_present(entry) ? MMX_PROBE_MEMBER
 					       : MMX_PROBE_LOST);
+	entry->verifying = false;
 }
 
 /* A process that was paused missed answers and refutations; what it would
--- a/src/test_libmasticmux/test_gossip_codec.c
+++ b/src/test_libmasticmux/test_gossip_codec.c
@@ -371,10 +371,10 @@
 		mmx_sync_message_t *back;
 		size_t size = 0;
 		uint8_t *data = mmx_sync_encode(message, 4096, &size);
-		uint8_t *copy = malloc(size);
+		uint8_t copy[4096];
 
-		CU_ASSERT_TRUE_FATAL(data && copy);
-		if (!data || !copy)
+		CU_ASSERT_PTR_NOT_NULL_FATAL(data);
+		if (!data)
 			return;
 		back = mmx_sync_decode(data, size);
 		CU_ASSERT_PTR_NOT_NULL_FATAL(back);
@@ -392,7 +392,6 @@
 				copy, mmx_random_below(&random, size + 1)));
 		}
 		mmx_sync_message_destroy(message);
-		free(copy);
 		free(data);
 	}
 }
--- a/src/test_libmasticmux/test_membership.c
+++ b/src/test_libmasticmux/test_membership.c
@@ -138,6 +138,21 @@
 	fleet->blocked[2][0] = true;
 }
 
+/* Without the seeds only probes of dead members join the sides again. */
+static void partition_and_seeds_lost_(fleet_t *fleet)
+{
+	partition_(fleet);
+	fleet_stop_(&fleet->instances[0]);
+	fleet_stop_(&fleet->instances[1]);
+}
+
+/* From here on a verdict of the other side must not be taken over. */
+static void heal_(fleet_t *fleet)
+{
+	no_loss_(fleet);
+	fleet->false_dead = 0;
+}
+
 /* Targets change on both sides meanwhile. */
 static void heal_with_changes_(fleet_t *fleet)
 {
@@ -149,7 +164,7 @@
 		fleet_announce_(&fleet->instances[i + 2], 9, MMX_TARGET_COLD);
 	}
 	fleet_run_(fleet, 15 * MMX_US_PER_S);
-	no_loss_(fleet);
+	heal_(fleet);
 }
 
 static void rolling_restart_(fleet_t *fleet)
@@ -180,39 +195,61 @@
 	int settle_s; /* from heal to the last check */
 	int dead;     /* seen by each running instance before the heal */
 	int left;
-	bool false_dead; /* a running member may be declared dead */
 } scenario_t;
 
 static const scenario_t scenarios[] = {
-	{"join", nothing_, nothing_, 10, SETTLE_S, 0, 0, false},
-	{"leave", leave_, nothing_, 5, SETTLE_S, 0, 1, false},
-	{"crash", crash_, nothing_, 20, SETTLE_S, 1, 0, false},
-	{"crash and later restart", crash_, start_crashed_, 20, SETTLE_S, 1, 0,
-	 false},
+	{"join", nothing_, nothing_, 10, SETTLE_S, 0, 0},
+	{"leave", leave_, nothing_, 5, SETTLE_S, 0, 1},
+	{"crash", crash_, nothing_, 20, SETTLE_S, 1, 0},
+	{
+		"crash and later restart",
+		crash_,
+		start_crashed_,
+		20,
+		SETTLE_S,
+		1,
+		0,
+	},
 	{"restart before anyone noticed", restart_at_once_, nothing_, 10,
-	 SETTLE_S, 0, 0, false},
-	{"20% loss", lose_20_percent_, no_loss_, 120, SETTLE_S, ALL_STATES, 0,
-	 false},
+	 SETTLE_S, 0, 0},
+	{
+		"20% loss",
+		lose_20_percent_,
+		no_loss_,
+		120,
+		SETTLE_S,
+		ALL_STATES,
+		0,
+	},
 	{"crash during 20% loss", crash_during_loss_, no_loss_, 60, SETTLE_S,
-	 ALL_STATES, 0, false},
+	 ALL_STATES, 0},
 	{"one-way loss between regions", one_way_, no_loss_, 120, SETTLE_S, 0,
-	 0, false},
+	 0},
 	{"two regions cut, a third reaches both", one_way_both_, no_loss_, 120,
-	 SETTLE_S, 0, 0, false},
+	 SETTLE_S, 0, 0},
 	{"one node reached from one region", half_isolated_, no_loss_, 120,
-	 SETTLE_S, 0, 0, false},
-	{"short pause", pause_, resume_, 4, SETTLE_S, 0, 0, false},
-	{"long pause", pause_, resume_, 60, SETTLE_S, ALL_STATES, 0, false},
+	 SETTLE_S, 0, 0},
+	{"short pause", pause_, resume_, 4, SETTLE_S, 0, 0},
+	{"long pause", pause_, resume_, 60, SETTLE_S, ALL_STATES, 0},
 	{"half of the nodes pause", pause_half_, resume_half_, 30, SETTLE_S,
-	 ALL_STATES, 0, false},
-	{"rack lost", rack_lost_, nothing_, 25, SETTLE_S, 2, 0, false},
-	{"zone lost", zone_lost_, start_crashed_, 25, SETTLE_S, 4, 0, false},
-	{"region lost", region_lost_, start_crashed_, 40, SETTLE_S, 8, 0,
-	 false},
+	 ALL_STATES, 0},
+	{"rack lost", rack_lost_, nothing_, 25, SETTLE_S, 2, 0},
+	{"zone lost", zone_lost_, start_crashed_, 25, SETTLE_S, 4, 0},
+	{
+		"region lost",
+		region_lost_,
+		start_crashed_,
+		40,
+		SETTLE_S,
+		8,
+		0,
+	},
 	{"region partitioned for minutes", partition_, heal_with_changes_, 180,
-	 120, ALL_STATES, 0, true},
+	 120, ALL_STATES, 0},
+	{"region partitioned and seeds lost", partition_and_seeds_lost_, heal_,
+	 180, 120, ALL_STATES, 0},
 	{"rolling restart", rolling_restart_, nothing_, 1, SETTLE_S, 0,
-	 ALL_STATES, false},
+	 ALL_STATES},
 };
 
 static void check_states_(const scenario_t *scenario, const fleet_t *fleet)
@@ -254,8 +291,7 @@
 	CU_ASSERT_EQUAL(fleet_wrong_views_(fleet), 0);
 	CU_ASSERT_EQUAL(fleet_wrong_directories_(fleet), 0);
 	CU_ASSERT_EQUAL(fleet->rejected, 0);
-	if (!scenario->false_dead)
-		CU_ASSERT_EQUAL(fleet->false_dead, 0);
+	CU_ASSERT_EQUAL(fleet->false_dead, 0);
 	if (CU_get_number_of_failures() != failures)
 		printf("\n    scenario \"%s\" seed %llu: %zu wrong views, "
 		       "%zu wrong directories, %zu false verdicts\n",
@@ -432,11 +468,50 @@
 	fleet_destroy_(fleet);
 }
 
+/* Guards against a death that is believed, or a false one that the member
+ * never hears of and so cannot refute. */
+static void test_claim_of_death_(void)
+{
+	fleet_t *fleet = fleet_create_(3, 1, 1, 9);
+	mmx_gossip_message_t *message = g_new0(mmx_gossip_message_t, 1);
+	const instance_t *from = &fleet->instances[1];
+	const instance_t *subject = &fleet->instances[2];
+	const mmx_member_t *seen;
+	uint32_t refutation;
+
+	start_all_(fleet);
+	fleet_run_(fleet, 20 * MMX_US_PER_S);
+	refutation = mmx_membership_self(subject->membership)->refutation;
+	message->procedure = MMX_GOSSIP_NEWS;
+	message->sender = from->record.id;
+	message->incarnation = from->record.incarnation;
+	message->opinion_count = 1;
+	message->opinions[0] = (mmx_opinion_t){
+		.subject = subject->record.id,
+		.incarnation = subject->record.incarnation,
+		.refutation = refutation,
+		.state = MMX_MEMBER_DEAD,
+	};
+	mmx_membership_receive(fleet->instances[0].membership, message,
+			       &from->record.nodes);
+	seen = mmx_membership_find(fleet->instances[0].membership,
+				   subject->record.id);
+	CU_ASSERT_EQUAL(seen->state, MMX_MEMBER_ALIVE);
+	fleet_run_(fleet, MMX_US_PER_S / 2);
+	CU_ASSERT_EQUAL(mmx_membership_self(subject->membership)->refutation,
+			refutation + 1);
+	CU_ASSERT_EQUAL(seen->refutation, refutation + 1);
+	CU_ASSERT_EQUAL(fleet->false_dead, 0);
+	g_free(message);
+	fleet_destroy_(fleet);
+}
+
 CU_TestInfo mmx_tests_membership[] = {
 	{"faults of one and many members", test_scenarios_},
 	{"name of a running process", test_name_conflict_},
 	{"replaced while paused", test_replaced_while_paused_},
 	{"stale target of a node", test_withdraw_},
+	{"claim of death", test_claim_of_death_},
 	{"queries", test_queries_},
 	{"one reporter", test_one_reporter_},
 	{"memory of lost members", test_memory_},
