Keep a withdrawn target's record whole

Cause: a target that ends sends DELETE, whose message names the target only; the exit took over the empty service and the directory's assertion ended the node. Found by the stand-in target on SIGTERM. Change: a withdrawal changes the state and the lease only; the node's loop uses precise timers, since epoll rounded timeouts up by up to 4 ms.

--- a/src/libmasticmux/exit.c
+++ b/src/libmasticmux/exit.c
@@ -131,7 +131,11 @@
 		target->warm_since = mmx_clock_now(exit->clock);
 		target->warm_up = warm_up_(exit, announced->service);
 	}
-	update_target_(exit, target, announced);
+	/* A withdrawal names the target only. */
+	if (state == MMX_TARGET_GONE)
+		target->lease_until = mmx_clock_now(exit->clock);
+	else
+		update_target_(exit, target, announced);
 	update_stopped_(target, state);
 	if (target->stopped && state < MMX_TARGET_DRAINING)
 		state = MMX_TARGET_DRAINING;
--- a/src/libmasticmux/node.c
+++ b/src/libmasticmux/node.c
@@ -73,6 +73,18 @@
 	return seed;
 }
 
+/* Without precise timers epoll rounds each timeout up by up to 4 ms. */
+static struct event_base *new_base_(void)
+{
+	struct event_config *config = event_config_new();
+	struct event_base *base;
+
+	event_config_set_flag(config, EVENT_BASE_FLAG_PRECISE_TIMER);
+	base = event_base_new_with_config(config);
+	event_config_free(config);
+	return base;
+}
+
 mmx_node_t *mmx_node_create(const mmx_settings_t *settings)
 {
 	mmx_node_t *node = g_new0(mmx_node_t, 1);
@@ -80,7 +92,7 @@
 
 	assert(settings);
 	node->settings = settings;
-	node->base = event_base_new();
+	node->base = new_base_();
 	node->runtime = mmx_runtime_create(node->base);
 	node->clock = mmx_runtime_clock(node->runtime);
 	node->counters = mmx_counters_create();
@@ -90,9 +102,9 @@
 	node->incarnation = mmx_clock_wall(node->clock);
 	TAILQ_INIT(&node->parts);
 	mmx_timer_init(&node->drain_timer, node->clock, on_drain_poll_, node);
-	node->entry = mmx_entry_create(node->runtime, node->id,
-				       node->incarnation,
-				       mmx_random_next(&node->random));
+	node->entry =
+		mmx_entry_create(node->runtime, node->id, node->incarnation,
+				 mmx_random_next(&node->random));
 	node->exit = mmx_exit_create(node->runtime, node->id,
 				     settings->node_name, node->incarnation);
 	for (i = 0; i < G_N_ELEMENTS(part_table_); i++) {
--- a/src/test_libmasticmux/test_exit.c
+++ b/src/test_libmasticmux/test_exit.c
@@ -24,6 +24,8 @@
 {
 	rig_t *rig = context;
 
+	/* The directory asserts that a record is whole. */
+	CU_ASSERT_TRUE(record->service[0] && record->slots > 0);
 	rig->versions++;
 	rig->slots = record->slots;
 }
@@ -47,6 +49,11 @@
 	g_strlcpy(announced->service, fake_flag(words, "other") ? "other" : "s",
 		  sizeof(announced->service));
 	announced->slots = (uint16_t)fake_number(words, "slots", 1);
+	/* A withdrawal has the name only; the record must keep the rest. */
+	if (state == MMX_TARGET_GONE) {
+		announced->service[0] = '\0';
+		announced->slots = 0;
+	}
 	announced->state = state;
 	announced->lease =
 		fake_number(words, "lease", 3600 * 1000) * MMX_US_PER_MS;
