Let entries choose by load, ejection and retry budget

The entry chose any target at random and the exit judged none.

view joins balance, ejection, retry budget, latency window and path per entry; the exit judges each target from its requests, reports level and score with each response and tells entries of the last 60 s when level or state changes. EXECUTE carries the distribution at the other targets once a second, RESPONSE whether a trial was good. The evidence behind a level is renamed, because the message of the same name is in the same program.

--- a/include/masticmux/detection.h
+++ b/include/masticmux/detection.h
@@ -56,12 +56,12 @@
 extern const char *const mmx_evidence_kind_string[MMX_EVIDENCE_KIND_COUNT];
 
 /** Evidence that led to the current level, for "masticmux explain". */
-typedef struct mmx_evidence_t {
+typedef struct mmx_suspicion_evidence_t {
 	mmx_evidence_kind_t kind;
 	double value;	  /**< nats; no progress: seconds; losses: a count */
 	double threshold; /**< what it was compared with, same unit */
 	mmx_time_t time;  /**< when the level was reached */
-} mmx_evidence_t;
+} mmx_suspicion_evidence_t;
 
 /** Thresholds of one detection weight. */
 typedef struct mmx_detection_limits_t {
@@ -162,7 +162,7 @@
 mmx_suspicion_t mmx_detection_level(const mmx_detection_t *detection);
 
 /** Evidence that led to the level; valid until the next evaluation. */
-const mmx_evidence_t *mmx_detection_evidence(const mmx_detection_t *detection);
+const mmx_suspicion_evidence_t *mmx_detection_evidence(const mmx_detection_t *detection);
 
 /** Number of requests in progress. */
 size_t mmx_detection_in_progress(const mmx_detection_t *detection);
--- a/include/masticmux/path.h
+++ b/include/masticmux/path.h
@@ -46,7 +46,7 @@
 	double losses; /**< halves with time */
 	uint32_t outstanding;
 	mmx_suspicion_t level;
-	mmx_evidence_t evidence;
+	mmx_suspicion_evidence_t evidence;
 } mmx_path_t;
 
 /**
@@ -83,6 +83,6 @@
 bool mmx_path_must_ask(const mmx_path_t *path, mmx_time_t now);
 
 /** Evidence that led to the level. */
-const mmx_evidence_t *mmx_path_evidence(const mmx_path_t *path);
+const mmx_suspicion_evidence_t *mmx_path_evidence(const mmx_path_t *path);
 
 #endif
--- a/src/libmasticmux/detection.c
+++ b/src/libmasticmux/detection.c
@@ -73,7 +73,7 @@
 	double score;
 	double age;
 	mmx_suspicion_t level;
-	mmx_evidence_t evidence;
+	mmx_suspicion_evidence_t evidence;
 	mmx_time_t evaluated;
 	uint8_t trials;
 	mmx_time_t hold_until; /* suspect until then; 0: no hold */
@@ -305,7 +305,7 @@
 		    mmx_time_t now)
 {
 	const mmx_detection_limits_t *limits = &detection->limits;
-	mmx_evidence_t *evidence = &detection->evidence;
+	mmx_suspicion_evidence_t *evidence = &detection->evidence;
 
 	evidence->kind = kind;
 	evidence->value = detection->score;
@@ -356,7 +356,7 @@
 	return detection->level;
 }
 
-const mmx_evidence_t *mmx_detection_evidence(const mmx_detection_t *detection)
+const mmx_suspicion_evidence_t *mmx_detection_evidence(const mmx_detection_t *detection)
 {
 	return &detection->evidence;
 }
--- a/src/libmasticmux/entry.c
+++ b/src/libmasticmux/entry.c
@@ -20,6 +20,9 @@
 	const mmx_directory_t *directory;
 	mmx_counters_t *counters;
 	const mmx_guards_t *guards;
+	const mmx_view_members_ops_t *members;
+	void *members_context;
+	mmx_view_t *view;
 	mmx_pipeline_t pipeline;
 	mmx_filter_t *attempt_filter;
 	uint64_t next_sequence;
@@ -306,6 +309,12 @@
 	mmx_entry_end(exchange);
 }
 
+static void on_evidence_(mmx_entry_t *entry, const mmx_evidence_t *evidence)
+{
+	mmx_view_path_progress(entry->view, evidence->exit);
+	mmx_view_report(entry->view, &evidence->load);
+}
+
 static void handle_(mmx_task_t *task, mmx_message_t *message)
 {
 	mmx_entry_t *entry = (mmx_entry_t *)task;
@@ -330,11 +339,11 @@
 		on_fence_reply_(entry, (mmx_fence_reply_t *)message);
 		break;
 	case MMX_MESSAGE_PATH_LOST:
-		mmx_filter_attempt_path_lost(
-			entry->attempt_filter,
-			((mmx_path_lost_t *)message)->exit);
+		mmx_filter_attempt_path_lost(entry->attempt_filter,
+					     (mmx_path_lost_t *)message);
 		break;
 	case MMX_MESSAGE_EVIDENCE:
+		on_evidence_(entry, (mmx_evidence_t *)message);
 		break;
 	default:
 		assert(!"message kind that the entry does not take");
@@ -376,6 +385,7 @@
 		mmx_entry_end(item->data);
 	g_list_free(exchanges);
 	mmx_pipeline_finish(&entry->pipeline);
+	mmx_view_destroy(entry->view);
 	mmx_task_finish(&entry->task);
 	g_hash_table_destroy(entry->by_request);
 	g_hash_table_destroy(entry->by_sequence);
@@ -453,6 +463,16 @@
 	return true;
 }
 
+bool mmx_entry_set_members(mmx_entry_t *entry,
+			   const mmx_view_members_ops_t *members, void *context)
+{
+	if (entry->running)
+		return false;
+	entry->members = members;
+	entry->members_context = context;
+	return true;
+}
+
 bool mmx_entry_set_guards(mmx_entry_t *entry, const mmx_guards_t *guards)
 {
 	if (entry->running)
@@ -466,6 +486,15 @@
 	assert(entry->http && entry->local_exit && entry->fold &&
 	       entry->directory && !entry->running);
 	entry->running = true;
+	entry->view = mmx_view_create(&(mmx_view_config_t){
+		.clock = entry->clock,
+		.random = &entry->random,
+		.directory = entry->directory,
+		.fold = entry->fold,
+		.members = entry->members,
+		.members_context = entry->members_context,
+		.guards = entry->guards,
+	});
 	entry->attempt_filter = mmx_filter_attempt_create(entry);
 	mmx_pipeline_add(&entry->pipeline, mmx_filter_request_create());
 	mmx_pipeline_add(&entry->pipeline,
@@ -500,6 +529,11 @@
 	return entry->directory;
 }
 
+mmx_view_t *mmx_entry_view(const mmx_entry_t *entry)
+{
+	return entry->view;
+}
+
 mmx_random_t *mmx_entry_random(mmx_entry_t *entry)
 {
 	return &entry->random;
--- a/src/libmasticmux/exit.c
+++ b/src/libmasticmux/exit.c
@@ -9,8 +9,6 @@
 #define ANSWER_BYTES_MAX (16 * 1024 * 1024)
 /* Leases, queued deadlines and old records are checked this often. */
 #define SWEEP_INTERVAL_US (100 * MMX_US_PER_MS)
-/* A sweep that comes later than this tells that the process was paused. */
-#define PAUSE_MIN_US MMX_US_PER_S
 
 /* --- targets ----------------------------------------------------------- */
 
@@ -56,6 +54,7 @@
 		      target->record.name, "service", target->record.service,
 		      "state", mmx_target_state_string[state], NULL);
 	publish_(exit, target);
+	mmx_exit_health_tell(exit, target);
 }
 
 static mmx_time_t warm_up_(const mmx_exit_t *exit, const char *service)
@@ -78,6 +77,7 @@
 		exit->incarnation, announced->name, announced->service);
 	/* Only a target that says it is cold needs the ramp. */
 	target->warm_since = -(mmx_time_t)MMX_TIME_NEVER / 2;
+	mmx_exit_health_init(exit, target);
 	LIST_INSERT_HEAD(&exit->targets, target, entry);
 	return target;
 }
@@ -153,7 +153,8 @@
 	mmx_attempts_expire(exit->attempts);
 	LIST_FOREACH (target, &exit->targets, entry) {
 		/* Renewals could not be read while this process was paused. */
-		if (late > PAUSE_MIN_US && target->lease_until < MMX_TIME_NEVER)
+		if (late > MMX_EXIT_PAUSE_MIN_US &&
+		    target->lease_until < MMX_TIME_NEVER)
 			target->lease_until += late;
 		mmx_exit_expire_queued(exit, target);
 		if (target->lease_until <= now)
@@ -217,6 +218,8 @@
 	exit->record_max = RECORD_MAX;
 	LIST_INIT(&exit->targets);
 	mmx_timer_init(&exit->sweep, exit->clock, on_sweep_, exit);
+	mmx_timer_init(&exit->health, exit->clock, mmx_exit_health_on_timer,
+		       exit);
 	return exit;
 }
 
@@ -227,11 +230,15 @@
 	if (!exit)
 		return;
 	mmx_timer_cancel(&exit->sweep);
+	mmx_timer_cancel(&exit->health);
 	mmx_task_finish(&exit->task);
+	if (exit->attempts)
+		mmx_exit_health_abandon_all(exit);
 	while ((target = LIST_FIRST(&exit->targets))) {
 		LIST_REMOVE(target, entry);
 		TAILQ_INIT(&target->queue);
 		target->in_progress = 0;
+		mmx_exit_health_finish(target);
 		mmx_exit_target_destroy(target);
 	}
 	mmx_attempts_destroy(exit->attempts);
@@ -315,6 +322,8 @@
 					     ANSWER_BYTES_MAX);
 	mmx_attempts_set_guards(exit->attempts, exit->guards);
 	exit->last_sweep = mmx_clock_now(exit->clock);
+	exit->last_evaluation = exit->last_sweep;
+	mmx_timer_set(&exit->health, MMX_DETECTION_PERIOD_US);
 	mmx_timer_set(&exit->sweep, SWEEP_INTERVAL_US);
 }
 
--- a/src/libmasticmux/exit_attempt.c
+++ b/src/libmasticmux/exit_attempt.c
@@ -15,6 +15,10 @@
 	response->origin = *origin;
 	if (target)
 		mmx_exit_target_report(target, &response->load);
+	/* The request whose response is whole is no load any more. */
+	if (response->head && response->body_end &&
+	    response->load.in_progress > 0)
+		response->load.in_progress--;
 	mmx_task_post(origin->task, &response->message);
 }
 
@@ -73,6 +77,7 @@
 {
 	mmx_exit_target_t *target = attempt->target;
 
+	mmx_exit_health_end(attempt, MMX_RESULT_ABANDONED);
 	target->in_progress--;
 	if (attempt->reply_at_end)
 		post_fence_reply_(exit, attempt, &attempt->id, &attempt->origin,
@@ -91,6 +96,7 @@
 	target->in_progress++;
 	attempt->state = MMX_ATTEMPT_RUNNING;
 	attempt->started = mmx_clock_now(exit->clock);
+	mmx_exit_health_start(attempt);
 	call->address = target->address;
 	call->remaining = attempt->deadline - attempt->started;
 	call->head = execute->head;
@@ -140,6 +146,9 @@
 	if (!*target ||
 	    strcmp((*target)->record.service, execute->service) != 0)
 		return MMX_REASON_DRAINING;
+	/* Many entries together send one trial at a time. */
+	if (execute->trial && !mmx_detection_may_try((*target)->detection))
+		return MMX_REASON_OVERLOADED;
 	reason = mmx_exit_target_admit(*target, mmx_clock_now(exit->clock),
 				       execute->remaining);
 	if (reason == MMX_REASON_DRAINING && !exit->guards->draining)
@@ -153,6 +162,8 @@
 	mmx_reason_t reason = admit_(exit, execute, &target);
 	mmx_attempt_t *attempt;
 
+	if (target)
+		mmx_exit_health_note(exit, target, execute);
 	if (reason != MMX_REASON_NONE) {
 		mmx_exit_post_refusal(exit, &execute->attempt, &execute->origin,
 				      target, reason, false);
@@ -168,6 +179,7 @@
 	attempt->target = target;
 	attempt->origin = execute->origin;
 	attempt->repeatable = execute->repeatable;
+	attempt->trial = execute->trial;
 	attempt->deadline = mmx_clock_now(exit->clock) + execute->remaining;
 	TAILQ_INSERT_TAIL(&target->queue, attempt, queue_entry);
 	target->queued++;
--- a/src/libmasticmux/exit_call.c
+++ b/src/libmasticmux/exit_call.c
@@ -16,6 +16,33 @@
 	return attempt;
 }
 
+static void judge_failure_(mmx_exit_t *exit, mmx_attempt_t *attempt,
+			   bool started)
+{
+	/* The target client closes the connection at the deadline. */
+	bool late = mmx_clock_now(exit->clock) >= attempt->deadline;
+
+	mmx_exit_health_end(attempt, started && late ? MMX_RESULT_ABANDONED
+						     : MMX_RESULT_ERROR);
+	if (!started && !late)
+		mmx_detection_refused(attempt->target->detection);
+}
+
+/*
+ * The response counts when it is whole, or longer than entries hold: the rest
+ * comes as fast as the caller reads. A trial is decided by its head, which
+ * tells the entry.
+ */
+static bool judge_response_(mmx_attempt_t *attempt, size_t length, bool end)
+{
+	attempt->passed += length;
+	if (!end && !attempt->trial && attempt->passed <= MMX_HELD_BODY_MAX)
+		return false;
+	return mmx_exit_health_end(attempt, attempt->error
+						    ? MMX_RESULT_ERROR
+						    : MMX_RESULT_SUCCESS);
+}
+
 static void on_call_failed_(mmx_exit_t *exit, mmx_attempt_t *attempt,
 			    const mmx_call_event_t *event)
 {
@@ -26,6 +53,7 @@
 				      attempt->target, MMX_REASON_TARGET_FAILED,
 				      started);
 	attempt->reply_at_end = false;
+	judge_failure_(exit, attempt, started);
 	mmx_exit_end_running(exit, attempt,
 			     started ? MMX_ATTEMPT_FINISHED
 				     : MMX_ATTEMPT_REFUSED);
@@ -39,6 +67,9 @@
 	bool end = event->body_end;
 
 	attempt->headed = true;
+	attempt->error = event->head->status >= 500;
+	response->good =
+		judge_response_(attempt, evbuffer_get_length(event->body), end);
 	mmx_attempts_keep_head(exit->attempts, attempt, event->head);
 	mmx_attempts_keep(exit->attempts, attempt, event->body);
 	response->head = event->head;
@@ -81,6 +112,10 @@
 		mmx_message_destroy(&body->message);
 		return;
 	}
+	if (failed)
+		mmx_exit_health_end(attempt, MMX_RESULT_ERROR);
+	else
+		judge_response_(attempt, evbuffer_get_length(body->data), end);
 	mmx_attempts_keep(exit->attempts, attempt, body->data);
 	if (attempt->abandoned || attempt->reply_at_end) {
 		mmx_message_destroy(&body->message);
--- /dev/null
+++ b/src/libmasticmux/exit_health.c
@@ -0,0 +1,159 @@
+/* Detection at the exit, and what entries are told about their targets. */
+#include "private/exit_internal.h"
+
+#include <glib.h>
+
+/* Entries that sent requests within this time are told of changes. */
+#define ORIGIN_KEEP_US (60 * MMX_US_PER_S)
+/* The distribution at other targets is merged at most this often. */
+#define PEERS_INTERVAL_US MMX_US_PER_S
+
+/* An entry that sent requests to a target. */
+typedef struct origin_t {
+	mmx_node_id_t node;
+	mmx_origin_t origin;
+	mmx_time_t last;
+} origin_t;
+
+static uint8_t weight_(const mmx_exit_t *exit, const char *service)
+{
+	mmx_policy_t policy;
+
+	if (!exit->fold || !*exit->fold ||
+	    !mmx_fold_service(*exit->fold, service, &policy))
+		return 0;
+	return policy.detection_weight;
+}
+
+void mmx_exit_health_init(mmx_exit_t *exit, mmx_exit_target_t *target)
+{
+	target->weight = weight_(exit, target->record.service);
+	target->detection = mmx_detection_create(exit->clock, target->weight);
+	target->peers_merged = -PEERS_INTERVAL_US;
+	target->origins = g_hash_table_new_full(g_int64_hash, g_int64_equal,
+						NULL, g_free);
+}
+
+void mmx_exit_health_finish(mmx_exit_target_t *target)
+{
+	mmx_detection_destroy(target->detection);
+	g_hash_table_destroy(target->origins);
+}
+
+static void forget_(mmx_attempt_t *attempt, void *arg)
+{
+	mmx_exit_health_end(attempt, MMX_RESULT_ABANDONED);
+}
+
+void mmx_exit_health_abandon_all(mmx_exit_t *exit)
+{
+	mmx_attempts_each_open(exit->attempts, forget_, NULL);
+}
+
+void mmx_exit_health_note(mmx_exit_t *exit, mmx_exit_target_t *target,
+			  const mmx_execute_t *execute)
+{
+	mmx_time_t now = mmx_clock_now(exit->clock);
+	mmx_node_id_t node = execute->attempt.entry;
+	origin_t *origin = g_hash_table_lookup(target->origins, &node);
+
+	if (!origin) {
+		origin = g_new0(origin_t, 1);
+		origin->node = node;
+		g_hash_table_insert(target->origins, &origin->node, origin);
+	}
+	origin->origin = execute->origin;
+	origin->last = now;
+	if (execute->peers)
+		mmx_latency_sources_set(&target->sources, node, execute->peers,
+					now);
+}
+
+void mmx_exit_health_start(mmx_attempt_t *attempt)
+{
+	attempt->judged = true;
+	mmx_detection_start(attempt->target->detection, &attempt->detection,
+			    attempt->trial);
+}
+
+bool mmx_exit_health_end(mmx_attempt_t *attempt, mmx_result_t result)
+{
+	if (!attempt->judged)
+		return false;
+	attempt->judged = false;
+	return mmx_detection_finish(attempt->target->detection,
+				    &attempt->detection, result);
+}
+
+void mmx_exit_health_tell(mmx_exit_t *exit, mmx_exit_target_t *target)
+{
+	mmx_time_t now = mmx_clock_now(exit->clock);
+	mmx_evidence_t *evidence;
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, target->origins);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const origin_t *origin = value;
+
+		if (now - origin->last > ORIGIN_KEEP_US) {
+			g_hash_table_iter_remove(&iter);
+			continue;
+		}
+		evidence = mmx_new_evidence();
+		evidence->exit = exit->node;
+		evidence->origin = origin->origin;
+		mmx_exit_target_report(target, &evidence->load);
+		mmx_task_post(origin->origin.task, &evidence->message);
+	}
+}
+
+static void merge_peers_(mmx_exit_target_t *target, mmx_time_t now)
+{
+	mmx_latency_summary_t peers;
+
+	if (now - target->peers_merged < PEERS_INTERVAL_US)
+		return;
+	target->peers_merged = now;
+	mmx_latency_sources_merge(&target->sources, now, &peers);
+	mmx_detection_set_peers(target->detection, &peers);
+}
+
+static void evaluate_(mmx_exit_t *exit, mmx_exit_target_t *target,
+		      mmx_time_t now)
+{
+	uint8_t weight = weight_(exit, target->record.service);
+
+	if (weight != target->weight)
+		mmx_detection_set_weight(target->detection, weight);
+	target->weight = weight;
+	merge_peers_(target, now);
+	if (!mmx_detection_evaluate(target->detection))
+		return;
+	mmx_log_event(
+		exit->log, MMX_LOG_INFO, "target_level", "target",
+		target->record.name, "level",
+		mmx_suspicion_string[mmx_detection_level(target->detection)],
+		"evidence",
+		mmx_evidence_kind_string
+			[mmx_detection_evidence(target->detection)->kind],
+		NULL);
+	mmx_exit_health_tell(exit, target);
+}
+
+void mmx_exit_health_on_timer(void *arg)
+{
+	mmx_exit_t *exit = arg;
+	mmx_time_t now = mmx_clock_now(exit->clock);
+	bool paused = now - exit->last_evaluation > MMX_EXIT_PAUSE_MIN_US;
+	mmx_exit_target_t *target;
+
+	exit->last_evaluation = now;
+	mmx_timer_set(&exit->health, MMX_DETECTION_PERIOD_US);
+	/* Responses that came while this process was paused are still to be
+	 * read; until then requests in progress look old. */
+	if (paused)
+		return;
+	LIST_FOREACH (target, &exit->targets, entry)
+		evaluate_(exit, target, now);
+}
--- a/src/libmasticmux/filter_attempt.c
+++ b/src/libmasticmux/filter_attempt.c
@@ -30,6 +30,7 @@
 	mmx_entry_t *entry;
 	mmx_clock_t *clock;
 	const mmx_guards_t *guards;
+	mmx_view_t *view;
 	exchange_list_t open; /* exchanges with an attempt out */
 	mmx_counter_t *sent;
 	mmx_counter_t *repeated;
@@ -38,42 +39,6 @@
 
 static void try_next_(attempt_filter_t *self, mmx_exchange_t *exchange);
 
-/* --- choice of a target ------------------------------------------------ */
-
-static bool was_tried_(const mmx_exchange_t *exchange, mmx_target_id_t id)
-{
-	unsigned int i;
-
-	for (i = 0; i < exchange->attempts; i++)
-		if (exchange->tried[i] == id)
-			return true;
-	return false;
-}
-
-static const mmx_directory_target_t *choose_(attempt_filter_t *self,
-					     const mmx_exchange_t *exchange)
-{
-	const mmx_directory_t *directory = mmx_entry_directory(self->entry);
-	const mmx_directory_service_t *service;
-	const mmx_directory_target_t *target;
-	size_t count;
-	size_t start;
-	size_t i;
-
-	service = mmx_directory_service(directory, exchange->service);
-	count = service ? mmx_directory_service_count(service) : 0;
-	if (count == 0)
-		return NULL;
-	start = mmx_random_below(mmx_entry_random(self->entry), count);
-	for (i = 0; i < count; i++) {
-		target = mmx_directory_service_at(service, (start + i) % count);
-		if (mmx_directory_target_state(target) <= MMX_TARGET_WARM &&
-		    !was_tried_(exchange, mmx_directory_target_id(target)))
-			return target;
-	}
-	return NULL;
-}
-
 /* --- sending ----------------------------------------------------------- */
 
 static mmx_time_t margin_(mmx_time_t remaining, mmx_time_t max)
@@ -110,6 +75,8 @@
 	execute->repeatable = exchange->repeatable;
 	execute->remaining =
 		remaining - margin_(remaining, DEADLINE_MARGIN_MAX_US);
+	execute->trial = exchange->trial;
+	execute->peers = mmx_view_summary(self->view, exchange->target);
 	execute->trace = exchange->trace;
 	execute->head = mmx_head_copy(exchange->head);
 	evbuffer_add_buffer_reference(execute->body, exchange->body);
@@ -119,13 +86,14 @@
 }
 
 static void send_(attempt_filter_t *self, mmx_exchange_t *exchange,
-		  const mmx_directory_target_t *target)
+		  const mmx_view_choice_t *choice)
 {
 	mmx_execute_t *execute;
 
-	exchange->target = mmx_directory_target_id(target);
-	exchange->exit = mmx_directory_target_node(target);
-	exchange->exit_incarnation = mmx_directory_target_incarnation(target);
+	exchange->target = choice->target;
+	exchange->exit = choice->node;
+	exchange->exit_incarnation = choice->incarnation;
+	exchange->trial = choice->trial;
 	exchange->tried[exchange->attempts++] = exchange->target;
 	exchange->attempt_started = mmx_clock_now(self->clock);
 	exchange->state = MMX_EXCHANGE_SENT;
@@ -137,11 +105,23 @@
 	set_deadline_timer_(self, exchange);
 }
 
+/* Only the first result counts. */
+static void end_trial_(attempt_filter_t *self, mmx_exchange_t *exchange,
+		       mmx_view_trial_t result)
+{
+	if (!exchange->trial)
+		return;
+	exchange->trial = false;
+	mmx_view_trial(self->view, exchange->target, result);
+}
+
 static void close_attempt_(attempt_filter_t *self, mmx_exchange_t *exchange)
 {
 	if (exchange->state == MMX_EXCHANGE_WAITING)
 		return;
 	TAILQ_REMOVE(&self->open, exchange, path_entry);
+	mmx_view_finish(self->view, exchange->target, exchange->exit);
+	end_trial_(self, exchange, MMX_VIEW_TRIAL_BAD);
 	exchange->state = MMX_EXCHANGE_WAITING;
 	mmx_timer_cancel(&exchange->timer);
 }
@@ -189,17 +169,36 @@
 	       exchange->deadline > mmx_clock_now(self->clock);
 }
 
+/*
+ * A refusal costs little, but at overload every target refuses: from the
+ * second refusal on, sending again takes from the retry budget.
+ */
+static bool may_send_refused_(attempt_filter_t *self, mmx_exchange_t *exchange,
+			      mmx_reason_t reason)
+{
+	switch (reason) {
+	case MMX_REASON_DEADLINE_EXCEEDED:
+	case MMX_REASON_ACCOUNT_LIMIT:
+	case MMX_REASON_BAD_REQUEST:
+		return false;
+	case MMX_REASON_OVERLOADED:
+		return exchange->refusals++ == 0 ||
+		       mmx_view_take_retry(self->view, exchange->service);
+	default:
+		return true;
+	}
+}
+
 /* After an attempt that certainly did not run. */
 static void retry_not_run_(attempt_filter_t *self, mmx_exchange_t *exchange,
 			   mmx_reason_t reason)
 {
+	end_trial_(self, exchange, MMX_VIEW_TRIAL_REFUSED);
 	close_attempt_(self, exchange);
 	drop_held_answer_(exchange);
 	exchange->refusal = reason;
 	if (can_send_again_(self, exchange) &&
-	    reason != MMX_REASON_DEADLINE_EXCEEDED &&
-	    reason != MMX_REASON_ACCOUNT_LIMIT &&
-	    reason != MMX_REASON_BAD_REQUEST)
+	    may_send_refused_(self, exchange, reason))
 		try_next_(self, exchange);
 	else
 		refuse_(self, exchange, reason);
@@ -214,7 +213,8 @@
 	exchange->may_have_run = true;
 	exchange->refusal = reason;
 	if ((exchange->repeatable || !self->guards->fence) &&
-	    can_send_again_(self, exchange)) {
+	    can_send_again_(self, exchange) &&
+	    mmx_view_take_retry(self->view, exchange->service)) {
 		mmx_counter_add(self->repeated, 1);
 		try_next_(self, exchange);
 	} else {
@@ -224,10 +224,15 @@
 
 static void try_next_(attempt_filter_t *self, mmx_exchange_t *exchange)
 {
-	const mmx_directory_target_t *target = choose_(self, exchange);
+	mmx_balance_request_t request = {
+		.repeatable = exchange->repeatable,
+		.tried = exchange->tried,
+		.tried_count = exchange->attempts,
+	};
+	mmx_view_choice_t choice;
 
-	if (target)
-		send_(self, exchange, target);
+	if (mmx_view_start(self->view, exchange->service, &request, &choice))
+		send_(self, exchange, &choice);
 	else
 		refuse_(self, exchange,
 			exchange->refusal ? exchange->refusal
@@ -283,6 +288,9 @@
 	attempt_filter_t *self = (attempt_filter_t *)exchange->filter;
 
 	if (mmx_clock_now(self->clock) < exchange->deadline) {
+		if (exchange->state == MMX_EXCHANGE_FENCING)
+			mmx_view_path_answer(self->view, exchange->exit,
+					     MMX_PATH_ANSWER_NONE);
 		send_fence_(self, exchange);
 		return;
 	}
@@ -301,6 +309,7 @@
 {
 	attempt_filter_t *self = (attempt_filter_t *)filter;
 
+	mmx_view_path_progress(self->view, exchange->exit);
 	if (exchange->state == MMX_EXCHANGE_ANSWERING) {
 		/* The exit sends no more parts once it answered a fencing
 		 * query about an attempt whose head had been sent. */
@@ -347,18 +356,20 @@
 	}
 }
 
-void mmx_filter_attempt_path_lost(mmx_filter_t *filter, mmx_node_id_t exit)
+void mmx_filter_attempt_path_lost(mmx_filter_t *filter,
+				  const mmx_path_lost_t *lost)
 {
 	attempt_filter_t *self = (attempt_filter_t *)filter;
 	mmx_exchange_t *last = TAILQ_LAST(&self->open, exchange_list_t);
 	mmx_exchange_t *exchange = TAILQ_FIRST(&self->open);
 	mmx_exchange_t *next;
 
+	mmx_view_path_lost(self->view, lost->exit, lost->connect_failed);
 	/* Attempts that are sent again meanwhile go behind the last one. */
 	for (; exchange; exchange = next) {
 		next = exchange == last ? NULL
 					: TAILQ_NEXT(exchange, path_entry);
-		if (exchange->exit == exit)
+		if (exchange->exit == lost->exit)
 			on_path_lost_(self, exchange);
 	}
 }
@@ -368,9 +379,13 @@
 static void on_refusal_(attempt_filter_t *self, mmx_exchange_t *exchange,
 			const mmx_response_t *response)
 {
-	if (exchange->state == MMX_EXCHANGE_ANSWERING)
+	if (exchange->state == MMX_EXCHANGE_ANSWERING) {
 		cut_answer_(self, exchange);
-	else if (response->started)
+		return;
+	}
+	if (response->started && response->reason == MMX_REASON_TARGET_FAILED)
+		mmx_view_completed(self->view, exchange->target, 0, true);
+	if (response->started)
 		retry_may_have_run_(self, exchange, response->reason);
 	else
 		retry_not_run_(self, exchange, response->reason);
@@ -381,6 +396,10 @@
 {
 	mmx_head_t *head = exchange->answer_head;
 
+	mmx_view_completed(self->view, exchange->target,
+			   exchange->target_time + mmx_clock_now(self->clock) -
+				   exchange->head_arrived,
+			   head->status >= 500);
 	exchange->answer_head = NULL;
 	if (end)
 		close_attempt_(self, exchange);
@@ -391,17 +410,15 @@
 		mmx_entry_end(exchange);
 }
 
-void mmx_filter_attempt_response(mmx_filter_t *filter, mmx_exchange_t *exchange,
-				 mmx_response_t *response)
+static void on_head_(attempt_filter_t *self, mmx_exchange_t *exchange,
+		     mmx_response_t *response)
 {
-	attempt_filter_t *self = (attempt_filter_t *)filter;
-
-	if (response->reason != MMX_REASON_NONE || !response->head) {
-		on_refusal_(self, exchange, response);
-		return;
-	}
 	if (exchange->state == MMX_EXCHANGE_ANSWERING || exchange->answer_head)
 		return;
+	end_trial_(self, exchange,
+		   response->good ? MMX_VIEW_TRIAL_GOOD : MMX_VIEW_TRIAL_BAD);
+	exchange->target_time = response->target_time;
+	exchange->head_arrived = mmx_clock_now(self->clock);
 	exchange->answer_head = response->head;
 	response->head = NULL;
 	evbuffer_add_buffer(exchange->answer_body, response->body);
@@ -414,17 +431,33 @@
 		pass_held_answer_(self, exchange, response->body_end);
 }
 
+void mmx_filter_attempt_response(mmx_filter_t *filter, mmx_exchange_t *exchange,
+				 mmx_response_t *response)
+{
+	attempt_filter_t *self = (attempt_filter_t *)filter;
+	mmx_load_report_t load = response->load;
+
+	mmx_view_path_progress(self->view, exchange->exit);
+	if (response->reason != MMX_REASON_NONE || !response->head)
+		on_refusal_(self, exchange, response);
+	else
+		on_head_(self, exchange, response);
+	/* After the end of the attempt, which the load doesn't contain. */
+	mmx_view_report(self->view, &load);
+}
+
 static void on_held_body_(attempt_filter_t *self, mmx_exchange_t *exchange,
 			  const mmx_body_t *body)
 {
 	if (!exchange->answer_head)
 		return;
 	evbuffer_add_buffer(exchange->answer_body, body->data);
-	if (body->failed)
+	if (body->failed) {
+		mmx_view_completed(self->view, exchange->target, 0, true);
 		retry_may_have_run_(self, exchange,
 				    MMX_REASON_ANSWER_TRUNCATED);
-	else if (body->end ||
-		 evbuffer_get_length(exchange->answer_body) > MMX_HELD_BODY_MAX)
+	} else if (body->end || evbuffer_get_length(exchange->answer_body) >
+					MMX_HELD_BODY_MAX)
 		pass_held_answer_(self, exchange, body->end);
 }
 
@@ -433,6 +466,7 @@
 {
 	attempt_filter_t *self = (attempt_filter_t *)filter;
 
+	mmx_view_path_progress(self->view, exchange->exit);
 	if (exchange->state != MMX_EXCHANGE_ANSWERING) {
 		on_held_body_(self, exchange, body);
 		return;
@@ -482,6 +516,8 @@
 	if (exchange->state == MMX_EXCHANGE_WAITING)
 		return;
 	send_cancel_(self, exchange);
+	/* A caller that leaves says nothing about the target. */
+	end_trial_(self, exchange, MMX_VIEW_TRIAL_REFUSED);
 	close_attempt_(self, exchange);
 }
 
@@ -506,6 +542,7 @@
 	self->entry = entry;
 	self->clock = mmx_runtime_clock(mmx_entry_runtime(entry));
 	self->guards = mmx_entry_guards(entry);
+	self->view = mmx_entry_view(entry);
 	TAILQ_INIT(&self->open);
 	if (counters) {
 		self->sent = mmx_counters_get(counters, MMX_COUNTER,
--- a/src/libmasticmux/include/private/attempts.h
+++ b/src/libmasticmux/include/private/attempts.h
@@ -10,6 +10,7 @@
 #ifndef MASTICMUX_PRIVATE_ATTEMPTS_H
 #define MASTICMUX_PRIVATE_ATTEMPTS_H
 
+#include "masticmux/detection.h"
 #include "private/guards.h"
 #include "private/messages.h"
 
@@ -41,6 +42,11 @@
 	bool abandoned;	   /* nobody waits for the response */
 	bool reply_at_end; /* a fencing query waits for the whole response */
 	bool headed;	   /* the target's head has arrived */
+	mmx_detection_request_t detection; /* while judged */
+	bool judged;			   /* counts as work in progress */
+	bool trial;
+	bool error;    /* the status says so */
+	size_t passed; /* bytes of the response so far */
 	TAILQ_ENTRY(mmx_attempt_t) kept_entry; /* while answer_body is set */
 	mmx_head_t *answer_head;
 	struct evbuffer *answer_body; /* NULL when not kept */
--- a/src/libmasticmux/include/private/entry.h
+++ b/src/libmasticmux/include/private/entry.h
@@ -17,6 +17,7 @@
 #include "masticmux/random.h"
 #include "private/filter.h"
 #include "private/guards.h"
+#include "private/view.h"
 
 typedef struct mmx_entry_t mmx_entry_t;
 
@@ -34,6 +35,11 @@
 			     const mmx_directory_t *directory);
 bool mmx_entry_set_counters(mmx_entry_t *entry, mmx_counters_t *counters);
 
+/* Distance and state of the other nodes; without it all count as near. */
+bool mmx_entry_set_members(mmx_entry_t *entry,
+			   const mmx_view_members_ops_t *members,
+			   void *context);
+
 /* For tests only; what it points to outlives the entry. */
 bool mmx_entry_set_guards(mmx_entry_t *entry, const mmx_guards_t *guards);
 
@@ -49,6 +55,9 @@
 /* Requests that have no whole answer yet. */
 size_t mmx_entry_in_progress(const mmx_entry_t *entry);
 
+/* What the entry knows of targets and paths. Valid after init. */
+mmx_view_t *mmx_entry_view(const mmx_entry_t *entry);
+
 /* --- for the filters --------------------------------------------------- */
 
 /*
@@ -82,7 +91,8 @@
 void mmx_filter_attempt_fence_reply(mmx_filter_t *filter,
 				    mmx_exchange_t *exchange,
 				    mmx_fence_reply_t *reply);
-void mmx_filter_attempt_path_lost(mmx_filter_t *filter, mmx_node_id_t exit);
+void mmx_filter_attempt_path_lost(mmx_filter_t *filter,
+				  const mmx_path_lost_t *lost);
 void mmx_filter_attempt_request_body(mmx_filter_t *filter,
 				     mmx_exchange_t *exchange,
 				     mmx_body_t *body);
--- a/src/libmasticmux/include/private/exchange.h
+++ b/src/libmasticmux/include/private/exchange.h
@@ -54,6 +54,10 @@
 	mmx_incarnation_t exit_incarnation;
 	mmx_target_id_t target;
 	mmx_time_t attempt_started;
+	bool trial;		 /* of an ejected target; not decided yet */
+	mmx_time_t target_time;	 /* at the exit, until the head */
+	mmx_time_t head_arrived; /* here */
+	unsigned int refusals;	 /* of overloaded targets */
 	mmx_target_id_t tried[MMX_ATTEMPTS_MAX];
 	unsigned int attempts;
 	bool may_have_run;	 /* an ended attempt may have run */
--- a/src/libmasticmux/include/private/exit_internal.h
+++ b/src/libmasticmux/include/private/exit_internal.h
@@ -6,6 +6,9 @@
 #include "private/exit.h"
 #include "private/exit_target.h"
 
+/* A timer that comes this late tells that the process was paused. */
+#define MMX_EXIT_PAUSE_MIN_US MMX_US_PER_S
+
 typedef LIST_HEAD(mmx_exit_target_list_t,
 		  mmx_exit_target_t) mmx_exit_target_list_t;
 
@@ -27,6 +30,8 @@
 	mmx_exit_target_list_t targets;
 	mmx_timer_t sweep;
 	mmx_time_t last_sweep;
+	mmx_timer_t health;
+	mmx_time_t last_evaluation;
 	mmx_counter_t *started;
 	mmx_counter_t *refused;
 	mmx_counter_t *fenced;
@@ -88,4 +93,33 @@
 /* The running attempt of this id, or NULL. */
 mmx_attempt_t *mmx_exit_running(mmx_exit_t *exit, const mmx_attempt_id_t *id);
 
+/* --- exit_health.c ----------------------------------------------------- */
+
+void mmx_exit_health_init(mmx_exit_t *exit, mmx_exit_target_t *target);
+
+/* Asserts that nothing is judged any more. */
+void mmx_exit_health_finish(mmx_exit_target_t *target);
+
+/* Ends the judgement of all that runs. */
+void mmx_exit_health_abandon_all(mmx_exit_t *exit);
+
+/* Notes who sent an attempt, and the distribution that came with it. */
+void mmx_exit_health_note(mmx_exit_t *exit, mmx_exit_target_t *target,
+			  const mmx_execute_t *execute);
+
+/* The attempt starts at its target. */
+void mmx_exit_health_start(mmx_attempt_t *attempt);
+
+/*
+ * The attempt has ended for detection; allowed again afterwards. Returns true
+ * for a success that was not slow.
+ */
+bool mmx_exit_health_end(mmx_attempt_t *attempt, mmx_result_t result);
+
+/* Tells the entries that use a target its state and level. */
+void mmx_exit_health_tell(mmx_exit_t *exit, mmx_exit_target_t *target);
+
+/* Evaluates every target; sets its timer again. */
+void mmx_exit_health_on_timer(void *arg);
+
 #endif
--- a/src/libmasticmux/include/private/exit_target.h
+++ b/src/libmasticmux/include/private/exit_target.h
@@ -5,7 +5,11 @@
 #ifndef MASTICMUX_PRIVATE_EXIT_TARGET_H
 #define MASTICMUX_PRIVATE_EXIT_TARGET_H
 
+#include <glib.h>
+
 #include "masticmux/fold.h"
+#include "masticmux/detection.h"
+#include "masticmux/latency.h"
 #include "private/attempts.h"
 
 /* Longest queue of one target, whatever its speed, in requests. */
@@ -29,7 +33,12 @@
 	unsigned int in_progress;
 	unsigned int queued;
 	mmx_attempt_list_t queue;
-	mmx_time_t mean_service; /* smoothed time of a completed call */
+	mmx_time_t mean_service;    /* smoothed time of a completed call */
+	uint8_t weight;		    /* of detection, from the policy */
+	mmx_detection_t *detection; /* NULL in tests of this module */
+	mmx_latency_sources_t sources;
+	mmx_time_t peers_merged;
+	GHashTable *origins; /* entries that sent requests here */
 } mmx_exit_target_t;
 
 mmx_exit_target_t *mmx_exit_target_create(mmx_target_id_t id,
--- a/src/libmasticmux/include/private/messages.h
+++ b/src/libmasticmux/include/private/messages.h
@@ -18,6 +18,7 @@
 #define MASTICMUX_PRIVATE_MESSAGES_H
 
 #include "masticmux/directory.h"
+#include "masticmux/latency.h"
 #include "masticmux/settings.h"
 #include "masticmux/task.h"
 #include "private/head.h"
@@ -104,6 +105,8 @@
 	bool trial;	      /* reinstatement trial of an ejected target */
 	mmx_time_t remaining; /* until the caller gives up, microseconds */
 	mmx_trace_context_t trace;
+	/* Completions at the service's other targets; NULL: not this time. */
+	mmx_latency_summary_t *peers;
 	mmx_head_t *head;
 	struct evbuffer *body;
 	bool body_end;
@@ -132,6 +135,7 @@
 	 */
 	mmx_reason_t reason;
 	bool started;
+	bool good; /* of a trial: a success that was not slow */
 	mmx_head_t *head;
 	struct evbuffer *body;
 	bool body_end;
--- a/src/libmasticmux/messages.c
+++ b/src/libmasticmux/messages.c
@@ -56,6 +56,7 @@
 {
 	mmx_execute_t *typed = (mmx_execute_t *)message;
 
+	g_free(typed->peers);
 	free_content_(typed->head, typed->body);
 	g_free(typed);
 }
--- a/src/libmasticmux/path.c
+++ b/src/libmasticmux/path.c
@@ -73,7 +73,7 @@
 static void record_(mmx_path_t *path, mmx_evidence_kind_t kind, double value,
 		    double threshold, mmx_time_t now)
 {
-	path->evidence = (mmx_evidence_t){kind, value, threshold, now};
+	path->evidence = (mmx_suspicion_evidence_t){kind, value, threshold, now};
 }
 
 void mmx_path_answer(mmx_path_t *path, mmx_path_answer_t answer, mmx_time_t now)
@@ -135,7 +135,7 @@
 	return path->level;
 }
 
-const mmx_evidence_t *mmx_path_evidence(const mmx_path_t *path)
+const mmx_suspicion_evidence_t *mmx_path_evidence(const mmx_path_t *path)
 {
 	return &path->evidence;
 }
--- a/src/libmasticmux/wire.c
+++ b/src/libmasticmux/wire.c
@@ -13,6 +13,8 @@
 #define FLAG_TRIAL 0x4U
 #define FLAG_STARTED 0x8U
 #define FLAG_FAILED 0x10U
+#define FLAG_PEERS 0x20U
+#define FLAG_GOOD 0x40U
 
 /* A filter encodes or decodes, as XDR filters do; x_public holds the reason
  * of the first refusal. */
@@ -227,12 +229,26 @@
 	return headers_(xdrs, *head);
 }
 
+static bool summary_(XDR *xdrs, mmx_latency_summary_t **summary)
+{
+	size_t i;
+
+	if (xdrs->x_op == XDR_DECODE)
+		*summary = g_new0(mmx_latency_summary_t, 1);
+	for (i = 0; i < MMX_LATENCY_BUCKETS; i++)
+		if (!word_(xdrs, &(*summary)->count[i], UINT32_MAX, ""))
+			return false;
+	return word_(xdrs, &(*summary)->requests, UINT32_MAX, "") &&
+	       word_(xdrs, &(*summary)->errors, UINT32_MAX, "");
+}
+
 static bool execute_(XDR *xdrs, mmx_message_t *message)
 {
 	mmx_execute_t *execute = (mmx_execute_t *)message;
 	uint32_t flags = (execute->body_end ? FLAG_BODY_END : 0) |
 			 (execute->repeatable ? FLAG_REPEATABLE : 0) |
-			 (execute->trial ? FLAG_TRIAL : 0);
+			 (execute->trial ? FLAG_TRIAL : 0) |
+			 (execute->peers ? FLAG_PEERS : 0);
 
 	if (!attempt_(xdrs, &execute->attempt) ||
 	    !hyper_(xdrs, &execute->exit_incarnation) ||
@@ -240,7 +256,8 @@
 	    !token_(xdrs, execute->service, MMX_NAME_MAX) ||
 	    !text_(xdrs, execute->account, MMX_NAME_MAX) ||
 	    !flags_(xdrs, &flags,
-		    FLAG_BODY_END | FLAG_REPEATABLE | FLAG_TRIAL) ||
+		    FLAG_BODY_END | FLAG_REPEATABLE | FLAG_TRIAL |
+			    FLAG_PEERS) ||
 	    !duration_(xdrs, &execute->remaining) ||
 	    !trace_(xdrs, &execute->trace) ||
 	    !request_head_(xdrs, &execute->head))
@@ -248,7 +265,7 @@
 	execute->body_end = flags & FLAG_BODY_END;
 	execute->repeatable = flags & FLAG_REPEATABLE;
 	execute->trial = flags & FLAG_TRIAL;
-	return true;
+	return !(flags & FLAG_PEERS) || summary_(xdrs, &execute->peers);
 }
 
 static bool response_(XDR *xdrs, mmx_message_t *message)
@@ -256,11 +273,12 @@
 	mmx_response_t *response = (mmx_response_t *)message;
 	uint32_t reason = response->reason;
 	uint32_t flags = (response->body_end ? FLAG_BODY_END : 0) |
-			 (response->started ? FLAG_STARTED : 0);
+			 (response->started ? FLAG_STARTED : 0) |
+			 (response->good ? FLAG_GOOD : 0);
 
 	if (!attempt_(xdrs, &response->attempt) ||
 	    !word_(xdrs, &reason, MMX_REASON_COUNT - 1, "unknown reason") ||
-	    !flags_(xdrs, &flags, FLAG_BODY_END | FLAG_STARTED) ||
+	    !flags_(xdrs, &flags, FLAG_BODY_END | FLAG_STARTED | FLAG_GOOD) ||
 	    !response_head_(xdrs, &response->head) ||
 	    !load_(xdrs, &response->load) ||
 	    !duration_(xdrs, &response->queue_time) ||
@@ -271,6 +289,7 @@
 	response->reason = reason;
 	response->body_end = flags & FLAG_BODY_END;
 	response->started = flags & FLAG_STARTED;
+	response->good = flags & FLAG_GOOD;
 	return true;
 }
 
--- a/src/test_libmasticmux/test_detection.c
+++ b/src/test_libmasticmux/test_detection.c
@@ -84,7 +84,7 @@
 	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++)
 		for (weight = 0; weight <= 100; weight += 50) {
 			mmx_suspicion_t worst = MMX_SUSPICION_HEALTHY;
-			const mmx_evidence_t *evidence;
+			const mmx_suspicion_evidence_t *evidence;
 			fixture_t fixture;
 
 			set_up_(&fixture, (uint8_t)weight);
--- a/src/test_libmasticmux/test_exit.c
+++ b/src/test_libmasticmux/test_exit.c
@@ -300,12 +300,13 @@
 		{"nothing new, the rest finishes",
 		 "warm; execute; execute n=2; stop; execute n=3; head end; "
 		 "head n=2 end; count",
-		 "call1 refused3:draining response1:200:end call2 "
+		 "call1 evidence refused3:draining response1:200:end call2 "
 		 "response2:200:end in-progress:0 "},
 		{"a long queue is given back",
 		 "warm; execute ms=20000; execute n=2 ms=20000; stop; "
 		 "wait ms=2500; head end; count",
-		 "call1 refused2:draining response1:200:end in-progress:0 "},
+		 "call1 evidence refused2:draining response1:200:end "
+		 "in-progress:0 "},
 		{"outlives a renewal", "warm; stop; warm; execute",
 		 "refused1:draining "},
 		{"outlives a lapsed lease",
@@ -317,10 +318,10 @@
 		 "call1 "},
 		{"a target that has left gives its queue back",
 		 "warm; execute; execute n=2; gone; head end",
-		 "call1 refused2:draining response1:200:end "},
+		 "call1 evidence refused2:draining response1:200:end "},
 		{"a lapsed lease gives the queue back",
 		 "warm lease=200; execute; execute n=2; wait ms=500",
-		 "call1 refused2:draining "},
+		 "call1 evidence refused2:draining "},
 		{"a change of slots is announced",
 		 "warm; versions; warm slots=3; versions; warm slots=3; "
 		 "versions",
--- a/test/world.c
+++ b/test/world.c
@@ -114,6 +114,10 @@
 		    mmx_entry_in_progress(node->entry) > world->next_request)
 			world_break(world, GUARANTEE_ANSWERED, 0,
 				    "more requests in progress than sent");
+		if (node->up &&
+		    !mmx_view_floor_holds(mmx_entry_view(node->entry)))
+			world_break(world, GUARANTEE_FLOOR, 0,
+				    "%s ejects below the floor", node->name);
 	}
 }
 
@@ -215,6 +219,31 @@
 						   node->incarnation + 1);
 }
 
+/* --- members ----------------------------------------------------------- */
+
+static node_t *find_node_(world_t *world, mmx_node_id_t id)
+{
+	unsigned int i;
+
+	for (i = 0; i < world->node_count; i++)
+		if (world->nodes[i].id == id)
+			return &world->nodes[i];
+	g_assert_not_reached();
+}
+
+static mmx_ring_t ring_(void *context, mmx_node_id_t id)
+{
+	const node_t *node = context;
+	const node_t *other = find_node_(node->world, id);
+
+	if (node->zone == other->zone)
+		return MMX_RING_ZONE;
+	return node->region == other->region ? MMX_RING_REGION
+					     : MMX_RING_REMOTE;
+}
+
+static const mmx_view_members_ops_t members_ = {.ring = ring_};
+
 /* --- nodes ------------------------------------------------------------- */
 
 node_t *world_add_node(world_t *world, unsigned int zone, unsigned int region)
@@ -269,6 +298,7 @@
 	mmx_entry_set_local_exit(node->entry, &node->local.task);
 	mmx_entry_set_fold(node->entry, &world->in_force);
 	mmx_entry_set_directory(node->entry, node->directory);
+	mmx_entry_set_members(node->entry, &members_, node);
 	mmx_entry_set_guards(node->entry, &world->guards);
 	mmx_entry_init(node->entry);
 	world_trace(world, 0, "%s starts", node->name);
@@ -411,6 +441,7 @@
 		else
 			mmx_clock_advance(world->clock, 0);
 		catch_up_(world);
+		world_check(world);
 	}
 	if (world_now(world) < end && !world->broken)
 		mmx_clock_advance(world->clock, end - world_now(world));
