Send no fencing query once an answer is passed on

The timer is moved to the deadline when the first part goes out; the exit drops what it kept when a call fails. The fake target now ends a call whose head is out as the real client does, by a failed body.

--- a/src/libmasticmux/exit_call.c
+++ b/src/libmasticmux/exit_call.c
@@ -54,6 +54,8 @@
 				      started);
 	attempt->reply_at_end = false;
 	judge_failure_(exit, attempt, started);
+	/* Parts that came before are not a whole response. */
+	mmx_attempts_drop_answer(exit->attempts, attempt);
 	mmx_exit_end_running(exit, attempt,
 			     started ? MMX_ATTEMPT_FINISHED
 				     : MMX_ATTEMPT_REFUSED);
--- a/src/libmasticmux/filter_attempt.c
+++ b/src/libmasticmux/filter_attempt.c
@@ -391,6 +391,13 @@
 		retry_not_run_(self, exchange, response->reason);
 }
 
+/* From here on only the deadline ends it; no fencing query is repeated. */
+static void start_answering_(attempt_filter_t *self, mmx_exchange_t *exchange)
+{
+	exchange->state = MMX_EXCHANGE_ANSWERING;
+	set_deadline_timer_(self, exchange);
+}
+
 static void pass_held_answer_(attempt_filter_t *self, mmx_exchange_t *exchange,
 			      bool end)
 {
@@ -404,7 +411,7 @@
 	if (end)
 		close_attempt_(self, exchange);
 	else
-		exchange->state = MMX_EXCHANGE_ANSWERING;
+		start_answering_(self, exchange);
 	mmx_entry_answer(exchange, head, exchange->answer_body, end);
 	if (end)
 		mmx_entry_end(exchange);
--- a/src/test_libmasticmux/test_entry.c
+++ b/src/test_libmasticmux/test_entry.c
@@ -430,6 +430,11 @@
 		 "fence-reply running; fence-reply finished; count",
 		 "execute1:0 fence1 answer1:completed:none:200:70000 "
 		 "body1:0:end:failed in-progress:0 "},
+		{"no fencing query any more once it was passed on",
+		 "targets; request; lost; response size=70000; wait ms=600; "
+		 "body end; count",
+		 "execute1:0 fence1 answer1:completed:none:200:70000 "
+		 "body1:4:end in-progress:0 "},
 		{"refused after it was passed on",
 		 "targets; request; response size=70000; "
 		 "refuse target-failed started; count",
--- a/test/target.c
+++ b/test/target.c
@@ -99,6 +99,19 @@
 	mmx_task_post(mmx_exit_task(call->node->exit), &body->message);
 }
 
+/* The connection breaks: as a result, or as the end of the body. */
+static void break_off_(call_t *call)
+{
+	if (!is_heard_(call))
+		return;
+	if (!call->bytes) {
+		post_result_(call, MMX_CALL_FAILED);
+		return;
+	}
+	call->heard = false;
+	post_part_(call, call->bytes, 0, true, true);
+}
+
 static void forget_(call_t *call)
 {
 	if (g_hash_table_remove(call->target->calls, call->key))
@@ -246,7 +259,7 @@
 {
 	call_t *call = arg;
 
-	post_result_(call, MMX_CALL_FAILED);
+	break_off_(call);
 	release_(call);
 }
 
@@ -435,7 +448,7 @@
 	g_hash_table_iter_init(&iter, target->calls);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		((call_t *)value)->running = false;
-		post_result_(value, MMX_CALL_FAILED);
+		break_off_(value);
 		g_hash_table_iter_remove(&iter);
 		release_(value);
 	}
