Keep the back-off short while a target is only avoided

Cause: each suspicion doubled the back-off. Change: only bad trials and ejections double the back-off; a test failed before.

--- a/src/libmasticmux/ejection.c
+++ b/src/libmasticmux/ejection.c
@@ -159,22 +159,23 @@
 	target->successes = 0;
 }
 
+/* Being avoided is no failure yet: the back-off grows only with bad trials and
+ * ejections. Otherwise frequent weak suspicion would keep a healthy target out
+ * for up to the longest back-off. */
 static void avoid_(mmx_ejection_t *ejection, target_t *target)
 {
-	mmx_time_t now = mmx_clock_now(ejection->clock);
-
 	if (target->state == MMX_EJECTION_IN_USE)
-		wait_(ejection, target,
-		      mmx_backoff_fail(&target->backoff, now));
+		wait_(ejection, target, MMX_BACKOFF_FIRST_US);
 	target->state = MMX_EJECTION_AVOIDED;
 }
 
-/* The back-off of an avoided target goes on when it is ejected. */
 static void eject_(mmx_ejection_t *ejection, target_t *target)
 {
-	avoid_(ejection, target);
+	mmx_time_t now = mmx_clock_now(ejection->clock);
+
+	wait_(ejection, target, mmx_backoff_fail(&target->backoff, now));
 	target->state = MMX_EJECTION_EJECTED;
-	target->ejected_at = mmx_clock_now(ejection->clock);
+	target->ejected_at = now;
 	target->ejections++;
 }
 
--- a/src/test_libmasticmux/test_ejection.c
+++ b/src/test_libmasticmux/test_ejection.c
@@ -264,6 +264,29 @@
 	tear_down_(&fixture);
 }
 
+/* Guards against weak suspicions that add up to a long back-off: a healthy
+ * target was avoided for up to a minute, and with several of them requests
+ * went to the stalled one. */
+static void test_short_suspicions_(void)
+{
+	fixture_t fixture;
+	int n;
+
+	set_up_(&fixture, 60, 0, 12);
+	for (n = 0; n < 20; n++) {
+		mmx_time_t now = mmx_clock_now(fixture.clock);
+
+		mmx_ejection_report(fixture.ejection, 1, MMX_SUSPICION_SUSPECT,
+				    8);
+		CU_ASSERT_TRUE(info_(&fixture, 1).trial_at <= now + 3 * SECOND);
+		mmx_clock_advance(fixture.clock, SECOND);
+		mmx_ejection_report(fixture.ejection, 1, MMX_SUSPICION_HEALTHY,
+				    0);
+		mmx_clock_advance(fixture.clock, SECOND);
+	}
+	tear_down_(&fixture);
+}
+
 typedef struct shadow_t {
 	mmx_availability_t availability[TARGETS_MAX + 1];
 	uint16_t slots[TARGETS_MAX + 1]; /* 0: not there */
@@ -449,6 +472,7 @@
 	{"lost capacity brings ejected targets back", test_readmission_},
 	{"a slow service keeps its targets", test_slowdown_},
 	{"back-off doubles and falls with health", test_backoff_},
+	{"short suspicions do not add up", test_short_suspicions_},
 	{"three consecutive trials reinstate", test_trials_},
 	{"the floor holds after every operation", test_floor_always_},
 	{"the floor holds in views that differ", test_views_differ_},
