Push a new offset twice and notice a lost pull sooner

At 1,000 nodes without loss a change took 2.5 s on average to reach all of them, because one push by each node misses some, and these wait for a probe.

Each node pushes a new offset twice, one tick apart, and a pull within a region is given up after 300 ms instead of 1 s.

--- a/src/libmasticmux/config.c
+++ b/src/libmasticmux/config.c
@@ -4,7 +4,13 @@
 #include <string.h>
 
 #define TICK (200 * MMX_US_PER_MS)
-#define PULL_TIMEOUT MMX_US_PER_S
+/* A pull within a region takes milliseconds, so that a lost one is noticed
+ * soon; one from another region may have to send megabytes. */
+#define PULL_TIMEOUT_NEAR (300 * MMX_US_PER_MS)
+#define PULL_TIMEOUT_FAR MMX_US_PER_S
+/* Each node pushes a new offset this many times, one tick apart. With a fanout
+ * of 4, one push misses about one node in 50, which then waits for a probe. */
+#define PUSHES 2
 /* Wait before a pull from another region, per rank of a reader: the log or
  * the reader before has usually delivered by then. */
 #define REMOTE_DELAY (500 * MMX_US_PER_MS)
@@ -134,8 +140,10 @@
 {
 	if (config->loaded &&
 	    (!config->has_sent ||
-	     mmx_fold_applied(config->fold) > config->sent.applied))
+	     mmx_fold_applied(config->fold) > config->sent.applied)) {
 		push_(config);
+		config->pushes_left = PUSHES - 1;
+	}
 }
 
 static void keep_(mmx_config_t *config, const mmx_log_record_t *record)
@@ -296,7 +304,9 @@
 		return;
 	config->pulling = true;
 	config->pull_peer = entry->peer;
-	config->pull_deadline = now_(config) + PULL_TIMEOUT;
+	config->pull_deadline =
+		now_(config) +
+		(entry->remote ? PULL_TIMEOUT_FAR : PULL_TIMEOUT_NEAR);
 	config->stats.pulls_sent++;
 	config->stats.pulls_remote += entry->remote;
 	config->transport->send_pull(config->arg, entry->peer,
@@ -484,8 +494,10 @@
 	mmx_config_write_tick_(config);
 	read_log_(config);
 	pull_(config);
-	if (has_news_(config))
+	if (has_news_(config) || config->pushes_left > 0) {
+		config->pushes_left -= config->pushes_left > 0;
 		push_(config);
+	}
 }
 
 mmx_config_t *mmx_config_create(mmx_clock_t *clock,
--- a/src/libmasticmux/config_load.c
+++ b/src/libmasticmux/config_load.c
@@ -1,5 +1,6 @@
 /* Loading: a new node, or one that fell behind, takes the state of a peer, or
  * a snapshot from the log and the records after it. */
+#include <assert.h>
 #include <jansson.h>
 #include <string.h>
 
@@ -88,6 +89,7 @@
 
 static void ask_peer_(mmx_config_t *config)
 {
+	assert(config->transport);
 	config->load_deadline = mmx_clock_now(config->clock) + PART_TIMEOUT;
 	config->transport->send_load(
 		config->arg, config->load_peer,
@@ -353,7 +355,7 @@
 	const mmx_config_ahead_t *ahead = mmx_config_choose_ahead_(config);
 	bool alone = !config->transport || config->member_count <= 1;
 
-	if (ahead) {
+	if (ahead && config->transport) {
 		config->load = MMX_CONFIG_LOAD_PEER;
 		config->load_peer = ahead->peer;
 		ask_peer_(config);
--- a/src/libmasticmux/config_write.c
+++ b/src/libmasticmux/config_write.c
@@ -120,16 +120,16 @@
 void mmx_config_write_read_(mmx_config_t *config,
 			    const mmx_log_records_t *records)
 {
-	if (!records) {
+	bool is_empty = records && records->first == records->next;
+
+	if (!records || (!config->check_ends && records->count == 0)) {
 		check_in_(config, RETRY);
-	} else if (config->check_ends && records->first == records->next) {
+	} else if (config->check_ends && is_empty) {
 		begin_(config);
 	} else if (config->check_ends) {
 		config->check_ends = false;
 		mmx_config_read_(config, MMX_CONFIG_SNAPSHOTS,
 				 records->next - 1, 1, 0);
-	} else if (records->count == 0) {
-		check_in_(config, RETRY);
 	} else {
 		take_newest_(config, &records->records[records->count - 1]);
 	}
--- a/src/libmasticmux/include/private/config_state.h
+++ b/src/libmasticmux/include/private/config_state.h
@@ -77,6 +77,7 @@
 	mmx_time_t reader_at;
 	mmx_config_news_t sent; /**< as times: of the last push of NEWS */
 	bool has_sent;
+	unsigned int pushes_left; /**< of the last new offset */
 
 	bool pulling;
 	mmx_node_id_t pull_peer;
