--- a/bench/bench_config.c
+++ b/bench/bench_config.c
@@ -240,7 +240,7 @@
 		route_name_((int)mmx_random_below(&bench->random,
 						  (uint64_t)routes_),
 			    probes[i].host, probes[i].path);
-		strcat(probes[i].path, "/item/7?x");
+		g_strlcat(probes[i].path, "/item/7?x", sizeof(probes[i].path));
 		g_snprintf(probes[i].name, sizeof(probes[i].name), "account-%d",
 			   (int)mmx_random_below(&bench->random,
 						 (uint64_t)accounts_));
--- /dev/null
+++ b/src/test_libmasticmux/test_config_task.c
@@ -0,0 +1,165 @@
+#include "suites.h"
+
+#include <glib.h>
+#include <string.h>
+
+#include "config_support.h"
+#include "masticmux/config_task.h"
+#include "masticmux/config_wire.h"
+
+#define PEER 77
+
+/* What the task sent, and what it answered. */
+typedef struct seen_t {
+	int news;
+	int pulls;
+	int loads;
+	uint64_t after;
+	int answers;
+	int refusals;
+	size_t length;
+} seen_t;
+
+static void send_news_(void *arg, mmx_node_id_t peer,
+		       const mmx_config_news_t *news)
+{
+	((seen_t *)arg)->news++;
+}
+
+static void send_pull_(void *arg, mmx_node_id_t peer, uint64_t after)
+{
+	seen_t *seen = arg;
+
+	CU_ASSERT_EQUAL(peer, PEER);
+	seen->pulls++;
+	seen->after = after;
+}
+
+static void send_load_(void *arg, mmx_node_id_t peer, uint64_t applied,
+		       uint32_t part)
+{
+	seen_t *seen = arg;
+
+	CU_ASSERT_EQUAL(peer, PEER);
+	seen->loads++;
+}
+
+static const mmx_config_transport_ops_t transport_ = {
+	send_news_,
+	send_pull_,
+	send_load_,
+};
+
+static void on_answer_(void *arg, const uint8_t *data, size_t length)
+{
+	seen_t *seen = arg;
+
+	seen->answers++;
+	seen->refusals += data == NULL;
+	seen->length = length;
+}
+
+static void turn_(mmx_runtime_t *runtime, mmx_time_t time)
+{
+	mmx_runtime_deliver(runtime);
+	mmx_clock_advance(mmx_runtime_clock(runtime), time);
+	mmx_runtime_deliver(runtime);
+}
+
+static void post_part_(mmx_config_task_t *task, const mmx_fold_t *fold)
+{
+	mmx_snapshot_t *snapshot = mmx_snapshot_create(fold);
+	size_t length;
+	const uint8_t *part = mmx_snapshot_part(snapshot, 0, &length);
+
+	mmx_config_task_post_loaded(task, PEER, part, length);
+	mmx_snapshot_destroy(snapshot);
+}
+
+static void post_record_(mmx_config_task_t *task, char *text)
+{
+	mmx_log_record_t record = {2, text, strlen(text)};
+	mmx_config_records_t records = {
+		.news = {2, MMX_TIME_NEVER, MMX_TIME_NEVER},
+		.first = 2,
+		.records = &record,
+		.count = 1,
+	};
+	size_t length;
+	uint8_t *data = mmx_config_wire_put_records(&records, &length);
+
+	mmx_config_task_post_pulled(task, PEER, data, length);
+	g_free(data);
+	g_free(text);
+}
+
+static mmx_config_task_t *new_task_(mmx_runtime_t *runtime, seen_t *seen,
+				    mmx_counters_t *counters,
+				    mmx_settings_t *settings)
+{
+	const mmx_config_member_t member = {PEER,
+					    mmx_config_region_id("north")};
+	mmx_config_task_t *task;
+
+	*settings = (mmx_settings_t){.node_name = "node-1",
+				     .region = "north",
+				     .log_retention = 3600 * MMX_US_PER_S};
+	task = mmx_config_task_create(runtime, settings, &transport_, seen,
+				      counters, NULL, 1);
+	mmx_config_task_post_members(task, &member, 1);
+	mmx_config_task_start(task);
+	return task;
+}
+
+/* Guards against messages that do not reach the module, answers that do not
+ * come back, and a node without a log that cannot start from a peer. */
+static void test_messages_(void)
+{
+	mmx_runtime_t *runtime = mmx_runtime_create(NULL);
+	mmx_counters_t *counters = mmx_counters_create();
+	mmx_fold_t *fold = mmx_fold_create();
+	mmx_config_news_t news = {1, MMX_TIME_NEVER, MMX_TIME_NEVER};
+	seen_t seen = {0};
+	mmx_settings_t settings;
+	mmx_config_task_t *task =
+		new_task_(runtime, &seen, counters, &settings);
+
+	test_apply(fold, test_template_record("t", "web", 0));
+	mmx_config_task_post_pull(task, 0, on_answer_, &seen);
+	mmx_config_task_post_load(task, 0, 0, on_answer_, &seen);
+	mmx_config_task_post_news(task, PEER, &news);
+	turn_(runtime, 0);
+	CU_ASSERT_EQUAL(seen.refusals, 2);
+	CU_ASSERT_EQUAL(seen.loads, 1);
+	post_part_(task, fold);
+	turn_(runtime, 3 * MMX_US_PER_S);
+	CU_ASSERT_TRUE(mmx_config_is_loaded(mmx_config_task_config(task)));
+	CU_ASSERT_TRUE(seen.news > 0);
+	news.applied = 2;
+	mmx_config_task_post_news(task, PEER, &news);
+	turn_(runtime, 0);
+	CU_ASSERT_EQUAL(seen.pulls, 1);
+	CU_ASSERT_EQUAL(seen.after, 1);
+	post_record_(task, test_account_record("a", "rider", 0, 1));
+	mmx_config_task_post_pull(task, 1, on_answer_, &seen);
+	turn_(runtime, 2 * MMX_US_PER_S);
+	CU_ASSERT_EQUAL(seen.refusals, 2);
+	CU_ASSERT_TRUE(seen.length > MMX_CONFIG_NEWS_BYTES + 12);
+	CU_ASSERT_EQUAL(mmx_counters_get(counters, MMX_GAUGE,
+					 "masticmux_configuration_applied", "",
+					 "")
+				->value,
+			2);
+	/* Messages that are still queued are dropped with the task. */
+	mmx_config_task_post_pulled(task, PEER, NULL, 0);
+	post_part_(task, fold);
+	mmx_config_task_destroy(task);
+	mmx_fold_destroy(fold);
+	mmx_runtime_destroy(runtime);
+	mmx_counters_destroy(counters);
+}
+
+CU_TestInfo mmx_tests_config_task[] = {
+	{"messages", test_messages_},
+	CU_TEST_INFO_NULL,
+};
