--- a/src/test_libmasticmux/test_detection.c
+++ b/src/test_libmasticmux/test_detection.c
@@ -236,6 +236,33 @@
 	}
 }
 
+/* Guards against a slow target that looks fast because it fails early, or
+ * because callers give up early. */
+static void test_early_end_(void)
+{
+	static const mmx_result_t results[] = {MMX_RESULT_ERROR,
+					       MMX_RESULT_ABANDONED};
+	size_t i;
+	int n;
+
+	for (i = 0; i < sizeof(results) / sizeof(results[0]); i++) {
+		fixture_t fixture;
+		double before;
+
+		set_up_(&fixture, 100);
+		for (n = 0; n < 4; n++)
+			request_(&fixture, 90 * MS, MMX_RESULT_SUCCESS, false);
+		before = mmx_detection_score(fixture.detection);
+		CU_ASSERT_TRUE(before > 0);
+		for (n = 0; n < 3; n++)
+			request_(&fixture, MS / 2, results[i], false);
+		/* Only time lowers it, by less than a thousandth here. */
+		CU_ASSERT_TRUE(mmx_detection_score(fixture.detection) >
+			       before * 0.999);
+		tear_down_(&fixture);
+	}
+}
+
 /* Guards against verdicts when there are no peers to compare with, or when
  * the peers fail as often. */
 static void test_no_outlier_(void)
@@ -291,6 +318,35 @@
 	STEP_NONE,
 } path_step_t;
 
+static mmx_time_t path_step_(mmx_path_t *path, path_step_t step, mmx_time_t now)
+{
+	switch (step) {
+	case STEP_WAIT:
+		return now + 600 * MS;
+	case STEP_BACKOFF:
+		return now + 2000 * MS;
+	case STEP_SENT:
+		mmx_path_sent(path, now);
+		break;
+	case STEP_PROGRESS:
+		mmx_path_progress(path, now);
+		break;
+	case STEP_RUNNING:
+		mmx_path_answer(path, MMX_PATH_ANSWER_RUNNING, now);
+		break;
+	case STEP_FINISHED:
+		mmx_path_answer(path, MMX_PATH_ANSWER_FINISHED, now);
+		break;
+	case STEP_UNSEEN:
+		mmx_path_answer(path, MMX_PATH_ANSWER_UNSEEN, now);
+		break;
+	default:
+		mmx_path_answer(path, MMX_PATH_ANSWER_NONE, now);
+		break;
+	}
+	return now;
+}
+
 /* Guards against a slow target that is held against the path, and against a
  * path that stays in use although attempts are lost on it. */
 static void test_path_(void)
@@ -345,28 +401,7 @@
 
 		mmx_path_init(&path, MMX_PATH_TIMEOUT_US, now);
 		for (n = 0; cases[i].steps[n] != STEP_END; n++) {
-			path_step_t step = cases[i].steps[n];
-
-			if (step == STEP_WAIT)
-				now += 600 * MS;
-			else if (step == STEP_BACKOFF)
-				now += 2000 * MS;
-			else if (step == STEP_SENT)
-				mmx_path_sent(&path, now);
-			else if (step == STEP_PROGRESS)
-				mmx_path_progress(&path, now);
-			else if (step == STEP_RUNNING)
-				mmx_path_answer(&path, MMX_PATH_ANSWER_RUNNING,
-						now);
-			else if (step == STEP_FINISHED)
-				mmx_path_answer(&path, MMX_PATH_ANSWER_FINISHED,
-						now);
-			else if (step == STEP_UNSEEN)
-				mmx_path_answer(&path, MMX_PATH_ANSWER_UNSEEN,
-						now);
-			else
-				mmx_path_answer(&path, MMX_PATH_ANSWER_NONE,
-						now);
+			now = path_step_(&path, cases[i].steps[n], now);
 			mmx_path_evaluate(&path, now);
 		}
 		CU_ASSERT_EQUAL(mmx_path_level(&path), cases[i].level);
@@ -381,6 +416,7 @@
 	{"age of requests in progress counts", test_stall_},
 	{"a refused connection is failing at once", test_refused_},
 	{"only good trials clear a failing target", test_trials_},
+	{"an early end is no good evidence", test_early_end_},
 	{"without an outlier nobody is suspect", test_no_outlier_},
 	{"thresholds follow the weight", test_weights_},
 	{"path and target are told apart", test_path_},
