--- a/src/libmasticmux/config_load.c
+++ b/src/libmasticmux/config_load.c
@@ -5,7 +5,7 @@
 
 #include "private/config_state.h"
 
-#define PART_TIMEOUT (2 * MMX_US_PER_S)
+#define PART_TIMEOUT MMX_US_PER_S
 /* A new node gives its peers this time to be heard of before it uses the log,
  * which is farther away and shared by all. */
 #define PEERS_FIRST MMX_US_PER_S
@@ -88,6 +88,8 @@
 
 static void ask_peer_(mmx_config_t *config)
 {
+	if (!config->transport)
+		return;
 	config->load_deadline = mmx_clock_now(config->clock) + PART_TIMEOUT;
 	config->transport->send_load(
 		config->arg, config->load_peer,
@@ -95,10 +97,14 @@
 		mmx_snapshot_reader_missing(config->load_reader));
 }
 
+/* Other peers are tried without a back-off; their number is bounded. */
 static void fail_peer_(mmx_config_t *config)
 {
 	mmx_config_drop_ahead_(config, config->load_peer);
-	fail_load_(config);
+	if (config->ahead_count > 0)
+		clear_load_(config);
+	else
+		fail_load_(config);
 }
 
 static void build_from_peer_(mmx_config_t *config)
@@ -353,7 +359,7 @@
 	const mmx_config_ahead_t *ahead = mmx_config_choose_ahead_(config);
 	bool alone = !config->transport || config->member_count <= 1;
 
-	if (ahead) {
+	if (ahead && config->transport) {
 		config->load = MMX_CONFIG_LOAD_PEER;
 		config->load_peer = ahead->peer;
 		ask_peer_(config);
--- a/src/test_libmasticmux/suites.h
+++ b/src/test_libmasticmux/suites.h
@@ -13,6 +13,7 @@
 extern CU_TestInfo mmx_tests_claims[];
 extern CU_TestInfo mmx_tests_clock[];
 extern CU_TestInfo mmx_tests_config[];
+extern CU_TestInfo mmx_tests_config_task[];
 extern CU_TestInfo mmx_tests_config_wire[];
 extern CU_TestInfo mmx_tests_detection[];
 extern CU_TestInfo mmx_tests_directory[];
