--- a/src/test_libmasticmux/test_peer_faults.c
+++ b/src/test_libmasticmux/test_peer_faults.c
@@ -467,10 +467,43 @@
 	mmx_test_world_destroy(world);
 }
 
+static void on_drained_(void *arg)
+{
+	*(bool *)arg = true;
+}
+
+static bool is_set_(void *arg)
+{
+	return *(bool *)arg;
+}
+
+/* Guards against a fenced attempt that stays on the books of either side, so
+ * that its connection counts as busy for ever: a drain would not end. */
+static void test_fence_ends_attempt_(void)
+{
+	mmx_test_world_t *world;
+	bool drained;
+	int side;
+
+	for (side = 0; side < 2; side++) {
+		world = mmx_test_world_create(&relayed_);
+		mmx_message_destroy(&mmx_test_deliver(world, 1)->message);
+		post_(world, &mmx_test_fence(1)->message);
+		answer_fence_(world, MMX_FENCE_FENCED);
+		expect_fence_reply_(world, MMX_FENCE_FENCED);
+		drained = false;
+		mmx_peer_drain(side ? world->b.peer : world->a.peer,
+			       on_drained_, &drained);
+		mmx_test_run(world, is_set_, &drained);
+		mmx_test_world_destroy(world);
+	}
+}
+
 CU_TestInfo mmx_tests_peer_faults[] = {
 	{"a silent connection is replaced", test_silent_connection_},
 	{"a response follows the fence", test_response_after_fence_},
 	{"a fence passes its attempt", test_fence_on_healthy_path_},
+	{"a fence ends its attempt on both sides", test_fence_ends_attempt_},
 	{"an unreachable node refuses accurately", test_unreachable_},
 	{"an unsent attempt is fenced here", test_fence_before_send_},
 	{"a restarted exit gets a new connection", test_restarted_exit_},
