Run a request with an Idempotency-Key at most once across nodes

Change: an attempt with a key is sent only after its claim is settled in the log. A repeat asks the holder's exit: the stored response is given again, a running one is refused with 409, one that never started after its deadline is taken over. Exits keep such attempts for the claim's lifetime. FENCE names its purpose, so that a query of another caller changes nothing.

--- a/src/libmasticmux/attempts.c
+++ b/src/libmasticmux/attempts.c
@@ -196,7 +196,8 @@
 	}
 	attempt->forget_at =
 		MAX(attempt->deadline, mmx_clock_now(attempts->clock)) +
-		KEEP_AFTER_DEADLINE_US;
+		(attempt->keyed ? MMX_CLAIM_LIFETIME_US
+				: KEEP_AFTER_DEADLINE_US);
 	TAILQ_INSERT_TAIL(&attempts->ended, attempt, forget_entry);
 	attempts->ended_count++;
 	while (attempts->ended_count > attempts->record_max)
--- a/src/libmasticmux/entry.c
+++ b/src/libmasticmux/entry.c
@@ -4,6 +4,11 @@
 #include <event2/buffer.h>
 #include <glib.h>
 
+const char *const mmx_exchange_state_string[MMX_EXCHANGE_STATE_COUNT] = {
+	"waiting", "claiming", "querying",  "sent",
+	"fencing", "running",  "answering",
+};
+
 struct mmx_entry_t {
 	mmx_task_t task;
 	mmx_runtime_t *runtime;
@@ -16,6 +21,7 @@
 	mmx_task_t *http;
 	mmx_task_t *peer;
 	mmx_task_t *local_exit;
+	mmx_task_t *claims;
 	const mmx_fold_t *const *fold;
 	const mmx_directory_t *directory;
 	mmx_counters_t *counters;
@@ -116,6 +122,21 @@
 	mmx_task_post(entry->http, &answer->message);
 }
 
+void mmx_entry_answer_duplicate(mmx_exchange_t *exchange, mmx_head_t *head,
+				struct evbuffer *body)
+{
+	mmx_entry_t *entry = exchange->owner;
+	mmx_answer_t *answer = mmx_new_answer(exchange->request);
+
+	answer->outcome = MMX_OUTCOME_COMPLETED;
+	answer->reason = MMX_REASON_DUPLICATE_COMPLETED;
+	answer->head = head;
+	evbuffer_add_buffer(answer->body, body);
+	answer->body_end = true;
+	count_(entry, answer->outcome, answer->reason);
+	mmx_task_post(entry->http, &answer->message);
+}
+
 void mmx_entry_answer_body(mmx_exchange_t *exchange, struct evbuffer *part,
 			   bool end, bool failed)
 {
@@ -187,6 +208,14 @@
 		     evbuffer_get_length(part));
 }
 
+/* All parts that have come are in exchange->body, none is on its way. */
+static bool is_unsent_(const mmx_exchange_t *exchange)
+{
+	return exchange->attempts == 0 ||
+	       exchange->state == MMX_EXCHANGE_CLAIMING ||
+	       exchange->state == MMX_EXCHANGE_QUERYING;
+}
+
 static void on_request_body_(mmx_entry_t *entry, mmx_body_t *body)
 {
 	mmx_exchange_t *exchange =
@@ -198,7 +227,7 @@
 	if (body->failed) {
 		/* What came so far must not be sent again as if whole. */
 		exchange->body_whole = false;
-		if (exchange->attempts == 0) {
+		if (is_unsent_(exchange)) {
 			mmx_pipeline_abandon(exchange);
 			mmx_entry_refuse(exchange, MMX_OUTCOME_NOT_RUN,
 					 MMX_REASON_BAD_REQUEST);
@@ -208,7 +237,7 @@
 						body);
 		return;
 	}
-	if (exchange->attempts == 0) {
+	if (is_unsent_(exchange)) {
 		/* Bounded by the credit of http_entry. */
 		evbuffer_add_buffer(exchange->body, body->data);
 		if (evbuffer_get_length(exchange->body) > MMX_HELD_BODY_MAX)
@@ -291,13 +320,27 @@
 
 static void on_fence_reply_(mmx_entry_t *entry, mmx_fence_reply_t *reply)
 {
-	mmx_exchange_t *exchange = find_attempt_(entry, &reply->attempt);
+	mmx_exchange_t *exchange;
 
+	if (reply->purpose != MMX_FENCE_RECOVER) {
+		mmx_filter_attempt_rival_reply(entry->attempt_filter, reply);
+		return;
+	}
+	exchange = find_attempt_(entry, &reply->attempt);
 	if (exchange)
 		mmx_filter_attempt_fence_reply(entry->attempt_filter, exchange,
 					       reply);
 }
 
+static void on_claim_reply_(mmx_entry_t *entry, const mmx_claim_reply_t *reply)
+{
+	mmx_exchange_t *exchange = find_attempt_(entry, &reply->attempt);
+
+	if (exchange)
+		mmx_filter_attempt_claim_reply(entry->attempt_filter, exchange,
+					       reply);
+}
+
 static void on_caller_gone_(mmx_entry_t *entry, const mmx_caller_gone_t *gone)
 {
 	mmx_exchange_t *exchange =
@@ -342,6 +385,9 @@
 		mmx_filter_attempt_path_lost(entry->attempt_filter,
 					     (mmx_path_lost_t *)message);
 		break;
+	case MMX_MESSAGE_CLAIM_RESULT:
+		on_claim_reply_(entry, (mmx_claim_reply_t *)message);
+		break;
 	case MMX_MESSAGE_EVIDENCE:
 		on_evidence_(entry, (mmx_evidence_t *)message);
 		break;
@@ -416,6 +462,14 @@
 	return true;
 }
 
+bool mmx_entry_set_claims(mmx_entry_t *entry, mmx_task_t *claims)
+{
+	if (entry->running)
+		return false;
+	entry->claims = claims;
+	return true;
+}
+
 bool mmx_entry_set_fold(mmx_entry_t *entry, const mmx_fold_t *const *fold)
 {
 	if (entry->running)
@@ -553,3 +607,8 @@
 {
 	return (mmx_origin_t){.task = &entry->task, .connection = 0};
 }
+
+mmx_task_t *mmx_entry_claims(const mmx_entry_t *entry)
+{
+	return entry->claims;
+}
--- a/src/libmasticmux/exit_attempt.c
+++ b/src/libmasticmux/exit_attempt.c
@@ -39,10 +39,12 @@
 static void post_fence_reply_(mmx_exit_t *exit, mmx_attempt_t *attempt,
 			      const mmx_attempt_id_t *id,
 			      const mmx_origin_t *origin,
+			      mmx_fence_purpose_t purpose,
 			      mmx_fence_state_t state)
 {
 	mmx_fence_reply_t *reply = mmx_new_fence_reply(id, state);
 
+	reply->purpose = purpose;
 	reply->exit = exit->node;
 	reply->origin = *origin;
 	if (state == MMX_FENCE_FINISHED && attempt && attempt->answer_head) {
@@ -81,7 +83,7 @@
 	target->in_progress--;
 	if (attempt->reply_at_end)
 		post_fence_reply_(exit, attempt, &attempt->id, &attempt->origin,
-				  MMX_FENCE_FINISHED);
+				  MMX_FENCE_RECOVER, MMX_FENCE_FINISHED);
 	mmx_attempts_end(exit->attempts, attempt, state);
 	mmx_exit_start_queued(exit, target);
 }
@@ -179,6 +181,7 @@
 	attempt->target = target;
 	attempt->origin = execute->origin;
 	attempt->repeatable = execute->repeatable;
+	attempt->keyed = execute->keyed;
 	attempt->trial = execute->trial;
 	attempt->deadline = mmx_clock_now(exit->clock) + execute->remaining;
 	TAILQ_INSERT_TAIL(&target->queue, attempt, queue_entry);
@@ -246,37 +249,52 @@
 		mmx_exit_cut_running(exit, attempt);
 }
 
-static void fence_known_(mmx_exit_t *exit, mmx_attempt_t *attempt,
-			 const mmx_fence_t *fence)
+/* What becomes of an attempt that the exit knows. */
+static mmx_fence_state_t fence_known_(mmx_exit_t *exit, mmx_attempt_t *attempt,
+				      const mmx_fence_t *fence)
 {
 	switch (attempt->state) {
 	case MMX_ATTEMPT_QUEUED:
-		post_fence_reply_(exit, NULL, &fence->attempt, &fence->origin,
-				  MMX_FENCE_FENCED);
-		attempt->abandoned = true;
+		if (fence->purpose == MMX_FENCE_QUERY)
+			return MMX_FENCE_RUNNING;
+		/* Its entry hears of it unless it asked itself. */
+		attempt->abandoned = fence->purpose == MMX_FENCE_RECOVER;
 		mmx_exit_refuse_queued(exit, attempt, MMX_REASON_FENCED);
-		break;
+		return MMX_FENCE_FENCED;
 	case MMX_ATTEMPT_RUNNING:
+		if (fence->purpose != MMX_FENCE_RECOVER)
+			return MMX_FENCE_RUNNING;
 		attempt->origin = fence->origin;
 		attempt->abandoned = false;
 		/* What went out on the old connection, or was dropped after
 		 * it closed, may be lost: the whole response follows. */
 		if (attempt->headed)
 			attempt->reply_at_end = true;
-		post_fence_reply_(exit, NULL, &fence->attempt, &fence->origin,
-				  MMX_FENCE_RUNNING);
-		break;
+		return MMX_FENCE_RUNNING;
 	case MMX_ATTEMPT_FINISHED:
-		post_fence_reply_(exit, attempt, &fence->attempt,
-				  &fence->origin, MMX_FENCE_FINISHED);
-		break;
+		return MMX_FENCE_FINISHED;
 	default:
-		post_fence_reply_(exit, NULL, &fence->attempt, &fence->origin,
-				  MMX_FENCE_FENCED);
-		break;
+		return MMX_FENCE_FENCED;
 	}
 }
 
+/* What becomes of an attempt that has not arrived here. */
+static mmx_fence_state_t fence_new_(mmx_exit_t *exit, const mmx_fence_t *fence)
+{
+	mmx_attempt_t *attempt;
+
+	/* An earlier process here may have run it. */
+	if (fence->exit_incarnation != exit->incarnation &&
+	    exit->guards->incarnation)
+		return MMX_FENCE_FORGOTTEN;
+	/* It may still be on its way. */
+	if (fence->purpose == MMX_FENCE_QUERY)
+		return MMX_FENCE_RUNNING;
+	attempt = mmx_attempts_add(exit->attempts, &fence->attempt);
+	mmx_attempts_end(exit->attempts, attempt, MMX_ATTEMPT_REFUSED);
+	return MMX_FENCE_FENCED;
+}
+
 void mmx_exit_on_fence(mmx_exit_t *exit, const mmx_fence_t *fence)
 {
 	mmx_fence_state_t state = MMX_FENCE_FORGOTTEN;
@@ -285,21 +303,17 @@
 	mmx_counter_add(exit->fenced, 1);
 	switch (mmx_attempts_find(exit->attempts, &fence->attempt, &attempt)) {
 	case MMX_ATTEMPT_KNOWN:
-		fence_known_(exit, attempt, fence);
-		return;
+		state = fence_known_(exit, attempt, fence);
+		break;
 	case MMX_ATTEMPT_NEW:
-		/* An earlier process here may have run it. */
-		if (fence->exit_incarnation != exit->incarnation &&
-		    exit->guards->incarnation)
-			break;
-		attempt = mmx_attempts_add(exit->attempts, &fence->attempt);
-		mmx_attempts_end(exit->attempts, attempt, MMX_ATTEMPT_REFUSED);
-		state = MMX_FENCE_FENCED;
+		state = fence_new_(exit, fence);
 		break;
 	default:
 		break;
 	}
-	post_fence_reply_(exit, NULL, &fence->attempt, &fence->origin, state);
+	post_fence_reply_(exit, state == MMX_FENCE_FINISHED ? attempt : NULL,
+			  &fence->attempt, &fence->origin, fence->purpose,
+			  state);
 }
 
 /* --- connections ------------------------------------------------------- */
--- a/src/libmasticmux/filter_attempt.c
+++ b/src/libmasticmux/filter_attempt.c
@@ -7,7 +7,7 @@
  * the exit confirms that it never started and never will, or what became of
  * it.
  */
-#include "private/entry.h"
+#include "private/filter_attempt.h"
 
 #include <assert.h>
 #include <event2/buffer.h>
@@ -23,21 +23,7 @@
 /* Time before the deadline at which a silent attempt is fenced. */
 #define FENCE_LEAD_MAX_US (100 * MMX_US_PER_MS)
 
-typedef TAILQ_HEAD(exchange_list_t, mmx_exchange_t) exchange_list_t;
-
-typedef struct attempt_filter_t {
-	mmx_filter_t filter;
-	mmx_entry_t *entry;
-	mmx_clock_t *clock;
-	const mmx_guards_t *guards;
-	mmx_view_t *view;
-	exchange_list_t open; /* exchanges with an attempt out */
-	mmx_counter_t *sent;
-	mmx_counter_t *repeated;
-	mmx_counter_t *fences;
-} attempt_filter_t;
-
-static void try_next_(attempt_filter_t *self, mmx_exchange_t *exchange);
+static void try_next_(mmx_attempt_filter_t *self, mmx_exchange_t *exchange);
 
 /* --- sending ----------------------------------------------------------- */
 
@@ -46,7 +32,7 @@
 	return MIN(remaining / 10, max);
 }
 
-static void set_deadline_timer_(attempt_filter_t *self,
+static void set_deadline_timer_(mmx_attempt_filter_t *self,
 				mmx_exchange_t *exchange)
 {
 	mmx_time_t now = mmx_clock_now(self->clock);
@@ -58,7 +44,7 @@
 	mmx_timer_set(&exchange->timer, remaining - lead);
 }
 
-static mmx_execute_t *new_execute_(attempt_filter_t *self,
+static mmx_execute_t *new_execute_(mmx_attempt_filter_t *self,
 				   const mmx_exchange_t *exchange)
 {
 	mmx_execute_t *execute = mmx_new_execute();
@@ -75,6 +61,7 @@
 	execute->repeatable = exchange->repeatable;
 	execute->remaining =
 		remaining - margin_(remaining, DEADLINE_MARGIN_MAX_US);
+	execute->keyed = exchange->key[0] != '\0';
 	execute->trial = exchange->trial;
 	execute->peers = mmx_view_summary(self->view, exchange->target);
 	execute->trace = exchange->trace;
@@ -85,28 +72,36 @@
 	return execute;
 }
 
-static void send_(attempt_filter_t *self, mmx_exchange_t *exchange,
-		  const mmx_view_choice_t *choice)
+void mmx_attempt_transmit(mmx_attempt_filter_t *self, mmx_exchange_t *exchange)
 {
 	mmx_execute_t *execute;
 
+	exchange->state = MMX_EXCHANGE_SENT;
+	execute = new_execute_(self, exchange);
+	mmx_counter_add(self->sent, 1);
+	mmx_entry_post_exit(self->entry, exchange->exit, &execute->message);
+	set_deadline_timer_(self, exchange);
+}
+
+static void send_(mmx_attempt_filter_t *self, mmx_exchange_t *exchange,
+		  const mmx_view_choice_t *choice)
+{
 	exchange->target = choice->target;
 	exchange->exit = choice->node;
 	exchange->exit_incarnation = choice->incarnation;
 	exchange->trial = choice->trial;
 	exchange->tried[exchange->attempts++] = exchange->target;
 	exchange->attempt_started = mmx_clock_now(self->clock);
-	exchange->state = MMX_EXCHANGE_SENT;
 	mmx_entry_new_attempt(exchange);
 	TAILQ_INSERT_TAIL(&self->open, exchange, path_entry);
-	execute = new_execute_(self, exchange);
-	mmx_counter_add(self->sent, 1);
-	mmx_entry_post_exit(self->entry, exchange->exit, &execute->message);
-	set_deadline_timer_(self, exchange);
+	if (exchange->key[0] && mmx_entry_claims(self->entry))
+		mmx_attempt_claim(self, exchange);
+	else
+		mmx_attempt_transmit(self, exchange);
 }
 
 /* Only the first result counts. */
-static void end_trial_(attempt_filter_t *self, mmx_exchange_t *exchange,
+static void end_trial_(mmx_attempt_filter_t *self, mmx_exchange_t *exchange,
 		       mmx_view_trial_t result)
 {
 	if (!exchange->trial)
@@ -115,7 +110,7 @@
 	mmx_view_trial(self->view, exchange->target, result);
 }
 
-static void close_attempt_(attempt_filter_t *self, mmx_exchange_t *exchange)
+void mmx_attempt_close(mmx_attempt_filter_t *self, mmx_exchange_t *exchange)
 {
 	if (exchange->state == MMX_EXCHANGE_WAITING)
 		return;
@@ -152,17 +147,17 @@
 	}
 }
 
-static void refuse_(attempt_filter_t *self, mmx_exchange_t *exchange,
-		    mmx_reason_t reason)
+void mmx_attempt_refuse(mmx_attempt_filter_t *self, mmx_exchange_t *exchange,
+			mmx_reason_t reason)
 {
-	close_attempt_(self, exchange);
+	mmx_attempt_close(self, exchange);
 	mmx_entry_refuse(exchange,
 			 exchange->may_have_run ? MMX_OUTCOME_UNKNOWN
 						: MMX_OUTCOME_NOT_RUN,
 			 caller_reason_(reason));
 }
 
-static bool can_send_again_(attempt_filter_t *self,
+static bool can_send_again_(mmx_attempt_filter_t *self,
 			    const mmx_exchange_t *exchange)
 {
 	return exchange->body_whole && exchange->attempts < MMX_ATTEMPTS_MAX &&
@@ -173,8 +168,8 @@
  * A refusal costs little, but at overload every target refuses: from the
  * second refusal on, sending again takes from the retry budget.
  */
-static bool may_send_refused_(attempt_filter_t *self, mmx_exchange_t *exchange,
-			      mmx_reason_t reason)
+static bool may_send_refused_(mmx_attempt_filter_t *self,
+			      mmx_exchange_t *exchange, mmx_reason_t reason)
 {
 	switch (reason) {
 	case MMX_REASON_DEADLINE_EXCEEDED:
@@ -190,25 +185,25 @@
 }
 
 /* After an attempt that certainly did not run. */
-static void retry_not_run_(attempt_filter_t *self, mmx_exchange_t *exchange,
-			   mmx_reason_t reason)
+void mmx_attempt_retry_not_run(mmx_attempt_filter_t *self,
+			       mmx_exchange_t *exchange, mmx_reason_t reason)
 {
 	end_trial_(self, exchange, MMX_VIEW_TRIAL_REFUSED);
-	close_attempt_(self, exchange);
+	mmx_attempt_close(self, exchange);
 	drop_held_answer_(exchange);
 	exchange->refusal = reason;
 	if (can_send_again_(self, exchange) &&
 	    may_send_refused_(self, exchange, reason))
 		try_next_(self, exchange);
 	else
-		refuse_(self, exchange, reason);
+		mmx_attempt_refuse(self, exchange, reason);
 }
 
 /* After an attempt that may have run. */
-static void retry_may_have_run_(attempt_filter_t *self,
+static void retry_may_have_run_(mmx_attempt_filter_t *self,
 				mmx_exchange_t *exchange, mmx_reason_t reason)
 {
-	close_attempt_(self, exchange);
+	mmx_attempt_close(self, exchange);
 	drop_held_answer_(exchange);
 	exchange->may_have_run = true;
 	exchange->refusal = reason;
@@ -218,11 +213,11 @@
 		mmx_counter_add(self->repeated, 1);
 		try_next_(self, exchange);
 	} else {
-		refuse_(self, exchange, reason);
+		mmx_attempt_refuse(self, exchange, reason);
 	}
 }
 
-static void try_next_(attempt_filter_t *self, mmx_exchange_t *exchange)
+static void try_next_(mmx_attempt_filter_t *self, mmx_exchange_t *exchange)
 {
 	mmx_balance_request_t request = {
 		.repeatable = exchange->repeatable,
@@ -234,14 +229,14 @@
 	if (mmx_view_start(self->view, exchange->service, &request, &choice))
 		send_(self, exchange, &choice);
 	else
-		refuse_(self, exchange,
-			exchange->refusal ? exchange->refusal
-					  : MMX_REASON_NO_CAPACITY);
+		mmx_attempt_refuse(self, exchange,
+				   exchange->refusal ? exchange->refusal
+						     : MMX_REASON_NO_CAPACITY);
 }
 
 /* --- fencing and deadline ---------------------------------------------- */
 
-static void send_fence_(attempt_filter_t *self, mmx_exchange_t *exchange)
+static void send_fence_(mmx_attempt_filter_t *self, mmx_exchange_t *exchange)
 {
 	mmx_fence_t *fence = mmx_new_fence(&exchange->attempt);
 	mmx_time_t now = mmx_clock_now(self->clock);
@@ -256,7 +251,7 @@
 		      MIN(FENCE_RETRY_US, exchange->deadline - now));
 }
 
-static void send_cancel_(attempt_filter_t *self, mmx_exchange_t *exchange)
+static void send_cancel_(mmx_attempt_filter_t *self, mmx_exchange_t *exchange)
 {
 	mmx_cancel_t *cancel = mmx_new_cancel(&exchange->attempt);
 
@@ -265,18 +260,18 @@
 }
 
 /* The caller has part of the answer: it must see that the rest is missing. */
-static void cut_answer_(attempt_filter_t *self, mmx_exchange_t *exchange)
+static void cut_answer_(mmx_attempt_filter_t *self, mmx_exchange_t *exchange)
 {
 	struct evbuffer *nothing = evbuffer_new();
 
-	close_attempt_(self, exchange);
+	mmx_attempt_close(self, exchange);
 	mmx_entry_answer_body(exchange, nothing, true, true);
 	evbuffer_free(nothing);
 	mmx_entry_end(exchange);
 }
 
 /* Nothing more is wanted of an attempt whose answer is partly out. */
-static void cancel_answer_(attempt_filter_t *self, mmx_exchange_t *exchange)
+static void cancel_answer_(mmx_attempt_filter_t *self, mmx_exchange_t *exchange)
 {
 	send_cancel_(self, exchange);
 	cut_answer_(self, exchange);
@@ -285,8 +280,13 @@
 static void on_timer_(void *arg)
 {
 	mmx_exchange_t *exchange = arg;
-	attempt_filter_t *self = (attempt_filter_t *)exchange->filter;
+	mmx_attempt_filter_t *self = (mmx_attempt_filter_t *)exchange->filter;
 
+	if (exchange->state == MMX_EXCHANGE_CLAIMING ||
+	    exchange->state == MMX_EXCHANGE_QUERYING) {
+		mmx_attempt_claim_expired(self, exchange);
+		return;
+	}
 	if (mmx_clock_now(self->clock) < exchange->deadline) {
 		if (exchange->state == MMX_EXCHANGE_FENCING)
 			mmx_view_path_answer(self->view, exchange->exit,
@@ -300,14 +300,14 @@
 	}
 	send_cancel_(self, exchange);
 	exchange->may_have_run = true;
-	refuse_(self, exchange, MMX_REASON_DEADLINE_EXCEEDED);
+	mmx_attempt_refuse(self, exchange, MMX_REASON_DEADLINE_EXCEEDED);
 }
 
 void mmx_filter_attempt_fence_reply(mmx_filter_t *filter,
 				    mmx_exchange_t *exchange,
 				    mmx_fence_reply_t *reply)
 {
-	attempt_filter_t *self = (attempt_filter_t *)filter;
+	mmx_attempt_filter_t *self = (mmx_attempt_filter_t *)filter;
 
 	mmx_view_path_progress(self->view, exchange->exit);
 	if (exchange->state == MMX_EXCHANGE_ANSWERING) {
@@ -319,7 +319,7 @@
 	}
 	switch (reply->state) {
 	case MMX_FENCE_FENCED:
-		retry_not_run_(self, exchange, MMX_REASON_PATH_LOST);
+		mmx_attempt_retry_not_run(self, exchange, MMX_REASON_PATH_LOST);
 		break;
 	case MMX_FENCE_RUNNING:
 		exchange->state = MMX_EXCHANGE_RUNNING;
@@ -333,7 +333,7 @@
 					    MMX_REASON_ANSWER_TRUNCATED);
 			break;
 		}
-		close_attempt_(self, exchange);
+		mmx_attempt_close(self, exchange);
 		mmx_entry_answer(exchange, reply->head, reply->body, true);
 		reply->head = NULL;
 		mmx_entry_end(exchange);
@@ -344,8 +344,13 @@
 	}
 }
 
-static void on_path_lost_(attempt_filter_t *self, mmx_exchange_t *exchange)
+static void on_path_lost_(mmx_attempt_filter_t *self, mmx_exchange_t *exchange)
 {
+	if (exchange->state == MMX_EXCHANGE_CLAIMING ||
+	    exchange->state == MMX_EXCHANGE_QUERYING) {
+		/* Nothing of this exchange has been sent on the path. */
+		return;
+	}
 	if (exchange->state == MMX_EXCHANGE_ANSWERING) {
 		cancel_answer_(self, exchange);
 	} else if (exchange->repeatable || !self->guards->fence) {
@@ -359,8 +364,8 @@
 void mmx_filter_attempt_path_lost(mmx_filter_t *filter,
 				  const mmx_path_lost_t *lost)
 {
-	attempt_filter_t *self = (attempt_filter_t *)filter;
-	mmx_exchange_t *last = TAILQ_LAST(&self->open, exchange_list_t);
+	mmx_attempt_filter_t *self = (mmx_attempt_filter_t *)filter;
+	mmx_exchange_t *last = TAILQ_LAST(&self->open, mmx_exchange_list_t);
 	mmx_exchange_t *exchange = TAILQ_FIRST(&self->open);
 	mmx_exchange_t *next;
 
@@ -376,7 +381,7 @@
 
 /* --- responses --------------------------------------------------------- */
 
-static void on_refusal_(attempt_filter_t *self, mmx_exchange_t *exchange,
+static void on_refusal_(mmx_attempt_filter_t *self, mmx_exchange_t *exchange,
 			const mmx_response_t *response)
 {
 	if (exchange->state == MMX_EXCHANGE_ANSWERING) {
@@ -388,18 +393,19 @@
 	if (response->started)
 		retry_may_have_run_(self, exchange, response->reason);
 	else
-		retry_not_run_(self, exchange, response->reason);
+		mmx_attempt_retry_not_run(self, exchange, response->reason);
 }
 
 /* From here on only the deadline ends it; no fencing query is repeated. */
-static void start_answering_(attempt_filter_t *self, mmx_exchange_t *exchange)
+static void start_answering_(mmx_attempt_filter_t *self,
+			     mmx_exchange_t *exchange)
 {
 	exchange->state = MMX_EXCHANGE_ANSWERING;
 	set_deadline_timer_(self, exchange);
 }
 
-static void pass_held_answer_(attempt_filter_t *self, mmx_exchange_t *exchange,
-			      bool end)
+static void pass_held_answer_(mmx_attempt_filter_t *self,
+			      mmx_exchange_t *exchange, bool end)
 {
 	mmx_head_t *head = exchange->answer_head;
 
@@ -409,7 +415,7 @@
 			   head->status >= 500);
 	exchange->answer_head = NULL;
 	if (end)
-		close_attempt_(self, exchange);
+		mmx_attempt_close(self, exchange);
 	else
 		start_answering_(self, exchange);
 	mmx_entry_answer(exchange, head, exchange->answer_body, end);
@@ -417,7 +423,7 @@
 		mmx_entry_end(exchange);
 }
 
-static void on_head_(attempt_filter_t *self, mmx_exchange_t *exchange,
+static void on_head_(mmx_attempt_filter_t *self, mmx_exchange_t *exchange,
 		     mmx_response_t *response)
 {
 	if (exchange->state == MMX_EXCHANGE_ANSWERING || exchange->answer_head)
@@ -441,7 +447,7 @@
 void mmx_filter_attempt_response(mmx_filter_t *filter, mmx_exchange_t *exchange,
 				 mmx_response_t *response)
 {
-	attempt_filter_t *self = (attempt_filter_t *)filter;
+	mmx_attempt_filter_t *self = (mmx_attempt_filter_t *)filter;
 	mmx_load_report_t load = response->load;
 
 	mmx_view_path_progress(self->view, exchange->exit);
@@ -453,7 +459,7 @@
 	mmx_view_report(self->view, &load);
 }
 
-static void on_held_body_(attempt_filter_t *self, mmx_exchange_t *exchange,
+static void on_held_body_(mmx_attempt_filter_t *self, mmx_exchange_t *exchange,
 			  const mmx_body_t *body)
 {
 	if (!exchange->answer_head)
@@ -471,7 +477,7 @@
 void mmx_filter_attempt_body(mmx_filter_t *filter, mmx_exchange_t *exchange,
 			     mmx_body_t *body)
 {
-	attempt_filter_t *self = (attempt_filter_t *)filter;
+	mmx_attempt_filter_t *self = (mmx_attempt_filter_t *)filter;
 
 	mmx_view_path_progress(self->view, exchange->exit);
 	if (exchange->state != MMX_EXCHANGE_ANSWERING) {
@@ -479,7 +485,7 @@
 		return;
 	}
 	if (body->end)
-		close_attempt_(self, exchange);
+		mmx_attempt_close(self, exchange);
 	mmx_entry_answer_body(exchange, body->data, body->end, body->failed);
 	if (body->end)
 		mmx_entry_end(exchange);
@@ -490,11 +496,12 @@
 void mmx_filter_attempt_request_body(mmx_filter_t *filter,
 				     mmx_exchange_t *exchange, mmx_body_t *body)
 {
-	attempt_filter_t *self = (attempt_filter_t *)filter;
+	mmx_attempt_filter_t *self = (mmx_attempt_filter_t *)filter;
 	mmx_body_t *onward;
 
 	if (exchange->state == MMX_EXCHANGE_WAITING)
 		return;
+	assert(exchange->state != MMX_EXCHANGE_CLAIMING);
 	onward = mmx_new_body(MMX_TO_TARGET);
 	onward->attempt = exchange->attempt;
 	onward->exit = exchange->exit;
@@ -509,7 +516,7 @@
 static mmx_filter_result_t process_(mmx_filter_t *filter,
 				    mmx_exchange_t *exchange)
 {
-	attempt_filter_t *self = (attempt_filter_t *)filter;
+	mmx_attempt_filter_t *self = (mmx_attempt_filter_t *)filter;
 
 	mmx_timer_init(&exchange->timer, self->clock, on_timer_, exchange);
 	try_next_(self, exchange);
@@ -518,14 +525,16 @@
 
 static void abandon_(mmx_filter_t *filter, mmx_exchange_t *exchange)
 {
-	attempt_filter_t *self = (attempt_filter_t *)filter;
+	mmx_attempt_filter_t *self = (mmx_attempt_filter_t *)filter;
 
 	if (exchange->state == MMX_EXCHANGE_WAITING)
 		return;
-	send_cancel_(self, exchange);
+	if (exchange->state != MMX_EXCHANGE_CLAIMING &&
+	    exchange->state != MMX_EXCHANGE_QUERYING)
+		send_cancel_(self, exchange);
 	/* A caller that leaves says nothing about the target. */
 	end_trial_(self, exchange, MMX_VIEW_TRIAL_REFUSED);
-	close_attempt_(self, exchange);
+	mmx_attempt_close(self, exchange);
 }
 
 static void destroy_(mmx_filter_t *filter)
@@ -542,7 +551,7 @@
 
 mmx_filter_t *mmx_filter_attempt_create(mmx_entry_t *entry)
 {
-	attempt_filter_t *self = g_new0(attempt_filter_t, 1);
+	mmx_attempt_filter_t *self = g_new0(mmx_attempt_filter_t, 1);
 	mmx_counters_t *counters = mmx_entry_counters(entry);
 
 	self->filter.ops = &ops_;
--- a/src/libmasticmux/include/private/attempts.h
+++ b/src/libmasticmux/include/private/attempts.h
@@ -39,6 +39,7 @@
 	mmx_time_t deadline;
 	mmx_time_t forget_at; /* while ended */
 	bool repeatable;
+	bool keyed;	   /* kept for the lifetime of its claim */
 	bool abandoned;	   /* nobody waits for the response */
 	bool reply_at_end; /* a fencing query waits for the whole response */
 	bool headed;	   /* the target's head has arrived */
--- a/src/libmasticmux/include/private/entry.h
+++ b/src/libmasticmux/include/private/entry.h
@@ -30,6 +30,8 @@
 bool mmx_entry_set_peer(mmx_entry_t *entry, mmx_task_t *peer);
 bool mmx_entry_set_local_exit(mmx_entry_t *entry, mmx_task_t *exit);
 /* *fold is read for each request; NULL while there is no configuration. */
+/* Without it an Idempotency-Key only marks its request as not repeatable. */
+bool mmx_entry_set_claims(mmx_entry_t *entry, mmx_task_t *claims);
 bool mmx_entry_set_fold(mmx_entry_t *entry, const mmx_fold_t *const *fold);
 bool mmx_entry_set_directory(mmx_entry_t *entry,
 			     const mmx_directory_t *directory);
@@ -71,6 +73,10 @@
 void mmx_entry_answer(mmx_exchange_t *exchange, mmx_head_t *head,
 		      struct evbuffer *body, bool end);
 
+/* The response that an earlier request with the same key has got. */
+void mmx_entry_answer_duplicate(mmx_exchange_t *exchange, mmx_head_t *head,
+				struct evbuffer *body);
+
 /* A further part of the answer; failed: it breaks off here. */
 void mmx_entry_answer_body(mmx_exchange_t *exchange, struct evbuffer *part,
 			   bool end, bool failed);
@@ -91,6 +97,12 @@
 void mmx_filter_attempt_fence_reply(mmx_filter_t *filter,
 				    mmx_exchange_t *exchange,
 				    mmx_fence_reply_t *reply);
+void mmx_filter_attempt_claim_reply(mmx_filter_t *filter,
+				    mmx_exchange_t *exchange,
+				    const mmx_claim_reply_t *reply);
+/* Of an attempt that holds the key of an exchange here. */
+void mmx_filter_attempt_rival_reply(mmx_filter_t *filter,
+				    mmx_fence_reply_t *reply);
 void mmx_filter_attempt_path_lost(mmx_filter_t *filter,
 				  const mmx_path_lost_t *lost);
 void mmx_filter_attempt_request_body(mmx_filter_t *filter,
@@ -109,5 +121,7 @@
 void mmx_entry_post_exit(mmx_entry_t *entry, mmx_node_id_t exit,
 			 mmx_message_t *message);
 mmx_origin_t mmx_entry_origin(mmx_entry_t *entry);
+/* The task that settles claims; NULL when there is none. */
+mmx_task_t *mmx_entry_claims(const mmx_entry_t *entry);
 
 #endif
--- a/src/libmasticmux/include/private/exchange.h
+++ b/src/libmasticmux/include/private/exchange.h
@@ -15,6 +15,8 @@
 
 typedef enum mmx_exchange_state_t {
 	MMX_EXCHANGE_WAITING,	/* no attempt is out */
+	MMX_EXCHANGE_CLAIMING,	/* the Idempotency-Key is being claimed */
+	MMX_EXCHANGE_QUERYING,	/* another attempt holds the key */
 	MMX_EXCHANGE_SENT,	/* an attempt is out, nothing heard */
 	MMX_EXCHANGE_FENCING,	/* a fencing query is out */
 	MMX_EXCHANGE_RUNNING,	/* the exit has confirmed that it runs */
@@ -64,7 +66,9 @@
 	mmx_reason_t refusal;	 /* of the latest attempt */
 	mmx_head_t *answer_head; /* held until the body is whole or too long */
 	struct evbuffer *answer_body;
-	uint32_t body_credit; /* bytes that the exit may still be sent */
+	uint64_t claim_offset;	  /* of the claim to be superseded, or 0 */
+	mmx_claim_holder_t rival; /* while querying */
+	uint32_t body_credit;	  /* bytes that the exit may still be sent */
 } mmx_exchange_t;
 
 #endif
--- a/src/libmasticmux/include/private/messages.h
+++ b/src/libmasticmux/include/private/messages.h
@@ -106,7 +106,8 @@
 	char service[MMX_NAME_MAX + 1];
 	char account[MMX_NAME_MAX + 1]; /* empty: none named */
 	bool repeatable;
-	bool trial;	      /* reinstatement trial of an ejected target */
+	bool keyed; /* a claim on an Idempotency-Key names this attempt */
+	bool trial; /* reinstatement trial of an ejected target */
 	mmx_time_t remaining; /* until the caller gives up, microseconds */
 	mmx_trace_context_t trace;
 	/* Completions at the service's other targets; NULL: not this time. */
@@ -191,12 +192,25 @@
 	mmx_node_id_t exit;
 } mmx_cancel_t;
 
+typedef enum mmx_fence_purpose_t {
+	/* By the attempt's entry: never start it, else send me its response. */
+	MMX_FENCE_RECOVER,
+	/* For a repeat under the same Idempotency-Key: changes nothing. */
+	MMX_FENCE_QUERY,
+	/* For such a repeat after the deadline: never start it. */
+	MMX_FENCE_TAKEOVER,
+	MMX_FENCE_PURPOSE_COUNT
+} mmx_fence_purpose_t;
+
+extern const char *const mmx_fence_purpose_string[MMX_FENCE_PURPOSE_COUNT];
+
 /* entry -> exit, wire, on a new connection: make sure it never starts. */
 typedef struct mmx_fence_t {
 	mmx_message_t message;
 	mmx_attempt_id_t attempt;
 	mmx_node_id_t exit;
 	mmx_incarnation_t exit_incarnation;
+	mmx_fence_purpose_t purpose;
 	mmx_origin_t origin;
 } mmx_fence_t;
 
@@ -216,7 +230,8 @@
 	mmx_attempt_id_t attempt;
 	mmx_node_id_t exit;
 	mmx_fence_state_t state;
-	mmx_head_t *head; /* NULL when the response was not kept */
+	mmx_fence_purpose_t purpose; /* of the query */
+	mmx_head_t *head;	     /* NULL when the response was not kept */
 	struct evbuffer *body;
 	mmx_origin_t origin;
 } mmx_fence_reply_t;
--- a/src/libmasticmux/messages.c
+++ b/src/libmasticmux/messages.c
@@ -23,6 +23,12 @@
 	"forgotten",
 };
 
+const char *const mmx_fence_purpose_string[MMX_FENCE_PURPOSE_COUNT] = {
+	"recover",
+	"query",
+	"takeover",
+};
+
 const char *const mmx_call_result_string[MMX_CALL_RESULT_COUNT] = {
 	"head",
 	"not-sent",
--- a/src/libmasticmux/part_path.c
+++ b/src/libmasticmux/part_path.c
@@ -45,6 +45,7 @@
 	mmx_exit_init(node->exit);
 	mmx_entry_set_http(node->entry, mmx_http_entry_task(path->http));
 	mmx_entry_set_peer(node->entry, mmx_peer_task(node->peer));
+	mmx_entry_set_claims(node->entry, node->claims);
 	mmx_entry_set_local_exit(node->entry, exit_task);
 	mmx_entry_set_fold(node->entry, &node->fold);
 	mmx_entry_set_directory(node->entry, node->directory);
--- a/src/libmasticmux/wire.c
+++ b/src/libmasticmux/wire.c
@@ -15,6 +15,7 @@
 #define FLAG_FAILED 0x10U
 #define FLAG_PEERS 0x20U
 #define FLAG_GOOD 0x40U
+#define FLAG_KEYED 0x80U
 
 /* A filter encodes or decodes, as XDR filters do; x_public holds the reason
  * of the first refusal. */
@@ -247,6 +248,7 @@
 	mmx_execute_t *execute = (mmx_execute_t *)message;
 	uint32_t flags = (execute->body_end ? FLAG_BODY_END : 0) |
 			 (execute->repeatable ? FLAG_REPEATABLE : 0) |
+			 (execute->keyed ? FLAG_KEYED : 0) |
 			 (execute->trial ? FLAG_TRIAL : 0) |
 			 (execute->peers ? FLAG_PEERS : 0);
 
@@ -256,14 +258,15 @@
 	    !token_(xdrs, execute->service, MMX_NAME_MAX) ||
 	    !text_(xdrs, execute->account, MMX_NAME_MAX) ||
 	    !flags_(xdrs, &flags,
-		    FLAG_BODY_END | FLAG_REPEATABLE | FLAG_TRIAL |
-			    FLAG_PEERS) ||
+		    FLAG_BODY_END | FLAG_REPEATABLE | FLAG_TRIAL | FLAG_PEERS |
+			    FLAG_KEYED) ||
 	    !duration_(xdrs, &execute->remaining) ||
 	    !trace_(xdrs, &execute->trace) ||
 	    !request_head_(xdrs, &execute->head))
 		return false;
 	execute->body_end = flags & FLAG_BODY_END;
 	execute->repeatable = flags & FLAG_REPEATABLE;
+	execute->keyed = flags & FLAG_KEYED;
 	execute->trial = flags & FLAG_TRIAL;
 	return !(flags & FLAG_PEERS) || summary_(xdrs, &execute->peers);
 }
@@ -330,12 +333,24 @@
 	return attempt_(xdrs, &((mmx_cancel_t *)message)->attempt);
 }
 
+static bool purpose_(XDR *xdrs, mmx_fence_purpose_t *purpose)
+{
+	uint32_t value = *purpose;
+
+	if (!word_(xdrs, &value, MMX_FENCE_PURPOSE_COUNT - 1,
+		   "unknown fence purpose"))
+		return false;
+	*purpose = value;
+	return true;
+}
+
 static bool fence_(XDR *xdrs, mmx_message_t *message)
 {
 	mmx_fence_t *fence = (mmx_fence_t *)message;
 
 	return attempt_(xdrs, &fence->attempt) &&
-	       hyper_(xdrs, &fence->exit_incarnation);
+	       hyper_(xdrs, &fence->exit_incarnation) &&
+	       purpose_(xdrs, &fence->purpose);
 }
 
 static bool fence_reply_(XDR *xdrs, mmx_message_t *message)
@@ -346,6 +361,7 @@
 	if (!attempt_(xdrs, &reply->attempt) ||
 	    !word_(xdrs, &state, MMX_FENCE_STATE_COUNT - 1,
 		   "unknown fence state") ||
+	    !purpose_(xdrs, &reply->purpose) ||
 	    !response_head_(xdrs, &reply->head))
 		return false;
 	reply->state = state;
