Keep the time limit out of the test of fenced attempts

The trial without close_elsewhere_ still passed: the origin time limit of 10 s closed the connection before the guard time ended.

The test sets the limit to an hour.

--- a/src/test_libmasticmux/test_peer_faults.c
+++ b/src/test_libmasticmux/test_peer_faults.c
@@ -481,12 +481,17 @@
  * that its connection counts as busy for ever: a drain would not end. */
 static void test_fence_ends_attempt_(void)
 {
+	mmx_test_options_t options = relayed_;
+	mmx_peer_times_t times = mmx_test_times;
 	mmx_test_world_t *world;
 	bool drained;
 	int side;
 
+	/* Else the time limit would close the connection in the end. */
+	times.origin = 3600 * MMX_US_PER_S;
+	options.times = &times;
 	for (side = 0; side < 2; side++) {
-		world = mmx_test_world_create(&relayed_);
+		world = mmx_test_world_create(&options);
 		mmx_message_destroy(&mmx_test_deliver(world, 1)->message);
 		post_(world, &mmx_test_fence(1)->message);
 		answer_fence_(world, MMX_FENCE_FENCED);
