Keep the idle limit out of the test of fenced attempts

The caller's idle limit of 10 s still ended the drain that the test watches.

The test sets that limit to an hour as well.

--- a/src/test_libmasticmux/test_peer_faults.c
+++ b/src/test_libmasticmux/test_peer_faults.c
@@ -487,8 +487,9 @@
 	bool drained;
 	int side;
 
-	/* Else the time limit would close the connection in the end. */
+	/* Else a time limit would close the connection in the end. */
 	times.origin = 3600 * MMX_US_PER_S;
+	times.idle = 3600 * MMX_US_PER_S;
 	options.times = &times;
 	for (side = 0; side < 2; side++) {
 		world = mmx_test_world_create(&options);
