--- a/bench/bench_detection.c
+++ b/bench/bench_detection.c
@@ -32,8 +32,8 @@
 };
 
 static const char *const fault_string_[FAULT_COUNT] = {
-	"stall",	"slow-5x",	"errors-20%",	"flapping",
-	"one-way-loss", "service-slow", "heavy-tailed",
+	"stall",	"slow-5x",	"errors-20%",  "flapping",
+	"one-way-loss", "service-slow", "heavy-stall", "heavy-tailed",
 };
 
 typedef struct contender_t {
@@ -295,7 +295,7 @@
 		print_head_();
 	for (fault = 0; fault < FAULT_COUNT; fault++)
 		for (i = 0; i < G_N_ELEMENTS(contenders_); i++) {
-			if (only_ && strcmp(only_, fault_string_[fault]))
+			if (only_ && strcmp(only_, fault_string_[fault]) != 0)
 				continue;
 			run_(&row, fault, &contenders_[i]);
 			if (as_json_)
--- a/src/libmasticmux/include/private/messages.h
+++ b/src/libmasticmux/include/private/messages.h
@@ -10,6 +10,7 @@
  *   exit --CALL, BODY, WINDOW, CALL_CANCEL--> target_client
  *   target_client --CALL_EVENT, BODY, WINDOW--> exit
  *   announce --TARGET_ANNOUNCED--> exit
+ *   entry --CLAIM--> claims, claims --CLAIM_RESULT--> entry
  *
  * Every message is created with its mmx_new_ function, owns what it points
  * to, and is freed with mmx_message_destroy().
@@ -18,8 +19,10 @@
 #define MASTICMUX_PRIVATE_MESSAGES_H
 
 #include "masticmux/directory.h"
+#include "masticmux/latency.h"
 #include "masticmux/settings.h"
 #include "masticmux/task.h"
+#include "private/claims.h"
 #include "private/head.h"
 
 struct evbuffer;
@@ -47,6 +50,8 @@
 	MMX_MESSAGE_CALL_CANCEL,
 	MMX_MESSAGE_TARGET_ANNOUNCED,
 	MMX_MESSAGE_EVIDENCE,
+	MMX_MESSAGE_CLAIM,
+	MMX_MESSAGE_CLAIM_RESULT,
 	MMX_MESSAGE_KIND_COUNT
 } mmx_message_kind_t;
 
@@ -104,6 +109,8 @@
 	bool trial;	      /* reinstatement trial of an ejected target */
 	mmx_time_t remaining; /* until the caller gives up, microseconds */
 	mmx_trace_context_t trace;
+	/* Completions at the service's other targets; NULL: not this time. */
+	mmx_latency_summary_t *peers;
 	mmx_head_t *head;
 	struct evbuffer *body;
 	bool body_end;
@@ -132,6 +139,7 @@
 	 */
 	mmx_reason_t reason;
 	bool started;
+	bool good; /* of a trial: a success that was not slow */
 	mmx_head_t *head;
 	struct evbuffer *body;
 	bool body_end;
@@ -281,6 +289,20 @@
 	mmx_origin_t origin;
 } mmx_evidence_t;
 
+/* entry -> claims: may this attempt run for the Idempotency-Key? */
+typedef struct mmx_claim_request_t {
+	mmx_message_t message;
+	mmx_claim_t claim;
+} mmx_claim_request_t;
+
+/* claims -> entry. */
+typedef struct mmx_claim_reply_t {
+	mmx_message_t message;
+	mmx_attempt_id_t attempt; /* that asked */
+	mmx_claim_result_t result;
+	mmx_claim_holder_t holder; /* valid unless unavailable */
+} mmx_claim_reply_t;
+
 mmx_request_t *mmx_new_request(uint64_t request);
 mmx_answer_t *mmx_new_answer(uint64_t request);
 mmx_caller_gone_t *mmx_new_caller_gone(uint64_t request);
@@ -300,5 +322,8 @@
 mmx_call_cancel_t *mmx_new_call_cancel(const mmx_attempt_id_t *attempt);
 mmx_target_announced_t *mmx_new_target_announced(void);
 mmx_evidence_t *mmx_new_evidence(void);
+mmx_claim_request_t *mmx_new_claim_request(const mmx_claim_t *claim);
+mmx_claim_reply_t *mmx_new_claim_reply(const mmx_attempt_id_t *attempt,
+				       mmx_claim_result_t result);
 
 #endif
--- a/src/libmasticmux/trace.c
+++ b/src/libmasticmux/trace.c
@@ -92,7 +92,7 @@
 void mmx_traceparent_format(const mmx_trace_context_t *context,
 			    char out[MMX_TRACEPARENT_SIZE])
 {
-	memcpy(out, "00-", 3);
+	snprintf(out, MMX_TRACEPARENT_SIZE, "00-");
 	format_hex_(context->trace_id, 16, out + 3);
 	out[35] = '-';
 	format_hex_(context->span_id, 8, out + 36);
@@ -112,9 +112,9 @@
 	trace->sampling = THOUSAND;
 	STAILQ_INIT(&trace->queue);
 	if (counters) {
-		trace->finished = mmx_counters_get(
-			counters, MMX_COUNTER, "masticmux_spans_total", "",
-			"Spans that were finished.");
+		trace->finished = mmx_counters_get(counters, MMX_COUNTER,
+						   "masticmux_spans_total", "",
+						   "Spans that were finished.");
 		trace->dropped = mmx_counters_get(
 			counters, MMX_COUNTER, "masticmux_spans_dropped_total",
 			"", "Spans that never reached the collector.");
--- a/src/test_libmasticmux/test_exit.c
+++ b/src/test_libmasticmux/test_exit.c
@@ -24,6 +24,8 @@
 {
 	rig_t *rig = context;
 
+	/* The directory asserts that a record is whole. */
+	CU_ASSERT_TRUE(record->service[0] && record->slots > 0);
 	rig->versions++;
 	rig->slots = record->slots;
 }
@@ -47,6 +49,11 @@
 	g_strlcpy(announced->service, fake_flag(words, "other") ? "other" : "s",
 		  sizeof(announced->service));
 	announced->slots = (uint16_t)fake_number(words, "slots", 1);
+	/* A withdrawal has the name only; the record must keep the rest. */
+	if (state == MMX_TARGET_GONE) {
+		announced->service[0] = '\0';
+		announced->slots = 0;
+	}
 	announced->state = state;
 	announced->lease =
 		fake_number(words, "lease", 3600 * 1000) * MMX_US_PER_MS;
@@ -249,6 +256,9 @@
 		{"response broken off",
 		 "warm; execute; head; lost; body failed; fence",
 		 "call1 response1:200 fence1:finished "},
+		{"failed after its head while nobody listened",
+		 "warm; execute; head; lost; fail; fence",
+		 "call1 response1:200 fence1:finished "},
 		{"failed while nobody listened",
 		 "warm; execute; lost; fail; fence; count",
 		 "call1 fence1:finished in-progress:0 "},
@@ -300,12 +310,13 @@
 		{"nothing new, the rest finishes",
 		 "warm; execute; execute n=2; stop; execute n=3; head end; "
 		 "head n=2 end; count",
-		 "call1 refused3:draining response1:200:end call2 "
+		 "call1 evidence refused3:draining response1:200:end call2 "
 		 "response2:200:end in-progress:0 "},
 		{"a long queue is given back",
 		 "warm; execute ms=20000; execute n=2 ms=20000; stop; "
 		 "wait ms=2500; head end; count",
-		 "call1 refused2:draining response1:200:end in-progress:0 "},
+		 "call1 evidence refused2:draining response1:200:end "
+		 "in-progress:0 "},
 		{"outlives a renewal", "warm; stop; warm; execute",
 		 "refused1:draining "},
 		{"outlives a lapsed lease",
@@ -317,10 +328,10 @@
 		 "call1 "},
 		{"a target that has left gives its queue back",
 		 "warm; execute; execute n=2; gone; head end",
-		 "call1 refused2:draining response1:200:end "},
+		 "call1 evidence refused2:draining response1:200:end "},
 		{"a lapsed lease gives the queue back",
 		 "warm lease=200; execute; execute n=2; wait ms=500",
-		 "call1 refused2:draining "},
+		 "call1 evidence refused2:draining "},
 		{"a change of slots is announced",
 		 "warm; versions; warm slots=3; versions; warm slots=3; "
 		 "versions",
--- a/test/target.c
+++ b/test/target.c
@@ -8,6 +8,7 @@
 /* A leaving target gets nothing new after this time. */
 #define LEAVING_BOUND_US (3 * MMX_US_PER_S)
 #define PART_BYTES (16 * 1024)
+#define PART_GAP_US (10 * MMX_US_PER_MS)
 
 typedef struct call_t {
 	target_t *target;
@@ -17,10 +18,15 @@
 	char *key;
 	uint64_t request;
 	size_t size;
-	bool whole;   /* the request has arrived whole */
-	bool running; /* has a slot */
-	bool heard;   /* the exit still waits for events */
-	bool answered;
+	char *bytes;   /* of the response, once it has begun */
+	size_t length; /* of bytes */
+	size_t sent;
+	bool truncate;
+	size_t body;	 /* bytes of the request's body so far */
+	size_t expected; /* of all of it */
+	bool whole;	 /* the request has arrived whole */
+	bool running;	 /* has a slot */
+	bool heard;	 /* the exit still waits for events */
 	mmx_time_t started;
 	unsigned int references; /* events that are scheduled */
 } call_t;
@@ -39,6 +45,7 @@
 	if (--call->references > 0)
 		return;
 	g_free(call->key);
+	g_free(call->bytes);
 	g_free(call);
 }
 
@@ -92,29 +99,68 @@
 	mmx_task_post(mmx_exit_task(call->node->exit), &body->message);
 }
 
+/* The connection breaks: as a result, or as the end of the body. */
+static void break_off_(call_t *call)
+{
+	if (!is_heard_(call))
+		return;
+	if (!call->bytes) {
+		post_result_(call, MMX_CALL_FAILED);
+		return;
+	}
+	call->heard = false;
+	post_part_(call, call->bytes, 0, true, true);
+}
+
+static void forget_(call_t *call)
+{
+	if (g_hash_table_remove(call->target->calls, call->key))
+		release_(call);
+}
+
+/* Goes on with the response; a truncated one breaks off at some part. */
+static void send_part_(void *arg)
+{
+	call_t *call = arg;
+	world_t *world = call->target->world;
+	size_t left = call->length - call->sent;
+	size_t part = MIN(left, PART_BYTES);
+	bool failed = call->truncate && world_unit(world) < 0.5;
+
+	if (!is_heard_(call)) {
+		forget_(call);
+		release_(call);
+		return;
+	}
+	if (part == left && call->truncate)
+		failed = true;
+	post_part_(call, call->bytes + call->sent, part, part == left || failed,
+		   failed);
+	call->sent += part;
+	if (part == left || failed) {
+		call->heard = false;
+		forget_(call);
+	} else {
+		after_(call, world_uniform(world, 0, PART_GAP_US), send_part_);
+	}
+	release_(call);
+}
+
 static void answer_(call_t *call)
 {
 	target_t *target = call->target;
 	bool error = world_unit(target->world) < target->error_rate;
-	bool truncate = world_unit(target->world) < target->truncate;
-	char *bytes = caller_expected(call->request, call->size);
-	size_t length = error ? MIN(call->size, 8) : call->size;
-	size_t first = MIN(length / 2, PART_BYTES);
-	size_t at;
 
+	call->truncate = world_unit(target->world) < target->truncate;
+	call->bytes = caller_expected(call->request, call->size);
+	call->length = error ? MIN(call->size, 8) : call->size;
+	call->sent = MIN(call->length / 2, PART_BYTES);
 	world_trace(target->world, call->request, "%s answers%s%s",
 		    target->name, error ? " 500" : "",
-		    truncate ? " truncated" : "");
-	post_head_(call, error ? 500 : 200, bytes, first, false);
-	for (at = first; at < length && !truncate; at += PART_BYTES)
-		post_part_(call, bytes + at, MIN(length - at, PART_BYTES),
-			   at + PART_BYTES >= length, false);
-	if (truncate)
-		post_part_(call, bytes, 0, true, true);
-	else if (first == length)
-		post_part_(call, bytes, 0, true, false);
-	call->heard = false;
-	g_free(bytes);
+		    call->truncate ? " truncated" : "");
+	post_head_(call, error ? 500 : 200, call->bytes, call->sent, false);
+	call->references++;
+	send_part_(call);
 }
 
 /* --- work -------------------------------------------------------------- */
@@ -141,12 +187,6 @@
 
 static void serve_(target_t *target);
 
-static void forget_(call_t *call)
-{
-	g_hash_table_remove(call->target->calls, call->key);
-	release_(call);
-}
-
 static void finish_(void *arg)
 {
 	call_t *call = arg;
@@ -165,7 +205,8 @@
 	target->running--;
 	if (is_heard_(call))
 		answer_(call);
-	forget_(call);
+	else
+		forget_(call);
 	release_(call);
 	serve_(target);
 }
@@ -200,6 +241,10 @@
 	target_t *target = call->target;
 
 	call->whole = true;
+	if (call->body != call->expected)
+		world_break(target->world, GUARANTEE_RESPONSE, call->request,
+			    "runs with %zu of %zu bytes of its body",
+			    call->body, call->expected);
 	target->executions++;
 	target->world->stats.executions++;
 	world_trace(target->world, call->request, "runs at %s as %s",
@@ -214,7 +259,7 @@
 {
 	call_t *call = arg;
 
-	post_result_(call, MMX_CALL_FAILED);
+	break_off_(call);
 	release_(call);
 }
 
@@ -245,6 +290,9 @@
 	call->key = key_(&message->attempt);
 	call->request = g_ascii_strtoull(request, NULL, 10);
 	call->size = (size_t)g_ascii_strtoull(size, NULL, 10);
+	call->body = evbuffer_get_length(message->body);
+	call->expected = (size_t)g_ascii_strtoull(
+		mmx_head_find(message->head, "X-Body"), NULL, 10);
 	call->heard = true;
 	call->started = world_now(node->world);
 	call->references = 1;
@@ -275,6 +323,7 @@
 
 	if (!call || call->whole)
 		return;
+	call->body += evbuffer_get_length(body->data);
 	if (body->failed) {
 		post_result_(call, MMX_CALL_FAILED);
 		forget_(call);
@@ -399,7 +448,7 @@
 	g_hash_table_iter_init(&iter, target->calls);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		((call_t *)value)->running = false;
-		post_result_(value, MMX_CALL_FAILED);
+		break_off_(value);
 		g_hash_table_iter_remove(&iter);
 		release_(value);
 	}
