Let the back-off grow when trials were needed

Cause: with a constant back-off for avoided targets a flapping one received twice the requests (trial: 1.60% instead of 0.72% at weight 100). Change: a suspicion that ends before its first trial is due leaves no trace; any other doubles the back-off.

--- a/src/libmasticmux/ejection.c
+++ b/src/libmasticmux/ejection.c
@@ -42,6 +42,7 @@
 	mmx_time_t ejected_at;
 	mmx_time_t trial_at;
 	mmx_backoff_t backoff;
+	mmx_backoff_t before; /* this suspicion */
 	uint32_t ejections;
 	uint16_t slots;
 	uint8_t availability;
@@ -52,6 +53,7 @@
 	uint8_t use;
 	uint8_t successes;
 	bool elsewhere;
+	bool was_due; /* the first trial was due, or the target was ejected */
 } target_t;
 
 struct mmx_ejection_t {
@@ -159,30 +161,40 @@
 	target->successes = 0;
 }
 
-/* Being avoided is no failure yet: the back-off grows only with bad trials and
- * ejections. Otherwise frequent weak suspicion would keep a healthy target out
- * for up to the longest back-off. */
 static void avoid_(mmx_ejection_t *ejection, target_t *target)
 {
-	if (target->state == MMX_EJECTION_IN_USE)
-		wait_(ejection, target, MMX_BACKOFF_FIRST_US);
+	mmx_time_t now = mmx_clock_now(ejection->clock);
+
+	if (target->state == MMX_EJECTION_IN_USE) {
+		target->before = target->backoff;
+		wait_(ejection, target,
+		      mmx_backoff_fail(&target->backoff, now));
+		target->was_due = false;
+	}
 	target->state = MMX_EJECTION_AVOIDED;
 }
 
+/* The back-off of an avoided target goes on when it is ejected. */
 static void eject_(mmx_ejection_t *ejection, target_t *target)
 {
-	mmx_time_t now = mmx_clock_now(ejection->clock);
-
-	wait_(ejection, target, mmx_backoff_fail(&target->backoff, now));
+	avoid_(ejection, target);
 	target->state = MMX_EJECTION_EJECTED;
-	target->ejected_at = now;
+	target->was_due = true;
+	target->ejected_at = mmx_clock_now(ejection->clock);
 	target->ejections++;
 }
 
+/* A suspicion that ends before the first trial is due was a false one.
+ * Frequent ones must not add up to a back-off that keeps a healthy target out
+ * for long. */
 static void reinstate_(mmx_ejection_t *ejection, target_t *target)
 {
 	target->state = MMX_EJECTION_IN_USE;
-	mmx_backoff_recover(&target->backoff, mmx_clock_now(ejection->clock));
+	if (target->was_due)
+		mmx_backoff_recover(&target->backoff,
+				    mmx_clock_now(ejection->clock));
+	else
+		target->backoff = target->before;
 }
 
 static void follow_level_(mmx_ejection_t *ejection, target_t *target)
@@ -313,8 +325,10 @@
 
 	for (i = 0; i < ejection->count; i++)
 		if (is_waiting_(&ejection->targets[i]) &&
-		    ejection->targets[i].trial_at <= now)
+		    ejection->targets[i].trial_at <= now) {
 			ejection->targets[i].trial = MMX_TRIAL_DUE;
+			ejection->targets[i].was_due = true;
+		}
 	set_timer_(ejection);
 	publish_(ejection);
 }
