--- a/src/test_libmasticmux/suites.c
+++ b/src/test_libmasticmux/suites.c
@@ -11,7 +11,6 @@
 	{"claims", NULL, NULL, NULL, NULL, mmx_tests_claims},
 	{"clock", NULL, NULL, NULL, NULL, mmx_tests_clock},
 	{"config", NULL, NULL, NULL, NULL, mmx_tests_config},
-	{"config task", NULL, NULL, NULL, NULL, mmx_tests_config_task},
 	{"config_task", NULL, NULL, NULL, NULL, mmx_tests_config_task},
 	{"config_wire", NULL, NULL, NULL, NULL, mmx_tests_config_wire},
 	{"detection", NULL, NULL, NULL, NULL, mmx_tests_detection},
