Add account floors and ceilings at the exit

Every account was served in order of arrival, so that a burst of one filled the queue of each target and others were refused.

limits counts the slot time of each account during the last second; an account under its floor is served first and waits behind its like only, one above its ceiling waits or is refused with account-limit.

--- a/include/masticmux/detection.h
+++ b/include/masticmux/detection.h
@@ -162,7 +162,8 @@
 mmx_suspicion_t mmx_detection_level(const mmx_detection_t *detection);
 
 /** Evidence that led to the level; valid until the next evaluation. */
-const mmx_suspicion_evidence_t *mmx_detection_evidence(const mmx_detection_t *detection);
+const mmx_suspicion_evidence_t *
+mmx_detection_evidence(const mmx_detection_t *detection);
 
 /** Number of requests in progress. */
 size_t mmx_detection_in_progress(const mmx_detection_t *detection);
--- a/src/libmasticmux/detection.c
+++ b/src/libmasticmux/detection.c
@@ -356,7 +356,8 @@
 	return detection->level;
 }
 
-const mmx_suspicion_evidence_t *mmx_detection_evidence(const mmx_detection_t *detection)
+const mmx_suspicion_evidence_t *
+mmx_detection_evidence(const mmx_detection_t *detection)
 {
 	return &detection->evidence;
 }
--- a/src/libmasticmux/exit.c
+++ b/src/libmasticmux/exit.c
@@ -156,6 +156,7 @@
 		if (late > MMX_EXIT_PAUSE_MIN_US &&
 		    target->lease_until < MMX_TIME_NEVER)
 			target->lease_until += late;
+		mmx_limits_expire(target->limits, now);
 		mmx_exit_expire_queued(exit, target);
 		if (target->lease_until <= now)
 			set_state_(exit, target, MMX_TARGET_GONE);
--- a/src/libmasticmux/exit_attempt.c
+++ b/src/libmasticmux/exit_attempt.c
@@ -57,8 +57,7 @@
 
 static void remove_from_queue_(mmx_attempt_t *attempt)
 {
-	TAILQ_REMOVE(&attempt->target->queue, attempt, queue_entry);
-	attempt->target->queued--;
+	mmx_exit_target_unqueue(attempt->target, attempt);
 }
 
 /* Ends a queued attempt that never starts. */
@@ -79,6 +78,8 @@
 
 	mmx_exit_health_end(attempt, MMX_RESULT_ABANDONED);
 	target->in_progress--;
+	mmx_limits_finish(target->limits, attempt->execute->account,
+			  mmx_clock_now(exit->clock));
 	if (attempt->reply_at_end)
 		post_fence_reply_(exit, attempt, &attempt->id, &attempt->origin,
 				  MMX_FENCE_FINISHED);
@@ -94,6 +95,8 @@
 
 	remove_from_queue_(attempt);
 	target->in_progress++;
+	mmx_limits_start(target->limits, execute->account,
+			 mmx_clock_now(exit->clock));
 	attempt->state = MMX_ATTEMPT_RUNNING;
 	attempt->started = mmx_clock_now(exit->clock);
 	mmx_exit_health_start(attempt);
@@ -119,7 +122,12 @@
 	mmx_time_t now = mmx_clock_now(exit->clock);
 	mmx_attempt_t *attempt;
 
-	while ((attempt = TAILQ_FIRST(&target->queue))) {
+	if (!mmx_exit_target_serves_queue(target, now) &&
+	    exit->guards->draining) {
+		mmx_exit_refuse_queue(exit, target);
+		return;
+	}
+	while ((attempt = mmx_exit_target_next(target, now))) {
 		/* The deadline is read here and not from a timer, so that a
 		 * process that was paused starts nothing whose time is up. */
 		if (attempt->deadline - now <= needed_(attempt, now)) {
@@ -131,21 +139,33 @@
 					: MMX_REASON_OVERLOADED);
 			continue;
 		}
-		if (!mmx_exit_target_serves_queue(target, now) &&
-		    exit->guards->draining) {
-			mmx_exit_refuse_queued(exit, attempt,
-					       MMX_REASON_DRAINING);
-			continue;
-		}
 		if (!mmx_exit_target_can_start(target, now))
 			return;
 		start_(exit, attempt);
 	}
 }
 
+static mmx_limits_share_t share_(const mmx_exit_t *exit, const char *account)
+{
+	mmx_limits_share_t share = {.ceiling_percent = 100};
+	mmx_account_t parameters;
+
+	if (account[0] && exit->fold && *exit->fold &&
+	    mmx_fold_account(*exit->fold, account, &parameters)) {
+		share.floor_percent = parameters.floor_percent;
+		share.ceiling_percent = parameters.ceiling_percent;
+	}
+	return share;
+}
+
 static mmx_reason_t admit_(mmx_exit_t *exit, const mmx_execute_t *execute,
 			   mmx_exit_target_t **target)
 {
+	mmx_exit_request_t request = {
+		.account = execute->account,
+		.share = share_(exit, execute->account),
+		.remaining = execute->remaining,
+	};
 	mmx_reason_t reason;
 
 	*target = mmx_exit_find_target(exit, execute->target);
@@ -159,8 +179,8 @@
 	/* Many entries together send one trial at a time. */
 	if (execute->trial && !mmx_detection_may_try((*target)->detection))
 		return MMX_REASON_OVERLOADED;
-	reason = mmx_exit_target_admit(*target, mmx_clock_now(exit->clock),
-				       execute->remaining);
+	reason = mmx_exit_target_admit(*target, &request,
+				       mmx_clock_now(exit->clock));
 	if (reason == MMX_REASON_DRAINING && !exit->guards->draining)
 		return MMX_REASON_NONE;
 	return reason;
@@ -191,8 +211,8 @@
 	attempt->repeatable = execute->repeatable;
 	attempt->trial = execute->trial;
 	attempt->deadline = mmx_clock_now(exit->clock) + execute->remaining;
-	TAILQ_INSERT_TAIL(&target->queue, attempt, queue_entry);
-	target->queued++;
+	attempt->share = share_(exit, execute->account);
+	mmx_exit_target_queue(target, attempt, mmx_clock_now(exit->clock));
 	mmx_exit_start_queued(exit, target);
 }
 
--- a/src/libmasticmux/exit_target.c
+++ b/src/libmasticmux/exit_target.c
@@ -31,12 +31,14 @@
 	g_strlcpy(target->record.service, service,
 		  sizeof(target->record.service));
 	TAILQ_INIT(&target->queue);
+	target->limits = mmx_limits_create();
 	return target;
 }
 
 void mmx_exit_target_destroy(mmx_exit_target_t *target)
 {
 	assert(TAILQ_EMPTY(&target->queue) && target->in_progress == 0);
+	mmx_limits_destroy(target->limits);
 	g_free(target);
 }
 
@@ -61,26 +63,124 @@
 	return target->in_progress < mmx_exit_target_slots(target, now);
 }
 
+mmx_limits_class_t mmx_exit_target_class(const mmx_exit_target_t *target,
+					 const mmx_exit_request_t *request,
+					 mmx_time_t now)
+{
+	return mmx_limits_class(target->limits, request->account,
+				&request->share, target->record.slots, now);
+}
+
+/* Whether a request that finds this many before it may queue. */
+static bool may_wait_(const mmx_exit_target_t *target, unsigned int ahead,
+		      unsigned int slots, mmx_time_t remaining)
+{
+	mmx_time_t wait = target->mean_service * (ahead + 1) / slots;
+
+	return ahead < MMX_EXIT_QUEUE_MAX && wait <= remaining / QUEUE_SHARE &&
+	       wait + START_HEADROOM * target->mean_service <= remaining;
+}
+
+static mmx_reason_t admit_limited_(const mmx_exit_target_t *target,
+				   const mmx_exit_request_t *request,
+				   mmx_time_t now)
+{
+	unsigned int slots =
+		MIN(mmx_limits_ceiling(&request->share, target->record.slots),
+		    mmx_exit_target_slots(target, now));
+
+	if (!may_wait_(target,
+		       mmx_limits_queued(target->limits, request->account),
+		       slots, request->remaining))
+		return MMX_REASON_ACCOUNT_LIMIT;
+	return MMX_REASON_NONE;
+}
+
 mmx_reason_t mmx_exit_target_admit(const mmx_exit_target_t *target,
-				   mmx_time_t now, mmx_time_t remaining)
+				   const mmx_exit_request_t *request,
+				   mmx_time_t now)
 {
 	unsigned int slots = mmx_exit_target_slots(target, now);
-	mmx_time_t wait;
+	unsigned int ahead = target->queued;
 
 	if (target->stopped || target->record.state == MMX_TARGET_DRAINING ||
 	    target->record.state == MMX_TARGET_GONE)
 		return MMX_REASON_DRAINING;
-	if (remaining <= 0)
+	if (request->remaining <= 0)
 		return MMX_REASON_DEADLINE_EXCEEDED;
-	if (target->in_progress < slots)
+	switch (mmx_exit_target_class(target, request, now)) {
+	case MMX_LIMITS_OVER_CEILING:
+		return admit_limited_(target, request, now);
+	case MMX_LIMITS_UNDER_FLOOR:
+		ahead = target->queued_floor;
+		break;
+	default:
+		break;
+	}
+	if (target->in_progress < slots && ahead == 0)
 		return MMX_REASON_NONE;
-	if (target->queued >= MMX_EXIT_QUEUE_MAX)
-		return MMX_REASON_OVERLOADED;
-	wait = target->mean_service * (target->queued + 1) / slots;
-	if (wait > remaining / QUEUE_SHARE ||
-	    wait + START_HEADROOM * target->mean_service > remaining)
-		return MMX_REASON_OVERLOADED;
-	return MMX_REASON_NONE;
+	return may_wait_(target, ahead, slots, request->remaining)
+		       ? MMX_REASON_NONE
+		       : MMX_REASON_OVERLOADED;
+}
+
+static mmx_exit_request_t request_of_(const mmx_attempt_t *attempt)
+{
+	return (mmx_exit_request_t){.account = attempt->execute->account,
+				    .share = attempt->share};
+}
+
+mmx_attempt_t *mmx_exit_target_next(const mmx_exit_target_t *target,
+				    mmx_time_t now)
+{
+	mmx_attempt_t *attempt = TAILQ_FIRST(&target->queue);
+	mmx_attempt_t *normal = NULL;
+	mmx_exit_request_t request;
+
+	if (target->queued_limited == 0)
+		return attempt;
+	for (; attempt; attempt = TAILQ_NEXT(attempt, queue_entry)) {
+		request = request_of_(attempt);
+		switch (mmx_exit_target_class(target, &request, now)) {
+		case MMX_LIMITS_UNDER_FLOOR:
+			return attempt;
+		case MMX_LIMITS_NORMAL:
+			normal = normal ? normal : attempt;
+			break;
+		default:
+			break;
+		}
+	}
+	return normal;
+}
+
+static bool has_limits_(const mmx_attempt_t *attempt)
+{
+	return attempt->share.floor_percent > 0 ||
+	       attempt->share.ceiling_percent < 100;
+}
+
+void mmx_exit_target_queue(mmx_exit_target_t *target, mmx_attempt_t *attempt,
+			   mmx_time_t now)
+{
+	mmx_exit_request_t request = request_of_(attempt);
+
+	attempt->under_floor = mmx_exit_target_class(target, &request, now) ==
+			       MMX_LIMITS_UNDER_FLOOR;
+	TAILQ_INSERT_TAIL(&target->queue, attempt, queue_entry);
+	target->queued++;
+	target->queued_floor += attempt->under_floor;
+	target->queued_limited += has_limits_(attempt);
+	mmx_limits_queue(target->limits, request.account);
+}
+
+void mmx_exit_target_unqueue(mmx_exit_target_t *target, mmx_attempt_t *attempt)
+{
+	TAILQ_REMOVE(&target->queue, attempt, queue_entry);
+	target->queued--;
+	target->queued_floor -= attempt->under_floor;
+	target->queued_limited -= has_limits_(attempt);
+	mmx_limits_unqueue(target->limits, attempt->execute->account);
 }
 
 bool mmx_exit_target_serves_queue(const mmx_exit_target_t *target,
--- a/src/libmasticmux/include/private/attempts.h
+++ b/src/libmasticmux/include/private/attempts.h
@@ -12,6 +12,7 @@
 
 #include "masticmux/detection.h"
 #include "private/guards.h"
+#include "private/limits.h"
 #include "private/messages.h"
 
 typedef enum mmx_attempt_state_t {
@@ -37,7 +38,9 @@
 	mmx_time_t arrived;
 	mmx_time_t started;
 	mmx_time_t deadline;
-	mmx_time_t forget_at; /* while ended */
+	mmx_time_t forget_at;	  /* while ended */
+	mmx_limits_share_t share; /* of its account */
+	bool under_floor;	  /* when it arrived */
 	bool repeatable;
 	bool abandoned;	   /* nobody waits for the response */
 	bool reply_at_end; /* a fencing query waits for the whole response */
--- a/src/libmasticmux/include/private/exit_target.h
+++ b/src/libmasticmux/include/private/exit_target.h
@@ -32,6 +32,9 @@
 	mmx_time_t leaving_since;
 	unsigned int in_progress;
 	unsigned int queued;
+	unsigned int queued_floor;   /* of accounts under their floor */
+	unsigned int queued_limited; /* of accounts with any limit */
+	mmx_limits_t *limits;
 	mmx_attempt_list_t queue;
 	mmx_time_t mean_service;    /* smoothed time of a completed call */
 	uint8_t weight;		    /* of detection, from the policy */
@@ -57,13 +60,34 @@
 /* True when a request may start now. */
 bool mmx_exit_target_can_start(const mmx_exit_target_t *target, mmx_time_t now);
 
+/* A request that has just arrived, or one that is queued. */
+typedef struct mmx_exit_request_t {
+	const char *account;
+	mmx_limits_share_t share;
+	mmx_time_t remaining;
+} mmx_exit_request_t;
+
+mmx_limits_class_t mmx_exit_target_class(const mmx_exit_target_t *target,
+					 const mmx_exit_request_t *request,
+					 mmx_time_t now);
+
 /*
  * Decides on a request that has just arrived: MMX_REASON_NONE when it may
- * start or queue. A request that would wait longer than its remaining time is
- * refused at once, so that the entry can still use another target.
+ * start or queue. A request that would wait too long is refused at once, so
+ * that the entry can still use another target. Requests of accounts under
+ * their floor wait behind each other only.
  */
 mmx_reason_t mmx_exit_target_admit(const mmx_exit_target_t *target,
-				   mmx_time_t now, mmx_time_t remaining);
+				   const mmx_exit_request_t *request,
+				   mmx_time_t now);
+
+/* The queued attempt that is next to start; NULL when none may. */
+mmx_attempt_t *mmx_exit_target_next(const mmx_exit_target_t *target,
+				    mmx_time_t now);
+
+void mmx_exit_target_queue(mmx_exit_target_t *target, mmx_attempt_t *attempt,
+			   mmx_time_t now);
+void mmx_exit_target_unqueue(mmx_exit_target_t *target, mmx_attempt_t *attempt);
 
 /* Notes a completed call that took this long. */
 void mmx_exit_target_note_service(mmx_exit_target_t *target, mmx_time_t took);
--- a/src/libmasticmux/path.c
+++ b/src/libmasticmux/path.c
@@ -73,7 +73,8 @@
 static void record_(mmx_path_t *path, mmx_evidence_kind_t kind, double value,
 		    double threshold, mmx_time_t now)
 {
-	path->evidence = (mmx_suspicion_evidence_t){kind, value, threshold, now};
+	path->evidence =
+		(mmx_suspicion_evidence_t){kind, value, threshold, now};
 }
 
 void mmx_path_answer(mmx_path_t *path, mmx_path_answer_t answer, mmx_time_t now)
--- a/src/test_libmasticmux/suites.c
+++ b/src/test_libmasticmux/suites.c
@@ -27,6 +27,7 @@
 	{"http_entry", NULL, NULL, NULL, NULL, mmx_tests_http_entry},
 	{"http_reader", NULL, NULL, NULL, NULL, mmx_tests_http_reader},
 	{"latency", NULL, NULL, NULL, NULL, mmx_tests_latency},
+	{"limits", NULL, NULL, NULL, NULL, mmx_tests_limits},
 	{"log_client", NULL, NULL, NULL, NULL, mmx_tests_log_client},
 	{"membership", NULL, NULL, NULL, NULL, mmx_tests_membership},
 	{"mutation", NULL, NULL, NULL, NULL, mmx_tests_mutation},
--- a/src/test_libmasticmux/suites.h
+++ b/src/test_libmasticmux/suites.h
@@ -31,6 +31,7 @@
 extern CU_TestInfo mmx_tests_http_entry[];
 extern CU_TestInfo mmx_tests_http_reader[];
 extern CU_TestInfo mmx_tests_latency[];
+extern CU_TestInfo mmx_tests_limits[];
 extern CU_TestInfo mmx_tests_log_client[];
 extern CU_TestInfo mmx_tests_membership[];
 extern CU_TestInfo mmx_tests_mutation[];
--- a/src/test_libmasticmux/test_exit_target.c
+++ b/src/test_libmasticmux/test_exit_target.c
@@ -79,6 +79,11 @@
 		const admit_case_t *c = &cases[i];
 		mmx_exit_target_t *target =
 			mmx_exit_target_create(1, 2, 3, "t", "s");
+		mmx_exit_request_t request = {
+			.account = "",
+			.share = {.ceiling_percent = 100},
+			.remaining = c->remaining,
+		};
 
 		target->record.slots = 2;
 		target->record.state = c->state;
@@ -86,7 +91,7 @@
 		target->in_progress = c->in_progress;
 		target->queued = c->queued;
 		target->mean_service = c->mean;
-		CU_ASSERT_EQUAL(mmx_exit_target_admit(target, 0, c->remaining),
+		CU_ASSERT_EQUAL(mmx_exit_target_admit(target, &request, 0),
 				c->reason);
 		target->in_progress = 0;
 		mmx_exit_target_destroy(target);
