--- a/src/test_libmasticmux/test_exit_target.c
+++ b/src/test_libmasticmux/test_exit_target.c
@@ -67,9 +67,9 @@
 		{"gone", MMX_TARGET_GONE, false, 0, 0, 0, MS,
 		 MMX_REASON_DRAINING},
 		{"queue with time enough", MMX_TARGET_WARM, false, 2, 3,
-		 10 * MS, 31 * MS, MMX_REASON_NONE},
+		 10 * MS, 61 * MS, MMX_REASON_NONE},
 		{"queue longer than the remaining time", MMX_TARGET_WARM, false,
-		 2, 3, 10 * MS, 29 * MS, MMX_REASON_OVERLOADED},
+		 2, 3, 10 * MS, 59 * MS, MMX_REASON_OVERLOADED},
 		{"queue full", MMX_TARGET_WARM, false, 2, MMX_EXIT_QUEUE_MAX, 0,
 		 MMX_US_PER_S, MMX_REASON_OVERLOADED},
 	};
@@ -79,6 +79,11 @@
 		const admit_case_t *c = &cases[i];
 		mmx_exit_target_t *target =
 			mmx_exit_target_create(1, 2, 3, "t", "s");
+		mmx_exit_request_t request = {
+			.account = "",
+			.share = {.ceiling_percent = 100},
+			.remaining = c->remaining,
+		};
 
 		target->record.slots = 2;
 		target->record.state = c->state;
@@ -86,7 +91,7 @@
 		target->in_progress = c->in_progress;
 		target->queued = c->queued;
 		target->mean_service = c->mean;
-		CU_ASSERT_EQUAL(mmx_exit_target_admit(target, 0, c->remaining),
+		CU_ASSERT_EQUAL(mmx_exit_target_admit(target, &request, 0),
 				c->reason);
 		target->in_progress = 0;
 		mmx_exit_target_destroy(target);
