Add the operator server and the subcommands status, explain and stop

Cause: operators had no way to see a node or to announce a planned stop.

Change: a node serves /status, /explain and /stop on its operator address; a stop of a target beside another node is forwarded to that node. The operator server can defer a response. The entry and the exit were created twice, by node.c and by the part path; the second creation is removed.

--- a/src/libmasticmux/include/private/node_parts.h
+++ b/src/libmasticmux/include/private/node_parts.h
@@ -9,6 +9,7 @@
 #include "masticmux/directory.h"
 #include "masticmux/fold.h"
 #include "masticmux/gossip_codec.h"
+#include "masticmux/history.h"
 #include "masticmux/log.h"
 #include "masticmux/node.h"
 #include "masticmux/random.h"
@@ -49,6 +50,7 @@
 	mmx_clock_t *clock;
 	mmx_counters_t *counters;
 	mmx_log_t *log;
+	mmx_history_t *history; /* events of a node have its id as target */
 	mmx_random_t random;
 	mmx_node_id_t id;
 	mmx_incarnation_t incarnation;
@@ -86,5 +88,6 @@
 mmx_part_t *mmx_part_path_create(mmx_node_t *node);
 mmx_part_t *mmx_part_config_create(mmx_node_t *node);
 mmx_part_t *mmx_part_claims_create(mmx_node_t *node);
+mmx_part_t *mmx_part_operator_create(mmx_node_t *node);
 
 #endif
--- a/src/libmasticmux/include/private/operator.h
+++ b/src/libmasticmux/include/private/operator.h
@@ -4,7 +4,8 @@
  *   GET /metrics  counters in Prometheus text format
  *   GET /healthz  200 "ok", 503 "draining" after mmx_operator_set_draining()
  *
- * Other paths are registered with a handler that returns JSON.
+ * Other paths are registered with a handler that returns JSON, or that defers
+ * the response until something else has answered.
  *
  * Life: create, register, init, destroy. Paths may be registered at any time.
  */
@@ -28,16 +29,22 @@
 
 extern const char *const mmx_operator_method_string[MMX_OPERATOR_METHOD_COUNT];
 
+/* A response that is still to come. */
+typedef struct mmx_operator_reply_t mmx_operator_reply_t;
+
 /* One request for a registered path. */
 typedef struct mmx_operator_request_t {
 	const json_t *query; /* object of strings, decoded; {} if none */
 	const json_t *body;  /* NULL if the request had none */
 	int status;	     /* of the response; 200 unless set */
+	mmx_operator_reply_t *reply; /* set by mmx_operator_defer() */
+	struct evhttp_request *http; /* of the server */
+	mmx_operator_t *server;
 } mmx_operator_request_t;
 
 /*
  * Handles a request; returns the body of the response, which the server
- * frees. With NULL the server answers 404.
+ * frees. With NULL the server answers 404, unless the response was deferred.
  */
 typedef json_t *(*mmx_operator_handler_t)(mmx_operator_request_t *request,
 					  void *context);
@@ -55,6 +62,19 @@
 			   const char *path, mmx_operator_handler_t handler,
 			   void *context);
 
+/*
+ * Defers the response; valid inside a handler, which then returns NULL. The
+ * query and the body end with the handler.
+ */
+mmx_operator_reply_t *mmx_operator_defer(mmx_operator_request_t *request);
+
+/*
+ * Sends a deferred response and frees it; takes the body. Valid once, and not
+ * after the server was destroyed, which frees what is still deferred. Nothing
+ * is sent when the client has closed its connection.
+ */
+void mmx_operator_reply(mmx_operator_reply_t *reply, int status, json_t *body);
+
 /* Starts to listen; port 0 takes a free one. */
 bool mmx_operator_init(mmx_operator_t *server, const mmx_address_t *address,
 		       mmx_error_t *error);
--- a/src/libmasticmux/include/private/trace.h
+++ b/src/libmasticmux/include/private/trace.h
@@ -61,6 +61,10 @@
  */
 bool mmx_traceparent_parse(const char *text, mmx_trace_context_t *out);
 
+/* Parses a trace id of 32 digits in lower case, or takes it from a traceparent.
+ * False if it is not valid; trace_id is then unchanged. */
+bool mmx_trace_id_parse(const char *text, uint8_t trace_id[16]);
+
 /* Formats as version 00. */
 void mmx_traceparent_format(const mmx_trace_context_t *context,
 			    char out[MMX_TRACEPARENT_SIZE]);
--- a/src/libmasticmux/node.c
+++ b/src/libmasticmux/node.c
@@ -16,12 +16,16 @@
 #define DRAIN_MAX_US (60 * MMX_US_PER_S)
 /* Others hear of the stop before the listeners close. */
 #define DRAIN_POLL_US (50 * MMX_US_PER_MS)
+/* Events that `masticmux explain` can look back on; about 1.3 MB. */
+#define HISTORY_REQUEST_EVENTS 8192
+#define HISTORY_TARGET_EVENTS 2048
 
 static mmx_part_t *(*const part_table_[])(mmx_node_t *node) = {
 	mmx_part_fleet_create,
 	mmx_part_config_create,
 	mmx_part_claims_create,
 	mmx_part_path_create,
+	mmx_part_operator_create,
 };
 
 static size_t in_progress_(const mmx_node_t *node)
@@ -97,6 +101,8 @@
 	node->clock = mmx_runtime_clock(node->runtime);
 	node->counters = mmx_counters_create();
 	node->log = mmx_log_create(node->clock, stderr, MMX_LOG_INFO);
+	node->history = mmx_history_create(node->clock, HISTORY_REQUEST_EVENTS,
+					   HISTORY_TARGET_EVENTS);
 	mmx_random_seed(&node->random, random_seed_());
 	node->id = XXH64(settings->node_name, strlen(settings->node_name), 0);
 	node->incarnation = mmx_clock_wall(node->clock);
@@ -134,6 +140,7 @@
 	for (i = 0; i < G_N_ELEMENTS(node->signals); i++)
 		if (node->signals[i])
 			event_free(node->signals[i]);
+	mmx_history_destroy(node->history);
 	mmx_log_destroy(node->log);
 	mmx_runtime_destroy(node->runtime);
 	mmx_counters_destroy(node->counters);
--- /dev/null
+++ b/src/libmasticmux/node_status.c
@@ -0,0 +1,223 @@
+#include "private/node_status.h"
+
+#include <glib.h>
+
+#include "masticmux/config_task.h"
+#include "masticmux/detection.h"
+#include "masticmux/gossip.h"
+#include "private/entry.h"
+#include "private/exit.h"
+
+const char *const mmx_status_targets_string[MMX_STATUS_TARGETS_COUNT] = {
+	"all",
+	"local",
+	"none",
+};
+
+/* What is collected while the members are visited. */
+typedef struct collection_t {
+	const mmx_node_t *node;
+	mmx_status_targets_t targets;
+	json_t *members;
+	json_t *services;
+	size_t counts[MMX_MEMBER_STATE_COUNT];
+	GHashTable *in_force; /* applied offset -> alive nodes */
+} collection_t;
+
+json_t *mmx_node_status_text(const char *text)
+{
+	json_t *value = json_string(text);
+	char *valid;
+
+	if (value)
+		return value;
+	valid = g_utf8_make_valid(text, -1);
+	value = json_string(valid);
+	g_free(valid);
+	return value;
+}
+
+static json_t *number_(uint64_t value)
+{
+	return json_integer((json_int_t)value);
+}
+
+/* --- targets ----------------------------------------------------------- */
+
+static json_t *target_(const mmx_node_t *node,
+		       const mmx_directory_target_t *target,
+		       const mmx_member_t *member)
+{
+	mmx_target_id_t id = mmx_directory_target_id(target);
+	mmx_load_report_t load;
+	json_t *item = json_pack(
+		"{s:o,s:o,s:s,s:i}", "name",
+		mmx_node_status_text(mmx_directory_target_name(target)), "node",
+		mmx_node_status_text(member->name), "state",
+		mmx_target_state_string[mmx_directory_target_state(target)],
+		"slots", (int)mmx_directory_target_slots(target));
+
+	if (member->id == node->id && mmx_exit_load(node->exit, id, &load)) {
+		json_object_set_new(item, "in_progress",
+				    number_(load.in_progress));
+		json_object_set_new(item, "queued", number_(load.queued));
+		json_object_set_new(
+			item, "level",
+			json_string(mmx_suspicion_string[load.level]));
+	}
+	return item;
+}
+
+static void add_target_(collection_t *collection,
+			const mmx_directory_target_t *target,
+			const mmx_member_t *member)
+{
+	const char *service = mmx_directory_target_service(target);
+	char *key = g_utf8_make_valid(service, -1);
+	json_t *list = json_object_get(collection->services, key);
+
+	if (!list) {
+		list = json_array();
+		json_object_set_new(collection->services, key, list);
+	}
+	json_array_append_new(list,
+			      target_(collection->node, target, member));
+	g_free(key);
+}
+
+static void add_targets_(collection_t *collection, const mmx_member_t *member)
+{
+	const mmx_directory_target_t *target = mmx_directory_node_first(
+		collection->node->directory, member->id);
+
+	for (; target; target = mmx_directory_node_next(target))
+		if (mmx_directory_target_state(target) != MMX_TARGET_GONE)
+			add_target_(collection, target, member);
+}
+
+/* --- members ----------------------------------------------------------- */
+
+static void count_in_force_(GHashTable *in_force, uint64_t applied)
+{
+	size_t *nodes = g_hash_table_lookup(in_force, &applied);
+
+	if (!nodes) {
+		uint64_t *key = g_new(uint64_t, 1);
+
+		*key = applied;
+		nodes = g_new0(size_t, 1);
+		g_hash_table_insert(in_force, key, nodes);
+	}
+	*nodes += 1;
+}
+
+static void on_member_(void *arg, const mmx_member_t *member)
+{
+	collection_t *collection = arg;
+	bool is_self = member->id == collection->node->id;
+
+	json_array_append_new(
+		collection->members,
+		json_pack("{s:o,s:o,s:o,s:s,s:o}", "name",
+			  mmx_node_status_text(member->name), "region",
+			  mmx_node_status_text(member->region), "zone",
+			  mmx_node_status_text(member->zone), "state",
+			  mmx_member_state_string[member->state], "applied",
+			  number_(member->applied_offset)));
+	collection->counts[member->state]++;
+	if (member->state == MMX_MEMBER_ALIVE)
+		count_in_force_(collection->in_force, member->applied_offset);
+	if (collection->targets == MMX_STATUS_TARGETS_ALL ||
+	    (collection->targets == MMX_STATUS_TARGETS_LOCAL && is_self))
+		add_targets_(collection, member);
+}
+
+static int compare_offsets_(const void *left, const void *right)
+{
+	uint64_t a = *(const uint64_t *)left;
+	uint64_t b = *(const uint64_t *)right;
+
+	return a < b ? 1 : a > b ? -1 : 0;
+}
+
+/* Newest offset first. */
+static json_t *in_force_(GHashTable *in_force)
+{
+	GList *offsets = g_list_sort(g_hash_table_get_keys(in_force),
+				     compare_offsets_);
+	json_t *list = json_array();
+	const GList *link;
+
+	for (link = offsets; link; link = link->next) {
+		const size_t *nodes = g_hash_table_lookup(in_force, link->data);
+
+		json_array_append_new(
+			list, json_pack("{s:o,s:o}", "applied",
+					number_(*(uint64_t *)link->data),
+					"nodes", number_(*nodes)));
+	}
+	g_list_free(offsets);
+	return list;
+}
+
+static json_t *counts_(const collection_t *collection)
+{
+	json_t *counts = json_object();
+	int state;
+
+	for (state = 0; state < MMX_MEMBER_STATE_COUNT; state++)
+		json_object_set_new(counts, mmx_member_state_string[state],
+				    number_(collection->counts[state]));
+	return counts;
+}
+
+/* --- node -------------------------------------------------------------- */
+
+static json_t *node_(const mmx_node_t *node)
+{
+	const mmx_settings_t *settings = node->settings;
+
+	return json_pack("{s:o,s:o,s:o,s:o,s:b}", "name",
+			 mmx_node_status_text(settings->node_name),
+			 "incarnation", number_(node->incarnation), "region",
+			 mmx_node_status_text(settings->region), "zone",
+			 mmx_node_status_text(settings->zone), "draining",
+			 (int)node->draining);
+}
+
+static json_t *configuration_(const mmx_node_t *node)
+{
+	const mmx_config_t *config = mmx_config_task_config(node->config);
+
+	return json_pack("{s:o,s:b,s:b,s:i}", "applied",
+			 number_(node->fold ? mmx_fold_applied(node->fold) : 0),
+			 "loaded", (int)mmx_config_is_loaded(config), "current",
+			 (int)mmx_config_is_current(config), "reader_rank",
+			 mmx_config_reader_rank(config));
+}
+
+json_t *mmx_node_status(const mmx_node_t *node, mmx_status_targets_t targets)
+{
+	collection_t collection = {
+		.node = node,
+		.targets = targets,
+		.members = json_array(),
+		.services = json_object(),
+		.in_force = g_hash_table_new_full(g_int64_hash, g_int64_equal,
+						  g_free, g_free),
+	};
+	json_t *status;
+
+	mmx_membership_each(mmx_gossip_membership(node->gossip), on_member_,
+			    &collection);
+	status = json_pack(
+		"{s:o,s:o,s:{s:o,s:o},s:o,s:o,s:o,s:o}", "node", node_(node),
+		"configuration", configuration_(node), "requests", "entry",
+		number_(mmx_entry_in_progress(node->entry)), "exit",
+		number_(mmx_exit_in_progress(node->exit, NULL)), "members",
+		collection.members, "member_counts", counts_(&collection),
+		"in_force", in_force_(collection.in_force), "services",
+		collection.services);
+	g_hash_table_destroy(collection.in_force);
+	return status;
+}
--- a/src/libmasticmux/operator.c
+++ b/src/libmasticmux/operator.c
@@ -31,6 +31,11 @@
 	void *context;
 } route_t;
 
+struct mmx_operator_reply_t {
+	LIST_ENTRY(mmx_operator_reply_t) entry;
+	struct evhttp_request *request;
+};
+
 struct mmx_operator_t {
 	struct event_base *base;
 	mmx_counters_t *counters;
@@ -38,6 +43,7 @@
 	uint16_t port;
 	bool draining;
 	SLIST_HEAD(, route_t) routes;
+	LIST_HEAD(, mmx_operator_reply_t) deferred;
 	mmx_counter_t *heap_bytes;
 	mmx_counter_t *resident_bytes;
 };
@@ -166,7 +172,8 @@
 	return false;
 }
 
-static void run_route_(const route_t *route, struct evhttp_request *request)
+static void run_route_(mmx_operator_t *server, const route_t *route,
+		       struct evhttp_request *request)
 {
 	json_t *query = parse_query_(evhttp_request_get_evhttp_uri(request));
 	json_t *body = NULL;
@@ -175,12 +182,19 @@
 	if (!query) {
 		reply_error_(request, HTTP_BADREQUEST, "malformed query");
 	} else if (parse_body_(request, &body)) {
-		mmx_operator_request_t call = {query, body, HTTP_OK};
+		mmx_operator_request_t call = {
+			.query = query,
+			.body = body,
+			.status = HTTP_OK,
+			.http = request,
+			.server = server,
+		};
 
 		answer = route->handler(&call, route->context);
+		assert(!answer || !call.reply);
 		if (answer)
 			reply_json_(request, call.status, answer);
-		else
+		else if (!call.reply)
 			reply_error_(request, HTTP_NOTFOUND, "not found");
 	}
 	json_decref(body);
@@ -202,7 +216,7 @@
 	route = find_route_(server, post ? MMX_OPERATOR_POST : MMX_OPERATOR_GET,
 			    path);
 	if (route)
-		run_route_(route, request);
+		run_route_(server, route, request);
 	else if (find_route_(server,
 			     post ? MMX_OPERATOR_GET : MMX_OPERATOR_POST, path))
 		reply_error_(request, HTTP_BADMETHOD, "method not allowed");
@@ -219,6 +233,7 @@
 	server->base = mmx_runtime_base(runtime);
 	server->counters = counters;
 	SLIST_INIT(&server->routes);
+	LIST_INIT(&server->deferred);
 	server->heap_bytes =
 		mmx_counters_get(counters, MMX_GAUGE, "masticmux_heap_bytes",
 				 "", "Memory in use by the allocator.");
@@ -228,12 +243,29 @@
 	return server;
 }
 
+/*
+ * A request whose client is gone has no connection any more and belongs to
+ * whoever has to answer it; the others are freed with their connection.
+ */
+static void drop_deferred_(mmx_operator_t *server)
+{
+	mmx_operator_reply_t *reply;
+
+	while ((reply = LIST_FIRST(&server->deferred))) {
+		LIST_REMOVE(reply, entry);
+		if (!evhttp_request_get_connection(reply->request))
+			evhttp_request_free(reply->request);
+		g_free(reply);
+	}
+}
+
 void mmx_operator_destroy(mmx_operator_t *server)
 {
 	route_t *route;
 
 	if (!server)
 		return;
+	drop_deferred_(server);
 	if (server->server)
 		evhttp_free(server->server);
 	while ((route = SLIST_FIRST(&server->routes))) {
@@ -259,6 +291,25 @@
 	SLIST_INSERT_HEAD(&server->routes, route, entry);
 }
 
+mmx_operator_reply_t *mmx_operator_defer(mmx_operator_request_t *request)
+{
+	mmx_operator_reply_t *reply = g_new0(mmx_operator_reply_t, 1);
+
+	assert(!request->reply);
+	reply->request = request->http;
+	LIST_INSERT_HEAD(&request->server->deferred, reply, entry);
+	request->reply = reply;
+	return reply;
+}
+
+void mmx_operator_reply(mmx_operator_reply_t *reply, int status, json_t *body)
+{
+	LIST_REMOVE(reply, entry);
+	/* Without a connection the request is freed and nothing is sent. */
+	reply_json_(reply->request, status, body);
+	g_free(reply);
+}
+
 bool mmx_operator_init(mmx_operator_t *server, const mmx_address_t *address,
 		       mmx_error_t *error)
 {
--- a/src/libmasticmux/part_fleet.c
+++ b/src/libmasticmux/part_fleet.c
@@ -13,6 +13,7 @@
 #include "private/exit.h"
 #include "private/node_parts.h"
 #include "private/peer.h"
+#include "private/stop.h"
 
 #define SYNC_TIMEOUT_US (5 * MMX_US_PER_S)
 #define DIRECTORY_EXPIRY_AGE_US (24 * 3600 * MMX_US_PER_S)
@@ -80,6 +81,9 @@
 {
 	mmx_node_t *node = arg;
 
+	mmx_history_target(node->history, member->id, "node %s is %s",
+			   member->name,
+			   mmx_member_state_string[member->state]);
 	if (before != member->state)
 		mmx_log_event(node->log, MMX_LOG_INFO, "member_state", "member",
 			      member->name, "zone", member->zone, "state",
@@ -88,6 +92,19 @@
 	mmx_part_claims_members_changed(node);
 }
 
+/* What this node decided about a target of another node depends on it. */
+static void target_changed_(void *arg, const mmx_target_record_t *record)
+{
+	mmx_node_t *node = arg;
+
+	if (record->node != node->id)
+		mmx_history_target(node->history, record->id,
+				   "announced as %s with %u slots for service "
+				   "%s",
+				   mmx_target_state_string[record->state],
+				   record->slots, record->service);
+}
+
 static void conflict_(void *arg, const mmx_address_t *other)
 {
 	mmx_node_t *node = arg;
@@ -102,6 +119,7 @@
 static const mmx_membership_ops_t membership_ops_ = {
 	.sync_request = sync_request_,
 	.changed = changed_,
+	.target_changed = target_changed_,
 	.fill_ages = mmx_part_config_fill_ages,
 	.news_seen = mmx_part_config_news_seen,
 	.conflict = conflict_,
@@ -132,29 +150,21 @@
 
 static const mmx_peer_resolver_ops_t resolver_ops_ = {resolve_};
 
-/* Planned stop of a target beside this node, asked for by another node. */
+/* Planned stop of a target beside this node, or a query for its progress. */
 static void serve_stop_(void *arg, const mmx_peer_ticket_t *ticket,
 			const uint8_t *bytes, size_t length)
 {
 	mmx_node_t *node = arg;
-	char name[MMX_NAME_MAX + 1];
-	uint8_t reply[8];
-	uint64_t left;
-	int i;
+	uint8_t reply[MMX_STOP_REPLY_BYTES];
+	mmx_stop_progress_t progress;
+	mmx_stop_request_t request;
 
-	if (length == 0 || length > MMX_NAME_MAX) {
-		mmx_peer_refuse(node->peer, ticket);
-		return;
-	}
-	memcpy(name, bytes, length);
-	name[length] = '\0';
-	if (!mmx_exit_stop_target(node->exit, name)) {
+	if (!mmx_stop_decode_request(bytes, length, &request) ||
+	    !mmx_stop_handle(node, &request, &progress)) {
 		mmx_peer_refuse(node->peer, ticket);
 		return;
 	}
-	left = mmx_exit_in_progress(node->exit, name);
-	for (i = 0; i < 8; i++)
-		reply[i] = (uint8_t)(left >> (8 * (7 - i)));
+	mmx_stop_encode_reply(&progress, reply);
 	mmx_peer_answer(node->peer, ticket, reply, sizeof(reply));
 }
 
--- /dev/null
+++ b/src/libmasticmux/part_operator.c
@@ -0,0 +1,367 @@
+/*
+ * Part "operator": the server for operators. It answers about this node and
+ * about the fleet as this node sees it, and takes planned stops of any target.
+ */
+#include <event2/http.h>
+#include <glib.h>
+#include <string.h>
+
+#include "masticmux/gossip.h"
+#include "private/node_parts.h"
+#include "private/node_status.h"
+#include "private/operator.h"
+#include "private/peer.h"
+#include "private/stop.h"
+#include "private/trace.h"
+
+/* Includes connecting to the other node. */
+#define STOP_TIMEOUT_US (3 * MMX_US_PER_S)
+/* The whole of a target's name: node, slash, target. */
+#define TARGET_NAME_MAX (2 * MMX_NAME_MAX + 1)
+
+typedef struct stop_call_t stop_call_t;
+
+typedef struct operator_part_t {
+	mmx_part_t part;
+	mmx_operator_t *server;
+	LIST_HEAD(, stop_call_t) calls;
+} operator_part_t;
+
+/* A request about a target beside another node, until that node answers. */
+struct stop_call_t {
+	LIST_ENTRY(stop_call_t) entry;
+	mmx_operator_reply_t *reply;
+	mmx_stop_action_t action;
+	char node[MMX_NAME_MAX + 1];
+	char target[MMX_NAME_MAX + 1];
+};
+
+/* --- status ------------------------------------------------------------ */
+
+static json_t *bad_request_(mmx_operator_request_t *request, const char *text)
+{
+	request->status = HTTP_BADREQUEST;
+	return json_pack("{s:s}", "error", text);
+}
+
+static const char *query_(const mmx_operator_request_t *request,
+			  const char *key)
+{
+	return json_string_value(json_object_get(request->query, key));
+}
+
+static json_t *on_status_(mmx_operator_request_t *request, void *context)
+{
+	const operator_part_t *self = context;
+	const char *wanted = query_(request, "targets");
+	int i;
+
+	if (!wanted)
+		wanted = mmx_status_targets_string[MMX_STATUS_TARGETS_ALL];
+	for (i = 0; i < MMX_STATUS_TARGETS_COUNT; i++)
+		if (!strcmp(wanted, mmx_status_targets_string[i]))
+			return mmx_node_status(self->part.node,
+					       (mmx_status_targets_t)i);
+	return bad_request_(request, "targets is one of all, local, none");
+}
+
+/* --- explain ----------------------------------------------------------- */
+
+static json_t *time_(uint64_t wall)
+{
+	GDateTime *second =
+		g_date_time_new_from_unix_utc((gint64)(wall / MMX_US_PER_S));
+	char *text = g_date_time_format(second, "%Y-%m-%dT%H:%M:%S");
+	json_t *value =
+		json_sprintf("%s.%06uZ", text, (unsigned)(wall % MMX_US_PER_S));
+
+	g_free(text);
+	g_date_time_unref(second);
+	return value;
+}
+
+static void collect_event_(void *arg, const mmx_history_event_t *event)
+{
+	g_array_append_val((GArray *)arg, *event);
+}
+
+static int compare_events_(const void *left, const void *right)
+{
+	const mmx_history_event_t *a = left;
+	const mmx_history_event_t *b = right;
+
+	return a->wall < b->wall ? -1 : a->wall > b->wall ? 1 : 0;
+}
+
+/* Frees the events. */
+static json_t *events_(GArray *events)
+{
+	json_t *list = json_array();
+	size_t i;
+
+	for (i = 0; i < events->len; i++) {
+		const mmx_history_event_t *event =
+			&g_array_index(events, mmx_history_event_t, i);
+
+		json_array_append_new(
+			list, json_pack("{s:o,s:o}", "time", time_(event->wall),
+					"text",
+					mmx_node_status_text(event->text)));
+	}
+	g_array_free(events, TRUE);
+	return list;
+}
+
+static json_t *explain_request_(mmx_operator_request_t *request,
+				const mmx_node_t *node, const char *text)
+{
+	GArray *events = g_array_new(FALSE, FALSE, sizeof(mmx_history_event_t));
+	uint8_t id[MMX_HISTORY_KEY_BYTES];
+
+	if (!mmx_trace_id_parse(text, id)) {
+		g_array_free(events, TRUE);
+		return bad_request_(request, "request is a trace id, 32 hex "
+					     "digits, or a traceparent");
+	}
+	mmx_history_each_request(node->history, id, collect_event_, events);
+	return json_pack("{s:s,s:s,s:o}", "request", text, "asked",
+			 node->settings->node_name, "events", events_(events));
+}
+
+static json_t *explain_target_(mmx_operator_request_t *request,
+			       const mmx_node_t *node, const char *name)
+{
+	const mmx_directory_target_t *target =
+		mmx_directory_find_name(node->directory, name);
+	const mmx_member_t *member;
+	mmx_node_id_t beside;
+	GArray *events;
+
+	if (!target)
+		return NULL;
+	beside = mmx_directory_target_node(target);
+	member = mmx_membership_find(mmx_gossip_membership(node->gossip),
+				     beside);
+	events = g_array_new(FALSE, FALSE, sizeof(mmx_history_event_t));
+	mmx_history_each_target(node->history, mmx_directory_target_id(target),
+				collect_event_, events);
+	mmx_history_each_target(node->history, beside, collect_event_, events);
+	g_array_sort(events, compare_events_);
+	return json_pack(
+		"{s:o,s:o,s:s,s:s,s:o}", "target",
+		mmx_node_status_text(mmx_directory_target_name(target)), "node",
+		mmx_node_status_text(member ? member->name : "unknown"),
+		"state",
+		mmx_target_state_string[mmx_directory_target_state(target)],
+		"asked", node->settings->node_name, "events", events_(events));
+}
+
+static json_t *on_explain_(mmx_operator_request_t *request, void *context)
+{
+	const operator_part_t *self = context;
+	const char *id = query_(request, "request");
+	const char *target = query_(request, "target");
+
+	if (!id == !target)
+		return bad_request_(request, "give either request or target");
+	if (id)
+		return explain_request_(request, self->part.node, id);
+	return explain_target_(request, self->part.node, target);
+}
+
+/* --- planned stop ------------------------------------------------------ */
+
+static json_t *progress_(const char *node, const char *target,
+			 const mmx_stop_progress_t *progress)
+{
+	bool stopping = progress->state >= MMX_TARGET_DRAINING;
+
+	return json_pack("{s:s,s:o,s:o,s:s,s:I}", "outcome",
+			 stopping ? "stopping" : "serving", "target",
+			 mmx_node_status_text(target), "node",
+			 mmx_node_status_text(node), "state",
+			 mmx_target_state_string[progress->state],
+			 "in_progress", (json_int_t)progress->in_progress);
+}
+
+static json_t *stop_failure_(const stop_call_t *call, mmx_peer_result_t result)
+{
+	bool sent = result == MMX_PEER_TIMEOUT || result == MMX_PEER_LOST;
+	const char *fate = "";
+
+	if (call->action == MMX_STOP_BEGIN)
+		fate = sent ? "; it is not known whether the planned stop "
+			      "began; repeating it is safe"
+			    : "; the planned stop was not announced";
+	return json_pack(
+		"{s:s,s:o,s:o,s:o,s:o}", "outcome",
+		sent ? "unknown" : "not-announced", "target",
+		mmx_node_status_text(call->target), "node",
+		mmx_node_status_text(call->node), "error",
+		json_sprintf("node %s, which is beside the target, gave no "
+			     "answer (%s)%s",
+			     call->node, mmx_peer_result_string[result], fate),
+		"repeat",
+		json_sprintf("masticmux stop --settings FILE --target %s/%s",
+			     call->node, call->target));
+}
+
+static int failure_status_(mmx_peer_result_t result)
+{
+	switch (result) {
+	case MMX_PEER_REFUSED:
+		return HTTP_NOTFOUND;
+	case MMX_PEER_TIMEOUT:
+	case MMX_PEER_LOST:
+		return 504;
+	default:
+		return HTTP_SERVUNAVAIL;
+	}
+}
+
+static void on_stop_answer_(void *arg, mmx_peer_result_t result,
+			    const uint8_t *bytes, size_t length)
+{
+	stop_call_t *call = arg;
+	mmx_stop_progress_t progress;
+
+	LIST_REMOVE(call, entry);
+	if (result == MMX_PEER_OK &&
+	    mmx_stop_decode_reply(bytes, length, &progress))
+		mmx_operator_reply(
+			call->reply, HTTP_OK,
+			progress_(call->node, call->target, &progress));
+	else if (result == MMX_PEER_OK)
+		mmx_operator_reply(call->reply, 504,
+				   stop_failure_(call, MMX_PEER_LOST));
+	else
+		mmx_operator_reply(call->reply, failure_status_(result),
+				   stop_failure_(call, result));
+	g_free(call);
+}
+
+static void forward_stop_(operator_part_t *self,
+			  mmx_operator_request_t *request,
+			  const mmx_stop_request_t *stop,
+			  const mmx_member_t *member)
+{
+	const mmx_peer_place_t place = {.node = member->id,
+					.address = member->nodes};
+	stop_call_t *call = g_new0(stop_call_t, 1);
+	uint8_t bytes[MMX_STOP_REQUEST_BYTES_MAX];
+	size_t length = mmx_stop_encode_request(stop, bytes);
+
+	call->action = stop->action;
+	call->reply = mmx_operator_defer(request);
+	g_strlcpy(call->node, member->name, sizeof(call->node));
+	g_strlcpy(call->target, stop->target, sizeof(call->target));
+	LIST_INSERT_HEAD(&self->calls, call, entry);
+	mmx_peer_call(self->part.node->peer, &place, MMX_PROCEDURE_STOP, bytes,
+		      length, STOP_TIMEOUT_US, on_stop_answer_, call);
+}
+
+static json_t *not_found_(mmx_operator_request_t *request)
+{
+	request->status = HTTP_NOTFOUND;
+	return json_pack("{s:s,s:s}", "outcome", "not-found", "error",
+			 "no target of this name, or targets of several nodes "
+			 "have it; name it NODE/TARGET");
+}
+
+static json_t *handle_stop_(operator_part_t *self,
+			    mmx_operator_request_t *request,
+			    mmx_stop_action_t action)
+{
+	mmx_node_t *node = self->part.node;
+	const char *name = query_(request, "target");
+	mmx_stop_request_t stop = {.action = action};
+	const mmx_directory_target_t *target;
+	const mmx_member_t *member;
+	mmx_stop_progress_t progress;
+
+	if (!name || !*name || strlen(name) > TARGET_NAME_MAX)
+		return bad_request_(request, "give a target");
+	target = mmx_directory_find_name(node->directory, name);
+	if (!target)
+		return not_found_(request);
+	g_strlcpy(stop.target, mmx_directory_target_name(target),
+		  sizeof(stop.target));
+	if (mmx_directory_target_node(target) == node->id)
+		return mmx_stop_handle(node, &stop, &progress)
+			       ? progress_(node->settings->node_name,
+					   stop.target, &progress)
+			       : not_found_(request);
+	member = mmx_membership_find(mmx_gossip_membership(node->gossip),
+				     mmx_directory_target_node(target));
+	if (!member)
+		return not_found_(request);
+	forward_stop_(self, request, &stop, member);
+	return NULL;
+}
+
+static json_t *on_stop_(mmx_operator_request_t *request, void *context)
+{
+	return handle_stop_(context, request, MMX_STOP_BEGIN);
+}
+
+static json_t *on_stop_query_(mmx_operator_request_t *request, void *context)
+{
+	return handle_stop_(context, request, MMX_STOP_QUERY);
+}
+
+/* --- part -------------------------------------------------------------- */
+
+static bool init_(mmx_part_t *part, mmx_error_t *error)
+{
+	operator_part_t *self = (operator_part_t *)part;
+	mmx_node_t *node = part->node;
+
+	self->server = mmx_operator_create(node->runtime, node->counters);
+	mmx_operator_register(self->server, MMX_OPERATOR_GET, "/status",
+			      on_status_, self);
+	mmx_operator_register(self->server, MMX_OPERATOR_GET, "/explain",
+			      on_explain_, self);
+	mmx_operator_register(self->server, MMX_OPERATOR_POST, "/stop",
+			      on_stop_, self);
+	mmx_operator_register(self->server, MMX_OPERATOR_GET, "/stop",
+			      on_stop_query_, self);
+	return mmx_operator_init(self->server, &node->settings->listen_operator,
+				 error);
+}
+
+static void drain_(mmx_part_t *part)
+{
+	operator_part_t *self = (operator_part_t *)part;
+
+	mmx_operator_set_draining(self->server, true);
+}
+
+static void destroy_(mmx_part_t *part)
+{
+	operator_part_t *self = (operator_part_t *)part;
+	stop_call_t *call;
+
+	mmx_operator_destroy(self->server);
+	/* The peer task is destroyed later and calls nothing back then. */
+	while ((call = LIST_FIRST(&self->calls))) {
+		LIST_REMOVE(call, entry);
+		g_free(call);
+	}
+	g_free(self);
+}
+
+static const mmx_part_ops_t ops_ = {
+	.name = "operator",
+	.init = init_,
+	.drain = drain_,
+	.destroy = destroy_,
+};
+
+mmx_part_t *mmx_part_operator_create(mmx_node_t *node)
+{
+	operator_part_t *self = g_new0(operator_part_t, 1);
+
+	self->part.ops = &ops_;
+	LIST_INIT(&self->calls);
+	return &self->part;
+}
--- a/src/libmasticmux/part_path.c
+++ b/src/libmasticmux/part_path.c
@@ -18,7 +18,13 @@
 
 static void target_changed_(void *context, const mmx_target_record_t *record)
 {
-	mmx_part_fleet_announce(context, record);
+	mmx_node_t *node = context;
+
+	mmx_history_target(node->history, record->id,
+			   "%s with %u slots for service %s",
+			   mmx_target_state_string[record->state],
+			   record->slots, record->service);
+	mmx_part_fleet_announce(node, record);
 }
 
 static const mmx_exit_observer_ops_t observer_ops_ = {target_changed_};
@@ -93,11 +99,5 @@
 	path_t *path = g_new0(path_t, 1);
 
 	path->part.ops = &ops_;
-	node->entry =
-		mmx_entry_create(node->runtime, node->id, node->incarnation,
-				 mmx_random_next(&node->random));
-	node->exit =
-		mmx_exit_create(node->runtime, node->id,
-				node->settings->node_name, node->incarnation);
 	return &path->part;
 }
--- a/src/libmasticmux/trace.c
+++ b/src/libmasticmux/trace.c
@@ -89,6 +89,21 @@
 	return true;
 }
 
+bool mmx_trace_id_parse(const char *text, uint8_t trace_id[16])
+{
+	mmx_trace_context_t context;
+
+	if (strlen(text) == 32) {
+		if (!parse_hex_(text, context.trace_id, 16) ||
+		    is_zero_(context.trace_id, 16))
+			return false;
+	} else if (!mmx_traceparent_parse(text, &context)) {
+		return false;
+	}
+	memcpy(trace_id, context.trace_id, 16);
+	return true;
+}
+
 void mmx_traceparent_format(const mmx_trace_context_t *context,
 			    char out[MMX_TRACEPARENT_SIZE])
 {
--- a/src/masticmux/command_publish.c
+++ b/src/masticmux/command_publish.c
@@ -1,7 +1,5 @@
 /* publish: appends a change to the log and reports what became of it. */
-#include <event2/buffer.h>
 #include <event2/event.h>
-#include <event2/http.h>
 #include <inttypes.h>
 #include <jansson.h>
 #include <openssl/rand.h>
@@ -13,10 +11,10 @@
 #include "commands.h"
 #include "masticmux/config_task.h"
 #include "masticmux/publish.h"
+#include "operator_client.h"
 
 #define WAIT_INTERVAL (500 * MMX_US_PER_MS)
 #define STATUS_TIMEOUT_S 2
-#define STATUS_MAX (8 * 1024 * 1024)
 #define TIMEOUT_MAX_S 3600
 
 typedef struct options_t {
@@ -48,9 +46,6 @@
 	const char *id;
 	mmx_publish_result_t result;
 	/* With --wait: */
-	mmx_timer_t poll;
-	mmx_time_t wait_until;
-	struct evhttp_connection *status;
 	bool has_count;
 	size_t in_force;
 	size_t alive;
@@ -155,9 +150,6 @@
 
 static void close_(publisher_t *publisher)
 {
-	mmx_timer_cancel(&publisher->poll);
-	if (publisher->status)
-		evhttp_connection_free(publisher->status);
 	mmx_publish_destroy(publisher->publish);
 	mmx_log_client_destroy(publisher->client);
 	mmx_config_destroy(publisher->config);
@@ -174,60 +166,37 @@
 	event_base_dispatch(publisher->base);
 }
 
-static void on_status_(struct evhttp_request *request, void *arg)
+static void count_(publisher_t *publisher, mmx_operator_client_t *client)
 {
-	publisher_t *publisher = arg;
-	mmx_time_t now = mmx_clock_now(mmx_runtime_clock(publisher->runtime));
-	struct evbuffer *input;
-	size_t length;
-
-	if (request && evhttp_request_get_response_code(request) == HTTP_OK) {
-		input = evhttp_request_get_input_buffer(request);
-		length = evbuffer_get_length(input);
-		if (length &&
-		    mmx_publish_count((char *)evbuffer_pullup(input, -1),
-				      length, publisher->result.offset,
-				      &publisher->in_force, &publisher->alive))
-			publisher->has_count = true;
-	}
-	if ((publisher->alive && publisher->in_force == publisher->alive) ||
-	    now >= publisher->wait_until)
-		event_base_loopbreak(publisher->base);
-	else
-		mmx_timer_set(&publisher->poll, WAIT_INTERVAL);
-}
-
-static void poll_(void *arg)
-{
-	publisher_t *publisher = arg;
-	struct evhttp_request *request =
-		evhttp_request_new(on_status_, publisher);
-	char host[MMX_ADDRESS_MAX + 9];
-
-	mmx_address_format(&publisher->settings->listen_operator, host,
-			   sizeof(host));
-	evhttp_add_header(evhttp_request_get_output_headers(request), "Host",
-			  host);
-	if (evhttp_make_request(publisher->status, request, EVHTTP_REQ_GET,
-				"/status"))
-		event_base_loopbreak(publisher->base);
+	mmx_operator_response_t response;
+
+	if (!mmx_operator_client_call(client, MMX_OPERATOR_VERB_GET,
+				      "/status?targets=none", &response, NULL))
+		return;
+	if (response.status == 200 &&
+	    mmx_publish_count(response.text, response.length,
+			      publisher->result.offset, &publisher->in_force,
+			      &publisher->alive))
+		publisher->has_count = true;
+	g_free(response.text);
 }
 
 /* Asks the node of the settings how many members have the revision. */
 static void wait_(publisher_t *publisher)
 {
-	mmx_clock_t *clock = mmx_runtime_clock(publisher->runtime);
-	const mmx_address_t *address = &publisher->settings->listen_operator;
-
-	publisher->wait_until = mmx_clock_now(clock) +
-				publisher->options->timeout_s * MMX_US_PER_S;
-	publisher->status = evhttp_connection_base_new(
-		publisher->base, NULL, address->host, address->port);
-	evhttp_connection_set_timeout(publisher->status, STATUS_TIMEOUT_S);
-	evhttp_connection_set_max_body_size(publisher->status, STATUS_MAX);
-	mmx_timer_init(&publisher->poll, clock, poll_, publisher);
-	mmx_timer_set(&publisher->poll, 0);
-	event_base_dispatch(publisher->base);
+	mmx_operator_client_t *client = mmx_operator_client_create(
+		&publisher->settings->listen_operator, STATUS_TIMEOUT_S);
+	mmx_time_t end = mmx_operator_client_now(client) +
+			 publisher->options->timeout_s * MMX_US_PER_S;
+
+	count_(publisher, client);
+	while ((publisher->alive == 0 ||
+		publisher->in_force < publisher->alive) &&
+	       mmx_operator_client_now(client) < end) {
+		mmx_operator_client_pause(client, WAIT_INTERVAL);
+		count_(publisher, client);
+	}
+	mmx_operator_client_destroy(client);
 }
 
 static char *settle_command_(const publisher_t *publisher)
--- /dev/null
+++ b/src/masticmux/command_status.c
@@ -0,0 +1,246 @@
+/* status: a node, and the fleet as this node sees it. */
+#include <inttypes.h>
+#include <jansson.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "commands.h"
+#include "operator_client.h"
+#include "table.h"
+
+#define TIMEOUT_S 10
+
+typedef struct options_t {
+	char *settings;
+	char *targets;
+	gboolean json;
+} options_t;
+
+static const char *text_(const json_t *object, const char *key)
+{
+	const char *text = json_string_value(json_object_get(object, key));
+
+	return text ? text : "-";
+}
+
+static json_int_t number_(const json_t *object, const char *key)
+{
+	return json_integer_value(json_object_get(object, key));
+}
+
+static bool is_set_(const json_t *object, const char *key)
+{
+	return json_is_true(json_object_get(object, key));
+}
+
+/* A number as text, or "-" if there is none. */
+static const char *format_(const json_t *object, const char *key, char *text,
+			   size_t size)
+{
+	const json_t *value = json_object_get(object, key);
+
+	if (!json_is_integer(value))
+		return "-";
+	snprintf(text, size, "%" JSON_INTEGER_FORMAT,
+		 json_integer_value(value));
+	return text;
+}
+
+static void print_configuration_(const json_t *status)
+{
+	const json_t *configuration = json_object_get(status, "configuration");
+	const json_t *item;
+	size_t i;
+
+	if (!is_set_(configuration, "loaded"))
+		printf("configuration none yet: requests are refused\n");
+	else
+		printf("configuration revision %" JSON_INTEGER_FORMAT ", %s\n",
+		       number_(configuration, "applied"),
+		       is_set_(configuration, "current")
+			       ? "current"
+			       : "not confirmed for 15 s or more");
+	json_array_foreach(json_object_get(status, "in_force"), i, item)
+		printf("  revision %" JSON_INTEGER_FORMAT
+		       " in force at %" JSON_INTEGER_FORMAT " alive nodes\n",
+		       number_(item, "applied"), number_(item, "nodes"));
+}
+
+static void print_node_(const json_t *status)
+{
+	const json_t *node = json_object_get(status, "node");
+	const json_t *requests = json_object_get(status, "requests");
+	json_int_t rank = number_(json_object_get(status, "configuration"),
+				  "reader_rank");
+
+	printf("node %s, zone %s, region %s, incarnation %" JSON_INTEGER_FORMAT
+	       "%s\n",
+	       text_(node, "name"), text_(node, "zone"), text_(node, "region"),
+	       number_(node, "incarnation"),
+	       is_set_(node, "draining") ? ", draining" : "");
+	printf("requests in progress: %" JSON_INTEGER_FORMAT
+	       " of callers, %" JSON_INTEGER_FORMAT " at targets here\n",
+	       number_(requests, "entry"), number_(requests, "exit"));
+	print_configuration_(status);
+	if (rank >= 0)
+		printf("  this node reads the log, rank %" JSON_INTEGER_FORMAT
+		       "\n",
+		       rank);
+}
+
+static void print_members_(const json_t *status)
+{
+	static const char *const head[] = {"NAME", "REGION", "ZONE", "STATE",
+					   "REVISION"};
+	mmx_table_t *table = mmx_table_create(G_N_ELEMENTS(head));
+	json_t *counts = json_object_get(status, "member_counts");
+	const json_t *item;
+	const char *state;
+	char applied[24];
+	size_t i;
+
+	printf("members:");
+	json_object_foreach(counts, state, item)
+		printf(" %" JSON_INTEGER_FORMAT " %s", json_integer_value(item),
+		       state);
+	putchar('\n');
+	mmx_table_add(table, head);
+	json_array_foreach(json_object_get(status, "members"), i, item)
+	{
+		const char *const row[] = {
+			text_(item, "name"), text_(item, "region"),
+			text_(item, "zone"), text_(item, "state"),
+			format_(item, "applied", applied, sizeof(applied))};
+
+		mmx_table_add(table, row);
+	}
+	mmx_table_print(table, stdout);
+	mmx_table_destroy(table);
+}
+
+static void add_targets_(mmx_table_t *table, const char *service,
+			 const json_t *targets)
+{
+	const json_t *item;
+	char slots[24];
+	char busy[24];
+	char queued[24];
+	size_t i;
+
+	json_array_foreach(targets, i, item)
+	{
+		const char *const row[] = {
+			service,
+			text_(item, "name"),
+			text_(item, "node"),
+			text_(item, "state"),
+			format_(item, "slots", slots, sizeof(slots)),
+			format_(item, "in_progress", busy, sizeof(busy)),
+			format_(item, "queued", queued, sizeof(queued)),
+			text_(item, "level")};
+
+		mmx_table_add(table, row);
+	}
+}
+
+static void print_targets_(const json_t *status)
+{
+	static const char *const head[] = {
+		"SERVICE", "TARGET",  "NODE",	"STATE",
+		"SLOTS",   "RUNNING", "QUEUED", "LEVEL"};
+	mmx_table_t *table = mmx_table_create(G_N_ELEMENTS(head));
+	json_t *services = json_object_get(status, "services");
+	const json_t *targets;
+	const char *service;
+
+	if (json_object_size(services) == 0) {
+		printf("targets: none\n");
+	} else {
+		printf("targets:\n");
+		mmx_table_add(table, head);
+		json_object_foreach(services, service, targets)
+			add_targets_(table, service, targets);
+		mmx_table_print(table, stdout);
+	}
+	mmx_table_destroy(table);
+}
+
+static bool print_(const options_t *options,
+		   const mmx_operator_response_t *response)
+{
+	json_t *status;
+
+	if (options->json) {
+		fputs(response->text, stdout);
+		return fflush(stdout) == 0;
+	}
+	status = json_loadb(response->text, response->length, 0, NULL);
+	if (!status) {
+		fprintf(stderr, "masticmux status: the response is not JSON\n");
+		return false;
+	}
+	print_node_(status);
+	print_members_(status);
+	if (strcmp(options->targets, "none") != 0)
+		print_targets_(status);
+	json_decref(status);
+	return fflush(stdout) == 0;
+}
+
+static mmx_exit_status_t run_(const options_t *options,
+			      const mmx_settings_t *settings)
+{
+	mmx_operator_client_t *client = mmx_operator_client_create(
+		&settings->listen_operator, TIMEOUT_S);
+	char *path = mmx_operator_client_path("/status", "targets",
+					      options->targets);
+	mmx_exit_status_t status = MMX_EXIT_ERROR;
+	mmx_operator_response_t response;
+	mmx_error_t error;
+
+	if (!mmx_operator_client_call(client, MMX_OPERATOR_VERB_GET, path,
+				      &response, &error))
+		fprintf(stderr, "masticmux status: %s\n", error.text);
+	else if (response.status != 200)
+		mmx_command_report_response("status", &response);
+	else if (print_(options, &response))
+		status = MMX_EXIT_OK;
+	g_free(response.text);
+	g_free(path);
+	mmx_operator_client_destroy(client);
+	return status;
+}
+
+mmx_exit_status_t mmx_command_status(int argc, char **argv)
+{
+	options_t options = {NULL, NULL, FALSE};
+	const GOptionEntry entries[] = {
+		{"settings", 0, 0, G_OPTION_ARG_FILENAME, &options.settings,
+		 "settings file of a node", "FILE"},
+		{"targets", 0, 0, G_OPTION_ARG_STRING, &options.targets,
+		 "targets to list: all, local or none (all)", "WHICH"},
+		{"json", 0, 0, G_OPTION_ARG_NONE, &options.json,
+		 "print the status as JSON", NULL},
+		G_OPTION_ENTRY_NULL,
+	};
+	mmx_exit_status_t status = MMX_EXIT_ERROR;
+	mmx_settings_t *settings;
+
+	if (mmx_command_parse(&argc, &argv, NULL,
+			      "Shows a node, and the fleet as it sees it.\n"
+			      "Exit status: 0 done, 2 findings in the "
+			      "settings, 1 other errors.",
+			      entries, 0) &&
+	    mmx_command_require("status", "settings", options.settings)) {
+		if (!options.targets)
+			options.targets = g_strdup("all");
+		settings = mmx_command_settings(options.settings);
+		status = settings ? run_(&options, settings)
+				  : MMX_EXIT_FINDINGS;
+		mmx_settings_destroy(settings);
+	}
+	g_free(options.settings);
+	g_free(options.targets);
+	return status;
+}
--- a/src/masticmux/commands.c
+++ b/src/masticmux/commands.c
@@ -1,5 +1,6 @@
 #include "commands.h"
 
+#include <jansson.h>
 #include <stdio.h>
 
 const char *const mmx_exit_string[MMX_EXIT_COUNT] = {
@@ -47,3 +48,24 @@
 		command, option, command);
 	return false;
 }
+
+mmx_settings_t *mmx_command_settings(const char *path)
+{
+	mmx_findings_t *findings = mmx_findings_create();
+	mmx_settings_t *settings = mmx_settings_load(path, findings);
+
+	mmx_findings_print(findings, stderr);
+	mmx_findings_destroy(findings);
+	return settings;
+}
+
+void mmx_command_report_response(const char *command,
+				 const mmx_operator_response_t *response)
+{
+	json_t *body = json_loadb(response->text, response->length, 0, NULL);
+	const char *text = json_string_value(json_object_get(body, "error"));
+
+	fprintf(stderr, "masticmux %s: %s (status %d)\n", command,
+		text ? text : "unexpected response", response->status);
+	json_decref(body);
+}
--- a/src/masticmux/commands.h
+++ b/src/masticmux/commands.h
@@ -8,6 +8,9 @@
 #include <glib.h>
 #include <stdbool.h>
 
+#include "masticmux/settings.h"
+#include "operator_client.h"
+
 /** Exit statuses of every subcommand. */
 typedef enum mmx_exit_status_t {
 	MMX_EXIT_OK,
@@ -18,6 +21,9 @@
 	MMX_EXIT_COUNT
 } mmx_exit_status_t;
 
+/** Exit status 3 of explain and stop: the node does not know. */
+#define MMX_EXIT_NOT_KNOWN MMX_EXIT_REJECTED
+
 extern const char *const mmx_exit_string[MMX_EXIT_COUNT];
 
 /** One subcommand. */
@@ -35,6 +41,9 @@
 mmx_exit_status_t mmx_command_check(int argc, char **argv);
 mmx_exit_status_t mmx_command_node(int argc, char **argv);
 mmx_exit_status_t mmx_command_publish(int argc, char **argv);
+mmx_exit_status_t mmx_command_status(int argc, char **argv);
+mmx_exit_status_t mmx_command_explain(int argc, char **argv);
+mmx_exit_status_t mmx_command_stop(int argc, char **argv);
 
 /**
  * Parses the options of a subcommand; --help prints its usage and ends the
@@ -59,4 +68,11 @@
 bool mmx_command_require(const char *command, const char *option,
 			 const char *value);
 
+/** Loads settings; reports findings on stderr and returns NULL then. */
+mmx_settings_t *mmx_command_settings(const char *path);
+
+/** Reports a response that is an error on stderr. */
+void mmx_command_report_response(const char *command,
+				 const mmx_operator_response_t *response);
+
 #endif
--- a/src/masticmux/main.c
+++ b/src/masticmux/main.c
@@ -10,6 +10,11 @@
 	{"check", "check a settings file and a change file", mmx_command_check},
 	{"publish", "publish a change and report its outcome",
 	 mmx_command_publish},
+	{"stop", "announce the planned stop of a target", mmx_command_stop},
+	{"status", "show a node and the fleet as it sees it",
+	 mmx_command_status},
+	{"explain", "show what led to a decision about a request or target",
+	 mmx_command_explain},
 	{"node", "run the process beside a target instance", mmx_command_node},
 };
 
