Measure the whole path on loopback

Every benchmark so far measured one module. Nothing compared a request through nodes with a direct call to the same target.

--- /dev/null
+++ b/bench/path.sh
@@ -0,0 +1,413 @@
+#!/usr/bin/env bash
+# Measures the whole path on loopback: stand-ins for the log service and the
+# targets, and two nodes. Prints text, or JSON with --json.
+#
+#   bench/path.sh [--json] [--quick] [--seed N]
+#
+# Measured in one run: added latency through one and through two nodes,
+# requests per second of one core, memory of a node, and malformed input.
+# Exit status: 0 when every bound is met, 1 when one is missed, 2 for a wrong
+# command line, 3 when the fleet did not start.
+set -u
+cd "$(dirname "$0")/.." || exit 3
+. scripts/lib.sh
+
+build=${BUILD:-build}
+json=no
+quick=no
+seed=1
+while [ $# -gt 0 ]; do
+	case $1 in
+	--json) json=yes ;;
+	--quick) quick=yes ;;
+	--seed)
+		[ $# -ge 2 ] || exit 2
+		shift
+		seed=$1
+		;;
+	*)
+		echo "usage: bench/path.sh [--json] [--quick] [--seed N]" >&2
+		exit 2
+		;;
+	esac
+	shift
+done
+
+# Bounds of docs/design.md, sections 4 and 11.
+P99_ADDED_MAX_MS=2.6
+REQUESTS_PER_CORE_MIN=10000
+BODY_GROWTH_MAX_KIB=4096
+# A leak of the smallest block of malloc (32 bytes) in a third of the inputs
+# adds this much over 100,000 inputs.
+HOSTILE_GROWTH_MAX_KIB=1024
+# The limit of a node for control, from section 1.4.
+IDLE_MAX_KIB=131072
+
+RATE=1000
+SLOTS=1024
+BODY_BYTES=67108864
+if [ "$quick" = yes ]; then
+	rounds=3 round_s=2 saturate_s=3 inputs=10000 warm_up=2000
+else
+	rounds=7 round_s=5 saturate_s=10 inputs=100000 warm_up=10000
+fi
+
+dir=$(mktemp -d)
+results=$dir/results
+: >"$results"
+trap 'stop_programs; rm -rf "$dir"' EXIT
+trap 'exit 1' INT TERM
+
+# ---- results ----
+
+# result NAME VALUE UNIT [BOUND-KIND BOUND]: kinds are max and min.
+result() {
+	jq -n -c --arg name "$1" --argjson value "$2" --arg unit "$3" \
+		--arg kind "${4:-}" --argjson bound "${5:-null}" '
+		{name: $name, value: $value, unit: $unit} +
+		if $kind == "" then {} else {($kind): $bound, met:
+			(if $kind == "max" then $value <= $bound
+			else $value >= $bound end)} end' >>"$results"
+}
+
+compute() { jq -n "$@"; }
+
+# ---- processes ----
+
+fail() {
+	echo "bench/path.sh: $*" >&2
+	exit 3
+}
+
+# free_port: sets port to one on which nothing listens. It lies below the
+# range from which the kernel takes the ports of outgoing connections.
+next_port=$((20000 + RANDOM % 8000))
+free_port() {
+	port=$next_port
+	while (exec 3<>"/dev/tcp/127.0.0.1/$port") 2>/dev/null; do
+		port=$((port + 1))
+	done
+	next_port=$((port + 1))
+}
+
+# new_settings NAME: writes settings with free ports to $dir/NAME.toml and
+# sets NAME_callers, NAME_nodes and NAME_announce.
+new_settings() {
+	local name=$1 part
+	for part in callers nodes announce operator; do
+		free_port
+		printf -v "${name}_$part" '127.0.0.1:%d' "$port"
+	done
+}
+
+write_settings() {
+	local name=$1 callers="${1}_callers" nodes="${1}_nodes"
+	local announce="${1}_announce" operator="${1}_operator"
+	cat >"$dir/$name.toml" <<-END
+		[node]
+		name = "bench-$name"
+		region = "loopback"
+		zone = "loopback-a"
+		fleet_keys = ["bench:$fleet_key"]
+		[listen]
+		callers = "${!callers}"
+		nodes = "${!nodes}"
+		announce = "${!announce}"
+		operator = "${!operator}"
+		[fleet]
+		seeds = ["$entry_nodes", "$exit_nodes"]
+		[log_service]
+		address = "$log"
+	END
+}
+
+# start_node NAME: sets NAME_pid. Cores in NODE_CPUS.
+start_node() {
+	local name=$1
+	taskset -c "$NODE_CPUS" "$build/masticmux" node \
+		--settings "$dir/$name.toml" 2>"$dir/$name.err" &
+	printf -v "${name}_pid" '%d' $!
+	PROGRAM_PIDS="$PROGRAM_PIDS $!"
+}
+
+start_target() {
+	local name=$1 service=$2 announce=$3
+	start_program "$dir/$name" taskset -c "$OTHER_CPUS" \
+		"$build/masticmux-standin" target --listen 127.0.0.1:0 \
+		--name "$name" --service "$service" --announce "$announce" \
+		--slots "$SLOTS" --latency-ms 0 --max-keys 0 ||
+		fail "target $name did not start"
+}
+
+load() {
+	taskset -c "$OTHER_CPUS" "$build/masticmux-standin" load --json \
+		--seed "$seed" "$@"
+}
+
+# answers ADDRESS HOST: one request is completed.
+answers() {
+	load --node "$1" --host "$2" --rate 1 --duration-s 0.01 \
+		--timeout-ms 1000 >"$dir/answers" 2>&1
+}
+
+cpu_us() { awk '{ print int($1 / 1000) }' "/proc/$1/schedstat"; }
+memory_kib() {
+	awk -v key="$2:" '$1 == key { print $2 }' "/proc/$1/status"
+}
+resident_kib() { memory_kib "$1" VmRSS; }
+# The highest resident memory since reset_peak.
+peak_kib() { memory_kib "$1" VmHWM; }
+reset_peak() { echo 5 >"/proc/$1/clear_refs"; }
+
+# split_cpus: one core for the nodes in the run at saturation, others for load
+# and targets.
+split_cpus() {
+	local list cpu
+	list=$(awk '/^Cpus_allowed_list:/ { print $2 }' /proc/self/status |
+		tr ',' '\n' | while IFS=- read -r from to; do
+		seq "$from" "${to:-$from}"
+	done)
+	# shellcheck disable=SC2086
+	set -- $list
+	[ $# -ge 3 ] || fail "needs 3 cores, has $#"
+	ALL_CPUS=$(IFS=,; echo "$*")
+	eval "NODE_CPU=\${$#}"
+	OTHER_CPUS=""
+	for cpu in "$@"; do
+		[ "$cpu" = "$NODE_CPU" ] ||
+			OTHER_CPUS="$OTHER_CPUS${OTHER_CPUS:+,}$cpu"
+	done
+	NODE_CPUS=$ALL_CPUS
+}
+
+start_fleet() {
+	fleet_key=$(od -An -v -tx1 -N32 /dev/urandom | tr -d ' \n')
+	start_program "$dir/log" "$build/masticmux-standin" log \
+		--listen 127.0.0.1:0 || fail "log service did not start"
+	log=$program_address
+	new_settings entry
+	new_settings exit
+	write_settings entry
+	write_settings exit
+	start_node entry
+	start_node exit
+	"$build/masticmux" publish --settings "$dir/entry.toml" \
+		examples/bench-change.toml >"$dir/publish" 2>&1 ||
+		fail "publish: $(cat "$dir/publish")"
+}
+
+start_targets() {
+	start_target near near "$entry_announce"
+	near=$program_address
+	start_target far far "$exit_announce"
+	far=$program_address
+	wait_until answers "$entry_callers" near.bench.example &&
+		wait_until answers "$entry_callers" far.bench.example &&
+		wait_until answers "$exit_callers" far.bench.example ||
+		fail "no answer: $(cat "$dir/answers" "$dir"/*.err)"
+}
+
+# ---- measurements ----
+
+measure_idle() {
+	# Time for joining and for reading the configuration.
+	sleep 2
+	idle_kib=$(resident_kib "$entry_pid")
+	result idle_resident "$idle_kib" KiB max "$IDLE_MAX_KIB"
+}
+
+# one_round NAME ADDRESS HOST [OPTION...]: appends latencies to $dir/NAME.
+one_round() {
+	local name=$1 address=$2 host=$3
+	shift 3
+	load --node "$address" --host "$host" --rate "$RATE" \
+		--duration-s "$round_s" --connections 64 "$@" \
+		>"$dir/round.json" ||
+		echo "$name: $(jq -c '{errors, reasons, violations}' \
+			"$dir/round.json")" >>"$dir/failed"
+	jq -c '{p50: .latency_completed.p50_ms, p99: .latency_completed.p99_ms,
+		completed: .completed_requests, sent: .sent_requests}' \
+		"$dir/round.json" >>"$dir/$name"
+}
+
+# compare NAME THROUGH DIRECT: medians over the rounds of the difference and
+# of the ratio of each round to the direct round beside it.
+compare() {
+	local name=$1 part value
+	for part in p50 p99; do
+		value=$(compute --slurpfile a "$dir/$2" --slurpfile b "$dir/$3" \
+			"def median: sort | .[length / 2 | floor];
+			[range(\$a | length)] |
+			{through: (map(\$a[.].$part) | median),
+			direct: (map(\$b[.].$part) | median),
+			added: (map(\$a[.].$part - \$b[.].$part) | median),
+			least: (map(\$a[.].$part - \$b[.].$part) | min),
+			most: (map(\$a[.].$part - \$b[.].$part) | max),
+			ratio: (map(\$a[.].$part / \$b[.].$part) | median)}")
+		field() { echo "$value" | jq ".$1"; }
+		result "${name}_${part}_direct" "$(field direct)" ms
+		result "${name}_${part}" "$(field through)" ms
+		if [ "$part" = p99 ]; then
+			result "${name}_${part}_added" "$(field added)" ms \
+				max "$P99_ADDED_MAX_MS"
+		else
+			result "${name}_${part}_added" "$(field added)" ms
+		fi
+		result "${name}_${part}_added_least" "$(field least)" ms
+		result "${name}_${part}_added_most" "$(field most)" ms
+		result "${name}_${part}_ratio" "$(field ratio)" ratio
+	done
+}
+
+# The rounds alternate, so that a disturbance hits all of them alike.
+measure_latency() {
+	local i before after
+	before=$(cpu_us "$entry_pid")
+	for i in $(seq "$rounds"); do
+		one_round near_direct "$near" near.bench.example --direct
+		one_round one_node "$entry_callers" near.bench.example
+		one_round far_direct "$far" far.bench.example --direct
+		one_round two_nodes "$entry_callers" far.bench.example
+	done
+	after=$(cpu_us "$entry_pid")
+	compare one_node one_node near_direct
+	compare two_nodes two_nodes far_direct
+	# Half of the requests of the entry end on it, half on the other node.
+	result entry_cpu_per_request_at_rate "$(compute --argjson us \
+		$((after - before)) --slurpfile a "$dir/one_node" \
+		--slurpfile b "$dir/two_nodes" \
+		'$us / ($a + $b | map(.completed) | add)')" us
+}
+
+# saturate NAME ADDRESS HOST PID: two closed loops against the node on one
+# core; sets requests, wall_us and used_us.
+saturate() {
+	local address=$1 host=$2 pid=$3 before started first
+	before=$(cpu_us "$pid")
+	started=$(date +%s%N)
+	load --node "$address" --host "$host" --saturate --connections 16 \
+		--duration-s "$saturate_s" >"$dir/saturate1.json" &
+	first=$!
+	PROGRAM_PIDS="$PROGRAM_PIDS $first"
+	load --node "$address" --host "$host" --saturate --connections 16 \
+		--duration-s "$saturate_s" >"$dir/saturate2.json"
+	forget_program "$first"
+	wait "$first"
+	wall_us=$((($(date +%s%N) - started) / 1000))
+	used_us=$(($(cpu_us "$pid") - before))
+	requests=$(compute --slurpfile a "$dir/saturate1.json" \
+		--slurpfile b "$dir/saturate2.json" \
+		'$a + $b | map(.completed_requests) | add')
+	rate=$(compute --slurpfile a "$dir/saturate1.json" \
+		--slurpfile b "$dir/saturate2.json" \
+		'$a + $b | map(.completed_requests / .elapsed_s) | add')
+	refused=$(compute --slurpfile a "$dir/saturate1.json" \
+		--slurpfile b "$dir/saturate2.json" \
+		'$a + $b | map(.sent_requests - .completed_requests) | add')
+}
+
+measure_saturation() {
+	taskset -p -c "$NODE_CPU" "$entry_pid" >/dev/null
+	saturate "$entry_callers" near.bench.example "$entry_pid"
+	result saturation_requests_per_s "$rate" requests/s min \
+		"$REQUESTS_PER_CORE_MIN"
+	# On a shared machine other processes take part of the core.
+	result saturation_core_used "$(compute "100 * $used_us / $wall_us")" \
+		percent
+	result requests_per_cpu_s "$(compute "$requests / $used_us * 1e6")" \
+		requests/s min "$REQUESTS_PER_CORE_MIN"
+	result cpu_per_request "$(compute "$used_us / $requests")" us
+	result saturation_not_completed "$refused" requests max 0
+	saturate "$entry_callers" far.bench.example "$entry_pid"
+	result two_nodes_entry_cpu_per_request \
+		"$(compute "$used_us / $requests")" us
+	taskset -p -c "$ALL_CPUS" "$entry_pid" >/dev/null
+	result resident_after_load "$(resident_kib "$entry_pid")" KiB max \
+		"$IDLE_MAX_KIB"
+}
+
+# grow NAME OPTION...: peak memory of the node while one body goes through.
+grow() {
+	local name=$1 before completed
+	shift
+	before=$(resident_kib "$entry_pid")
+	reset_peak "$entry_pid"
+	load --node "$entry_callers" --rate 1 --duration-s 0.01 \
+		--timeout-ms 60000 "$@" >"$dir/body.json"
+	completed=$(jq .completed_requests "$dir/body.json")
+	result "${name}_completed" "$completed" requests min 1
+	result "${name}_growth" $(($(peak_kib "$entry_pid") - before)) KiB \
+		max "$BODY_GROWTH_MAX_KIB"
+}
+
+# Before the load: memory that the load left free would hide the growth.
+measure_bodies() {
+	grow upload --host near.bench.example --post-percent 100 \
+		--request-bytes "$BODY_BYTES"
+	grow download --host near.bench.example \
+		--response-bytes "$BODY_BYTES"
+	grow two_nodes_upload --host far.bench.example --post-percent 100 \
+		--request-bytes "$BODY_BYTES"
+	grow two_nodes_download --host far.bench.example \
+		--response-bytes "$BODY_BYTES"
+}
+
+send_hostile() {
+	taskset -c "$OTHER_CPUS" "$build/bench/hostile" --json \
+		--callers "$entry_callers" --nodes "$entry_nodes" \
+		--host near.bench.example "$@" >"$dir/hostile.json"
+}
+
+target_requests() { curl -s "http://$near/control" | jq .requests; }
+
+measure_hostile() {
+	local before seen after alive=0
+	send_hostile --inputs "$warm_up" --seed $((seed + 1))
+	before=$(resident_kib "$entry_pid")
+	seen=$(target_requests)
+	send_hostile --inputs "$inputs" --seed "$seed"
+	after=$(resident_kib "$entry_pid")
+	result hostile_inputs "$(jq .inputs "$dir/hostile.json")" inputs
+	result hostile_not_refused "$(jq .accepted "$dir/hostile.json")" \
+		inputs max 0
+	result hostile_requests_at_target $(($(target_requests) - seen)) \
+		requests max 0
+	result hostile_growth "$((after - before))" KiB max \
+		"$HOSTILE_GROWTH_MAX_KIB"
+	kill -0 "$entry_pid" && answers "$entry_callers" near.bench.example &&
+		answers "$entry_callers" far.bench.example && alive=1
+	result hostile_node_answers "$alive" yes min 1
+}
+
+# ---- output ----
+
+print_text() {
+	jq -r '[.name, (.value * 1000 | round / 1000 | tostring), .unit,
+		(if .max != null then "at most \(.max)"
+		elif .min != null then "at least \(.min)" else "-" end),
+		(if .met == null then "-" elif .met then "met"
+		else "MISSED" end)] | @tsv' "$results" |
+		awk -F '\t' '{ printf "%-36s %12s %-11s %-16s %s\n",
+			$1, $2, $3, $4, $5 }'
+	[ ! -e "$dir/failed" ] || sed 's/^/checks of the load failed: /' \
+		"$dir/failed"
+}
+
+print_json() {
+	jq -s --arg load "$load_before" --arg seed "$seed" --arg quick "$quick" \
+		--slurpfile hostile "$dir/hostile.json" \
+		'{seed: $seed, quick: ($quick == "yes"), load_average: $load,
+		results: ., hostile: $hostile[0]}' "$results"
+}
+
+load_before=$(cut -d ' ' -f 1-3 /proc/loadavg)
+split_cpus
+start_fleet
+measure_idle
+start_targets
+measure_bodies
+measure_latency
+measure_saturation
+measure_hostile
+if [ "$json" = yes ]; then print_json; else print_text; fi
+[ ! -e "$dir/failed" ] && jq -s -e 'all(.met != false)' "$results" >/dev/null
