Refuse what may have waited for a whole pause

2 requests ran after a pause of 5 s although their callers had left after 0.6 s: EXECUTE names the remaining time, which began to count again when the message was read.

For 50 ms after a pause the exit refuses, as overloaded, requests with less time than the pause was long; their entries can still send them elsewhere.

--- a/src/libmasticmux/exit.c
+++ b/src/libmasticmux/exit.c
@@ -9,6 +9,8 @@
 #define ANSWER_BYTES_MAX (16 * 1024 * 1024)
 /* Leases, queued deadlines and old records are checked this often. */
 #define SWEEP_INTERVAL_US (100 * MMX_US_PER_MS)
+/* What piled up during a pause is read within this time. */
+#define RESUME_US (50 * MMX_US_PER_MS)
 
 /* --- targets ----------------------------------------------------------- */
 
@@ -142,6 +144,17 @@
 
 /* --- sweep ------------------------------------------------------------- */
 
+void mmx_exit_note_time(mmx_exit_t *exit)
+{
+	mmx_time_t now = mmx_clock_now(exit->clock);
+
+	if (now - exit->last_seen > MMX_EXIT_PAUSE_MIN_US) {
+		exit->paused_for = now - exit->last_seen;
+		exit->resumed_until = now + RESUME_US;
+	}
+	exit->last_seen = now;
+}
+
 static void on_sweep_(void *arg)
 {
 	mmx_exit_t *exit = arg;
@@ -149,6 +162,7 @@
 	mmx_time_t late = now - exit->last_sweep - SWEEP_INTERVAL_US;
 	mmx_exit_target_t *target;
 
+	mmx_exit_note_time(exit);
 	exit->last_sweep = now;
 	mmx_attempts_expire(exit->attempts);
 	LIST_FOREACH (target, &exit->targets, entry) {
@@ -171,6 +185,7 @@
 {
 	mmx_exit_t *exit = (mmx_exit_t *)task;
 
+	mmx_exit_note_time(exit);
 	switch ((mmx_message_kind_t)message->ops->kind) {
 	case MMX_MESSAGE_EXECUTE:
 		mmx_exit_on_execute(exit, (mmx_execute_t *)message);
@@ -324,6 +339,7 @@
 	mmx_attempts_set_guards(exit->attempts, exit->guards);
 	exit->last_sweep = mmx_clock_now(exit->clock);
 	exit->last_evaluation = exit->last_sweep;
+	exit->last_seen = exit->last_sweep;
 	mmx_timer_set(&exit->health, MMX_DETECTION_PERIOD_US);
 	mmx_timer_set(&exit->sweep, SWEEP_INTERVAL_US);
 }
--- a/src/libmasticmux/exit_attempt.c
+++ b/src/libmasticmux/exit_attempt.c
@@ -176,6 +176,11 @@
 	if (!*target ||
 	    strcmp((*target)->record.service, execute->service) != 0)
 		return MMX_REASON_DRAINING;
+	/* It may have waited for the whole pause; its entry can still send it
+	 * elsewhere. */
+	if (mmx_clock_now(exit->clock) < exit->resumed_until &&
+	    execute->remaining <= exit->paused_for)
+		return MMX_REASON_OVERLOADED;
 	/* Many entries together send one trial at a time. */
 	if (execute->trial && !mmx_detection_may_try((*target)->detection))
 		return MMX_REASON_OVERLOADED;
--- a/src/libmasticmux/exit_health.c
+++ b/src/libmasticmux/exit_health.c
@@ -148,6 +148,7 @@
 	bool paused = now - exit->last_evaluation > MMX_EXIT_PAUSE_MIN_US;
 	mmx_exit_target_t *target;
 
+	mmx_exit_note_time(exit);
 	exit->last_evaluation = now;
 	mmx_timer_set(&exit->health, MMX_DETECTION_PERIOD_US);
 	/* Responses that came while this process was paused are still to be
--- a/src/libmasticmux/include/private/exit_internal.h
+++ b/src/libmasticmux/include/private/exit_internal.h
@@ -30,6 +30,9 @@
 	mmx_exit_target_list_t targets;
 	mmx_timer_t sweep;
 	mmx_time_t last_sweep;
+	mmx_time_t last_seen;	  /* time of the latest message or timer */
+	mmx_time_t paused_for;	  /* length of the latest pause */
+	mmx_time_t resumed_until; /* messages may be from before it */
 	mmx_timer_t health;
 	mmx_time_t last_evaluation;
 	mmx_counter_t *started;
@@ -43,6 +46,9 @@
 mmx_exit_target_t *mmx_exit_find_target(const mmx_exit_t *exit,
 					mmx_target_id_t id);
 
+/* Notices a pause of the process; called for each message. */
+void mmx_exit_note_time(mmx_exit_t *exit);
+
 /* --- exit_attempt.c ---------------------------------------------------- */
 
 /* Each takes the message of an entry; execute is owned from then on. */
