--- a/src/libmasticmux/include/private/attempts.h
+++ b/src/libmasticmux/include/private/attempts.h
@@ -42,6 +42,7 @@
 	mmx_limits_share_t share; /* of its account */
 	bool under_floor;	  /* when it arrived */
 	bool repeatable;
+	bool keyed;	   /* kept for the lifetime of its claim */
 	bool abandoned;	   /* nobody waits for the response */
 	bool reply_at_end; /* a fencing query waits for the whole response */
 	bool headed;	   /* the target's head has arrived */
