Trace each hop and explain each decision

Cause: nothing said which evidence led to which decision, and no span was made outside the tests of the trace module. Change: spans for entry, each attempt, exit and target call, joined to the caller's traceparent, which answers carry too; events of requests and of target levels in the history; entries learn zone and state of other nodes for the rings; the node owns trace and exporter.

--- a/src/libmasticmux/attempts.c
+++ b/src/libmasticmux/attempts.c
@@ -1,4 +1,5 @@
 #include "private/attempts.h"
+#include "private/trace.h"
 
 #include <assert.h>
 #include <event2/buffer.h>
@@ -100,6 +101,8 @@
 	mmx_attempts_drop_answer(attempts, attempt);
 	if (attempt->execute)
 		mmx_message_destroy(&attempt->execute->message);
+	mmx_span_finish(attempt->call_span);
+	mmx_span_finish(attempt->span);
 	g_free(attempt);
 }
 
--- a/src/libmasticmux/entry.c
+++ b/src/libmasticmux/entry.c
@@ -25,6 +25,8 @@
 	const mmx_fold_t *const *fold;
 	const mmx_directory_t *directory;
 	mmx_counters_t *counters;
+	struct mmx_trace_t *trace;
+	mmx_history_t *history;
 	const mmx_guards_t *guards;
 	const mmx_view_members_ops_t *members;
 	void *members_context;
@@ -56,6 +58,7 @@
 	exchange->answer_body = evbuffer_new();
 	exchange->started = mmx_clock_now(entry->clock);
 	g_hash_table_insert(entry->by_request, &exchange->request, exchange);
+	mmx_entry_trace_start(exchange);
 	return exchange;
 }
 
@@ -67,6 +70,7 @@
 		g_hash_table_remove(entry->by_sequence,
 				    &exchange->attempt.sequence);
 	g_hash_table_remove(entry->by_request, &exchange->request);
+	mmx_entry_trace_end(exchange);
 	if (exchange->timer.clock)
 		mmx_timer_cancel(&exchange->timer);
 	mmx_head_destroy(exchange->head);
@@ -104,6 +108,7 @@
 			    mmx_reason_string[reason]);
 	answer->body_end = true;
 	count_(entry, outcome, reason);
+	mmx_entry_trace_answer(exchange, answer->head, outcome, reason);
 	mmx_task_post(entry->http, &answer->message);
 	mmx_entry_end(exchange);
 }
@@ -119,6 +124,8 @@
 	evbuffer_add_buffer(answer->body, body);
 	answer->body_end = end;
 	count_(entry, MMX_OUTCOME_COMPLETED, MMX_REASON_NONE);
+	mmx_entry_trace_answer(exchange, answer->head, MMX_OUTCOME_COMPLETED,
+			       MMX_REASON_NONE);
 	mmx_task_post(entry->http, &answer->message);
 }
 
@@ -134,6 +141,8 @@
 	evbuffer_add_buffer(answer->body, body);
 	answer->body_end = true;
 	count_(entry, answer->outcome, answer->reason);
+	mmx_entry_trace_answer(exchange, answer->head, answer->outcome,
+			       answer->reason);
 	mmx_task_post(entry->http, &answer->message);
 }
 
@@ -462,6 +471,22 @@
 	return true;
 }
 
+bool mmx_entry_set_trace(mmx_entry_t *entry, struct mmx_trace_t *trace)
+{
+	if (entry->running)
+		return false;
+	entry->trace = trace;
+	return true;
+}
+
+bool mmx_entry_set_history(mmx_entry_t *entry, mmx_history_t *history)
+{
+	if (entry->running)
+		return false;
+	entry->history = history;
+	return true;
+}
+
 bool mmx_entry_set_claims(mmx_entry_t *entry, mmx_task_t *claims)
 {
 	if (entry->running)
@@ -612,3 +637,13 @@
 {
 	return entry->claims;
 }
+
+struct mmx_trace_t *mmx_entry_trace(const mmx_entry_t *entry)
+{
+	return entry->trace;
+}
+
+mmx_history_t *mmx_entry_history(const mmx_entry_t *entry)
+{
+	return entry->history;
+}
--- /dev/null
+++ b/src/libmasticmux/entry_trace.c
@@ -0,0 +1,106 @@
+/* Spans and history of a request at its entry. */
+#include <glib.h>
+
+#include "masticmux/directory.h"
+#include "private/entry.h"
+#include "private/trace.h"
+
+void mmx_entry_trace_start(mmx_exchange_t *exchange)
+{
+	mmx_trace_t *trace = mmx_entry_trace(exchange->owner);
+	mmx_trace_context_t caller;
+
+	if (!trace)
+		return;
+	mmx_trace_context(trace, mmx_head_find(exchange->head, "traceparent"),
+			  &caller);
+	exchange->span =
+		mmx_span_start(trace, &caller, "entry", MMX_SPAN_SERVER);
+	mmx_span_context(exchange->span, &caller, &exchange->trace);
+	mmx_history_request(mmx_entry_history(exchange->owner),
+			    exchange->trace.trace_id, "received %s %s",
+			    exchange->head->method, exchange->head->uri);
+}
+
+static const char *target_name_(const mmx_exchange_t *exchange)
+{
+	const mmx_directory_target_t *target = mmx_directory_find(
+		mmx_entry_directory(exchange->owner), exchange->target);
+
+	return target ? mmx_directory_target_name(target) : "(left)";
+}
+
+void mmx_entry_trace_attempt(mmx_exchange_t *exchange)
+{
+	mmx_trace_t *trace = mmx_entry_trace(exchange->owner);
+
+	if (!trace)
+		return;
+	exchange->attempt_span = mmx_span_start(trace, &exchange->trace,
+						"attempt", MMX_SPAN_CLIENT);
+	mmx_span_set_number(exchange->attempt_span, "attempt",
+			    exchange->attempts);
+	mmx_span_set_text(exchange->attempt_span, "target",
+			  target_name_(exchange));
+	mmx_history_request(
+		mmx_entry_history(exchange->owner), exchange->trace.trace_id,
+		"attempt %u chose target %s%s", exchange->attempts,
+		target_name_(exchange), exchange->trial ? " as a trial" : "");
+}
+
+void mmx_entry_trace_context(const mmx_exchange_t *exchange,
+			     mmx_trace_context_t *out)
+{
+	mmx_span_context(exchange->attempt_span, &exchange->trace, out);
+}
+
+void mmx_entry_trace_attempt_end(mmx_exchange_t *exchange)
+{
+	mmx_span_finish(exchange->attempt_span);
+	exchange->attempt_span = NULL;
+}
+
+void mmx_entry_trace_note(mmx_exchange_t *exchange, const char *what,
+			  const char *detail)
+{
+	mmx_span_set_text(exchange->attempt_span, what, detail);
+	mmx_history_request(mmx_entry_history(exchange->owner),
+			    exchange->trace.trace_id, "attempt %u %s %s",
+			    exchange->attempts, what, detail);
+}
+
+void mmx_entry_trace_answer(mmx_exchange_t *exchange, mmx_head_t *head,
+			    mmx_outcome_t outcome, mmx_reason_t reason)
+{
+	char text[MMX_TRACEPARENT_SIZE];
+	mmx_time_t took;
+
+	if (!mmx_entry_trace(exchange->owner))
+		return;
+	took = mmx_clock_now(
+		       mmx_runtime_clock(mmx_entry_runtime(exchange->owner))) -
+	       exchange->started;
+	mmx_traceparent_format(&exchange->trace, text);
+	mmx_head_remove(head, "traceparent");
+	mmx_head_add(head, "traceparent", text);
+	mmx_span_set_text(exchange->span, "outcome",
+			  mmx_outcome_string[outcome]);
+	mmx_span_set_text(exchange->span, "reason", mmx_reason_string[reason]);
+	mmx_span_set_text(exchange->span, "service", exchange->service);
+	mmx_span_set_number(exchange->span, "http.response.status_code",
+			    head->status);
+	if (outcome != MMX_OUTCOME_COMPLETED)
+		mmx_span_set_failed(exchange->span);
+	mmx_history_request(mmx_entry_history(exchange->owner),
+			    exchange->trace.trace_id,
+			    "answered %d, outcome %s, reason %s after %d us",
+			    head->status, mmx_outcome_string[outcome],
+			    mmx_reason_string[reason], (int)took);
+}
+
+void mmx_entry_trace_end(mmx_exchange_t *exchange)
+{
+	mmx_entry_trace_attempt_end(exchange);
+	mmx_span_finish(exchange->span);
+	exchange->span = NULL;
+}
--- a/src/libmasticmux/exit.c
+++ b/src/libmasticmux/exit.c
@@ -326,6 +326,22 @@
 	return true;
 }
 
+bool mmx_exit_set_trace(mmx_exit_t *exit, struct mmx_trace_t *trace)
+{
+	if (exit->running)
+		return false;
+	exit->trace = trace;
+	return true;
+}
+
+bool mmx_exit_set_history(mmx_exit_t *exit, mmx_history_t *history)
+{
+	if (exit->running)
+		return false;
+	exit->history = history;
+	return true;
+}
+
 bool mmx_exit_set_log(mmx_exit_t *exit, mmx_log_t *log)
 {
 	if (exit->running)
--- a/src/libmasticmux/exit_attempt.c
+++ b/src/libmasticmux/exit_attempt.c
@@ -67,6 +67,7 @@
 			    mmx_reason_t reason)
 {
 	remove_from_queue_(attempt);
+	mmx_exit_trace_ended(attempt, mmx_reason_string[reason], true);
 	if (!attempt->abandoned)
 		mmx_exit_post_refusal(exit, &attempt->id, &attempt->origin,
 				      attempt->target, reason, false);
@@ -79,6 +80,7 @@
 	mmx_exit_target_t *target = attempt->target;
 
 	mmx_exit_health_end(attempt, MMX_RESULT_ABANDONED);
+	mmx_exit_trace_ended(attempt, mmx_attempt_state_string[state], false);
 	target->in_progress--;
 	mmx_limits_finish(target->limits, attempt->execute->account,
 			  mmx_clock_now(exit->clock));
@@ -106,6 +108,7 @@
 	call->remaining = attempt->deadline - attempt->started;
 	call->head = execute->head;
 	execute->head = NULL;
+	mmx_exit_trace_started(exit, attempt, call->head);
 	evbuffer_add_buffer(call->body, execute->body);
 	call->body_end = execute->body_end;
 	mmx_counter_add(exit->started, 1);
@@ -220,6 +223,7 @@
 	attempt->trial = execute->trial;
 	attempt->deadline = mmx_clock_now(exit->clock) + execute->remaining;
 	attempt->share = share_(exit, execute->account);
+	mmx_exit_trace_arrived(exit, attempt);
 	mmx_exit_target_queue(target, attempt, mmx_clock_now(exit->clock));
 	mmx_exit_start_queued(exit, target);
 }
--- a/src/libmasticmux/exit_health.c
+++ b/src/libmasticmux/exit_health.c
@@ -119,6 +119,20 @@
 	mmx_detection_set_peers(target->detection, &peers);
 }
 
+/* The evidence behind a change of level, for explain. */
+static void note_level_(mmx_exit_t *exit, const mmx_exit_target_t *target)
+{
+	const mmx_detection_t *detection = target->detection;
+	const mmx_suspicion_evidence_t *evidence =
+		mmx_detection_evidence(detection);
+
+	mmx_history_target(exit->history, target->record.id,
+			   "level %s: evidence %s, value %.1f, threshold %.1f",
+			   mmx_suspicion_string[mmx_detection_level(detection)],
+			   mmx_evidence_kind_string[evidence->kind],
+			   evidence->value, evidence->threshold);
+}
+
 static void evaluate_(mmx_exit_t *exit, mmx_exit_target_t *target,
 		      mmx_time_t now)
 {
@@ -138,6 +152,7 @@
 		mmx_evidence_kind_string
 			[mmx_detection_evidence(target->detection)->kind],
 		NULL);
+	note_level_(exit, target);
 	mmx_exit_health_tell(exit, target);
 }
 
--- a/src/libmasticmux/filter_attempt.c
+++ b/src/libmasticmux/filter_attempt.c
@@ -64,7 +64,7 @@
 	execute->keyed = exchange->key[0] != '\0';
 	execute->trial = exchange->trial;
 	execute->peers = mmx_view_summary(self->view, exchange->target);
-	execute->trace = exchange->trace;
+	mmx_entry_trace_context(exchange, &execute->trace);
 	execute->head = mmx_head_copy(exchange->head);
 	evbuffer_add_buffer_reference(execute->body, exchange->body);
 	execute->body_end = exchange->body_end;
@@ -94,6 +94,7 @@
 	exchange->attempt_started = mmx_clock_now(self->clock);
 	mmx_entry_new_attempt(exchange);
 	TAILQ_INSERT_TAIL(&self->open, exchange, path_entry);
+	mmx_entry_trace_attempt(exchange);
 	if (exchange->key[0] && mmx_entry_claims(self->entry))
 		mmx_attempt_claim(self, exchange);
 	else
@@ -115,6 +116,7 @@
 	if (exchange->state == MMX_EXCHANGE_WAITING)
 		return;
 	TAILQ_REMOVE(&self->open, exchange, path_entry);
+	mmx_entry_trace_attempt_end(exchange);
 	mmx_view_finish(self->view, exchange->target, exchange->exit);
 	end_trial_(self, exchange, MMX_VIEW_TRIAL_BAD);
 	exchange->state = MMX_EXCHANGE_WAITING;
@@ -189,6 +191,8 @@
 			       mmx_exchange_t *exchange, mmx_reason_t reason)
 {
 	end_trial_(self, exchange, MMX_VIEW_TRIAL_REFUSED);
+	mmx_entry_trace_note(exchange,
+			     "did not run:", mmx_reason_string[reason]);
 	mmx_attempt_close(self, exchange);
 	drop_held_answer_(exchange);
 	exchange->refusal = reason;
@@ -203,6 +207,8 @@
 static void retry_may_have_run_(mmx_attempt_filter_t *self,
 				mmx_exchange_t *exchange, mmx_reason_t reason)
 {
+	mmx_entry_trace_note(exchange,
+			     "may have run:", mmx_reason_string[reason]);
 	mmx_attempt_close(self, exchange);
 	drop_held_answer_(exchange);
 	exchange->may_have_run = true;
@@ -310,6 +316,8 @@
 	mmx_attempt_filter_t *self = (mmx_attempt_filter_t *)filter;
 
 	mmx_view_path_progress(self->view, exchange->exit);
+	mmx_entry_trace_note(exchange, "fence says",
+			     mmx_fence_state_string[reply->state]);
 	if (exchange->state == MMX_EXCHANGE_ANSWERING) {
 		/* The exit sends no more parts once it answered a fencing
 		 * query about an attempt whose head had been sent. */
--- a/src/libmasticmux/include/private/attempts.h
+++ b/src/libmasticmux/include/private/attempts.h
@@ -35,6 +35,8 @@
 	struct mmx_exit_target_t *target; /* while queued or running */
 	mmx_execute_t *execute;		  /* while queued or running */
 	mmx_origin_t origin;
+	struct mmx_span_t *span; /* NULL: not sampled, also the next */
+	struct mmx_span_t *call_span;
 	mmx_time_t arrived;
 	mmx_time_t started;
 	mmx_time_t deadline;
--- a/src/libmasticmux/include/private/entry.h
+++ b/src/libmasticmux/include/private/entry.h
@@ -13,12 +13,15 @@
 #define MASTICMUX_PRIVATE_ENTRY_H
 
 #include "masticmux/counters.h"
+#include "masticmux/history.h"
 #include "masticmux/log.h"
 #include "masticmux/random.h"
 #include "private/filter.h"
 #include "private/guards.h"
 #include "private/view.h"
 
+struct mmx_trace_t;
+
 typedef struct mmx_entry_t mmx_entry_t;
 
 mmx_entry_t *mmx_entry_create(mmx_runtime_t *runtime, mmx_node_id_t node,
@@ -45,6 +48,10 @@
 /* For tests only; what it points to outlives the entry. */
 bool mmx_entry_set_guards(mmx_entry_t *entry, const mmx_guards_t *guards);
 
+/* Without a trace, requests get neither spans nor events. */
+bool mmx_entry_set_trace(mmx_entry_t *entry, struct mmx_trace_t *trace);
+bool mmx_entry_set_history(mmx_entry_t *entry, mmx_history_t *history);
+
 /* Asserts that http, local exit, fold and directory were set. */
 void mmx_entry_init(mmx_entry_t *entry);
 
@@ -109,6 +116,26 @@
 				     mmx_exchange_t *exchange,
 				     mmx_body_t *body);
 
+/* --- spans and history (entry_trace.c) ---------------------------------- */
+
+void mmx_entry_trace_start(mmx_exchange_t *exchange);
+/* An attempt has been chosen. */
+void mmx_entry_trace_attempt(mmx_exchange_t *exchange);
+/* Context that goes to the exit. */
+void mmx_entry_trace_context(const mmx_exchange_t *exchange,
+			     mmx_trace_context_t *out);
+/* Something happened to the attempt; both are string constants. */
+void mmx_entry_trace_note(mmx_exchange_t *exchange, const char *what,
+			  const char *detail);
+void mmx_entry_trace_attempt_end(mmx_exchange_t *exchange);
+/* Adds the traceparent header to the answer's head. */
+void mmx_entry_trace_answer(mmx_exchange_t *exchange, mmx_head_t *head,
+			    mmx_outcome_t outcome, mmx_reason_t reason);
+void mmx_entry_trace_end(mmx_exchange_t *exchange);
+
+struct mmx_trace_t *mmx_entry_trace(const mmx_entry_t *entry);
+mmx_history_t *mmx_entry_history(const mmx_entry_t *entry);
+
 /* What the attempt filter needs of its entry. */
 mmx_runtime_t *mmx_entry_runtime(const mmx_entry_t *entry);
 const mmx_directory_t *mmx_entry_directory(const mmx_entry_t *entry);
--- a/src/libmasticmux/include/private/exchange.h
+++ b/src/libmasticmux/include/private/exchange.h
@@ -45,7 +45,9 @@
 	bool has_account;
 	mmx_account_t account_parameters;
 	bool repeatable;
-	mmx_trace_context_t trace;
+	mmx_trace_context_t trace; /* parent of the attempts' spans */
+	struct mmx_span_t *span;   /* NULL: not sampled, also the next */
+	struct mmx_span_t *attempt_span;
 	mmx_time_t started;
 	mmx_time_t deadline;
 	mmx_time_t caller_timeout; /* 0: none named */
--- a/src/libmasticmux/include/private/exit.h
+++ b/src/libmasticmux/include/private/exit.h
@@ -14,6 +14,7 @@
 #define MASTICMUX_PRIVATE_EXIT_H
 
 #include "masticmux/counters.h"
+#include "masticmux/history.h"
 #include "masticmux/fold.h"
 #include "masticmux/log.h"
 #include "private/guards.h"
@@ -38,6 +39,9 @@
 			   void *context);
 bool mmx_exit_set_fold(mmx_exit_t *exit, const mmx_fold_t *const *fold);
 bool mmx_exit_set_counters(mmx_exit_t *exit, mmx_counters_t *counters);
+struct mmx_trace_t;
+bool mmx_exit_set_trace(mmx_exit_t *exit, struct mmx_trace_t *trace);
+bool mmx_exit_set_history(mmx_exit_t *exit, mmx_history_t *history);
 bool mmx_exit_set_log(mmx_exit_t *exit, mmx_log_t *log);
 
 /* Bound on the ended attempts that are remembered, 1 or more. */
--- a/src/libmasticmux/include/private/exit_internal.h
+++ b/src/libmasticmux/include/private/exit_internal.h
@@ -4,6 +4,7 @@
 
 #include "private/attempts.h"
 #include "private/exit.h"
+#include "masticmux/history.h"
 #include "private/exit_target.h"
 
 /* A timer that comes this late tells that the process was paused. */
@@ -25,6 +26,8 @@
 	void *observer_context;
 	const mmx_fold_t *const *fold;
 	mmx_log_t *log;
+	struct mmx_trace_t *trace; /* NULL: no spans */
+	mmx_history_t *history;
 	size_t record_max;
 	mmx_attempts_t *attempts;
 	mmx_exit_target_list_t targets;
@@ -99,6 +102,16 @@
 /* The running attempt of this id, or NULL. */
 mmx_attempt_t *mmx_exit_running(mmx_exit_t *exit, const mmx_attempt_id_t *id);
 
+/* --- exit_trace.c ------------------------------------------------------ */
+
+void mmx_exit_trace_arrived(mmx_exit_t *exit, mmx_attempt_t *attempt);
+/* head: of the call; gets the traceparent for the target. */
+void mmx_exit_trace_started(mmx_exit_t *exit, mmx_attempt_t *attempt,
+			    mmx_head_t *head);
+/* result: a string constant. Allowed again afterwards. */
+void mmx_exit_trace_ended(mmx_attempt_t *attempt, const char *result,
+			  bool failed);
+
 /* --- exit_health.c ----------------------------------------------------- */
 
 void mmx_exit_health_init(mmx_exit_t *exit, mmx_exit_target_t *target);
--- a/src/libmasticmux/include/private/node_parts.h
+++ b/src/libmasticmux/include/private/node_parts.h
@@ -38,6 +38,8 @@
 
 struct mmx_config_task_t;
 struct mmx_entry_t;
+struct mmx_exporter_t;
+struct mmx_trace_t;
 struct mmx_exit_t;
 struct mmx_gossip_t;
 struct mmx_peer_t;
@@ -52,6 +54,8 @@
 	mmx_log_t *log;
 	mmx_history_t *history; /* events of a node have its id as target */
 	mmx_random_t random;
+	struct mmx_trace_t *trace;
+	struct mmx_exporter_t *exporter; /* NULL: no collector */
 	mmx_node_id_t id;
 	mmx_incarnation_t incarnation;
 	mmx_part_list_t parts;
--- a/src/libmasticmux/node.c
+++ b/src/libmasticmux/node.c
@@ -10,7 +10,9 @@
 
 #include "private/entry.h"
 #include "private/exit.h"
+#include "private/exporter.h"
 #include "private/node_parts.h"
+#include "private/trace.h"
 
 /* A planned stop ends at the latest after this time. */
 #define DRAIN_MAX_US (60 * MMX_US_PER_S)
@@ -21,11 +23,8 @@
 #define HISTORY_TARGET_EVENTS 2048
 
 static mmx_part_t *(*const part_table_[])(mmx_node_t *node) = {
-	mmx_part_fleet_create,
-	mmx_part_config_create,
-	mmx_part_claims_create,
-	mmx_part_path_create,
-	mmx_part_operator_create,
+	mmx_part_fleet_create, mmx_part_config_create,	 mmx_part_claims_create,
+	mmx_part_path_create,  mmx_part_operator_create,
 };
 
 static size_t in_progress_(const mmx_node_t *node)
@@ -104,6 +103,8 @@
 	node->history = mmx_history_create(node->clock, HISTORY_REQUEST_EVENTS,
 					   HISTORY_TARGET_EVENTS);
 	mmx_random_seed(&node->random, random_seed_());
+	node->trace =
+		mmx_trace_create(node->clock, &node->random, node->counters);
 	node->id = XXH64(settings->node_name, strlen(settings->node_name), 0);
 	node->incarnation = mmx_clock_wall(node->clock);
 	TAILQ_INIT(&node->parts);
@@ -140,6 +141,8 @@
 	for (i = 0; i < G_N_ELEMENTS(node->signals); i++)
 		if (node->signals[i])
 			event_free(node->signals[i]);
+	mmx_exporter_destroy(node->exporter);
+	mmx_trace_destroy(node->trace);
 	mmx_history_destroy(node->history);
 	mmx_log_destroy(node->log);
 	mmx_runtime_destroy(node->runtime);
@@ -148,6 +151,21 @@
 	g_free(node);
 }
 
+static void start_exporter_(mmx_node_t *node)
+{
+	const mmx_settings_t *settings = node->settings;
+
+	if (settings->collector.port == 0) {
+		/* Nobody would take the spans. */
+		mmx_trace_set_sampling(node->trace, 0);
+		return;
+	}
+	node->exporter = mmx_exporter_create(
+		node->runtime, node->trace, &settings->collector,
+		settings->node_name, node->counters);
+	mmx_exporter_init(node->exporter);
+}
+
 bool mmx_node_init(mmx_node_t *node, mmx_error_t *error)
 {
 	static const int numbers[] = {SIGTERM, SIGINT};
@@ -158,6 +176,7 @@
 		if (!part->ops->init(part, error))
 			return false;
 	signal(SIGPIPE, SIG_IGN);
+	start_exporter_(node);
 	for (i = 0; i < G_N_ELEMENTS(numbers); i++) {
 		node->signals[i] =
 			evsignal_new(node->base, numbers[i], on_signal_, node);
--- a/src/libmasticmux/part_path.c
+++ b/src/libmasticmux/part_path.c
@@ -1,6 +1,8 @@
 /* Part "path": what a request passes through on this node. */
 #include <glib.h>
+#include <string.h>
 
+#include "masticmux/gossip.h"
 #include "private/announce.h"
 #include "private/entry.h"
 #include "private/exit.h"
@@ -29,6 +31,40 @@
 
 static const mmx_exit_observer_ops_t observer_ops_ = {target_changed_};
 
+static mmx_ring_t ring_(void *context, mmx_node_id_t id)
+{
+	const mmx_node_t *node = context;
+	const mmx_member_t *member =
+		mmx_membership_find(mmx_gossip_membership(node->gossip), id);
+
+	if (id == node->id)
+		return MMX_RING_ZONE;
+	if (!member || strcmp(member->region, node->settings->region) != 0)
+		return MMX_RING_REMOTE;
+	return strcmp(member->zone, node->settings->zone) == 0
+		       ? MMX_RING_ZONE
+		       : MMX_RING_REGION;
+}
+
+static mmx_availability_t availability_(void *context, mmx_node_id_t id)
+{
+	const mmx_node_t *node = context;
+	const mmx_member_t *member =
+		mmx_membership_find(mmx_gossip_membership(node->gossip), id);
+
+	if (id == node->id)
+		return MMX_AVAILABLE;
+	if (!member || member->state == MMX_MEMBER_DEAD)
+		return MMX_AVAILABILITY_DEAD;
+	if (member->state == MMX_MEMBER_LEFT)
+		return MMX_AVAILABILITY_DRAINING;
+	return member->state == MMX_MEMBER_UNREACHABLE
+		       ? MMX_AVAILABILITY_UNREACHABLE
+		       : MMX_AVAILABLE;
+}
+
+static const mmx_view_members_ops_t members_ops_ = {ring_, availability_};
+
 static bool init_(mmx_part_t *part, mmx_error_t *error)
 {
 	path_t *path = (path_t *)part;
@@ -48,6 +84,8 @@
 	mmx_exit_set_fold(node->exit, &node->fold);
 	mmx_exit_set_counters(node->exit, node->counters);
 	mmx_exit_set_log(node->exit, node->log);
+	mmx_exit_set_trace(node->exit, node->trace);
+	mmx_exit_set_history(node->exit, node->history);
 	mmx_exit_init(node->exit);
 	mmx_entry_set_http(node->entry, mmx_http_entry_task(path->http));
 	mmx_entry_set_peer(node->entry, mmx_peer_task(node->peer));
@@ -56,6 +94,9 @@
 	mmx_entry_set_fold(node->entry, &node->fold);
 	mmx_entry_set_directory(node->entry, node->directory);
 	mmx_entry_set_counters(node->entry, node->counters);
+	mmx_entry_set_members(node->entry, &members_ops_, node);
+	mmx_entry_set_trace(node->entry, node->trace);
+	mmx_entry_set_history(node->entry, node->history);
 	mmx_entry_init(node->entry);
 	return mmx_announce_init(path->announce,
 				 &node->settings->listen_announce, error) &&
