--- a/src/test_libmasticmux/test_config_task.c
+++ b/src/test_libmasticmux/test_config_task.c
@@ -159,7 +159,55 @@
 	mmx_counters_destroy(counters);
 }
 
+static void post_gap_(mmx_config_task_t *task)
+{
+	mmx_config_records_t records = {
+		.news = {9, MMX_TIME_NEVER, MMX_TIME_NEVER}, .first = 9};
+	size_t length;
+	uint8_t *data = mmx_config_wire_put_records(&records, &length);
+
+	mmx_config_task_post_pulled(task, PEER, data, length);
+	g_free(data);
+}
+
+/* Guards against a node that goes back when it has to load and the peer gives
+ * a state older than its own. */
+static void test_older_state_(void)
+{
+	mmx_runtime_t *runtime = mmx_runtime_create(NULL);
+	mmx_fold_t *older = mmx_fold_create();
+	mmx_fold_t *newer = mmx_fold_create();
+	mmx_config_news_t news = {2, MMX_TIME_NEVER, MMX_TIME_NEVER};
+	seen_t seen = {0};
+	mmx_settings_t settings;
+	mmx_config_task_t *task = new_task_(runtime, &seen, NULL, &settings);
+	const mmx_config_t *config = mmx_config_task_config(task);
+	int i;
+
+	test_apply(older, test_template_record("t", "web", 0));
+	test_apply(newer, test_template_record("t", "web", 0));
+	test_apply(newer, test_account_record("a", "rider", 0, 1));
+	mmx_config_task_post_news(task, PEER, &news);
+	turn_(runtime, 0);
+	post_part_(task, newer);
+	turn_(runtime, MMX_US_PER_S);
+	CU_ASSERT_EQUAL(mmx_fold_applied(mmx_config_fold(config)), 2);
+	for (i = 0; i < 3; i++)
+		post_gap_(task);
+	turn_(runtime, 0);
+	CU_ASSERT_EQUAL_FATAL(seen.loads, 2);
+	post_part_(task, older);
+	turn_(runtime, 0);
+	CU_ASSERT_EQUAL(mmx_fold_applied(mmx_config_fold(config)), 2);
+	CU_ASSERT_EQUAL(mmx_config_stats(config)->loads_invalid, 1);
+	mmx_config_task_destroy(task);
+	mmx_fold_destroy(older);
+	mmx_fold_destroy(newer);
+	mmx_runtime_destroy(runtime);
+}
+
 CU_TestInfo mmx_tests_config_task[] = {
 	{"messages", test_messages_},
+	{"older state", test_older_state_},
 	CU_TEST_INFO_NULL,
 };
