Test the codec of STOP, trace ids and deferred responses

Cause: a request about a target of another node is answered later, possibly after the client or the server is gone.

Change: unit tests, and the incarnation in the events of a node.

--- a/src/libmasticmux/part_fleet.c
+++ b/src/libmasticmux/part_fleet.c
@@ -5,6 +5,7 @@
  */
 #include <glib.h>
 #include <event2/event.h>
+#include <inttypes.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -81,9 +82,10 @@
 {
 	mmx_node_t *node = arg;
 
-	mmx_history_target(node->history, member->id, "node %s is %s",
-			   member->name,
-			   mmx_member_state_string[member->state]);
+	mmx_history_target(node->history, member->id,
+			   "node %s is %s, incarnation %" PRIu64, member->name,
+			   mmx_member_state_string[member->state],
+			   member->incarnation);
 	if (before != member->state)
 		mmx_log_event(node->log, MMX_LOG_INFO, "member_state", "member",
 			      member->name, "zone", member->zone, "state",
--- a/src/test_libmasticmux/suites.c
+++ b/src/test_libmasticmux/suites.c
@@ -45,6 +45,7 @@
 	{"session", NULL, NULL, NULL, NULL, mmx_tests_session},
 	{"settings", NULL, NULL, NULL, NULL, mmx_tests_settings},
 	{"snapshot", NULL, NULL, NULL, NULL, mmx_tests_snapshot},
+	{"stop", NULL, NULL, NULL, NULL, mmx_tests_stop},
 	{"target_client", NULL, NULL, NULL, NULL, mmx_tests_target_client},
 	{"task", NULL, NULL, NULL, NULL, mmx_tests_task},
 	{"trace", NULL, NULL, NULL, NULL, mmx_tests_trace},
--- a/src/test_libmasticmux/suites.h
+++ b/src/test_libmasticmux/suites.h
@@ -46,6 +46,7 @@
 extern CU_TestInfo mmx_tests_session[];
 extern CU_TestInfo mmx_tests_settings[];
 extern CU_TestInfo mmx_tests_snapshot[];
+extern CU_TestInfo mmx_tests_stop[];
 extern CU_TestInfo mmx_tests_target_client[];
 extern CU_TestInfo mmx_tests_task[];
 extern CU_TestInfo mmx_tests_trace[];
--- a/src/test_libmasticmux/test_operator.c
+++ b/src/test_libmasticmux/test_operator.c
@@ -103,7 +103,81 @@
 	fixture_close(&fixture);
 }
 
+typedef struct deferral_t {
+	mmx_operator_reply_t *reply;
+	size_t count;
+} deferral_t;
+
+static json_t *defer_(mmx_operator_request_t *request, void *context)
+{
+	deferral_t *deferral = context;
+
+	deferral->reply = mmx_operator_defer(request);
+	deferral->count++;
+	return NULL;
+}
+
+static bool is_deferred_(void *arg)
+{
+	return ((deferral_t *)arg)->reply != NULL;
+}
+
+static void ask_(wire_t *wire, fixture_t *fixture, mmx_operator_t *server,
+		 deferral_t *deferral)
+{
+	static const char text[] = "GET /later HTTP/1.1\r\nHost: n\r\n"
+				   "Connection: close\r\n\r\n";
+
+	deferral->reply = NULL;
+	wire_open(wire, fixture, mmx_operator_port(server));
+	wire_send(wire, text, strlen(text));
+	CU_ASSERT_TRUE_FATAL(fixture_wait(fixture, is_deferred_, deferral));
+}
+
+/* Guards against responses that are lost or sent to a freed connection when
+ * another node has to answer first. */
+static void test_deferred_(void)
+{
+	mmx_address_t address = {.host = "127.0.0.1"};
+	deferral_t deferral = {0};
+	fixture_t fixture;
+	mmx_operator_t *server;
+	wire_t wire;
+	wire_t other;
+	int i;
+
+	fixture_open(&fixture);
+	server = mmx_operator_create(fixture.runtime, fixture.counters);
+	mmx_operator_register(server, MMX_OPERATOR_GET, "/later", defer_,
+			      &deferral);
+	CU_ASSERT_TRUE_FATAL(mmx_operator_init(server, &address, NULL));
+
+	ask_(&wire, &fixture, server, &deferral);
+	mmx_operator_reply(deferral.reply, 504, json_pack("{s:i}", "n", 7));
+	CU_ASSERT_TRUE(wire_expect_closed(&wire));
+	CU_ASSERT_TRUE(g_str_has_prefix(wire.in->str, "HTTP/1.1 504 "));
+	CU_ASSERT_PTR_NOT_NULL(strstr(wire.in->str, "\"n\": 7"));
+	wire_close(&wire);
+
+	ask_(&wire, &fixture, server, &deferral);
+	wire_close(&wire);
+	for (i = 0; i < 10; i++)
+		fixture_turn(&fixture);
+	mmx_operator_reply(deferral.reply, 200, json_object());
+
+	/* Destroyed with one client connected and one gone. */
+	ask_(&wire, &fixture, server, &deferral);
+	wire_close(&wire);
+	ask_(&other, &fixture, server, &deferral);
+	CU_ASSERT_EQUAL(deferral.count, 4);
+	mmx_operator_destroy(server);
+	CU_ASSERT_TRUE(wire_expect_closed(&other));
+	wire_close(&other);
+	fixture_close(&fixture);
+}
+
 CU_TestInfo mmx_tests_operator[] = {
 	{"requests", test_requests_},
+	{"deferred responses", test_deferred_},
 	CU_TEST_INFO_NULL,
 };
--- a/src/test_libmasticmux/test_trace.c
+++ b/src/test_libmasticmux/test_trace.c
@@ -62,6 +62,40 @@
 	}
 }
 
+static const struct {
+	const char *text;
+	bool valid;
+} ids_[] = {
+	{TRACE, true},
+	{"00-" TRACE "-" SPAN "-01", true},
+	{"4BF92F3577B34DA6A3CE929D0E0E4736", false},
+	{"4bf92f3577b34da6a3ce929d0e0e473", false},
+	{TRACE "0", false},
+	{"4bf92f3577b34da6a3ce929d0e0e473g", false},
+	{"00000000000000000000000000000000", false},
+	{"", false},
+};
+
+/* Guards against an operator's question about another request. */
+static void test_ids_(void)
+{
+	static const uint8_t expected[16] = {0x4b, 0xf9, 0x2f, 0x35, 0x77, 0xb3,
+					     0x4d, 0xa6, 0xa3, 0xce, 0x92, 0x9d,
+					     0x0e, 0x0e, 0x47, 0x36};
+	size_t i;
+
+	for (i = 0; i < sizeof(ids_) / sizeof(ids_[0]); i++) {
+		uint8_t id[16];
+		bool valid = mmx_trace_id_parse(ids_[i].text, id);
+
+		CU_ASSERT_EQUAL(valid, ids_[i].valid);
+		if (valid != ids_[i].valid)
+			printf("\n%s\n", ids_[i].text);
+		if (valid)
+			CU_ASSERT_EQUAL(memcmp(id, expected, 16), 0);
+	}
+}
+
 typedef struct setup_t {
 	mmx_clock_t *clock;
 	mmx_random_t random;
@@ -170,6 +204,7 @@
 
 CU_TestInfo mmx_tests_trace[] = {
 	{"traceparent", test_parents_},
+	{"trace ids", test_ids_},
 	{"spans", test_spans_},
 	{"sampling", test_sampling_},
 	{"queue is bounded", test_queue_is_bounded_},
