--- a/src/libmasticmux/node.c
+++ b/src/libmasticmux/node.c
@@ -21,11 +21,8 @@
 #define HISTORY_TARGET_EVENTS 2048
 
 static mmx_part_t *(*const part_table_[])(mmx_node_t *node) = {
-	mmx_part_fleet_create,
-	mmx_part_config_create,
-	mmx_part_claims_create,
-	mmx_part_path_create,
-	mmx_part_operator_create,
+	mmx_part_fleet_create, mmx_part_config_create,	 mmx_part_claims_create,
+	mmx_part_path_create,  mmx_part_operator_create,
 };
 
 static size_t in_progress_(const mmx_node_t *node)
--- a/src/libmasticmux/node_status.c
+++ b/src/libmasticmux/node_status.c
@@ -80,8 +80,7 @@
 		list = json_array();
 		json_object_set_new(collection->services, key, list);
 	}
-	json_array_append_new(list,
-			      target_(collection->node, target, member));
+	json_array_append_new(list, target_(collection->node, target, member));
 	g_free(key);
 }
 
@@ -143,8 +142,8 @@
 /* Newest offset first. */
 static json_t *in_force_(GHashTable *in_force)
 {
-	GList *offsets = g_list_sort(g_hash_table_get_keys(in_force),
-				     compare_offsets_);
+	GList *offsets =
+		g_list_sort(g_hash_table_get_keys(in_force), compare_offsets_);
 	json_t *list = json_array();
 	const GList *link;
 
--- a/src/libmasticmux/part_operator.c
+++ b/src/libmasticmux/part_operator.c
@@ -104,9 +104,9 @@
 			&g_array_index(events, mmx_history_event_t, i);
 
 		json_array_append_new(
-			list, json_pack("{s:o,s:o}", "time", time_(event->wall),
-					"text",
-					mmx_node_status_text(event->text)));
+			list,
+			json_pack("{s:o,s:o}", "time", time_(event->wall),
+				  "text", mmx_node_status_text(event->text)));
 	}
 	g_array_free(events, TRUE);
 	return list;
--- a/src/libmasticmux/stop.c
+++ b/src/libmasticmux/stop.c
@@ -66,8 +66,8 @@
 bool mmx_stop_handle(struct mmx_node_t *node, const mmx_stop_request_t *request,
 		     mmx_stop_progress_t *progress)
 {
-	mmx_target_id_t id = mmx_directory_id(node->settings->node_name,
-					      request->target);
+	mmx_target_id_t id =
+		mmx_directory_id(node->settings->node_name, request->target);
 	mmx_load_report_t load;
 
 	if (!mmx_exit_load(node->exit, id, &load))
--- a/src/masticmux/command_status.c
+++ b/src/masticmux/command_status.c
@@ -146,9 +146,9 @@
 
 static void print_targets_(const json_t *status)
 {
-	static const char *const head[] = {
-		"SERVICE", "TARGET",  "NODE",	"STATE",
-		"SLOTS",   "RUNNING", "QUEUED", "LEVEL"};
+	static const char *const head[] = {"SERVICE", "TARGET", "NODE",
+					   "STATE",   "SLOTS",	"RUNNING",
+					   "QUEUED",  "LEVEL"};
 	mmx_table_t *table = mmx_table_create(G_N_ELEMENTS(head));
 	json_t *services = json_object_get(status, "services");
 	const json_t *targets;
@@ -236,8 +236,8 @@
 		if (!options.targets)
 			options.targets = g_strdup("all");
 		settings = mmx_command_settings(options.settings);
-		status = settings ? run_(&options, settings)
-				  : MMX_EXIT_FINDINGS;
+		status =
+			settings ? run_(&options, settings) : MMX_EXIT_FINDINGS;
 		mmx_settings_destroy(settings);
 	}
 	g_free(options.settings);
