--- a/test/command_line.sh
+++ b/test/command_line.sh
@@ -55,5 +55,16 @@
 		--settings "examples/$customer-settings.toml" \
 		--change "examples/$customer-change.toml"
 done
+expect 1 stderr "masticmux status: missing option --settings" status
+expect 2 stderr "$bad:0:0: missing key 'listen', which must be a table with \
+callers, nodes, announce and operator" status --settings "$bad"
+expect 1 stderr "masticmux stop: missing option --target" \
+	stop --settings "$good"
+expect 1 stderr "masticmux stop: --timeout takes 1 to 3600 seconds" \
+	stop --settings "$good" --target t --timeout 0
+expect 1 stderr "masticmux explain: give either --request or --target" \
+	explain --settings "$good"
+expect 1 stderr "masticmux explain: give either --request or --target" \
+	explain --settings "$good" --request 1 --target t
 [ "$failures" -eq 0 ] && echo "command line: all cases passed"
 [ "$failures" -eq 0 ]
