--- a/src/libmasticmux/exit_attempt.c
+++ b/src/libmasticmux/exit_attempt.c
@@ -39,10 +39,12 @@
 static void post_fence_reply_(mmx_exit_t *exit, mmx_attempt_t *attempt,
 			      const mmx_attempt_id_t *id,
 			      const mmx_origin_t *origin,
+			      mmx_fence_purpose_t purpose,
 			      mmx_fence_state_t state)
 {
 	mmx_fence_reply_t *reply = mmx_new_fence_reply(id, state);
 
+	reply->purpose = purpose;
 	reply->exit = exit->node;
 	reply->origin = *origin;
 	if (state == MMX_FENCE_FINISHED && attempt && attempt->answer_head) {
@@ -57,8 +59,7 @@
 
 static void remove_from_queue_(mmx_attempt_t *attempt)
 {
-	TAILQ_REMOVE(&attempt->target->queue, attempt, queue_entry);
-	attempt->target->queued--;
+	mmx_exit_target_unqueue(attempt->target, attempt);
 }
 
 /* Ends a queued attempt that never starts. */
@@ -79,9 +80,11 @@
 
 	mmx_exit_health_end(attempt, MMX_RESULT_ABANDONED);
 	target->in_progress--;
+	mmx_limits_finish(target->limits, attempt->execute->account,
+			  mmx_clock_now(exit->clock));
 	if (attempt->reply_at_end)
 		post_fence_reply_(exit, attempt, &attempt->id, &attempt->origin,
-				  MMX_FENCE_FINISHED);
+				  MMX_FENCE_RECOVER, MMX_FENCE_FINISHED);
 	mmx_attempts_end(exit->attempts, attempt, state);
 	mmx_exit_start_queued(exit, target);
 }
@@ -94,6 +97,8 @@
 
 	remove_from_queue_(attempt);
 	target->in_progress++;
+	mmx_limits_start(target->limits, execute->account,
+			 mmx_clock_now(exit->clock));
 	attempt->state = MMX_ATTEMPT_RUNNING;
 	attempt->started = mmx_clock_now(exit->clock);
 	mmx_exit_health_start(attempt);
@@ -107,24 +112,33 @@
 	mmx_task_post(exit->client, &call->message);
 }
 
+/* Time that must be left for a start: what has waited starts only if it is
+ * likely to end before its deadline. */
+static mmx_time_t needed_(const mmx_attempt_t *attempt, mmx_time_t now)
+{
+	return attempt->arrived < now ? attempt->target->mean_service : 0;
+}
+
 void mmx_exit_start_queued(mmx_exit_t *exit, mmx_exit_target_t *target)
 {
 	mmx_time_t now = mmx_clock_now(exit->clock);
 	mmx_attempt_t *attempt;
 
-	while ((attempt = TAILQ_FIRST(&target->queue))) {
+	if (!mmx_exit_target_serves_queue(target, now) &&
+	    exit->guards->draining) {
+		mmx_exit_refuse_queue(exit, target);
+		return;
+	}
+	while ((attempt = mmx_exit_target_next(target, now))) {
 		/* The deadline is read here and not from a timer, so that a
 		 * process that was paused starts nothing whose time is up. */
-		if (attempt->deadline <= now) {
+		if (attempt->deadline - now <= needed_(attempt, now)) {
 			mmx_counter_add(exit->expired, 1);
-			mmx_exit_refuse_queued(exit, attempt,
-					       MMX_REASON_DEADLINE_EXCEEDED);
-			continue;
-		}
-		if (!mmx_exit_target_serves_queue(target, now) &&
-		    exit->guards->draining) {
-			mmx_exit_refuse_queued(exit, attempt,
-					       MMX_REASON_DRAINING);
+			mmx_exit_refuse_queued(
+				exit, attempt,
+				attempt->deadline <= now
+					? MMX_REASON_DEADLINE_EXCEEDED
+					: MMX_REASON_OVERLOADED);
 			continue;
 		}
 		if (!mmx_exit_target_can_start(target, now))
@@ -133,9 +147,27 @@
 	}
 }
 
+static mmx_limits_share_t share_(const mmx_exit_t *exit, const char *account)
+{
+	mmx_limits_share_t share = {.ceiling_percent = 100};
+	mmx_account_t parameters;
+
+	if (account[0] && exit->fold && *exit->fold &&
+	    mmx_fold_account(*exit->fold, account, &parameters)) {
+		share.floor_percent = parameters.floor_percent;
+		share.ceiling_percent = parameters.ceiling_percent;
+	}
+	return share;
+}
+
 static mmx_reason_t admit_(mmx_exit_t *exit, const mmx_execute_t *execute,
 			   mmx_exit_target_t **target)
 {
+	mmx_exit_request_t request = {
+		.account = execute->account,
+		.share = share_(exit, execute->account),
+		.remaining = execute->remaining,
+	};
 	mmx_reason_t reason;
 
 	*target = mmx_exit_find_target(exit, execute->target);
@@ -146,11 +178,16 @@
 	if (!*target ||
 	    strcmp((*target)->record.service, execute->service) != 0)
 		return MMX_REASON_DRAINING;
+	/* It may have waited for the whole pause; its entry can still send it
+	 * elsewhere. */
+	if (mmx_clock_now(exit->clock) < exit->resumed_until &&
+	    execute->remaining <= exit->paused_for)
+		return MMX_REASON_OVERLOADED;
 	/* Many entries together send one trial at a time. */
 	if (execute->trial && !mmx_detection_may_try((*target)->detection))
 		return MMX_REASON_OVERLOADED;
-	reason = mmx_exit_target_admit(*target, mmx_clock_now(exit->clock),
-				       execute->remaining);
+	reason = mmx_exit_target_admit(*target, &request,
+				       mmx_clock_now(exit->clock));
 	if (reason == MMX_REASON_DRAINING && !exit->guards->draining)
 		return MMX_REASON_NONE;
 	return reason;
@@ -179,10 +216,11 @@
 	attempt->target = target;
 	attempt->origin = execute->origin;
 	attempt->repeatable = execute->repeatable;
+	attempt->keyed = execute->keyed;
 	attempt->trial = execute->trial;
 	attempt->deadline = mmx_clock_now(exit->clock) + execute->remaining;
-	TAILQ_INSERT_TAIL(&target->queue, attempt, queue_entry);
-	target->queued++;
+	attempt->share = share_(exit, execute->account);
+	mmx_exit_target_queue(target, attempt, mmx_clock_now(exit->clock));
 	mmx_exit_start_queued(exit, target);
 }
 
@@ -246,37 +284,52 @@
 		mmx_exit_cut_running(exit, attempt);
 }
 
-static void fence_known_(mmx_exit_t *exit, mmx_attempt_t *attempt,
-			 const mmx_fence_t *fence)
+/* What becomes of an attempt that the exit knows. */
+static mmx_fence_state_t fence_known_(mmx_exit_t *exit, mmx_attempt_t *attempt,
+				      const mmx_fence_t *fence)
 {
 	switch (attempt->state) {
 	case MMX_ATTEMPT_QUEUED:
-		post_fence_reply_(exit, NULL, &fence->attempt, &fence->origin,
-				  MMX_FENCE_FENCED);
-		attempt->abandoned = true;
+		if (fence->purpose == MMX_FENCE_QUERY)
+			return MMX_FENCE_RUNNING;
+		/* Its entry hears of it unless it asked itself. */
+		attempt->abandoned = fence->purpose == MMX_FENCE_RECOVER;
 		mmx_exit_refuse_queued(exit, attempt, MMX_REASON_FENCED);
-		break;
+		return MMX_FENCE_FENCED;
 	case MMX_ATTEMPT_RUNNING:
+		if (fence->purpose != MMX_FENCE_RECOVER)
+			return MMX_FENCE_RUNNING;
 		attempt->origin = fence->origin;
 		attempt->abandoned = false;
 		/* What went out on the old connection, or was dropped after
 		 * it closed, may be lost: the whole response follows. */
 		if (attempt->headed)
 			attempt->reply_at_end = true;
-		post_fence_reply_(exit, NULL, &fence->attempt, &fence->origin,
-				  MMX_FENCE_RUNNING);
-		break;
+		return MMX_FENCE_RUNNING;
 	case MMX_ATTEMPT_FINISHED:
-		post_fence_reply_(exit, attempt, &fence->attempt,
-				  &fence->origin, MMX_FENCE_FINISHED);
-		break;
+		return MMX_FENCE_FINISHED;
 	default:
-		post_fence_reply_(exit, NULL, &fence->attempt, &fence->origin,
-				  MMX_FENCE_FENCED);
-		break;
+		return MMX_FENCE_FENCED;
 	}
 }
 
+/* What becomes of an attempt that has not arrived here. */
+static mmx_fence_state_t fence_new_(mmx_exit_t *exit, const mmx_fence_t *fence)
+{
+	mmx_attempt_t *attempt;
+
+	/* An earlier process here may have run it. */
+	if (fence->exit_incarnation != exit->incarnation &&
+	    exit->guards->incarnation)
+		return MMX_FENCE_FORGOTTEN;
+	/* It may still be on its way. */
+	if (fence->purpose == MMX_FENCE_QUERY)
+		return MMX_FENCE_RUNNING;
+	attempt = mmx_attempts_add(exit->attempts, &fence->attempt);
+	mmx_attempts_end(exit->attempts, attempt, MMX_ATTEMPT_REFUSED);
+	return MMX_FENCE_FENCED;
+}
+
 void mmx_exit_on_fence(mmx_exit_t *exit, const mmx_fence_t *fence)
 {
 	mmx_fence_state_t state = MMX_FENCE_FORGOTTEN;
@@ -285,21 +338,17 @@
 	mmx_counter_add(exit->fenced, 1);
 	switch (mmx_attempts_find(exit->attempts, &fence->attempt, &attempt)) {
 	case MMX_ATTEMPT_KNOWN:
-		fence_known_(exit, attempt, fence);
-		return;
+		state = fence_known_(exit, attempt, fence);
+		break;
 	case MMX_ATTEMPT_NEW:
-		/* An earlier process here may have run it. */
-		if (fence->exit_incarnation != exit->incarnation &&
-		    exit->guards->incarnation)
-			break;
-		attempt = mmx_attempts_add(exit->attempts, &fence->attempt);
-		mmx_attempts_end(exit->attempts, attempt, MMX_ATTEMPT_REFUSED);
-		state = MMX_FENCE_FENCED;
+		state = fence_new_(exit, fence);
 		break;
 	default:
 		break;
 	}
-	post_fence_reply_(exit, NULL, &fence->attempt, &fence->origin, state);
+	post_fence_reply_(exit, state == MMX_FENCE_FINISHED ? attempt : NULL,
+			  &fence->attempt, &fence->origin, fence->purpose,
+			  state);
 }
 
 /* --- connections ------------------------------------------------------- */
