--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -80,3 +80,40 @@
 		sleep 0.02
 	done
 }
+
+# port_is_free PORT: nothing listens there.
+port_is_free() { ! (exec 3<>"/dev/tcp/127.0.0.1/$1") 2>/dev/null; }
+
+# free_ports COUNT: sets the array ports to different free ports below those
+# that the kernel hands out for port 0.
+free_ports() {
+	local port
+	ports=()
+	while [ "${#ports[@]}" -lt "$1" ]; do
+		port=$((10000 + RANDOM % 20000))
+		case " ${ports[*]} " in *" $port "*) continue ;; esac
+		port_is_free "$port" && ports+=("$port")
+	done
+}
+
+# node_settings NAME REGION ZONE SEED LOG: settings of a node on the first four
+# of the array ports; SEED and LOG are addresses.
+node_settings() {
+	cat <<-END
+		[node]
+		name = "$1"
+		region = "$2"
+		zone = "$3"
+		fleet_keys = ["demo:$(printf '%064d' 7)"]
+		[listen]
+		callers = "127.0.0.1:${ports[0]}"
+		nodes = "127.0.0.1:${ports[1]}"
+		announce = "127.0.0.1:${ports[2]}"
+		operator = "127.0.0.1:${ports[3]}"
+		[fleet]
+		seeds = ["$4"]
+		[log_service]
+		address = "$5"
+		retention_s = 3600
+	END
+}
