--- a/src/libmasticmux/membership_sync.c
+++ b/src/libmasticmux/membership_sync.c
@@ -177,9 +177,9 @@
 
 void mmx_membership_sync_hasten(mmx_membership_t *m)
 {
-	mmx_time_t next = mmx_clock_now(m->clock) +
-			  (mmx_time_t)mmx_random_below(&m->random,
-						       SYNC_HASTENED_US);
+	mmx_time_t next =
+		mmx_clock_now(m->clock) +
+		(mmx_time_t)mmx_random_below(&m->random, SYNC_HASTENED_US);
 
 	if (next < m->next_sync)
 		m->next_sync = next;
