--- a/test/net.c
+++ b/test/net.c
@@ -240,13 +240,6 @@
 
 /* --- receiving --------------------------------------------------------- */
 
-static char *attempt_key_(const mmx_attempt_id_t *id)
-{
-	return g_strdup_printf("%llx/%llu/%llu", (unsigned long long)id->entry,
-			       (unsigned long long)id->incarnation,
-			       (unsigned long long)id->sequence);
-}
-
 static void trace_execute_(const node_t *node, const mmx_execute_t *execute)
 {
 	const char *request = mmx_head_find(execute->head, "X-Request");
@@ -277,7 +270,7 @@
 	case MMX_MESSAGE_CANCEL:
 		g_hash_table_add(
 			node->world->cancelled,
-			attempt_key_(&((mmx_cancel_t *)message)->attempt));
+			world_key(&((mmx_cancel_t *)message)->attempt));
 		break;
 	default:
 		break;
@@ -290,12 +283,11 @@
 	if (message->ops->kind == MMX_MESSAGE_EXECUTE)
 		g_hash_table_add(
 			c->carried,
-			attempt_key_(
-				&((const mmx_execute_t *)message)->attempt));
+			world_key(&((const mmx_execute_t *)message)->attempt));
 	else if (message->ops->kind == MMX_MESSAGE_FENCE)
 		g_hash_table_add(
 			c->carried,
-			attempt_key_(&((const mmx_fence_t *)message)->attempt));
+			world_key(&((const mmx_fence_t *)message)->attempt));
 }
 
 /* An attempt is settled for this connection with its last message. */
@@ -448,16 +440,6 @@
 	return c;
 }
 
-static node_t *find_node_(world_t *world, mmx_node_id_t id)
-{
-	unsigned int i;
-
-	for (i = 0; i < world->node_count; i++)
-		if (world->nodes[i].id == id)
-			return &world->nodes[i];
-	g_assert_not_reached();
-}
-
 /* The newest usable connection, other than the one given. */
 static connection_t *usable_(node_t *from, node_t *to, uint64_t without)
 {
@@ -506,7 +488,7 @@
 
 static void from_entry_(node_t *node, mmx_message_t *message, mmx_node_id_t to)
 {
-	node_t *exit = find_node_(node->world, to);
+	node_t *exit = world_node(node->world, to);
 	uint64_t sequence = sequence_(message);
 	uint64_t path = path_(node, sequence);
 	connection_t *c;
--- a/test/target.c
+++ b/test/target.c
@@ -31,13 +31,6 @@
 	unsigned int references; /* events that are scheduled */
 } call_t;
 
-static char *key_(const mmx_attempt_id_t *id)
-{
-	return g_strdup_printf("%llx/%llu/%llu", (unsigned long long)id->entry,
-			       (unsigned long long)id->incarnation,
-			       (unsigned long long)id->sequence);
-}
-
 static void release_(void *arg)
 {
 	call_t *call = arg;
@@ -287,7 +280,7 @@
 	call->node = node;
 	call->incarnation = node->incarnation;
 	call->attempt = message->attempt;
-	call->key = key_(&message->attempt);
+	call->key = world_key(&message->attempt);
 	call->request = g_ascii_strtoull(request, NULL, 10);
 	call->size = (size_t)g_ascii_strtoull(size, NULL, 10);
 	call->body = evbuffer_get_length(message->body);
@@ -305,7 +298,7 @@
 
 static call_t *find_call_(node_t *node, const mmx_attempt_id_t *attempt)
 {
-	char *key = key_(attempt);
+	char *key = world_key(attempt);
 	call_t *call = NULL;
 	unsigned int i;
 
--- a/test/world.c
+++ b/test/world.c
@@ -61,6 +61,23 @@
 						  (uint64_t)(high - low + 1));
 }
 
+char *world_key(const mmx_attempt_id_t *id)
+{
+	return g_strdup_printf("%llx/%llu/%llu", (unsigned long long)id->entry,
+			       (unsigned long long)id->incarnation,
+			       (unsigned long long)id->sequence);
+}
+
+node_t *world_node(world_t *world, mmx_node_id_t id)
+{
+	unsigned int i;
+
+	for (i = 0; i < world->node_count; i++)
+		if (world->nodes[i].id == id)
+			return &world->nodes[i];
+	g_assert_not_reached();
+}
+
 /* --- trace and breaches ------------------------------------------------ */
 
 static char *line_(world_t *world, uint64_t request, const char *format,
@@ -221,20 +238,10 @@
 
 /* --- members ----------------------------------------------------------- */
 
-static node_t *find_node_(world_t *world, mmx_node_id_t id)
-{
-	unsigned int i;
-
-	for (i = 0; i < world->node_count; i++)
-		if (world->nodes[i].id == id)
-			return &world->nodes[i];
-	g_assert_not_reached();
-}
-
 static mmx_ring_t ring_(void *context, mmx_node_id_t id)
 {
 	const node_t *node = context;
-	const node_t *other = find_node_(node->world, id);
+	const node_t *other = world_node(node->world, id);
 
 	if (node->zone == other->zone)
 		return MMX_RING_ZONE;
--- a/test/world.h
+++ b/test/world.h
@@ -183,6 +183,11 @@
 node_t *world_add_node(world_t *world, unsigned int zone, unsigned int region);
 void world_start_node(node_t *node);
 
+/* The node of an id; it must exist. */
+node_t *world_node(world_t *world, mmx_node_id_t id);
+/* Text that stands for an attempt; free with g_free(). */
+char *world_key(const mmx_attempt_id_t *id);
+
 mmx_time_t world_now(const world_t *world);
 void world_run(world_t *world, mmx_time_t by);
 
