Close connections between nodes last in a planned stop

Cause: a node that stopped ended its loop as soon as nothing was in progress, with responses to other entries and callers possibly still unsent; many changes of members at once could make directory syncs follow each other.

--- a/Makefile
+++ b/Makefile
@@ -87,7 +87,7 @@
 	clang-format -i $(FORMAT_SRC)
 
 format-check:
-	clang-format --dry-run -Werror $(FORMAT_SRC)
+	@clang-format --dry-run -Werror $(FORMAT_SRC)
 
 LINT_JOBS ?= 10
 LINT_FLAGS = $(CPPFLAGS) $(PKG_CFLAGS) $(TEST_CFLAGS) -std=gnu11
--- a/src/libmasticmux/include/private/node_parts.h
+++ b/src/libmasticmux/include/private/node_parts.h
@@ -23,6 +23,8 @@
 	bool (*init)(mmx_part_t *part, mmx_error_t *error);
 	/* Begins a planned stop; may be NULL. */
 	void (*drain)(mmx_part_t *part);
+	/* Second step, once nothing is in progress; may be NULL. */
+	void (*finish)(mmx_part_t *part);
 	/* Work that a planned stop has to wait for; may be NULL. */
 	size_t (*in_progress)(const mmx_part_t *part);
 	void (*destroy)(mmx_part_t *part);
@@ -60,6 +62,7 @@
 	mmx_incarnation_t incarnation;
 	mmx_part_list_t parts;
 	bool draining;
+	bool finishing; /* second step of a planned stop */
 	mmx_timer_t drain_timer;
 	mmx_time_t drain_deadline;
 	struct event *signals[2];
--- a/src/libmasticmux/membership_sync.c
+++ b/src/libmasticmux/membership_sync.c
@@ -181,6 +181,9 @@
 		mmx_clock_now(m->clock) +
 		(mmx_time_t)mmx_random_below(&m->random, SYNC_HASTENED_US);
 
+	/* Many changes at once must not make syncs follow each other. */
+	if (next < m->last_sync + REJOIN_SYNC_PERIOD)
+		next = m->last_sync + REJOIN_SYNC_PERIOD;
 	if (next < m->next_sync)
 		m->next_sync = next;
 }
--- a/src/libmasticmux/node.c
+++ b/src/libmasticmux/node.c
@@ -42,12 +42,20 @@
 {
 	mmx_node_t *node = arg;
 
-	if (in_progress_(node) > 0 &&
-	    mmx_clock_now(node->clock) < node->drain_deadline) {
-		mmx_timer_set(&node->drain_timer, DRAIN_POLL_US);
+	bool expired = mmx_clock_now(node->clock) >= node->drain_deadline;
+	mmx_part_t *part;
+
+	if (expired || (node->finishing && in_progress_(node) == 0)) {
+		event_base_loopbreak(node->base);
 		return;
 	}
-	event_base_loopbreak(node->base);
+	if (in_progress_(node) == 0) {
+		node->finishing = true;
+		TAILQ_FOREACH (part, &node->parts, entry)
+			if (part->ops->finish)
+				part->ops->finish(part);
+	}
+	mmx_timer_set(&node->drain_timer, DRAIN_POLL_US);
 }
 
 static void on_signal_(evutil_socket_t number, short what, void *arg)
--- a/src/libmasticmux/part_fleet.c
+++ b/src/libmasticmux/part_fleet.c
@@ -24,6 +24,7 @@
 	mmx_part_t part;
 	mmx_peer_resolver_t resolver;
 	mmx_timer_t expiry;
+	bool peer_draining;
 } fleet_t;
 
 /* A sync request that waits for its answer. */
@@ -235,6 +236,30 @@
 	mmx_gossip_leave(part->node->gossip);
 }
 
+static void on_peer_drained_(void *arg)
+{
+	fleet_t *fleet = arg;
+
+	fleet->peer_draining = false;
+}
+
+/* Responses to other entries are still on these connections, and fencing
+ * queries come on new ones, so they close last. */
+static void finish_(mmx_part_t *part)
+{
+	fleet_t *fleet = (fleet_t *)part;
+
+	fleet->peer_draining = true;
+	mmx_peer_drain(part->node->peer, on_peer_drained_, fleet);
+}
+
+static size_t in_progress_(const mmx_part_t *part)
+{
+	const fleet_t *fleet = (const fleet_t *)part;
+
+	return fleet->peer_draining ? 1 : 0;
+}
+
 static void destroy_(mmx_part_t *part)
 {
 	fleet_t *fleet = (fleet_t *)part;
@@ -254,6 +279,8 @@
 	.name = "fleet",
 	.init = init_,
 	.drain = drain_,
+	.finish = finish_,
+	.in_progress = in_progress_,
 	.destroy = destroy_,
 };
 
--- a/src/libmasticmux/part_path.c
+++ b/src/libmasticmux/part_path.c
@@ -114,7 +114,11 @@
 
 static size_t in_progress_(const mmx_part_t *part)
 {
-	return mmx_entry_in_progress(part->node->entry) +
+	const path_t *path = (const path_t *)part;
+
+	/* Answers may still be on their way to callers. */
+	return mmx_http_entry_connections(path->http) +
+	       mmx_entry_in_progress(part->node->entry) +
 	       mmx_exit_in_progress(part->node->exit, NULL);
 }
 
