Name the deadline when a request was fenced because of it

A request that still waited in a queue shortly before its deadline was refused with path-lost although the path was well. The entry tells the two apart by whether the peer task reported the path.

One case fails before and passes after.

--- a/src/libmasticmux/filter_attempt.c
+++ b/src/libmasticmux/filter_attempt.c
@@ -92,6 +92,7 @@
 	exchange->trial = choice->trial;
 	exchange->tried[exchange->attempts++] = exchange->target;
 	exchange->attempt_started = mmx_clock_now(self->clock);
+	exchange->path_lost = false;
 	mmx_entry_new_attempt(exchange);
 	TAILQ_INSERT_TAIL(&self->open, exchange, path_entry);
 	if (exchange->key[0] && mmx_entry_claims(self->entry))
@@ -138,8 +139,10 @@
 		return MMX_REASON_TARGET_FAILED;
 	case MMX_REASON_DRAINING:
 		return MMX_REASON_NO_CAPACITY;
-	case MMX_REASON_WRONG_INCARNATION:
 	case MMX_REASON_FENCED:
+		/* By this entry, because the deadline was near. */
+		return MMX_REASON_DEADLINE_EXCEEDED;
+	case MMX_REASON_WRONG_INCARNATION:
 	case MMX_REASON_FORGOTTEN:
 		return MMX_REASON_PATH_LOST;
 	default:
@@ -303,6 +306,17 @@
 	mmx_attempt_refuse(self, exchange, MMX_REASON_DEADLINE_EXCEEDED);
 }
 
+/*
+ * It did not run. Without a lost path the query was sent because the deadline
+ * is near: if there is no other target, that is the reason.
+ */
+static void on_fenced_(mmx_attempt_filter_t *self, mmx_exchange_t *exchange)
+{
+	mmx_attempt_retry_not_run(self, exchange,
+				  exchange->path_lost ? MMX_REASON_PATH_LOST
+						      : MMX_REASON_FENCED);
+}
+
 void mmx_filter_attempt_fence_reply(mmx_filter_t *filter,
 				    mmx_exchange_t *exchange,
 				    mmx_fence_reply_t *reply)
@@ -319,7 +333,7 @@
 	}
 	switch (reply->state) {
 	case MMX_FENCE_FENCED:
-		mmx_attempt_retry_not_run(self, exchange, MMX_REASON_PATH_LOST);
+		on_fenced_(self, exchange);
 		break;
 	case MMX_FENCE_RUNNING:
 		exchange->state = MMX_EXCHANGE_RUNNING;
@@ -351,6 +365,7 @@
 		/* Nothing of this exchange has been sent on the path. */
 		return;
 	}
+	exchange->path_lost = true;
 	if (exchange->state == MMX_EXCHANGE_ANSWERING) {
 		cancel_answer_(self, exchange);
 	} else if (exchange->repeatable || !self->guards->fence) {
@@ -384,16 +399,21 @@
 static void on_refusal_(mmx_attempt_filter_t *self, mmx_exchange_t *exchange,
 			const mmx_response_t *response)
 {
+	mmx_reason_t reason = response->reason;
+
 	if (exchange->state == MMX_EXCHANGE_ANSWERING) {
 		cut_answer_(self, exchange);
 		return;
 	}
-	if (response->started && response->reason == MMX_REASON_TARGET_FAILED)
+	/* An attempt that arrives after its fencing query was late. */
+	if (reason == MMX_REASON_FENCED)
+		reason = MMX_REASON_PATH_LOST;
+	if (response->started && reason == MMX_REASON_TARGET_FAILED)
 		mmx_view_completed(self->view, exchange->target, 0, true);
 	if (response->started)
-		retry_may_have_run_(self, exchange, response->reason);
+		retry_may_have_run_(self, exchange, reason);
 	else
-		mmx_attempt_retry_not_run(self, exchange, response->reason);
+		mmx_attempt_retry_not_run(self, exchange, reason);
 }
 
 /* From here on only the deadline ends it; no fencing query is repeated. */
--- a/src/libmasticmux/include/private/exchange.h
+++ b/src/libmasticmux/include/private/exchange.h
@@ -56,6 +56,7 @@
 	mmx_incarnation_t exit_incarnation;
 	mmx_target_id_t target;
 	mmx_time_t attempt_started;
+	bool path_lost;		 /* told of the attempt that is out */
 	bool trial;		 /* of an ejected target; not decided yet */
 	mmx_time_t target_time;	 /* at the exit, until the head */
 	mmx_time_t head_arrived; /* here */
--- a/src/test_libmasticmux/test_entry.c
+++ b/src/test_libmasticmux/test_entry.c
@@ -379,6 +379,10 @@
 		 "targets; request; wait ms=1900; refuse deadline-exceeded",
 		 "execute1:0 fence1 "
 		 "answer1:not-run:deadline-exceeded:504:27:end "},
+		{"in a queue until the deadline is near",
+		 "targets count=1; request; wait ms=1900; fence-reply fenced",
+		 "execute1:0 fence1 "
+		 "answer1:not-run:deadline-exceeded:504:27:end "},
 		{"deadline of the caller",
 		 "targets; request ms=500; wait ms=500",
 		 "execute1:0 fence1 cancel1 "
