Bound the targets that a status lists

Cause: listing all 53,000 targets of the design size would hold the loop of a node for more than 100 ms and take 44 MB (a trial with Jansson alone).

Change: a status lists at most 4,096 targets, those beside the node first, and tells how many are left out; it can be narrowed to one service.

--- a/src/libmasticmux/include/private/node_status.h
+++ b/src/libmasticmux/include/private/node_status.h
@@ -16,8 +16,21 @@
 
 extern const char *const mmx_status_targets_string[MMX_STATUS_TARGETS_COUNT];
 
+/*
+ * Most targets that a status lists. All 53,000 targets of the design size would
+ * hold the loop for more than 100 ms and take 44 MB.
+ */
+#define MMX_STATUS_TARGETS_MAX 4096
+
+typedef struct mmx_status_query_t {
+	mmx_status_targets_t targets;
+	const char *service; /* list this one only; NULL: any */
+	size_t targets_max;  /* 0..MMX_STATUS_TARGETS_MAX */
+} mmx_status_query_t;
+
 /* Returns a new reference. Valid while the parts of the node are running. */
-json_t *mmx_node_status(const mmx_node_t *node, mmx_status_targets_t targets);
+json_t *mmx_node_status(const mmx_node_t *node,
+			const mmx_status_query_t *query);
 
 /* Text as JSON; bytes that are not UTF-8 are replaced. */
 json_t *mmx_node_status_text(const char *text);
--- a/src/libmasticmux/node_status.c
+++ b/src/libmasticmux/node_status.c
@@ -1,6 +1,7 @@
 #include "private/node_status.h"
 
 #include <glib.h>
+#include <string.h>
 
 #include "masticmux/config_task.h"
 #include "masticmux/detection.h"
@@ -17,9 +18,11 @@
 /* What is collected while the members are visited. */
 typedef struct collection_t {
 	const mmx_node_t *node;
-	mmx_status_targets_t targets;
+	const mmx_status_query_t *query;
 	json_t *members;
 	json_t *services;
+	size_t listed;	 /* targets */
+	size_t left_out; /* targets beyond the bound */
 	size_t counts[MMX_MEMBER_STATE_COUNT];
 	GHashTable *in_force; /* applied offset -> alive nodes */
 } collection_t;
@@ -68,11 +71,8 @@
 	return item;
 }
 
-static void add_target_(collection_t *collection,
-			const mmx_directory_target_t *target,
-			const mmx_member_t *member)
+static json_t *service_list_(collection_t *collection, const char *service)
 {
-	const char *service = mmx_directory_target_service(target);
 	char *key = g_utf8_make_valid(service, -1);
 	json_t *list = json_object_get(collection->services, key);
 
@@ -80,8 +80,27 @@
 		list = json_array();
 		json_object_set_new(collection->services, key, list);
 	}
-	json_array_append_new(list, target_(collection->node, target, member));
 	g_free(key);
+	return list;
+}
+
+static void add_target_(collection_t *collection,
+			const mmx_directory_target_t *target,
+			const mmx_member_t *member)
+{
+	const char *service = mmx_directory_target_service(target);
+	const char *wanted = collection->query->service;
+
+	if (mmx_directory_target_state(target) == MMX_TARGET_GONE ||
+	    (wanted && strcmp(service, wanted) != 0))
+		return;
+	if (collection->listed == collection->query->targets_max) {
+		collection->left_out++;
+		return;
+	}
+	collection->listed++;
+	json_array_append_new(service_list_(collection, service),
+			      target_(collection->node, target, member));
 }
 
 static void add_targets_(collection_t *collection, const mmx_member_t *member)
@@ -90,8 +109,7 @@
 		collection->node->directory, member->id);
 
 	for (; target; target = mmx_directory_node_next(target))
-		if (mmx_directory_target_state(target) != MMX_TARGET_GONE)
-			add_target_(collection, target, member);
+		add_target_(collection, target, member);
 }
 
 /* --- members ----------------------------------------------------------- */
@@ -113,7 +131,6 @@
 static void on_member_(void *arg, const mmx_member_t *member)
 {
 	collection_t *collection = arg;
-	bool is_self = member->id == collection->node->id;
 
 	json_array_append_new(
 		collection->members,
@@ -126,8 +143,8 @@
 	collection->counts[member->state]++;
 	if (member->state == MMX_MEMBER_ALIVE)
 		count_in_force_(collection->in_force, member->applied_offset);
-	if (collection->targets == MMX_STATUS_TARGETS_ALL ||
-	    (collection->targets == MMX_STATUS_TARGETS_LOCAL && is_self))
+	if (collection->query->targets == MMX_STATUS_TARGETS_ALL &&
+	    member->id != collection->node->id)
 		add_targets_(collection, member);
 }
 
@@ -195,11 +212,12 @@
 			 mmx_config_reader_rank(config));
 }
 
-json_t *mmx_node_status(const mmx_node_t *node, mmx_status_targets_t targets)
+json_t *mmx_node_status(const mmx_node_t *node, const mmx_status_query_t *query)
 {
+	mmx_membership_t *membership = mmx_gossip_membership(node->gossip);
 	collection_t collection = {
 		.node = node,
-		.targets = targets,
+		.query = query,
 		.members = json_array(),
 		.services = json_object(),
 		.in_force = g_hash_table_new_full(g_int64_hash, g_int64_equal,
@@ -207,16 +225,19 @@
 	};
 	json_t *status;
 
-	mmx_membership_each(mmx_gossip_membership(node->gossip), on_member_,
-			    &collection);
+	/* The bound leaves out targets of other nodes first. */
+	if (query->targets != MMX_STATUS_TARGETS_NONE)
+		add_targets_(&collection, mmx_membership_self(membership));
+	mmx_membership_each(membership, on_member_, &collection);
 	status = json_pack(
-		"{s:o,s:o,s:{s:o,s:o},s:o,s:o,s:o,s:o}", "node", node_(node),
-		"configuration", configuration_(node), "requests", "entry",
-		number_(mmx_entry_in_progress(node->entry)), "exit",
+		"{s:o,s:o,s:{s:o,s:o},s:o,s:o,s:o,s:o,s:o}", "node",
+		node_(node), "configuration", configuration_(node), "requests",
+		"entry", number_(mmx_entry_in_progress(node->entry)), "exit",
 		number_(mmx_exit_in_progress(node->exit, NULL)), "members",
 		collection.members, "member_counts", counts_(&collection),
 		"in_force", in_force_(collection.in_force), "services",
-		collection.services);
+		collection.services, "targets_left_out",
+		number_(collection.left_out));
 	g_hash_table_destroy(collection.in_force);
 	return status;
 }
--- a/src/libmasticmux/part_operator.c
+++ b/src/libmasticmux/part_operator.c
@@ -50,19 +50,43 @@
 	return json_string_value(json_object_get(request->query, key));
 }
 
+/* False when the parameter is given and is not a number up to max. */
+static bool number_(const mmx_operator_request_t *request, const char *key,
+		    size_t max, size_t *number)
+{
+	const char *text = query_(request, key);
+	guint64 value;
+
+	if (!text)
+		return true;
+	if (!g_ascii_string_to_unsigned(text, 10, 0, max, &value, NULL))
+		return false;
+	*number = (size_t)value;
+	return true;
+}
+
 static json_t *on_status_(mmx_operator_request_t *request, void *context)
 {
 	const operator_part_t *self = context;
 	const char *wanted = query_(request, "targets");
-	int i;
-
-	if (!wanted)
-		wanted = mmx_status_targets_string[MMX_STATUS_TARGETS_ALL];
-	for (i = 0; i < MMX_STATUS_TARGETS_COUNT; i++)
-		if (!strcmp(wanted, mmx_status_targets_string[i]))
-			return mmx_node_status(self->part.node,
-					       (mmx_status_targets_t)i);
-	return bad_request_(request, "targets is one of all, local, none");
+	mmx_status_query_t query = {
+		.targets = MMX_STATUS_TARGETS_ALL,
+		.service = query_(request, "service"),
+		.targets_max = MMX_STATUS_TARGETS_MAX,
+	};
+	int i = 0;
+
+	if (!number_(request, "targets_max", MMX_STATUS_TARGETS_MAX,
+		     &query.targets_max))
+		return bad_request_(request, "targets_max is 0 to 4096");
+	while (wanted && i < MMX_STATUS_TARGETS_COUNT &&
+	       strcmp(wanted, mmx_status_targets_string[i]) != 0)
+		i++;
+	if (i == MMX_STATUS_TARGETS_COUNT)
+		return bad_request_(request,
+				    "targets is one of all, local, none");
+	query.targets = (mmx_status_targets_t)i;
+	return mmx_node_status(self->part.node, &query);
 }
 
 /* --- explain ----------------------------------------------------------- */
--- a/src/masticmux/command_status.c
+++ b/src/masticmux/command_status.c
@@ -14,6 +14,7 @@
 typedef struct options_t {
 	char *settings;
 	char *targets;
+	char *service;
 	gboolean json;
 } options_t;
 
@@ -164,6 +165,10 @@
 		mmx_table_print(table, stdout);
 	}
 	mmx_table_destroy(table);
+	if (number_(status, "targets_left_out") > 0)
+		printf("  %" JSON_INTEGER_FORMAT
+		       " targets are left out; name a --service\n",
+		       number_(status, "targets_left_out"));
 }
 
 static bool print_(const options_t *options,
@@ -188,13 +193,28 @@
 	return fflush(stdout) == 0;
 }
 
+static char *path_(const options_t *options)
+{
+	char *path = mmx_operator_client_path("/status", "targets",
+					      options->targets);
+	char *service;
+	char *whole;
+
+	if (!options->service)
+		return path;
+	service = mmx_operator_client_path("", "service", options->service);
+	whole = g_strdup_printf("%s&%s", path, service + 1);
+	g_free(service);
+	g_free(path);
+	return whole;
+}
+
 static mmx_exit_status_t run_(const options_t *options,
 			      const mmx_settings_t *settings)
 {
 	mmx_operator_client_t *client = mmx_operator_client_create(
 		&settings->listen_operator, TIMEOUT_S);
-	char *path = mmx_operator_client_path("/status", "targets",
-					      options->targets);
+	char *path = path_(options);
 	mmx_exit_status_t status = MMX_EXIT_ERROR;
 	mmx_operator_response_t response;
 	mmx_error_t error;
@@ -214,12 +234,14 @@
 
 mmx_exit_status_t mmx_command_status(int argc, char **argv)
 {
-	options_t options = {NULL, NULL, FALSE};
+	options_t options = {NULL, NULL, NULL, FALSE};
 	const GOptionEntry entries[] = {
 		{"settings", 0, 0, G_OPTION_ARG_FILENAME, &options.settings,
 		 "settings file of a node", "FILE"},
 		{"targets", 0, 0, G_OPTION_ARG_STRING, &options.targets,
 		 "targets to list: all, local or none (all)", "WHICH"},
+		{"service", 0, 0, G_OPTION_ARG_STRING, &options.service,
+		 "list only the targets of a service", "NAME"},
 		{"json", 0, 0, G_OPTION_ARG_NONE, &options.json,
 		 "print the status as JSON", NULL},
 		G_OPTION_ENTRY_NULL,
@@ -242,5 +264,6 @@
 	}
 	g_free(options.settings);
 	g_free(options.targets);
+	g_free(options.service);
 	return status;
 }
--- a/src/masticmux/operator_client.c
+++ b/src/masticmux/operator_client.c
@@ -10,8 +10,8 @@
 
 #include "masticmux/task.h"
 
-/* A status of 53,000 targets takes about 10 MB. */
-#define BODY_MAX (64 * 1024 * 1024)
+/* A status of 4,200 members and 4,096 targets takes about 1 MB. */
+#define BODY_MAX (8 * 1024 * 1024)
 
 const char *const mmx_operator_verb_string[MMX_OPERATOR_VERB_COUNT] = {
 	"GET",
--- a/test/operator.sh
+++ b/test/operator.sh
@@ -132,6 +132,7 @@
 	log=$program_address
 	start_node 1 "" || return 1
 	node_1=$node_pid
+	operator_1=127.0.0.1:${ports[3]}
 	callers_1=127.0.0.1:${ports[0]}
 	announce_1=127.0.0.1:${ports[2]}
 	start_node 2 "\"127.0.0.1:${ports[1]}\"" || return 1
@@ -189,9 +190,20 @@
 	says "JSON" '"reader_rank": [01]'
 	check_status "local targets" 0 masticmux status 1 --targets local
 	check "leaves out the others" not last_has ' t2 '
+	check_status "one service" 0 masticmux status 1 --service payments
+	says "one service" ' t3 '
+	check "leaves out other services" not last_has ' t[12] '
+	check "bounded list" bounded_list
 	check_status "wrong targets" 1 masticmux status 1 --targets some
 }
 not() { ! "$@"; }
+# The bound keeps the own target and counts the others.
+bounded_list() {
+	curl -s "http://$operator_1/status?targets_max=1" >"$dir/status"
+	grep -q '"name": "t1"' "$dir/status" &&
+		! grep -q '"name": "t[23]"' "$dir/status" &&
+		grep -q '"targets_left_out": 2$' "$dir/status"
+}
 
 # A request that is in progress at t3 when the stop is announced.
 test_request_in_progress() {
