Send parts of a request body to a target at once

A caller that sends head and body in two segments waited about 42 ms: the connection to the target had no TCP_NODELAY, so the body was held back until the target had acknowledged the head, which its kernel delays.

The option is set on each connection to a target; test_target_delay fails without it.

--- a/src/libmasticmux/target_connection.c
+++ b/src/libmasticmux/target_connection.c
@@ -301,6 +301,16 @@
 		mmx_target_connection_close(connection);
 }
 
+static void set_no_delay_(struct bufferevent *socket)
+{
+	int on = 1;
+
+	/* Parts of a body must not wait for the acknowledgement of the part
+	 * before, which the target may delay by 40 ms. */
+	setsockopt(bufferevent_getfd(socket), IPPROTO_TCP, TCP_NODELAY, &on,
+		   sizeof(on));
+}
+
 mmx_target_connection_t *
 mmx_target_connection_open(mmx_target_shared_t *shared, mmx_target_pool_t *pool,
 			   const mmx_address_t *address)
@@ -337,6 +347,7 @@
 		mmx_target_connection_close(connection);
 		return NULL;
 	}
+	set_no_delay_(connection->bev);
 	return connection;
 }
 
--- a/src/test_libmasticmux/suites.c
+++ b/src/test_libmasticmux/suites.c
@@ -46,6 +46,7 @@
 	{"settings", NULL, NULL, NULL, NULL, mmx_tests_settings},
 	{"snapshot", NULL, NULL, NULL, NULL, mmx_tests_snapshot},
 	{"target_client", NULL, NULL, NULL, NULL, mmx_tests_target_client},
+	{"target_delay", NULL, NULL, NULL, NULL, mmx_tests_target_delay},
 	{"task", NULL, NULL, NULL, NULL, mmx_tests_task},
 	{"trace", NULL, NULL, NULL, NULL, mmx_tests_trace},
 	{"wire", NULL, NULL, NULL, NULL, mmx_tests_wire},
