Measure requests whose body follows the head

The delay that a missing TCP_NODELAY caused did not show in the load of bench/path.sh, which sends head and body together.

bench/split_body.c sends them in two segments, and bench/path.sh compares it direct and through nodes. Memory is now sampled on the node that carries the body, for entry with exit and for the exit alone.

--- a/bench/path.sh
+++ b/bench/path.sh
@@ -48,8 +48,10 @@
 BODY_BYTES=67108864
 if [ "$quick" = yes ]; then
 	rounds=3 round_s=2 saturate_s=3 inputs=10000 warm_up=2000
+	split_requests=200
 else
 	rounds=7 round_s=5 saturate_s=10 inputs=100000 warm_up=10000
+	split_requests=1000
 fi
 
 dir=$(mktemp -d)
@@ -82,7 +84,7 @@
 # free_port: sets port to one on which nothing listens. It lies below the
 # range from which the kernel takes the ports of outgoing connections.
 entry_callers="" entry_nodes="" entry_announce="" entry_pid=""
-exit_nodes="" exit_announce="" node_cpu=""
+exit_nodes="" exit_announce="" exit_pid="" node_cpu=""
 next_port=$((20000 + RANDOM % 8000))
 free_port() {
 	port=$next_port
@@ -285,8 +287,36 @@
 		'$us / ($a + $b | map(.completed) | add)')" us
 }
 
-# saturate NAME ADDRESS HOST PID: two closed loops against the node on one
-# core; sets requests, wall_us and used_us.
+# measure_split: requests whose body comes after the head.
+measure_split() {
+	local name address host part
+	for name in near_direct:"$near":near one_node:"$entry_callers":near \
+		far_direct:"$far":far two_nodes:"$entry_callers":far; do
+		host=${name##*:}
+		address=${name#*:}
+		address=${address%:*}
+		name=${name%%:*}
+		taskset -c "$OTHER_CPUS" "$build/bench/split_body" --json \
+			--to="$address" --host="$host.bench.example" \
+			--requests="$split_requests" >"$dir/split_$name" ||
+			echo "split_$name: a request failed" >>"$dir/failed"
+	done
+	for name in one_node:near_direct two_nodes:far_direct; do
+		for part in p50 p99; do
+			compute --slurpfile a "$dir/split_${name%:*}" \
+				--slurpfile b "$dir/split_${name#*:}" \
+				"\$a[0].${part}_ms - \$b[0].${part}_ms" \
+				>"$dir/added"
+			set -- "split_body_${name%:*}_${part}_added" \
+				"$(cat "$dir/added")" ms
+			[ "$part" = p50 ] || set -- "$@" max "$P99_ADDED_MAX_MS"
+			result "$@"
+		done
+	done
+}
+
+# saturate ADDRESS HOST PID: two closed loops against the node on one core;
+# sets requests, rate, refused, wall_us and used_us.
 saturate() {
 	local address=$1 host=$2 pid=$3 before started first
 	before=$(cpu_us "$pid")
@@ -332,18 +362,18 @@
 	result resident_after_load "$resident" KiB max "$IDLE_MAX_KIB"
 }
 
-# grow NAME COMMAND...: highest memory of the node, sampled without a pause,
-# while the command sends one body through it.
+# grow NAME NODE-PID COMMAND...: highest memory of the node, sampled without a
+# pause, while the command sends one body through it.
 grow() {
-	local name=$1 before peak=0 samples=0 pid
-	shift
-	resident_kib "$entry_pid"
+	local name=$1 node=$2 before peak=0 samples=0 pid
+	shift 2
+	resident_kib "$node"
 	before=$resident
 	"$@" >"$dir/body" 2>&1 &
 	pid=$!
 	PROGRAM_PIDS="$PROGRAM_PIDS $pid"
 	while kill -0 "$pid" 2>/dev/null; do
-		resident_kib "$entry_pid"
+		resident_kib "$node"
 		[ "$resident" -gt "$peak" ] && peak=$resident
 		samples=$((samples + 1))
 	done
@@ -384,22 +414,23 @@
 	[ "$bytes" = "$BODY_BYTES" ]
 }
 
-# Before the load: memory that the load left free would hide the growth.
+# bodies NAME SERVICE NODE-PID
+bodies() {
+	local name=$1 host=$2.bench.example target="${2}_pid" node=$3
+	grow "${name}_upload" "$node" one_body --host "$host" \
+		--post-percent 100 --request-bytes "$BODY_BYTES"
+	grow "${name}_download" "$node" one_body --host "$host" \
+		--response-bytes "$BODY_BYTES"
+	grow "${name}_paused_upload" "$node" paused_upload "$host" \
+		"${!target}"
+	grow "${name}_slow_download" "$node" slow_download "$host"
+}
+
+# Before the load: memory that the load left free would hide the growth. The
+# other node is the exit of far and has carried no body before.
 measure_bodies() {
-	local service pid
-	for service in near far; do
-		pid=${service}_pid
-		grow "${service}_upload" one_body \
-			--host "$service.bench.example" --post-percent 100 \
-			--request-bytes "$BODY_BYTES"
-		grow "${service}_download" one_body \
-			--host "$service.bench.example" \
-			--response-bytes "$BODY_BYTES"
-		grow "${service}_paused_upload" paused_upload \
-			"$service.bench.example" "${!pid}"
-		grow "${service}_slow_download" slow_download \
-			"$service.bench.example"
-	done
+	bodies one_node near "$entry_pid"
+	bodies exit far "$exit_pid"
 }
 
 send_hostile() {
@@ -459,6 +490,7 @@
 start_targets
 measure_bodies
 measure_latency
+measure_split
 measure_saturation
 measure_hostile
 if [ "$json" = yes ]; then print_json; else print_text; fi
