Count the bytes exchanged with other regions

Cause: links between regions are paid by volume and the design promises the count; attributes of attempt spans had phrases as keys. Change: masticmux_remote_bytes_total by direction; plain keys in spans and history.

--- a/src/libmasticmux/entry_trace.c
+++ b/src/libmasticmux/entry_trace.c
@@ -60,13 +60,13 @@
 	exchange->attempt_span = NULL;
 }
 
-void mmx_entry_trace_note(mmx_exchange_t *exchange, const char *what,
-			  const char *detail)
+void mmx_entry_trace_note(mmx_exchange_t *exchange, const char *key,
+			  const char *value)
 {
-	mmx_span_set_text(exchange->attempt_span, what, detail);
+	mmx_span_set_text(exchange->attempt_span, key, value);
 	mmx_history_request(mmx_entry_history(exchange->owner),
-			    exchange->trace.trace_id, "attempt %u %s %s",
-			    exchange->attempts, what, detail);
+			    exchange->trace.trace_id, "attempt %u %s: %s",
+			    exchange->attempts, key, value);
 }
 
 void mmx_entry_trace_answer(mmx_exchange_t *exchange, mmx_head_t *head,
--- a/src/libmasticmux/filter_attempt.c
+++ b/src/libmasticmux/filter_attempt.c
@@ -44,6 +44,16 @@
 	mmx_timer_set(&exchange->timer, remaining - lead);
 }
 
+/* Links between regions are paid by volume. */
+static void count_remote_(const mmx_exchange_t *exchange,
+			  mmx_counter_t *counter, const mmx_head_t *head,
+			  const struct evbuffer *body)
+{
+	if (exchange->remote)
+		mmx_counter_add(counter, (int64_t)((head ? head->bytes : 0) +
+						   evbuffer_get_length(body)));
+}
+
 static mmx_execute_t *new_execute_(mmx_attempt_filter_t *self,
 				   const mmx_exchange_t *exchange)
 {
@@ -79,6 +89,8 @@
 	exchange->state = MMX_EXCHANGE_SENT;
 	execute = new_execute_(self, exchange);
 	mmx_counter_add(self->sent, 1);
+	count_remote_(exchange, self->remote_sent, execute->head,
+		      execute->body);
 	mmx_entry_post_exit(self->entry, exchange->exit, &execute->message);
 	set_deadline_timer_(self, exchange);
 }
@@ -90,6 +102,7 @@
 	exchange->exit = choice->node;
 	exchange->exit_incarnation = choice->incarnation;
 	exchange->trial = choice->trial;
+	exchange->remote = choice->ring == MMX_RING_REMOTE;
 	exchange->tried[exchange->attempts++] = exchange->target;
 	exchange->attempt_started = mmx_clock_now(self->clock);
 	exchange->path_lost = false;
@@ -194,8 +207,7 @@
 			       mmx_exchange_t *exchange, mmx_reason_t reason)
 {
 	end_trial_(self, exchange, MMX_VIEW_TRIAL_REFUSED);
-	mmx_entry_trace_note(exchange,
-			     "did not run:", mmx_reason_string[reason]);
+	mmx_entry_trace_note(exchange, "not_run", mmx_reason_string[reason]);
 	mmx_attempt_close(self, exchange);
 	drop_held_answer_(exchange);
 	exchange->refusal = reason;
@@ -210,8 +222,8 @@
 static void retry_may_have_run_(mmx_attempt_filter_t *self,
 				mmx_exchange_t *exchange, mmx_reason_t reason)
 {
-	mmx_entry_trace_note(exchange,
-			     "may have run:", mmx_reason_string[reason]);
+	mmx_entry_trace_note(exchange, "may_have_run",
+			     mmx_reason_string[reason]);
 	mmx_attempt_close(self, exchange);
 	drop_held_answer_(exchange);
 	exchange->may_have_run = true;
@@ -330,7 +342,7 @@
 	mmx_attempt_filter_t *self = (mmx_attempt_filter_t *)filter;
 
 	mmx_view_path_progress(self->view, exchange->exit);
-	mmx_entry_trace_note(exchange, "fence says",
+	mmx_entry_trace_note(exchange, "fence",
 			     mmx_fence_state_string[reply->state]);
 	if (exchange->state == MMX_EXCHANGE_ANSWERING) {
 		/* The exit sends no more parts once it answered a fencing
@@ -479,6 +491,8 @@
 	mmx_load_report_t load = response->load;
 
 	mmx_view_path_progress(self->view, exchange->exit);
+	count_remote_(exchange, self->remote_received, response->head,
+		      response->body);
 	if (response->reason != MMX_REASON_NONE || !response->head)
 		on_refusal_(self, exchange, response);
 	else
@@ -508,6 +522,7 @@
 	mmx_attempt_filter_t *self = (mmx_attempt_filter_t *)filter;
 
 	mmx_view_path_progress(self->view, exchange->exit);
+	count_remote_(exchange, self->remote_received, NULL, body->data);
 	if (exchange->state != MMX_EXCHANGE_ANSWERING) {
 		on_held_body_(self, exchange, body);
 		return;
@@ -534,6 +549,7 @@
 	onward->attempt = exchange->attempt;
 	onward->exit = exchange->exit;
 	evbuffer_add_buffer(onward->data, body->data);
+	count_remote_(exchange, self->remote_sent, NULL, onward->data);
 	onward->end = body->end;
 	onward->failed = body->failed;
 	mmx_entry_post_exit(self->entry, exchange->exit, &onward->message);
@@ -598,6 +614,14 @@
 		self->fences = mmx_counters_get(counters, MMX_COUNTER,
 						"masticmux_fences_total", "",
 						"Fencing queries sent.");
+		self->remote_sent = mmx_counters_get(
+			counters, MMX_COUNTER, "masticmux_remote_bytes_total",
+			"direction=\"sent\"",
+			"Heads and bodies exchanged with other regions.");
+		self->remote_received = mmx_counters_get(
+			counters, MMX_COUNTER, "masticmux_remote_bytes_total",
+			"direction=\"received\"",
+			"Heads and bodies exchanged with other regions.");
 	}
 	return &self->filter;
 }
--- a/src/libmasticmux/filter_attempt_claim.c
+++ b/src/libmasticmux/filter_attempt_claim.c
@@ -90,7 +90,7 @@
 
 	if (exchange->state != MMX_EXCHANGE_CLAIMING)
 		return;
-	mmx_entry_trace_note(exchange, "claim is",
+	mmx_entry_trace_note(exchange, "claim",
 			     mmx_claim_result_string[reply->result]);
 	switch (reply->result) {
 	case MMX_CLAIM_WON:
@@ -115,7 +115,7 @@
 {
 	mmx_head_t *head;
 
-	mmx_entry_trace_note(exchange, "holder of the key is",
+	mmx_entry_trace_note(exchange, "key_holder",
 			     mmx_fence_state_string[reply->state]);
 	switch (reply->state) {
 	case MMX_FENCE_FENCED:
--- a/src/libmasticmux/include/private/entry.h
+++ b/src/libmasticmux/include/private/entry.h
@@ -124,9 +124,9 @@
 /* Context that goes to the exit. */
 void mmx_entry_trace_context(const mmx_exchange_t *exchange,
 			     mmx_trace_context_t *out);
-/* Something happened to the attempt; both are string constants. */
-void mmx_entry_trace_note(mmx_exchange_t *exchange, const char *what,
-			  const char *detail);
+/* Something happened to the attempt: an attribute of its span and an event. */
+void mmx_entry_trace_note(mmx_exchange_t *exchange, const char *key,
+			  const char *value);
 void mmx_entry_trace_attempt_end(mmx_exchange_t *exchange);
 /* Adds the traceparent header to the answer's head. */
 void mmx_entry_trace_answer(mmx_exchange_t *exchange, mmx_head_t *head,
--- a/src/libmasticmux/include/private/exchange.h
+++ b/src/libmasticmux/include/private/exchange.h
@@ -59,6 +59,7 @@
 	mmx_target_id_t target;
 	mmx_time_t attempt_started;
 	bool path_lost;		 /* told of the attempt that is out */
+	bool remote;		 /* the exit is in another region */
 	bool trial;		 /* of an ejected target; not decided yet */
 	mmx_time_t target_time;	 /* at the exit, until the head */
 	mmx_time_t head_arrived; /* here */
--- a/src/libmasticmux/include/private/filter_attempt.h
+++ b/src/libmasticmux/include/private/filter_attempt.h
@@ -19,6 +19,8 @@
 	mmx_counter_t *sent;
 	mmx_counter_t *repeated;
 	mmx_counter_t *fences;
+	mmx_counter_t *remote_sent; /* bytes */
+	mmx_counter_t *remote_received;
 } mmx_attempt_filter_t;
 
 /* Sends the attempt that was chosen, after its claim if it needs one. */
