Run Idempotency-Keys in the scenario runner

Nothing tested claims together with entries and exits, and the attempt filter's part for claims had no unit tests.

The world has the claims module of each node over a fake log, callers that repeat a request under its key, and a check that a key runs at most once. A request body over 64 KiB that had not been sent was treated as if it could not be sent again; it is now given up only when it is sent.

Tables of cases cover the claim states of the attempt filter and the fence purposes query and takeover at the exit.

--- a/src/libmasticmux/entry.c
+++ b/src/libmasticmux/entry.c
@@ -249,8 +249,6 @@
 	if (is_unsent_(exchange)) {
 		/* Bounded by the credit of http_entry. */
 		evbuffer_add_buffer(exchange->body, body->data);
-		if (evbuffer_get_length(exchange->body) > MMX_HELD_BODY_MAX)
-			exchange->body_whole = false;
 		return;
 	}
 	hold_request_body_(exchange, body->data);
--- a/src/libmasticmux/filter_attempt.c
+++ b/src/libmasticmux/filter_attempt.c
@@ -78,6 +78,12 @@
 
 	exchange->state = MMX_EXCHANGE_SENT;
 	execute = new_execute_(self, exchange);
+	/* A long body is sent once and not held for another attempt. */
+	if (evbuffer_get_length(exchange->body) > MMX_HELD_BODY_MAX) {
+		exchange->body_whole = false;
+		evbuffer_drain(exchange->body,
+			       evbuffer_get_length(exchange->body));
+	}
 	mmx_counter_add(self->sent, 1);
 	mmx_entry_post_exit(self->entry, exchange->exit, &execute->message);
 	set_deadline_timer_(self, exchange);
@@ -95,10 +101,12 @@
 	mmx_entry_new_attempt(exchange);
 	TAILQ_INSERT_TAIL(&self->open, exchange, path_entry);
 	mmx_entry_trace_attempt(exchange);
-	if (exchange->key[0] && mmx_entry_claims(self->entry))
+	if (exchange->key[0] && mmx_entry_claims(self->entry)) {
 		mmx_attempt_claim(self, exchange);
-	else
-		mmx_attempt_transmit(self, exchange);
+		if (self->guards->claim)
+			return;
+	}
+	mmx_attempt_transmit(self, exchange);
 }
 
 /* Only the first result counts. */
--- a/src/libmasticmux/filter_attempt_claim.c
+++ b/src/libmasticmux/filter_attempt_claim.c
@@ -62,21 +62,33 @@
 	refuse_unsent_(self, exchange, reason);
 }
 
+/* The holder never ran and never will: its claim is superseded. */
+static void take_over_(mmx_attempt_filter_t *self, mmx_exchange_t *exchange)
+{
+	exchange->claim_offset = exchange->rival.offset;
+	/* The target that was chosen has not been tried. */
+	exchange->attempts--;
+	mmx_attempt_retry_not_run(self, exchange, MMX_REASON_PATH_LOST);
+}
+
 static void query_rival_(mmx_attempt_filter_t *self, mmx_exchange_t *exchange,
 			 const mmx_claim_holder_t *rival)
 {
-	mmx_fence_t *fence = mmx_new_fence(&rival->claim.attempt);
+	mmx_fence_t *fence;
+	bool is_over = mmx_clock_wall(self->clock) >
+		       rival->claim.deadline + TAKEOVER_MARGIN_US;
 
 	exchange->rival = *rival;
+	if (is_over && !self->guards->takeover) {
+		take_over_(self, exchange);
+		return;
+	}
 	exchange->state = MMX_EXCHANGE_QUERYING;
+	fence = mmx_new_fence(&rival->claim.attempt);
 	fence->exit = rival->claim.exit;
 	fence->exit_incarnation = rival->claim.exit_incarnation;
 	fence->origin = mmx_entry_origin(self->entry);
-	fence->purpose =
-		mmx_clock_wall(self->clock) >
-				rival->claim.deadline + TAKEOVER_MARGIN_US
-			? MMX_FENCE_TAKEOVER
-			: MMX_FENCE_QUERY;
+	fence->purpose = is_over ? MMX_FENCE_TAKEOVER : MMX_FENCE_QUERY;
 	mmx_counter_add(self->fences, 1);
 	mmx_entry_post_exit(self->entry, fence->exit, &fence->message);
 	set_timer_(self, exchange);
@@ -119,10 +131,7 @@
 			     mmx_fence_state_string[reply->state]);
 	switch (reply->state) {
 	case MMX_FENCE_FENCED:
-		exchange->claim_offset = exchange->rival.offset;
-		/* The target that was chosen has not been tried. */
-		exchange->attempts--;
-		mmx_attempt_retry_not_run(self, exchange, MMX_REASON_PATH_LOST);
+		take_over_(self, exchange);
 		break;
 	case MMX_FENCE_RUNNING:
 		refuse_duplicate_(self, exchange,
--- a/src/libmasticmux/guards.c
+++ b/src/libmasticmux/guards.c
@@ -8,4 +8,6 @@
 	.match = true,
 	.finish = true,
 	.floor = true,
+	.claim = true,
+	.takeover = true,
 };
--- a/src/libmasticmux/include/private/guards.h
+++ b/src/libmasticmux/include/private/guards.h
@@ -17,6 +17,8 @@
 	bool match;	  /* a response belongs to the attempt it names */
 	bool finish;	  /* a planned stop lets work in progress finish */
 	bool floor;	  /* ejections leave the floor of a service */
+	bool claim;	  /* send an attempt with a key once its claim is won */
+	bool takeover;	  /* fence the holder of a key before taking it over */
 } mmx_guards_t;
 
 extern const mmx_guards_t mmx_guards_all;
--- a/src/test_libmasticmux/fakes.c
+++ b/src/test_libmasticmux/fakes.c
@@ -65,6 +65,26 @@
 			       (unsigned int)id->sequence);
 }
 
+static void write_claim_(GString *trace, const mmx_claim_t *claim)
+{
+	g_string_append_printf(trace, "claim%u",
+			       (unsigned int)claim->attempt.sequence);
+	if (claim->supersedes)
+		g_string_append_printf(trace, ":supersedes%u",
+				       (unsigned int)claim->supersedes);
+	g_string_append_c(trace, ' ');
+}
+
+static void write_fence_(GString *trace, const mmx_fence_t *fence)
+{
+	g_string_append_printf(trace, "fence%u",
+			       (unsigned int)fence->attempt.sequence);
+	if (fence->purpose != MMX_FENCE_RECOVER)
+		g_string_append_printf(
+			trace, ":%s", mmx_fence_purpose_string[fence->purpose]);
+	g_string_append_c(trace, ' ');
+}
+
 static void handle_(mmx_task_t *task, mmx_message_t *message)
 {
 	GString *trace = ((fake_t *)task)->trace;
@@ -87,7 +107,10 @@
 		write_fence_reply_(trace, (mmx_fence_reply_t *)message);
 		break;
 	case MMX_MESSAGE_FENCE:
-		write_id_(trace, "fence", &((mmx_fence_t *)message)->attempt);
+		write_fence_(trace, (mmx_fence_t *)message);
+		break;
+	case MMX_MESSAGE_CLAIM:
+		write_claim_(trace, &((mmx_claim_request_t *)message)->claim);
 		break;
 	case MMX_MESSAGE_CANCEL:
 		write_id_(trace, "cancel", &((mmx_cancel_t *)message)->attempt);
--- a/src/test_libmasticmux/suites.c
+++ b/src/test_libmasticmux/suites.c
@@ -21,6 +21,8 @@
 	{"exit_target", NULL, NULL, NULL, NULL, mmx_tests_exit_target},
 	{"exporter", NULL, NULL, NULL, NULL, mmx_tests_exporter},
 	{"filter", NULL, NULL, NULL, NULL, mmx_tests_filter},
+	{"filter_attempt_claim", NULL, NULL, NULL, NULL,
+	 mmx_tests_filter_attempt_claim},
 	{"fold", NULL, NULL, NULL, NULL, mmx_tests_fold},
 	{"gossip", NULL, NULL, NULL, NULL, mmx_tests_gossip},
 	{"gossip_codec", NULL, NULL, NULL, NULL, mmx_tests_gossip_codec},
--- a/src/test_libmasticmux/suites.h
+++ b/src/test_libmasticmux/suites.h
@@ -24,6 +24,7 @@
 extern CU_TestInfo mmx_tests_exit_target[];
 extern CU_TestInfo mmx_tests_exporter[];
 extern CU_TestInfo mmx_tests_filter[];
+extern CU_TestInfo mmx_tests_filter_attempt_claim[];
 extern CU_TestInfo mmx_tests_fold[];
 extern CU_TestInfo mmx_tests_gossip[];
 extern CU_TestInfo mmx_tests_gossip_codec[];
--- a/src/test_libmasticmux/test_exit.c
+++ b/src/test_libmasticmux/test_exit.c
@@ -87,6 +87,10 @@
 	fence->exit = NODE;
 	fence->exit_incarnation =
 		(uint64_t)fake_number(words, "inc", INCARNATION);
+	if (fake_flag(words, "query"))
+		fence->purpose = MMX_FENCE_QUERY;
+	else if (fake_flag(words, "takeover"))
+		fence->purpose = MMX_FENCE_TAKEOVER;
 	fence->origin.task = &rig->origin.task;
 	fence->origin.connection = (uint64_t)fake_number(words, "conn", 2);
 	mmx_task_post(mmx_exit_task(rig->exit), &fence->message);
@@ -272,6 +276,52 @@
 	run_(cases, sizeof(cases) / sizeof(cases[0]));
 }
 
+/* Guards against a repeat under the same key that disturbs the attempt that
+ * holds the key, or that takes over while this may still start. */
+static void test_rivals_(void)
+{
+	static const script_case_t cases[] = {
+		{"query of a running one changes nothing",
+		 "warm; execute; fence query; head; body end",
+		 "call1 fence1:running response1:200 body1:4:end "},
+		{"query of a queued one changes nothing",
+		 "warm; execute; execute n=2; fence n=2 query; head end; "
+		 "head n=2 end",
+		 "call1 fence2:running response1:200:end call2 "
+		 "response2:200:end "},
+		{"query of one that has not arrived changes nothing",
+		 "warm; fence query; execute; head end",
+		 "fence1:running call1 response1:200:end "},
+		{"query of a finished one",
+		 "warm; execute; head end; fence query; fence query",
+		 "call1 response1:200:end fence1:finished:3 "
+		 "fence1:finished:3 "},
+		{"query of a refused one",
+		 "warm; stop; execute; fence query; execute",
+		 "refused1:draining fence1:fenced refused1:fenced "},
+		{"query meant for an earlier process",
+		 "warm; fence inc=4 query", "fence1:forgotten "},
+		{"takeover of a running one waits for it",
+		 "warm; execute; fence takeover; head end; fence takeover",
+		 "call1 fence1:running response1:200:end fence1:finished:3 "},
+		{"takeover of a queued one tells its entry too",
+		 "warm; execute; execute n=2; fence n=2 takeover; head end; "
+		 "execute n=2",
+		 "call1 refused2:fenced fence2:fenced response1:200:end "
+		 "refused2:fenced "},
+		{"takeover before it arrives", "warm; fence takeover; execute",
+		 "fence1:fenced refused1:fenced "},
+		{"takeover meant for an earlier process",
+		 "warm; fence inc=4 takeover; fence inc=4 takeover",
+		 "fence1:forgotten fence1:forgotten "},
+		{"its own entry still recovers it after a query",
+		 "warm; execute; lost; fence query; fence; head end",
+		 "call1 fence1:running fence1:running response1:200:end "},
+	};
+
+	run_(cases, sizeof(cases) / sizeof(cases[0]));
+}
+
 /* Guards against work for callers that have left, and against cancelling what
  * must not be interrupted. */
 static void test_abandon_(void)
@@ -344,6 +394,7 @@
 CU_TestInfo mmx_tests_exit[] = {
 	{"an attempt runs at most once", test_once_},
 	{"fencing queries", test_fence_},
+	{"queries of other attempts", test_rivals_},
 	{"abandoned attempts", test_abandon_},
 	{"targets that leave", test_stop_},
 	CU_TEST_INFO_NULL,
--- /dev/null
+++ b/src/test_libmasticmux/test_filter_attempt_claim.c
@@ -0,0 +1,399 @@
+#include "suites.h"
+
+#include <event2/buffer.h>
+
+#include "fakes.h"
+#include "private/entry.h"
+
+#define NODE 10
+#define INCARNATION 1
+#define TARGETS 5
+/* Attempt of another entry that holds the key. */
+#define RIVAL_ENTRY 77
+#define RIVAL_SEQUENCE 9
+#define RIVAL_OFFSET 40
+
+typedef struct rig_t {
+	mmx_runtime_t *runtime;
+	mmx_fold_t *fold;
+	const mmx_fold_t *in_force;
+	mmx_directory_t *directory;
+	mmx_entry_t *entry;
+	fake_t http;
+	fake_t peer;
+	fake_t claims;
+	GString *trace;
+} rig_t;
+
+static void configure_(mmx_fold_t *fold)
+{
+	mmx_change_t *change = mmx_change_create();
+	mmx_change_template_t *template = mmx_change_add_template(change, "t");
+	mmx_change_service_t *service = mmx_change_add_service(change, "s");
+
+	template->policy.deadline = 2 * MMX_US_PER_S;
+	template->policy.repeatable = MMX_METHODS_SAFE;
+	template->policy.floor_slots = 1;
+	template->policy.retry_percent = 100;
+	g_strlcpy(service->template_name, "t", sizeof(service->template_name));
+	mmx_change_add_route(service, "s.test", "/");
+	fake_apply(fold, change);
+}
+
+static void add_targets_(mmx_directory_t *directory)
+{
+	size_t i;
+
+	for (i = 0; i < TARGETS; i++) {
+		mmx_target_record_t record = {
+			.id = 100 + i,
+			.node = NODE + i,
+			.incarnation = 1,
+			.version = 1,
+			.name = "t",
+			.service = "s",
+			.slots = 3,
+			.state = MMX_TARGET_WARM,
+		};
+
+		mmx_directory_update(directory, &record);
+	}
+}
+
+static void add_bytes_(struct evbuffer *to, long size)
+{
+	char *bytes = g_malloc0((gsize)size);
+
+	evbuffer_add(to, bytes, (size_t)size);
+	g_free(bytes);
+}
+
+static void request_(rig_t *rig, char **words)
+{
+	mmx_request_t *request =
+		mmx_new_request((uint64_t)fake_number(words, "n", 1));
+
+	request->head = mmx_head_create_request("POST", "/p");
+	mmx_head_add(request->head, "Host", "s.test");
+	mmx_head_add(request->head, "Idempotency-Key", "k");
+	request->body_end = !fake_flag(words, "open");
+	mmx_task_post(mmx_entry_task(rig->entry), &request->message);
+}
+
+static mmx_attempt_id_t own_(char **words)
+{
+	return (mmx_attempt_id_t){
+		.entry = NODE,
+		.incarnation = INCARNATION,
+		.sequence = (uint64_t)fake_number(words, "n", 1),
+	};
+}
+
+static mmx_attempt_id_t rival_(void)
+{
+	return (mmx_attempt_id_t){
+		.entry = RIVAL_ENTRY,
+		.incarnation = 3,
+		.sequence = RIVAL_SEQUENCE,
+	};
+}
+
+/* "ended=S": the holder's deadline passed that many seconds ago. */
+static void claim_reply_(rig_t *rig, char **words)
+{
+	mmx_attempt_id_t id = own_(words);
+	mmx_claim_reply_t *reply = mmx_new_claim_reply(
+		&id, fake_flag(words, "won")	? MMX_CLAIM_WON
+		     : fake_flag(words, "lost") ? MMX_CLAIM_LOST
+						: MMX_CLAIM_UNAVAILABLE);
+
+	reply->holder.offset =
+		(uint64_t)fake_number(words, "offset", RIVAL_OFFSET);
+	reply->holder.claim.attempt = fake_flag(words, "won") ? id : rival_();
+	reply->holder.claim.exit = NODE + 1;
+	reply->holder.claim.exit_incarnation = 1;
+	reply->holder.claim.deadline =
+		mmx_clock_wall(mmx_runtime_clock(rig->runtime)) + MMX_US_PER_S -
+		(uint64_t)fake_number(words, "ended", 0) * MMX_US_PER_S;
+	mmx_task_post(mmx_entry_task(rig->entry), &reply->message);
+}
+
+static void rival_reply_(rig_t *rig, char **words)
+{
+	mmx_attempt_id_t id = rival_();
+	mmx_fence_reply_t *reply;
+	int i;
+
+	for (i = 0; i < MMX_FENCE_STATE_COUNT; i++)
+		if (fake_flag(words, mmx_fence_state_string[i]))
+			break;
+	reply = mmx_new_fence_reply(&id, (mmx_fence_state_t)i);
+	reply->purpose = MMX_FENCE_QUERY;
+	if (fake_flag(words, "head")) {
+		reply->head = mmx_head_create_response(200);
+		add_bytes_(reply->body, 7);
+	}
+	mmx_task_post(mmx_entry_task(rig->entry), &reply->message);
+}
+
+static void response_(rig_t *rig, char **words, bool refusal)
+{
+	mmx_attempt_id_t id = own_(words);
+	mmx_response_t *response = mmx_new_response(&id);
+
+	response->body_end = true;
+	if (refusal) {
+		response->reason = MMX_REASON_OVERLOADED;
+	} else {
+		response->head = mmx_head_create_response(200);
+		add_bytes_(response->body, 3);
+	}
+	mmx_task_post(mmx_entry_task(rig->entry), &response->message);
+}
+
+static void request_body_(rig_t *rig, char **words)
+{
+	mmx_body_t *body = mmx_new_body(MMX_TO_TARGET);
+
+	body->request = 1;
+	add_bytes_(body->data, fake_number(words, "size", 4));
+	body->failed = fake_flag(words, "failed");
+	body->end = body->failed || fake_flag(words, "end");
+	mmx_task_post(mmx_entry_task(rig->entry), &body->message);
+}
+
+static void other_step_(rig_t *rig, char **words)
+{
+	mmx_task_t *task = mmx_entry_task(rig->entry);
+
+	if (g_str_equal(words[0], "path-lost"))
+		mmx_task_post(task, &mmx_new_path_lost(NODE + 1)->message);
+	else if (g_str_equal(words[0], "caller-gone"))
+		mmx_task_post(task, &mmx_new_caller_gone(1)->message);
+	else if (g_str_equal(words[0], "wait"))
+		mmx_clock_advance(mmx_runtime_clock(rig->runtime),
+				  fake_number(words, "ms", 1) * MMX_US_PER_MS);
+	else if (g_str_equal(words[0], "jump"))
+		mmx_clock_jump(mmx_runtime_clock(rig->runtime),
+			       fake_number(words, "ms", 1) * MMX_US_PER_MS);
+	else if (g_str_equal(words[0], "count"))
+		g_string_append_printf(rig->trace, "in-progress:%zu ",
+				       mmx_entry_in_progress(rig->entry));
+	else
+		CU_FAIL("unknown step");
+}
+
+static void step_(char **words, void *arg)
+{
+	rig_t *rig = arg;
+
+	if (g_str_equal(words[0], "request"))
+		request_(rig, words);
+	else if (g_str_equal(words[0], "claim"))
+		claim_reply_(rig, words);
+	else if (g_str_equal(words[0], "rival"))
+		rival_reply_(rig, words);
+	else if (g_str_equal(words[0], "response"))
+		response_(rig, words, false);
+	else if (g_str_equal(words[0], "refuse"))
+		response_(rig, words, true);
+	else if (g_str_equal(words[0], "request-body"))
+		request_body_(rig, words);
+	else
+		other_step_(rig, words);
+	mmx_runtime_deliver(rig->runtime);
+}
+
+static void run_case_(const script_case_t *c)
+{
+	rig_t rig = {.trace = g_string_new("")};
+
+	rig.runtime = mmx_runtime_create(NULL);
+	rig.fold = mmx_fold_create();
+	rig.in_force = rig.fold;
+	configure_(rig.fold);
+	rig.directory = mmx_directory_create(mmx_runtime_clock(rig.runtime));
+	add_targets_(rig.directory);
+	fake_init(&rig.http, rig.runtime, rig.trace);
+	fake_init(&rig.peer, rig.runtime, rig.trace);
+	fake_init(&rig.claims, rig.runtime, rig.trace);
+	rig.entry = mmx_entry_create(rig.runtime, NODE, INCARNATION, 1);
+	mmx_entry_set_http(rig.entry, &rig.http.task);
+	mmx_entry_set_peer(rig.entry, &rig.peer.task);
+	mmx_entry_set_local_exit(rig.entry, &rig.peer.task);
+	mmx_entry_set_claims(rig.entry, &rig.claims.task);
+	mmx_entry_set_fold(rig.entry, &rig.in_force);
+	mmx_entry_set_directory(rig.entry, rig.directory);
+	mmx_entry_init(rig.entry);
+	fake_run(c->script, step_, &rig);
+	fake_compare(c, rig.trace);
+	mmx_entry_destroy(rig.entry);
+	mmx_directory_destroy(rig.directory);
+	mmx_fold_destroy(rig.fold);
+	mmx_runtime_destroy(rig.runtime);
+	g_string_free(rig.trace, TRUE);
+}
+
+static void run_(const script_case_t *cases, size_t count)
+{
+	size_t i;
+
+	for (i = 0; i < count; i++)
+		run_case_(&cases[i]);
+}
+
+/* Guards against an attempt that is sent before its claim is settled, or
+ * without one. */
+static void test_claims_(void)
+{
+	static const script_case_t cases[] = {
+		{"won", "request; claim won; response; count",
+		 "claim1 execute1:0 answer1:completed:none:200:3:end "
+		 "in-progress:0 "},
+		{"unavailable", "request; claim; count",
+		 "claim1 answer1:not-run:claim-unavailable:503:27:end "
+		 "in-progress:0 "},
+		{"no reply by the deadline", "request; wait ms=2000; count",
+		 "claim1 answer1:not-run:claim-unavailable:503:27:end "
+		 "in-progress:0 "},
+		{"reply after the deadline", "request; wait ms=2000; claim won",
+		 "claim1 answer1:not-run:claim-unavailable:503:27:end "},
+		{"won in a process that was paused past the deadline",
+		 "request; jump ms=3000; claim won",
+		 "claim1 answer1:not-run:deadline-exceeded:504:27:end "},
+		{"caller gone while claiming",
+		 "request; caller-gone; claim won; count",
+		 "claim1 in-progress:0 "},
+		{"path of the chosen exit lost while claiming",
+		 "request; path-lost; claim won; response",
+		 "claim1 execute1:0 answer1:completed:none:200:3:end "},
+		{"refused after the claim: claimed again for the next target",
+		 "request; claim won offset=5; refuse; claim n=2 won offset=6; "
+		 "response n=2",
+		 "claim1 execute1:0 claim2:supersedes5 execute2:0 "
+		 "answer1:completed:none:200:3:end "},
+		{"refused, and the second claim is unavailable",
+		 "request; claim won offset=5; refuse; claim n=2",
+		 "claim1 execute1:0 claim2:supersedes5 "
+		 "answer1:not-run:claim-unavailable:503:27:end "},
+		{"a repeated reply sends nothing",
+		 "request; claim won; claim won; response",
+		 "claim1 execute1:0 answer1:completed:none:200:3:end "},
+	};
+
+	run_(cases, sizeof(cases) / sizeof(cases[0]));
+}
+
+/* Guards against a second run for a key that another attempt holds, and
+ * against a refusal that denies that it may have run. */
+static void test_lost_(void)
+{
+	static const script_case_t cases[] = {
+		{"holder runs", "request; claim lost; rival running; count",
+		 "claim1 fence9:query "
+		 "answer1:unknown:duplicate-in-progress:409:31:end "
+		 "in-progress:0 "},
+		{"holder finished, response kept",
+		 "request; claim lost; rival finished head; count",
+		 "claim1 fence9:query "
+		 "answer1:completed:duplicate-completed:200:7:end "
+		 "in-progress:0 "},
+		{"holder finished, response not kept",
+		 "request; claim lost; rival finished",
+		 "claim1 fence9:query "
+		 "answer1:unknown:duplicate-completed:409:29:end "},
+		{"holder forgotten", "request; claim lost; rival forgotten",
+		 "claim1 fence9:query answer1:unknown:path-lost:504:19:end "},
+		{"holder fenced, taken over",
+		 "request; claim lost; rival fenced; claim n=2 won; "
+		 "response n=2",
+		 "claim1 fence9:query claim2:supersedes40 execute2:0 "
+		 "answer1:completed:none:200:3:end "},
+		{"the takeover is lost as well",
+		 "request; claim lost; rival fenced; claim n=2 lost offset=41; "
+		 "rival running",
+		 "claim1 fence9:query claim2:supersedes40 fence9:query "
+		 "answer1:unknown:duplicate-in-progress:409:31:end "},
+		{"the takeover is unavailable",
+		 "request; claim lost; rival fenced; claim n=2",
+		 "claim1 fence9:query claim2:supersedes40 "
+		 "answer1:not-run:claim-unavailable:503:27:end "},
+		{"long after the holder's deadline it is fenced",
+		 "request; claim lost ended=7; rival fenced; claim n=2 won; "
+		 "response n=2",
+		 "claim1 fence9:takeover claim2:supersedes40 execute2:0 "
+		 "answer1:completed:none:200:3:end "},
+		{"soon after the holder's deadline it is not",
+		 "request; claim lost ended=5; rival running",
+		 "claim1 fence9:query "
+		 "answer1:unknown:duplicate-in-progress:409:31:end "},
+		{"no reply by the deadline",
+		 "request; claim lost; wait ms=2000; rival finished head; "
+		 "count",
+		 "claim1 fence9:query answer1:unknown:path-lost:504:19:end "
+		 "in-progress:0 "},
+		{"caller gone while querying",
+		 "request; claim lost; caller-gone; rival fenced; count",
+		 "claim1 fence9:query in-progress:0 "},
+		{"two requests ask about one holder",
+		 "request; request n=2; claim lost; claim n=2 lost; "
+		 "rival running; rival running; count",
+		 "claim1 claim2 fence9:query fence9:query "
+		 "answer1:unknown:duplicate-in-progress:409:31:end "
+		 "answer2:unknown:duplicate-in-progress:409:31:end "
+		 "in-progress:0 "},
+	};
+
+	run_(cases, sizeof(cases) / sizeof(cases[0]));
+}
+
+/* Guards against a request body that is lost, doubled or sent in the wrong
+ * order since it arrived before the attempt was sent. */
+static void test_request_body_(void)
+{
+	static const script_case_t cases[] = {
+		{"arrives while claiming",
+		 "request open; request-body size=100; "
+		 "request-body size=50 end; claim won; response",
+		 "claim1 execute1:150 answer1:completed:none:200:3:end "},
+		{"partly arrives while claiming",
+		 "request open; request-body size=100; claim won; "
+		 "request-body size=50 end; response",
+		 "claim1 execute1:100:open body1:50:end "
+		 "answer1:completed:none:200:3:end "},
+		{"long, arrives while claiming",
+		 "request open; request-body size=70000; claim won; "
+		 "request-body size=5 end; response",
+		 "claim1 execute1:70000:open body1:5:end "
+		 "answer1:completed:none:200:3:end "},
+		{"too long to be sent twice, fenced holder",
+		 "request open; request-body size=70000; claim lost; "
+		 "rival fenced; claim n=2 won; request-body size=5 end; "
+		 "response n=2",
+		 "claim1 fence9:query claim2:supersedes40 execute2:70000:open "
+		 "body2:5:end answer1:completed:none:200:3:end "},
+		{"arrives while querying",
+		 "request open; claim lost; request-body size=9 end; "
+		 "rival fenced; claim n=2 won; response n=2",
+		 "claim1 fence9:query claim2:supersedes40 execute2:9 "
+		 "answer1:completed:none:200:3:end "},
+		{"breaks off while claiming",
+		 "request open; request-body failed; claim won; count",
+		 "claim1 answer1:not-run:bad-request:400:21:end "
+		 "in-progress:0 "},
+		{"breaks off while the holder is asked",
+		 "request open; claim lost; request-body failed; "
+		 "rival finished head; count",
+		 "claim1 fence9:query answer1:not-run:bad-request:400:21:end "
+		 "in-progress:0 "},
+	};
+
+	run_(cases, sizeof(cases) / sizeof(cases[0]));
+}
+
+CU_TestInfo mmx_tests_filter_attempt_claim[] = {
+	{"claims", test_claims_},
+	{"lost claims", test_lost_},
+	{"request bodies", test_request_body_},
+	CU_TEST_INFO_NULL,
+};
--- a/test/caller.c
+++ b/test/caller.c
@@ -1,5 +1,5 @@
 /* Fake callers, and the check of every answer. */
-#include "world.h"
+#include "claims_world.h"
 
 #include <string.h>
 
@@ -18,12 +18,14 @@
 	MMX_REASON_OVERLOADED,	      MMX_REASON_ACCOUNT_LIMIT,
 	MMX_REASON_DEADLINE_EXCEEDED, MMX_REASON_TARGET_FAILED,
 	MMX_REASON_PATH_LOST,	      MMX_REASON_SHUTTING_DOWN,
+	MMX_REASON_CLAIM_UNAVAILABLE,
 };
 static const mmx_reason_t unknown_reasons_[] = {
-	MMX_REASON_DEADLINE_EXCEEDED, MMX_REASON_TARGET_FAILED,
-	MMX_REASON_ANSWER_TRUNCATED,  MMX_REASON_PATH_LOST,
-	MMX_REASON_OVERLOADED,	      MMX_REASON_NO_CAPACITY,
-	MMX_REASON_ACCOUNT_LIMIT,
+	MMX_REASON_DEADLINE_EXCEEDED,	MMX_REASON_TARGET_FAILED,
+	MMX_REASON_ANSWER_TRUNCATED,	MMX_REASON_PATH_LOST,
+	MMX_REASON_OVERLOADED,		MMX_REASON_NO_CAPACITY,
+	MMX_REASON_ACCOUNT_LIMIT,	MMX_REASON_DUPLICATE_IN_PROGRESS,
+	MMX_REASON_DUPLICATE_COMPLETED,
 };
 
 char *caller_expected(uint64_t id, size_t size)
@@ -63,6 +65,7 @@
 		world_break(world, GUARANTEE_NOT_RUN, id,
 			    "runs at %s after its caller was told not-run",
 			    target->name);
+	claims_executed(request, target);
 	if (!request->repeatable && request->executions > 1)
 		world_break(world, GUARANTEE_ONCE, id,
 			    "runs for the %u. time, at %s", request->executions,
@@ -71,9 +74,10 @@
 
 static void check_body_(request_t *request)
 {
+	const request_t *runner = claims_runner(request);
 	size_t size =
-		request->status == 500 ? MIN(request->size, 8) : request->size;
-	char *expected = caller_expected(request->id, size);
+		request->status == 500 ? MIN(runner->size, 8) : runner->size;
+	char *expected = caller_expected(runner->id, size);
 
 	if (request->body->len != size ||
 	    memcmp(request->body->str, expected, size) != 0)
@@ -199,6 +203,7 @@
 	request->status = answer->head->status;
 	count_(request);
 	add_(request, answer->body);
+	claims_check_answer(request);
 	if (answer->outcome != MMX_OUTCOME_COMPLETED)
 		check_refusal_(request);
 	if (answer->body_end)
@@ -344,7 +349,8 @@
 	world->stats.requests++;
 	message = message_(request, service, method, timeout);
 	if (what->key)
-		mmx_head_add(message->head, "Idempotency-Key", "key");
+		mmx_head_add(message->head, "Idempotency-Key",
+			     claims_key(request, what->key_name));
 	if (what->account)
 		mmx_head_add(message->head, "Masticmux-Account", what->account);
 	world_trace(world, request->id, "%s %s to %s, %lld ms", method, service,
--- a/test/generator.lua
+++ b/test/generator.lua
@@ -75,6 +75,10 @@
 		f:fault{kind = "stop_node", node = n}
 		s.left[n] = true
 	end,
+	log = function(f, s)
+		f:fault{kind = "log", mode = pick(f, {"down", "slow", "lost",
+			"late"}), ms = 500 + f:random(6000)}
+	end,
 	load = function(f, s)
 		f:load{service = s.services[1].name, rate = s.rate * 2,
 			ms = 300 + f:random(2000), timeout = 100 + f:random(1500)}
@@ -118,8 +122,9 @@
 	for _ = 1, 5 do
 		for _, service in ipairs(s.services) do
 			f:load{service = service.name, rate = s.rate, ms = 2000,
-				get = f:random(100) / 100, key = 0.1, large = 0.05,
-				upload = 0.1,
+				get = f:random(100) / 100, large = 0.05, upload = 0.1,
+				key = options.key or 0.1,
+				["repeat"] = options.repeats or 0.6,
 				leave = 0.03, timeout = 200 + f:random(2500)}
 		end
 		for _ = 1, 1 + f:random(3) do
@@ -131,7 +136,7 @@
 			return f:breach()
 		end
 	end
-	f:run(9000)
+	f:run(options.settle or 9000)
 	return f:breach()
 end
 
--- a/test/lua_api.c
+++ b/test/lua_api.c
@@ -4,6 +4,8 @@
 #include <math.h>
 #include <string.h>
 
+#include "claims_world.h"
+
 static world_t *world_;
 static bool traced_;
 
@@ -170,6 +172,8 @@
 		{"match", &guards->match},
 		{"finish", &guards->finish},
 		{"floor", &guards->floor},
+		{"claim", &guards->claim},
+		{"takeover", &guards->takeover},
 	};
 	size_t i;
 
@@ -245,6 +249,7 @@
 	double rate;	   /* per second */
 	double get;	   /* share */
 	double key;	   /* share */
+	double repeat;	   /* share of those with a key that are repeated */
 	double large;	   /* share of responses that can't be held */
 	double upload;	   /* share of requests with a body of their own */
 	double leave;	   /* share of callers that leave early */
@@ -286,6 +291,8 @@
 	if (request && leave)
 		world_after(world_, world_uniform(world_, 0, load->timeout),
 			    leave_, request, NULL);
+	if (request && what.key && world_unit(world_) < load->repeat)
+		repeats_follow(request, load->service);
 }
 
 static void load_step_(void *arg)
@@ -316,6 +323,7 @@
 	load->rate = number_(lua, 2, "rate", 100);
 	load->get = number_(lua, 2, "get", 0.5);
 	load->key = number_(lua, 2, "key", 0);
+	load->repeat = number_(lua, 2, "repeat", 0);
 	load->large = number_(lua, 2, "large", 0);
 	load->upload = number_(lua, 2, "upload", 0);
 	load->leave = number_(lua, 2, "leave", 0);
@@ -334,6 +342,7 @@
 		.method = string_(lua, 2, "method", "POST"),
 		.account = string_(lua, 2, "account", NULL),
 		.key = bool_(lua, 2, "key"),
+		.key_name = string_(lua, 2, "key_name", NULL),
 		.timeout = ms_(lua, 2, "timeout", 1000),
 		.size = (size_t)number_(lua, 2, "size", 40),
 		.upload = (size_t)number_(lua, 2, "upload", 0),
@@ -611,6 +620,11 @@
 {
 	const char *kind = string_(lua, 2, "kind", "");
 
+	if (strcmp(kind, "log") == 0) {
+		claims_log_fault(world_, string_(lua, 2, "mode", "down"),
+				 ms_(lua, 2, "ms", 1000));
+		return 0;
+	}
 	if (!node_fault_(lua, kind) && !target_fault_(lua, kind))
 		return luaL_error(lua, "no fault %s", kind);
 	return 0;
--- a/test/net.c
+++ b/test/net.c
@@ -1,7 +1,5 @@
 /* Fake network: connections between nodes, and the peer task of each node. */
-#include "world.h"
-
-#include <string.h>
+#include "claims_world.h"
 
 #define WATCH_INTERVAL_US (50 * MMX_US_PER_MS)
 /* As the peer task: silence before the entry and the exit are told. */
@@ -73,9 +71,9 @@
 	case MMX_MESSAGE_CANCEL:
 		return ((const mmx_cancel_t *)message)->attempt.sequence;
 	case MMX_MESSAGE_FENCE:
-		return ((const mmx_fence_t *)message)->attempt.sequence;
+		return claims_fence_key(message);
 	case MMX_MESSAGE_FENCE_REPLY:
-		return ((const mmx_fence_reply_t *)message)->attempt.sequence;
+		return claims_fence_key(message);
 	default:
 		return 0;
 	}
@@ -284,7 +282,7 @@
 		g_hash_table_add(
 			c->carried,
 			world_key(&((const mmx_execute_t *)message)->attempt));
-	else if (message->ops->kind == MMX_MESSAGE_FENCE)
+	else if (claims_is_own_fence(message))
 		g_hash_table_add(
 			c->carried,
 			world_key(&((const mmx_fence_t *)message)->attempt));
--- a/test/world.c
+++ b/test/world.c
@@ -1,4 +1,4 @@
-#include "world.h"
+#include "claims_world.h"
 
 #include <stdio.h>
 #include <string.h>
@@ -13,6 +13,7 @@
 /* Time after which the others treat the targets of a node as gone. */
 #define DEAD_AFTER_US (5 * MMX_US_PER_S)
 #define TRACE_MAX 200000
+#define CLOCK_SKEW_US (300 * MMX_US_PER_MS)
 
 const char *const guarantee_string[GUARANTEE_COUNT] = {
 	"P1 floor",	   "P2 complete response", "P3 not-run",
@@ -279,15 +280,18 @@
 	node->up = true;
 	node->paused = false;
 	node->leaving = false;
-	node->started = world_now(world);
+	/* The wall clocks of two nodes differ a little. */
+	node->started = -(mmx_time_t)node->index * CLOCK_SKEW_US;
 	node->incarnation = ++world->next_incarnation;
 	node->runtime = mmx_runtime_create(NULL);
+	mmx_clock_jump(mmx_runtime_clock(node->runtime), node_time(node));
 	node->directory =
 		mmx_directory_create(mmx_runtime_clock(node->runtime));
 	copy_directory_(node);
 	net_init_node(node);
 	target_init_node(node);
 	caller_init_node(node);
+	claims_init_node(node);
 	node->exit = mmx_exit_create(node->runtime, node->id, node->name,
 				     node->incarnation);
 	mmx_exit_set_target_client(node->exit, &node->client.task);
@@ -307,6 +311,7 @@
 	mmx_entry_set_directory(node->entry, node->directory);
 	mmx_entry_set_members(node->entry, &members_, node);
 	mmx_entry_set_guards(node->entry, &world->guards);
+	mmx_entry_set_claims(node->entry, claims_task(node));
 	mmx_entry_init(node->entry);
 	world_trace(world, 0, "%s starts", node->name);
 }
@@ -314,6 +319,7 @@
 static void free_process_(node_t *node)
 {
 	net_finish_node(node);
+	claims_finish_node(node);
 	mmx_entry_destroy(node->entry);
 	mmx_exit_destroy(node->exit);
 	mmx_directory_destroy(node->directory);
@@ -476,6 +482,7 @@
 						NULL, caller_free);
 	LIST_INIT(&world->events);
 	LIST_INIT(&world->connections);
+	world->claims = claims_world_create();
 	return world;
 }
 
@@ -497,6 +504,7 @@
 	}
 	for (i = 0; i < world->target_count; i++)
 		target_finish(&world->targets[i]);
+	claims_world_destroy(world->claims);
 	g_hash_table_destroy(world->requests);
 	g_hash_table_destroy(world->cancelled);
 	mmx_fold_destroy(world->fold);
--- a/test/world.h
+++ b/test/world.h
@@ -74,6 +74,7 @@
 	node_task_t peer;
 	node_task_t client;
 	node_task_t http;
+	struct claims_node_t *claims;
 	mmx_timer_t watch; /* on the node's clock */
 	GHashTable *paths; /* attempt sequence -> connection id */
 };
@@ -117,7 +118,8 @@
 	node_t *node;
 	mmx_incarnation_t incarnation; /* of the entry */
 	bool repeatable;
-	size_t size; /* of the response's body */
+	struct claims_key_t *key; /* NULL: without an Idempotency-Key */
+	size_t size;		  /* of the response's body */
 	size_t upload;
 	size_t uploaded;
 	mmx_time_t created;
@@ -163,6 +165,7 @@
 	mmx_time_t extra_delay[NODES_MAX][NODES_MAX];
 	GHashTable *cancelled; /* attempts that their entry gave up */
 	GHashTable *requests;  /* of request_t */
+	struct claims_world_t *claims;
 	uint64_t next_request;
 	uint64_t next_incarnation;
 	stats_t stats;
@@ -257,8 +260,9 @@
 typedef struct caller_request_t {
 	const char *service;
 	const char *method;
-	const char *account; /* or NULL */
-	bool key;	     /* with an Idempotency-Key */
+	const char *account;  /* or NULL */
+	bool key;	      /* with an Idempotency-Key */
+	const char *key_name; /* NULL: one that no other request has */
 	mmx_time_t timeout;
 	size_t size;   /* of the response's body */
 	size_t upload; /* of its own body, sent in parts */
