Read less of the log when a response was too large

With records near 256 KiB that is more than the 4 MiB that a response may have, and the node repeated the same read without end.

Such a read is now repeated with a quarter of the records. The fake log of the tests has the limit of the real client.

--- a/bench/full_tables.sh
+++ b/bench/full_tables.sh
@@ -52,6 +52,7 @@
 
 fail() {
 	echo "bench/full_tables.sh: $*" >&2
+	[ -f "$dir/node.log" ] && tail -n 5 "$dir/node.log" >&2
 	exit 3
 }
 
@@ -142,9 +143,8 @@
 publish_changes() {
 	local i
 	for ((i = 0; i * CHANGE_EVERY_S < window_s; i++)); do
-		printf '{"id":"late-%d","publisher":"bench","accounts":%s}' \
-			"$i" "[{\"name\":\"late-$i\",\"base\":0}]" \
-			>"$dir/late.json"
+		printf '{"id":"late-%d","publisher":"bench","account":%s}' \
+			"$i" "{\"late-$i\":{\"base\":0}}" >"$dir/late.json"
 		append "$dir/late.json"
 		sleep "$CHANGE_EVERY_S"
 	done
--- a/src/libmasticmux/config.c
+++ b/src/libmasticmux/config.c
@@ -442,6 +442,11 @@
 			const mmx_log_records_t *records)
 {
 	config->reading[stream] = false;
+	if (result == MMX_LOG_TOO_LARGE && stream == MMX_CONFIG_RECORDS &&
+	    config->load > MMX_CONFIG_LOAD_PEER) {
+		mmx_config_load_too_large_(config);
+		return;
+	}
 	if (result != MMX_LOG_OK) {
 		fail_read_(config, result);
 		if (stream == MMX_CONFIG_SNAPSHOTS && config->checking)
--- a/src/libmasticmux/config_load.c
+++ b/src/libmasticmux/config_load.c
@@ -12,6 +12,7 @@
 #define BACKOFF_MIN (500 * MMX_US_PER_MS)
 #define BACKOFF_MAX (5 * MMX_US_PER_S)
 #define SCAN_RECORDS 4
+/* Records may have 256 KiB each, so that fewer of them fill a response. */
 #define TAIL_RECORDS 64
 #define SERVED_IDLE (10 * MMX_US_PER_S)
 #define SERVED_AGE (60 * MMX_US_PER_S)
@@ -165,7 +166,20 @@
 		return;
 	}
 	read_next_(config, MMX_CONFIG_LOAD_TAIL, MMX_CONFIG_RECORDS,
-		   mmx_fold_applied(config->fold) + 1, TAIL_RECORDS);
+		   mmx_fold_applied(config->fold) + 1, config->tail_max);
+}
+
+void mmx_config_load_too_large_(mmx_config_t *config)
+{
+	/* A long poll that was begun before the load may end during it. */
+	if (config->load != MMX_CONFIG_LOAD_TAIL)
+		return;
+	if (config->tail_max <= 1) {
+		fail_load_(config);
+		return;
+	}
+	config->tail_max /= 4;
+	read_tail_(config);
 }
 
 static void take_ends_(mmx_config_t *config, const mmx_log_records_t *records)
@@ -359,6 +373,7 @@
 	const mmx_config_ahead_t *ahead = mmx_config_choose_ahead_(config);
 	bool alone = !config->transport || config->member_count <= 1;
 
+	config->tail_max = TAIL_RECORDS;
 	if (ahead && config->transport) {
 		config->load = MMX_CONFIG_LOAD_PEER;
 		config->load_peer = ahead->peer;
--- a/src/libmasticmux/include/private/config_state.h
+++ b/src/libmasticmux/include/private/config_state.h
@@ -102,6 +102,7 @@
 	mmx_snapshot_reader_t *scan_readers[MMX_CONFIG_SCANS];
 	mmx_fold_t *load_fold; /**< newest complete one of a scan */
 	uint64_t load_from;    /**< next offset of the scan */
+	unsigned int tail_max; /**< records in a read of the tail */
 	bool load_rescan;      /**< the scan began at the first offset */
 
 	mmx_snapshot_t *served; /**< snapshot that peers are loading */
@@ -151,6 +152,8 @@
 void mmx_config_load_tick_(mmx_config_t *config);
 void mmx_config_load_read_(mmx_config_t *config, mmx_config_stream_t stream,
 			   const mmx_log_records_t *records);
+/** A read of the load had more than one response may hold. */
+void mmx_config_load_too_large_(mmx_config_t *config);
 
 /** Writing of snapshots. */
 void mmx_config_write_tick_(mmx_config_t *config);
--- a/src/share/fake_fleet_log.c
+++ b/src/share/fake_fleet_log.c
@@ -34,6 +34,8 @@
 	fake_stream_t *stream = &fleet->streams[call->stream];
 	mmx_log_records_t records = {0};
 	mmx_log_record_t *list = g_new0(mmx_log_record_t, call->max);
+	mmx_log_result_t result = call->result;
+	size_t bytes = 0;
 	uint64_t offset;
 
 	expire_old_(fleet, stream);
@@ -46,12 +48,14 @@
 		record->offset = offset;
 		record->data = record_at_(stream, offset)->data;
 		record->length = strlen(record->data);
-		fleet->read_bytes += record->length;
+		bytes += record->length;
 	}
+	fleet->read_bytes += bytes;
+	if (result == MMX_LOG_OK && bytes > MMX_LOG_RESPONSE_MAX)
+		result = MMX_LOG_TOO_LARGE;
 	records.records = list;
-	mmx_config_on_read(fleet->nodes[call->to].config, call->stream,
-			   call->result,
-			   call->result == MMX_LOG_OK ? &records : NULL);
+	mmx_config_on_read(fleet->nodes[call->to].config, call->stream, result,
+			   result == MMX_LOG_OK ? &records : NULL);
 	g_free(list);
 }
 
--- a/src/test_libmasticmux/test_config.c
+++ b/src/test_libmasticmux/test_config.c
@@ -526,6 +526,26 @@
 	check_healed_(fleet, offset);
 }
 
+/* Guards against a new node that asks again and again for more of the tail
+ * than one response of the log may hold. */
+static void test_large_tail_(void)
+{
+	fake_fleet_t *fleet = fake_fleet_create(&small_);
+	uint64_t offset = 0;
+	size_t bytes = 0;
+	char id[16];
+	char *record;
+
+	while (bytes <= MMX_LOG_RESPONSE_MAX) {
+		g_snprintf(id, sizeof(id), "large-%zu", bytes);
+		record = test_accounts_record(id, id, 2100);
+		bytes += strlen(record);
+		offset = fake_fleet_append(fleet, record);
+	}
+	CU_ASSERT_TRUE(fake_fleet_settle(fleet, offset, START) <= START);
+	check_healed_(fleet, offset);
+}
+
 CU_TestInfo mmx_tests_config[] = {
 	{"conflict", test_conflict_},
 	{"network faults", test_network_},
@@ -541,5 +561,6 @@
 	{"many records", test_many_records_},
 	{"writers of snapshots", test_writers_},
 	{"lost answers", test_lost_answers_},
+	{"large tail", test_large_tail_},
 	CU_TEST_INFO_NULL,
 };
