Answer every repeat that asks about the same holder of a key

Two repeats at one node that asked about the same holder shared one reply: the peer task answers the latest query only, so the other repeat waited until its deadline. A query about an attempt of the same node that still waited for a connection cancelled it and got no reply at all.

A reply now goes to all exchanges that wait for it, and only a fence by the attempt's own request cancels what waits.

Unit tests failed before the change: one reply for two requests, and a query before the attempt is sent.

--- a/src/libmasticmux/filter_attempt_claim.c
+++ b/src/libmasticmux/filter_attempt_claim.c
@@ -3,6 +3,7 @@
  * that this attempt holds the key. When another attempt holds it, its exit is
  * asked what became of it.
  */
+#include <event2/buffer.h>
 #include <glib.h>
 
 #include "private/filter_attempt.h"
@@ -123,9 +124,9 @@
 }
 
 static void on_rival_(mmx_attempt_filter_t *self, mmx_exchange_t *exchange,
-		      mmx_fence_reply_t *reply)
+		      const mmx_fence_reply_t *reply)
 {
-	mmx_head_t *head;
+	struct evbuffer *body;
 
 	mmx_entry_trace_note(exchange, "holder of the key is",
 			     mmx_fence_state_string[reply->state]);
@@ -143,10 +144,14 @@
 					  MMX_REASON_DUPLICATE_COMPLETED);
 			break;
 		}
-		head = reply->head;
-		reply->head = NULL;
+		body = evbuffer_new();
+		/* The body of a local exit's reply can't be referenced again. */
+		evbuffer_add(body, evbuffer_pullup(reply->body, -1),
+			     evbuffer_get_length(reply->body));
 		mmx_attempt_close(self, exchange);
-		mmx_entry_answer_duplicate(exchange, head, reply->body);
+		mmx_entry_answer_duplicate(exchange, mmx_head_copy(reply->head),
+					   body);
+		evbuffer_free(body);
 		mmx_entry_end(exchange);
 		break;
 	default:
@@ -167,17 +172,21 @@
 }
 
 void mmx_filter_attempt_rival_reply(mmx_filter_t *filter,
-				    mmx_fence_reply_t *reply)
+				    const mmx_fence_reply_t *reply)
 {
 	mmx_attempt_filter_t *self = (mmx_attempt_filter_t *)filter;
-	mmx_exchange_t *exchange;
-
-	/* One reply for each query: the first exchange that waits takes it. */
-	TAILQ_FOREACH (exchange, &self->open, path_entry) {
-		if (!is_rival_(exchange, &reply->attempt))
-			continue;
-		on_rival_(self, exchange, reply);
-		return;
+	mmx_exchange_t *last = TAILQ_LAST(&self->open, mmx_exchange_list_t);
+	mmx_exchange_t *exchange = TAILQ_FIRST(&self->open);
+	mmx_exchange_t *next;
+
+	/* The peer task answers only the latest of several queries about one
+	 * attempt, and what the exit says of it holds for all. Attempts that
+	 * are sent again meanwhile go behind the last one. */
+	for (; exchange; exchange = next) {
+		next = exchange == last ? NULL
+					: TAILQ_NEXT(exchange, path_entry);
+		if (is_rival_(exchange, &reply->attempt))
+			on_rival_(self, exchange, reply);
 	}
 }
 
--- a/src/libmasticmux/include/private/entry.h
+++ b/src/libmasticmux/include/private/entry.h
@@ -109,7 +109,7 @@
 				    const mmx_claim_reply_t *reply);
 /* Of an attempt that holds the key of an exchange here. */
 void mmx_filter_attempt_rival_reply(mmx_filter_t *filter,
-				    mmx_fence_reply_t *reply);
+				    const mmx_fence_reply_t *reply);
 void mmx_filter_attempt_path_lost(mmx_filter_t *filter,
 				  const mmx_path_lost_t *lost);
 void mmx_filter_attempt_request_body(mmx_filter_t *filter,
--- a/src/libmasticmux/peer_entry.c
+++ b/src/libmasticmux/peer_entry.c
@@ -182,7 +182,9 @@
 	mmx_peer_link_t *link = mmx_peer_node_usable(node);
 	mmx_time_t now = mmx_clock_now(peer->clock);
 
-	if (attempt && attempt->sent_link == MMX_LINK_WAITING) {
+	/* Queries of repeats under a key go after it to the exit. */
+	if (fence->purpose == MMX_FENCE_RECOVER && attempt &&
+	    attempt->sent_link == MMX_LINK_WAITING) {
 		fence_waiting_(attempt);
 		mmx_message_destroy(&fence->message);
 		return;
--- a/src/test_libmasticmux/test_filter_attempt_claim.c
+++ b/src/test_libmasticmux/test_filter_attempt_claim.c
@@ -121,6 +121,7 @@
 static void rival_reply_(rig_t *rig, char **words)
 {
 	mmx_attempt_id_t id = rival_();
+	struct evbuffer *kept = evbuffer_new();
 	mmx_fence_reply_t *reply;
 	int i;
 
@@ -131,8 +132,11 @@
 	reply->purpose = MMX_FENCE_QUERY;
 	if (fake_flag(words, "head")) {
 		reply->head = mmx_head_create_response(200);
-		add_bytes_(reply->body, 7);
+		add_bytes_(kept, 7);
+		/* As the exit of the same node. */
+		evbuffer_add_buffer_reference(reply->body, kept);
 	}
+	evbuffer_free(kept);
 	mmx_task_post(mmx_entry_task(rig->entry), &reply->message);
 }
 
@@ -342,6 +346,19 @@
 		 "answer1:unknown:duplicate-in-progress:409:31:end "
 		 "answer2:unknown:duplicate-in-progress:409:31:end "
 		 "in-progress:0 "},
+		{"two requests ask about one holder, one reply comes",
+		 "request; request n=2; claim lost; claim n=2 lost; "
+		 "rival finished head; count",
+		 "claim1 claim2 fence9:query fence9:query "
+		 "answer1:completed:duplicate-completed:200:7:end "
+		 "answer2:completed:duplicate-completed:200:7:end "
+		 "in-progress:0 "},
+		{"one reply lets two requests take over",
+		 "request; request n=2; claim lost; claim n=2 lost; "
+		 "rival fenced; claim n=3 won; response n=3; count",
+		 "claim1 claim2 fence9:query fence9:query "
+		 "claim3:supersedes40 claim4:supersedes40 execute3:0 "
+		 "answer1:completed:none:200:3:end in-progress:1 "},
 	};
 
 	run_(cases, sizeof(cases) / sizeof(cases[0]));
--- a/src/test_libmasticmux/test_peer_faults.c
+++ b/src/test_libmasticmux/test_peer_faults.c
@@ -217,6 +217,24 @@
 	mmx_test_world_destroy(world);
 }
 
+/* Guards against a query of a repeat under the same key that cancels the
+ * attempt it asks about, which still waits for a connection, and that is
+ * answered as if the attempt's own request had asked. */
+static void test_query_before_send_(void)
+{
+	mmx_test_world_t *world = mmx_test_world_create(&relayed_);
+	mmx_fence_t *query = mmx_test_fence(1);
+
+	query->purpose = MMX_FENCE_QUERY;
+	post_(world, &mmx_test_execute(1)->message);
+	post_(world, &query->message);
+	mmx_message_destroy(
+		mmx_test_expect(world, &world->b.exit, MMX_MESSAGE_EXECUTE));
+	answer_fence_(world, MMX_FENCE_RUNNING);
+	expect_fence_reply_(world, MMX_FENCE_RUNNING);
+	mmx_test_world_destroy(world);
+}
+
 /* Guards against attempts for a restarted node that go to its earlier
  * process: such an attempt needs a new connection. */
 static void test_restarted_exit_(void)
@@ -512,6 +530,8 @@
 	{"a fence ends its attempt on both sides", test_fence_ends_attempt_},
 	{"an unreachable node refuses accurately", test_unreachable_},
 	{"an unsent attempt is fenced here", test_fence_before_send_},
+	{"a query of an unsent attempt leaves it alone",
+	 test_query_before_send_},
 	{"a restarted exit gets a new connection", test_restarted_exit_},
 	{"wrong keys are refused", test_wrong_keys_},
 	{"clients that are no nodes are closed", test_raw_clients_},
--- a/test/scenarios/guards.lua
+++ b/test/scenarios/guards.lua
@@ -14,6 +14,10 @@
 	{off = "match", seeds = 5, breaks = {"P2 complete response",
 		"P3 not-run", "P4 at most once", "accurate refusal"}},
 	{off = "finish", seeds = 10, breaks = {"P6 planned stop"}},
+	{off = "claim", seeds = 5, key = 0.5, repeats = 1,
+		breaks = {"P4 at most once"}},
+	{off = "takeover", seeds = 20, key = 0.5, repeats = 1,
+		settle = 20000, breaks = {"P4 at most once"}},
 }
 
 for _, case in ipairs(cases) do
