Name the refusal that a repeated claim came after

A request that an exit had refused and whose deadline passed during the claim for its next attempt was told claim-unavailable, although the log worked.

It now gets the reason of that refusal.

The unit test gave claim-unavailable before the change.

--- a/src/libmasticmux/filter_attempt_claim.c
+++ b/src/libmasticmux/filter_attempt_claim.c
@@ -196,5 +196,10 @@
 	if (exchange->state == MMX_EXCHANGE_QUERYING)
 		refuse_duplicate_(self, exchange, MMX_REASON_PATH_LOST);
 	else
-		refuse_unsent_(self, exchange, MMX_REASON_CLAIM_UNAVAILABLE);
+		/* A refusal of an exit says more than the missing claim of the
+		 * attempt after it. */
+		refuse_unsent_(self, exchange,
+			       exchange->refusal
+				       ? exchange->refusal
+				       : MMX_REASON_CLAIM_UNAVAILABLE);
 }
--- a/src/test_libmasticmux/test_filter_attempt_claim.c
+++ b/src/test_libmasticmux/test_filter_attempt_claim.c
@@ -280,6 +280,10 @@
 		 "request; claim won offset=5; refuse; claim n=2",
 		 "claim1 execute1:0 claim2:supersedes5 "
 		 "answer1:not-run:claim-unavailable:503:27:end "},
+		{"refused, and the deadline passes during the second claim",
+		 "request; claim won offset=5; refuse; wait ms=2000; count",
+		 "claim1 execute1:0 claim2:supersedes5 "
+		 "answer1:not-run:overloaded:503:20:end in-progress:0 "},
 		{"a repeated reply sends nothing",
 		 "request; claim won; claim won; response",
 		 "claim1 execute1:0 answer1:completed:none:200:3:end "},
--- a/test/claims_world.c
+++ b/test/claims_world.c
@@ -110,6 +110,7 @@
 
 	g_ptr_array_add(stream, g_bytes_ref(call->data));
 	call->from = stream->len;
+	world->stats.claim_records++;
 	world_trace(world, 0, "log claims-%02u has record %u of %s",
 		    call->partition, stream->len, call->node->name);
 }
--- a/test/lua_api.c
+++ b/test/lua_api.c
@@ -433,6 +433,7 @@
 	push_count_(lua, "broken_off", stats->broken_off);
 	push_count_(lua, "executions", stats->executions);
 	push_count_(lua, "cross_region", stats->cross_region);
+	push_count_(lua, "claim_records", stats->claim_records);
 	for (i = 0; i < MMX_OUTCOME_COUNT; i++)
 		push_count_(lua, mmx_outcome_string[i], stats->answers[i]);
 	for (i = 1; i < MMX_REASON_COUNT; i++)
--- a/test/world.h
+++ b/test/world.h
@@ -144,6 +144,7 @@
 	mmx_time_t slowest_refusal; /* overloaded, no-capacity, account-limit */
 	uint64_t executions;
 	uint64_t cross_region;
+	uint64_t claim_records; /* in the log */
 } stats_t;
 
 struct world_t {
