--- a/src/test_libmasticmux/suites.c
+++ b/src/test_libmasticmux/suites.c
@@ -48,6 +48,7 @@
 	{"snapshot", NULL, NULL, NULL, NULL, mmx_tests_snapshot},
 	{"stop", NULL, NULL, NULL, NULL, mmx_tests_stop},
 	{"target_client", NULL, NULL, NULL, NULL, mmx_tests_target_client},
+	{"target_delay", NULL, NULL, NULL, NULL, mmx_tests_target_delay},
 	{"task", NULL, NULL, NULL, NULL, mmx_tests_task},
 	{"trace", NULL, NULL, NULL, NULL, mmx_tests_trace},
 	{"wire", NULL, NULL, NULL, NULL, mmx_tests_wire},
