Compute a node's id in one function

Three public functions and a direct call of XXH64 in node.c derived the id of a node from its name, so a change to one could make nodes disagree.

mmx_node_id() moves from private/session.h to types.h; mmx_member_id() and mmx_config_node_id() are gone and their callers use it.

--- a/bench/bench_membership.c
+++ b/bench/bench_membership.c
@@ -53,7 +53,7 @@
 		 n % FULL_SERVICES, n);
 	snprintf(record.service, sizeof(record.service), "service-%04zu",
 		 n % FULL_SERVICES);
-	record.node = mmx_member_id(node);
+	record.node = mmx_node_id(node);
 	record.id = mmx_directory_id(node, record.name);
 	return record;
 }
@@ -150,7 +150,7 @@
 	member.operators.port = 8083;
 	memcpy(member.operators.host, member.nodes.host,
 	       sizeof(member.nodes.host));
-	member.id = mmx_member_id(member.name);
+	member.id = mmx_node_id(member.name);
 	return member;
 }
 
--- a/include/masticmux/config_task.h
+++ b/include/masticmux/config_task.h
@@ -57,8 +57,7 @@
 /** Starts working. Valid once; members may be posted before. */
 void mmx_config_task_start(mmx_config_task_t *task);
 
-/** Node id and region id of a name, as they stand in members. */
-mmx_node_id_t mmx_config_node_id(const char *name);
+/** Region id of a name, as it stands in members. */
 uint64_t mmx_config_region_id(const char *name);
 
 /** Posts the alive nodes. The array is copied. */
--- a/include/masticmux/member.h
+++ b/include/masticmux/member.h
@@ -45,7 +45,4 @@
 	mmx_node_id_t reporter; /**< 0 except for MMX_MEMBER_UNREACHABLE */
 } mmx_opinion_t;
 
-/** Id of a node: XXH64 of its name. */
-mmx_node_id_t mmx_member_id(const char *name);
-
 #endif
--- a/include/masticmux/types.h
+++ b/include/masticmux/types.h
@@ -21,7 +21,7 @@
 /** Longest name of a node, target, service, account, zone or region, bytes. */
 #define MMX_NAME_MAX 63
 
-/** XXH64 of the node's name. */
+/** XXH64 of the node's name, see mmx_node_id(). */
 typedef uint64_t mmx_node_id_t;
 /** XXH64 of "node name/target name". */
 typedef uint64_t mmx_target_id_t;
@@ -73,6 +73,9 @@
 
 extern const char *const mmx_reason_string[MMX_REASON_COUNT];
 
+/** Id of a node from its name, which ends with NUL. */
+mmx_node_id_t mmx_node_id(const char *name);
+
 /**
  * HTTP status that goes with a refusal.
  *
--- a/src/libmasticmux/config_task.c
+++ b/src/libmasticmux/config_task.c
@@ -93,11 +93,6 @@
 	mmx_counter_t *stats[G_N_ELEMENTS(stats_)];
 };
 
-mmx_node_id_t mmx_config_node_id(const char *name)
-{
-	return XXH64(name, strlen(name), 0);
-}
-
 uint64_t mmx_config_region_id(const char *name)
 {
 	return XXH64(name, strlen(name), 0);
@@ -338,7 +333,7 @@
 	mmx_config_task_t *task = g_new0(mmx_config_task_t, 1);
 	mmx_clock_t *clock = mmx_runtime_clock(runtime);
 	mmx_config_options_t options = {
-		.self = mmx_config_node_id(settings->node_name),
+		.self = mmx_node_id(settings->node_name),
 		.region = mmx_config_region_id(settings->region),
 		.retention = settings->log_retention,
 		.has_log = settings->log_service.port != 0,
--- a/src/libmasticmux/gossip_xdr.c
+++ b/src/libmasticmux/gossip_xdr.c
@@ -63,7 +63,7 @@
 	    !xdr_address_(xdrs, &member->operators, true) ||
 	    !xdr_name_(xdrs, member->region) || !xdr_name_(xdrs, member->zone))
 		return false;
-	member->id = mmx_member_id(member->name);
+	member->id = mmx_node_id(member->name);
 	return member->incarnation != 0;
 }
 
--- a/src/libmasticmux/include/private/session.h
+++ b/src/libmasticmux/include/private/session.h
@@ -79,9 +79,6 @@
 
 typedef struct mmx_session_t mmx_session_t;
 
-/* Node id of a name. */
-mmx_node_id_t mmx_node_id(const char *node_name);
-
 /*
  * loopback says whether the other end has a loopback address. The nonce must
  * not have been used before.
--- a/src/libmasticmux/membership.c
+++ b/src/libmasticmux/membership.c
@@ -98,7 +98,7 @@
 	m->arg = arg;
 	mmx_random_seed(&m->random, config->random_seed);
 	m->table = mmx_member_table_create(clock, &m->random);
-	self.id = mmx_member_id(self.name);
+	self.id = mmx_node_id(self.name);
 	self.refutation = 0;
 	self.state = MMX_MEMBER_ALIVE;
 	m->self = mmx_member_table_put(m->table, &self);
--- a/src/libmasticmux/node.c
+++ b/src/libmasticmux/node.c
@@ -6,7 +6,6 @@
 #include <openssl/rand.h>
 #include <signal.h>
 #include <string.h>
-#include <xxhash.h>
 
 #include "private/entry.h"
 #include "private/exit.h"
@@ -113,7 +112,7 @@
 	mmx_random_seed(&node->random, random_seed_());
 	node->trace =
 		mmx_trace_create(node->clock, &node->random, node->counters);
-	node->id = XXH64(settings->node_name, strlen(settings->node_name), 0);
+	node->id = mmx_node_id(settings->node_name);
 	node->incarnation = mmx_clock_wall(node->clock);
 	TAILQ_INIT(&node->parts);
 	mmx_timer_init(&node->drain_timer, node->clock, on_drain_poll_, node);
--- a/src/libmasticmux/session.c
+++ b/src/libmasticmux/session.c
@@ -7,7 +7,6 @@
 #include <openssl/evp.h>
 #include <openssl/params.h>
 #include <string.h>
-#include <xxhash.h>
 
 #define SHA256_BYTES 32
 /* Pieces of an evbuffer that are digested per step. */
@@ -48,11 +47,6 @@
 	uint64_t next_received;
 };
 
-mmx_node_id_t mmx_node_id(const char *node_name)
-{
-	return XXH64(node_name, strlen(node_name), 0);
-}
-
 static EVP_MAC_CTX *create_mac_(void)
 {
 	EVP_MAC *hmac = EVP_MAC_fetch(NULL, "HMAC", NULL);
--- a/src/libmasticmux/types.c
+++ b/src/libmasticmux/types.c
@@ -1,6 +1,8 @@
 #include "masticmux/types.h"
 
 #include <assert.h>
+#include <string.h>
+#include <xxhash.h>
 
 const char *const mmx_outcome_string[MMX_OUTCOME_COUNT] = {
 	"completed",
@@ -32,6 +34,11 @@
 	"draining",
 };
 
+mmx_node_id_t mmx_node_id(const char *name)
+{
+	return XXH64(name, strlen(name), 0);
+}
+
 int mmx_reason_status(mmx_outcome_t outcome, mmx_reason_t reason)
 {
 	assert(outcome != MMX_OUTCOME_COMPLETED);
--- a/src/masticmux/command_publish.c
+++ b/src/masticmux/command_publish.c
@@ -122,7 +122,7 @@
 static void open_(publisher_t *publisher, const char *record)
 {
 	mmx_config_options_t options = {
-		.self = mmx_config_node_id(publisher->settings->node_name),
+		.self = mmx_node_id(publisher->settings->node_name),
 		.region = mmx_config_region_id(publisher->settings->region),
 		.retention = publisher->settings->log_retention,
 		.has_log = true,
--- a/src/test_libmasticmux/fleet.h
+++ b/src/test_libmasticmux/fleet.h
@@ -198,7 +198,7 @@
 
 	assert(!instance->membership);
 	g_strlcpy(self->name, instance->name, sizeof(self->name));
-	self->id = mmx_member_id(self->name);
+	self->id = mmx_node_id(self->name);
 	self->incarnation = mmx_clock_wall(fleet->clock);
 	g_strlcpy(self->nodes.host, "10.1.20.30", sizeof(self->nodes.host));
 	self->nodes.port = (uint16_t)(FLEET_PORT + instance->index);
--- a/src/test_libmasticmux/test_gossip_codec.c
+++ b/src/test_libmasticmux/test_gossip_codec.c
@@ -30,7 +30,7 @@
 	};
 
 	snprintf(member.name, sizeof(member.name), "%s", name);
-	member.id = mmx_member_id(name);
+	member.id = mmx_node_id(name);
 	return member;
 }
 
