Make socket addresses in one function

gossip.c, listen.c and connection.c each converted an address to a sockaddr with the same code.

mmx_address_to_sockaddr() in address.c replaces to_sockaddr_(), mmx_socket_address() and mmx_connection_sockaddr().

--- a/bench/hostile.c
+++ b/bench/hostile.c
@@ -25,7 +25,6 @@
 
 #include "masticmux/address.h"
 #include "masticmux/random.h"
-#include "private/listen.h"
 
 #define INPUTS 100000
 /* A connection that the node leaves open for this long counts as open. */
@@ -456,7 +455,7 @@
 
 	if (!text || !mmx_address_parse(text, &parsed))
 		return false;
-	*length = mmx_socket_address(&parsed, address);
+	*length = (int)mmx_address_to_sockaddr(&parsed, address);
 	return *length > 0;
 }
 
--- a/bench/split_body.c
+++ b/bench/split_body.c
@@ -20,7 +20,6 @@
 #include <unistd.h>
 
 #include "masticmux/address.h"
-#include "private/listen.h"
 
 #define REQUESTS 500
 #define BODY_BYTES 64
@@ -40,7 +39,7 @@
 
 	if (!to || !mmx_address_parse(to, &parsed))
 		return -1;
-	length = mmx_socket_address(&parsed, &address);
+	length = (int)mmx_address_to_sockaddr(&parsed, &address);
 	fd = socket(address.ss_family, SOCK_STREAM | SOCK_CLOEXEC, 0);
 	if (fd < 0)
 		return -1;
--- a/include/masticmux/address.h
+++ b/include/masticmux/address.h
@@ -4,6 +4,8 @@
 #ifndef MASTICMUX_ADDRESS_H
 #define MASTICMUX_ADDRESS_H
 
+#include <sys/socket.h>
+
 #include "masticmux/types.h"
 
 #define MMX_ADDRESS_MAX 63
@@ -41,4 +43,12 @@
 /** True for addresses that no single host has: 224.0.0.0/3 and ff00::/8. */
 bool mmx_address_is_multicast(const mmx_address_t *address);
 
+/**
+ * Fills a socket address of IPv4 or IPv6.
+ *
+ * @return its length in bytes, or 0 when the host is not numeric
+ */
+socklen_t mmx_address_to_sockaddr(const mmx_address_t *address,
+				  struct sockaddr_storage *out);
+
 #endif
--- a/src/libmasticmux/address.c
+++ b/src/libmasticmux/address.c
@@ -113,3 +113,23 @@
 	return inet_pton(AF_INET6, address->host, &v6) == 1 &&
 	       IN6_IS_ADDR_MULTICAST(&v6);
 }
+
+socklen_t mmx_address_to_sockaddr(const mmx_address_t *address,
+				  struct sockaddr_storage *out)
+{
+	struct sockaddr_in *v4 = (struct sockaddr_in *)out;
+	struct sockaddr_in6 *v6 = (struct sockaddr_in6 *)out;
+
+	memset(out, 0, sizeof(*out));
+	if (inet_pton(AF_INET, address->host, &v4->sin_addr) == 1) {
+		v4->sin_family = AF_INET;
+		v4->sin_port = htons(address->port);
+		return sizeof(*v4);
+	}
+	if (inet_pton(AF_INET6, address->host, &v6->sin6_addr) == 1) {
+		v6->sin6_family = AF_INET6;
+		v6->sin6_port = htons(address->port);
+		return sizeof(*v6);
+	}
+	return 0;
+}
--- a/src/libmasticmux/connection.c
+++ b/src/libmasticmux/connection.c
@@ -208,27 +208,6 @@
 	return connection;
 }
 
-bool mmx_connection_sockaddr(const mmx_address_t *address,
-			     struct sockaddr_storage *storage, socklen_t *size)
-{
-	struct sockaddr_in *v4 = (struct sockaddr_in *)storage;
-	struct sockaddr_in6 *v6 = (struct sockaddr_in6 *)storage;
-
-	memset(storage, 0, sizeof(*storage));
-	if (inet_pton(AF_INET, address->host, &v4->sin_addr) == 1) {
-		v4->sin_family = AF_INET;
-		v4->sin_port = htons(address->port);
-		*size = sizeof(*v4);
-		return true;
-	}
-	if (inet_pton(AF_INET6, address->host, &v6->sin6_addr) != 1)
-		return false;
-	v6->sin6_family = AF_INET6;
-	v6->sin6_port = htons(address->port);
-	*size = sizeof(*v6);
-	return true;
-}
-
 bool mmx_connection_is_loopback(const struct sockaddr *address)
 {
 	const struct sockaddr_in *v4 = (const struct sockaddr_in *)address;
@@ -249,8 +228,8 @@
 	socklen_t size;
 	bool loopback;
 
-	if (address->port == 0 ||
-	    !mmx_connection_sockaddr(address, &storage, &size))
+	size = mmx_address_to_sockaddr(address, &storage);
+	if (address->port == 0 || size == 0)
 		return NULL;
 	loopback = mmx_connection_is_loopback((struct sockaddr *)&storage);
 	if (config->identity->key_count == 0 && !loopback)
--- a/src/libmasticmux/gossip.c
+++ b/src/libmasticmux/gossip.c
@@ -54,26 +54,6 @@
 	mmx_counter_t *rejected[MMX_GOSSIP_REJECT_COUNT];
 };
 
-static socklen_t to_sockaddr_(const mmx_address_t *address,
-			      struct sockaddr_storage *out)
-{
-	struct sockaddr_in *v4 = (struct sockaddr_in *)out;
-	struct sockaddr_in6 *v6 = (struct sockaddr_in6 *)out;
-
-	memset(out, 0, sizeof(*out));
-	if (inet_pton(AF_INET, address->host, &v4->sin_addr) == 1) {
-		v4->sin_family = AF_INET;
-		v4->sin_port = htons(address->port);
-		return sizeof(*v4);
-	}
-	if (inet_pton(AF_INET6, address->host, &v6->sin6_addr) == 1) {
-		v6->sin6_family = AF_INET6;
-		v6->sin6_port = htons(address->port);
-		return sizeof(*v6);
-	}
-	return 0;
-}
-
 static void from_sockaddr_(const struct sockaddr_storage *from,
 			   mmx_address_t *address)
 {
@@ -126,7 +106,7 @@
 	const mmx_settings_t *settings = gossip->settings;
 	uint8_t data[MMX_DATAGRAM_MAX];
 	struct sockaddr_storage address = {0};
-	socklen_t length = to_sockaddr_(to, &address);
+	socklen_t length = mmx_address_to_sockaddr(to, &address);
 	size_t size;
 
 	message->sequence = ++gossip->sequence;
@@ -324,7 +304,7 @@
 {
 	const mmx_address_t *listen = &gossip->settings->listen_nodes;
 	struct sockaddr_storage address = {0};
-	socklen_t length = to_sockaddr_(listen, &address);
+	socklen_t length = mmx_address_to_sockaddr(listen, &address);
 
 	if (!length || wildcard_(&address))
 		return mmx_error_set(error, MMX_ERROR_INVALID,
--- a/src/libmasticmux/include/private/connection.h
+++ b/src/libmasticmux/include/private/connection.h
@@ -72,10 +72,6 @@
 	uint64_t records_received;
 } mmx_connection_usage_t;
 
-/* Numeric host and port as a socket address; false for anything else. */
-bool mmx_connection_sockaddr(const mmx_address_t *address,
-			     struct sockaddr_storage *storage, socklen_t *size);
-
 /* True for 127.0.0.0/8 and ::1. */
 bool mmx_connection_is_loopback(const struct sockaddr *address);
 
--- a/src/libmasticmux/include/private/listen.h
+++ b/src/libmasticmux/include/private/listen.h
@@ -8,15 +8,6 @@
 #include "masticmux/settings.h"
 
 struct evhttp;
-struct sockaddr_storage;
-
-/*
- * Makes a socket address.
- *
- * Returns its length, 0 when the host is not numeric.
- */
-int mmx_socket_address(const mmx_address_t *address,
-		       struct sockaddr_storage *out);
 
 /*
  * Listens on an address; port 0 takes a free one. *port receives the port.
--- a/src/libmasticmux/listen.c
+++ b/src/libmasticmux/listen.c
@@ -9,26 +9,6 @@
 
 #define BACKLOG 1024
 
-int mmx_socket_address(const mmx_address_t *address,
-		       struct sockaddr_storage *out)
-{
-	struct sockaddr_in *v4 = (struct sockaddr_in *)out;
-	struct sockaddr_in6 *v6 = (struct sockaddr_in6 *)out;
-
-	memset(out, 0, sizeof(*out));
-	if (inet_pton(AF_INET, address->host, &v4->sin_addr) == 1) {
-		v4->sin_family = AF_INET;
-		v4->sin_port = htons(address->port);
-		return sizeof(*v4);
-	}
-	if (inet_pton(AF_INET6, address->host, &v6->sin6_addr) == 1) {
-		v6->sin6_family = AF_INET6;
-		v6->sin6_port = htons(address->port);
-		return sizeof(*v6);
-	}
-	return 0;
-}
-
 static uint16_t bound_port_(int fd)
 {
 	struct sockaddr_storage bound;
@@ -48,7 +28,7 @@
 {
 	struct evconnlistener *listener;
 	struct sockaddr_storage bound;
-	int length = mmx_socket_address(address, &bound);
+	socklen_t length = mmx_address_to_sockaddr(address, &bound);
 
 	if (length == 0) {
 		mmx_error_set(error, MMX_ERROR_INVALID,
@@ -59,7 +39,7 @@
 		base, accept, arg,
 		LEV_OPT_CLOSE_ON_FREE | LEV_OPT_CLOSE_ON_EXEC |
 			LEV_OPT_REUSEABLE,
-		BACKLOG, (struct sockaddr *)&bound, length);
+		BACKLOG, (struct sockaddr *)&bound, (int)length);
 	if (!listener) {
 		mmx_error_set(error, MMX_ERROR_IO,
 			      "cannot listen on %s port %u: %s", address->host,
--- a/src/libmasticmux/peer.c
+++ b/src/libmasticmux/peer.c
@@ -328,7 +328,8 @@
 	socklen_t size;
 
 	assert(!peer->listener);
-	if (!mmx_connection_sockaddr(listen, &storage, &size))
+	size = mmx_address_to_sockaddr(listen, &storage);
+	if (size == 0)
 		return mmx_error_set(error, MMX_ERROR_INVALID, "bad address %s",
 				     listen->host);
 	if (peer->config.key_count == 0 &&
--- a/src/libmasticmux/target_connection.c
+++ b/src/libmasticmux/target_connection.c
@@ -318,7 +318,7 @@
 	mmx_target_connection_t *connection =
 		g_new0(mmx_target_connection_t, 1);
 	struct sockaddr_storage socket_address;
-	int length = mmx_socket_address(address, &socket_address);
+	socklen_t length = mmx_address_to_sockaddr(address, &socket_address);
 
 	connection->shared = shared;
 	connection->pool = pool;
@@ -343,7 +343,7 @@
 	if (length == 0 ||
 	    bufferevent_socket_connect(connection->bev,
 				       (struct sockaddr *)&socket_address,
-				       length) < 0) {
+				       (int)length) < 0) {
 		mmx_target_connection_close(connection);
 		return NULL;
 	}
