--- a/bench/bench_entry.c
+++ b/bench/bench_entry.c
@@ -69,7 +69,7 @@
 		g_snprintf(record.name, sizeof(record.name), "target-%d", i);
 		g_snprintf(record.service, sizeof(record.service), "service-%d",
 			   i % SERVICES);
-		record.node = mmx_member_id(node);
+		record.node = mmx_node_id(node);
 		record.id = mmx_directory_id(node, record.name);
 		mmx_directory_update(directory, &record);
 	}
--- a/bench/bench_tables.c
+++ b/bench/bench_tables.c
@@ -390,7 +390,7 @@
 			   i % ZONES % REGIONS);
 		g_snprintf(member->zone, sizeof(member->zone), "zone-%d",
 			   i % ZONES);
-		member->id = mmx_member_id(member->name);
+		member->id = mmx_node_id(member->name);
 		member->incarnation = 1700000000000000ULL;
 		member->nodes = fleet->address;
 		g_hash_table_insert(fleet->by_id, &member->id, member);
