--- a/bench/path.sh
+++ b/bench/path.sh
@@ -156,6 +156,9 @@
 
 cpu_us() { awk '{ print int($1 / 1000) }' "/proc/$1/schedstat"; }
 
+# Time for which a process was ready to run and had no core.
+wait_us() { awk '{ print int($2 / 1000) }' "/proc/$1/schedstat"; }
+
 # resident_kib PID: sets resident. The sums in smaps_rollup are exact, those in
 # status may lag by some pages for each core.
 resident_kib() {
@@ -269,8 +272,9 @@
 
 # The rounds alternate, so that a disturbance hits all of them alike.
 measure_latency() {
-	local i before after
+	local i before after waited
 	before=$(cpu_us "$entry_pid")
+	waited=$(wait_us "$entry_pid")
 	for i in $(seq "$rounds"); do
 		one_round near_direct "$near" near.bench.example --direct
 		one_round one_node "$entry_callers" near.bench.example
@@ -278,8 +282,14 @@
 		one_round two_nodes "$entry_callers" far.bench.example
 	done
 	after=$(cpu_us "$entry_pid")
+	waited=$(($(wait_us "$entry_pid") - waited))
 	compare one_node one_node near_direct
 	compare two_nodes two_nodes far_direct
+	# Close to 0 on an idle machine.
+	result entry_waited_for_core_per_request "$(compute --argjson us \
+		"$waited" --slurpfile a "$dir/one_node" \
+		--slurpfile b "$dir/two_nodes" \
+		'$us / ($a + $b | map(.completed) | add)')" us
 	# Half of the requests of the entry end on it, half on the other node.
 	result entry_cpu_per_request_at_rate "$(compute --argjson us \
 		$((after - before)) --slurpfile a "$dir/one_node" \
--- a/src/test_libmasticmux/test_target_delay.c
+++ b/src/test_libmasticmux/test_target_delay.c
@@ -35,7 +35,7 @@
 /* The descriptor that is bound to the port, or -1. */
 static int find_client_(uint16_t port)
 {
-	struct sockaddr_in address;
+	struct sockaddr_in address = {0};
 	socklen_t length;
 	int fd;
 
