--- a/bench/path.sh
+++ b/bench/path.sh
@@ -205,6 +205,7 @@
 		fail "publish: $(cat "$dir/publish")"
 }
 
+# shellcheck disable=SC2034 # near_pid and far_pid are read by name
 start_targets() {
 	start_target near near "$entry_announce"
 	near=$program_address
@@ -275,6 +276,7 @@
 	local i before after waited
 	before=$(cpu_us "$entry_pid")
 	waited=$(wait_us "$entry_pid")
+	# shellcheck disable=SC2034
 	for i in $(seq "$rounds"); do
 		one_round near_direct "$near" near.bench.example --direct
 		one_round one_node "$entry_callers" near.bench.example
