--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -25,6 +25,8 @@
 # The JSON of the benchmarks is read with jq.
 PACKAGES="$PACKAGES jq"
 build=${BUILD:-build}
+# Programs that other scripts use; they measure nothing by themselves.
+HELPERS=" bench_tables "
 dir=$(mktemp -d)
 trap 'rm -rf "$dir"' EXIT
 
@@ -108,6 +110,7 @@
 : >"$dir/runs"
 for program in "$build"/bench/bench_*; do
 	name=$(basename "$program")
+	case $HELPERS in *" $name "*) continue ;; esac
 	# shellcheck disable=SC2046
 	run "$name" "$program" --json $(options "$name")
 done
