Don't call an attempt completed that was cut off

A repeat under a key was told duplicate-completed when the attempt that held the key had been cut off before its request was whole, or had failed at its target: the exit reports both as finished.

To repeats the exit says finished only after a whole response, else forgotten, which the caller sees as unknown.

--- a/src/libmasticmux/exit_attempt.c
+++ b/src/libmasticmux/exit_attempt.c
@@ -311,6 +311,9 @@
 			attempt->reply_at_end = true;
 		return MMX_FENCE_RUNNING;
 	case MMX_ATTEMPT_FINISHED:
+		/* One that was cut off or failed may not have run. */
+		if (fence->purpose != MMX_FENCE_RECOVER && !attempt->completed)
+			return MMX_FENCE_FORGOTTEN;
 		return MMX_FENCE_FINISHED;
 	default:
 		return MMX_FENCE_FENCED;
--- a/src/libmasticmux/exit_call.c
+++ b/src/libmasticmux/exit_call.c
@@ -88,6 +88,7 @@
 				       &attempt->origin);
 	else
 		mmx_message_destroy(&response->message);
+	attempt->completed = end;
 	if (end)
 		mmx_exit_end_running(exit, attempt, MMX_ATTEMPT_FINISHED);
 }
@@ -132,6 +133,7 @@
 		/* What is kept is not a whole response. */
 		mmx_attempts_drop_answer(exit->attempts, attempt);
 	} else {
+		attempt->completed = true;
 		mmx_exit_target_note_service(attempt->target,
 					     mmx_clock_now(exit->clock) -
 						     attempt->started);
--- a/src/libmasticmux/include/private/attempts.h
+++ b/src/libmasticmux/include/private/attempts.h
@@ -48,6 +48,7 @@
 	bool abandoned;	   /* nobody waits for the response */
 	bool reply_at_end; /* a fencing query waits for the whole response */
 	bool headed;	   /* the target's head has arrived */
+	bool completed;	   /* the whole response has arrived */
 	mmx_detection_request_t detection; /* while judged */
 	bool judged;			   /* counts as work in progress */
 	bool trial;
--- a/src/libmasticmux/include/private/messages.h
+++ b/src/libmasticmux/include/private/messages.h
@@ -218,7 +218,7 @@
 	MMX_FENCE_FENCED,    /* never started and never will */
 	MMX_FENCE_RUNNING,   /* started; the origin now gets its response */
 	MMX_FENCE_FINISHED,  /* ran; the response is in the reply if kept */
-	MMX_FENCE_FORGOTTEN, /* the exit no longer knows */
+	MMX_FENCE_FORGOTTEN, /* the exit does not know whether it ran */
 	MMX_FENCE_STATE_COUNT
 } mmx_fence_state_t;
 
