Measure the memory of connections in full_tables.sh

Connections of other nodes were not part of the measured memory of a node.

bench_tables opens connections as separate peers; full_tables.sh reports the growth of resident memory, and publishes valid changes during its minute.

--- a/bench/bench_entry.c
+++ b/bench/bench_entry.c
@@ -133,8 +133,8 @@
 	mmx_view_finish(view, choice.target, choice.node);
 }
 
-static void measure_view_(json_t *results, mmx_view_t *view,
-			  mmx_clock_t *clock, mmx_random_t *random)
+static void measure_view_(json_t *results, mmx_view_t *view, mmx_clock_t *clock,
+			  mmx_random_t *random)
 {
 	double x[STEPS];
 	double y[STEPS];
@@ -202,11 +202,10 @@
 	for (step = 0; step < STEPS; step++) {
 		for (; n < RECORDS * (uint64_t)(step + 1) / STEPS; n++) {
 			mmx_attempt_id_t id = {1 + n % NODES, 1, n + 1};
-			mmx_attempt_t *attempt = mmx_attempts_add(attempts,
-								  &id);
+			mmx_attempt_t *attempt =
+				mmx_attempts_add(attempts, &id);
 
-			attempt->deadline =
-				mmx_clock_now(clock) + MMX_US_PER_S;
+			attempt->deadline = mmx_clock_now(clock) + MMX_US_PER_S;
 			mmx_attempts_end(attempts, attempt,
 					 MMX_ATTEMPT_FINISHED);
 		}
--- a/bench/bench_tables.c
+++ b/bench/bench_tables.c
@@ -3,6 +3,7 @@
  *
  *   build/bench/bench_tables --records=DIR
  *   build/bench/bench_tables --fleet=ADDRESS
+ *   build/bench/bench_tables --dial=ADDRESS --connections=N
  *
  * The first form writes the full configuration as records of the stream
  * "config", one file each. The second takes the place of the fleet until
@@ -10,7 +11,8 @@
  * and all other members share its address. They answer probes, probe the node
  * and send it NEWS as often as a fleet would, with updates of members that
  * restart. They have no TCP identity, so a DIRECTORY_SYNC with one of them
- * fails. Without a mode it does nothing.
+ * fails. The third opens connections to a node, each as a peer of its own,
+ * until SIGTERM. Without a mode it does nothing.
  */
 #include <arpa/inet.h>
 #include <event2/event.h>
@@ -21,6 +23,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
 #include "masticmux/change.h"
 #include "masticmux/membership.h"
@@ -49,6 +52,8 @@
 static gint accounts_ = 230000;
 static gint members_ = 4200;
 static gint targets_ = 53000;
+static gchar *dial_;
+static gint connections_ = 500;
 static gboolean json_;
 
 static const GOptionEntry entries_[] = {
@@ -56,6 +61,10 @@
 	 "Write the configuration as records", "DIR"},
 	{"fleet", 0, 0, G_OPTION_ARG_STRING, &address_,
 	 "Take the place of the fleet", "ADDRESS"},
+	{"dial", 0, 0, G_OPTION_ARG_STRING, &dial_, "Connect to a node",
+	 "ADDRESS"},
+	{"connections", 0, 0, G_OPTION_ARG_INT, &connections_, "Connections",
+	 "N"},
 	{"routes", 0, 0, G_OPTION_ARG_INT, &routes_, "Routes", "N"},
 	{"services", 0, 0, G_OPTION_ARG_INT, &services_, "Services", "N"},
 	{"accounts", 0, 0, G_OPTION_ARG_INT, &accounts_, "Accounts", "N"},
@@ -150,6 +159,7 @@
 	mmx_target_record_t recent[RECENT_TARGETS];
 	size_t recent_count;
 	mmx_member_t restarted;
+	int dialed;
 	evutil_socket_t fd;
 	struct sockaddr_in node; /* address of the measured node */
 	mmx_node_id_t node_id;	 /* 0: not seen yet */
@@ -460,10 +470,17 @@
 	event_base_loopbreak(arg);
 }
 
+static void run_loop_(struct event_base *base)
+{
+	struct event *term = evsignal_new(base, SIGTERM, on_signal_, base);
+
+	event_add(term, NULL);
+	event_base_dispatch(base);
+}
+
 static void run_fleet_(fleet_t *fleet)
 {
 	struct event *readable;
-	struct event *term;
 
 	fleet->resolver.ops = &resolver_ops_;
 	fleet->base = event_base_new();
@@ -485,11 +502,65 @@
 	readable = event_new(fleet->base, fleet->fd, EV_READ | EV_PERSIST,
 			     on_readable_, fleet);
 	event_add(readable, NULL);
-	term = evsignal_new(fleet->base, SIGTERM, on_signal_, fleet->base);
-	event_add(term, NULL);
 	printf("listening %s\n", address_);
 	fflush(stdout);
-	event_base_dispatch(fleet->base);
+	run_loop_(fleet->base);
+}
+
+/* --- connections ------------------------------------------------------- */
+
+static void dial_next_(fleet_t *fleet);
+
+static void on_dialed_(void *arg, mmx_peer_result_t result,
+		       const uint8_t *bytes, size_t length)
+{
+	fleet_t *fleet = arg;
+
+	if (result != MMX_PEER_OK && result != MMX_PEER_REFUSED) {
+		fprintf(stderr, "connection: %s\n",
+			mmx_peer_result_string[result]);
+		exit(1);
+	}
+	if (++fleet->dialed < connections_) {
+		dial_next_(fleet);
+		return;
+	}
+	printf("listening %s\n", dial_);
+	fflush(stdout);
+}
+
+/* One after the other, since a connection has 500 ms for its HELLO. */
+static void dial_next_(fleet_t *fleet)
+{
+	static const uint8_t after_[8];
+	const mmx_peer_place_t place = {.address = fleet->address};
+	const mmx_peer_config_t config = {
+		.node_name = g_strdup_printf("dialer-%d-%d", (int)getpid(),
+					     fleet->dialed),
+		.incarnation = 1700000000000000ULL,
+		.keys = &key_,
+		.key_count = 1,
+		.resolver = &fleet->resolver,
+		.entry = &fleet->sink,
+		.exit = &fleet->sink,
+		.counters = mmx_counters_create(),
+		.random = &fleet->random,
+	};
+
+	mmx_peer_call(mmx_peer_create(fleet->runtime, &config), &place,
+		      MMX_PROCEDURE_CONFIG_PULL, after_, sizeof(after_),
+		      5 * MMX_US_PER_S, on_dialed_, fleet);
+}
+
+static void run_dial_(fleet_t *fleet)
+{
+	fleet->resolver.ops = &resolver_ops_;
+	fleet->base = event_base_new();
+	fleet->runtime = mmx_runtime_create(fleet->base);
+	mmx_random_seed(&fleet->random, 1);
+	mmx_task_init(&fleet->sink, &sink_ops_, fleet->runtime);
+	dial_next_(fleet);
+	run_loop_(fleet->base);
 }
 
 static bool parse_address_(const char *text, mmx_address_t *address)
@@ -516,6 +587,8 @@
 	}
 	if (records_)
 		write_records_();
+	if (dial_ && parse_address_(dial_, &fleet.address))
+		run_dial_(&fleet);
 	if (!address_)
 		return 0;
 	if (!parse_address_(address_, &fleet.address) || members_ < 2) {
--- a/bench/full_tables.sh
+++ b/bench/full_tables.sh
@@ -8,7 +8,8 @@
 #
 # Measured: time, bytes and processor time until the node has everything; then,
 # over a minute with the changes and restarts of an average minute, resident
-# memory, processor time and bytes for control. The node serves no requests
+# memory, processor time and bytes for control; then the memory that connections
+# of other nodes add. The node serves no requests
 # and is the only real process of its fleet, so it reads the log itself and
 # its periodic DIRECTORY_SYNC fails. Exit status: 0 when every bound is met, 1
 # when one is missed, 2 for a wrong command line, 3 when something failed.
@@ -143,8 +144,9 @@
 publish_changes() {
 	local i
 	for ((i = 0; i * CHANGE_EVERY_S < window_s; i++)); do
-		printf '{"id":"late-%d","publisher":"bench","account":%s}' \
-			"$i" "{\"late-$i\":{\"base\":0}}" >"$dir/late.json"
+		printf '{"change":{"id":"late-%d","publisher":"bench"},%s}' \
+			"$i" "\"account\":{\"late-$i\":{\"base\":0}}" \
+			>"$dir/late.json"
 		append "$dir/late.json"
 		sleep "$CHANGE_EVERY_S"
 	done
@@ -187,12 +189,27 @@
 		"$(metric masticmux_heap_bytes) / 1048576")" MiB
 }
 
+# Resident memory with connections of other nodes, which carry one call each.
+dial() {
+	local before after n
+	before=$(kib VmRSS)
+	for n in 500 1000 1500; do
+		start_program "$dir/dial-$n" "$build/bench/bench_tables" \
+			--dial="127.0.0.1:${ports[1]}" --connections=500 ||
+			fail "no connections"
+		after=$(kib VmRSS)
+		result "connections: $n, memory of each" \
+			"$(compute "($after - $before) * 1024 / $n")" bytes
+	done
+}
+
 make -j"${JOBS:-3}" BUILD="$build" "$build/masticmux" \
 	"$build/masticmux-standin" "$build/bench/bench_tables" >&2 ||
 	fail "the build failed"
 start
 load_node
 measure_minute
+dial
 if [ "$json" = yes ]; then
 	jq -s '{bench: "full_tables", results: .}' "$results"
 else
