Share the common parts of the operator commands

explain, status, stop and publish each repeated option entries, usage errors, the loading of settings, the request to the operator address and the printing of JSON; node repeated the loading of settings.

commands.c now holds these parts: mmx_command_usage_error(), mmx_command_check_timeout(), mmx_command_with_settings(), mmx_command_get(), mmx_command_parse_response(), mmx_command_text() and mmx_command_print_json(). publish still loads its two files itself, since it reports the findings of both together.

--- a/src/masticmux/command_explain.c
+++ b/src/masticmux/command_explain.c
@@ -7,8 +7,6 @@
 #include "operator_client.h"
 #include "table.h"
 
-#define TIMEOUT_S 10
-
 typedef struct options_t {
 	char *settings;
 	char *request;
@@ -16,13 +14,6 @@
 	gboolean json;
 } options_t;
 
-static const char *text_(const json_t *object, const char *key)
-{
-	const char *text = json_string_value(json_object_get(object, key));
-
-	return text ? text : "-";
-}
-
 static void print_events_(const json_t *events)
 {
 	mmx_table_t *table = mmx_table_create(2);
@@ -31,8 +22,8 @@
 
 	json_array_foreach(events, i, event)
 	{
-		const char *const row[] = {text_(event, "time"),
-					   text_(event, "text")};
+		const char *const row[] = {mmx_command_text(event, "time"),
+					   mmx_command_text(event, "text")};
 
 		mmx_table_add(table, row);
 	}
@@ -47,13 +38,14 @@
 
 	if (is_target)
 		printf("target %s beside node %s: %s\n",
-		       text_(answer, "target"), text_(answer, "node"),
-		       text_(answer, "state"));
+		       mmx_command_text(answer, "target"),
+		       mmx_command_text(answer, "node"),
+		       mmx_command_text(answer, "state"));
 	else
-		printf("request %s\n", text_(answer, "request"));
+		printf("request %s\n", mmx_command_text(answer, "request"));
 	if (json_array_size(events) == 0)
 		printf("node %s remembers nothing about it; %s\n",
-		       text_(answer, "asked"),
+		       mmx_command_text(answer, "asked"),
 		       is_target ? "ask the node beside it"
 				 : "ask the node that the caller reached, "
 				   "or the one beside the target");
@@ -63,14 +55,11 @@
 static mmx_exit_status_t print_(const options_t *options,
 				const mmx_operator_response_t *response)
 {
-	json_t *answer = json_loadb(response->text, response->length, 0, NULL);
+	json_t *answer = mmx_command_parse_response("explain", response);
 	bool has_events;
 
-	if (!answer) {
-		fprintf(stderr,
-			"masticmux explain: the response is not JSON\n");
+	if (!answer)
 		return MMX_EXIT_ERROR;
-	}
 	has_events = json_array_size(json_object_get(answer, "events")) > 0;
 	if (options->json)
 		fputs(response->text, stdout);
@@ -82,65 +71,41 @@
 	return has_events ? MMX_EXIT_OK : MMX_EXIT_NOT_KNOWN;
 }
 
-static mmx_exit_status_t run_(const options_t *options,
-			      const mmx_settings_t *settings)
+static mmx_exit_status_t run_(const void *arg, const mmx_settings_t *settings)
 {
-	mmx_operator_client_t *client = mmx_operator_client_create(
-		&settings->listen_operator, TIMEOUT_S);
+	const options_t *options = arg;
 	char *path = mmx_operator_client_path(
 		"/explain", options->request ? "request" : "target",
 		options->request ? options->request : options->target);
 	mmx_exit_status_t status = MMX_EXIT_ERROR;
 	mmx_operator_response_t response;
-	mmx_error_t error;
 
-	if (!mmx_operator_client_call(client, MMX_OPERATOR_VERB_GET, path,
-				      &response, &error)) {
-		fprintf(stderr, "masticmux explain: %s\n", error.text);
-	} else if (response.status == 200) {
+	if (mmx_command_get("explain", settings, path, &response))
 		status = print_(options, &response);
-	} else {
-		mmx_command_report_response("explain", &response);
-		if (response.status == 404)
-			status = MMX_EXIT_NOT_KNOWN;
-	}
+	else if (response.status == 404)
+		status = MMX_EXIT_NOT_KNOWN;
 	g_free(response.text);
 	g_free(path);
-	mmx_operator_client_destroy(client);
 	return status;
 }
 
-static mmx_exit_status_t explain_(const options_t *options)
+static bool are_valid_(const options_t *options)
 {
-	mmx_settings_t *settings;
-	mmx_exit_status_t status;
-
-	if (!options->request == !options->target) {
-		fprintf(stderr, "masticmux explain: give either --request or "
-				"--target\n"
-				"Try 'masticmux explain --help'.\n");
-		return MMX_EXIT_ERROR;
-	}
-	settings = mmx_command_settings(options->settings);
-	if (!settings)
-		return MMX_EXIT_FINDINGS;
-	status = run_(options, settings);
-	mmx_settings_destroy(settings);
-	return status;
+	return !options->request != !options->target ||
+	       mmx_command_usage_error("explain", "give either --request or "
+						  "--target");
 }
 
 mmx_exit_status_t mmx_command_explain(int argc, char **argv)
 {
 	options_t options = {NULL, NULL, NULL, FALSE};
 	const GOptionEntry entries[] = {
-		{"settings", 0, 0, G_OPTION_ARG_FILENAME, &options.settings,
-		 "settings file of a node", "FILE"},
+		MMX_COMMAND_OPTION_SETTINGS(&options.settings),
 		{"request", 0, 0, G_OPTION_ARG_STRING, &options.request,
 		 "trace id or traceparent of a request", "ID"},
 		{"target", 0, 0, G_OPTION_ARG_STRING, &options.target,
 		 "name of a target, or NODE/TARGET", "NAME"},
-		{"json", 0, 0, G_OPTION_ARG_NONE, &options.json,
-		 "print the events as JSON", NULL},
+		MMX_COMMAND_OPTION_JSON(&options.json, "events"),
 		G_OPTION_ENTRY_NULL,
 	};
 	mmx_exit_status_t status = MMX_EXIT_ERROR;
@@ -152,8 +117,10 @@
 			      "about it, 2 findings in the settings, 1 other "
 			      "errors.",
 			      entries, 0) &&
-	    mmx_command_require("explain", "settings", options.settings))
-		status = explain_(&options);
+	    mmx_command_require("explain", "settings", options.settings) &&
+	    are_valid_(&options))
+		status = mmx_command_with_settings(options.settings, run_,
+						   &options);
 	g_free(options.settings);
 	g_free(options.request);
 	g_free(options.target);
--- a/src/masticmux/command_node.c
+++ b/src/masticmux/command_node.c
@@ -4,7 +4,8 @@
 #include "commands.h"
 #include "masticmux/node.h"
 
-static mmx_exit_status_t run_(const mmx_settings_t *settings)
+static mmx_exit_status_t run_(const void *options,
+			      const mmx_settings_t *settings)
 {
 	mmx_node_t *node = mmx_node_create(settings);
 	mmx_error_t error = {MMX_ERROR_NONE, ""};
@@ -29,8 +30,6 @@
 		 "settings file of this node", "FILE"},
 		G_OPTION_ENTRY_NULL,
 	};
-	mmx_findings_t *findings = mmx_findings_create();
-	mmx_settings_t *settings = NULL;
 	mmx_exit_status_t status = MMX_EXIT_ERROR;
 
 	if (mmx_command_parse(&argc, &argv, NULL,
@@ -39,17 +38,8 @@
 			      "in progress, 2 findings in the settings, 1 "
 			      "other errors.",
 			      entries, 0) &&
-	    mmx_command_require("node", "settings", path)) {
-		settings = mmx_settings_load(path, findings);
-		if (settings) {
-			status = run_(settings);
-		} else {
-			mmx_findings_print(findings, stderr);
-			status = MMX_EXIT_FINDINGS;
-		}
-	}
-	mmx_settings_destroy(settings);
-	mmx_findings_destroy(findings);
+	    mmx_command_require("node", "settings", path))
+		status = mmx_command_with_settings(path, run_, NULL);
 	g_free(path);
 	return status;
 }
--- a/src/masticmux/command_publish.c
+++ b/src/masticmux/command_publish.c
@@ -15,7 +15,6 @@
 
 #define WAIT_INTERVAL (500 * MMX_US_PER_MS)
 #define STATUS_TIMEOUT_S 2
-#define TIMEOUT_MAX_S 3600
 
 typedef struct options_t {
 	char *settings;
@@ -231,8 +230,7 @@
 		json_object_set_new(root, "nodes",
 				    json_integer((json_int_t)publisher->alive));
 	}
-	json_dumpf(root, stdout, JSON_COMPACT | JSON_SORT_KEYS);
-	putchar('\n');
+	mmx_command_print_json(root, JSON_COMPACT | JSON_SORT_KEYS);
 	json_decref(root);
 	g_free(command);
 }
@@ -366,15 +364,9 @@
 		fault = "--id goes with a change file";
 	else if (id && (!*id || strlen(id) > MMX_CHANGE_ID_MAX))
 		fault = "an id has 1 to 63 characters";
-	else if (options->timeout_s < 1 || options->timeout_s > TIMEOUT_MAX_S)
-		fault = "--timeout takes 1 to 3600 seconds";
-	if (!fault)
-		return true;
-	fprintf(stderr,
-		"masticmux publish: %s\n"
-		"Try 'masticmux publish --help'.\n",
-		fault);
-	return false;
+	if (fault)
+		return mmx_command_usage_error("publish", fault);
+	return mmx_command_check_timeout("publish", options->timeout_s);
 }
 
 mmx_exit_status_t mmx_command_publish(int argc, char **argv)
@@ -382,8 +374,7 @@
 	options_t options = {.timeout_s =
 				     (int)(MMX_PUBLISH_TIMEOUT / MMX_US_PER_S)};
 	const GOptionEntry entries[] = {
-		{"settings", 0, 0, G_OPTION_ARG_FILENAME, &options.settings,
-		 "settings file of a node", "FILE"},
+		MMX_COMMAND_OPTION_SETTINGS(&options.settings),
 		{"settle", 0, 0, G_OPTION_ARG_STRING, &options.settle,
 		 "find out what became of a change", "ID"},
 		{"id", 0, 0, G_OPTION_ARG_STRING, &options.id,
@@ -392,8 +383,7 @@
 		 "wait until all nodes have the change in force", NULL},
 		{"timeout", 0, 0, G_OPTION_ARG_INT, &options.timeout_s,
 		 "time for the verdict, and for --wait (30)", "SECONDS"},
-		{"json", 0, 0, G_OPTION_ARG_NONE, &options.json,
-		 "print the outcome as JSON", NULL},
+		MMX_COMMAND_OPTION_JSON(&options.json, "outcome"),
 		G_OPTION_ENTRY_NULL,
 	};
 	mmx_exit_status_t status = MMX_EXIT_ERROR;
--- a/src/masticmux/command_status.c
+++ b/src/masticmux/command_status.c
@@ -9,8 +9,6 @@
 #include "operator_client.h"
 #include "table.h"
 
-#define TIMEOUT_S 10
-
 typedef struct options_t {
 	char *settings;
 	char *targets;
@@ -18,13 +16,6 @@
 	gboolean json;
 } options_t;
 
-static const char *text_(const json_t *object, const char *key)
-{
-	const char *text = json_string_value(json_object_get(object, key));
-
-	return text ? text : "-";
-}
-
 static json_int_t number_(const json_t *object, const char *key)
 {
 	return json_integer_value(json_object_get(object, key));
@@ -77,8 +68,8 @@
 
 	printf("node %s, zone %s, region %s, incarnation %" JSON_INTEGER_FORMAT
 	       "%s\n",
-	       text_(node, "name"), text_(node, "zone"), text_(node, "region"),
-	       number_(node, "incarnation"),
+	       mmx_command_text(node, "name"), mmx_command_text(node, "zone"),
+	       mmx_command_text(node, "region"), number_(node, "incarnation"),
 	       is_set_(node, "draining") ? ", draining" : "");
 	printf("requests in progress: %" JSON_INTEGER_FORMAT
 	       " of callers, %" JSON_INTEGER_FORMAT " at targets here\n",
@@ -110,8 +101,10 @@
 	json_array_foreach(json_object_get(status, "members"), i, item)
 	{
 		const char *const row[] = {
-			text_(item, "name"), text_(item, "region"),
-			text_(item, "zone"), text_(item, "state"),
+			mmx_command_text(item, "name"),
+			mmx_command_text(item, "region"),
+			mmx_command_text(item, "zone"),
+			mmx_command_text(item, "state"),
 			format_(item, "applied", applied, sizeof(applied))};
 
 		mmx_table_add(table, row);
@@ -133,13 +126,13 @@
 	{
 		const char *const row[] = {
 			service,
-			text_(item, "name"),
-			text_(item, "node"),
-			text_(item, "state"),
+			mmx_command_text(item, "name"),
+			mmx_command_text(item, "node"),
+			mmx_command_text(item, "state"),
 			format_(item, "slots", slots, sizeof(slots)),
 			format_(item, "in_progress", busy, sizeof(busy)),
 			format_(item, "queued", queued, sizeof(queued)),
-			text_(item, "level")};
+			mmx_command_text(item, "level")};
 
 		mmx_table_add(table, row);
 	}
@@ -180,11 +173,9 @@
 		fputs(response->text, stdout);
 		return fflush(stdout) == 0;
 	}
-	status = json_loadb(response->text, response->length, 0, NULL);
-	if (!status) {
-		fprintf(stderr, "masticmux status: the response is not JSON\n");
+	status = mmx_command_parse_response("status", response);
+	if (!status)
 		return false;
-	}
 	print_node_(status);
 	print_members_(status);
 	if (strcmp(options->targets, "none") != 0)
@@ -209,26 +200,18 @@
 	return whole;
 }
 
-static mmx_exit_status_t run_(const options_t *options,
-			      const mmx_settings_t *settings)
+static mmx_exit_status_t run_(const void *arg, const mmx_settings_t *settings)
 {
-	mmx_operator_client_t *client = mmx_operator_client_create(
-		&settings->listen_operator, TIMEOUT_S);
+	const options_t *options = arg;
 	char *path = path_(options);
 	mmx_exit_status_t status = MMX_EXIT_ERROR;
 	mmx_operator_response_t response;
-	mmx_error_t error;
 
-	if (!mmx_operator_client_call(client, MMX_OPERATOR_VERB_GET, path,
-				      &response, &error))
-		fprintf(stderr, "masticmux status: %s\n", error.text);
-	else if (response.status != 200)
-		mmx_command_report_response("status", &response);
-	else if (print_(options, &response))
+	if (mmx_command_get("status", settings, path, &response) &&
+	    print_(options, &response))
 		status = MMX_EXIT_OK;
 	g_free(response.text);
 	g_free(path);
-	mmx_operator_client_destroy(client);
 	return status;
 }
 
@@ -236,18 +219,15 @@
 {
 	options_t options = {NULL, NULL, NULL, FALSE};
 	const GOptionEntry entries[] = {
-		{"settings", 0, 0, G_OPTION_ARG_FILENAME, &options.settings,
-		 "settings file of a node", "FILE"},
+		MMX_COMMAND_OPTION_SETTINGS(&options.settings),
 		{"targets", 0, 0, G_OPTION_ARG_STRING, &options.targets,
 		 "targets to list: all, local or none (all)", "WHICH"},
 		{"service", 0, 0, G_OPTION_ARG_STRING, &options.service,
 		 "list only the targets of a service", "NAME"},
-		{"json", 0, 0, G_OPTION_ARG_NONE, &options.json,
-		 "print the status as JSON", NULL},
+		MMX_COMMAND_OPTION_JSON(&options.json, "status"),
 		G_OPTION_ENTRY_NULL,
 	};
 	mmx_exit_status_t status = MMX_EXIT_ERROR;
-	mmx_settings_t *settings;
 
 	if (mmx_command_parse(&argc, &argv, NULL,
 			      "Shows a node, and the fleet as it sees it.\n"
@@ -257,10 +237,8 @@
 	    mmx_command_require("status", "settings", options.settings)) {
 		if (!options.targets)
 			options.targets = g_strdup("all");
-		settings = mmx_command_settings(options.settings);
-		status =
-			settings ? run_(&options, settings) : MMX_EXIT_FINDINGS;
-		mmx_settings_destroy(settings);
+		status = mmx_command_with_settings(options.settings, run_,
+						   &options);
 	}
 	g_free(options.settings);
 	g_free(options.targets);
--- a/src/masticmux/command_stop.c
+++ b/src/masticmux/command_stop.c
@@ -10,7 +10,6 @@
 #define RESPONSE_TIMEOUT_S 5
 #define WAIT_INTERVAL (200 * MMX_US_PER_MS)
 #define WAIT_DEFAULT_S 60
-#define WAIT_MAX_S 3600
 
 typedef struct options_t {
 	char *settings;
@@ -99,10 +98,9 @@
 static void print_json_(const stop_t *stop)
 {
 	if (stop->answer)
-		json_dumpf(stop->answer, stdout, JSON_INDENT(2));
+		mmx_command_print_json(stop->answer, JSON_INDENT(2));
 	else
-		printf("{\"outcome\": \"unknown\"}");
-	putchar('\n');
+		printf("{\"outcome\": \"unknown\"}\n");
 }
 
 static void print_text_(const stop_t *stop)
@@ -168,9 +166,9 @@
 	return fflush(stdout) ? MMX_EXIT_ERROR : status;
 }
 
-static mmx_exit_status_t run_(const options_t *options,
-			      const mmx_settings_t *settings)
+static mmx_exit_status_t run_(const void *arg, const mmx_settings_t *settings)
 {
+	const options_t *options = arg;
 	stop_t stop = {.options = options};
 	mmx_exit_status_t status;
 
@@ -185,39 +183,18 @@
 	return status;
 }
 
-static mmx_exit_status_t stop_(const options_t *options)
-{
-	mmx_settings_t *settings;
-	mmx_exit_status_t status;
-
-	if (options->timeout_s < 1 || options->timeout_s > WAIT_MAX_S) {
-		fprintf(stderr, "masticmux stop: --timeout takes 1 to 3600 "
-				"seconds\n"
-				"Try 'masticmux stop --help'.\n");
-		return MMX_EXIT_ERROR;
-	}
-	settings = mmx_command_settings(options->settings);
-	if (!settings)
-		return MMX_EXIT_FINDINGS;
-	status = run_(options, settings);
-	mmx_settings_destroy(settings);
-	return status;
-}
-
 mmx_exit_status_t mmx_command_stop(int argc, char **argv)
 {
 	options_t options = {.timeout_s = WAIT_DEFAULT_S};
 	const GOptionEntry entries[] = {
-		{"settings", 0, 0, G_OPTION_ARG_FILENAME, &options.settings,
-		 "settings file of a node", "FILE"},
+		MMX_COMMAND_OPTION_SETTINGS(&options.settings),
 		{"target", 0, 0, G_OPTION_ARG_STRING, &options.target,
 		 "name of a target, or NODE/TARGET", "NAME"},
 		{"wait", 0, 0, G_OPTION_ARG_NONE, &options.wait,
 		 "return when nothing is in progress", NULL},
 		{"timeout", 0, 0, G_OPTION_ARG_INT, &options.timeout_s,
 		 "time for --wait (60)", "SECONDS"},
-		{"json", 0, 0, G_OPTION_ARG_NONE, &options.json,
-		 "print the outcome as JSON", NULL},
+		MMX_COMMAND_OPTION_JSON(&options.json, "outcome"),
 		G_OPTION_ENTRY_NULL,
 	};
 	mmx_exit_status_t status = MMX_EXIT_ERROR;
@@ -232,8 +209,10 @@
 		    "requests still in progress when --wait ended).",
 		    entries, 0) &&
 	    mmx_command_require("stop", "settings", options.settings) &&
-	    mmx_command_require("stop", "target", options.target))
-		status = stop_(&options);
+	    mmx_command_require("stop", "target", options.target) &&
+	    mmx_command_check_timeout("stop", options.timeout_s))
+		status = mmx_command_with_settings(options.settings, run_,
+						   &options);
 	g_free(options.settings);
 	g_free(options.target);
 	return status;
--- a/src/masticmux/commands.h
+++ b/src/masticmux/commands.h
@@ -6,6 +6,7 @@
 #define MASTICMUX_PROGRAM_COMMANDS_H
 
 #include <glib.h>
+#include <jansson.h>
 #include <stdbool.h>
 
 #include "masticmux/settings.h"
@@ -26,6 +27,20 @@
 
 extern const char *const mmx_exit_string[MMX_EXIT_COUNT];
 
+/** Option --settings of the subcommands that talk to a node. */
+#define MMX_COMMAND_OPTION_SETTINGS(value)                        \
+	{                                                         \
+		"settings", 0, 0, G_OPTION_ARG_FILENAME, (value), \
+			"settings file of a node", "FILE"         \
+	}
+
+/** Option --json; what names the printed value. */
+#define MMX_COMMAND_OPTION_JSON(value, what)               \
+	{                                                  \
+		"json", 0, 0, G_OPTION_ARG_NONE, (value),  \
+			"print the " what " as JSON", NULL \
+	}
+
 /** One subcommand. */
 typedef struct mmx_command_t {
 	const char *name;
@@ -68,11 +83,57 @@
 bool mmx_command_require(const char *command, const char *option,
 			 const char *value);
 
-/** Loads settings; reports findings on stderr and returns NULL then. */
-mmx_settings_t *mmx_command_settings(const char *path);
+/**
+ * Reports a mistake in the options on stderr and points to --help.
+ *
+ * @return false
+ */
+bool mmx_command_usage_error(const char *command, const char *text);
+
+/**
+ * Reports a --timeout outside its range, 1 to 3600 seconds.
+ *
+ * @return true if it is in range
+ */
+bool mmx_command_check_timeout(const char *command, int timeout_s);
+
+/** Runs a subcommand with loaded settings; options are its own. */
+typedef mmx_exit_status_t (*mmx_command_run_fn_t)(
+	const void *options, const mmx_settings_t *settings);
+
+/**
+ * Loads settings and runs a subcommand with them.
+ *
+ * @return the status of run, or MMX_EXIT_FINDINGS when the settings have
+ *         findings, which are then printed on stderr
+ */
+mmx_exit_status_t mmx_command_with_settings(const char *path,
+					    mmx_command_run_fn_t run,
+					    const void *options);
+
+/**
+ * Gets a path from the operator address of the settings. Reports a missing
+ * response, and one with another status than 200, on stderr.
+ *
+ * @param response  status 0 without a response; its text must be freed in
+ *                  every case
+ * @return true for status 200
+ */
+bool mmx_command_get(const char *command, const mmx_settings_t *settings,
+		     const char *path, mmx_operator_response_t *response);
+
+/**
+ * Parses the body of a response; reports on stderr if it is not JSON.
+ *
+ * @return a new reference, or NULL
+ */
+json_t *mmx_command_parse_response(const char *command,
+				   const mmx_operator_response_t *response);
+
+/** String of an object's key, or "-" if there is none. */
+const char *mmx_command_text(const json_t *object, const char *key);
 
-/** Reports a response that is an error on stderr. */
-void mmx_command_report_response(const char *command,
-				 const mmx_operator_response_t *response);
+/** Prints a line with a value as JSON; flags are those of json_dumpf(). */
+void mmx_command_print_json(const json_t *value, size_t flags);
 
 #endif
