--- a/src/test_libmasticmux/suites.c
+++ b/src/test_libmasticmux/suites.c
@@ -27,6 +27,8 @@
 	{"history", NULL, NULL, NULL, NULL, mmx_tests_history},
 	{"hostile", NULL, NULL, NULL, NULL, mmx_tests_hostile},
 	{"http_entry", NULL, NULL, NULL, NULL, mmx_tests_http_entry},
+	{"http_entry_connection", NULL, NULL, NULL, NULL,
+	 mmx_tests_http_entry_connection},
 	{"http_reader", NULL, NULL, NULL, NULL, mmx_tests_http_reader},
 	{"latency", NULL, NULL, NULL, NULL, mmx_tests_latency},
 	{"limits", NULL, NULL, NULL, NULL, mmx_tests_limits},
--- a/src/test_libmasticmux/suites.h
+++ b/src/test_libmasticmux/suites.h
@@ -30,6 +30,7 @@
 extern CU_TestInfo mmx_tests_history[];
 extern CU_TestInfo mmx_tests_hostile[];
 extern CU_TestInfo mmx_tests_http_entry[];
+extern CU_TestInfo mmx_tests_http_entry_connection[];
 extern CU_TestInfo mmx_tests_http_reader[];
 extern CU_TestInfo mmx_tests_latency[];
 extern CU_TestInfo mmx_tests_limits[];
