Share the option parsing of the stand-ins

load, target and log each created an option context and reported its errors with the same code.

25 calls with valid and invalid options gave the same output and exit status as the stand-in before.

--- a/src/standin/load.c
+++ b/src/standin/load.c
@@ -5,6 +5,7 @@
 
 #include "standin/load_run.h"
 #include "standin/load_verify.h"
+#include "standin/options.h"
 
 typedef struct arguments_t {
 	load_options_t load;
@@ -25,22 +26,6 @@
 	size_t target_count;
 } arguments_t;
 
-static bool parse_entries_(GOptionEntry *entries, int argc, char **argv)
-{
-	GOptionContext *context = g_option_context_new(NULL);
-	GError *error = NULL;
-	bool parsed;
-
-	g_option_context_add_main_entries(context, entries, NULL);
-	parsed = g_option_context_parse(context, &argc, &argv, &error);
-	g_option_context_free(context);
-	if (parsed && argc == 1)
-		return true;
-	standin_usage_error(error ? error->message : "unexpected argument");
-	g_clear_error(&error);
-	return false;
-}
-
 static bool parse_(int argc, char **argv, arguments_t *a)
 {
 	load_options_t *load = &a->load;
@@ -88,7 +73,8 @@
 		 "Print the results as JSON", NULL},
 		G_OPTION_ENTRY_NULL};
 
-	return parse_entries_(entries, argc, argv);
+	return standin_options_parse(argc, argv, entries, NULL,
+				     "unexpected argument");
 }
 
 static bool percent_(int value)
--- a/src/standin/log_service.c
+++ b/src/standin/log_service.c
@@ -12,6 +12,7 @@
 #include "share/http_json.h"
 #include "standin/fields.h"
 #include "standin/log_store.h"
+#include "standin/options.h"
 #include "standin/peer_watch.h"
 #include "standin/server.h"
 
@@ -21,6 +22,8 @@
 #define WAIT_MAX_MS 60000
 #define SLOWNESS_MAX_MS 600000
 #define LOST_ANSWERS_MAX 1e9
+#define OPTIONS_ERROR \
+	"log: --listen IP:PORT is required and numbers are 1 or more"
 
 enum outage_t { OUTAGE_NONE, OUTAGE_REFUSE, OUTAGE_SILENT };
 
@@ -397,25 +400,16 @@
 		{"max-mib", 0, 0, G_OPTION_ARG_INT, &options->max_mib,
 		 "Most MiB of records held (256)", "N"},
 		G_OPTION_ENTRY_NULL};
-	GOptionContext *context = g_option_context_new(NULL);
-	GError *error = NULL;
 	char *help = fields_help(fault_fields_);
-	bool parsed;
+	bool parsed =
+		standin_options_parse(argc, argv, entries, help, OPTIONS_ERROR);
 
-	g_option_context_set_description(context, help);
 	g_free(help);
-	g_option_context_add_main_entries(context, entries, NULL);
-	parsed = g_option_context_parse(context, &argc, &argv, &error);
-	g_option_context_free(context);
-	if (!parsed) {
-		standin_usage_error(error->message);
-		g_error_free(error);
+	if (!parsed)
 		return false;
-	}
-	if (argc > 1 || !options->listen || options->retention_s < 1 ||
+	if (!options->listen || options->retention_s < 1 ||
 	    options->appends_per_s < 1 || options->max_mib < 1) {
-		standin_usage_error("log: --listen IP:PORT is required and "
-				    "numbers are 1 or more");
+		standin_usage_error(OPTIONS_ERROR);
 		return false;
 	}
 	return true;
--- a/src/standin/target.c
+++ b/src/standin/target.c
@@ -8,6 +8,7 @@
 
 #include "share/http_json.h"
 #include "standin/announcer.h"
+#include "standin/options.h"
 #include "standin/target_work.h"
 
 #define PAGE_KEYS_DEFAULT 10000
@@ -221,21 +222,12 @@
 		{"seed", 0, 0, G_OPTION_ARG_INT64, &o->seed,
 		 "Seed of latencies and errors (1)", "N"},
 		G_OPTION_ENTRY_NULL};
-	GOptionContext *context = g_option_context_new(NULL);
-	GError *error = NULL;
 	char *help = fields_help(target_fault_fields);
-	bool parsed;
+	bool parsed = standin_options_parse(argc, argv, entries, help,
+					    "unexpected argument");
 
-	g_option_context_set_description(context, help);
 	g_free(help);
-	g_option_context_add_main_entries(context, entries, NULL);
-	parsed = g_option_context_parse(context, &argc, &argv, &error);
-	g_option_context_free(context);
-	if (parsed && argc == 1)
-		return true;
-	standin_usage_error(error ? error->message : "unexpected argument");
-	g_clear_error(&error);
-	return false;
+	return parsed;
 }
 
 static bool distribution_(const char *text, latency_distribution_t *value)
