--- a/src/test_libmasticmux/findings_check.c
+++ b/src/test_libmasticmux/findings_check.c
@@ -17,3 +17,15 @@
 	CU_ASSERT_STRING_EQUAL(found->str, expected);
 	g_string_free(found, TRUE);
 }
+
+char *mmx_test_join_lines(const char *const *lines, int count, int line,
+			  const char *replacement)
+{
+	GString *text = g_string_new(NULL);
+	int i;
+
+	for (i = 0; i < count; i++)
+		g_string_append_printf(text, "%s\n",
+				       i + 1 == line ? replacement : lines[i]);
+	return g_string_free(text, FALSE);
+}
--- a/src/test_libmasticmux/test_settings.c
+++ b/src/test_libmasticmux/test_settings.c
@@ -43,13 +43,7 @@
 
 static char *text_(int line, const char *replacement)
 {
-	GString *text = g_string_new(NULL);
-	int i;
-
-	for (i = 0; i < LINES; i++)
-		g_string_append_printf(text, "%s\n",
-				       i + 1 == line ? replacement : valid_[i]);
-	return g_string_free(text, FALSE);
+	return mmx_test_join_lines(valid_, LINES, line, replacement);
 }
 
 typedef struct finding_case_t {
