--- a/src/libmasticmux/filter_attempt.c
+++ b/src/libmasticmux/filter_attempt.c
@@ -44,6 +44,16 @@
 	mmx_timer_set(&exchange->timer, remaining - lead);
 }
 
+/* Links between regions are paid by volume. */
+static void count_remote_(const mmx_exchange_t *exchange,
+			  mmx_counter_t *counter, const mmx_head_t *head,
+			  const struct evbuffer *body)
+{
+	if (exchange->remote)
+		mmx_counter_add(counter, (int64_t)((head ? head->bytes : 0) +
+						   evbuffer_get_length(body)));
+}
+
 static mmx_execute_t *new_execute_(mmx_attempt_filter_t *self,
 				   const mmx_exchange_t *exchange)
 {
@@ -78,7 +88,15 @@
 
 	exchange->state = MMX_EXCHANGE_SENT;
 	execute = new_execute_(self, exchange);
+	/* A long body is sent once and not held for another attempt. */
+	if (evbuffer_get_length(exchange->body) > MMX_HELD_BODY_MAX) {
+		exchange->body_whole = false;
+		evbuffer_drain(exchange->body,
+			       evbuffer_get_length(exchange->body));
+	}
 	mmx_counter_add(self->sent, 1);
+	count_remote_(exchange, self->remote_sent, execute->head,
+		      execute->body);
 	mmx_entry_post_exit(self->entry, exchange->exit, &execute->message);
 	set_deadline_timer_(self, exchange);
 }
@@ -90,15 +108,19 @@
 	exchange->exit = choice->node;
 	exchange->exit_incarnation = choice->incarnation;
 	exchange->trial = choice->trial;
+	exchange->remote = choice->ring == MMX_RING_REMOTE;
 	exchange->tried[exchange->attempts++] = exchange->target;
 	exchange->attempt_started = mmx_clock_now(self->clock);
+	exchange->path_lost = false;
 	mmx_entry_new_attempt(exchange);
 	TAILQ_INSERT_TAIL(&self->open, exchange, path_entry);
 	mmx_entry_trace_attempt(exchange);
-	if (exchange->key[0] && mmx_entry_claims(self->entry))
+	if (exchange->key[0] && mmx_entry_claims(self->entry)) {
 		mmx_attempt_claim(self, exchange);
-	else
-		mmx_attempt_transmit(self, exchange);
+		if (self->guards->claim)
+			return;
+	}
+	mmx_attempt_transmit(self, exchange);
 }
 
 /* Only the first result counts. */
@@ -140,8 +162,10 @@
 		return MMX_REASON_TARGET_FAILED;
 	case MMX_REASON_DRAINING:
 		return MMX_REASON_NO_CAPACITY;
-	case MMX_REASON_WRONG_INCARNATION:
 	case MMX_REASON_FENCED:
+		/* By this entry, because the deadline was near. */
+		return MMX_REASON_DEADLINE_EXCEEDED;
+	case MMX_REASON_WRONG_INCARNATION:
 	case MMX_REASON_FORGOTTEN:
 		return MMX_REASON_PATH_LOST;
 	default:
@@ -191,8 +215,7 @@
 			       mmx_exchange_t *exchange, mmx_reason_t reason)
 {
 	end_trial_(self, exchange, MMX_VIEW_TRIAL_REFUSED);
-	mmx_entry_trace_note(exchange,
-			     "did not run:", mmx_reason_string[reason]);
+	mmx_entry_trace_note(exchange, "not_run", mmx_reason_string[reason]);
 	mmx_attempt_close(self, exchange);
 	drop_held_answer_(exchange);
 	exchange->refusal = reason;
@@ -207,8 +230,8 @@
 static void retry_may_have_run_(mmx_attempt_filter_t *self,
 				mmx_exchange_t *exchange, mmx_reason_t reason)
 {
-	mmx_entry_trace_note(exchange,
-			     "may have run:", mmx_reason_string[reason]);
+	mmx_entry_trace_note(exchange, "may_have_run",
+			     mmx_reason_string[reason]);
 	mmx_attempt_close(self, exchange);
 	drop_held_answer_(exchange);
 	exchange->may_have_run = true;
@@ -309,6 +332,17 @@
 	mmx_attempt_refuse(self, exchange, MMX_REASON_DEADLINE_EXCEEDED);
 }
 
+/*
+ * It did not run. Without a lost path the query was sent because the deadline
+ * is near: if there is no other target, that is the reason.
+ */
+static void on_fenced_(mmx_attempt_filter_t *self, mmx_exchange_t *exchange)
+{
+	mmx_attempt_retry_not_run(self, exchange,
+				  exchange->path_lost ? MMX_REASON_PATH_LOST
+						      : MMX_REASON_FENCED);
+}
+
 void mmx_filter_attempt_fence_reply(mmx_filter_t *filter,
 				    mmx_exchange_t *exchange,
 				    mmx_fence_reply_t *reply)
@@ -316,7 +350,7 @@
 	mmx_attempt_filter_t *self = (mmx_attempt_filter_t *)filter;
 
 	mmx_view_path_progress(self->view, exchange->exit);
-	mmx_entry_trace_note(exchange, "fence says",
+	mmx_entry_trace_note(exchange, "fence",
 			     mmx_fence_state_string[reply->state]);
 	if (exchange->state == MMX_EXCHANGE_ANSWERING) {
 		/* The exit sends no more parts once it answered a fencing
@@ -327,7 +361,7 @@
 	}
 	switch (reply->state) {
 	case MMX_FENCE_FENCED:
-		mmx_attempt_retry_not_run(self, exchange, MMX_REASON_PATH_LOST);
+		on_fenced_(self, exchange);
 		break;
 	case MMX_FENCE_RUNNING:
 		exchange->state = MMX_EXCHANGE_RUNNING;
@@ -359,6 +393,7 @@
 		/* Nothing of this exchange has been sent on the path. */
 		return;
 	}
+	exchange->path_lost = true;
 	if (exchange->state == MMX_EXCHANGE_ANSWERING) {
 		cancel_answer_(self, exchange);
 	} else if (exchange->repeatable || !self->guards->fence) {
@@ -392,16 +427,21 @@
 static void on_refusal_(mmx_attempt_filter_t *self, mmx_exchange_t *exchange,
 			const mmx_response_t *response)
 {
+	mmx_reason_t reason = response->reason;
+
 	if (exchange->state == MMX_EXCHANGE_ANSWERING) {
 		cut_answer_(self, exchange);
 		return;
 	}
-	if (response->started && response->reason == MMX_REASON_TARGET_FAILED)
+	/* An attempt that arrives after its fencing query was late. */
+	if (reason == MMX_REASON_FENCED)
+		reason = MMX_REASON_PATH_LOST;
+	if (response->started && reason == MMX_REASON_TARGET_FAILED)
 		mmx_view_completed(self->view, exchange->target, 0, true);
 	if (response->started)
-		retry_may_have_run_(self, exchange, response->reason);
+		retry_may_have_run_(self, exchange, reason);
 	else
-		mmx_attempt_retry_not_run(self, exchange, response->reason);
+		mmx_attempt_retry_not_run(self, exchange, reason);
 }
 
 /* From here on only the deadline ends it; no fencing query is repeated. */
@@ -459,6 +499,8 @@
 	mmx_load_report_t load = response->load;
 
 	mmx_view_path_progress(self->view, exchange->exit);
+	count_remote_(exchange, self->remote_received, response->head,
+		      response->body);
 	if (response->reason != MMX_REASON_NONE || !response->head)
 		on_refusal_(self, exchange, response);
 	else
@@ -488,6 +530,7 @@
 	mmx_attempt_filter_t *self = (mmx_attempt_filter_t *)filter;
 
 	mmx_view_path_progress(self->view, exchange->exit);
+	count_remote_(exchange, self->remote_received, NULL, body->data);
 	if (exchange->state != MMX_EXCHANGE_ANSWERING) {
 		on_held_body_(self, exchange, body);
 		return;
@@ -514,6 +557,7 @@
 	onward->attempt = exchange->attempt;
 	onward->exit = exchange->exit;
 	evbuffer_add_buffer(onward->data, body->data);
+	count_remote_(exchange, self->remote_sent, NULL, onward->data);
 	onward->end = body->end;
 	onward->failed = body->failed;
 	mmx_entry_post_exit(self->entry, exchange->exit, &onward->message);
@@ -578,6 +622,14 @@
 		self->fences = mmx_counters_get(counters, MMX_COUNTER,
 						"masticmux_fences_total", "",
 						"Fencing queries sent.");
+		self->remote_sent = mmx_counters_get(
+			counters, MMX_COUNTER, "masticmux_remote_bytes_total",
+			"direction=\"sent\"",
+			"Heads and bodies exchanged with other regions.");
+		self->remote_received = mmx_counters_get(
+			counters, MMX_COUNTER, "masticmux_remote_bytes_total",
+			"direction=\"received\"",
+			"Heads and bodies exchanged with other regions.");
 	}
 	return &self->filter;
 }
--- a/src/libmasticmux/filter_attempt_claim.c
+++ b/src/libmasticmux/filter_attempt_claim.c
@@ -3,6 +3,7 @@
  * that this attempt holds the key. When another attempt holds it, its exit is
  * asked what became of it.
  */
+#include <event2/buffer.h>
 #include <glib.h>
 
 #include "private/filter_attempt.h"
@@ -62,21 +63,33 @@
 	refuse_unsent_(self, exchange, reason);
 }
 
+/* The holder never ran and never will: its claim is superseded. */
+static void take_over_(mmx_attempt_filter_t *self, mmx_exchange_t *exchange)
+{
+	exchange->claim_offset = exchange->rival.offset;
+	/* The target that was chosen has not been tried. */
+	exchange->attempts--;
+	mmx_attempt_retry_not_run(self, exchange, MMX_REASON_PATH_LOST);
+}
+
 static void query_rival_(mmx_attempt_filter_t *self, mmx_exchange_t *exchange,
 			 const mmx_claim_holder_t *rival)
 {
-	mmx_fence_t *fence = mmx_new_fence(&rival->claim.attempt);
+	mmx_fence_t *fence;
+	bool is_over = mmx_clock_wall(self->clock) >
+		       rival->claim.deadline + TAKEOVER_MARGIN_US;
 
 	exchange->rival = *rival;
+	if (is_over && !self->guards->takeover) {
+		take_over_(self, exchange);
+		return;
+	}
 	exchange->state = MMX_EXCHANGE_QUERYING;
+	fence = mmx_new_fence(&rival->claim.attempt);
 	fence->exit = rival->claim.exit;
 	fence->exit_incarnation = rival->claim.exit_incarnation;
 	fence->origin = mmx_entry_origin(self->entry);
-	fence->purpose =
-		mmx_clock_wall(self->clock) >
-				rival->claim.deadline + TAKEOVER_MARGIN_US
-			? MMX_FENCE_TAKEOVER
-			: MMX_FENCE_QUERY;
+	fence->purpose = is_over ? MMX_FENCE_TAKEOVER : MMX_FENCE_QUERY;
 	mmx_counter_add(self->fences, 1);
 	mmx_entry_post_exit(self->entry, fence->exit, &fence->message);
 	set_timer_(self, exchange);
@@ -90,7 +103,7 @@
 
 	if (exchange->state != MMX_EXCHANGE_CLAIMING)
 		return;
-	mmx_entry_trace_note(exchange, "claim is",
+	mmx_entry_trace_note(exchange, "claim",
 			     mmx_claim_result_string[reply->result]);
 	switch (reply->result) {
 	case MMX_CLAIM_WON:
@@ -111,18 +124,15 @@
 }
 
 static void on_rival_(mmx_attempt_filter_t *self, mmx_exchange_t *exchange,
-		      mmx_fence_reply_t *reply)
+		      const mmx_fence_reply_t *reply)
 {
-	mmx_head_t *head;
+	struct evbuffer *body;
 
-	mmx_entry_trace_note(exchange, "holder of the key is",
+	mmx_entry_trace_note(exchange, "key_holder",
 			     mmx_fence_state_string[reply->state]);
 	switch (reply->state) {
 	case MMX_FENCE_FENCED:
-		exchange->claim_offset = exchange->rival.offset;
-		/* The target that was chosen has not been tried. */
-		exchange->attempts--;
-		mmx_attempt_retry_not_run(self, exchange, MMX_REASON_PATH_LOST);
+		take_over_(self, exchange);
 		break;
 	case MMX_FENCE_RUNNING:
 		refuse_duplicate_(self, exchange,
@@ -134,10 +144,14 @@
 					  MMX_REASON_DUPLICATE_COMPLETED);
 			break;
 		}
-		head = reply->head;
-		reply->head = NULL;
+		body = evbuffer_new();
+		/* The body of a local exit's reply can't be referenced again. */
+		evbuffer_add(body, evbuffer_pullup(reply->body, -1),
+			     evbuffer_get_length(reply->body));
 		mmx_attempt_close(self, exchange);
-		mmx_entry_answer_duplicate(exchange, head, reply->body);
+		mmx_entry_answer_duplicate(exchange, mmx_head_copy(reply->head),
+					   body);
+		evbuffer_free(body);
 		mmx_entry_end(exchange);
 		break;
 	default:
@@ -158,17 +172,21 @@
 }
 
 void mmx_filter_attempt_rival_reply(mmx_filter_t *filter,
-				    mmx_fence_reply_t *reply)
+				    const mmx_fence_reply_t *reply)
 {
 	mmx_attempt_filter_t *self = (mmx_attempt_filter_t *)filter;
-	mmx_exchange_t *exchange;
-
-	/* One reply for each query: the first exchange that waits takes it. */
-	TAILQ_FOREACH (exchange, &self->open, path_entry) {
-		if (!is_rival_(exchange, &reply->attempt))
-			continue;
-		on_rival_(self, exchange, reply);
-		return;
+	mmx_exchange_t *last = TAILQ_LAST(&self->open, mmx_exchange_list_t);
+	mmx_exchange_t *exchange = TAILQ_FIRST(&self->open);
+	mmx_exchange_t *next;
+
+	/* The peer task answers only the latest of several queries about one
+	 * attempt, and what the exit says of it holds for all. Attempts that
+	 * are sent again meanwhile go behind the last one. */
+	for (; exchange; exchange = next) {
+		next = exchange == last ? NULL
+					: TAILQ_NEXT(exchange, path_entry);
+		if (is_rival_(exchange, &reply->attempt))
+			on_rival_(self, exchange, reply);
 	}
 }
 
@@ -178,5 +196,10 @@
 	if (exchange->state == MMX_EXCHANGE_QUERYING)
 		refuse_duplicate_(self, exchange, MMX_REASON_PATH_LOST);
 	else
-		refuse_unsent_(self, exchange, MMX_REASON_CLAIM_UNAVAILABLE);
+		/* A refusal of an exit says more than the missing claim of the
+		 * attempt after it. */
+		refuse_unsent_(self, exchange,
+			       exchange->refusal
+				       ? exchange->refusal
+				       : MMX_REASON_CLAIM_UNAVAILABLE);
 }
--- a/src/libmasticmux/node.c
+++ b/src/libmasticmux/node.c
@@ -6,7 +6,6 @@
 #include <openssl/rand.h>
 #include <signal.h>
 #include <string.h>
-#include <xxhash.h>
 
 #include "private/entry.h"
 #include "private/exit.h"
@@ -42,12 +41,20 @@
 {
 	mmx_node_t *node = arg;
 
-	if (in_progress_(node) > 0 &&
-	    mmx_clock_now(node->clock) < node->drain_deadline) {
-		mmx_timer_set(&node->drain_timer, DRAIN_POLL_US);
+	bool expired = mmx_clock_now(node->clock) >= node->drain_deadline;
+	mmx_part_t *part;
+
+	if (expired || (node->finishing && in_progress_(node) == 0)) {
+		event_base_loopbreak(node->base);
 		return;
 	}
-	event_base_loopbreak(node->base);
+	if (in_progress_(node) == 0) {
+		node->finishing = true;
+		TAILQ_FOREACH (part, &node->parts, entry)
+			if (part->ops->finish)
+				part->ops->finish(part);
+	}
+	mmx_timer_set(&node->drain_timer, DRAIN_POLL_US);
 }
 
 static void on_signal_(evutil_socket_t number, short what, void *arg)
@@ -105,7 +112,7 @@
 	mmx_random_seed(&node->random, random_seed_());
 	node->trace =
 		mmx_trace_create(node->clock, &node->random, node->counters);
-	node->id = XXH64(settings->node_name, strlen(settings->node_name), 0);
+	node->id = mmx_node_id(settings->node_name);
 	node->incarnation = mmx_clock_wall(node->clock);
 	TAILQ_INIT(&node->parts);
 	mmx_timer_init(&node->drain_timer, node->clock, on_drain_poll_, node);
--- a/src/libmasticmux/target_connection.c
+++ b/src/libmasticmux/target_connection.c
@@ -301,6 +301,16 @@
 		mmx_target_connection_close(connection);
 }
 
+static void set_no_delay_(struct bufferevent *socket)
+{
+	int on = 1;
+
+	/* Parts of a body must not wait for the acknowledgement of the part
+	 * before, which the target may delay by 40 ms. */
+	setsockopt(bufferevent_getfd(socket), IPPROTO_TCP, TCP_NODELAY, &on,
+		   sizeof(on));
+}
+
 mmx_target_connection_t *
 mmx_target_connection_open(mmx_target_shared_t *shared, mmx_target_pool_t *pool,
 			   const mmx_address_t *address)
@@ -308,7 +318,7 @@
 	mmx_target_connection_t *connection =
 		g_new0(mmx_target_connection_t, 1);
 	struct sockaddr_storage socket_address;
-	int length = mmx_socket_address(address, &socket_address);
+	socklen_t length = mmx_address_to_sockaddr(address, &socket_address);
 
 	connection->shared = shared;
 	connection->pool = pool;
@@ -333,10 +343,11 @@
 	if (length == 0 ||
 	    bufferevent_socket_connect(connection->bev,
 				       (struct sockaddr *)&socket_address,
-				       length) < 0) {
+				       (int)length) < 0) {
 		mmx_target_connection_close(connection);
 		return NULL;
 	}
+	set_no_delay_(connection->bev);
 	return connection;
 }
 
