Answer a request that arrived unread before a planned stop

In a planned stop a node closed each idle connection of a caller. When the next request was already in the socket's buffer, the close reset the connection, and the caller could not know whether the request had run.

An idle connection with unread bytes stays open; its request is answered with "Connection: close".

The new test of http_entry failed before (connection reset) and passes now.

--- a/src/libmasticmux/http_caller.c
+++ b/src/libmasticmux/http_caller.c
@@ -510,9 +510,23 @@
 	feed_(caller);
 }
 
+/* The kernel holds bytes that have not been read yet. */
+static bool has_unread_(const mmx_http_caller_t *caller)
+{
+	char byte;
+
+	return recv(bufferevent_getfd(caller->bev), &byte, sizeof(byte),
+		    MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
+/*
+ * Closing a socket with unread bytes resets the connection, so a request that
+ * has arrived is read and answered with "Connection: close" first.
+ */
 void mmx_http_caller_drain(mmx_http_caller_t *caller)
 {
-	if (caller->request == 0 && caller->wait == WAIT_IDLE)
+	if (caller->request == 0 && caller->wait == WAIT_IDLE &&
+	    !has_unread_(caller))
 		mmx_http_caller_close(caller);
 }
 
--- a/src/test_libmasticmux/test_http_entry.c
+++ b/src/test_libmasticmux/test_http_entry.c
@@ -4,6 +4,7 @@
 #include <event2/event.h>
 #include <inttypes.h>
 #include <string.h>
+#include <sys/socket.h>
 
 #include "http_fixture.h"
 #include "masticmux/random.h"
@@ -695,6 +696,29 @@
 	g_string_free(text, TRUE);
 }
 
+/*
+ * Guards against a planned stop that resets a connection whose next request the
+ * kernel holds but the node has not read.
+ */
+static void test_drain_unread_(void)
+{
+	setup_t setup;
+	wire_t wire;
+
+	open_(&setup);
+	wire_open(&wire, &setup.fixture, mmx_http_entry_port(setup.http));
+	wire_send(&wire, GET HOST "\r\n", strlen(GET HOST "\r\n"));
+	CU_ASSERT_TRUE(wire_expect(&wire, "<GET / >"));
+	CU_ASSERT_TRUE(
+		send(wire.fd, GET HOST "\r\n", strlen(GET HOST "\r\n"), 0) > 0);
+	mmx_http_entry_drain(setup.http);
+	CU_ASSERT_TRUE(wire_expect_closed(&wire));
+	CU_ASSERT_FALSE(wire.reset);
+	CU_ASSERT_PTR_NOT_NULL(strstr(wire.in->str, "Connection: close\r\n"));
+	wire_close(&wire);
+	close_(&setup);
+}
+
 /* Guards against callers that take every descriptor of the node. */
 static void test_connection_limit_(void)
 {
@@ -728,6 +752,7 @@
 	{"upload under credit", test_upload_},
 	{"framing of answers", test_downloads_},
 	{"drain", test_drain_},
+	{"drain with an unread request", test_drain_unread_},
 	{"connection limit", test_connection_limit_},
 	CU_TEST_INFO_NULL,
 };
