Share the check and settings functions of the scripts

test/operator.sh and test/standin.sh had their own check functions, and test/operator.sh and bench/path.sh their own search for ports and their own settings of a node. In operator.sh, check wrote the output of its command to the file that last_has then read, so that "leaves out the others" and "leaves out other services" passed whatever the status said.

scripts/lib.sh holds check, check_status, set_fault, control_value and control_is, and node_settings takes a list of seeds and of fleet keys. check writes to a file of its own. control_is now fails for an empty value in operator.sh as well, as it did in standin.sh.

--- a/bench/path.sh
+++ b/bench/path.sh
@@ -81,48 +81,25 @@
 	exit 3
 }
 
-# free_port: sets port to one on which nothing listens. It lies below the
-# range from which the kernel takes the ports of outgoing connections.
 entry_callers="" entry_nodes="" entry_announce="" entry_pid=""
-exit_nodes="" exit_announce="" exit_pid="" node_cpu=""
-next_port=$((20000 + RANDOM % 8000))
-free_port() {
-	port=$next_port
-	while (exec 3<>"/dev/tcp/127.0.0.1/$port") 2>/dev/null; do
-		port=$((port + 1))
-	done
-	next_port=$((port + 1))
-}
-
-# new_settings NAME: writes settings with free ports to $dir/NAME.toml and
-# sets NAME_callers, NAME_nodes and NAME_announce.
-new_settings() {
-	local name=$1 part
-	for part in callers nodes announce operator; do
-		free_port
-		printf -v "${name}_$part" '127.0.0.1:%d' "$port"
-	done
-}
+exit_announce="" exit_pid="" node_cpu=""
 
+# write_settings: settings of both nodes with free ports in $dir, and the
+# addresses of their listeners.
 write_settings() {
-	local name=$1 callers="${1}_callers" nodes="${1}_nodes"
-	local announce="${1}_announce" operator="${1}_operator"
-	cat >"$dir/$name.toml" <<-END
-		[node]
-		name = "bench-$name"
-		region = "loopback"
-		zone = "loopback-a"
-		fleet_keys = ["bench:$fleet_key"]
-		[listen]
-		callers = "${!callers}"
-		nodes = "${!nodes}"
-		announce = "${!announce}"
-		operator = "${!operator}"
-		[fleet]
-		seeds = ["$entry_nodes", "$exit_nodes"]
-		[log_service]
-		address = "$log"
-	END
+	local fleet_keys seeds
+	fleet_keys="\"bench:$(od -An -v -tx1 -N32 /dev/urandom | tr -d ' \n')\""
+	free_ports 8
+	seeds="\"127.0.0.1:${ports[1]}\", \"127.0.0.1:${ports[5]}\""
+	entry_callers=127.0.0.1:${ports[0]}
+	entry_nodes=127.0.0.1:${ports[1]}
+	entry_announce=127.0.0.1:${ports[2]}
+	exit_announce=127.0.0.1:${ports[6]}
+	node_settings bench-entry loopback loopback-a "$seeds" "$log" \
+		>"$dir/entry.toml"
+	ports=("${ports[@]:4}")
+	node_settings bench-exit loopback loopback-a "$seeds" "$log" \
+		>"$dir/exit.toml"
 }
 
 # start_node NAME: sets NAME_pid. Cores in NODE_CPUS.
@@ -187,14 +164,10 @@
 }
 
 start_fleet() {
-	fleet_key=$(od -An -v -tx1 -N32 /dev/urandom | tr -d ' \n')
 	start_program "$dir/log" "$build/masticmux-standin" log \
 		--listen 127.0.0.1:0 || fail "log service did not start"
 	log=$program_address
-	new_settings entry
-	new_settings exit
-	write_settings entry
-	write_settings exit
+	write_settings
 	start_node entry
 	start_node exit
 	"$build/masticmux" publish --settings "$dir/entry.toml" \
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -59,12 +59,13 @@
 }
 
 start_fleet() {
-	local i seed="" name
+	local i seed="" name fleet_keys
+	fleet_keys="\"demo:$(printf '%064d' 7)\""
 	start_program "$dir/log" "$standin" log --listen 127.0.0.1:0 || exit 1
 	log=$program_address
 	for ((i = 1; i <= NODES; i++)); do
 		free_ports 4
-		[ -z "$seed" ] && seed=127.0.0.1:${ports[1]}
+		[ -z "$seed" ] && seed="\"127.0.0.1:${ports[1]}\""
 		callers[i]=127.0.0.1:${ports[0]}
 		announce[i]=127.0.0.1:${ports[2]}
 		name=$([ $i -le 2 ] && echo north || echo south)
--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -1,4 +1,5 @@
-# Shared by the scripts: package installation.
+# Shared by the scripts: package installation, processes, settings of nodes,
+# control of the stand-ins, and checks that count failures.
 
 PACKAGES="g++ make pkg-config clang-format clang-tidy curl libevent-dev
 	libevhtp-dev libtirpc-dev libglib2.0-dev libssl-dev libxxhash-dev
@@ -96,24 +97,65 @@
 	done
 }
 
-# node_settings NAME REGION ZONE SEED LOG: settings of a node on the first four
-# of the array ports; SEED and LOG are addresses.
+# node_settings NAME REGION ZONE SEEDS LOG: settings of a node on the first four
+# of the array ports. SEEDS and the variable fleet_keys hold the items of a TOML
+# list, and LOG is an address.
 node_settings() {
 	cat <<-END
 		[node]
 		name = "$1"
 		region = "$2"
 		zone = "$3"
-		fleet_keys = ["demo:$(printf '%064d' 7)"]
+		fleet_keys = [${fleet_keys:-}]
 		[listen]
 		callers = "127.0.0.1:${ports[0]}"
 		nodes = "127.0.0.1:${ports[1]}"
 		announce = "127.0.0.1:${ports[2]}"
 		operator = "127.0.0.1:${ports[3]}"
 		[fleet]
-		seeds = ["$4"]
+		seeds = [$4]
 		[log_service]
 		address = "$5"
 		retention_s = 3600
 	END
 }
+
+# Requests to the control address of a stand-in.
+
+# set_fault ADDRESS JSON
+set_fault() { curl -s -f -o /dev/null -d "$2" "http://$1/control"; }
+# control_value ADDRESS KEY: prints a number.
+control_value() {
+	curl -s -S "http://$1/control" |
+		sed -E "s/.*\"$2\":([0-9]+)[,}].*/\\1/"
+}
+# control_is ADDRESS KEY VALUE
+control_is() { curl -s -S "http://$1/control" | grep -q "\"$2\":$3[,}]"; }
+
+# Checks of a test script, which sets dir to a directory of its own and ends
+# with an error when failures is above 0.
+failures=0
+
+# check NAME COMMAND...: the command must succeed. Its output goes to a file of
+# its own, so that it can read $dir/last.
+check() {
+	local name=$1
+	shift
+	"$@" >"$dir/checked" 2>&1 && return
+	echo "FAIL  $name: $*"
+	cat "$dir/checked"
+	failures=$((failures + 1))
+}
+
+# check_status NAME WANTED COMMAND...: the exit status must be the wanted one.
+# The output is in $dir/last afterwards.
+check_status() {
+	local name=$1 wanted=$2 status
+	shift 2
+	"$@" >"$dir/last" 2>&1
+	status=$?
+	[ "$status" -eq "$wanted" ] && return
+	echo "FAIL  $name: exit status $status instead of $wanted: $*"
+	cat "$dir/last"
+	failures=$((failures + 1))
+}
--- a/test/operator.sh
+++ b/test/operator.sh
@@ -13,29 +13,6 @@
 standin=${STANDIN:-build/masticmux-standin}
 dir=$(mktemp -d)
 trap 'stop_programs; rm -rf "$dir"' EXIT
-failures=0
-
-# check NAME COMMAND...: the command must succeed.
-check() {
-	local name=$1
-	shift
-	"$@" >"$dir/last" 2>&1 && return
-	echo "FAIL  $name: $*"
-	cat "$dir/last"
-	failures=$((failures + 1))
-}
-
-# check_status NAME WANTED COMMAND...: the exit status must be the wanted one.
-check_status() {
-	local name=$1 wanted=$2 status
-	shift 2
-	"$@" >"$dir/last" 2>&1
-	status=$?
-	[ "$status" -eq "$wanted" ] && return
-	echo "FAIL  $name: exit status $status instead of $wanted: $*"
-	cat "$dir/last"
-	failures=$((failures + 1))
-}
 
 last_has() { grep -q -E -- "$1" "$dir/last"; }
 # says NAME PATTERN: the output of the last command has the pattern.
@@ -55,45 +32,8 @@
 
 # shows NODE PATTERN: the status of the node has the pattern.
 shows() { masticmux status "$1" 2>&1 | grep -q -E -- "$2"; }
-set_fault() { curl -s -f -o /dev/null -d "$2" "http://$1/control"; }
-control_value() {
-	curl -s "http://$1/control" | sed -E "s/.*\"$2\":([0-9]+)[,}].*/\\1/"
-}
-control_is() { [ "$(control_value "$1" "$2")" = "$3" ]; }
 control_above() { [ "$(control_value "$1" "$2")" -gt "$3" ]; }
 
-# port_is_free PORT: nothing listens there.
-port_is_free() { ! (exec 3<>"/dev/tcp/127.0.0.1/$1") 2>/dev/null; }
-
-# free_ports: sets ports to four ports below those that the kernel hands out.
-free_ports() {
-	local port
-	ports=()
-	while [ "${#ports[@]}" -lt 4 ]; do
-		port=$((10000 + RANDOM % 20000))
-		port_is_free "$port" && ports+=("$port")
-	done
-}
-
-# settings NUMBER SEEDS
-settings() {
-	cat <<EOF
-[node]
-name = "node-$1"
-region = "north"
-zone = "north-$1"
-[listen]
-callers = "127.0.0.1:${ports[0]}"
-nodes = "127.0.0.1:${ports[1]}"
-announce = "127.0.0.1:${ports[2]}"
-operator = "127.0.0.1:${ports[3]}"
-[fleet]
-seeds = [$2]
-[log_service]
-address = "$log"
-EOF
-}
-
 node_is_up() {
 	! kill -0 "$node_pid" 2>/dev/null ||
 		curl -s -f -o /dev/null "http://127.0.0.1:${ports[3]}/healthz"
@@ -104,8 +44,9 @@
 start_node() {
 	local tries
 	for tries in 1 2 3 4 5; do
-		free_ports
-		settings "$1" "$2" >"$dir/node-$1.toml"
+		free_ports 4
+		node_settings "node-$1" north "north-$1" "$2" "$log" \
+			>"$dir/node-$1.toml"
 		"$program" node --settings "$dir/node-$1.toml" \
 			2>"$dir/node-$1.err" &
 		node_pid=$!
@@ -287,8 +228,11 @@
 # A node that is paused: the stop was sent on an open connection and its fate is
 # not known, or there was no connection and it was not sent.
 stop_without_answer() {
-	masticmux stop 1 --target t2
-	case $? in
+	local status
+	masticmux stop 1 --target t2 >"$dir/last" 2>&1
+	status=$?
+	cat "$dir/last"
+	case $status in
 	1) last_has 'the planned stop was not announced$' ;;
 	3) last_has 'it is not known whether the planned stop began;' ;;
 	*) false ;;
--- a/test/standin.sh
+++ b/test/standin.sh
@@ -10,39 +10,9 @@
 standin=${STANDIN:-build/masticmux-standin}
 dir=$(mktemp -d)
 trap 'stop_programs; rm -rf "$dir"' EXIT
-failures=0
-
-# check NAME COMMAND...: the command must succeed.
-check() {
-	local name=$1
-	shift
-	if "$@"; then
-		return
-	fi
-	echo "FAIL  $name: $*"
-	failures=$((failures + 1))
-}
-
-# check_status NAME WANTED COMMAND...: the exit status must be the wanted one.
-check_status() {
-	local name=$1 wanted=$2 status
-	shift 2
-	"$@" >"$dir/last" 2>&1
-	status=$?
-	[ "$status" -eq "$wanted" ] && return
-	echo "FAIL  $name: exit status $status instead of $wanted: $*"
-	cat "$dir/last"
-	failures=$((failures + 1))
-}
 
 get() { curl -s -S "$@"; }
-set_fault() { curl -s -f -o /dev/null -d "$2" "http://$1/control"; }
 refuses_fault() { [ "$(status_of -d "$2" "http://$1/control")" = 400 ]; }
-# control_is ADDRESS KEY VALUE
-control_is() { get "http://$1/control" | grep -q "\"$2\":$3[,}]"; }
-control_value() {
-	get "http://$1/control" | sed -E "s/.*\"$2\":([0-9]+)[,}].*/\\1/"
-}
 control_at_least() { [ "$(control_value "$1" "$2")" -ge "$3" ]; }
 contains() { grep -q -F -- "$2" "$1"; }
 text_is() { [ "$1" = "$2" ]; }
