End a drain although a repeat has asked about a running attempt

The answer "running" to a query of a repeat under the same Idempotency-Key marked the response as due on that connection. The response goes to the attempt's entry, so the connection stayed busy and mmx_peer_drain() never ended. A query also closed the attempt on the connection that it came by.

Only a fence by which an attempt's entry recovers it moves the response.

--- a/src/libmasticmux/peer_inbound.c
+++ b/src/libmasticmux/peer_inbound.c
@@ -501,21 +501,26 @@
 {
 	mmx_peer_served_t *served =
 		g_hash_table_lookup(link->served, &reply->attempt);
+	bool recovers = reply->purpose == MMX_FENCE_RECOVER;
 
 	if (!served || !served->fence_due) {
 		mmx_peer_drop(link->peer, MMX_DROP_NOT_SERVED);
 		return;
 	}
 	served->fence_due = false;
-	/* The response of a running attempt follows on this connection. */
-	if (reply->state == MMX_FENCE_RUNNING)
+	/*
+	 * The response of a running attempt follows on this connection when its
+	 * own entry recovers it. Other purposes leave it where it was.
+	 */
+	if (recovers && reply->state == MMX_FENCE_RUNNING)
 		served->execute_open = true;
 	if (!mmx_peer_link_reply(link, served->fence_xid, &reply->message)) {
 		mmx_peer_refused(link->peer, MMX_REFUSAL_LIMIT);
 		mmx_peer_link_reply_status(link, served->fence_xid,
 					   MMX_RPC_SYSTEM_ERROR);
 	}
-	close_elsewhere_(link, &reply->attempt);
+	if (recovers)
+		close_elsewhere_(link, &reply->attempt);
 	finish_served_(link, served);
 }
 
--- a/src/test_libmasticmux/test_peer_faults.c
+++ b/src/test_libmasticmux/test_peer_faults.c
@@ -64,6 +64,7 @@
 
 	CU_ASSERT_EQUAL(fence->exit_incarnation, MMX_TEST_INCARNATION);
 	reply->origin = origin;
+	reply->purpose = fence->purpose;
 	mmx_task_post(origin.task, &reply->message);
 	mmx_message_destroy(&fence->message);
 	return origin;
@@ -495,6 +496,24 @@
 	return *(bool *)arg;
 }
 
+/* Guards against a planned stop that never ends, because the connection waits
+ * for the response of a running attempt that a repeat has only asked about. */
+static void test_drain_after_query_(void)
+{
+	mmx_test_world_t *world = mmx_test_world_create(&relayed_);
+	mmx_fence_t *query = mmx_test_fence(1);
+	bool drained = false;
+
+	query->purpose = MMX_FENCE_QUERY;
+	post_(world, &query->message);
+	answer_fence_(world, MMX_FENCE_RUNNING);
+	expect_fence_reply_(world, MMX_FENCE_RUNNING);
+	mmx_peer_drain(world->b.peer, on_drained_, &drained);
+	mmx_test_run(world, is_set_, &drained);
+	CU_ASSERT_TRUE(drained);
+	mmx_test_world_destroy(world);
+}
+
 /* Guards against a fenced attempt that stays on the books of either side, so
  * that its connection counts as busy for ever: a drain would not end. */
 static void test_fence_ends_attempt_(void)
@@ -532,6 +551,7 @@
 	{"an unsent attempt is fenced here", test_fence_before_send_},
 	{"a query of an unsent attempt leaves it alone",
 	 test_query_before_send_},
+	{"drain after a query", test_drain_after_query_},
 	{"a restarted exit gets a new connection", test_restarted_exit_},
 	{"wrong keys are refused", test_wrong_keys_},
 	{"clients that are no nodes are closed", test_raw_clients_},
