--- a/test/faults.sh
+++ b/test/faults.sh
@@ -226,16 +226,37 @@
 	rm -f "$dir/violations"
 }
 
+node_has_begun() {
+	! kill -0 "${node_pid[$1]}" 2>/dev/null || node_listens "$1"
+}
+# Another process may take a port between the search and the start; then other
+# ports are tried.
+start_nodes() {
+	local i tries
+	for tries in 1 2 3 4 5; do
+		write_settings
+		for ((i = 1; i <= NODES; i++)); do
+			start_node $i
+		done
+		for ((i = 1; i <= NODES; i++)); do
+			wait_until node_has_begun $i && node_listens $i || break
+		done
+		[ $i -gt $NODES ] && return
+		for ((i = 1; i <= NODES; i++)); do
+			kill_node $i 2>/dev/null
+		done
+	done
+	cat "$dir"/node-*.log >&2
+	return 1
+}
+
 start_fleet() {
 	local i
 	start_program "$dir/log" "$standin" log --listen 127.0.0.1:0 \
 		--control 127.0.0.1:0 || return 1
 	log=$program_address
 	log_control=$program_control
-	write_settings
-	for ((i = 1; i <= NODES; i++)); do
-		start_node $i
-	done
+	start_nodes || return 1
 	for ((i = 1; i <= TARGETS; i++)); do
 		wait_until node_listens $(((i + 1) / 2)) || return 1
 		start_program "$dir/target-$i" "$standin" target \
