End the peer drain after a query of a repeat

Cause: an entry that asked about another caller's running attempt counted its response as due on that connection, though it goes to the attempt's own entry; a planned stop of that node then waited for 60 s and ended with status 1. Change: only a recovering fence moves an attempt in the peer's books; the second step of a planned stop lasts 5 s at most; settings in faults.sh and full_tables.sh follow scripts/lib.sh.

--- a/bench/full_tables.sh
+++ b/bench/full_tables.sh
@@ -108,7 +108,8 @@
 	start_program "$dir/fleet" "$build/bench/bench_tables" \
 		--fleet="$fleet" --members="$members" --targets="$targets" ||
 		fail "no fleet"
-	node_settings measured region-1 zone-1 "$fleet" "$log" \
+	fleet_keys="\"demo:$(printf '%064d' 7)\""
+	node_settings measured region-1 zone-1 "\"$fleet\"" "$log" \
 		>"$dir/node.toml"
 	operator=127.0.0.1:${ports[3]}
 	started=$(now)
--- a/src/libmasticmux/node.c
+++ b/src/libmasticmux/node.c
@@ -15,6 +15,8 @@
 
 /* A planned stop ends at the latest after this time. */
 #define DRAIN_MAX_US (60 * MMX_US_PER_S)
+/* Nothing is in progress in the second step, only bytes may be unsent. */
+#define FINISH_MAX_US (5 * MMX_US_PER_S)
 /* Others hear of the stop before the listeners close. */
 #define DRAIN_POLL_US (50 * MMX_US_PER_MS)
 /* Events that `masticmux explain` can look back on; about 1.3 MB. */
@@ -50,6 +52,8 @@
 	}
 	if (in_progress_(node) == 0) {
 		node->finishing = true;
+		node->drain_deadline =
+			mmx_clock_now(node->clock) + FINISH_MAX_US;
 		TAILQ_FOREACH (part, &node->parts, entry)
 			if (part->ops->finish)
 				part->ops->finish(part);
--- a/src/libmasticmux/peer_inbound.c
+++ b/src/libmasticmux/peer_inbound.c
@@ -332,6 +332,21 @@
 	on_response_(link, response);
 }
 
+/* The response of an attempt that runs comes on this connection. */
+static void recover_attempt_(mmx_peer_link_t *link, mmx_peer_attempt_t *attempt,
+			     const mmx_fence_reply_t *reply)
+{
+	if (reply->state != MMX_FENCE_RUNNING) {
+		end_if_(attempt, true);
+		return;
+	}
+	if (!attempt) {
+		attempt = mmx_peer_attempt_add(link->node, &reply->attempt);
+		attempt->sent_link = MMX_LINK_GONE;
+	}
+	mmx_peer_attempt_move(attempt, link);
+}
+
 static void on_fence_reply_(mmx_peer_link_t *link,
 			    const mmx_peer_pending_t *pending,
 			    const mmx_rpc_header_t *header,
@@ -351,16 +366,10 @@
 		return;
 	}
 	reply->exit = remote_node_(link);
-	if (reply->state == MMX_FENCE_RUNNING) {
-		if (!attempt) {
-			attempt = mmx_peer_attempt_add(link->node,
-						       &reply->attempt);
-			attempt->sent_link = MMX_LINK_GONE;
-		}
-		mmx_peer_attempt_move(attempt, link);
-	} else {
-		end_if_(attempt, true);
-	}
+	/* Only the attempt's own entry gets its response; the queries of others
+	 * change nothing here. */
+	if (reply->purpose == MMX_FENCE_RECOVER)
+		recover_attempt_(link, attempt, reply);
 	mmx_task_post(link->peer->config.entry, &reply->message);
 }
 
--- a/src/test_libmasticmux/test_peer_faults.c
+++ b/src/test_libmasticmux/test_peer_faults.c
@@ -498,7 +498,7 @@
 
 /* Guards against a planned stop that never ends, because the connection waits
  * for the response of a running attempt that a repeat has only asked about. */
-static void test_drain_after_query_(void)
+static void drain_after_query_(bool at_exit)
 {
 	mmx_test_world_t *world = mmx_test_world_create(&relayed_);
 	mmx_fence_t *query = mmx_test_fence(1);
@@ -508,12 +508,19 @@
 	post_(world, &query->message);
 	answer_fence_(world, MMX_FENCE_RUNNING);
 	expect_fence_reply_(world, MMX_FENCE_RUNNING);
-	mmx_peer_drain(world->b.peer, on_drained_, &drained);
+	mmx_peer_drain(at_exit ? world->b.peer : world->a.peer, on_drained_,
+		       &drained);
 	mmx_test_run(world, is_set_, &drained);
 	CU_ASSERT_TRUE(drained);
 	mmx_test_world_destroy(world);
 }
 
+static void test_drain_after_query_(void)
+{
+	drain_after_query_(true);
+	drain_after_query_(false);
+}
+
 /* Guards against a fenced attempt that stays on the books of either side, so
  * that its connection counts as busy for ever: a drain would not end. */
 static void test_fence_ends_attempt_(void)
--- a/test/faults.sh
+++ b/test/faults.sh
@@ -52,13 +52,14 @@
 # the other nodes as seeds.
 write_settings() {
 	local i j all seeds region
+	fleet_keys="\"test:$(printf '%064d' 7)\""
 	free_ports $((4 * NODES))
 	all=("${ports[@]}")
 	for ((i = 1; i <= NODES; i++)); do
 		seeds=
 		for ((j = 1; j <= NODES; j++)); do
 			[ $j = $i ] && continue
-			seeds="$seeds${seeds:+\", \"}127.0.0.1:${all[4 * j - 3]}"
+			seeds="$seeds${seeds:+, }\"127.0.0.1:${all[4 * j - 3]}\""
 		done
 		region=$([ $i -le 2 ] && echo north || echo south)
 		ports=("${all[@]:4 * (i - 1):4}")
