--- a/src/libmasticmux/node.c
+++ b/src/libmasticmux/node.c
@@ -42,7 +42,6 @@
 static void on_drain_poll_(void *arg)
 {
 	mmx_node_t *node = arg;
-
 	bool expired = mmx_clock_now(node->clock) >= node->drain_deadline;
 	mmx_part_t *part;
 
