Remove unused state of an exchange

Cause: the read-through found two members that nothing reads, one of them set with a clock read for each attempt, and one condition written four times. Change: both members are gone; mmx_exchange_is_claiming() has the condition.

--- a/src/libmasticmux/entry.c
+++ b/src/libmasticmux/entry.c
@@ -220,9 +220,7 @@
 /* All parts that have come are in exchange->body, none is on its way. */
 static bool is_unsent_(const mmx_exchange_t *exchange)
 {
-	return exchange->attempts == 0 ||
-	       exchange->state == MMX_EXCHANGE_CLAIMING ||
-	       exchange->state == MMX_EXCHANGE_QUERYING;
+	return exchange->attempts == 0 || mmx_exchange_is_claiming(exchange);
 }
 
 static void on_request_body_(mmx_entry_t *entry, mmx_body_t *body)
--- a/src/libmasticmux/filter_attempt.c
+++ b/src/libmasticmux/filter_attempt.c
@@ -110,7 +110,6 @@
 	exchange->trial = choice->trial;
 	exchange->remote = choice->ring == MMX_RING_REMOTE;
 	exchange->tried[exchange->attempts++] = exchange->target;
-	exchange->attempt_started = mmx_clock_now(self->clock);
 	exchange->path_lost = false;
 	mmx_entry_new_attempt(exchange);
 	TAILQ_INSERT_TAIL(&self->open, exchange, path_entry);
@@ -311,8 +310,7 @@
 	mmx_exchange_t *exchange = arg;
 	mmx_attempt_filter_t *self = (mmx_attempt_filter_t *)exchange->filter;
 
-	if (exchange->state == MMX_EXCHANGE_CLAIMING ||
-	    exchange->state == MMX_EXCHANGE_QUERYING) {
+	if (mmx_exchange_is_claiming(exchange)) {
 		mmx_attempt_claim_expired(self, exchange);
 		return;
 	}
@@ -388,8 +386,7 @@
 
 static void on_path_lost_(mmx_attempt_filter_t *self, mmx_exchange_t *exchange)
 {
-	if (exchange->state == MMX_EXCHANGE_CLAIMING ||
-	    exchange->state == MMX_EXCHANGE_QUERYING) {
+	if (mmx_exchange_is_claiming(exchange)) {
 		/* Nothing of this exchange has been sent on the path. */
 		return;
 	}
@@ -581,8 +578,7 @@
 
 	if (exchange->state == MMX_EXCHANGE_WAITING)
 		return;
-	if (exchange->state != MMX_EXCHANGE_CLAIMING &&
-	    exchange->state != MMX_EXCHANGE_QUERYING)
+	if (!mmx_exchange_is_claiming(exchange))
 		send_cancel_(self, exchange);
 	/* A caller that leaves says nothing about the target. */
 	end_trial_(self, exchange, MMX_VIEW_TRIAL_REFUSED);
--- a/src/libmasticmux/include/private/exchange.h
+++ b/src/libmasticmux/include/private/exchange.h
@@ -57,7 +57,6 @@
 	mmx_node_id_t exit;
 	mmx_incarnation_t exit_incarnation;
 	mmx_target_id_t target;
-	mmx_time_t attempt_started;
 	bool path_lost;		 /* told of the attempt that is out */
 	bool remote;		 /* the exit is in another region */
 	bool trial;		 /* of an ejected target; not decided yet */
@@ -72,7 +71,13 @@
 	struct evbuffer *answer_body;
 	uint64_t claim_offset;	  /* of the claim to be superseded, or 0 */
 	mmx_claim_holder_t rival; /* while querying */
-	uint32_t body_credit;	  /* bytes that the exit may still be sent */
 } mmx_exchange_t;
 
+/* An attempt was chosen, but nothing of it is sent before its claim is won. */
+static inline bool mmx_exchange_is_claiming(const mmx_exchange_t *exchange)
+{
+	return exchange->state == MMX_EXCHANGE_CLAIMING ||
+	       exchange->state == MMX_EXCHANGE_QUERYING;
+}
+
 #endif
