--- a/include/masticmux/fold.h
+++ b/include/masticmux/fold.h
@@ -13,12 +13,19 @@
 
 #include "masticmux/change.h"
 #include "masticmux/policy.h"
+#include "masticmux/routing.h"
 #include "masticmux/types.h"
 
 /** Result of a route lookup. */
 typedef struct mmx_route_t {
 	const char *service; /**< valid until the next apply */
 	mmx_policy_t policy; /**< template with the route's overrides */
+	/* Known only of routes that came as a whole configuration. */
+	const char *name;     /**< of the route; NULL: none */
+	mmx_time_t timeout;   /**< longest time kept waiting; 0: no limit */
+	mmx_time_t objective; /**< wanted latency; 0: none */
+	uint8_t attempts_max; /**< targets it may run at; 0: the default */
+	uint8_t priority;     /**< see MMX_PRIORITY_FIRST */
 } mmx_route_t;
 
 /** Parameters of a client account. */
@@ -163,6 +170,21 @@
 /** True until a record was applied or a snapshot was loaded. */
 bool mmx_fold_is_empty(const mmx_fold_t *fold);
 
+/**
+ * Replaces everything by one whole version of the configuration. From then on
+ * the lookups answer from it, and records are no longer applied.
+ *
+ * @param routing  owned by the fold from then on
+ * @param policy   of every service; routes add what they name themselves
+ * @return false when the version is not above the one in force: then nothing
+ *         changes and the routing is destroyed
+ */
+bool mmx_fold_replace(mmx_fold_t *fold, mmx_routing_t *routing,
+		      const mmx_policy_t *policy);
+
+/** The whole configuration in force; NULL when there is none. */
+const mmx_routing_t *mmx_fold_routing(const mmx_fold_t *fold);
+
 /** Policy of a service by name; false when unknown. */
 bool mmx_fold_service(const mmx_fold_t *fold, const char *service,
 		      mmx_policy_t *policy);
--- a/include/masticmux/node.h
+++ b/include/masticmux/node.h
@@ -16,6 +16,13 @@
 /** Creates a node. The settings outlive it. */
 mmx_node_t *mmx_node_create(const mmx_settings_t *settings);
 
+/**
+ * Names the file that SIGHUP reads again; without it SIGHUP changes nothing.
+ *
+ * @param path  copied; may be NULL
+ */
+void mmx_node_set_settings_path(mmx_node_t *node, const char *path);
+
 /** Destroys a node; closes its sockets. NULL is allowed. */
 void mmx_node_destroy(mmx_node_t *node);
 
--- a/include/masticmux/settings.h
+++ b/include/masticmux/settings.h
@@ -25,6 +25,18 @@
 #define MMX_LOG_RETENTION_MAX_S (366 * 86400)
 #define MMX_LOG_RETENTION_DEFAULT_S 3600
 
+/** Default time between SIGTERM and the end of the process, seconds. */
+#define MMX_STOP_GRACE_DEFAULT_S 60
+/**
+ * Defaults of the fleet-wide retry budget of a service: attempts beyond the
+ * first, in percent of its requests, plus a reserve, both per window.
+ */
+#define MMX_RETRY_PERCENT_DEFAULT 20
+#define MMX_RETRY_RESERVE_DEFAULT 60
+#define MMX_RETRY_WINDOW_DEFAULT_S 10
+/** Default share of a service's slots that ejections leave, percent. */
+#define MMX_FLOOR_PERCENT_DEFAULT 70
+
 /** Shared secret of the fleet; messages name the id. */
 typedef struct mmx_fleet_key_t {
 	char id[MMX_FLEET_KEY_ID_MAX + 1];
@@ -47,6 +59,22 @@
 	mmx_address_t log_service; /**< port 0: no log service */
 	mmx_time_t log_retention;  /**< microseconds */
 	mmx_address_t collector;   /**< port 0: spans are not exported */
+	/**
+	 * Shared store that holds the configuration and the roster of the
+	 * nodes; port 0: the log service and gossip are used instead.
+	 */
+	mmx_address_t store;
+	/** Service of this instance, which its requests name as their caller;
+	 * empty: requests name none. */
+	char service[MMX_NAME_MAX + 1];
+	/** The network between the nodes is private: records between them are
+	 * neither signed nor limited to loopback. */
+	bool trusted_network;
+	mmx_time_t stop_grace;	 /**< microseconds from SIGTERM */
+	uint32_t retry_percent;	 /**< see MMX_RETRY_PERCENT_DEFAULT */
+	int64_t retry_reserve;	 /**< attempts of the whole fleet */
+	mmx_time_t retry_window; /**< microseconds */
+	uint32_t floor_percent;	 /**< see MMX_FLOOR_PERCENT_DEFAULT */
 } mmx_settings_t;
 
 /**
--- a/src/libmasticmux/announce.c
+++ b/src/libmasticmux/announce.c
@@ -22,6 +22,8 @@
 	mmx_task_t *exit;
 	struct evhttp *server;
 	uint16_t port;
+	const mmx_announce_form_t *form; /* NULL: none */
+	bool trusted;
 	mmx_counter_t *accepted;
 	mmx_counter_t *rejected;
 };
@@ -266,6 +268,21 @@
 		reject_(announce, request, HTTP_BADREQUEST, error.text);
 }
 
+static void handle_form_(mmx_announce_t *announce,
+			 struct evhttp_request *request, const char *uri)
+{
+	struct evbuffer *body = evhttp_request_get_input_buffer(request);
+	size_t length = evbuffer_get_length(body);
+	mmx_error_t error = {.code = MMX_ERROR_NONE};
+	mmx_target_announced_t *announced = announce->form->parse(
+		uri, (const char *)evbuffer_pullup(body, -1), length, &error);
+
+	if (announced)
+		accept_(announce, request, announced);
+	else
+		reject_(announce, request, HTTP_BADREQUEST, error.text);
+}
+
 static void handle_delete_(mmx_announce_t *announce,
 			   struct evhttp_request *request, const char *name)
 {
@@ -289,8 +306,11 @@
 	enum evhttp_cmd_type command = evhttp_request_get_command(request);
 	size_t length = strlen(TARGETS_PATH);
 
-	if (strncmp(uri, TARGETS_PATH, length) != 0 ||
-	    (uri[length] && uri[length] != '/'))
+	if (announce->form && command == EVHTTP_REQ_POST &&
+	    announce->form->handles(uri))
+		handle_form_(announce, request, uri);
+	else if (strncmp(uri, TARGETS_PATH, length) != 0 ||
+		 (uri[length] && uri[length] != '/'))
 		reject_(announce, request, HTTP_NOTFOUND, "no such path");
 	else if (command == EVHTTP_REQ_POST && !uri[length])
 		handle_post_(announce, request);
@@ -329,11 +349,24 @@
 	g_free(announce);
 }
 
+void mmx_announce_set_form(mmx_announce_t *announce,
+			   const mmx_announce_form_t *form)
+{
+	assert(!announce->server);
+	announce->form = form;
+}
+
+void mmx_announce_set_trusted(mmx_announce_t *announce, bool trusted)
+{
+	assert(!announce->server);
+	announce->trusted = trusted;
+}
+
 bool mmx_announce_init(mmx_announce_t *announce, const mmx_address_t *address,
 		       mmx_error_t *error)
 {
 	assert(!announce->server);
-	if (!mmx_address_is_loopback(address))
+	if (!announce->trusted && !mmx_address_is_loopback(address))
 		return mmx_error_set(error, MMX_ERROR_INVALID,
 				     "the announce address %s is not loopback",
 				     address->host);
--- a/src/libmasticmux/attempts.c
+++ b/src/libmasticmux/attempts.c
@@ -101,6 +101,7 @@
 	mmx_attempts_drop_answer(attempts, attempt);
 	if (attempt->execute)
 		mmx_message_destroy(&attempt->execute->message);
+	g_free(attempt->request_id);
 	mmx_span_finish(attempt->call_span);
 	mmx_span_finish(attempt->span);
 	g_free(attempt);
--- a/src/libmasticmux/connection.c
+++ b/src/libmasticmux/connection.c
@@ -232,7 +232,8 @@
 	if (address->port == 0 || size == 0)
 		return NULL;
 	loopback = mmx_connection_is_loopback((struct sockaddr *)&storage);
-	if (config->identity->key_count == 0 && !loopback)
+	if (config->identity->key_count == 0 && !loopback &&
+	    !config->identity->trusted)
 		return NULL;
 	connection = create_(config, -1, MMX_SESSION_CLIENT, loopback);
 	mmx_session_expect(connection->session, expected);
--- /dev/null
+++ b/src/libmasticmux/dialect.c
@@ -0,0 +1,63 @@
+#include "private/dialect.h"
+
+#include <stdio.h>
+#include <string.h>
+
+#define STATUS_MISDIRECTED 421
+
+const mmx_dialect_t mmx_dialect_default = {
+	.timeout = "Masticmux-Timeout-Ms",
+};
+
+const char *const mmx_reply_kind_string[MMX_REPLY_KIND_COUNT] = {
+	"valid",
+	"not-run",
+	"wrong-target",
+	"foreign",
+};
+
+static bool is_success_(const mmx_head_t *response)
+{
+	return response->status >= 200 && response->status < 300;
+}
+
+/* A late response to an earlier request may stand in the place of this one. */
+static bool has_identity_(const mmx_dialect_t *dialect,
+			  const mmx_head_t *response, const char *request_id)
+{
+	const char *told;
+
+	if (!dialect->request_id || !request_id)
+		return true;
+	told = mmx_head_find(response, dialect->request_id);
+	return told && strcmp(told, request_id) == 0;
+}
+
+mmx_reply_kind_t mmx_dialect_judge(const mmx_dialect_t *dialect,
+				   const mmx_head_t *response,
+				   const char *request_id)
+{
+	if (dialect->target && response->status == STATUS_MISDIRECTED)
+		return MMX_REPLY_WRONG_TARGET;
+	if (!has_identity_(dialect, response, request_id) &&
+	    !(dialect->not_run && mmx_head_find(response, dialect->not_run)))
+		return MMX_REPLY_FOREIGN;
+	if (dialect->not_run && mmx_head_find(response, dialect->not_run))
+		return MMX_REPLY_NOT_RUN;
+	if (dialect->signature && is_success_(response) &&
+	    (!mmx_head_find(response, dialect->signature) ||
+	     mmx_head_find(response, "Content-Encoding")))
+		return MMX_REPLY_FOREIGN;
+	return MMX_REPLY_VALID;
+}
+
+bool mmx_dialect_load(const mmx_dialect_t *dialect, const mmx_head_t *response,
+		      unsigned int *running, unsigned int *waiting,
+		      unsigned int *slots)
+{
+	const char *text =
+		dialect->load ? mmx_head_find(response, dialect->load) : NULL;
+
+	return text &&
+	       sscanf(text, "%9u,%9u,%9u", running, waiting, slots) == 3;
+}
--- a/src/libmasticmux/entry.c
+++ b/src/libmasticmux/entry.c
@@ -33,6 +33,9 @@
 	mmx_view_t *view;
 	mmx_pipeline_t pipeline;
 	mmx_filter_t *attempt_filter;
+	const mmx_dialect_t *dialect;
+	const char *caller_service;
+	const uint32_t *retry_reserve;
 	uint64_t next_sequence;
 	GHashTable *by_request;	 /* of mmx_exchange_t */
 	GHashTable *by_sequence; /* of mmx_exchange_t with an attempt */
@@ -57,6 +60,8 @@
 	exchange->body_whole = true;
 	exchange->answer_body = evbuffer_new();
 	exchange->started = mmx_clock_now(entry->clock);
+	exchange->attempts_max = MMX_ATTEMPTS_DEFAULT;
+	exchange->offers_max = MMX_ATTEMPTS_MAX;
 	g_hash_table_insert(entry->by_request, &exchange->request, exchange);
 	mmx_entry_trace_start(exchange);
 	return exchange;
@@ -418,6 +423,7 @@
 	entry->incarnation = incarnation;
 	mmx_random_seed(&entry->random, seed);
 	entry->guards = &mmx_guards_all;
+	entry->dialect = &mmx_dialect_default;
 	mmx_pipeline_init(&entry->pipeline);
 	entry->by_request = g_hash_table_new(g_int64_hash, g_int64_equal);
 	entry->by_sequence = g_hash_table_new(g_int64_hash, g_int64_equal);
@@ -548,6 +554,24 @@
 	return true;
 }
 
+bool mmx_entry_set_dialect(mmx_entry_t *entry, const mmx_dialect_t *dialect,
+			   const char *caller_service)
+{
+	if (entry->running)
+		return false;
+	entry->dialect = dialect;
+	entry->caller_service = caller_service;
+	return true;
+}
+
+bool mmx_entry_set_retry_reserve(mmx_entry_t *entry, const uint32_t *reserve)
+{
+	if (entry->running)
+		return false;
+	entry->retry_reserve = reserve;
+	return true;
+}
+
 bool mmx_entry_set_guards(mmx_entry_t *entry, const mmx_guards_t *guards)
 {
 	if (entry->running)
@@ -569,9 +593,12 @@
 		.members = entry->members,
 		.members_context = entry->members_context,
 		.guards = entry->guards,
+		.retry_reserve = entry->retry_reserve,
 	});
 	entry->attempt_filter = mmx_filter_attempt_create(entry);
-	mmx_pipeline_add(&entry->pipeline, mmx_filter_request_create());
+	mmx_pipeline_add(&entry->pipeline,
+			 mmx_filter_request_create(entry->dialect,
+						   entry->caller_service));
 	mmx_pipeline_add(&entry->pipeline,
 			 mmx_filter_route_create(entry->fold));
 	mmx_pipeline_add(&entry->pipeline,
--- a/src/libmasticmux/exit.c
+++ b/src/libmasticmux/exit.c
@@ -59,6 +59,12 @@
 	mmx_exit_health_tell(exit, target);
 }
 
+void mmx_exit_target_lost(mmx_exit_t *exit, mmx_exit_target_t *target)
+{
+	set_state_(exit, target, MMX_TARGET_GONE);
+	mmx_exit_refuse_queue(exit, target);
+}
+
 static mmx_time_t warm_up_(const mmx_exit_t *exit, const char *service)
 {
 	mmx_policy_t policy;
@@ -77,7 +83,6 @@
 	target = mmx_exit_target_create(
 		mmx_directory_id(exit->node_name, announced->name), exit->node,
 		exit->incarnation, announced->name, announced->service);
-	/* Only a target that says it is cold needs the ramp. */
 	target->warm_since = -(mmx_time_t)MMX_TIME_NEVER / 2;
 	mmx_exit_health_init(exit, target);
 	LIST_INSERT_HEAD(&exit->targets, target, entry);
@@ -117,22 +122,93 @@
 		target->stopped = false;
 }
 
+/* An announcement may be delayed until after newer ones, also from another
+ * process at the same address. */
+static bool is_stale_(const mmx_exit_t *exit,
+		      const mmx_target_announced_t *announced)
+{
+	const mmx_exit_target_t *target;
+
+	if (!announced->born)
+		return false;
+	LIST_FOREACH (target, &exit->targets, entry) {
+		if (strcmp(target->record.name, announced->name) == 0) {
+			if (announced->born < target->born ||
+			    (announced->born == target->born &&
+			     (target->left ||
+			      (announced->sequence &&
+			       announced->sequence <= target->sequence))))
+				return true;
+		} else if (target->born > announced->born &&
+			   mmx_address_is_equal(&target->address,
+						&announced->address)) {
+			return true;
+		}
+	}
+	return false;
+}
+
+/* A target that announces itself at the address of another one has replaced
+ * it. */
+static void end_replaced_(mmx_exit_t *exit,
+			  const mmx_target_announced_t *announced)
+{
+	mmx_exit_target_t *target;
+
+	if (!announced->born || announced->state == MMX_TARGET_GONE)
+		return;
+	LIST_FOREACH (target, &exit->targets, entry) {
+		if (strcmp(target->record.name, announced->name) == 0 ||
+		    !mmx_address_is_equal(&target->address,
+					  &announced->address))
+			continue;
+		target->left = true;
+		set_state_(exit, target, MMX_TARGET_GONE);
+		mmx_exit_refuse_queue(exit, target);
+	}
+}
+
+static void note_process_(mmx_exit_target_t *target,
+			  const mmx_target_announced_t *announced)
+{
+	if (announced->born != target->born)
+		target->left = false;
+	target->born = announced->born;
+	target->sequence = announced->sequence;
+	if (announced->state == MMX_TARGET_GONE && announced->born)
+		target->left = true;
+}
+
+/* Only a target that says that it is cold needs the ramp. */
+static void start_ramp_(mmx_exit_t *exit, mmx_exit_target_t *target,
+			const mmx_target_announced_t *announced)
+{
+	if (announced->cold_left > 0) {
+		if (mmx_exit_target_is_cold(target, mmx_clock_now(exit->clock)))
+			return;
+		target->warm_since = mmx_clock_now(exit->clock);
+		target->warm_up = announced->cold_left;
+	} else if (announced->state == MMX_TARGET_COLD &&
+		   (target->record.version == 0 ||
+		    target->record.state != MMX_TARGET_COLD)) {
+		target->warm_since = mmx_clock_now(exit->clock);
+		target->warm_up = warm_up_(exit, announced->service);
+	}
+}
+
 static void on_announced_(mmx_exit_t *exit,
 			  const mmx_target_announced_t *announced)
 {
 	mmx_exit_target_t *target = find_target_name_(exit, announced->name);
 	mmx_target_state_t state = announced->state;
 
-	if (!target && state == MMX_TARGET_GONE)
+	if (is_stale_(exit, announced) || (!target && state == MMX_TARGET_GONE))
 		return;
+	end_replaced_(exit, announced);
 	if (!target)
 		target = add_target_(exit, announced);
-	if (state == MMX_TARGET_COLD &&
-	    (target->record.version == 0 ||
-	     target->record.state != MMX_TARGET_COLD)) {
-		target->warm_since = mmx_clock_now(exit->clock);
-		target->warm_up = warm_up_(exit, announced->service);
-	}
+	note_process_(target, announced);
+	start_ramp_(exit, target, announced);
 	/* A withdrawal names the target only. */
 	if (state == MMX_TARGET_GONE)
 		target->lease_until = mmx_clock_now(exit->clock);
@@ -235,6 +311,7 @@
 	g_strlcpy(exit->node_name, node_name, sizeof(exit->node_name));
 	exit->incarnation = incarnation;
 	exit->guards = &mmx_guards_all;
+	exit->dialect = &mmx_dialect_default;
 	exit->record_max = RECORD_MAX;
 	LIST_INIT(&exit->targets);
 	mmx_timer_init(&exit->sweep, exit->clock, on_sweep_, exit);
@@ -310,6 +387,14 @@
 	return true;
 }
 
+bool mmx_exit_set_dialect(mmx_exit_t *exit, const mmx_dialect_t *dialect)
+{
+	if (exit->running)
+		return false;
+	exit->dialect = dialect;
+	return true;
+}
+
 bool mmx_exit_set_record_max(mmx_exit_t *exit, size_t record_max)
 {
 	if (exit->running)
--- a/src/libmasticmux/exit_attempt.c
+++ b/src/libmasticmux/exit_attempt.c
@@ -31,6 +31,7 @@
 
 	response->reason = reason;
 	response->started = started;
+	response->offered = started;
 	response->body_end = true;
 	mmx_counter_add(exit->refused, 1);
 	mmx_exit_post_response(exit, response, target, origin);
@@ -91,6 +92,30 @@
 	mmx_exit_start_queued(exit, target);
 }
 
+static void set_header_(mmx_head_t *head, const char *name, const char *value)
+{
+	if (!name)
+		return;
+	mmx_head_remove(head, name);
+	mmx_head_add(head, name, value);
+}
+
+/* Tells the target the time that is left and who is meant. */
+static void address_call_(mmx_exit_t *exit, mmx_attempt_t *attempt,
+			  mmx_call_t *call)
+{
+	const mmx_dialect_t *dialect = exit->dialect;
+	mmx_time_t left_ms = MAX(call->remaining / MMX_US_PER_MS, 1);
+	char text[24];
+
+	g_snprintf(text, sizeof(text), "%lld", (long long)left_ms);
+	set_header_(call->head, dialect->timeout, text);
+	set_header_(call->head, dialect->target, attempt->target->record.name);
+	if (dialect->request_id)
+		attempt->request_id = g_strdup(
+			mmx_head_find(call->head, dialect->request_id));
+}
+
 static void start_(mmx_exit_t *exit, mmx_attempt_t *attempt)
 {
 	mmx_exit_target_t *target = attempt->target;
@@ -108,6 +133,7 @@
 	call->remaining = attempt->deadline - attempt->started;
 	call->head = execute->head;
 	execute->head = NULL;
+	address_call_(exit, attempt, call);
 	mmx_exit_trace_started(exit, attempt, call->head);
 	evbuffer_add_buffer(call->body, execute->body);
 	call->body_end = execute->body_end;
@@ -170,11 +196,14 @@
 		.account = execute->account,
 		.share = share_(exit, execute->account),
 		.remaining = execute->remaining,
+		.patience = execute->patience,
+		.priority = execute->priority,
 	};
 	mmx_reason_t reason;
 
 	*target = mmx_exit_find_target(exit, execute->target);
-	if (execute->exit_incarnation != exit->incarnation &&
+	if (execute->exit_incarnation &&
+	    execute->exit_incarnation != exit->incarnation &&
 	    exit->guards->incarnation)
 		return MMX_REASON_WRONG_INCARNATION;
 	/* The entry may know the target from before it changed its service. */
--- a/src/libmasticmux/exit_call.c
+++ b/src/libmasticmux/exit_call.c
@@ -61,6 +61,59 @@
 				     : MMX_ATTEMPT_REFUSED);
 }
 
+/* Ends an attempt whose response is not passed on. */
+static void drop_response_(mmx_exit_t *exit, mmx_attempt_t *attempt,
+			   mmx_reason_t reason, bool started, bool ended)
+{
+	mmx_response_t *response = mmx_new_response(&attempt->id);
+
+	if (!ended)
+		mmx_task_post(exit->client,
+			      &mmx_new_call_cancel(&attempt->id)->message);
+	response->reason = reason;
+	response->started = started;
+	response->offered = true;
+	response->body_end = true;
+	if (!attempt->abandoned)
+		mmx_exit_post_response(exit, response, attempt->target,
+				       &attempt->origin);
+	else
+		mmx_message_destroy(&response->message);
+	attempt->reply_at_end = false;
+	mmx_exit_end_running(exit, attempt,
+			     started ? MMX_ATTEMPT_FINISHED
+				     : MMX_ATTEMPT_REFUSED);
+}
+
+/* True when the response is the target's answer to this request. */
+static bool accept_response_(mmx_exit_t *exit, mmx_attempt_t *attempt,
+			     const mmx_call_event_t *event)
+{
+	mmx_exit_target_t *target = attempt->target;
+
+	switch (mmx_dialect_judge(exit->dialect, event->head,
+				  attempt->request_id)) {
+	case MMX_REPLY_NOT_RUN:
+		mmx_exit_health_end(attempt, MMX_RESULT_ABANDONED);
+		drop_response_(exit, attempt, MMX_REASON_OVERLOADED, false,
+			       event->body_end);
+		return false;
+	case MMX_REPLY_WRONG_TARGET:
+		mmx_exit_health_end(attempt, MMX_RESULT_ABANDONED);
+		mmx_exit_target_lost(exit, target);
+		drop_response_(exit, attempt, MMX_REASON_DRAINING, false,
+			       event->body_end);
+		return false;
+	case MMX_REPLY_FOREIGN:
+		mmx_exit_health_end(attempt, MMX_RESULT_ERROR);
+		drop_response_(exit, attempt, MMX_REASON_TARGET_FAILED, true,
+			       event->body_end);
+		return false;
+	default:
+		return true;
+	}
+}
+
 static void on_call_head_(mmx_exit_t *exit, mmx_attempt_t *attempt,
 			  mmx_call_event_t *event)
 {
@@ -99,10 +152,10 @@
 
 	if (!attempt)
 		return;
-	if (event->result == MMX_CALL_HEAD)
-		on_call_head_(exit, attempt, event);
-	else
+	if (event->result != MMX_CALL_HEAD)
 		on_call_failed_(exit, attempt, event);
+	else if (accept_response_(exit, attempt, event))
+		on_call_head_(exit, attempt, event);
 }
 
 static void on_target_body_(mmx_exit_t *exit, mmx_body_t *body)
--- a/src/libmasticmux/exit_target.c
+++ b/src/libmasticmux/exit_target.c
@@ -58,6 +58,11 @@
 	return slots > 0 ? (unsigned int)slots : 1;
 }
 
+bool mmx_exit_target_is_cold(const mmx_exit_target_t *target, mmx_time_t now)
+{
+	return now - target->warm_since < target->warm_up;
+}
+
 bool mmx_exit_target_can_start(const mmx_exit_target_t *target, mmx_time_t now)
 {
 	return target->in_progress < mmx_exit_target_slots(target, now);
@@ -73,11 +78,13 @@
 
 /* Whether a request that finds this many before it may queue. */
 static bool may_wait_(const mmx_exit_target_t *target, unsigned int ahead,
-		      unsigned int slots, mmx_time_t remaining)
+		      unsigned int slots, mmx_time_t remaining,
+		      mmx_time_t patience)
 {
 	mmx_time_t wait = target->mean_service * (ahead + 1) / slots;
 
-	return ahead < MMX_EXIT_QUEUE_MAX && wait <= remaining / QUEUE_SHARE &&
+	return ahead < MMX_EXIT_QUEUE_MAX && wait <= patience &&
+	       wait <= remaining / QUEUE_SHARE &&
 	       wait + START_HEADROOM * target->mean_service <= remaining;
 }
 
@@ -91,17 +98,29 @@
 
 	if (!may_wait_(target,
 		       mmx_limits_queued(target->limits, request->account),
-		       slots, request->remaining))
+		       slots, request->remaining, request->patience))
 		return MMX_REASON_ACCOUNT_LIMIT;
 	return MMX_REASON_NONE;
 }
 
+/* Queued attempts that start before a new one of this priority. */
+static unsigned int ahead_(const mmx_exit_target_t *target, uint8_t priority)
+{
+	const mmx_attempt_t *attempt;
+	unsigned int ahead = target->queued;
+
+	TAILQ_FOREACH (attempt, &target->queue, queue_entry)
+		if (attempt->execute->priority > priority)
+			ahead--;
+	return ahead;
+}
+
 mmx_reason_t mmx_exit_target_admit(const mmx_exit_target_t *target,
 				   const mmx_exit_request_t *request,
 				   mmx_time_t now)
 {
 	unsigned int slots = mmx_exit_target_slots(target, now);
-	unsigned int ahead = target->queued;
+	unsigned int ahead = ahead_(target, request->priority);
 
 	if (target->stopped || target->record.state == MMX_TARGET_DRAINING ||
 	    target->record.state == MMX_TARGET_GONE)
@@ -119,8 +138,12 @@
 	}
 	if (target->in_progress < slots && ahead == 0)
 		return MMX_REASON_NONE;
-	return may_wait_(target, ahead, slots, request->remaining)
-		       ? MMX_REASON_NONE
+	if (may_wait_(target, ahead, slots, request->remaining,
+		      request->patience))
+		return MMX_REASON_NONE;
+	return may_wait_(target, ahead, slots, request->remaining,
+			 request->remaining)
+		       ? MMX_REASON_BUSY
 		       : MMX_REASON_OVERLOADED;
 }
 
@@ -164,10 +187,17 @@
 			   mmx_time_t now)
 {
 	mmx_exit_request_t request = request_of_(attempt);
+	mmx_attempt_t *behind;
 
 	attempt->under_floor = mmx_exit_target_class(target, &request, now) ==
 			       MMX_LIMITS_UNDER_FLOOR;
-	TAILQ_INSERT_TAIL(&target->queue, attempt, queue_entry);
+	TAILQ_FOREACH (behind, &target->queue, queue_entry)
+		if (behind->execute->priority > attempt->execute->priority)
+			break;
+	if (behind)
+		TAILQ_INSERT_BEFORE(behind, attempt, queue_entry);
+	else
+		TAILQ_INSERT_TAIL(&target->queue, attempt, queue_entry);
 	target->queued++;
 	target->queued_floor += attempt->under_floor;
 	target->queued_limited += has_limits_(attempt);
--- a/src/libmasticmux/filter_account.c
+++ b/src/libmasticmux/filter_account.c
@@ -16,6 +16,8 @@
 		timeout = exchange->account_parameters.deadline;
 	if (exchange->caller_timeout > 0)
 		timeout = exchange->caller_timeout;
+	if (exchange->timeout > 0)
+		timeout = MIN(timeout, exchange->timeout);
 	return timeout;
 }
 
--- a/src/libmasticmux/filter_attempt.c
+++ b/src/libmasticmux/filter_attempt.c
@@ -20,6 +20,11 @@
  * says that the attempt did not run, arrives in time.
  */
 #define DEADLINE_MARGIN_MAX_US (20 * MMX_US_PER_MS)
+/* Part of the latency objective that an attempt may spend in the queue of one
+ * exit while others have not been tried. */
+#define PATIENCE_SHARE 4
+/* Attempts at the end of which the queue is accepted as it is. */
+#define LAST_ATTEMPTS 2
 /* Time before the deadline at which a silent attempt is fenced. */
 #define FENCE_LEAD_MAX_US (100 * MMX_US_PER_MS)
 
@@ -54,6 +59,20 @@
 						   evbuffer_get_length(body)));
 }
 
+/*
+ * The last attempts wait as long as the time left allows. The others are
+ * refused where the wait would cost much of the objective, since another
+ * target may have a free slot.
+ */
+static mmx_time_t patience_(const mmx_exchange_t *exchange,
+			    mmx_time_t remaining)
+{
+	if (exchange->objective == 0 ||
+	    exchange->attempts + LAST_ATTEMPTS > exchange->attempts_max)
+		return remaining;
+	return MIN(remaining, exchange->objective / PATIENCE_SHARE);
+}
+
 static mmx_execute_t *new_execute_(mmx_attempt_filter_t *self,
 				   const mmx_exchange_t *exchange)
 {
@@ -72,6 +91,8 @@
 	execute->remaining =
 		remaining - margin_(remaining, DEADLINE_MARGIN_MAX_US);
 	execute->keyed = exchange->key[0] != '\0';
+	execute->priority = exchange->priority;
+	execute->patience = patience_(exchange, execute->remaining);
 	execute->trial = exchange->trial;
 	execute->peers = mmx_view_summary(self->view, exchange->target);
 	mmx_entry_trace_context(exchange, &execute->trace);
@@ -161,6 +182,8 @@
 		return MMX_REASON_TARGET_FAILED;
 	case MMX_REASON_DRAINING:
 		return MMX_REASON_NO_CAPACITY;
+	case MMX_REASON_BUSY:
+		return MMX_REASON_OVERLOADED;
 	case MMX_REASON_FENCED:
 		/* By this entry, because the deadline was near. */
 		return MMX_REASON_DEADLINE_EXCEEDED;
@@ -185,7 +208,9 @@
 static bool can_send_again_(mmx_attempt_filter_t *self,
 			    const mmx_exchange_t *exchange)
 {
-	return exchange->body_whole && exchange->attempts < MMX_ATTEMPTS_MAX &&
+	return exchange->body_whole &&
+	       exchange->attempts < exchange->attempts_max &&
+	       exchange->offers < exchange->offers_max &&
 	       exchange->deadline > mmx_clock_now(self->clock);
 }
 
@@ -194,8 +219,12 @@
  * second refusal on, sending again takes from the retry budget.
  */
 static bool may_send_refused_(mmx_attempt_filter_t *self,
-			      mmx_exchange_t *exchange, mmx_reason_t reason)
+			      mmx_exchange_t *exchange, mmx_reason_t reason,
+			      bool offered)
 {
+	/* The budget counts what targets get beyond the first time. */
+	if (offered)
+		return mmx_view_take_retry(self->view, exchange->service);
 	switch (reason) {
 	case MMX_REASON_DEADLINE_EXCEEDED:
 	case MMX_REASON_ACCOUNT_LIMIT:
@@ -209,22 +238,29 @@
 	}
 }
 
-/* After an attempt that certainly did not run. */
-void mmx_attempt_retry_not_run(mmx_attempt_filter_t *self,
-			       mmx_exchange_t *exchange, mmx_reason_t reason)
+static void retry_not_run_(mmx_attempt_filter_t *self, mmx_exchange_t *exchange,
+			   mmx_reason_t reason, bool offered)
 {
 	end_trial_(self, exchange, MMX_VIEW_TRIAL_REFUSED);
+	exchange->offers += offered;
 	mmx_entry_trace_note(exchange, "not_run", mmx_reason_string[reason]);
 	mmx_attempt_close(self, exchange);
 	drop_held_answer_(exchange);
 	exchange->refusal = reason;
 	if (can_send_again_(self, exchange) &&
-	    may_send_refused_(self, exchange, reason))
+	    may_send_refused_(self, exchange, reason, offered))
 		try_next_(self, exchange);
 	else
 		mmx_attempt_refuse(self, exchange, reason);
 }
 
+/* After an attempt that certainly did not run. */
+void mmx_attempt_retry_not_run(mmx_attempt_filter_t *self,
+			       mmx_exchange_t *exchange, mmx_reason_t reason)
+{
+	retry_not_run_(self, exchange, reason, false);
+}
+
 /* After an attempt that may have run. */
 static void retry_may_have_run_(mmx_attempt_filter_t *self,
 				mmx_exchange_t *exchange, mmx_reason_t reason)
@@ -234,6 +270,7 @@
 	mmx_attempt_close(self, exchange);
 	drop_held_answer_(exchange);
 	exchange->may_have_run = true;
+	exchange->offers++;
 	exchange->refusal = reason;
 	if ((exchange->repeatable || !self->guards->fence) &&
 	    can_send_again_(self, exchange) &&
@@ -438,7 +475,7 @@
 	if (response->started)
 		retry_may_have_run_(self, exchange, reason);
 	else
-		mmx_attempt_retry_not_run(self, exchange, reason);
+		retry_not_run_(self, exchange, reason, response->offered);
 }
 
 /* From here on only the deadline ends it; no fencing query is repeated. */
--- a/src/libmasticmux/filter_request.c
+++ b/src/libmasticmux/filter_request.c
@@ -1,10 +1,11 @@
 /* First filter: what the request's own headers say. */
+#include "private/dialect.h"
 #include "private/entry.h"
 
 #include <glib.h>
 #include <string.h>
 
-/* Longest time that Masticmux-Timeout-Ms may name. */
+/* Longest time that a caller may name. */
 #define TIMEOUT_MAX_MS (24 * 3600 * 1000LL)
 
 static bool parse_timeout_(const char *text, mmx_time_t *timeout)
@@ -33,7 +34,22 @@
 	return value[0] && g_strlcpy(to, value, size) < size;
 }
 
-static bool parse_(mmx_exchange_t *exchange)
+typedef struct request_filter_t {
+	mmx_filter_t filter;
+	const mmx_dialect_t *dialect;
+	const char *caller_service; /* NULL: not told to targets */
+} request_filter_t;
+
+/* Whatever the caller claims, its service is the one of this instance. */
+static void name_caller_(const request_filter_t *self, mmx_head_t *head)
+{
+	if (!self->dialect->caller_service || !self->caller_service)
+		return;
+	mmx_head_remove(head, self->dialect->caller_service);
+	mmx_head_add(head, self->dialect->caller_service, self->caller_service);
+}
+
+static bool parse_(const request_filter_t *self, mmx_exchange_t *exchange)
 {
 	const mmx_head_t *head = exchange->head;
 	const char *host = mmx_head_find(head, "Host");
@@ -43,7 +59,10 @@
 	exchange->host = g_strdup(host);
 	exchange->path = g_strndup(head->uri, strcspn(head->uri, "?"));
 	exchange->method = mmx_method_parse(head->method);
-	return parse_timeout_(mmx_head_find(head, "Masticmux-Timeout-Ms"),
+	if (self->dialect->request_id)
+		exchange->id = mmx_head_find(head, self->dialect->request_id);
+	name_caller_(self, exchange->head);
+	return parse_timeout_(mmx_head_find(head, self->dialect->timeout),
 			      &exchange->caller_timeout) &&
 	       copy_header_(head, "Masticmux-Account", exchange->account,
 			    sizeof(exchange->account)) &&
@@ -54,7 +73,7 @@
 static mmx_filter_result_t process_(mmx_filter_t *filter,
 				    mmx_exchange_t *exchange)
 {
-	if (parse_(exchange))
+	if (parse_((request_filter_t *)filter, exchange))
 		return MMX_FILTER_NEXT;
 	mmx_entry_refuse(exchange, MMX_OUTCOME_NOT_RUN, MMX_REASON_BAD_REQUEST);
 	return MMX_FILTER_DONE;
@@ -71,10 +90,13 @@
 	.destroy = destroy_,
 };
 
-mmx_filter_t *mmx_filter_request_create(void)
+mmx_filter_t *mmx_filter_request_create(const mmx_dialect_t *dialect,
+					const char *caller_service)
 {
-	mmx_filter_t *filter = g_new0(mmx_filter_t, 1);
+	request_filter_t *self = g_new0(request_filter_t, 1);
 
-	filter->ops = &ops_;
-	return filter;
+	self->filter.ops = &ops_;
+	self->dialect = dialect;
+	self->caller_service = caller_service;
+	return &self->filter;
 }
--- a/src/libmasticmux/filter_route.c
+++ b/src/libmasticmux/filter_route.c
@@ -27,6 +27,16 @@
 	}
 	g_strlcpy(exchange->service, route.service, sizeof(exchange->service));
 	exchange->policy = route.policy;
+	exchange->configuration = mmx_fold_applied(*self->fold);
+	if (route.name)
+		g_strlcpy(exchange->route, route.name, sizeof(exchange->route));
+	exchange->timeout = route.timeout;
+	exchange->objective = route.objective;
+	exchange->priority = route.priority;
+	if (route.objective)
+		exchange->attempts_max = MMX_ATTEMPTS_MAX;
+	if (route.attempts_max)
+		exchange->offers_max = route.attempts_max;
 	return MMX_FILTER_NEXT;
 }
 
--- a/src/libmasticmux/fold_table.c
+++ b/src/libmasticmux/fold_table.c
@@ -100,6 +100,7 @@
 	g_hash_table_destroy(fold->accounts);
 	g_hash_table_destroy(fold->seen_index);
 	g_free(fold->seen);
+	mmx_routing_destroy(fold->routing);
 	g_free(fold);
 }
 
@@ -412,12 +413,55 @@
 	return NULL;
 }
 
+static bool find_whole_(const mmx_fold_t *fold, const char *host,
+			const char *path, mmx_route_t *route)
+{
+	mmx_routing_rule_t *rule = mmx_routing_find(fold->routing, host, path);
+
+	if (!rule)
+		return false;
+	*route = (mmx_route_t){
+		.service = mmx_routing_next_service(rule),
+		.policy = fold->policy,
+		.name = rule->name,
+		.timeout = rule->timeout,
+		.objective = rule->objective,
+		.attempts_max = rule->attempts_max,
+		.priority = rule->priority,
+	};
+	route->policy.deadline = rule->timeout;
+	route->policy.repeatable = rule->repeatable ? UINT32_MAX : 0;
+	return true;
+}
+
+bool mmx_fold_replace(mmx_fold_t *fold, mmx_routing_t *routing,
+		      const mmx_policy_t *policy)
+{
+	if (mmx_routing_version(routing) <= fold->applied) {
+		mmx_routing_destroy(routing);
+		return false;
+	}
+	mmx_routing_destroy(fold->routing);
+	fold->routing = routing;
+	fold->policy = *policy;
+	fold->applied = mmx_routing_version(routing);
+	return true;
+}
+
+const mmx_routing_t *mmx_fold_routing(const mmx_fold_t *fold)
+{
+	return fold->routing;
+}
+
 bool mmx_fold_route(const mmx_fold_t *fold, const char *host, const char *path,
 		    mmx_route_t *route)
 {
 	char name[MMX_HOST_MAX + 1];
 	const mmx_fold_route_t *entry;
 
+	if (fold->routing)
+		return find_whole_(fold, host, path, route);
+	*route = (mmx_route_t){.name = NULL};
 	if (!normalize_host_(host, name, sizeof(name)))
 		return false;
 	entry = match_(fold, name, path);
@@ -451,8 +495,13 @@
 bool mmx_fold_service(const mmx_fold_t *fold, const char *service,
 		      mmx_policy_t *policy)
 {
-	const mmx_fold_service_t *entry = mmx_fold_find_service(fold, service);
+	const mmx_fold_service_t *entry;
 
+	if (fold->routing) {
+		*policy = fold->policy;
+		return true;
+	}
+	entry = mmx_fold_find_service(fold, service);
 	if (!entry)
 		return false;
 	*policy = entry->template_entry->policy;
--- /dev/null
+++ b/src/libmasticmux/http_client.c
@@ -0,0 +1,316 @@
+#include "private/http_client.h"
+
+#include <assert.h>
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <event2/http.h>
+#include <event2/keyvalq_struct.h>
+#include <glib.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/queue.h>
+#include <sys/socket.h>
+
+#define IDLE_MAX 4
+#define HEADERS_MAX (16 * 1024)
+
+typedef struct connection_t {
+	LIST_ENTRY(connection_t) entry;
+	struct evhttp_connection *http;
+} connection_t;
+
+typedef LIST_HEAD(connection_list_t, connection_t) connection_list_t;
+
+typedef struct call_t {
+	LIST_ENTRY(call_t) entry;
+	mmx_http_client_t *client;
+	mmx_timer_t timer; /* start after the back-off, then the timeout */
+	connection_t *connection;
+	bool too_large;
+	char *uri;
+	char *type; /* NULL: GET */
+	char *body;
+	size_t length;
+	mmx_time_t timeout;
+	mmx_http_reply_fn_t fn;
+	void *arg;
+} call_t;
+
+struct mmx_http_client_t {
+	mmx_http_client_config_t config;
+	mmx_random_t random;
+	mmx_time_t backoff;
+	mmx_time_t not_before;
+	LIST_HEAD(, call_t) calls;
+	connection_list_t idle;
+	connection_list_t broken;
+	size_t idle_count;
+	mmx_timer_t reaper;
+};
+
+static void free_connections_(connection_list_t *list)
+{
+	connection_t *connection;
+
+	while ((connection = LIST_FIRST(list))) {
+		LIST_REMOVE(connection, entry);
+		evhttp_connection_free(connection->http);
+		g_free(connection);
+	}
+}
+
+static void on_reap_(void *arg)
+{
+	mmx_http_client_t *client = arg;
+
+	free_connections_(&client->broken);
+}
+
+mmx_http_client_t *
+mmx_http_client_create(const mmx_http_client_config_t *config)
+{
+	mmx_http_client_t *client = g_new0(mmx_http_client_t, 1);
+
+	assert(config->base && config->clock && config->address.port);
+	client->config = *config;
+	mmx_random_seed(&client->random, config->seed);
+	LIST_INIT(&client->calls);
+	LIST_INIT(&client->idle);
+	LIST_INIT(&client->broken);
+	mmx_timer_init(&client->reaper, config->clock, on_reap_, client);
+	return client;
+}
+
+static void free_call_(call_t *call)
+{
+	mmx_timer_cancel(&call->timer);
+	LIST_REMOVE(call, entry);
+	g_free(call->uri);
+	g_free(call->type);
+	g_free(call->body);
+	g_free(call);
+}
+
+void mmx_http_client_destroy(mmx_http_client_t *client)
+{
+	call_t *call;
+
+	if (!client)
+		return;
+	while ((call = LIST_FIRST(&client->calls))) {
+		if (call->connection) {
+			evhttp_connection_free(call->connection->http);
+			g_free(call->connection);
+		}
+		free_call_(call);
+	}
+	mmx_timer_cancel(&client->reaper);
+	free_connections_(&client->idle);
+	free_connections_(&client->broken);
+	g_free(client);
+}
+
+/* evhttp may still use a connection while it calls back, so that a broken one
+ * is freed by a timer. */
+static void drop_connection_(mmx_http_client_t *client,
+			     connection_t *connection)
+{
+	LIST_INSERT_HEAD(&client->broken, connection, entry);
+	mmx_timer_set(&client->reaper, 0);
+}
+
+static void keep_connection_(mmx_http_client_t *client,
+			     connection_t *connection)
+{
+	if (client->idle_count >= IDLE_MAX) {
+		drop_connection_(client, connection);
+		return;
+	}
+	LIST_INSERT_HEAD(&client->idle, connection, entry);
+	client->idle_count++;
+}
+
+static connection_t *take_connection_(mmx_http_client_t *client)
+{
+	const mmx_http_client_config_t *config = &client->config;
+	connection_t *connection = LIST_FIRST(&client->idle);
+
+	if (connection) {
+		LIST_REMOVE(connection, entry);
+		client->idle_count--;
+		return connection;
+	}
+	connection = g_new0(connection_t, 1);
+	connection->http = evhttp_connection_base_new(
+		config->base, NULL, config->address.host, config->address.port);
+	evhttp_connection_set_max_body_size(connection->http,
+					    (ev_ssize_t)config->body_max);
+	evhttp_connection_set_max_headers_size(connection->http, HEADERS_MAX);
+	return connection;
+}
+
+void mmx_http_client_succeeded(mmx_http_client_t *client)
+{
+	client->backoff = 0;
+	client->not_before = mmx_clock_now(client->config.clock);
+}
+
+void mmx_http_client_failed(mmx_http_client_t *client)
+{
+	mmx_time_t doubled =
+		MAX(2 * client->backoff, client->config.backoff_min);
+
+	client->backoff = MIN(doubled, client->config.backoff_max);
+	/* Half of the delay is random, so that many clients do not return at
+	 * the same moment after an outage. */
+	client->not_before =
+		mmx_clock_now(client->config.clock) + client->backoff / 2 +
+		(mmx_time_t)mmx_random_below(&client->random,
+					     (uint64_t)client->backoff / 2 + 1);
+}
+
+/* Ends a call; its connection has been given back. The callback may start the
+ * next call or destroy the client. */
+static void end_call_(call_t *call, const mmx_http_reply_t *reply)
+{
+	mmx_http_reply_fn_t fn = call->fn;
+	void *arg = call->arg;
+
+	free_call_(call);
+	fn(arg, reply);
+}
+
+static void on_timeout_(void *arg)
+{
+	call_t *call = arg;
+
+	/* Freed at once, so that a late answer can't reach the call. */
+	evhttp_connection_free(call->connection->http);
+	g_free(call->connection);
+	call->connection = NULL;
+	end_call_(call, NULL);
+}
+
+static void on_done_(struct evhttp_request *request, void *arg)
+{
+	call_t *call = arg;
+	mmx_http_client_t *client = call->client;
+	mmx_http_reply_t reply = {.too_large = call->too_large, .body = ""};
+	bool answered;
+	struct evbuffer *input;
+
+	if (request)
+		reply.status = evhttp_request_get_response_code(request);
+	answered = reply.status > 0 || reply.too_large;
+	if (reply.status > 0 && !reply.too_large)
+		keep_connection_(client, call->connection);
+	else
+		drop_connection_(client, call->connection);
+	call->connection = NULL;
+	input = answered && request ? evhttp_request_get_input_buffer(request)
+				    : NULL;
+	if (input && !reply.too_large) {
+		reply.length = evbuffer_get_length(input);
+		if (reply.length)
+			reply.body = (const char *)evbuffer_pullup(input, -1);
+	}
+	end_call_(call, answered ? &reply : NULL);
+}
+
+static void on_error_(enum evhttp_request_error error, void *arg)
+{
+	call_t *call = arg;
+
+	if (error == EVREQ_HTTP_DATA_TOO_LONG)
+		call->too_large = true;
+}
+
+/* A peer that vanished without a reset would else be waited for. */
+static void watch_socket_(mmx_http_client_t *client, connection_t *connection)
+{
+	int fd = bufferevent_getfd(
+		evhttp_connection_get_bufferevent(connection->http));
+	int milliseconds = (int)(client->config.dead_after / MMX_US_PER_MS);
+	int seconds = MAX(milliseconds / 2000, 1);
+	int on = 1;
+
+	if (fd < 0 || milliseconds == 0)
+		return;
+	setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &milliseconds,
+		   sizeof(milliseconds));
+	setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
+	setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &seconds, sizeof(seconds));
+	setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &seconds, sizeof(seconds));
+}
+
+static void start_call_(void *arg)
+{
+	call_t *call = arg;
+	mmx_http_client_t *client = call->client;
+	struct evhttp_request *request = evhttp_request_new(on_done_, call);
+	struct evkeyvalq *headers = evhttp_request_get_output_headers(request);
+	char host[MMX_ADDRESS_TEXT_MAX + 1];
+
+	mmx_timer_init(&call->timer, client->config.clock, on_timeout_, call);
+	mmx_timer_set(&call->timer, call->timeout);
+	call->connection = take_connection_(client);
+	evhttp_request_set_error_cb(request, on_error_);
+	mmx_address_format(&client->config.address, host, sizeof(host));
+	evhttp_add_header(headers, "Host", host);
+	if (call->type) {
+		evhttp_add_header(headers, "Content-Type", call->type);
+		evbuffer_add(evhttp_request_get_output_buffer(request),
+			     call->body, call->length);
+	}
+	if (evhttp_make_request(call->connection->http, request,
+				call->type ? EVHTTP_REQ_POST : EVHTTP_REQ_GET,
+				call->uri) != 0) {
+		/* The request is freed by evhttp; the call ends through its
+		 * timer, outside of the caller's stack. */
+		mmx_timer_set(&call->timer, 0);
+		return;
+	}
+	watch_socket_(client, call->connection);
+}
+
+static call_t *new_call_(mmx_http_client_t *client, const char *uri,
+			 mmx_time_t timeout, mmx_http_reply_fn_t fn, void *arg)
+{
+	call_t *call = g_new0(call_t, 1);
+
+	assert(fn);
+	call->client = client;
+	call->uri = g_strdup(uri);
+	call->timeout = timeout;
+	call->fn = fn;
+	call->arg = arg;
+	LIST_INSERT_HEAD(&client->calls, call, entry);
+	mmx_timer_init(&call->timer, client->config.clock, start_call_, call);
+	mmx_timer_set(&call->timer, mmx_http_client_backoff(client));
+	return call;
+}
+
+void mmx_http_client_get(mmx_http_client_t *client, const char *uri,
+			 mmx_time_t timeout, mmx_http_reply_fn_t fn, void *arg)
+{
+	new_call_(client, uri, timeout, fn, arg);
+}
+
+void mmx_http_client_post(mmx_http_client_t *client, const char *uri,
+			  const char *type, const char *body, size_t length,
+			  mmx_time_t timeout, mmx_http_reply_fn_t fn, void *arg)
+{
+	call_t *call = new_call_(client, uri, timeout, fn, arg);
+
+	call->type = g_strdup(type);
+	call->body = g_memdup2(body, length);
+	call->length = length;
+}
+
+mmx_time_t mmx_http_client_backoff(const mmx_http_client_t *client)
+{
+	mmx_time_t now = mmx_clock_now(client->config.clock);
+
+	return client->not_before > now ? client->not_before - now : 0;
+}
--- a/src/libmasticmux/http_entry.c
+++ b/src/libmasticmux/http_entry.c
@@ -211,6 +211,27 @@
 	return &http->task;
 }
 
+void mmx_http_entry_announce_drain(mmx_http_entry_t *http)
+{
+	assert(http->initialised);
+	http->shared.draining = true;
+}
+
+void mmx_http_entry_set_limits(mmx_http_entry_t *http,
+			       const mmx_caller_limits_t *limits)
+{
+	mmx_http_entry_timeouts_t *timeouts = &http->shared.timeouts;
+
+	if (limits->head_time > 0)
+		timeouts->head = limits->head_time;
+	if (limits->idle_time > 0)
+		timeouts->idle = limits->idle_time;
+	if (limits->head_bytes > 0)
+		http->shared.head_bytes_max = limits->head_bytes;
+	if (limits->body_bytes > 0)
+		http->shared.body_bytes_max = limits->body_bytes;
+}
+
 void mmx_http_entry_drain(mmx_http_entry_t *http)
 {
 	mmx_http_caller_t *caller = LIST_FIRST(&http->shared.callers);
--- a/src/libmasticmux/include/private/attempts.h
+++ b/src/libmasticmux/include/private/attempts.h
@@ -52,8 +52,10 @@
 	mmx_detection_request_t detection; /* while judged */
 	bool judged;			   /* counts as work in progress */
 	bool trial;
-	bool error;    /* the status says so */
-	size_t passed; /* bytes of the response so far */
+	bool offered;	  /* the target has got the request */
+	char *request_id; /* of the caller; NULL: none */
+	bool error;	  /* the status says so */
+	size_t passed;	  /* bytes of the response so far */
 	TAILQ_ENTRY(mmx_attempt_t) kept_entry; /* while answer_body is set */
 	mmx_head_t *answer_head;
 	struct evbuffer *answer_body; /* NULL when not kept */
--- a/src/libmasticmux/include/private/entry.h
+++ b/src/libmasticmux/include/private/entry.h
@@ -16,6 +16,7 @@
 #include "masticmux/history.h"
 #include "masticmux/log.h"
 #include "masticmux/random.h"
+#include "private/dialect.h"
 #include "private/filter.h"
 #include "private/guards.h"
 #include "private/view.h"
@@ -45,6 +46,16 @@
 			   const mmx_view_members_ops_t *members,
 			   void *context);
 
+/*
+ * Headers of callers; what the pointers refer to outlives the entry.
+ * caller_service: service of this instance, or NULL.
+ */
+bool mmx_entry_set_dialect(mmx_entry_t *entry, const mmx_dialect_t *dialect,
+			   const char *caller_service);
+
+/* See mmx_view_config_t; read whenever it is used. */
+bool mmx_entry_set_retry_reserve(mmx_entry_t *entry, const uint32_t *reserve);
+
 /* For tests only; what it points to outlives the entry. */
 bool mmx_entry_set_guards(mmx_entry_t *entry, const mmx_guards_t *guards);
 
@@ -91,7 +102,8 @@
 /* Ends an exchange whose answer is out; frees it. */
 void mmx_entry_end(mmx_exchange_t *exchange);
 
-mmx_filter_t *mmx_filter_request_create(void);
+mmx_filter_t *mmx_filter_request_create(const mmx_dialect_t *dialect,
+					const char *caller_service);
 mmx_filter_t *mmx_filter_route_create(const mmx_fold_t *const *fold);
 mmx_filter_t *mmx_filter_account_create(const mmx_fold_t *const *fold);
 mmx_filter_t *mmx_filter_attempt_create(mmx_entry_t *entry);
--- a/src/libmasticmux/include/private/exchange.h
+++ b/src/libmasticmux/include/private/exchange.h
@@ -8,7 +8,10 @@
 /* Longest Idempotency-Key, bytes. */
 #define MMX_IDEMPOTENCY_KEY_MAX 255
 /* Targets that one request may be tried at. */
-#define MMX_ATTEMPTS_MAX 4
+#define MMX_ATTEMPTS_MAX 6
+/* The same where nothing is known of the wanted latency: each exit then
+ * queues the request if it can, and a refusal says that it is overloaded. */
+#define MMX_ATTEMPTS_DEFAULT 4
 
 struct mmx_filter_t;
 struct mmx_entry_t;
@@ -39,12 +42,19 @@
 	char *host;
 	char *path;
 	char service[MMX_NAME_MAX + 1];
+	char route[MMX_NAME_MAX + 1]; /* empty: it has no name */
+	const char *id;		      /* of the caller, in head; or NULL */
+	uint64_t configuration;	      /* version that routed it */
 	char account[MMX_NAME_MAX + 1];
 	char key[MMX_IDEMPOTENCY_KEY_MAX + 1]; /* empty: none */
 	mmx_policy_t policy;
 	bool has_account;
 	mmx_account_t account_parameters;
 	bool repeatable;
+	unsigned int offers_max; /* targets it may be offered to */
+	uint8_t priority;
+	mmx_time_t objective;	   /* wanted latency; 0: none */
+	mmx_time_t timeout;	   /* of the route; 0: none */
 	mmx_trace_context_t trace; /* parent of the attempts' spans */
 	struct mmx_span_t *span;   /* NULL: not sampled, also the next */
 	struct mmx_span_t *attempt_span;
@@ -65,8 +75,10 @@
 	unsigned int refusals;	 /* of overloaded targets */
 	mmx_target_id_t tried[MMX_ATTEMPTS_MAX];
 	unsigned int attempts;
-	bool may_have_run;	 /* an ended attempt may have run */
-	mmx_reason_t refusal;	 /* of the latest attempt */
+	unsigned int attempts_max;
+	unsigned int offers;  /* attempts that reached a target, or may have */
+	bool may_have_run;    /* an ended attempt may have run */
+	mmx_reason_t refusal; /* of the latest attempt */
 	mmx_head_t *answer_head; /* held until the body is whole or too long */
 	struct evbuffer *answer_body;
 	uint64_t claim_offset;	  /* of the claim to be superseded, or 0 */
--- a/src/libmasticmux/include/private/exit.h
+++ b/src/libmasticmux/include/private/exit.h
@@ -17,6 +17,7 @@
 #include "masticmux/history.h"
 #include "masticmux/fold.h"
 #include "masticmux/log.h"
+#include "private/dialect.h"
 #include "private/guards.h"
 #include "private/messages.h"
 
@@ -44,6 +45,9 @@
 bool mmx_exit_set_history(mmx_exit_t *exit, mmx_history_t *history);
 bool mmx_exit_set_log(mmx_exit_t *exit, mmx_log_t *log);
 
+/* Headers of targets; outlives the exit. */
+bool mmx_exit_set_dialect(mmx_exit_t *exit, const mmx_dialect_t *dialect);
+
 /* Bound on the ended attempts that are remembered, 1 or more. */
 bool mmx_exit_set_record_max(mmx_exit_t *exit, size_t record_max);
 
--- a/src/libmasticmux/include/private/exit_internal.h
+++ b/src/libmasticmux/include/private/exit_internal.h
@@ -3,6 +3,7 @@
 #define MASTICMUX_PRIVATE_EXIT_INTERNAL_H
 
 #include "private/attempts.h"
+#include "private/dialect.h"
 #include "private/exit.h"
 #include "masticmux/history.h"
 #include "private/exit_target.h"
@@ -21,6 +22,7 @@
 	mmx_incarnation_t incarnation;
 	bool running;
 	const mmx_guards_t *guards;
+	const mmx_dialect_t *dialect;
 	mmx_task_t *client;
 	const mmx_exit_observer_ops_t *observer;
 	void *observer_context;
@@ -49,6 +51,9 @@
 mmx_exit_target_t *mmx_exit_find_target(const mmx_exit_t *exit,
 					mmx_target_id_t id);
 
+/* Another target answers at the address of this one. */
+void mmx_exit_target_lost(mmx_exit_t *exit, mmx_exit_target_t *target);
+
 /* Notices a pause of the process; called for each message. */
 void mmx_exit_note_time(mmx_exit_t *exit);
 
--- a/src/libmasticmux/include/private/exit_target.h
+++ b/src/libmasticmux/include/private/exit_target.h
@@ -25,6 +25,9 @@
 	mmx_target_record_t record;
 	mmx_address_t address;
 	mmx_time_t lease_until;
+	uint64_t born; /* latest announcement, see TARGET_ANNOUNCED */
+	uint64_t sequence;
+	bool left;	       /* withdrawn by the process that was born then */
 	mmx_time_t warm_since; /* start of the ramp */
 	mmx_time_t warm_up;    /* length of the ramp, from the policy */
 	bool stopped;	       /* by a planned stop; outlives renewals */
@@ -57,6 +60,9 @@
 unsigned int mmx_exit_target_slots(const mmx_exit_target_t *target,
 				   mmx_time_t now);
 
+/* True while the ramp of a cold target lasts. */
+bool mmx_exit_target_is_cold(const mmx_exit_target_t *target, mmx_time_t now);
+
 /* True when a request may start now. */
 bool mmx_exit_target_can_start(const mmx_exit_target_t *target, mmx_time_t now);
 
@@ -65,6 +71,8 @@
 	const char *account;
 	mmx_limits_share_t share;
 	mmx_time_t remaining;
+	mmx_time_t patience; /* longest wait in the queue */
+	uint8_t priority;
 } mmx_exit_request_t;
 
 mmx_limits_class_t mmx_exit_target_class(const mmx_exit_target_t *target,
--- a/src/libmasticmux/include/private/http_caller.h
+++ b/src/libmasticmux/include/private/http_caller.h
@@ -37,6 +37,8 @@
 	size_t caller_count;
 	mmx_http_entry_timeouts_t timeouts;
 	bool draining;
+	uint32_t head_bytes_max; /* 0: the limit of the reader only */
+	uint64_t body_bytes_max; /* 0: none */
 	mmx_counter_t *connections;
 	mmx_counter_t *request_total;
 	mmx_counter_t *stale_messages;
--- a/src/libmasticmux/include/private/http_entry.h
+++ b/src/libmasticmux/include/private/http_entry.h
@@ -65,6 +65,17 @@
  */
 void mmx_http_entry_drain(mmx_http_entry_t *http);
 
+/*
+ * As drain, but connections are still accepted until drain is called: callers
+ * that have not noticed the planned stop yet get answers, and are told to
+ * close. Valid after init.
+ */
+void mmx_http_entry_announce_drain(mmx_http_entry_t *http);
+
+/* Limits of the configuration; members that are 0 change nothing. */
+void mmx_http_entry_set_limits(mmx_http_entry_t *http,
+			       const mmx_caller_limits_t *limits);
+
 /* Open connections; a drained task is done at 0. */
 size_t mmx_http_entry_connections(const mmx_http_entry_t *http);
 
--- a/src/libmasticmux/include/private/messages.h
+++ b/src/libmasticmux/include/private/messages.h
@@ -20,6 +20,7 @@
 
 #include "masticmux/directory.h"
 #include "masticmux/latency.h"
+#include "masticmux/routing.h"
 #include "masticmux/settings.h"
 #include "masticmux/task.h"
 #include "private/claims.h"
@@ -101,7 +102,7 @@
 	mmx_message_t message;
 	mmx_attempt_id_t attempt;
 	mmx_node_id_t exit;
-	mmx_incarnation_t exit_incarnation;
+	mmx_incarnation_t exit_incarnation; /* 0: any */
 	mmx_target_id_t target;
 	char service[MMX_NAME_MAX + 1];
 	char account[MMX_NAME_MAX + 1]; /* empty: none named */
@@ -109,6 +110,8 @@
 	bool keyed; /* a claim on an Idempotency-Key names this attempt */
 	bool trial; /* reinstatement trial of an ejected target */
 	mmx_time_t remaining; /* until the caller gives up, microseconds */
+	mmx_time_t patience;  /* longest wait for a slot at the exit */
+	uint8_t priority;     /* see MMX_PRIORITY_FIRST */
 	mmx_trace_context_t trace;
 	/* Completions at the service's other targets; NULL: not this time. */
 	mmx_latency_summary_t *peers;
@@ -140,7 +143,8 @@
 	 */
 	mmx_reason_t reason;
 	bool started;
-	bool good; /* of a trial: a success that was not slow */
+	bool offered; /* the target has got it, even if it did not run it */
+	bool good;    /* of a trial: a success that was not slow */
 	mmx_head_t *head;
 	struct evbuffer *body;
 	bool body_end;
@@ -293,7 +297,10 @@
 	mmx_address_t address;
 	uint16_t slots;
 	mmx_target_state_t state;
-	mmx_time_t lease; /* microseconds from now */
+	mmx_time_t lease;     /* microseconds from now */
+	uint64_t born;	      /* start of the target, any unit; 0: not told */
+	uint64_t sequence;    /* grows with each announcement; 0: not told */
+	mmx_time_t cold_left; /* microseconds that it stays slow */
 } mmx_target_announced_t;
 
 /* exit -> entries, wire: state or level of a target has changed. */
--- a/src/libmasticmux/include/private/node_parts.h
+++ b/src/libmasticmux/include/private/node_parts.h
@@ -6,6 +6,7 @@
 #define MASTICMUX_PRIVATE_NODE_PARTS_H
 
 #include "masticmux/counters.h"
+#include "masticmux/ejection.h"
 #include "masticmux/directory.h"
 #include "masticmux/fold.h"
 #include "masticmux/gossip_codec.h"
@@ -38,7 +39,30 @@
 
 typedef TAILQ_HEAD(mmx_part_list_t, mmx_part_t) mmx_part_list_t;
 
+/* Where a node is, as this node knows; the pointers are valid until the next
+ * message. */
+typedef struct mmx_node_place_t {
+	mmx_node_id_t id;
+	const char *name;
+	const char *region;
+	const char *zone;
+	const mmx_address_t *address;
+	mmx_availability_t availability;
+} mmx_node_place_t;
+
+/* How the other nodes are found; set by the part that finds them. */
+typedef struct mmx_nodes_ops_t {
+	/* False when the node is unknown. */
+	bool (*find)(const mmx_node_t *node, mmx_node_id_t id,
+		     mmx_node_place_t *place);
+} mmx_nodes_ops_t;
+
 struct mmx_config_task_t;
+struct mmx_dialect_t;
+struct mmx_http_entry_t;
+struct mmx_peer_resolver_t;
+struct mmx_roster_t;
+struct mmx_store_t;
 struct mmx_entry_t;
 struct mmx_exporter_t;
 struct mmx_trace_t;
@@ -46,9 +70,21 @@
 struct mmx_gossip_t;
 struct mmx_peer_t;
 
+/* Settings that a process takes over while it runs. */
+typedef struct mmx_node_limits_t {
+	mmx_time_t stop_grace;
+	uint32_t retry_percent;
+	uint32_t retry_reserve; /* of the whole fleet */
+	mmx_time_t retry_window;
+	uint32_t floor_percent;
+} mmx_node_limits_t;
+
 /* Shared by the parts; each pointer is set by the part that owns it. */
 struct mmx_node_t {
 	const mmx_settings_t *settings;
+	char *settings_path; /* read again on SIGHUP; NULL: not */
+	mmx_node_limits_t limits;
+	uint32_t retry_reserve; /* part of this node, hundredths */
 	struct event_base *base;
 	mmx_runtime_t *runtime;
 	mmx_clock_t *clock;
@@ -62,22 +98,43 @@
 	mmx_incarnation_t incarnation;
 	mmx_part_list_t parts;
 	bool draining;
-	bool finishing; /* second step of a planned stop */
+	bool config_synced; /* the store was asked for the configuration */
+	bool finishing;	    /* second step of a planned stop */
 	mmx_timer_t drain_timer;
 	mmx_time_t drain_deadline;
-	struct event *signals[2];
+	struct event *signals[3];
 	mmx_part_t *config_part;
 	mmx_part_t *claims_part;
 	mmx_task_t *claims;		  /* claims: takes CLAIM messages */
 	struct mmx_config_task_t *config; /* config */
 	const mmx_fold_t *fold;		  /* config: in force, or NULL */
 	mmx_directory_t *directory;	  /* fleet */
-	struct mmx_gossip_t *gossip;	  /* fleet */
-	struct mmx_peer_t *peer;	  /* fleet */
-	struct mmx_entry_t *entry;	  /* path */
-	struct mmx_exit_t *exit;	  /* path */
+	struct mmx_gossip_t *gossip;	  /* fleet; NULL with a shared store */
+	struct mmx_store_t *store;	  /* shared store, or NULL */
+	struct mmx_roster_t *roster;	  /* roster, with a shared store */
+	const mmx_nodes_ops_t *nodes;	  /* fleet or roster */
+	struct mmx_peer_t *peer;	  /* fleet or roster */
+	const struct mmx_dialect_t *dialect;
+	const struct mmx_announce_form_t *announcements; /* or NULL */
+	struct mmx_http_entry_t *http;			 /* path */
+	struct mmx_entry_t *entry;			 /* path */
+	struct mmx_exit_t *exit;			 /* path */
 };
 
+/* Creates and starts the peer task; the resolver outlives it. */
+bool mmx_node_start_peer(mmx_node_t *node, struct mmx_peer_resolver_t *resolver,
+			 mmx_error_t *error);
+
+/* Policy of services whose configuration names none. */
+void mmx_node_policy(const mmx_node_t *node, mmx_policy_t *policy);
+
+/* True when the node can serve callers: /healthz says so. */
+bool mmx_node_is_ready(const mmx_node_t *node);
+
+/* A target beside this node has changed: roster publishes it. */
+void mmx_part_roster_announce(mmx_node_t *node,
+			      const mmx_target_record_t *record);
+
 /* A target beside this node has changed: fleet announces it. */
 void mmx_part_fleet_announce(mmx_node_t *node,
 			     const mmx_target_record_t *record);
@@ -92,6 +149,7 @@
 			       const mmx_gossip_ages_t *ages);
 
 mmx_part_t *mmx_part_fleet_create(mmx_node_t *node);
+mmx_part_t *mmx_part_roster_create(mmx_node_t *node);
 mmx_part_t *mmx_part_path_create(mmx_node_t *node);
 mmx_part_t *mmx_part_config_create(mmx_node_t *node);
 mmx_part_t *mmx_part_claims_create(mmx_node_t *node);
--- a/src/libmasticmux/include/private/peer.h
+++ b/src/libmasticmux/include/private/peer.h
@@ -71,7 +71,8 @@
 	const char *node_name;
 	mmx_incarnation_t incarnation;
 	const mmx_fleet_key_t *keys; /* the first signs, each verifies */
-	size_t key_count;	     /* 0: loopback only */
+	size_t key_count;	     /* 0: loopback only, unless trusted */
+	bool trusted;		     /* the network between nodes is private */
 	mmx_address_t listen;	     /* port 0: the system chooses */
 	mmx_peer_resolver_t *resolver;
 	mmx_task_t *entry; /* receives what comes from exits */
@@ -106,6 +107,13 @@
 /* Where messages are posted to. */
 mmx_task_t *mmx_peer_task(mmx_peer_t *peer);
 
+/*
+ * Incarnation of a node as of the latest connection to it; 0 before the
+ * first one.
+ */
+mmx_incarnation_t mmx_peer_incarnation(const mmx_peer_t *peer,
+				       mmx_node_id_t node);
+
 /* Open connections in both directions. */
 size_t mmx_peer_connection_count(const mmx_peer_t *peer);
 
--- a/src/libmasticmux/include/private/peer_internal.h
+++ b/src/libmasticmux/include/private/peer_internal.h
@@ -138,6 +138,7 @@
 	mmx_time_t retry_at; /* no new connection before, but for fences */
 	mmx_timer_t retry;   /* fences that wait for a new connection */
 	bool unreachable;
+	mmx_incarnation_t incarnation; /* as of the latest HELLO */
 };
 
 typedef struct mmx_peer_handler_t {
--- a/src/libmasticmux/include/private/session.h
+++ b/src/libmasticmux/include/private/session.h
@@ -61,6 +61,7 @@
 	size_t key_count;	     /* 0..MMX_FLEET_KEYS_MAX */
 	const char *node_name;
 	mmx_incarnation_t incarnation;
+	bool trusted; /* the network is private: no key is needed */
 } mmx_session_identity_t;
 
 /* Whom a client expects; zero members accept anything. */
--- a/src/libmasticmux/include/private/view.h
+++ b/src/libmasticmux/include/private/view.h
@@ -23,6 +23,9 @@
 	mmx_ring_t (*ring)(void *context, mmx_node_id_t node);
 	/* MMX_AVAILABLE, MMX_AVAILABILITY_UNREACHABLE or _DEAD. */
 	mmx_availability_t (*availability)(void *context, mmx_node_id_t node);
+	/* Incarnation of an exit, 0 when any is meant; without it the one of
+	 * the directory. */
+	mmx_incarnation_t (*incarnation)(void *context, mmx_node_id_t node);
 } mmx_view_members_ops_t;
 
 /* What the pointers refer to outlives the view. */
@@ -34,6 +37,9 @@
 	const mmx_view_members_ops_t *members; /* NULL: all near, available */
 	void *members_context;
 	const mmx_guards_t *guards;
+	/* This node's part of the fleet's retry reserve, hundredths of an
+	 * attempt; NULL: each node has a budget of its own. */
+	const uint32_t *retry_reserve;
 } mmx_view_config_t;
 
 typedef struct mmx_view_t mmx_view_t;
--- a/src/libmasticmux/node.c
+++ b/src/libmasticmux/node.c
@@ -13,8 +13,12 @@
 #include "private/node_parts.h"
 #include "private/trace.h"
 
-/* A planned stop ends at the latest after this time. */
-#define DRAIN_MAX_US (60 * MMX_US_PER_S)
+#include "platform/platform.h"
+
+/* A planned stop ends this long before the process would be killed. */
+#define STOP_MARGIN_US (200 * MMX_US_PER_MS)
+/* Fast detection: targets that fail for seconds are usual here. */
+#define DETECTION_WEIGHT 100
 /* Nothing is in progress in the second step, only bytes may be unsent. */
 #define FINISH_MAX_US (5 * MMX_US_PER_S)
 /* Others hear of the stop before the listeners close. */
@@ -23,9 +27,21 @@
 #define HISTORY_REQUEST_EVENTS 8192
 #define HISTORY_TARGET_EVENTS 2048
 
-static mmx_part_t *(*const part_table_[])(mmx_node_t *node) = {
+typedef mmx_part_t *(*part_create_t)(mmx_node_t *node);
+
+/* Configuration from the log service, nodes found by gossip. */
+static const part_create_t gossip_parts_[] = {
 	mmx_part_fleet_create, mmx_part_config_create,	 mmx_part_claims_create,
-	mmx_part_path_create,  mmx_part_operator_create,
+	mmx_part_path_create,  mmx_part_operator_create, NULL,
+};
+
+/* Configuration and nodes from a shared store. */
+static const part_create_t store_parts_[] = {
+	mmx_part_roster_create,
+	mmx_part_path_create,
+	mmx_part_platform_create,
+	mmx_part_operator_create,
+	NULL,
 };
 
 static size_t in_progress_(const mmx_node_t *node)
@@ -52,7 +68,8 @@
 	if (in_progress_(node) == 0) {
 		node->finishing = true;
 		node->drain_deadline =
-			mmx_clock_now(node->clock) + FINISH_MAX_US;
+			MIN(node->drain_deadline,
+			    mmx_clock_now(node->clock) + FINISH_MAX_US);
 		TAILQ_FOREACH (part, &node->parts, entry)
 			if (part->ops->finish)
 				part->ops->finish(part);
@@ -60,17 +77,71 @@
 	mmx_timer_set(&node->drain_timer, DRAIN_POLL_US);
 }
 
+static void set_limits_(mmx_node_t *node, const mmx_settings_t *settings)
+{
+	node->limits = (mmx_node_limits_t){
+		.stop_grace = settings->stop_grace,
+		.retry_percent = settings->retry_percent,
+		.retry_reserve = (uint32_t)settings->retry_reserve,
+		.retry_window = settings->retry_window,
+		.floor_percent = settings->floor_percent,
+	};
+}
+
+void mmx_node_policy(const mmx_node_t *node, mmx_policy_t *policy)
+{
+	*policy = (mmx_policy_t){
+		.floor_percent = (uint8_t)node->limits.floor_percent,
+		.detection_weight = DETECTION_WEIGHT,
+		.retry_percent = (uint8_t)node->limits.retry_percent,
+	};
+}
+
+bool mmx_node_is_ready(const mmx_node_t *node)
+{
+	return !node->draining && (!node->store || node->fold);
+}
+
+/*
+ * Reads the settings file again. Addresses and names belong to a process for
+ * its whole life, so that only the limits are taken over.
+ */
+static void reload_(mmx_node_t *node)
+{
+	mmx_findings_t *findings = mmx_findings_create();
+	mmx_settings_t *fresh =
+		node->settings_path
+			? mmx_settings_load(node->settings_path, findings)
+			: NULL;
+	char count[16];
+
+	g_snprintf(count, sizeof(count), "%zu", mmx_findings_count(findings));
+	mmx_log_event(node->log, fresh ? MMX_LOG_INFO : MMX_LOG_WARNING,
+		      "settings_reloaded", "result",
+		      fresh ? "in-force" : "kept-old", "findings", count, NULL);
+	mmx_findings_destroy(findings);
+	if (!fresh)
+		return;
+	set_limits_(node, fresh);
+	mmx_settings_destroy(fresh);
+}
+
 static void on_signal_(evutil_socket_t number, short what, void *arg)
 {
 	mmx_node_t *node = arg;
 	mmx_part_t *part;
 
+	if (number == SIGHUP) {
+		reload_(node);
+		return;
+	}
 	if (node->draining)
 		return;
 	node->draining = true;
 	mmx_log_event(node->log, MMX_LOG_INFO, "node_draining", "node",
 		      node->settings->node_name, NULL);
-	node->drain_deadline = mmx_clock_now(node->clock) + DRAIN_MAX_US;
+	node->drain_deadline = mmx_clock_now(node->clock) +
+			       node->limits.stop_grace - STOP_MARGIN_US;
 	TAILQ_FOREACH (part, &node->parts, entry)
 		if (part->ops->drain)
 			part->ops->drain(part);
@@ -101,15 +172,16 @@
 mmx_node_t *mmx_node_create(const mmx_settings_t *settings)
 {
 	mmx_node_t *node = g_new0(mmx_node_t, 1);
-	size_t i;
+	const part_create_t *create;
 
 	assert(settings);
 	node->settings = settings;
+	set_limits_(node, settings);
 	node->base = new_base_();
 	node->runtime = mmx_runtime_create(node->base);
 	node->clock = mmx_runtime_clock(node->runtime);
 	node->counters = mmx_counters_create();
-	node->log = mmx_log_create(node->clock, stderr, MMX_LOG_INFO);
+	node->log = mmx_log_create(node->clock, stdout, MMX_LOG_INFO);
 	node->history = mmx_history_create(node->clock, HISTORY_REQUEST_EVENTS,
 					   HISTORY_TARGET_EVENTS);
 	mmx_random_seed(&node->random, random_seed_());
@@ -124,8 +196,12 @@
 				 mmx_random_next(&node->random));
 	node->exit = mmx_exit_create(node->runtime, node->id,
 				     settings->node_name, node->incarnation);
-	for (i = 0; i < G_N_ELEMENTS(part_table_); i++) {
-		mmx_part_t *part = part_table_[i](node);
+	node->dialect = &mmx_dialect_default;
+	if (settings->store.port)
+		mmx_platform_attach(node);
+	create = node->store ? store_parts_ : gossip_parts_;
+	for (; *create; create++) {
+		mmx_part_t *part = (*create)(node);
 
 		part->node = node;
 		TAILQ_INSERT_TAIL(&node->parts, part, entry);
@@ -145,6 +221,8 @@
 		TAILQ_REMOVE(&node->parts, part, entry);
 		part->ops->destroy(part);
 	}
+	if (node->store)
+		node->store->ops->destroy(node->store);
 	/* Parts post to these two until they are destroyed. */
 	mmx_entry_destroy(node->entry);
 	mmx_exit_destroy(node->exit);
@@ -158,6 +236,7 @@
 	mmx_runtime_destroy(node->runtime);
 	mmx_counters_destroy(node->counters);
 	event_base_free(node->base);
+	g_free(node->settings_path);
 	g_free(node);
 }
 
@@ -176,9 +255,15 @@
 	mmx_exporter_init(node->exporter);
 }
 
+void mmx_node_set_settings_path(mmx_node_t *node, const char *path)
+{
+	g_free(node->settings_path);
+	node->settings_path = g_strdup(path);
+}
+
 bool mmx_node_init(mmx_node_t *node, mmx_error_t *error)
 {
-	static const int numbers[] = {SIGTERM, SIGINT};
+	static const int numbers[] = {SIGTERM, SIGINT, SIGHUP};
 	mmx_part_t *part;
 	size_t i;
 
--- a/src/libmasticmux/node_status.c
+++ b/src/libmasticmux/node_status.c
@@ -8,6 +8,7 @@
 #include "masticmux/gossip.h"
 #include "private/entry.h"
 #include "private/exit.h"
+#include "private/roster.h"
 
 const char *const mmx_status_targets_string[MMX_STATUS_TARGETS_COUNT] = {
 	"all",
@@ -49,18 +50,19 @@
 
 static json_t *target_(const mmx_node_t *node,
 		       const mmx_directory_target_t *target,
-		       const mmx_member_t *member)
+		       const char *node_name)
 {
 	mmx_target_id_t id = mmx_directory_target_id(target);
 	mmx_load_report_t load;
 	json_t *item = json_pack(
 		"{s:o,s:o,s:s,s:i}", "name",
 		mmx_node_status_text(mmx_directory_target_name(target)), "node",
-		mmx_node_status_text(member->name), "state",
+		mmx_node_status_text(node_name), "state",
 		mmx_target_state_string[mmx_directory_target_state(target)],
 		"slots", (int)mmx_directory_target_slots(target));
 
-	if (member->id == node->id && mmx_exit_load(node->exit, id, &load)) {
+	if (mmx_directory_target_node(target) == node->id &&
+	    mmx_exit_load(node->exit, id, &load)) {
 		json_object_set_new(item, "in_progress",
 				    number_(load.in_progress));
 		json_object_set_new(item, "queued", number_(load.queued));
@@ -86,7 +88,7 @@
 
 static void add_target_(collection_t *collection,
 			const mmx_directory_target_t *target,
-			const mmx_member_t *member)
+			const char *node_name)
 {
 	const char *service = mmx_directory_target_service(target);
 	const char *wanted = collection->query->service;
@@ -100,16 +102,17 @@
 	}
 	collection->listed++;
 	json_array_append_new(service_list_(collection, service),
-			      target_(collection->node, target, member));
+			      target_(collection->node, target, node_name));
 }
 
-static void add_targets_(collection_t *collection, const mmx_member_t *member)
+static void add_targets_(collection_t *collection, mmx_node_id_t id,
+			 const char *node_name)
 {
-	const mmx_directory_target_t *target = mmx_directory_node_first(
-		collection->node->directory, member->id);
+	const mmx_directory_target_t *target =
+		mmx_directory_node_first(collection->node->directory, id);
 
 	for (; target; target = mmx_directory_node_next(target))
-		add_target_(collection, target, member);
+		add_target_(collection, target, node_name);
 }
 
 /* --- members ----------------------------------------------------------- */
@@ -145,7 +148,22 @@
 		count_in_force_(collection->in_force, member->applied_offset);
 	if (collection->query->targets == MMX_STATUS_TARGETS_ALL &&
 	    member->id != collection->node->id)
-		add_targets_(collection, member);
+		add_targets_(collection, member->id, member->name);
+}
+
+/* The roster says where a node is, not whether it lives. */
+static void on_roster_node_(void *arg, const mmx_roster_node_t *node)
+{
+	collection_t *collection = arg;
+
+	json_array_append_new(
+		collection->members,
+		json_pack("{s:o,s:o,s:o,s:s}", "name",
+			  mmx_node_status_text(node->name), "region",
+			  mmx_node_status_text(node->region), "zone",
+			  mmx_node_status_text(node->zone), "state", "known"));
+	if (collection->query->targets == MMX_STATUS_TARGETS_ALL)
+		add_targets_(collection, node->id, node->name);
 }
 
 static int compare_offsets_(const void *left, const void *right)
@@ -201,7 +219,7 @@
 			 (int)node->draining);
 }
 
-static json_t *configuration_(const mmx_node_t *node)
+static json_t *task_configuration_(const mmx_node_t *node)
 {
 	const mmx_config_t *config = mmx_config_task_config(node->config);
 
@@ -212,9 +230,18 @@
 			 mmx_config_reader_rank(config));
 }
 
+static json_t *configuration_(const mmx_node_t *node)
+{
+	uint64_t version = node->fold ? mmx_fold_applied(node->fold) : 0;
+
+	if (!node->config)
+		return json_pack("{s:o,s:b}", "applied", number_(version),
+				 "loaded", (int)(node->fold != NULL));
+	return task_configuration_(node);
+}
+
 json_t *mmx_node_status(const mmx_node_t *node, const mmx_status_query_t *query)
 {
-	mmx_membership_t *membership = mmx_gossip_membership(node->gossip);
 	collection_t collection = {
 		.node = node,
 		.query = query,
@@ -227,8 +254,12 @@
 
 	/* The bound leaves out targets of other nodes first. */
 	if (query->targets != MMX_STATUS_TARGETS_NONE)
-		add_targets_(&collection, mmx_membership_self(membership));
-	mmx_membership_each(membership, on_member_, &collection);
+		add_targets_(&collection, node->id, node->settings->node_name);
+	if (node->gossip)
+		mmx_membership_each(mmx_gossip_membership(node->gossip),
+				    on_member_, &collection);
+	else
+		mmx_roster_each(node->roster, on_roster_node_, &collection);
 	status = json_pack(
 		"{s:o,s:o,s:{s:o,s:o},s:o,s:o,s:o,s:o,s:o}", "node",
 		node_(node), "configuration", configuration_(node), "requests",
--- a/src/libmasticmux/operator.c
+++ b/src/libmasticmux/operator.c
@@ -42,6 +42,8 @@
 	struct evhttp *server;
 	uint16_t port;
 	bool draining;
+	bool (*ready)(void *arg); /* NULL: always */
+	void *ready_arg;
 	SLIST_HEAD(, route_t) routes;
 	LIST_HEAD(, mmx_operator_reply_t) deferred;
 	mmx_counter_t *heap_bytes;
@@ -88,12 +90,15 @@
 {
 	mmx_operator_t *server = arg;
 	struct evbuffer *out = evbuffer_new();
+	bool ready = !server->ready || server->ready(server->ready_arg);
+	const char *text = ready ? "ok" : "starting";
 
-	evbuffer_add_printf(out, "%s\n", server->draining ? "draining" : "ok");
+	evbuffer_add_printf(out, "%s\n", server->draining ? "draining" : text);
 	set_type_(request, "text/plain");
 	evhttp_send_reply(request,
-			  server->draining ? HTTP_SERVUNAVAIL : HTTP_OK, NULL,
-			  out);
+			  server->draining || !ready ? HTTP_SERVUNAVAIL
+						     : HTTP_OK,
+			  NULL, out);
 	evbuffer_free(out);
 }
 
@@ -331,6 +336,13 @@
 	return server->port;
 }
 
+void mmx_operator_set_ready(mmx_operator_t *server, bool (*ready)(void *arg),
+			    void *arg)
+{
+	server->ready = ready;
+	server->ready_arg = arg;
+}
+
 void mmx_operator_set_draining(mmx_operator_t *server, bool draining)
 {
 	server->draining = draining;
--- a/src/libmasticmux/part_fleet.c
+++ b/src/libmasticmux/part_fleet.c
@@ -1,7 +1,6 @@
 /*
- * Part "fleet": the other nodes. Membership and directory by datagrams, the
- * peer connections, and the calls on them that belong to no other part:
- * DIRECTORY_SYNC and STOP.
+ * Part "fleet": the other nodes, found by gossip. Membership and directory by
+ * datagrams, the peer connections, and DIRECTORY_SYNC on them.
  */
 #include <glib.h>
 #include <event2/event.h>
@@ -10,11 +9,8 @@
 #include <string.h>
 
 #include "masticmux/gossip.h"
-#include "private/entry.h"
-#include "private/exit.h"
 #include "private/node_parts.h"
 #include "private/peer.h"
-#include "private/stop.h"
 
 #define SYNC_TIMEOUT_US (5 * MMX_US_PER_S)
 #define DIRECTORY_EXPIRY_AGE_US (24 * 3600 * MMX_US_PER_S)
@@ -153,49 +149,34 @@
 
 static const mmx_peer_resolver_ops_t resolver_ops_ = {resolve_};
 
-/* Planned stop of a target beside this node, or a query for its progress. */
-static void serve_stop_(void *arg, const mmx_peer_ticket_t *ticket,
-			const uint8_t *bytes, size_t length)
-{
-	mmx_node_t *node = arg;
-	uint8_t reply[MMX_STOP_REPLY_BYTES];
-	mmx_stop_progress_t progress;
-	mmx_stop_request_t request;
+/* --- what other parts ask ---------------------------------------------- */
 
-	if (!mmx_stop_decode_request(bytes, length, &request) ||
-	    !mmx_stop_handle(node, &request, &progress)) {
-		mmx_peer_refuse(node->peer, ticket);
-		return;
-	}
-	mmx_stop_encode_reply(&progress, reply);
-	mmx_peer_answer(node->peer, ticket, reply, sizeof(reply));
-}
-
-static bool start_peer_(fleet_t *fleet, mmx_error_t *error)
+static bool find_(const mmx_node_t *node, mmx_node_id_t id,
+		  mmx_node_place_t *place)
 {
-	mmx_node_t *node = fleet->part.node;
-	const mmx_settings_t *settings = node->settings;
-	const mmx_peer_config_t config = {
-		.node_name = settings->node_name,
-		.incarnation = node->incarnation,
-		.keys = settings->fleet_keys,
-		.key_count = settings->fleet_key_count,
-		.listen = settings->listen_nodes,
-		.resolver = &fleet->resolver,
-		.entry = mmx_entry_task(node->entry),
-		.exit = mmx_exit_task(node->exit),
-		.counters = node->counters,
-		.log = node->log,
-		.random = &node->random,
-	};
+	const mmx_member_t *member =
+		mmx_membership_find(mmx_gossip_membership(node->gossip), id);
 
-	node->peer = mmx_peer_create(node->runtime, &config);
-	mmx_peer_register(node->peer, MMX_PROCEDURE_DIRECTORY_SYNC, serve_sync_,
-			  node);
-	mmx_peer_register(node->peer, MMX_PROCEDURE_STOP, serve_stop_, node);
-	return mmx_peer_start(node->peer, error);
+	if (!member)
+		return false;
+	*place = (mmx_node_place_t){
+		.id = id,
+		.name = member->name,
+		.region = member->region,
+		.zone = member->zone,
+		.address = &member->nodes,
+	};
+	if (member->state == MMX_MEMBER_DEAD)
+		place->availability = MMX_AVAILABILITY_DEAD;
+	else if (member->state == MMX_MEMBER_LEFT)
+		place->availability = MMX_AVAILABILITY_DRAINING;
+	else if (member->state == MMX_MEMBER_UNREACHABLE)
+		place->availability = MMX_AVAILABILITY_UNREACHABLE;
+	return true;
 }
 
+static const mmx_nodes_ops_t nodes_ops_ = {.find = find_};
+
 /* --- part -------------------------------------------------------------- */
 
 static void on_expiry_(void *arg)
@@ -219,9 +200,12 @@
 	};
 
 	fleet->resolver.ops = &resolver_ops_;
+	node->nodes = &nodes_ops_;
 	mmx_timer_init(&fleet->expiry, node->clock, on_expiry_, fleet);
-	if (!start_peer_(fleet, error))
+	if (!mmx_node_start_peer(node, &fleet->resolver, error))
 		return false;
+	mmx_peer_register(node->peer, MMX_PROCEDURE_DIRECTORY_SYNC, serve_sync_,
+			  node);
 	node->gossip =
 		mmx_gossip_create(&config, node->runtime, node->directory,
 				  &membership_ops_, node, error);
--- a/src/libmasticmux/part_operator.c
+++ b/src/libmasticmux/part_operator.c
@@ -6,7 +6,6 @@
 #include <glib.h>
 #include <string.h>
 
-#include "masticmux/gossip.h"
 #include "private/node_parts.h"
 #include "private/node_status.h"
 #include "private/operator.h"
@@ -157,15 +156,14 @@
 {
 	const mmx_directory_target_t *target =
 		mmx_directory_find_name(node->directory, name);
-	const mmx_member_t *member;
+	mmx_node_place_t place = {.name = "unknown"};
 	mmx_node_id_t beside;
 	GArray *events;
 
 	if (!target)
 		return NULL;
 	beside = mmx_directory_target_node(target);
-	member = mmx_membership_find(mmx_gossip_membership(node->gossip),
-				     beside);
+	node->nodes->find(node, beside, &place);
 	events = g_array_new(FALSE, FALSE, sizeof(mmx_history_event_t));
 	mmx_history_each_target(node->history, mmx_directory_target_id(target),
 				collect_event_, events);
@@ -174,8 +172,7 @@
 	return json_pack(
 		"{s:o,s:o,s:s,s:s,s:o}", "target",
 		mmx_node_status_text(mmx_directory_target_name(target)), "node",
-		mmx_node_status_text(member ? member->name : "unknown"),
-		"state",
+		mmx_node_status_text(place.name), "state",
 		mmx_target_state_string[mmx_directory_target_state(target)],
 		"asked", node->settings->node_name, "events", events_(events));
 }
@@ -267,10 +264,10 @@
 static void forward_stop_(operator_part_t *self,
 			  mmx_operator_request_t *request,
 			  const mmx_stop_request_t *stop,
-			  const mmx_member_t *member)
+			  const mmx_node_place_t *member)
 {
 	const mmx_peer_place_t place = {.node = member->id,
-					.address = member->nodes};
+					.address = *member->address};
 	stop_call_t *call = g_new0(stop_call_t, 1);
 	uint8_t bytes[MMX_STOP_REQUEST_BYTES_MAX];
 	size_t length = mmx_stop_encode_request(stop, bytes);
@@ -300,7 +297,7 @@
 	const char *name = query_(request, "target");
 	mmx_stop_request_t stop = {.action = action};
 	const mmx_directory_target_t *target;
-	const mmx_member_t *member;
+	mmx_node_place_t member;
 	mmx_stop_progress_t progress;
 
 	if (!name || !*name || strlen(name) > TARGET_NAME_MAX)
@@ -315,11 +312,10 @@
 			       ? progress_(node->settings->node_name,
 					   stop.target, &progress)
 			       : not_found_(request);
-	member = mmx_membership_find(mmx_gossip_membership(node->gossip),
-				     mmx_directory_target_node(target));
-	if (!member)
+	if (!node->nodes->find(node, mmx_directory_target_node(target),
+			       &member))
 		return not_found_(request);
-	forward_stop_(self, request, &stop, member);
+	forward_stop_(self, request, &stop, &member);
 	return NULL;
 }
 
@@ -335,12 +331,18 @@
 
 /* --- part -------------------------------------------------------------- */
 
+static bool is_ready_(void *arg)
+{
+	return mmx_node_is_ready(arg);
+}
+
 static bool init_(mmx_part_t *part, mmx_error_t *error)
 {
 	operator_part_t *self = (operator_part_t *)part;
 	mmx_node_t *node = part->node;
 
 	self->server = mmx_operator_create(node->runtime, node->counters);
+	mmx_operator_set_ready(self->server, is_ready_, node);
 	mmx_operator_register(self->server, MMX_OPERATOR_GET, "/status",
 			      on_status_, self);
 	mmx_operator_register(self->server, MMX_OPERATOR_GET, "/explain",
--- a/src/libmasticmux/part_path.c
+++ b/src/libmasticmux/part_path.c
@@ -2,7 +2,6 @@
 #include <glib.h>
 #include <string.h>
 
-#include "masticmux/gossip.h"
 #include "private/announce.h"
 #include "private/entry.h"
 #include "private/exit.h"
@@ -11,8 +10,14 @@
 #include "private/peer.h"
 #include "private/target_client.h"
 
+/* A node that leaves still accepts callers for this part of the time that it
+ * has: they notice the planned stop only after some checks of /healthz. */
+#define ANNOUNCE_SHARE 2
+
 typedef struct path_t {
 	mmx_part_t part;
+	mmx_timer_t close;
+	bool closing;
 	mmx_http_entry_t *http;
 	mmx_target_client_t *client;
 	mmx_announce_t *announce;
@@ -26,7 +31,10 @@
 			   "%s with %u slots for service %s",
 			   mmx_target_state_string[record->state],
 			   record->slots, record->service);
-	mmx_part_fleet_announce(node, record);
+	if (node->roster)
+		mmx_part_roster_announce(node, record);
+	else
+		mmx_part_fleet_announce(node, record);
 }
 
 static const mmx_exit_observer_ops_t observer_ops_ = {target_changed_};
@@ -34,36 +42,46 @@
 static mmx_ring_t ring_(void *context, mmx_node_id_t id)
 {
 	const mmx_node_t *node = context;
-	const mmx_member_t *member =
-		mmx_membership_find(mmx_gossip_membership(node->gossip), id);
+	mmx_node_place_t place;
 
 	if (id == node->id)
 		return MMX_RING_ZONE;
-	if (!member || strcmp(member->region, node->settings->region) != 0)
+	if (!node->nodes->find(node, id, &place) ||
+	    strcmp(place.region, node->settings->region) != 0)
 		return MMX_RING_REMOTE;
-	return strcmp(member->zone, node->settings->zone) == 0
-		       ? MMX_RING_ZONE
-		       : MMX_RING_REGION;
+	return strcmp(place.zone, node->settings->zone) == 0 ? MMX_RING_ZONE
+							     : MMX_RING_REGION;
 }
 
 static mmx_availability_t availability_(void *context, mmx_node_id_t id)
 {
 	const mmx_node_t *node = context;
-	const mmx_member_t *member =
-		mmx_membership_find(mmx_gossip_membership(node->gossip), id);
+	mmx_node_place_t place;
 
 	if (id == node->id)
 		return MMX_AVAILABLE;
-	if (!member || member->state == MMX_MEMBER_DEAD)
-		return MMX_AVAILABILITY_DEAD;
-	if (member->state == MMX_MEMBER_LEFT)
-		return MMX_AVAILABILITY_DRAINING;
-	return member->state == MMX_MEMBER_UNREACHABLE
-		       ? MMX_AVAILABILITY_UNREACHABLE
-		       : MMX_AVAILABLE;
+	return node->nodes->find(node, id, &place) ? place.availability
+						   : MMX_AVAILABILITY_DEAD;
+}
+
+static mmx_incarnation_t incarnation_(void *context, mmx_node_id_t id)
+{
+	const mmx_node_t *node = context;
+
+	return id == node->id ? node->incarnation
+			      : mmx_peer_incarnation(node->peer, id);
 }
 
-static const mmx_view_members_ops_t members_ops_ = {ring_, availability_};
+static const mmx_view_members_ops_t members_ops_ = {
+	.ring = ring_,
+	.availability = availability_,
+};
+/* Records of the roster name no incarnation. */
+static const mmx_view_members_ops_t roster_members_ops_ = {
+	.ring = ring_,
+	.availability = availability_,
+	.incarnation = incarnation_,
+};
 
 static bool init_(mmx_part_t *part, mmx_error_t *error)
 {
@@ -78,12 +96,16 @@
 	path->announce =
 		mmx_announce_create(node->runtime, exit_task, node->counters);
 	mmx_target_client_init(path->client);
+	mmx_announce_set_form(path->announce, node->announcements);
+	mmx_announce_set_trusted(path->announce,
+				 node->settings->trusted_network);
 	mmx_exit_set_target_client(node->exit,
 				   mmx_target_client_task(path->client));
 	mmx_exit_set_observer(node->exit, &observer_ops_, node);
 	mmx_exit_set_fold(node->exit, &node->fold);
 	mmx_exit_set_counters(node->exit, node->counters);
 	mmx_exit_set_log(node->exit, node->log);
+	mmx_exit_set_dialect(node->exit, node->dialect);
 	mmx_exit_set_trace(node->exit, node->trace);
 	mmx_exit_set_history(node->exit, node->history);
 	mmx_exit_init(node->exit);
@@ -94,22 +116,45 @@
 	mmx_entry_set_fold(node->entry, &node->fold);
 	mmx_entry_set_directory(node->entry, node->directory);
 	mmx_entry_set_counters(node->entry, node->counters);
-	mmx_entry_set_members(node->entry, &members_ops_, node);
+	mmx_entry_set_members(
+		node->entry,
+		node->roster ? &roster_members_ops_ : &members_ops_, node);
+	mmx_entry_set_dialect(
+		node->entry, node->dialect,
+		node->settings->service[0] ? node->settings->service : NULL);
+	if (node->store)
+		mmx_entry_set_retry_reserve(node->entry, &node->retry_reserve);
 	mmx_entry_set_trace(node->entry, node->trace);
 	mmx_entry_set_history(node->entry, node->history);
 	mmx_entry_init(node->entry);
+	node->http = path->http;
 	return mmx_announce_init(path->announce,
 				 &node->settings->listen_announce, error) &&
 	       mmx_http_entry_init(path->http, &node->settings->listen_callers,
 				   error);
 }
 
+static void close_(void *arg)
+{
+	path_t *path = arg;
+
+	path->closing = true;
+	mmx_http_entry_drain(path->http);
+}
+
 static void drain_(mmx_part_t *part)
 {
 	path_t *path = (path_t *)part;
+	mmx_node_t *node = part->node;
 
-	mmx_exit_stop_all(part->node->exit);
-	mmx_http_entry_drain(path->http);
+	mmx_exit_stop_all(node->exit);
+	if (!node->store) {
+		close_(path);
+		return;
+	}
+	/* Nothing but the health check tells the callers of this node. */
+	mmx_http_entry_announce_drain(path->http);
+	mmx_timer_set(&path->close, node->limits.stop_grace / ANNOUNCE_SHARE);
 }
 
 static size_t in_progress_(const mmx_part_t *part)
@@ -117,7 +162,8 @@
 	const path_t *path = (const path_t *)part;
 
 	/* Answers may still be on their way to callers. */
-	return mmx_http_entry_connections(path->http) +
+	return (part->node->draining && !path->closing) +
+	       mmx_http_entry_connections(path->http) +
 	       mmx_entry_in_progress(part->node->entry) +
 	       mmx_exit_in_progress(part->node->exit, NULL);
 }
@@ -126,6 +172,7 @@
 {
 	path_t *path = (path_t *)part;
 
+	mmx_timer_cancel(&path->close);
 	mmx_announce_destroy(path->announce);
 	mmx_http_entry_destroy(path->http);
 	mmx_target_client_destroy(path->client);
@@ -145,5 +192,6 @@
 	path_t *path = g_new0(path_t, 1);
 
 	path->part.ops = &ops_;
+	mmx_timer_init(&path->close, node->clock, close_, path);
 	return &path->part;
 }
--- /dev/null
+++ b/src/libmasticmux/part_roster.c
@@ -0,0 +1,334 @@
+/*
+ * Part "roster": the other nodes, found through the shared store. Follows the
+ * records of all nodes, keeps the record of this one right, and starts the
+ * peer connections.
+ *
+ * A write that got no answer may take effect seconds later, after a newer one.
+ * Since this node reads its own key too, it notices an older record and writes
+ * the right one again.
+ */
+#include <event2/event.h>
+#include <glib.h>
+#include <string.h>
+
+#include "private/backoff.h"
+#include "private/node_parts.h"
+#include "private/peer.h"
+#include "private/roster.h"
+#include "private/store.h"
+
+#define ROSTER_TOPIC "roster"
+/* Records of several nodes often change together; one read takes them all.
+ * Every read is billed, and a new target is used within seconds anyway. */
+#define READ_PAUSE_US (1 * MMX_US_PER_S)
+/* Wait after a write that failed; doubles up to the second figure. */
+#define WRITE_RETRY_MIN_US (200 * MMX_US_PER_MS)
+#define WRITE_RETRY_MAX_US (2 * MMX_US_PER_S)
+
+typedef struct roster_part_t {
+	mmx_part_t part;
+	mmx_peer_resolver_t resolver;
+	mmx_roster_node_t self;
+	char *wanted; /* record of this node; NULL before a target is known */
+	char *stored; /* as last read or written; NULL: unknown */
+	bool synced;
+	bool writing;
+	bool peer_draining;
+	mmx_time_t retry;
+	mmx_timer_t timer;
+	mmx_counter_t *invalid;
+	mmx_counter_t *writes[MMX_STORE_RESULT_COUNT];
+	mmx_counter_t *nodes;
+} roster_part_t;
+
+static roster_part_t *self_(const mmx_node_t *node)
+{
+	mmx_part_t *part;
+
+	TAILQ_FOREACH (part, &node->parts, entry)
+		if (strcmp(part->ops->name, "roster") == 0)
+			return (roster_part_t *)part;
+	return NULL;
+}
+
+/* --- own record -------------------------------------------------------- */
+
+static void write_(roster_part_t *self);
+
+static void on_retry_(void *arg)
+{
+	write_(arg);
+}
+
+static void on_written_(void *arg, mmx_store_result_t result)
+{
+	roster_part_t *self = arg;
+	mmx_node_t *node = self->part.node;
+
+	self->writing = false;
+	mmx_counter_add(self->writes[result], 1);
+	if (result == MMX_STORE_DONE) {
+		self->retry = 0;
+		write_(self);
+		return;
+	}
+	g_clear_pointer(&self->stored, g_free);
+	self->retry =
+		CLAMP(2 * self->retry, WRITE_RETRY_MIN_US, WRITE_RETRY_MAX_US);
+	mmx_log_event(node->log, MMX_LOG_WARNING, "roster_write_failed",
+		      "result", mmx_store_result_string[result], NULL);
+	mmx_timer_set(&self->timer,
+		      self->retry / 2 + (mmx_time_t)mmx_random_below(
+						&node->random,
+						(uint64_t)self->retry / 2));
+}
+
+static void write_(roster_part_t *self)
+{
+	mmx_store_t *store = self->part.node->store;
+
+	if (!self->wanted || !self->synced || self->writing ||
+	    mmx_timer_is_set(&self->timer) ||
+	    (self->stored && strcmp(self->stored, self->wanted) == 0))
+		return;
+	self->writing = true;
+	/* Until it is read back, what was written counts as stored. */
+	g_free(self->stored);
+	self->stored = g_strdup(self->wanted);
+	mmx_log_event(self->part.node->log, MMX_LOG_INFO, "roster_write",
+		      "record", self->wanted, NULL);
+	store->ops->put(store, ROSTER_TOPIC, self->self.name, self->wanted,
+			strlen(self->wanted), on_written_, self);
+}
+
+static size_t own_targets_(const mmx_node_t *node, mmx_target_record_t *targets)
+{
+	const mmx_directory_target_t *target =
+		mmx_directory_node_first(node->directory, node->id);
+	size_t count = 0;
+
+	for (; target && count < MMX_ROSTER_TARGETS_MAX;
+	     target = mmx_directory_node_next(target))
+		mmx_directory_record(target, &targets[count++]);
+	return count;
+}
+
+void mmx_part_roster_announce(mmx_node_t *node,
+			      const mmx_target_record_t *record)
+{
+	mmx_target_record_t targets[MMX_ROSTER_TARGETS_MAX];
+	roster_part_t *self = self_(node);
+
+	mmx_directory_update(node->directory, record);
+	/* A stop of this process does not end its targets: the record stays
+	 * true for the next process. */
+	if (node->draining)
+		return;
+	g_free(self->wanted);
+	self->wanted = mmx_roster_encode(&self->self, targets,
+					 own_targets_(node, targets));
+	write_(self);
+}
+
+/* --- records of all nodes ---------------------------------------------- */
+
+static void on_own_record_(roster_part_t *self,
+			   const mmx_store_record_t *record)
+{
+	if (self->writing)
+		return;
+	g_free(self->stored);
+	self->stored =
+		record->value ? g_strndup(record->value, record->length) : NULL;
+	write_(self);
+}
+
+/* Nodes that have left count too, which errs on the safe side. */
+static void share_reserve_(roster_part_t *self)
+{
+	mmx_node_t *node = self->part.node;
+	size_t others = mmx_roster_count(node->roster);
+
+	node->retry_reserve =
+		(uint32_t)(node->limits.retry_reserve * 100 / (others + 1));
+	mmx_counter_set(self->nodes, (int64_t)others);
+}
+
+static void on_record_(void *arg, const mmx_store_record_t *record)
+{
+	roster_part_t *self = arg;
+	mmx_node_t *node = self->part.node;
+	mmx_error_t error = {MMX_ERROR_NONE, ""};
+
+	if (strcmp(record->key, self->self.name) == 0) {
+		on_own_record_(self, record);
+		return;
+	}
+	if (!record->value) {
+		mmx_roster_drop(node->roster, record->key, record->offset);
+	} else if (!mmx_roster_merge(node->roster, record->value,
+				     record->length, record->offset, &error)) {
+		mmx_counter_add(self->invalid, 1);
+		mmx_log_event(node->log, MMX_LOG_WARNING,
+			      "roster_record_invalid", "key", record->key,
+			      "reason", error.text, NULL);
+		return;
+	}
+	share_reserve_(self);
+}
+
+static void on_synced_(void *arg)
+{
+	roster_part_t *self = arg;
+	char count[16];
+
+	if (self->synced)
+		return;
+	self->synced = true;
+	g_snprintf(count, sizeof(count), "%zu",
+		   mmx_roster_count(self->part.node->roster));
+	mmx_log_event(self->part.node->log, MMX_LOG_INFO, "roster_read",
+		      "nodes", count, NULL);
+	write_(self);
+}
+
+static const mmx_store_reader_ops_t reader_ops_ = {on_record_, on_synced_};
+
+/* --- what other parts ask ---------------------------------------------- */
+
+static bool find_(const mmx_node_t *node, mmx_node_id_t id,
+		  mmx_node_place_t *place)
+{
+	const mmx_roster_node_t *known =
+		id == node->id ? &self_(node)->self
+			       : mmx_roster_find(node->roster, id);
+
+	if (!known)
+		return false;
+	*place = (mmx_node_place_t){
+		.id = id,
+		.name = known->name,
+		.region = known->region,
+		.zone = known->zone,
+		.address = &known->address,
+	};
+	return true;
+}
+
+static const mmx_nodes_ops_t nodes_ops_ = {.find = find_};
+
+static bool resolve_(mmx_peer_resolver_t *resolver, mmx_node_id_t id,
+		     mmx_address_t *address, mmx_incarnation_t *incarnation)
+{
+	const roster_part_t *self =
+		(roster_part_t *)((char *)resolver -
+				  offsetof(roster_part_t, resolver));
+	const mmx_roster_node_t *known =
+		mmx_roster_find(self->part.node->roster, id);
+
+	if (!known)
+		return false;
+	*address = known->address;
+	*incarnation = 0;
+	return true;
+}
+
+static const mmx_peer_resolver_ops_t resolver_ops_ = {resolve_};
+
+/* --- part -------------------------------------------------------------- */
+
+static bool init_(mmx_part_t *part, mmx_error_t *error)
+{
+	roster_part_t *self = (roster_part_t *)part;
+	mmx_node_t *node = part->node;
+	const mmx_settings_t *settings = node->settings;
+
+	self->resolver.ops = &resolver_ops_;
+	node->nodes = &nodes_ops_;
+	self->self.id = node->id;
+	g_strlcpy(self->self.name, settings->node_name,
+		  sizeof(self->self.name));
+	g_strlcpy(self->self.region, settings->region,
+		  sizeof(self->self.region));
+	g_strlcpy(self->self.zone, settings->zone, sizeof(self->self.zone));
+	self->self.address = settings->listen_nodes;
+	if (!mmx_node_start_peer(node, &self->resolver, error))
+		return false;
+	node->store->ops->follow(node->store, ROSTER_TOPIC, READ_PAUSE_US,
+				 &reader_ops_, self);
+	return true;
+}
+
+static void on_peer_drained_(void *arg)
+{
+	roster_part_t *self = arg;
+
+	self->peer_draining = false;
+}
+
+static void finish_(mmx_part_t *part)
+{
+	roster_part_t *self = (roster_part_t *)part;
+
+	self->peer_draining = true;
+	mmx_peer_drain(part->node->peer, on_peer_drained_, self);
+}
+
+static size_t in_progress_(const mmx_part_t *part)
+{
+	return ((const roster_part_t *)part)->peer_draining ? 1 : 0;
+}
+
+static void destroy_(mmx_part_t *part)
+{
+	roster_part_t *self = (roster_part_t *)part;
+	mmx_node_t *node = part->node;
+
+	mmx_timer_cancel(&self->timer);
+	mmx_peer_destroy(node->peer);
+	mmx_roster_destroy(node->roster);
+	mmx_directory_destroy(node->directory);
+	g_free(self->wanted);
+	g_free(self->stored);
+	g_free(self);
+}
+
+static const mmx_part_ops_t ops_ = {
+	.name = "roster",
+	.init = init_,
+	.finish = finish_,
+	.in_progress = in_progress_,
+	.destroy = destroy_,
+};
+
+static void register_counters_(roster_part_t *self, mmx_counters_t *counters)
+{
+	char labels[40];
+	int i;
+
+	self->invalid = mmx_counters_get(
+		counters, MMX_COUNTER, "masticmux_roster_invalid_total", "",
+		"Records of nodes that could not be read.");
+	self->nodes =
+		mmx_counters_get(counters, MMX_GAUGE, "masticmux_roster_nodes",
+				 "", "Other nodes that have a record.");
+	for (i = 0; i < MMX_STORE_RESULT_COUNT; i++) {
+		g_snprintf(labels, sizeof(labels), "result=\"%s\"",
+			   mmx_store_result_string[i]);
+		self->writes[i] = mmx_counters_get(
+			counters, MMX_COUNTER, "masticmux_roster_writes_total",
+			labels, "Writes of the record of this node.");
+	}
+}
+
+mmx_part_t *mmx_part_roster_create(mmx_node_t *node)
+{
+	roster_part_t *self = g_new0(roster_part_t, 1);
+
+	self->part.ops = &ops_;
+	node->directory = mmx_directory_create(node->clock);
+	node->roster = mmx_roster_create(node->directory);
+	mmx_timer_init(&self->timer, node->clock, on_retry_, self);
+	register_counters_(self, node->counters);
+	return &self->part;
+}
--- a/src/libmasticmux/peer.c
+++ b/src/libmasticmux/peer.c
@@ -235,6 +235,7 @@
 		.key_count = config->key_count,
 		.node_name = config->node_name,
 		.incarnation = config->incarnation,
+		.trusted = config->trusted,
 	};
 	peer->id = mmx_node_id(config->node_name);
 	peer->clock = mmx_runtime_clock(runtime);
@@ -332,7 +333,7 @@
 	if (size == 0)
 		return mmx_error_set(error, MMX_ERROR_INVALID, "bad address %s",
 				     listen->host);
-	if (peer->config.key_count == 0 &&
+	if (peer->config.key_count == 0 && !peer->config.trusted &&
 	    !mmx_connection_is_loopback((struct sockaddr *)&storage))
 		return mmx_error_set(error, MMX_ERROR_AUTH,
 				     "no fleet key: only a loopback address "
@@ -373,6 +374,13 @@
 	return &peer->task;
 }
 
+mmx_incarnation_t mmx_peer_incarnation(const mmx_peer_t *peer, mmx_node_id_t id)
+{
+	const mmx_peer_node_t *node = g_hash_table_lookup(peer->nodes, &id);
+
+	return node ? node->incarnation : 0;
+}
+
 size_t mmx_peer_connection_count(const mmx_peer_t *peer)
 {
 	return peer->outgoing + peer->incoming;
--- a/src/libmasticmux/peer_node.c
+++ b/src/libmasticmux/peer_node.c
@@ -97,7 +97,8 @@
 
 bool mmx_peer_node_is_unused(const mmx_peer_node_t *node)
 {
-	return LIST_EMPTY(&node->links) && STAILQ_EMPTY(&node->waiting) &&
+	return node->incarnation == 0 && LIST_EMPTY(&node->links) &&
+	       STAILQ_EMPTY(&node->waiting) &&
 	       STAILQ_EMPTY(&node->waiting_calls) &&
 	       node->retry_at <= mmx_clock_now(node->peer->clock);
 }
@@ -351,6 +352,9 @@
 
 	if (node->dialing == link)
 		node->dialing = NULL;
+	node->incarnation =
+		MAX(node->incarnation,
+		    mmx_connection_remote(link->connection)->incarnation);
 	node->backoff = 0;
 	node->retry_at = 0;
 	mmx_timer_cancel(&node->retry);
--- a/src/libmasticmux/retry.c
+++ b/src/libmasticmux/retry.c
@@ -7,6 +7,7 @@
 void mmx_retry_init(mmx_retry_t *retry, uint8_t percent, mmx_time_t now)
 {
 	retry->refilled = now;
+	retry->shared_max = 0;
 	retry->hundredths = MMX_RETRY_RESERVE * TOKEN;
 	mmx_retry_set_percent(retry, percent);
 }
@@ -17,8 +18,26 @@
 	retry->percent = percent;
 }
 
+void mmx_retry_set_shared(mmx_retry_t *retry, uint32_t reserve)
+{
+	retry->shared_max = reserve > TOKEN ? reserve : TOKEN;
+	if (retry->hundredths > retry->shared_max)
+		retry->hundredths = retry->shared_max;
+}
+
+void mmx_retry_request(mmx_retry_t *retry)
+{
+	if (!retry->shared_max)
+		return;
+	retry->hundredths += retry->percent;
+	if (retry->hundredths > retry->shared_max)
+		retry->hundredths = retry->shared_max;
+}
+
 void mmx_retry_success(mmx_retry_t *retry)
 {
+	if (retry->shared_max)
+		return;
 	retry->hundredths += retry->percent;
 	if (retry->hundredths > MMX_RETRY_MAX * TOKEN)
 		retry->hundredths = MMX_RETRY_MAX * TOKEN;
@@ -38,7 +57,8 @@
 
 bool mmx_retry_take(mmx_retry_t *retry, mmx_time_t now)
 {
-	refill_(retry, now);
+	if (!retry->shared_max)
+		refill_(retry, now);
 	if (!retry->percent || retry->hundredths < TOKEN)
 		return false;
 	retry->hundredths -= TOKEN;
--- a/src/libmasticmux/schema.c
+++ b/src/libmasticmux/schema.c
@@ -292,6 +292,15 @@
 	return NULL;
 }
 
+/* A number that may be a fraction may also be written as an integer. */
+static bool is_kind_(const mmx_tree_node_t *node, const mmx_rule_t *rule)
+{
+	mmx_tree_kind_t kind = mmx_tree_kind(node);
+
+	return kind == rule->kind ||
+	       (kind == MMX_TREE_INTEGER && rule->kind == MMX_TREE_FLOAT);
+}
+
 uint32_t mmx_schema_read(mmx_schema_t *schema, const mmx_tree_node_t *table,
 			 const mmx_rule_t *rules, size_t count, void *into)
 {
@@ -311,7 +320,7 @@
 			continue;
 		}
 		present |= 1U << (rule - rules);
-		if (mmx_tree_kind(node) != rule->kind) {
+		if (!is_kind_(node, rule)) {
 			reject_(schema, node, rule,
 				mmx_tree_kind_string[mmx_tree_kind(node)]);
 			continue;
--- a/src/libmasticmux/session.c
+++ b/src/libmasticmux/session.c
@@ -271,7 +271,7 @@
 
 	if (session->open)
 		return MMX_SESSION_STATE;
-	if (!session->key && !session->loopback)
+	if (!session->key && !session->loopback && !session->identity->trusted)
 		return MMX_SESSION_NOT_LOOPBACK;
 	if (!select_key_(session, hello->key_id))
 		return MMX_SESSION_UNKNOWN_KEY;
--- a/src/libmasticmux/settings.c
+++ b/src/libmasticmux/settings.c
@@ -2,6 +2,7 @@
 
 #include <assert.h>
 #include <glib.h>
+#include <math.h>
 #include <openssl/crypto.h>
 #include <string.h>
 
@@ -18,6 +19,11 @@
 	"or '-' and 64 hexadecimal digits"
 #define SEEDS_VALID "an array of at most 16 addresses"
 #define TABLE_VALID "a table"
+#define SECONDS_VALID "a number of seconds from 0.1 to 3600"
+#define SECONDS_MIN 0.1
+#define SECONDS_MAX 3600
+#define RETRY_RESERVE_MAX 1000000
+#define SHARE_VALID "a number from 0.0 to 1.0"
 
 /* Addresses of one file, for the checks that compare them. */
 typedef enum place_index_t {
@@ -27,6 +33,7 @@
 	PLACE_OPERATOR,
 	PLACE_LOG_SERVICE,
 	PLACE_COLLECTOR,
+	PLACE_STORE,
 	PLACE_SEEDS, /* the first of MMX_SEEDS_MAX */
 	PLACE_COUNT = PLACE_SEEDS + MMX_SEEDS_MAX
 } place_index_t;
@@ -34,6 +41,7 @@
 static const char *const place_path_[PLACE_SEEDS] = {
 	"listen.callers",  "listen.nodes",	  "listen.announce",
 	"listen.operator", "log_service.address", "trace.collector",
+	"store.address",
 };
 
 /* Settings while they are read. */
@@ -58,6 +66,8 @@
 		return &settings->log_service;
 	case PLACE_COLLECTOR:
 		return &settings->collector;
+	case PLACE_STORE:
+		return &settings->store;
 	default:
 		return &settings->seeds[index - PLACE_SEEDS];
 	}
@@ -219,12 +229,49 @@
 			.offset = offsetof(mmx_settings_t, member)            \
 	}
 
+static void read_flag_(mmx_schema_t *schema, const mmx_tree_node_t *node,
+		       const mmx_rule_t *rule, void *into)
+{
+	*(bool *)((char *)into + rule->offset) = mmx_tree_integer(node) != 0;
+}
+
+/* A share of 0 to 1, kept in percent. */
+static void read_share_(mmx_schema_t *schema, const mmx_tree_node_t *node,
+			const mmx_rule_t *rule, void *into)
+{
+	double share = mmx_tree_number(node);
+
+	if (share < 0 || share > 1)
+		mmx_schema_reject(schema, node, rule);
+	else
+		*(uint32_t *)((char *)into + rule->offset) =
+			(uint32_t)lround(share * 100);
+}
+
+static void read_seconds_(mmx_schema_t *schema, const mmx_tree_node_t *node,
+			  const mmx_rule_t *rule, void *into)
+{
+	double seconds = mmx_tree_number(node);
+
+	if (seconds < SECONDS_MIN || seconds > SECONDS_MAX)
+		mmx_schema_reject(schema, node, rule);
+	else
+		*(mmx_time_t *)((char *)into + rule->offset) =
+			llround(seconds * MMX_US_PER_S);
+}
+
 static const mmx_rule_t node_rules_[] = {
 	NAME_RULE_("name", node_name),
 	NAME_RULE_("region", region),
 	NAME_RULE_("zone", zone),
 	{"fleet_keys", MMX_TREE_ARRAY, MMX_PRESENCE_OPTIONAL, read_fleet_keys_,
 	 .valid = KEYS_VALID},
+	{"service", MMX_TREE_STRING, MMX_PRESENCE_OPTIONAL,
+	 mmx_schema_read_name, NAME_VALID,
+	 .offset = offsetof(mmx_settings_t, service),
+	 .size = sizeof(((mmx_settings_t *)NULL)->service)},
+	{"trusted_network", MMX_TREE_BOOLEAN, MMX_PRESENCE_OPTIONAL, read_flag_,
+	 "true or false", .offset = offsetof(mmx_settings_t, trusted_network)},
 };
 
 static const mmx_rule_t listen_rules_[] = {
@@ -251,6 +298,35 @@
 	ADDRESS_RULE_("collector", MMX_PRESENCE_OPTIONAL, collector),
 };
 
+static const mmx_rule_t store_rules_[] = {
+	ADDRESS_RULE_("address", MMX_PRESENCE_REQUIRED, store),
+};
+
+#define SECONDS_RULE_(key, member)                                         \
+	{                                                                  \
+		key, MMX_TREE_FLOAT, MMX_PRESENCE_OPTIONAL, read_seconds_, \
+			SECONDS_VALID,                                     \
+			.offset = offsetof(mmx_settings_t, member)         \
+	}
+
+static const mmx_rule_t stop_rules_[] = {
+	SECONDS_RULE_("grace_s", stop_grace),
+};
+
+static const mmx_rule_t retry_rules_[] = {
+	{"share", MMX_TREE_FLOAT, MMX_PRESENCE_OPTIONAL, read_share_,
+	 SHARE_VALID, .offset = offsetof(mmx_settings_t, retry_percent)},
+	{"reserve", MMX_TREE_INTEGER, MMX_PRESENCE_OPTIONAL,
+	 mmx_schema_read_integer, NULL, 0, RETRY_RESERVE_MAX, "attempts", 1,
+	 offsetof(mmx_settings_t, retry_reserve), sizeof(int64_t)},
+	SECONDS_RULE_("window_s", retry_window),
+};
+
+static const mmx_rule_t targets_rules_[] = {
+	{"floor_share", MMX_TREE_FLOAT, MMX_PRESENCE_OPTIONAL, read_share_,
+	 SHARE_VALID, .offset = offsetof(mmx_settings_t, floor_percent)},
+};
+
 /* The rules of one table of the file, by the name of the table. */
 typedef struct section_t {
 	const char *name;
@@ -264,6 +340,10 @@
 	{"fleet", fleet_rules_, G_N_ELEMENTS(fleet_rules_)},
 	{"log_service", log_service_rules_, G_N_ELEMENTS(log_service_rules_)},
 	{"trace", trace_rules_, G_N_ELEMENTS(trace_rules_)},
+	{"store", store_rules_, G_N_ELEMENTS(store_rules_)},
+	{"stop", stop_rules_, G_N_ELEMENTS(stop_rules_)},
+	{"retry", retry_rules_, G_N_ELEMENTS(retry_rules_)},
+	{"targets", targets_rules_, G_N_ELEMENTS(targets_rules_)},
 };
 
 static void read_section_(mmx_schema_t *schema, const mmx_tree_node_t *node,
@@ -290,6 +370,14 @@
 	 .valid = TABLE_VALID},
 	{"trace", MMX_TREE_TABLE, MMX_PRESENCE_OPTIONAL, read_section_,
 	 .valid = TABLE_VALID},
+	{"store", MMX_TREE_TABLE, MMX_PRESENCE_OPTIONAL, read_section_,
+	 .valid = TABLE_VALID},
+	{"stop", MMX_TREE_TABLE, MMX_PRESENCE_OPTIONAL, read_section_,
+	 .valid = TABLE_VALID},
+	{"retry", MMX_TREE_TABLE, MMX_PRESENCE_OPTIONAL, read_section_,
+	 .valid = TABLE_VALID},
+	{"targets", MMX_TREE_TABLE, MMX_PRESENCE_OPTIONAL, read_section_,
+	 .valid = TABLE_VALID},
 };
 
 static void describe_place_(size_t index, char *buffer, size_t size)
@@ -356,7 +444,8 @@
 static void check_hosts_(mmx_schema_t *schema, const reading_t *reading)
 {
 	mmx_settings_t *settings = reading->settings;
-	bool has_key = settings->fleet_key_count > 0 || reading->has_key_fault;
+	bool has_key = settings->fleet_key_count > 0 ||
+		       settings->trusted_network || reading->has_key_fault;
 	size_t i;
 
 	for (i = 0; i < PLACE_COUNT; i++) {
@@ -404,6 +493,11 @@
 	mmx_schema_t schema;
 
 	settings->log_retention = MMX_LOG_RETENTION_DEFAULT_S * MMX_US_PER_S;
+	settings->stop_grace = MMX_STOP_GRACE_DEFAULT_S * MMX_US_PER_S;
+	settings->retry_percent = MMX_RETRY_PERCENT_DEFAULT;
+	settings->retry_reserve = MMX_RETRY_RESERVE_DEFAULT;
+	settings->retry_window = MMX_RETRY_WINDOW_DEFAULT_S * MMX_US_PER_S;
+	settings->floor_percent = MMX_FLOOR_PERCENT_DEFAULT;
 	mmx_schema_init(&schema, file, findings, false, &reading);
 	mmx_schema_read(&schema, root, root_rules_, G_N_ELEMENTS(root_rules_),
 			settings);
--- a/src/libmasticmux/types.c
+++ b/src/libmasticmux/types.c
@@ -32,6 +32,7 @@
 	"fenced",
 	"forgotten",
 	"draining",
+	"busy",
 };
 
 mmx_node_id_t mmx_node_id(const char *name)
@@ -43,6 +44,15 @@
 {
 	assert(outcome != MMX_OUTCOME_COMPLETED);
 	assert(reason < MMX_REASON_COUNT);
+	if (reason == MMX_REASON_DUPLICATE_IN_PROGRESS ||
+	    reason == MMX_REASON_DUPLICATE_COMPLETED)
+		return 409;
+	/* Statuses that callers read as "has not run" are left to that. */
+	if (outcome == MMX_OUTCOME_UNKNOWN)
+		return reason == MMX_REASON_TARGET_FAILED ||
+				       reason == MMX_REASON_ANSWER_TRUNCATED
+			       ? 502
+			       : 504;
 	switch (reason) {
 	case MMX_REASON_BAD_REQUEST:
 		return 400;
@@ -50,19 +60,11 @@
 		return 403;
 	case MMX_REASON_UNKNOWN_SERVICE:
 		return 404;
-	case MMX_REASON_DUPLICATE_IN_PROGRESS:
-	case MMX_REASON_DUPLICATE_COMPLETED:
-		return 409;
 	case MMX_REASON_ACCOUNT_LIMIT:
 		return 429;
 	case MMX_REASON_HEADER_TOO_LARGE:
 		return 431;
-	case MMX_REASON_TARGET_FAILED:
-	case MMX_REASON_ANSWER_TRUNCATED:
-		return 502;
-	case MMX_REASON_DEADLINE_EXCEEDED:
-		return 504;
 	default:
-		return outcome == MMX_OUTCOME_UNKNOWN ? 504 : 503;
+		return 503;
 	}
 }
--- a/src/libmasticmux/view.c
+++ b/src/libmasticmux/view.c
@@ -93,6 +93,9 @@
 	if (!fold || !mmx_fold_service(fold, service->name, &policy))
 		return;
 	mmx_retry_set_percent(&service->retry, policy.retry_percent);
+	if (service->view->config.retry_reserve)
+		mmx_retry_set_shared(&service->retry,
+				     *service->view->config.retry_reserve);
 	if (policy.floor_percent == service->floor_percent &&
 	    policy.floor_slots == service->floor_slots)
 		return;
@@ -256,6 +259,17 @@
 				  view->config.random, now_(view), choice);
 }
 
+static mmx_incarnation_t incarnation_(const mmx_view_t *view,
+				      const mmx_directory_target_t *record)
+{
+	const mmx_view_members_ops_t *members = view->config.members;
+
+	if (!members || !members->incarnation)
+		return mmx_directory_target_incarnation(record);
+	return members->incarnation(view->config.members_context,
+				    mmx_directory_target_node(record));
+}
+
 bool mmx_view_start(mmx_view_t *view, const char *name,
 		    const mmx_balance_request_t *request,
 		    mmx_view_choice_t *choice)
@@ -266,6 +280,8 @@
 
 	if (now_(view) - service->synced >= SYNC_INTERVAL_US)
 		sync_(service);
+	if (request->tried_count == 0)
+		mmx_retry_request(&service->retry);
 	if (!choose_(service, request, &chosen))
 		return false;
 	record = mmx_directory_find(view->config.directory, chosen.target);
@@ -281,7 +297,7 @@
 	*choice = (mmx_view_choice_t){
 		.target = chosen.target,
 		.node = mmx_directory_target_node(record),
-		.incarnation = mmx_directory_target_incarnation(record),
+		.incarnation = incarnation_(view, record),
 		.ring = chosen.ring,
 		.trial = chosen.trial &&
 			 mmx_ejection_trial_start(service->ejection,
--- a/src/libmasticmux/wire.c
+++ b/src/libmasticmux/wire.c
@@ -16,6 +16,7 @@
 #define FLAG_PEERS 0x20U
 #define FLAG_GOOD 0x40U
 #define FLAG_KEYED 0x80U
+#define FLAG_OFFERED 0x100U
 
 /* A filter encodes or decodes, as XDR filters do; x_public holds the reason
  * of the first refusal. */
@@ -251,6 +252,7 @@
 			 (execute->keyed ? FLAG_KEYED : 0) |
 			 (execute->trial ? FLAG_TRIAL : 0) |
 			 (execute->peers ? FLAG_PEERS : 0);
+	uint32_t priority = execute->priority;
 
 	if (!attempt_(xdrs, &execute->attempt) ||
 	    !hyper_(xdrs, &execute->exit_incarnation) ||
@@ -261,6 +263,9 @@
 		    FLAG_BODY_END | FLAG_REPEATABLE | FLAG_TRIAL | FLAG_PEERS |
 			    FLAG_KEYED) ||
 	    !duration_(xdrs, &execute->remaining) ||
+	    !duration_(xdrs, &execute->patience) ||
+	    !word_(xdrs, &priority, MMX_PRIORITY_MAX,
+		   "priority out of range") ||
 	    !trace_(xdrs, &execute->trace) ||
 	    !request_head_(xdrs, &execute->head))
 		return false;
@@ -268,6 +273,7 @@
 	execute->repeatable = flags & FLAG_REPEATABLE;
 	execute->keyed = flags & FLAG_KEYED;
 	execute->trial = flags & FLAG_TRIAL;
+	execute->priority = (uint8_t)priority;
 	return !(flags & FLAG_PEERS) || summary_(xdrs, &execute->peers);
 }
 
@@ -277,11 +283,13 @@
 	uint32_t reason = response->reason;
 	uint32_t flags = (response->body_end ? FLAG_BODY_END : 0) |
 			 (response->started ? FLAG_STARTED : 0) |
-			 (response->good ? FLAG_GOOD : 0);
+			 (response->good ? FLAG_GOOD : 0) |
+			 (response->offered ? FLAG_OFFERED : 0);
 
 	if (!attempt_(xdrs, &response->attempt) ||
 	    !word_(xdrs, &reason, MMX_REASON_COUNT - 1, "unknown reason") ||
-	    !flags_(xdrs, &flags, FLAG_BODY_END | FLAG_STARTED | FLAG_GOOD) ||
+	    !flags_(xdrs, &flags,
+		    FLAG_BODY_END | FLAG_STARTED | FLAG_GOOD | FLAG_OFFERED) ||
 	    !response_head_(xdrs, &response->head) ||
 	    !load_(xdrs, &response->load) ||
 	    !duration_(xdrs, &response->queue_time) ||
@@ -293,6 +301,7 @@
 	response->body_end = flags & FLAG_BODY_END;
 	response->started = flags & FLAG_STARTED;
 	response->good = flags & FLAG_GOOD;
+	response->offered = flags & FLAG_OFFERED;
 	return true;
 }
 
--- a/src/masticmux/command_node.c
+++ b/src/masticmux/command_node.c
@@ -11,6 +11,7 @@
 	mmx_error_t error = {MMX_ERROR_NONE, ""};
 	mmx_exit_status_t status = MMX_EXIT_ERROR;
 
+	mmx_node_set_settings_path(node, options);
 	if (!mmx_node_init(node, &error))
 		fprintf(stderr, "masticmux node: %s\n", error.text);
 	else if (mmx_node_run(node))
@@ -39,7 +40,7 @@
 			      "other errors.",
 			      entries, 0) &&
 	    mmx_command_require("node", "settings", path))
-		status = mmx_command_with_settings(path, run_, NULL);
+		status = mmx_command_with_settings(path, run_, path);
 	g_free(path);
 	return status;
 }
--- a/src/share/json_bridge.c
+++ b/src/share/json_bridge.c
@@ -36,6 +36,8 @@
 				    json_string_length(value));
 	else if (json_is_integer(value))
 		mmx_tree_set_integer(node, json_integer_value(value));
+	else if (json_is_real(value))
+		mmx_tree_set_number(node, json_real_value(value));
 	else if (json_is_boolean(value))
 		mmx_tree_set_integer(node, json_is_true(value));
 	return copy_children_(node, value, depth);
--- a/src/share/toml_bridge.cc
+++ b/src/share/toml_bridge.cc
@@ -99,6 +99,8 @@
 				    text->get().size());
 	else if (const auto *number = value.as_integer())
 		mmx_tree_set_integer(node, number->get());
+	else if (const auto *real = value.as_floating_point())
+		mmx_tree_set_number(node, real->get());
 	else if (const auto *flag = value.as_boolean())
 		mmx_tree_set_integer(node, flag->get() ? 1 : 0);
 	else
--- a/src/share/tree.c
+++ b/src/share/tree.c
@@ -22,6 +22,7 @@
 	char *text;
 	size_t text_length;
 	int64_t integer;
+	double number;
 };
 
 /* g_strndup() stops at a NUL byte, which a TOML key or string may hold. */
@@ -150,3 +151,17 @@
 	       node->kind == MMX_TREE_BOOLEAN);
 	return node->integer;
 }
+
+void mmx_tree_set_number(mmx_tree_node_t *node, double value)
+{
+	assert(node->kind == MMX_TREE_FLOAT);
+	node->number = value;
+}
+
+double mmx_tree_number(const mmx_tree_node_t *node)
+{
+	if (node->kind == MMX_TREE_INTEGER)
+		return (double)node->integer;
+	assert(node->kind == MMX_TREE_FLOAT);
+	return node->number;
+}
--- a/src/share/tree.h
+++ b/src/share/tree.h
@@ -86,6 +86,12 @@
 /** Value of an integer or a boolean (0 or 1). Asserts the kind. */
 int64_t mmx_tree_integer(const mmx_tree_node_t *node);
 
+/** Sets the value of a float. Asserts the kind. */
+void mmx_tree_set_number(mmx_tree_node_t *node, double value);
+
+/** Value of a float or an integer. Asserts the kind. */
+double mmx_tree_number(const mmx_tree_node_t *node);
+
 #ifdef __cplusplus
 }
 #endif
--- a/src/test_libmasticmux/test_exit_target.c
+++ b/src/test_libmasticmux/test_exit_target.c
@@ -83,6 +83,7 @@
 			.account = "",
 			.share = {.ceiling_percent = 100},
 			.remaining = c->remaining,
+			.patience = c->remaining,
 		};
 
 		target->record.slots = 2;
--- /dev/null
+++ b/src/test_libmasticmux/test_platform.c
@@ -0,0 +1,182 @@
+#include "suites.h"
+
+#include <glib.h>
+#include <string.h>
+
+#include "platform/platform.h"
+
+#define BEAT "/-/rpc?call=instances.heartbeat&of=i-1"
+#define LEAVE "/-/rpc?call=instances.deregister&of=i-1"
+#define INFO "\"info\":{\"service\":\"s\",\"slots\":3}"
+#define READY "\"status\":{\"state\":\"ready\",\"seq\":4,\"coldLeftMs\":250}"
+#define ADDRESS "\"address\":\"127.0.0.1:80\""
+
+/* Guards against announcements that are read wrongly, and against ones of
+ * another writer that name a target. */
+static void test_announcements_(void)
+{
+	static const struct {
+		const char *uri;
+		const char *body;
+		int state; /* -1: refused */
+	} cases[] = {
+		{BEAT, "{" ADDRESS "," INFO "," READY ",\"born\":17}",
+		 MMX_TARGET_WARM},
+		{BEAT,
+		 "{" ADDRESS "," INFO ",\"status\":{\"state\":\"draining\","
+		 "\"seq\":5}}",
+		 MMX_TARGET_DRAINING},
+		{LEAVE, "{\"born\":17}", MMX_TARGET_GONE},
+		{LEAVE, "", MMX_TARGET_GONE},
+		{BEAT, "", -1},
+		{BEAT, "[]", -1},
+		{BEAT, "{" ADDRESS "," INFO "}", -1},
+		{BEAT, "{" ADDRESS "," READY "}", -1},
+		{BEAT, "{" INFO "," READY "}", -1},
+		{BEAT, "{\"address\":7," INFO "," READY "}", -1},
+		{BEAT,
+		 "{" ADDRESS "," INFO
+		 ",\"status\":{\"state\":\"asleep\",\"seq\":4}}",
+		 -1},
+		{BEAT,
+		 "{" ADDRESS "," INFO
+		 ",\"status\":{\"state\":\"ready\",\"seq\":\"4\"}}",
+		 -1},
+		{"/-/rpc?call=instances.other&of=i-1", "{}", -1},
+		{"/-/rpc?call=instances.deregister", "{}", -1},
+	};
+	const mmx_announce_form_t *form = &mmx_platform_announcements;
+	mmx_target_announced_t *announced;
+	mmx_error_t error;
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		CU_ASSERT_TRUE(form->handles(cases[i].uri));
+		announced = form->parse(cases[i].uri, cases[i].body,
+					strlen(cases[i].body), &error);
+		CU_ASSERT_EQUAL(announced ? (int)announced->state : -1,
+				cases[i].state);
+		if (!announced)
+			continue;
+		CU_ASSERT_STRING_EQUAL(announced->name, "i-1");
+		if (announced->state == MMX_TARGET_WARM) {
+			CU_ASSERT_EQUAL(announced->born, 17);
+			CU_ASSERT_EQUAL(announced->sequence, 4);
+			CU_ASSERT_EQUAL(announced->cold_left,
+					250 * MMX_US_PER_MS);
+		}
+		mmx_message_destroy(&announced->message);
+	}
+	CU_ASSERT_FALSE(form->handles("/v1/targets"));
+}
+
+#define RULE(kind, action)                                       \
+	"{\"version\":7,\"listeners\":[{\"host\":\"h.example\"," \
+	"\"rules\":[{\"name\":\"r\",\"kind\":\"" kind            \
+	"\",\"targetLatencyMs\":800,\"priority\":1,\"match\":"   \
+	"{\"pathPrefix\":\"/p/\"},\"action\":{" action "}}]}],"  \
+	"\"limits\":{\"idleTimeoutMs\":15000}}"
+
+/* Guards against a configuration that is taken over in part. */
+static void test_configuration_(void)
+{
+	static const struct {
+		const char *text;
+		bool valid;
+		bool repeatable;
+		size_t services;
+	} cases[] = {
+		{RULE("read_only", "\"service\":\"a\",\"timeoutMs\":1500,"
+				   "\"maxAttempts\":2"),
+		 true, true, 1},
+		{RULE("non_idempotent",
+		      "\"weightedServices\":[{\"service\":\"a\",\"weight\":9},"
+		      "{\"service\":\"b\",\"weight\":1}],\"timeoutMs\":1500,"
+		      "\"maxAttempts\":2"),
+		 true, false, 2},
+		{RULE("of_a_new_kind", "\"service\":\"a\",\"timeoutMs\":1500,"
+				       "\"maxAttempts\":2"),
+		 true, false, 1},
+		{RULE("read_only", "\"service\":\"a\""), false, false, 0},
+		{RULE("read_only", "\"timeoutMs\":1500"), false, false, 0},
+		{"{\"version\":0}", false, false, 0},
+		{"{", false, false, 0},
+		{"", false, false, 0},
+	};
+	mmx_error_t error;
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		mmx_routing_t *routing = mmx_platform_decode_config(
+			cases[i].text, strlen(cases[i].text), &error);
+		const mmx_routing_rule_t *rule;
+
+		CU_ASSERT_EQUAL(routing != NULL, cases[i].valid);
+		if (!routing)
+			continue;
+		rule = mmx_routing_find(routing, "h.example", "/p/x");
+		CU_ASSERT_PTR_NOT_NULL_FATAL(rule);
+		CU_ASSERT_EQUAL(rule->repeatable, cases[i].repeatable);
+		CU_ASSERT_EQUAL(rule->destination_count, cases[i].services);
+		CU_ASSERT_EQUAL(rule->timeout, 1500 * MMX_US_PER_MS);
+		CU_ASSERT_EQUAL(rule->objective, 800 * MMX_US_PER_MS);
+		CU_ASSERT_EQUAL(rule->attempts_max, 2);
+		CU_ASSERT_EQUAL(mmx_routing_limits(routing)->idle_time,
+				15 * MMX_US_PER_S);
+		mmx_routing_destroy(routing);
+	}
+}
+
+static void collect_(void *arg, const mmx_store_record_t *record)
+{
+	g_string_append_printf(
+		arg, "%s=%.*s@%d ", record->key, (int)record->length,
+		record->value ? record->value : "", (int)record->offset);
+}
+
+/* Guards against a read that trusts a length, and against a record without a
+ * key that stops the records behind it. */
+static void test_records_(void)
+{
+	static const char head[16] = {0, 0, 0, 0, 0, 0, 0, 12};
+	GString *data = g_string_new_len(head, sizeof(head));
+	GString *seen = g_string_new("");
+	size_t framed;
+	char *record = mmx_platform_frame_record("k", "value", 5, &framed);
+	size_t invalid = 0;
+	uint64_t next;
+	uint64_t end;
+	gsize cut;
+
+	g_string_append_len(data, record, (gssize)framed);
+	g_string_append_len(data, "\0\0\0\2\7k", 6); /* key longer than it */
+	g_string_append_len(data, "\0\0\0\2\1d", 6); /* dropped key */
+	g_string_append_len(data, record, (gssize)framed);
+	CU_ASSERT_TRUE(mmx_platform_read_records(data->str, data->len, 8,
+						 collect_, seen, &next, &end,
+						 &invalid));
+	CU_ASSERT_STRING_EQUAL(seen->str, "k=value@8 d=@10 k=value@11 ");
+	CU_ASSERT_EQUAL(next, 12);
+	CU_ASSERT_EQUAL(end, 12);
+	CU_ASSERT_EQUAL(invalid, 1);
+	for (cut = 1; cut < framed; cut++) {
+		g_string_truncate(seen, 0);
+		CU_ASSERT_FALSE(mmx_platform_read_records(
+			data->str, data->len - cut, 8, collect_, seen, &next,
+			&end, &invalid));
+		CU_ASSERT_STRING_EQUAL(seen->str, "k=value@8 d=@10 ");
+		CU_ASSERT_EQUAL(next, 11);
+	}
+	CU_ASSERT_FALSE(mmx_platform_read_records(head, 15, 8, collect_, seen,
+						  &next, &end, &invalid));
+	g_free(record);
+	g_string_free(data, TRUE);
+	g_string_free(seen, TRUE);
+}
+
+CU_TestInfo mmx_tests_platform[] = {
+	{"announcements of targets", test_announcements_},
+	{"the operator's configuration", test_configuration_},
+	{"records of the store", test_records_},
+	CU_TEST_INFO_NULL,
+};
--- /dev/null
+++ b/src/test_libmasticmux/test_roster.c
@@ -0,0 +1,144 @@
+#include "suites.h"
+
+#include <glib.h>
+#include <string.h>
+
+#include "private/roster.h"
+
+typedef struct fixture_t {
+	mmx_clock_t *clock;
+	mmx_directory_t *directory;
+	mmx_roster_t *roster;
+} fixture_t;
+
+static fixture_t open_(void)
+{
+	fixture_t fixture = {.clock = mmx_clock_create_paused()};
+
+	fixture.directory = mmx_directory_create(fixture.clock);
+	fixture.roster = mmx_roster_create(fixture.directory);
+	return fixture;
+}
+
+static void close_(fixture_t *fixture)
+{
+	mmx_roster_destroy(fixture->roster);
+	mmx_directory_destroy(fixture->directory);
+	mmx_clock_destroy(fixture->clock);
+}
+
+#define NODE                                                \
+	"{\"node\":\"n1\",\"region\":\"r\",\"zone\":\"z\"," \
+	"\"address\":\"127.0.0.1:9\",\"targets\":"
+#define TARGET(name) "{\"name\":\"" name "\",\"service\":\"s\",\"slots\":3}"
+
+static size_t count_(const fixture_t *fixture)
+{
+	const mmx_directory_service_t *service =
+		mmx_directory_service(fixture->directory, "s");
+
+	return service ? mmx_directory_service_count(service) : 0;
+}
+
+/* Guards against targets that stay after their node's record has dropped
+ * them, and against an older record that takes effect again. */
+static void test_records_in_order_(void)
+{
+	static const struct {
+		const char *text;
+		uint64_t offset;
+		size_t targets;
+	} steps[] = {
+		{NODE "[" TARGET("a") "]}", 4, 1},
+		{NODE "[" TARGET("a") "," TARGET("b") "]}", 6, 2},
+		{NODE "[" TARGET("b") "]}", 7, 1},
+		{NODE "[" TARGET("a") "," TARGET("b") "]}", 6, 1},
+		{NODE "[]}", 9, 0},
+		{NODE "[" TARGET("a") "]}", 12, 1},
+	};
+	fixture_t fixture = open_();
+	mmx_error_t error;
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(steps); i++) {
+		CU_ASSERT_TRUE(mmx_roster_merge(fixture.roster, steps[i].text,
+						strlen(steps[i].text),
+						steps[i].offset, &error));
+		CU_ASSERT_EQUAL(count_(&fixture), steps[i].targets);
+	}
+	CU_ASSERT_PTR_NOT_NULL(
+		mmx_roster_find(fixture.roster, mmx_node_id("n1")));
+	mmx_roster_drop(fixture.roster, "n1", 13);
+	CU_ASSERT_EQUAL(count_(&fixture), 0);
+	CU_ASSERT_EQUAL(mmx_roster_count(fixture.roster), 0);
+	close_(&fixture);
+}
+
+/* Guards against records of other writers that change anything. */
+static void test_invalid_records_(void)
+{
+	static const char *const texts[] = {
+		"",
+		"7",
+		"{}",
+		"{\"node\":7}",
+		NODE "7}",
+		NODE "[7]}",
+		NODE "[{\"name\":\"a\",\"service\":\"s\",\"slots\":0}]}",
+		NODE "[{\"name\":\"a/b\",\"service\":\"s\",\"slots\":1}]}",
+		NODE "[" TARGET("a") ",{\"name\":\"b\"}]}",
+		"{\"node\":\"n1\",\"region\":\"r\",\"zone\":\"z\","
+		"\"address\":\"here\",\"targets\":[]}",
+	};
+	fixture_t fixture = open_();
+	mmx_error_t error = {MMX_ERROR_NONE, ""};
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(texts); i++) {
+		CU_ASSERT_FALSE(mmx_roster_merge(fixture.roster, texts[i],
+						 strlen(texts[i]), i, &error));
+		CU_ASSERT_NOT_EQUAL(error.text[0], '\0');
+	}
+	CU_ASSERT_EQUAL(count_(&fixture), 0);
+	CU_ASSERT_EQUAL(mmx_roster_count(fixture.roster), 0);
+	close_(&fixture);
+}
+
+/* Guards against a record that other nodes cannot read, and against targets
+ * that leave but stay announced. */
+static void test_encode_(void)
+{
+	mmx_roster_node_t node = {
+		.name = "n1",
+		.region = "r",
+		.zone = "z",
+		.address = {.host = "127.0.0.1", .port = 9},
+	};
+	mmx_target_record_t targets[] = {
+		{.name = "a",
+		 .service = "s",
+		 .slots = 3,
+		 .state = MMX_TARGET_WARM},
+		{.name = "b",
+		 .service = "s",
+		 .slots = 3,
+		 .state = MMX_TARGET_DRAINING},
+	};
+	fixture_t fixture = open_();
+	char *text = mmx_roster_encode(&node, targets, G_N_ELEMENTS(targets));
+	mmx_error_t error;
+
+	CU_ASSERT_STRING_EQUAL(text, NODE "[" TARGET("a") "]}");
+	CU_ASSERT_TRUE(mmx_roster_merge(fixture.roster, text, strlen(text), 1,
+					&error));
+	CU_ASSERT_EQUAL(count_(&fixture), 1);
+	g_free(text);
+	close_(&fixture);
+}
+
+CU_TestInfo mmx_tests_roster[] = {
+	{"records of a node in order", test_records_in_order_},
+	{"invalid records change nothing", test_invalid_records_},
+	{"records that are written", test_encode_},
+	CU_TEST_INFO_NULL,
+};
--- /dev/null
+++ b/src/test_libmasticmux/test_routing.c
@@ -0,0 +1,114 @@
+#include "suites.h"
+
+#include <glib.h>
+#include <string.h>
+
+#include "masticmux/fold.h"
+#include "masticmux/routing.h"
+
+static mmx_routing_t *sample_(uint64_t version)
+{
+	mmx_routing_t *routing = mmx_routing_create(version);
+	mmx_routing_rule_t *rule;
+
+	rule = mmx_routing_add(routing, "Cards.example", "/a/");
+	g_strlcpy(rule->name, "short", sizeof(rule->name));
+	mmx_routing_add_destination(rule, "cards", 1);
+	rule = mmx_routing_add(routing, "cards.example", "/a/b/");
+	g_strlcpy(rule->name, "long", sizeof(rule->name));
+	rule->repeatable = true;
+	rule->timeout = 3 * MMX_US_PER_S;
+	mmx_routing_add_destination(rule, "cards", 90);
+	mmx_routing_add_destination(rule, "tills", 10);
+	return routing;
+}
+
+/* Guards against requests that run at the service of another route. */
+static void test_longest_prefix_(void)
+{
+	static const struct {
+		const char *host;
+		const char *path;
+		const char *name; /* NULL: no route */
+	} cases[] = {
+		{"cards.example", "/a/x", "short"},
+		{"CARDS.example:8080", "/a/", "short"},
+		{"cards.example", "/a/b/c", "long"},
+		{"cards.example", "/a/b", "short"},
+		{"cards.example", "/a", NULL},
+		{"cards.example", "/", NULL},
+		{"cards.example", "/ab/", NULL},
+		{"tills.example", "/a/", NULL},
+	};
+	mmx_routing_t *routing = sample_(1);
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		const mmx_routing_rule_t *rule =
+			mmx_routing_find(routing, cases[i].host, cases[i].path);
+
+		CU_ASSERT_EQUAL(rule != NULL, cases[i].name != NULL);
+		if (rule && cases[i].name)
+			CU_ASSERT_STRING_EQUAL(rule->name, cases[i].name);
+	}
+	mmx_routing_destroy(routing);
+}
+
+/* Guards against weights that hold on average only: a split of 90 to 10 is
+ * kept within every ten requests. */
+static void test_weights_(void)
+{
+	mmx_routing_t *routing = sample_(1);
+	mmx_routing_rule_t *rule =
+		mmx_routing_find(routing, "cards.example", "/a/b/");
+	int n;
+
+	for (n = 0; n < 10; n++) {
+		int tills = 0;
+		int i;
+
+		for (i = 0; i < 10; i++)
+			tills += strcmp(mmx_routing_next_service(rule),
+					"tills") == 0;
+		CU_ASSERT_EQUAL(tills, 1);
+	}
+	mmx_routing_destroy(routing);
+}
+
+/* Guards against a configuration that reverts after a stale read. */
+static void test_versions_only_grow_(void)
+{
+	static const struct {
+		uint64_t version;
+		bool taken;
+		uint64_t in_force;
+	} steps[] = {{5, true, 5}, {9, true, 9}, {7, false, 9}, {9, false, 9}};
+	mmx_fold_t *fold = mmx_fold_create();
+	mmx_policy_t policy = {.floor_percent = 70};
+	mmx_route_t route;
+	size_t i;
+
+	CU_ASSERT_TRUE(mmx_fold_is_empty(fold));
+	for (i = 0; i < G_N_ELEMENTS(steps); i++) {
+		CU_ASSERT_EQUAL(mmx_fold_replace(fold,
+						 sample_(steps[i].version),
+						 &policy),
+				steps[i].taken);
+		CU_ASSERT_EQUAL(mmx_fold_applied(fold), steps[i].in_force);
+	}
+	CU_ASSERT_TRUE(mmx_fold_route(fold, "cards.example", "/a/b/", &route));
+	CU_ASSERT_EQUAL(route.timeout, 3 * MMX_US_PER_S);
+	CU_ASSERT_EQUAL(route.policy.floor_percent, 70);
+	CU_ASSERT_TRUE(route.policy.repeatable &
+		       MMX_METHOD_BIT(MMX_METHOD_POST));
+	CU_ASSERT_TRUE(mmx_fold_route(fold, "cards.example", "/a/", &route));
+	CU_ASSERT_EQUAL(route.policy.repeatable, 0);
+	mmx_fold_destroy(fold);
+}
+
+CU_TestInfo mmx_tests_routing[] = {
+	{"the longest prefix wins", test_longest_prefix_},
+	{"weights hold within short spans", test_weights_},
+	{"a version never reverts", test_versions_only_grow_},
+	CU_TEST_INFO_NULL,
+};
--- a/src/test_libmasticmux/wire_samples.c
+++ b/src/test_libmasticmux/wire_samples.c
@@ -34,6 +34,8 @@
 	execute->repeatable = true;
 	execute->trial = true;
 	execute->remaining = 1234567;
+	execute->patience = 89;
+	execute->priority = 7;
 	memset(execute->trace.trace_id, 0xab, 16);
 	memset(execute->trace.span_id, 0xcd, 8);
 	execute->trace.flags = 1;
