Log one line for each request

Cause: a failed request could not be explained from the logs.

Change: the entry writes one line per request with its id, route, service, configuration version, attempts with their results, status, outcome, reason, time taken and time left. The log goes to standard output, is limited to 200 lines a second, counts what it drops and never blocks on a slow reader.

--- a/include/masticmux/log.h
+++ b/include/masticmux/log.h
@@ -8,6 +8,7 @@
 #ifndef MASTICMUX_LOG_H
 #define MASTICMUX_LOG_H
 
+#include <stdint.h>
 #include <stdio.h>
 
 #include "masticmux/clock.h"
@@ -35,7 +36,22 @@
 void mmx_log_destroy(mmx_log_t *log);
 
 /**
- * Writes one line. Valid with log NULL: then nothing is written.
+ * Bounds the volume: lines beyond it are counted and dropped, and a line
+ * "log_dropped" tells the count as soon as lines are written again. Without
+ * this call every line is written.
+ *
+ * @param per_second  lines that are allowed in the long run, 1 or more
+ * @param burst       lines that are allowed at once, 1 or more
+ */
+void mmx_log_set_limit(mmx_log_t *log, unsigned int per_second,
+		       unsigned int burst);
+
+/** Lines dropped so far: beyond the limit, or because the reader is slow. */
+uint64_t mmx_log_dropped(const mmx_log_t *log);
+
+/**
+ * Writes one line; never blocks on a pipe whose reader is slow. Valid with log
+ * NULL: then nothing is written.
  *
  * @param event  name of the change of state, in snake_case
  * @param ...    pairs of const char * key and value, ended by NULL; a NULL
--- a/src/libmasticmux/entry.c
+++ b/src/libmasticmux/entry.c
@@ -27,6 +27,7 @@
 	mmx_counters_t *counters;
 	struct mmx_trace_t *trace;
 	mmx_history_t *history;
+	mmx_log_t *log;
 	const mmx_guards_t *guards;
 	const mmx_view_members_ops_t *members;
 	void *members_context;
@@ -82,6 +83,8 @@
 	mmx_head_destroy(exchange->answer_head);
 	evbuffer_free(exchange->body);
 	evbuffer_free(exchange->answer_body);
+	if (exchange->steps)
+		g_string_free(exchange->steps, TRUE);
 	g_free(exchange->host);
 	g_free(exchange->path);
 	g_free(exchange);
@@ -489,6 +492,19 @@
 	return true;
 }
 
+bool mmx_entry_set_log(mmx_entry_t *entry, mmx_log_t *log)
+{
+	if (entry->running)
+		return false;
+	entry->log = log;
+	return true;
+}
+
+mmx_log_t *mmx_entry_log(const mmx_entry_t *entry)
+{
+	return entry->log;
+}
+
 bool mmx_entry_set_claims(mmx_entry_t *entry, mmx_task_t *claims)
 {
 	if (entry->running)
--- a/src/libmasticmux/entry_trace.c
+++ b/src/libmasticmux/entry_trace.c
@@ -1,5 +1,6 @@
 /* Spans and history of a request at its entry. */
 #include <glib.h>
+#include <inttypes.h>
 
 #include "masticmux/directory.h"
 #include "private/entry.h"
@@ -30,10 +31,59 @@
 	return target ? mmx_directory_target_name(target) : "(left)";
 }
 
+/* Longest text of attempts in a line of the log, bytes. */
+#define STEPS_MAX 512
+
+/* Adds to the attempts that the line of the request shows. */
+static void add_step_(mmx_exchange_t *exchange, const char *separator,
+		      const char *text)
+{
+	if (!mmx_entry_log(exchange->owner))
+		return;
+	if (!exchange->steps)
+		exchange->steps = g_string_new(NULL);
+	if (exchange->steps->len > STEPS_MAX)
+		return;
+	if (exchange->steps->len > 0)
+		g_string_append(exchange->steps, separator);
+	g_string_append(exchange->steps, text);
+}
+
+/* One line for a request: who, what decided, how old that was, the outcome. */
+static void log_answer_(const mmx_exchange_t *exchange, int status,
+			mmx_outcome_t outcome, mmx_reason_t reason,
+			mmx_time_t took)
+{
+	mmx_log_t *log = mmx_entry_log(exchange->owner);
+	char version[24];
+	char code[12];
+	char spent[24];
+	char left[24];
+
+	if (!log)
+		return;
+	g_snprintf(version, sizeof(version), "%" PRIu64,
+		   exchange->configuration);
+	g_snprintf(code, sizeof(code), "%d", status);
+	g_snprintf(spent, sizeof(spent), "%lld",
+		   (long long)(took / MMX_US_PER_MS));
+	g_snprintf(left, sizeof(left), "%lld",
+		   (long long)((exchange->deadline - exchange->started - took) /
+			       MMX_US_PER_MS));
+	mmx_log_event(log, MMX_LOG_INFO, "request", "id", exchange->id, "route",
+		      exchange->route, "service", exchange->service,
+		      "configuration", version, "attempts",
+		      exchange->steps ? exchange->steps->str : "", "status",
+		      code, "outcome", mmx_outcome_string[outcome], "reason",
+		      mmx_reason_string[reason], "took_ms", spent, "left_ms",
+		      left, NULL);
+}
+
 void mmx_entry_trace_attempt(mmx_exchange_t *exchange)
 {
 	mmx_trace_t *trace = mmx_entry_trace(exchange->owner);
 
+	add_step_(exchange, ",", target_name_(exchange));
 	if (!trace)
 		return;
 	exchange->attempt_span = mmx_span_start(trace, &exchange->trace,
@@ -63,6 +113,7 @@
 void mmx_entry_trace_note(mmx_exchange_t *exchange, const char *key,
 			  const char *value)
 {
+	add_step_(exchange, ":", value);
 	mmx_span_set_text(exchange->attempt_span, key, value);
 	mmx_history_request(mmx_entry_history(exchange->owner),
 			    exchange->trace.trace_id, "attempt %u %s: %s",
@@ -75,11 +126,12 @@
 	char text[MMX_TRACEPARENT_SIZE];
 	mmx_time_t took;
 
-	if (!mmx_entry_trace(exchange->owner))
-		return;
 	took = mmx_clock_now(
 		       mmx_runtime_clock(mmx_entry_runtime(exchange->owner))) -
 	       exchange->started;
+	log_answer_(exchange, head->status, outcome, reason, took);
+	if (!mmx_entry_trace(exchange->owner))
+		return;
 	mmx_traceparent_format(&exchange->trace, text);
 	mmx_head_remove(head, "traceparent");
 	mmx_head_add(head, "traceparent", text);
--- a/src/libmasticmux/filter_attempt.c
+++ b/src/libmasticmux/filter_attempt.c
@@ -543,6 +543,7 @@
 		if (!response->body_end)
 			send_cancel_(self, exchange);
 		mmx_view_completed(self->view, exchange->target, 0, true);
+		mmx_entry_trace_note(exchange, "replaced", "failed-status");
 		repeat_(self, exchange, MMX_REASON_TARGET_FAILED);
 		return;
 	}
--- a/src/libmasticmux/include/private/entry.h
+++ b/src/libmasticmux/include/private/entry.h
@@ -63,6 +63,9 @@
 bool mmx_entry_set_trace(mmx_entry_t *entry, struct mmx_trace_t *trace);
 bool mmx_entry_set_history(mmx_entry_t *entry, mmx_history_t *history);
 
+/* One line for each request that has ended; without it none. */
+bool mmx_entry_set_log(mmx_entry_t *entry, mmx_log_t *log);
+
 /* Asserts that http, local exit, fold and directory were set. */
 void mmx_entry_init(mmx_entry_t *entry);
 
@@ -147,6 +150,7 @@
 
 struct mmx_trace_t *mmx_entry_trace(const mmx_entry_t *entry);
 mmx_history_t *mmx_entry_history(const mmx_entry_t *entry);
+mmx_log_t *mmx_entry_log(const mmx_entry_t *entry);
 
 /* What the attempt filter needs of its entry. */
 mmx_runtime_t *mmx_entry_runtime(const mmx_entry_t *entry);
--- a/src/libmasticmux/include/private/exchange.h
+++ b/src/libmasticmux/include/private/exchange.h
@@ -2,6 +2,8 @@
 #ifndef MASTICMUX_PRIVATE_EXCHANGE_H
 #define MASTICMUX_PRIVATE_EXCHANGE_H
 
+#include <glib.h>
+
 #include "masticmux/fold.h"
 #include "private/messages.h"
 
@@ -79,6 +81,7 @@
 	unsigned int offers;  /* attempts that reached a target, or may have */
 	bool may_have_run;    /* an ended attempt may have run */
 	mmx_reason_t refusal; /* of the latest attempt */
+	GString *steps; /* attempts and how they ended, for the log; or NULL */
 	mmx_head_t *answer_head; /* held until the body is whole or too long */
 	struct evbuffer *answer_body;
 	uint64_t claim_offset;	  /* of the claim to be superseded, or 0 */
--- a/src/libmasticmux/node.c
+++ b/src/libmasticmux/node.c
@@ -17,6 +17,9 @@
 
 /* A planned stop ends this long before the process would be killed. */
 #define STOP_MARGIN_US (500 * MMX_US_PER_MS)
+/* A few lines for each request at the usual rates; more is sampled away. */
+#define LOG_LINES_PER_S 200
+#define LOG_LINES_BURST 400
 /* Fast detection: targets that fail for seconds are usual here. */
 #define DETECTION_WEIGHT 100
 /* Nothing is in progress in the second step, only bytes may be unsent. */
@@ -182,6 +185,7 @@
 	node->clock = mmx_runtime_clock(node->runtime);
 	node->counters = mmx_counters_create();
 	node->log = mmx_log_create(node->clock, stdout, MMX_LOG_INFO);
+	mmx_log_set_limit(node->log, LOG_LINES_PER_S, LOG_LINES_BURST);
 	node->history = mmx_history_create(node->clock, HISTORY_REQUEST_EVENTS,
 					   HISTORY_TARGET_EVENTS);
 	mmx_random_seed(&node->random, random_seed_());
--- a/src/libmasticmux/part_path.c
+++ b/src/libmasticmux/part_path.c
@@ -123,6 +123,7 @@
 	mmx_entry_set_dialect(
 		node->entry, node->dialect,
 		node->settings->service[0] ? node->settings->service : NULL);
+	mmx_entry_set_log(node->entry, node->log);
 	if (node->store)
 		mmx_entry_set_retry_reserve(node->entry, &node->retry_reserve);
 	mmx_entry_set_trace(node->entry, node->trace);
