Keep the retry budget at the exits

Cause: the budget of a service binds all nodes together. Queued calls of 31 ms were refused because the mean run time of their target, which also runs requests of 500 ms, left no headroom.

Change: each exit keeps its target's part of the budget. An entry marks what is sent again, and tells how likely a request is a call of a run that is itself a repeat, from the objectives of what runs beside it; that share is charged. Run times are kept per route. An exit's refusal costs no repeat.

--- a/include/masticmux/retry.h
+++ b/include/masticmux/retry.h
@@ -23,9 +23,9 @@
 /** State of one budget; members are private. */
 typedef struct mmx_retry_t {
 	mmx_time_t refilled;
-	uint32_t hundredths; /**< of a token */
+	int32_t hundredths; /**< of a token; below 0 when overdrawn */
 	uint8_t percent;
-	uint32_t shared_max; /**< hundredths; 0: not shared */
+	int32_t shared_max; /**< hundredths; 0: not shared */
 } mmx_retry_t;
 
 /**
@@ -46,6 +46,14 @@
  */
 void mmx_retry_set_shared(mmx_retry_t *retry, uint32_t reserve);
 
+/**
+ * Charges a repeat, or a part of one, that cannot be refused; the budget may
+ * be overdrawn by its bound.
+ *
+ * @param hundredths  of a token
+ */
+void mmx_retry_charge(mmx_retry_t *retry, uint32_t hundredths);
+
 /** Reports one request; counts in a shared budget only. */
 void mmx_retry_request(mmx_retry_t *retry);
 
--- a/include/masticmux/types.h
+++ b/include/masticmux/types.h
@@ -68,8 +68,9 @@
 	MMX_REASON_FENCED,
 	MMX_REASON_FORGOTTEN,
 	MMX_REASON_DRAINING,
-	MMX_REASON_BUSY,    /**< no slot within the patience of the entry */
-	MMX_REASON_SUSPECT, /**< the target probably fails for now */
+	MMX_REASON_BUSY, /**< no slot within the patience of the entry */
+	MMX_REASON_RETRY_BUDGET, /**< the budget for repeats is used up */
+	MMX_REASON_SUSPECT,	 /**< the target probably fails for now */
 	MMX_REASON_COUNT
 } mmx_reason_t;
 
--- a/src/libmasticmux/entry.c
+++ b/src/libmasticmux/entry.c
@@ -36,7 +36,9 @@
 	mmx_filter_t *attempt_filter;
 	const mmx_dialect_t *dialect;
 	const char *caller_service;
-	const uint32_t *retry_reserve;
+	bool budget_at_exits;
+	mmx_repeat_share_fn_t repeat_share;
+	void *repeat_context;
 	uint64_t next_sequence;
 	GHashTable *by_request;	 /* of mmx_exchange_t */
 	GHashTable *by_sequence; /* of mmx_exchange_t with an attempt */
@@ -580,11 +582,28 @@
 	return true;
 }
 
-bool mmx_entry_set_retry_reserve(mmx_entry_t *entry, const uint32_t *reserve)
+bool mmx_entry_set_repeat_share(mmx_entry_t *entry, mmx_repeat_share_fn_t fn,
+				void *context)
 {
 	if (entry->running)
 		return false;
-	entry->retry_reserve = reserve;
+	entry->repeat_share = fn;
+	entry->repeat_context = context;
+	return true;
+}
+
+uint8_t mmx_entry_repeat_share(const mmx_entry_t *entry, mmx_time_t objective)
+{
+	return entry->repeat_share
+		       ? entry->repeat_share(entry->repeat_context, objective)
+		       : 0;
+}
+
+bool mmx_entry_set_budget_at_exits(mmx_entry_t *entry, bool at_exits)
+{
+	if (entry->running)
+		return false;
+	entry->budget_at_exits = at_exits;
 	return true;
 }
 
@@ -609,7 +628,7 @@
 		.members = entry->members,
 		.members_context = entry->members_context,
 		.guards = entry->guards,
-		.retry_reserve = entry->retry_reserve,
+		.budget_at_exits = entry->budget_at_exits,
 	});
 	entry->attempt_filter = mmx_filter_attempt_create(entry);
 	mmx_pipeline_add(&entry->pipeline,
--- a/src/libmasticmux/exit_attempt.c
+++ b/src/libmasticmux/exit_attempt.c
@@ -5,6 +5,13 @@
 #include <glib.h>
 #include <string.h>
 
+/*
+ * Part of the retry budget that exits hand out. The rest covers calls that
+ * count as repeats without being recognised, and exits that know only some of
+ * the targets of their service yet.
+ */
+#define BUDGET_USED_PERCENT 75
+
 /* --- responses --------------------------------------------------------- */
 
 void mmx_exit_post_response(mmx_exit_t *exit, mmx_response_t *response,
@@ -137,6 +144,10 @@
 	mmx_exit_trace_started(exit, attempt, call->head);
 	evbuffer_add_buffer(call->body, execute->body);
 	call->body_end = execute->body_end;
+	if (!execute->repeat) {
+		mmx_retry_request(&target->retry);
+		mmx_retry_charge(&target->retry, execute->inherited);
+	}
 	mmx_counter_add(exit->started, 1);
 	mmx_task_post(exit->client, &call->message);
 }
@@ -145,7 +156,10 @@
  * likely to end before its deadline. */
 static mmx_time_t needed_(const mmx_attempt_t *attempt, mmx_time_t now)
 {
-	return attempt->arrived < now ? attempt->target->mean_service : 0;
+	return attempt->arrived < now
+		       ? mmx_exit_target_run_time(attempt->target,
+						  attempt->execute->route)
+		       : 0;
 }
 
 void mmx_exit_start_queued(mmx_exit_t *exit, mmx_exit_target_t *target)
@@ -204,6 +218,27 @@
 	       target->queued > 0;
 }
 
+/* The budget counts what targets get, and a target sees all of its share. */
+static bool take_retry_(const mmx_exit_t *exit, mmx_exit_target_t *target)
+{
+	const char *service = target->record.service;
+	mmx_policy_t policy;
+	uint32_t reserve;
+
+	if (!exit->observer || !exit->observer->retry_reserve)
+		return true;
+	if (exit->fold && *exit->fold &&
+	    mmx_fold_service(*exit->fold, service, &policy))
+		mmx_retry_set_percent(&target->retry,
+				      (uint8_t)(policy.retry_percent *
+						BUDGET_USED_PERCENT / 100));
+	reserve =
+		exit->observer->retry_reserve(exit->observer_context, service);
+	mmx_retry_set_shared(&target->retry,
+			     reserve * BUDGET_USED_PERCENT / 100);
+	return mmx_retry_take(&target->retry, mmx_clock_now(exit->clock));
+}
+
 static mmx_reason_t admit_(mmx_exit_t *exit, const mmx_execute_t *execute,
 			   mmx_exit_target_t **target)
 {
@@ -214,6 +249,7 @@
 		.patience = execute->patience,
 		.priority = execute->priority,
 		.repeatable = execute->repeatable,
+		.route = execute->route,
 	};
 	mmx_reason_t reason;
 
@@ -239,6 +275,9 @@
 	if (reason == MMX_REASON_NONE && exit->episodes &&
 	    must_avoid_(exit, *target, execute))
 		return MMX_REASON_SUSPECT;
+	if (reason == MMX_REASON_NONE && execute->repeat &&
+	    !take_retry_(exit, *target))
+		return MMX_REASON_RETRY_BUDGET;
 	if (reason == MMX_REASON_DRAINING && !exit->guards->draining)
 		return MMX_REASON_NONE;
 	return reason;
@@ -470,6 +509,34 @@
 		mmx_exit_refuse_queued(exit, attempt, MMX_REASON_DRAINING);
 }
 
+typedef struct repeats_t {
+	mmx_time_t objective;
+	unsigned int running;
+	unsigned int repeats;
+} repeats_t;
+
+static void count_repeat_(mmx_attempt_t *attempt, void *arg)
+{
+	repeats_t *repeats = arg;
+
+	if (attempt->state != MMX_ATTEMPT_RUNNING ||
+	    attempt->execute->objective <= repeats->objective)
+		return;
+	repeats->running++;
+	repeats->repeats += attempt->execute->repeat;
+}
+
+uint8_t mmx_exit_repeat_share(const mmx_exit_t *exit, mmx_time_t objective)
+{
+	repeats_t repeats = {.objective = objective};
+
+	if (objective > 0)
+		mmx_attempts_each_open(exit->attempts, count_repeat_, &repeats);
+	return repeats.running
+		       ? (uint8_t)(100 * repeats.repeats / repeats.running)
+		       : 0;
+}
+
 static void collect_running_(mmx_attempt_t *attempt, void *arg)
 {
 	if (attempt->state == MMX_ATTEMPT_RUNNING)
--- a/src/libmasticmux/exit_call.c
+++ b/src/libmasticmux/exit_call.c
@@ -147,7 +147,8 @@
 	response->target_time = now - attempt->started;
 	if (end)
 		mmx_exit_target_note_service(attempt->target,
-					     now - attempt->started);
+					     attempt->execute->route,
+					     now - attempt->started, now);
 	if (!attempt->abandoned)
 		mmx_exit_post_response(exit, response, attempt->target,
 				       &attempt->origin);
@@ -204,9 +205,10 @@
 		mmx_attempts_drop_answer(exit->attempts, attempt);
 	} else {
 		attempt->completed = true;
-		mmx_exit_target_note_service(attempt->target,
-					     mmx_clock_now(exit->clock) -
-						     attempt->started);
+		mmx_exit_target_note_service(
+			attempt->target, attempt->execute->route,
+			mmx_clock_now(exit->clock) - attempt->started,
+			mmx_clock_now(exit->clock));
 	}
 	mmx_exit_end_running(exit, attempt, MMX_ATTEMPT_FINISHED);
 }
--- a/src/libmasticmux/exit_target.c
+++ b/src/libmasticmux/exit_target.c
@@ -77,15 +77,17 @@
 }
 
 /* Whether a request that finds this many before it may queue. */
-static bool may_wait_(const mmx_exit_target_t *target, unsigned int ahead,
-		      unsigned int slots, mmx_time_t remaining,
-		      mmx_time_t patience)
+static bool may_wait_(const mmx_exit_target_t *target,
+		      const mmx_exit_request_t *request, unsigned int ahead,
+		      unsigned int slots, mmx_time_t patience)
 {
+	mmx_time_t remaining = request->remaining;
+	mmx_time_t run = mmx_exit_target_run_time(target, request->route);
 	mmx_time_t wait = target->mean_service * (ahead + 1) / slots;
 
 	return ahead < MMX_EXIT_QUEUE_MAX && wait <= patience &&
 	       wait <= remaining / QUEUE_SHARE &&
-	       wait + START_HEADROOM * target->mean_service <= remaining;
+	       wait + START_HEADROOM * run <= remaining;
 }
 
 static mmx_reason_t admit_limited_(const mmx_exit_target_t *target,
@@ -96,9 +98,9 @@
 		MIN(mmx_limits_ceiling(&request->share, target->record.slots),
 		    mmx_exit_target_slots(target, now));
 
-	if (!may_wait_(target,
+	if (!may_wait_(target, request,
 		       mmx_limits_queued(target->limits, request->account),
-		       slots, request->remaining, request->patience))
+		       slots, request->patience))
 		return MMX_REASON_ACCOUNT_LIMIT;
 	return MMX_REASON_NONE;
 }
@@ -138,11 +140,9 @@
 	}
 	if (target->in_progress < slots && ahead == 0)
 		return MMX_REASON_NONE;
-	if (may_wait_(target, ahead, slots, request->remaining,
-		      request->patience))
+	if (may_wait_(target, request, ahead, slots, request->patience))
 		return MMX_REASON_NONE;
-	return may_wait_(target, ahead, slots, request->remaining,
-			 request->remaining)
+	return may_wait_(target, request, ahead, slots, request->remaining)
 		       ? MMX_REASON_BUSY
 		       : MMX_REASON_OVERLOADED;
 }
@@ -232,13 +232,52 @@
 	target->leaving = leaving;
 }
 
-void mmx_exit_target_note_service(mmx_exit_target_t *target, mmx_time_t took)
+static void smooth_(mmx_time_t *mean, mmx_time_t took)
 {
-	if (target->mean_service == 0)
-		target->mean_service = took;
+	if (*mean == 0)
+		*mean = took;
 	else
-		target->mean_service +=
-			(took - target->mean_service) / SERVICE_SMOOTHING;
+		*mean += (took - *mean) / SERVICE_SMOOTHING;
+}
+
+/* The entry of a route; one that is new takes the place used longest ago. */
+static mmx_route_time_t *route_time_(mmx_exit_target_t *target, uint32_t route)
+{
+	mmx_route_time_t *oldest = &target->routes[0];
+	size_t i;
+
+	for (i = 0; i < MMX_EXIT_ROUTES_MAX; i++) {
+		if (target->routes[i].route == route)
+			return &target->routes[i];
+		if (target->routes[i].used < oldest->used)
+			oldest = &target->routes[i];
+	}
+	*oldest = (mmx_route_time_t){.route = route};
+	return oldest;
+}
+
+void mmx_exit_target_note_service(mmx_exit_target_t *target, uint32_t route,
+				  mmx_time_t took, mmx_time_t now)
+{
+	mmx_route_time_t *known;
+
+	smooth_(&target->mean_service, took);
+	if (route == 0)
+		return;
+	known = route_time_(target, route);
+	smooth_(&known->mean, took);
+	known->used = now;
+}
+
+mmx_time_t mmx_exit_target_run_time(const mmx_exit_target_t *target,
+				    uint32_t route)
+{
+	size_t i;
+
+	for (i = 0; route && i < MMX_EXIT_ROUTES_MAX; i++)
+		if (target->routes[i].route == route && target->routes[i].mean)
+			return target->routes[i].mean;
+	return target->mean_service;
 }
 
 void mmx_exit_target_report(const mmx_exit_target_t *target,
--- a/src/libmasticmux/fault.c
+++ b/src/libmasticmux/fault.c
@@ -6,7 +6,7 @@
 /* Share of the targets that are in an episode at any time. */
 #define USUAL_SHARE 0.1
 /* Mean length of an episode: some seconds. */
-#define EPISODE_US (4 * MMX_US_PER_S)
+#define EPISODE_US (6 * MMX_US_PER_S)
 /* An episode may begin and end at any time, so that no series of results makes
  * either state certain: one broken connection always makes a target suspect. */
 #define PROBABILITY_MIN 0.03
--- a/src/libmasticmux/filter_attempt.c
+++ b/src/libmasticmux/filter_attempt.c
@@ -92,6 +92,10 @@
 		remaining - margin_(remaining, DEADLINE_MARGIN_MAX_US);
 	execute->keyed = exchange->key[0] != '\0';
 	execute->priority = exchange->priority;
+	execute->repeat = exchange->offers > 0;
+	execute->inherited = exchange->inherited;
+	execute->objective = exchange->objective;
+	execute->route = exchange->route[0] ? g_str_hash(exchange->route) : 0;
 	execute->patience = patience_(exchange, execute->remaining);
 	execute->trial = exchange->trial;
 	execute->peers = mmx_view_summary(self->view, exchange->target);
@@ -183,6 +187,7 @@
 	case MMX_REASON_DRAINING:
 		return MMX_REASON_NO_CAPACITY;
 	case MMX_REASON_BUSY:
+	case MMX_REASON_RETRY_BUDGET:
 	case MMX_REASON_SUSPECT:
 		return MMX_REASON_OVERLOADED;
 	case MMX_REASON_FENCED:
@@ -232,7 +237,9 @@
 	case MMX_REASON_BAD_REQUEST:
 		return false;
 	case MMX_REASON_OVERLOADED:
-		return exchange->refusals++ == 0 ||
+		/* An exit that knows the routes refuses what costs its target
+		 * nothing. */
+		return exchange->objective > 0 || exchange->refusals++ == 0 ||
 		       mmx_view_take_retry(self->view, exchange->service);
 	default:
 		return true;
@@ -640,6 +647,8 @@
 	mmx_attempt_filter_t *self = (mmx_attempt_filter_t *)filter;
 
 	mmx_timer_init(&exchange->timer, self->clock, on_timer_, exchange);
+	exchange->inherited =
+		mmx_entry_repeat_share(self->entry, exchange->objective);
 	try_next_(self, exchange);
 	return MMX_FILTER_WAIT;
 }
--- a/src/libmasticmux/include/private/entry.h
+++ b/src/libmasticmux/include/private/entry.h
@@ -53,8 +53,17 @@
 bool mmx_entry_set_dialect(mmx_entry_t *entry, const mmx_dialect_t *dialect,
 			   const char *caller_service);
 
-/* See mmx_view_config_t; read whenever it is used. */
-bool mmx_entry_set_retry_reserve(mmx_entry_t *entry, const uint32_t *reserve);
+/*
+ * Share in percent of the requests running beside this node, with a longer
+ * objective than the one given, that are repeats; see mmx_exit_repeat_share().
+ */
+typedef uint8_t (*mmx_repeat_share_fn_t)(void *context, mmx_time_t objective);
+bool mmx_entry_set_repeat_share(mmx_entry_t *entry, mmx_repeat_share_fn_t fn,
+				void *context);
+uint8_t mmx_entry_repeat_share(const mmx_entry_t *entry, mmx_time_t objective);
+
+/* See mmx_view_config_t. */
+bool mmx_entry_set_budget_at_exits(mmx_entry_t *entry, bool at_exits);
 
 /* For tests only; what it points to outlives the entry. */
 bool mmx_entry_set_guards(mmx_entry_t *entry, const mmx_guards_t *guards);
--- a/src/libmasticmux/include/private/exchange.h
+++ b/src/libmasticmux/include/private/exchange.h
@@ -55,6 +55,7 @@
 	bool repeatable;
 	unsigned int offers_max; /* targets it may be offered to */
 	uint8_t priority;
+	uint8_t inherited;	   /* see EXECUTE */
 	mmx_time_t objective;	   /* wanted latency; 0: none */
 	mmx_time_t timeout;	   /* of the route; 0: none */
 	mmx_trace_context_t trace; /* parent of the attempts' spans */
--- a/src/libmasticmux/include/private/exit.h
+++ b/src/libmasticmux/include/private/exit.h
@@ -27,6 +27,9 @@
 typedef struct mmx_exit_observer_ops_t {
 	void (*target_changed)(void *context,
 			       const mmx_target_record_t *record);
+	/* Part of a target of this service in the reserve of the service's
+	 * retry budget, hundredths of an attempt; NULL: entries keep it. */
+	uint32_t (*retry_reserve)(void *context, const char *service);
 } mmx_exit_observer_ops_t;
 
 mmx_exit_t *mmx_exit_create(mmx_runtime_t *runtime, mmx_node_id_t node,
@@ -81,6 +84,14 @@
 /* Requests queued or running at a target; all targets if name is NULL. */
 size_t mmx_exit_in_progress(const mmx_exit_t *exit, const char *name);
 
+/*
+ * Share in percent of the running requests with a longer objective than the
+ * one given that are repeats. A call that a target makes for a request has a
+ * shorter objective than that request, so this is the probability that a
+ * request from this instance is such a call of a repeat.
+ */
+uint8_t mmx_exit_repeat_share(const mmx_exit_t *exit, mmx_time_t objective);
+
 /* Load of a target as it would be reported now; false when unknown. */
 bool mmx_exit_load(const mmx_exit_t *exit, mmx_target_id_t id,
 		   mmx_load_report_t *report);
--- a/src/libmasticmux/include/private/exit_target.h
+++ b/src/libmasticmux/include/private/exit_target.h
@@ -10,6 +10,7 @@
 #include "masticmux/fold.h"
 #include "masticmux/detection.h"
 #include "masticmux/latency.h"
+#include "masticmux/retry.h"
 #include "private/attempts.h"
 #include "private/fault.h"
 
@@ -21,6 +22,16 @@
  */
 #define MMX_EXIT_LEAVE_QUEUE_US (2 * MMX_US_PER_S)
 
+/* Routes whose run time is known apart from that of the others. */
+#define MMX_EXIT_ROUTES_MAX 16
+
+/* Smoothed run time of the requests of one route. */
+typedef struct mmx_route_time_t {
+	uint32_t route; /* 0: unused */
+	mmx_time_t mean;
+	mmx_time_t used; /* time of the latest sample */
+} mmx_route_time_t;
+
 typedef struct mmx_exit_target_t {
 	LIST_ENTRY(mmx_exit_target_t) entry;
 	mmx_target_record_t record;
@@ -41,6 +52,8 @@
 	mmx_limits_t *limits;
 	mmx_attempt_list_t queue;
 	mmx_time_t mean_service; /* smoothed time of a completed call */
+	mmx_route_time_t routes[MMX_EXIT_ROUTES_MAX];
+	mmx_retry_t retry; /* this target's part of the retry budget */
 	mmx_fault_t fault;
 	bool suspect;		    /* as entries were told */
 	uint8_t weight;		    /* of detection, from the policy */
@@ -77,6 +90,7 @@
 	mmx_time_t patience; /* longest wait in the queue */
 	uint8_t priority;
 	bool repeatable;
+	uint32_t route; /* 0: unknown */
 } mmx_exit_request_t;
 
 mmx_limits_class_t mmx_exit_target_class(const mmx_exit_target_t *target,
@@ -101,8 +115,13 @@
 			   mmx_time_t now);
 void mmx_exit_target_unqueue(mmx_exit_target_t *target, mmx_attempt_t *attempt);
 
-/* Notes a completed call that took this long. */
-void mmx_exit_target_note_service(mmx_exit_target_t *target, mmx_time_t took);
+/* Notes a completed call of a route that took this long. */
+void mmx_exit_target_note_service(mmx_exit_target_t *target, uint32_t route,
+				  mmx_time_t took, mmx_time_t now);
+
+/* Expected run time of a request: that of its route, if any has completed. */
+mmx_time_t mmx_exit_target_run_time(const mmx_exit_target_t *target,
+				    uint32_t route);
 
 /*
  * True while queued requests may still start. A target that leaves works
--- a/src/libmasticmux/include/private/messages.h
+++ b/src/libmasticmux/include/private/messages.h
@@ -107,8 +107,14 @@
 	char service[MMX_NAME_MAX + 1];
 	char account[MMX_NAME_MAX + 1]; /* empty: none named */
 	bool repeatable;
-	bool keyed; /* a claim on an Idempotency-Key names this attempt */
-	bool trial; /* reinstatement trial of an ejected target */
+	bool keyed;  /* a claim on an Idempotency-Key names this attempt */
+	bool trial;  /* reinstatement trial of an ejected target */
+	bool repeat; /* another target has got the request before */
+	/* Probability in percent that the request is a call of a target that
+	 * runs a repeat: then it counts as one too. */
+	uint8_t inherited;
+	mmx_time_t objective; /* wanted latency of the route; 0: none */
+	uint32_t route;	      /* equal for requests of one route; 0: unknown */
 	mmx_time_t remaining; /* until the caller gives up, microseconds */
 	mmx_time_t patience;  /* longest wait for a slot at the exit */
 	uint8_t priority;     /* see MMX_PRIORITY_FIRST */
--- a/src/libmasticmux/include/private/node_parts.h
+++ b/src/libmasticmux/include/private/node_parts.h
@@ -84,7 +84,6 @@
 	const mmx_settings_t *settings;
 	char *settings_path; /* read again on SIGHUP; NULL: not */
 	mmx_node_limits_t limits;
-	uint32_t retry_reserve; /* part of this node, hundredths */
 	struct event_base *base;
 	mmx_runtime_t *runtime;
 	mmx_clock_t *clock;
--- a/src/libmasticmux/include/private/view.h
+++ b/src/libmasticmux/include/private/view.h
@@ -37,9 +37,8 @@
 	const mmx_view_members_ops_t *members; /* NULL: all near, available */
 	void *members_context;
 	const mmx_guards_t *guards;
-	/* This node's part of the fleet's retry reserve, hundredths of an
-	 * attempt; NULL: each node has a budget of its own. */
-	const uint32_t *retry_reserve;
+	/* The exits keep the retry budget; else this entry does. */
+	bool budget_at_exits;
 } mmx_view_config_t;
 
 typedef struct mmx_view_t mmx_view_t;
--- a/src/libmasticmux/part_path.c
+++ b/src/libmasticmux/part_path.c
@@ -37,7 +37,24 @@
 		mmx_part_fleet_announce(node, record);
 }
 
-static const mmx_exit_observer_ops_t observer_ops_ = {target_changed_};
+/* Targets of a service share the reserve of its retry budget evenly. */
+static uint32_t retry_reserve_(void *context, const char *service)
+{
+	const mmx_node_t *node = context;
+	const mmx_directory_service_t *targets =
+		mmx_directory_service(node->directory, service);
+	size_t count = targets ? mmx_directory_service_count(targets) : 0;
+
+	return (uint32_t)(node->limits.retry_reserve * 100 / MAX(count, 1));
+}
+
+static const mmx_exit_observer_ops_t observer_ops_ = {
+	.target_changed = target_changed_,
+};
+static const mmx_exit_observer_ops_t budget_observer_ops_ = {
+	.target_changed = target_changed_,
+	.retry_reserve = retry_reserve_,
+};
 
 static mmx_ring_t ring_(void *context, mmx_node_id_t id)
 {
@@ -83,6 +100,13 @@
 	.incarnation = incarnation_,
 };
 
+static uint8_t repeat_share_(void *context, mmx_time_t objective)
+{
+	const mmx_node_t *node = context;
+
+	return mmx_exit_repeat_share(node->exit, objective);
+}
+
 static bool init_(mmx_part_t *part, mmx_error_t *error)
 {
 	path_t *path = (path_t *)part;
@@ -101,7 +125,9 @@
 				 node->settings->trusted_network);
 	mmx_exit_set_target_client(node->exit,
 				   mmx_target_client_task(path->client));
-	mmx_exit_set_observer(node->exit, &observer_ops_, node);
+	mmx_exit_set_observer(
+		node->exit,
+		node->store ? &budget_observer_ops_ : &observer_ops_, node);
 	mmx_exit_set_fold(node->exit, &node->fold);
 	mmx_exit_set_counters(node->exit, node->counters);
 	mmx_exit_set_log(node->exit, node->log);
@@ -124,8 +150,9 @@
 		node->entry, node->dialect,
 		node->settings->service[0] ? node->settings->service : NULL);
 	mmx_entry_set_log(node->entry, node->log);
+	mmx_entry_set_budget_at_exits(node->entry, node->store != NULL);
 	if (node->store)
-		mmx_entry_set_retry_reserve(node->entry, &node->retry_reserve);
+		mmx_entry_set_repeat_share(node->entry, repeat_share_, node);
 	mmx_entry_set_trace(node->entry, node->trace);
 	mmx_entry_set_history(node->entry, node->history);
 	mmx_entry_init(node->entry);
--- a/src/libmasticmux/part_roster.c
+++ b/src/libmasticmux/part_roster.c
@@ -143,17 +143,6 @@
 	write_(self);
 }
 
-/* Nodes that have left count too, which errs on the safe side. */
-static void share_reserve_(roster_part_t *self)
-{
-	mmx_node_t *node = self->part.node;
-	size_t others = mmx_roster_count(node->roster);
-
-	node->retry_reserve =
-		(uint32_t)(node->limits.retry_reserve * 100 / (others + 1));
-	mmx_counter_set(self->nodes, (int64_t)others);
-}
-
 static void on_record_(void *arg, const mmx_store_record_t *record)
 {
 	roster_part_t *self = arg;
@@ -174,7 +163,7 @@
 			      "reason", error.text, NULL);
 		return;
 	}
-	share_reserve_(self);
+	mmx_counter_set(self->nodes, (int64_t)mmx_roster_count(node->roster));
 }
 
 static void on_synced_(void *arg)
--- a/src/libmasticmux/retry.c
+++ b/src/libmasticmux/retry.c
@@ -2,7 +2,7 @@
 
 #include <assert.h>
 
-#define TOKEN 100U
+#define TOKEN 100
 
 void mmx_retry_init(mmx_retry_t *retry, uint8_t percent, mmx_time_t now)
 {
@@ -20,7 +20,7 @@
 
 void mmx_retry_set_shared(mmx_retry_t *retry, uint32_t reserve)
 {
-	retry->shared_max = reserve > TOKEN ? reserve : TOKEN;
+	retry->shared_max = reserve > TOKEN ? (int32_t)reserve : TOKEN;
 	if (retry->hundredths > retry->shared_max)
 		retry->hundredths = retry->shared_max;
 }
@@ -65,7 +65,18 @@
 	return true;
 }
 
+void mmx_retry_charge(mmx_retry_t *retry, uint32_t hundredths)
+{
+	int32_t lowest = -(retry->shared_max ? retry->shared_max
+					     : MMX_RETRY_MAX * TOKEN);
+
+	retry->hundredths -= (int32_t)hundredths;
+	if (retry->hundredths < lowest)
+		retry->hundredths = lowest;
+}
+
 uint32_t mmx_retry_tokens(const mmx_retry_t *retry)
 {
-	return retry->hundredths / TOKEN;
+	return retry->hundredths > 0 ? (uint32_t)(retry->hundredths / TOKEN)
+				     : 0;
 }
--- a/src/libmasticmux/types.c
+++ b/src/libmasticmux/types.c
@@ -33,6 +33,7 @@
 	"forgotten",
 	"draining",
 	"busy",
+	"retry-budget",
 	"suspect",
 };
 
--- a/src/libmasticmux/view.c
+++ b/src/libmasticmux/view.c
@@ -93,9 +93,6 @@
 	if (!fold || !mmx_fold_service(fold, service->name, &policy))
 		return;
 	mmx_retry_set_percent(&service->retry, policy.retry_percent);
-	if (service->view->config.retry_reserve)
-		mmx_retry_set_shared(&service->retry,
-				     *service->view->config.retry_reserve);
 	if (policy.floor_percent == service->floor_percent &&
 	    policy.floor_slots == service->floor_slots)
 		return;
@@ -280,8 +277,6 @@
 
 	if (now_(view) - service->synced >= SYNC_INTERVAL_US)
 		sync_(service);
-	if (request->tried_count == 0)
-		mmx_retry_request(&service->retry);
 	if (!choose_(service, request, &chosen))
 		return false;
 	record = mmx_directory_find(view->config.directory, chosen.target);
@@ -375,6 +370,8 @@
 {
 	service_t *service = service_(view, name);
 
+	if (view->config.budget_at_exits)
+		return true;
 	return !mmx_ejection_must_shed(service->ejection) &&
 	       mmx_retry_take(&service->retry, now_(view));
 }
--- a/src/libmasticmux/wire.c
+++ b/src/libmasticmux/wire.c
@@ -17,6 +17,8 @@
 #define FLAG_GOOD 0x40U
 #define FLAG_KEYED 0x80U
 #define FLAG_OFFERED 0x100U
+#define FLAG_REPEAT 0x200U
+#define PERCENT_MAX 100
 
 /* A filter encodes or decodes, as XDR filters do; x_public holds the reason
  * of the first refusal. */
@@ -251,8 +253,10 @@
 			 (execute->repeatable ? FLAG_REPEATABLE : 0) |
 			 (execute->keyed ? FLAG_KEYED : 0) |
 			 (execute->trial ? FLAG_TRIAL : 0) |
+			 (execute->repeat ? FLAG_REPEAT : 0) |
 			 (execute->peers ? FLAG_PEERS : 0);
 	uint32_t priority = execute->priority;
+	uint32_t inherited = execute->inherited;
 
 	if (!attempt_(xdrs, &execute->attempt) ||
 	    !hyper_(xdrs, &execute->exit_incarnation) ||
@@ -261,9 +265,12 @@
 	    !text_(xdrs, execute->account, MMX_NAME_MAX) ||
 	    !flags_(xdrs, &flags,
 		    FLAG_BODY_END | FLAG_REPEATABLE | FLAG_TRIAL | FLAG_PEERS |
-			    FLAG_KEYED) ||
+			    FLAG_KEYED | FLAG_REPEAT) ||
 	    !duration_(xdrs, &execute->remaining) ||
 	    !duration_(xdrs, &execute->patience) ||
+	    !duration_(xdrs, &execute->objective) ||
+	    !word_(xdrs, &inherited, PERCENT_MAX, "share out of range") ||
+	    !word_(xdrs, &execute->route, UINT32_MAX, "") ||
 	    !word_(xdrs, &priority, MMX_PRIORITY_MAX,
 		   "priority out of range") ||
 	    !trace_(xdrs, &execute->trace) ||
@@ -273,7 +280,9 @@
 	execute->repeatable = flags & FLAG_REPEATABLE;
 	execute->keyed = flags & FLAG_KEYED;
 	execute->trial = flags & FLAG_TRIAL;
+	execute->repeat = flags & FLAG_REPEAT;
 	execute->priority = (uint8_t)priority;
+	execute->inherited = (uint8_t)inherited;
 	return !(flags & FLAG_PEERS) || summary_(xdrs, &execute->peers);
 }
 
--- a/src/test_libmasticmux/test_exit.c
+++ b/src/test_libmasticmux/test_exit.c
@@ -30,7 +30,9 @@
 	rig->slots = record->slots;
 }
 
-static const mmx_exit_observer_ops_t observer_ = {target_changed_};
+static const mmx_exit_observer_ops_t observer_ = {
+	.target_changed = target_changed_,
+};
 
 static mmx_attempt_id_t id_(char **words)
 {
--- a/src/test_libmasticmux/test_exit_announced.c
+++ b/src/test_libmasticmux/test_exit_announced.c
@@ -38,7 +38,9 @@
 		mmx_target_state_string[record->state][0];
 }
 
-static const mmx_exit_observer_ops_t observer_ = {target_changed_};
+static const mmx_exit_observer_ops_t observer_ = {
+	.target_changed = target_changed_,
+};
 
 static void announce_(rig_t *rig, const step_t *step)
 {
--- a/src/test_libmasticmux/test_wire.c
+++ b/src/test_libmasticmux/test_wire.c
@@ -82,6 +82,10 @@
 	CU_ASSERT_EQUAL(execute->remaining, 1234567);
 	CU_ASSERT_EQUAL(execute->patience, 89);
 	CU_ASSERT_EQUAL(execute->priority, 7);
+	CU_ASSERT_EQUAL(execute->route, 11);
+	CU_ASSERT_EQUAL(execute->inherited, 60);
+	CU_ASSERT_EQUAL(execute->objective, 7654);
+	CU_ASSERT_TRUE(execute->repeat);
 	CU_ASSERT_EQUAL(execute->trace.span_id[7], 0xcd);
 	CU_ASSERT_STRING_EQUAL(execute->head->method, "POST");
 	CU_ASSERT_STRING_EQUAL(mmx_head_find(execute->head, "x-empty"), "");
@@ -137,9 +141,9 @@
 
 /* EXECUTE: body length 0, attempt 4, incarnation 28, target 36, service
  * length 44, "jobs" 48, account length 52, "nort" 56, "h" 60, flags 64,
- * remaining 68, patience 76, priority 84, trace 88, flags 112, method length
- * 116, "POST" 120, URI length 124, 12 bytes, header count 140, name length
- * 144. */
+ * remaining 68, patience 76, objective 84, inherited 92, route 96,
+ * priority 100, trace 104, flags 128, method length 132, "POST" 136, URI
+ * length 140, 12 bytes, header count 156, name length 160. */
 static const patch_t patches_[] = {
 	{"body longer than the record", 0, MMX_MESSAGE_EXECUTE, 9},
 	{"body at the top of the range", 0, MMX_MESSAGE_EXECUTE, UINT32_MAX},
@@ -153,27 +157,28 @@
 	{"NUL in the service", 48, MMX_MESSAGE_EXECUTE, 0x6a006273},
 	{"line break in the service", 48, MMX_MESSAGE_EXECUTE, 0x6a0a6273},
 	{"account too long", 52, MMX_MESSAGE_EXECUTE, 64},
-	{"unknown flag", 64, MMX_MESSAGE_EXECUTE, 0x200},
+	{"unknown flag", 64, MMX_MESSAGE_EXECUTE, 0x400},
 	{"flag without its distribution", 64, MMX_MESSAGE_EXECUTE, 0x20},
 	{"flag of another kind", 64, MMX_MESSAGE_EXECUTE, 0x8},
 	{"negative duration", 68, MMX_MESSAGE_EXECUTE, UINT32_MAX},
 	{"duration of years", 68, MMX_MESSAGE_EXECUTE, 0x10000},
 	{"patience of years", 76, MMX_MESSAGE_EXECUTE, 0x10000},
-	{"priority out of range", 84, MMX_MESSAGE_EXECUTE,
+	{"share above all", 92, MMX_MESSAGE_EXECUTE, 101},
+	{"priority out of range", 100, MMX_MESSAGE_EXECUTE,
 	 MMX_PRIORITY_MAX + 1},
-	{"trace flags out of range", 112, MMX_MESSAGE_EXECUTE, 256},
-	{"empty method", 116, MMX_MESSAGE_EXECUTE, 0},
-	{"method too long", 116, MMX_MESSAGE_EXECUTE, MMX_WIRE_METHOD_MAX + 1},
-	{"blank in the method", 120, MMX_MESSAGE_EXECUTE, 0x504f2054},
-	{"URI too long", 124, MMX_MESSAGE_EXECUTE, MMX_WIRE_URI_MAX + 1},
-	{"blank in the URI", 128, MMX_MESSAGE_EXECUTE, 0x2f206172},
-	{"more headers than sent", 140, MMX_MESSAGE_EXECUTE, 3},
-	{"fewer headers than sent", 140, MMX_MESSAGE_EXECUTE, 1},
-	{"too many headers", 140, MMX_MESSAGE_EXECUTE, 101},
-	{"empty header name", 144, MMX_MESSAGE_EXECUTE, 0},
-	{"header name too long", 144, MMX_MESSAGE_EXECUTE, 257},
-	{"colon in a header name", 148, MMX_MESSAGE_EXECUTE, 0x486f3a74},
-	{"control byte in a value", 156, MMX_MESSAGE_EXECUTE, 0x6a0d0a73},
+	{"trace flags out of range", 128, MMX_MESSAGE_EXECUTE, 256},
+	{"empty method", 132, MMX_MESSAGE_EXECUTE, 0},
+	{"method too long", 132, MMX_MESSAGE_EXECUTE, MMX_WIRE_METHOD_MAX + 1},
+	{"blank in the method", 136, MMX_MESSAGE_EXECUTE, 0x504f2054},
+	{"URI too long", 140, MMX_MESSAGE_EXECUTE, MMX_WIRE_URI_MAX + 1},
+	{"blank in the URI", 144, MMX_MESSAGE_EXECUTE, 0x2f206172},
+	{"more headers than sent", 156, MMX_MESSAGE_EXECUTE, 3},
+	{"fewer headers than sent", 156, MMX_MESSAGE_EXECUTE, 1},
+	{"too many headers", 156, MMX_MESSAGE_EXECUTE, 101},
+	{"empty header name", 160, MMX_MESSAGE_EXECUTE, 0},
+	{"header name too long", 160, MMX_MESSAGE_EXECUTE, 257},
+	{"colon in a header name", 164, MMX_MESSAGE_EXECUTE, 0x486f3a74},
+	{"control byte in a value", 172, MMX_MESSAGE_EXECUTE, 0x6a0d0a73},
 	{"unknown reason", 28, MMX_MESSAGE_RESPONSE, MMX_REASON_COUNT},
 	{"flag of another kind", 32, MMX_MESSAGE_RESPONSE, 0x2},
 	{"status too low", 36, MMX_MESSAGE_RESPONSE, 99},
--- a/src/test_libmasticmux/wire_samples.c
+++ b/src/test_libmasticmux/wire_samples.c
@@ -36,6 +36,10 @@
 	execute->remaining = 1234567;
 	execute->patience = 89;
 	execute->priority = 7;
+	execute->route = 11;
+	execute->inherited = 60;
+	execute->objective = 7654;
+	execute->repeat = true;
 	memset(execute->trace.trace_id, 0xab, 16);
 	memset(execute->trace.span_id, 0xcd, 8);
 	execute->trace.flags = 1;
--- a/test/world.c
+++ b/test/world.c
@@ -194,7 +194,9 @@
 	}
 }
 
-static const mmx_exit_observer_ops_t observer_ = {target_changed_};
+static const mmx_exit_observer_ops_t observer_ = {
+	.target_changed = target_changed_,
+};
 
 /* A new process takes the directory from a member that is up. */
 static void copy_directory_(node_t *node)
