Handle the requests of a connection together

Cause: a caller that sends several requests without waiting had them run one after the other, each behind the run time of those before it. 408 was answered for a request whose body was slow although part of it might have been running. The limits of the configuration on heads and bodies were not in force. Further bytes behind a whole request posted its end once more.

Ruled out: reading requests ahead that may not be repeated (they would be run although the connection closes before their turn).

Change: http_ahead posts what may be repeated at once and keeps the answers in order; http_answer was split off.

--- a/src/libmasticmux/http_caller.c
+++ b/src/libmasticmux/http_caller.c
@@ -1,7 +1,6 @@
 #include "private/http_caller.h"
 
 #include <assert.h>
-#include <inttypes.h>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
@@ -10,8 +9,8 @@
 #include <string.h>
 #include <sys/socket.h>
 
+#include "private/http_caller_internal.h"
 #include "private/http_head.h"
-#include "private/http_writer.h"
 
 /* Unread input per connection, bytes; must hold a whole head. */
 #define INPUT_MAX (32 * 1024)
@@ -23,39 +22,6 @@
 	"slow-reader", "limit",	    "broken-answer",
 };
 
-/* What a connection is waiting for; decides its timeout. */
-typedef enum wait_t {
-	WAIT_NONE, /* for the entry, which keeps the deadline */
-	WAIT_IDLE,
-	WAIT_HEAD,
-	WAIT_BODY,
-	WAIT_WRITE,
-	WAIT_LINGER,
-} wait_t;
-
-struct mmx_http_caller_t {
-	LIST_ENTRY(mmx_http_caller_t) entry;
-	mmx_http_shared_t *shared;
-	struct bufferevent *bev;
-	bool stopped; /* reading is disabled */
-	mmx_http_reader_t reader;
-	mmx_timer_t timer;
-	wait_t wait;
-	mmx_time_t deadline;
-	/* the request in progress */
-	uint64_t request; /* 0: none */
-	bool posted;	  /* the entry knows the request */
-	bool whole;	  /* its body has been read to the end */
-	bool head_method;
-	struct evbuffer *received; /* body bytes the entry has not got yet */
-	size_t credit;		   /* body bytes that the entry can take */
-	/* its answer */
-	bool answered;
-	bool close_after;
-	bool closing; /* nothing more is read or written but the output */
-	mmx_http_writer_t writer;
-};
-
 static struct evbuffer *input_(const mmx_http_caller_t *caller)
 {
 	return bufferevent_get_input(caller->bev);
@@ -89,6 +55,7 @@
 	mmx_http_shared_t *shared = caller->shared;
 
 	abandon_request_(caller);
+	mmx_http_ahead_abandon(caller);
 	LIST_REMOVE(caller, entry);
 	shared->caller_count--;
 	mmx_counter_set(shared->connections, (int64_t)shared->caller_count);
@@ -115,7 +82,7 @@
 	close_counted_(caller, MMX_HTTP_CLOSE_BROKEN_ANSWER);
 }
 
-static wait_t current_wait_(const mmx_http_caller_t *caller)
+static mmx_http_wait_t current_wait_(const mmx_http_caller_t *caller)
 {
 	if (caller->wait == WAIT_LINGER)
 		return WAIT_LINGER;
@@ -156,7 +123,7 @@
  */
 static void update_timer_(mmx_http_caller_t *caller)
 {
-	wait_t wait = current_wait_(caller);
+	mmx_http_wait_t wait = current_wait_(caller);
 	mmx_time_t now;
 	bool keeps =
 		wait == caller->wait &&
@@ -194,27 +161,13 @@
 static void close_when_written_(mmx_http_caller_t *caller)
 {
 	caller->closing = true;
+	mmx_http_ahead_abandon(caller);
 	if (evbuffer_get_length(output_(caller)) > 0)
 		update_timer_(caller);
 	else if (caller->wait != WAIT_LINGER)
 		linger_(caller);
 }
 
-static void write_refusal_head_(mmx_http_caller_t *caller, int status,
-				mmx_outcome_t outcome, mmx_reason_t reason)
-{
-	struct evbuffer *out = output_(caller);
-
-	mmx_http_write_status_line(out, status);
-	mmx_http_write_header(out, "Masticmux-Outcome",
-			      mmx_outcome_string[outcome]);
-	mmx_http_write_header(out, "Masticmux-Reason",
-			      mmx_reason_string[reason]);
-	mmx_http_write_header(out, "Content-Type", "text/plain");
-	mmx_http_write_header(out, "Connection", "close");
-	mmx_counter_add(caller->shared->refused[reason], 1);
-}
-
 /*
  * Refuses what the caller sent. The request is not run if the entry was never
  * told; after that it may have been started.
@@ -232,10 +185,13 @@
 		abort_(caller);
 		return;
 	}
+	/* Callers take 408 for "has not run", but part of it may be running. */
+	if (status == 408 && outcome == MMX_OUTCOME_UNKNOWN)
+		status = 504;
 	abandon_request_(caller);
 	length = snprintf(text, sizeof(text), "%s: %s\n",
 			  mmx_reason_string[reason], detail);
-	write_refusal_head_(caller, status, outcome, reason);
+	mmx_http_answer_write_refusal(caller, status, outcome, reason);
 	evbuffer_add_printf(output_(caller), "Content-Length: %d\r\n\r\n",
 			    length);
 	if (!caller->head_method)
@@ -260,6 +216,23 @@
 	}
 }
 
+/* Refuses a request beyond the limits of the configuration. */
+static bool is_too_large_(mmx_http_caller_t *caller)
+{
+	const mmx_http_shared_t *shared = caller->shared;
+	const mmx_http_reader_t *reader = &caller->reader;
+
+	if (shared->head_bytes_max &&
+	    reader->head->bytes > shared->head_bytes_max)
+		refuse_(caller, 431, MMX_REASON_HEADER_TOO_LARGE, "head");
+	else if (shared->body_bytes_max && reader->framing == MMX_HTTP_LENGTH &&
+		 reader->length > shared->body_bytes_max)
+		refuse_(caller, 413, MMX_REASON_BAD_REQUEST, "body too large");
+	else
+		return false;
+	return true;
+}
+
 /* False if the request was refused. */
 static bool begin_request_(mmx_http_caller_t *caller)
 {
@@ -277,14 +250,21 @@
 	    evbuffer_get_length(input_(caller)) == 0)
 		evbuffer_add_printf(output_(caller),
 				    "HTTP/1.1 100 Continue\r\n\r\n");
+	if (is_too_large_(caller))
+		return false;
 	mmx_head_remove(reader->head, "Expect");
 	mmx_head_remove_hop_by_hop(reader->head);
 	caller->request = ++shared->last_request;
 	g_hash_table_insert(shared->requests, &caller->request, caller);
 	caller->posted = false;
+	caller->ended = false;
 	caller->whole = false;
 	caller->answered = false;
 	caller->close_after = !reader->keep_alive;
+	caller->minor = reader->minor;
+	caller->safe = reader->framing == MMX_HTTP_NO_BODY &&
+		       (caller->head_method ||
+			strcmp(reader->head->method, "GET") == 0);
 	caller->credit = MMX_WINDOW_BYTES;
 	mmx_counter_add(shared->request_total, 1);
 	return true;
@@ -298,9 +278,15 @@
 	size_t part = MIN(held, caller->credit);
 	bool end = caller->whole && part == held;
 
-	if (caller->posted && part == 0 && !end)
+	if (caller->ended || (caller->posted && part == 0 && !end))
+		return;
+	/* A request whose body never becomes whole has then certainly not
+	 * been run. */
+	if (!caller->posted && !caller->whole &&
+	    held < caller->shared->hold_bytes)
 		return;
 	caller->credit -= part;
+	caller->ended = end;
 	if (!caller->posted) {
 		mmx_request_t *request = mmx_new_request(caller->request);
 
@@ -349,6 +335,9 @@
 		bufferevent_enable(caller->bev, EV_READ);
 }
 
+static void write_part_(mmx_http_caller_t *caller, struct evbuffer *data,
+			bool end, bool failed);
+
 /* Reads requests as far as input, credit and order allow. */
 static void feed_(mmx_http_caller_t *caller)
 {
@@ -374,10 +363,57 @@
 out:
 	if (caller->request)
 		forward_(caller);
+	mmx_http_ahead_read(caller);
 	limit_input_(caller);
 	update_timer_(caller);
 }
 
+/* Its answer may have come already; the caller may be freed by this. */
+static void take_ahead_(mmx_http_caller_t *caller, mmx_http_ahead_t *ahead)
+{
+	caller->request = ahead->request;
+	caller->posted = true;
+	caller->ended = true;
+	caller->whole = true;
+	caller->safe = true;
+	caller->head_method = ahead->head_method;
+	caller->minor = ahead->minor;
+	caller->close_after = !ahead->keep_alive;
+	caller->credit = 0;
+	if (ahead->answer) {
+		mmx_http_answer_write_head(caller, ahead->answer);
+		caller->answered = true;
+		evbuffer_add_buffer(ahead->answer->body, ahead->body);
+		write_part_(caller, ahead->answer->body, ahead->end,
+			    ahead->failed);
+	} else {
+		feed_(caller);
+	}
+	mmx_http_ahead_free(ahead);
+}
+
+static void next_request_(mmx_http_caller_t *caller)
+{
+	mmx_http_ahead_t *ahead = mmx_http_ahead_take(caller);
+	bool headed = caller->ahead_headed;
+
+	if (ahead) {
+		take_ahead_(caller, ahead);
+		return;
+	}
+	caller->ahead_stopped = false;
+	caller->ahead_headed = false;
+	if (caller->ahead_failed) {
+		refuse_fault_(caller);
+		return;
+	}
+	if (!headed)
+		mmx_http_reader_reset(&caller->reader);
+	else if (!begin_request_(caller))
+		return;
+	feed_(caller);
+}
+
 /* The answer is complete: closes, or goes on with the next request. */
 static void finish_answer_(mmx_http_caller_t *caller)
 {
@@ -391,8 +427,7 @@
 		close_when_written_(caller);
 		return;
 	}
-	mmx_http_reader_reset(&caller->reader);
-	feed_(caller);
+	next_request_(caller);
 }
 
 static void grant_(mmx_http_caller_t *caller)
@@ -410,62 +445,6 @@
 	mmx_task_post(caller->shared->entry, &window->message);
 }
 
-/* Decides how the body of an answer is framed, and writes that. */
-static void frame_answer_(mmx_http_caller_t *caller, const mmx_answer_t *answer)
-{
-	struct evbuffer *out = output_(caller);
-	const mmx_head_t *head = answer->head;
-	uint64_t length = evbuffer_get_length(answer->body);
-	bool known = answer->body_end;
-
-	mmx_http_writer_init(&caller->writer, MMX_HTTP_NO_BODY, 0);
-	if (mmx_http_status_without_body(head->status))
-		return;
-	if (caller->head_method || !known)
-		known = mmx_http_content_length(head, &length);
-	if (known)
-		evbuffer_add_printf(out, "Content-Length: %" PRIu64 "\r\n",
-				    length);
-	if (caller->head_method)
-		return;
-	if (known) {
-		mmx_http_writer_init(&caller->writer, MMX_HTTP_LENGTH, length);
-	} else if (caller->reader.minor == 0) {
-		mmx_http_writer_init(&caller->writer, MMX_HTTP_UNTIL_CLOSE, 0);
-		caller->close_after = true;
-	} else {
-		mmx_http_writer_init(&caller->writer, MMX_HTTP_CHUNKED, 0);
-		mmx_http_write_header(out, "Transfer-Encoding", "chunked");
-	}
-}
-
-static void write_answer_head_(mmx_http_caller_t *caller, mmx_answer_t *answer)
-{
-	struct evbuffer *out = output_(caller);
-
-	mmx_head_remove_hop_by_hop(answer->head);
-	/* A target must not speak for the proxy. */
-	mmx_head_remove(answer->head, "Masticmux-Outcome");
-	mmx_head_remove(answer->head, "Masticmux-Reason");
-	mmx_http_write_status_line(out, answer->head->status);
-	mmx_http_write_headers(out, answer->head);
-	mmx_http_write_header(out, "Masticmux-Outcome",
-			      mmx_outcome_string[answer->outcome]);
-	if (answer->reason != MMX_REASON_NONE) {
-		mmx_http_write_header(out, "Masticmux-Reason",
-				      mmx_reason_string[answer->reason]);
-		mmx_counter_add(caller->shared->refused[answer->reason], 1);
-	}
-	frame_answer_(caller, answer);
-	if (caller->shared->draining || !caller->whole)
-		caller->close_after = true;
-	if (caller->close_after)
-		mmx_http_write_header(out, "Connection", "close");
-	else if (caller->reader.minor == 0)
-		mmx_http_write_header(out, "Connection", "keep-alive");
-	evbuffer_add(out, "\r\n", 2);
-}
-
 /* Writes a part of the answer's body; frees the caller if it is broken. */
 static void write_part_(mmx_http_caller_t *caller, struct evbuffer *data,
 			bool end, bool failed)
@@ -486,17 +465,29 @@
 
 void mmx_http_caller_answer(mmx_http_caller_t *caller, mmx_answer_t *answer)
 {
+	mmx_http_ahead_t *ahead = mmx_http_ahead_find(caller, answer->request);
+
+	if (ahead) {
+		mmx_http_ahead_answer(ahead, answer);
+		return;
+	}
 	if (caller->answered) {
 		mmx_counter_add(caller->shared->stale_messages, 1);
 		return;
 	}
-	write_answer_head_(caller, answer);
+	mmx_http_answer_write_head(caller, answer);
 	caller->answered = true;
 	write_part_(caller, answer->body, answer->body_end, false);
 }
 
 void mmx_http_caller_body(mmx_http_caller_t *caller, mmx_body_t *body)
 {
+	mmx_http_ahead_t *ahead = mmx_http_ahead_find(caller, body->request);
+
+	if (ahead) {
+		mmx_http_ahead_body(ahead, body);
+		return;
+	}
 	if (!caller->answered) {
 		mmx_counter_add(caller->shared->stale_messages, 1);
 		return;
@@ -608,6 +599,7 @@
 
 	caller->shared = shared;
 	caller->received = evbuffer_new();
+	TAILQ_INIT(&caller->ahead);
 	mmx_http_reader_init(&caller->reader, MMX_HTTP_REQUEST);
 	mmx_timer_init(&caller->timer, shared->clock, on_timer_, caller);
 	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
--- a/src/libmasticmux/http_entry.c
+++ b/src/libmasticmux/http_entry.c
@@ -178,6 +178,14 @@
 	return http->shared.timeouts;
 }
 
+bool mmx_http_entry_set_hold(mmx_http_entry_t *http, size_t bytes)
+{
+	if (http->initialised)
+		return false;
+	http->shared.hold_bytes = bytes;
+	return true;
+}
+
 static void on_accept_(struct evconnlistener *listener, evutil_socket_t fd,
 		       struct sockaddr *address, int length, void *arg)
 {
--- a/src/libmasticmux/http_reader.c
+++ b/src/libmasticmux/http_reader.c
@@ -86,6 +86,11 @@
 		evbuffer_drain(input, 2);
 }
 
+bool mmx_http_reader_is_done(const mmx_http_reader_t *reader)
+{
+	return reader->state == STATE_END;
+}
+
 bool mmx_http_reader_is_idle(const mmx_http_reader_t *reader,
 			     const struct evbuffer *input)
 {
--- a/src/libmasticmux/include/private/http_entry.h
+++ b/src/libmasticmux/include/private/http_entry.h
@@ -49,6 +49,12 @@
 /* The timeouts that are in force, to change some of them. */
 mmx_http_entry_timeouts_t mmx_http_entry_timeouts(const mmx_http_entry_t *http);
 
+/*
+ * Bodies up to this size are read to their end before the entry gets the
+ * request; false after init. 0, the default, streams every body.
+ */
+bool mmx_http_entry_set_hold(mmx_http_entry_t *http, size_t bytes);
+
 /* Starts to listen; port 0 takes a free one, see mmx_http_entry_port(). */
 bool mmx_http_entry_init(mmx_http_entry_t *http, const mmx_address_t *address,
 			 mmx_error_t *error);
--- a/src/libmasticmux/include/private/http_reader.h
+++ b/src/libmasticmux/include/private/http_reader.h
@@ -106,6 +106,9 @@
 /* The input has ended: END if that is how the message ends, else FAILED. */
 mmx_http_event_t mmx_http_reader_eof(mmx_http_reader_t *reader);
 
+/* True after END, until the reset. */
+bool mmx_http_reader_is_done(const mmx_http_reader_t *reader);
+
 /* True while no byte of the message was seen; blank lines do not count. */
 bool mmx_http_reader_is_idle(const mmx_http_reader_t *reader,
 			     const struct evbuffer *input);
--- a/src/libmasticmux/part_path.c
+++ b/src/libmasticmux/part_path.c
@@ -156,6 +156,8 @@
 	mmx_entry_set_trace(node->entry, node->trace);
 	mmx_entry_set_history(node->entry, node->history);
 	mmx_entry_init(node->entry);
+	if (node->store)
+		mmx_http_entry_set_hold(path->http, MMX_HELD_BODY_MAX);
 	node->http = path->http;
 	return mmx_announce_init(path->announce,
 				 &node->settings->listen_announce, error) &&
