Prefer a short queue in the region, and ask for the local target at start

An entry went there as soon as its belief, up to a second old, had no free slot near. After all machines had lost power, exits refused everything for up to 1.5 s because they did not know their target before its next heartbeat. Failing statuses made targets suspect although a service that they call had failed.

Ruled out: using the target that the stored record names (it may have been acknowledged as leaving just before the loss).

Change: the first two attempts stay in the region where a target may be used, at the least loaded one. A process that has just started asks the health path of its target once; a target that is about to leave says 503. Three failing statuses in a row make a target suspect instead of two.

--- a/include/masticmux/balance.h
+++ b/include/masticmux/balance.h
@@ -47,6 +47,9 @@
 	bool repeatable;
 	const mmx_target_id_t *tried; /**< targets to leave out, or NULL */
 	size_t tried_count;
+	/** A queue in the own region comes before a free slot in another one,
+	 * whose link costs more than a short wait. */
+	bool near_queue;
 } mmx_balance_request_t;
 
 /** What was chosen. */
--- a/include/masticmux/routing.h
+++ b/include/masticmux/routing.h
@@ -36,10 +36,14 @@
 	size_t destination_count; /**< at least 1 */
 } mmx_routing_rule_t;
 
+/** Longest path of a health check, bytes. */
+#define MMX_HEALTH_PATH_MAX 255
+
 /** What is known of a service. */
 typedef struct mmx_routing_service_t {
 	char name[MMX_NAME_MAX + 1];
 	uint32_t connections_max; /**< of all callers together; 0: unknown */
+	char health_path[MMX_HEALTH_PATH_MAX + 1]; /**< empty: none */
 } mmx_routing_service_t;
 
 /** What a caller may send, and how long it may take; 0: the default. */
--- a/include/masticmux/settings.h
+++ b/include/masticmux/settings.h
@@ -67,6 +67,8 @@
 	/** Service of this instance, which its requests name as their caller;
 	 * empty: requests name none. */
 	char service[MMX_NAME_MAX + 1];
+	/** Where the target of this instance listens; port 0: not known. */
+	mmx_address_t target;
 	/** The network between the nodes is private: records between them are
 	 * neither signed nor limited to loopback. */
 	bool trusted_network;
--- a/src/libmasticmux/balance.c
+++ b/src/libmasticmux/balance.c
@@ -250,6 +250,33 @@
 	return is_free_(best, now) ? best : NULL;
 }
 
+/* Least loaded in the nearest rings up to the region, whatever its queue;
+ * where several are, one of them by chance. */
+static const target_t *pick_near_(const mmx_balance_t *balance,
+				  const mmx_balance_request_t *request,
+				  mmx_random_t *random, mmx_time_t now)
+{
+	candidates_t candidates;
+	const target_t *best = NULL;
+	mmx_ring_t ring;
+	size_t i;
+
+	for (ring = MMX_RING_ZONE; ring <= MMX_RING_REGION; ring++) {
+		collect_(balance, request, BIT(MMX_USE_NORMAL), ring, random,
+			 &candidates);
+		if (!candidates.count)
+			continue;
+		if (!best)
+			best = candidates.target[mmx_random_below(
+				random, candidates.count)];
+		for (i = 0; i < candidates.count; i++)
+			best = less_loaded_(best, candidates.target[i], now);
+		if (is_free_(best, now))
+			return best;
+	}
+	return best;
+}
+
 static bool has_(const mmx_balance_t *balance, uint32_t uses)
 {
 	mmx_use_t use;
@@ -320,6 +347,8 @@
 	if (request->repeatable)
 		target = pick_trial_(balance, request, random, now);
 	choice->trial = target != NULL;
+	if (!target && request->near_queue)
+		target = pick_near_(balance, request, random, now);
 	for (i = 0; !target && i < sizeof(order) / sizeof(order[0]); i++)
 		target = pick_use_(balance, request, order[i].uses,
 				   order[i].only_free, MMX_RING_REMOTE, random,
--- a/src/libmasticmux/exit.c
+++ b/src/libmasticmux/exit.c
@@ -142,6 +142,8 @@
 {
 	const mmx_exit_target_t *target;
 
+	if (announced->assumed)
+		return !LIST_EMPTY(&exit->targets);
 	if (announced->state == MMX_TARGET_GONE) {
 		target = find_target_name_(exit, announced->name);
 		return target && announced->born &&
--- a/src/libmasticmux/exit_target.c
+++ b/src/libmasticmux/exit_target.c
@@ -13,6 +13,9 @@
  * four means. What starts too late takes a slot without a result.
  */
 #define START_HEADROOM 4
+/* The same where the run time of the route itself is known: it varies less
+ * than that of all routes together. */
+#define ROUTE_HEADROOM 2
 /* At most this part of the remaining time is spent in the queue: the expected
  * wait of a long queue is uncertain as well. */
 #define QUEUE_SHARE 2
@@ -83,11 +86,12 @@
 {
 	mmx_time_t remaining = request->remaining;
 	mmx_time_t run = mmx_exit_target_run_time(target, request->route);
+	int headroom = request->route ? ROUTE_HEADROOM : START_HEADROOM;
 	mmx_time_t wait = target->mean_service * (ahead + 1) / slots;
 
 	return ahead < MMX_EXIT_QUEUE_MAX && wait <= patience &&
 	       wait <= remaining / QUEUE_SHARE &&
-	       wait + START_HEADROOM * run <= remaining;
+	       wait + headroom * run <= remaining;
 }
 
 static mmx_reason_t admit_limited_(const mmx_exit_target_t *target,
--- a/src/libmasticmux/fault.c
+++ b/src/libmasticmux/fault.c
@@ -33,7 +33,7 @@
 } likelihood_[MMX_FAULT_RESULT_COUNT] = {
 	[MMX_FAULT_SUCCESS] = {0.25, 0.95},
 	[MMX_FAULT_BROKEN] = {0.75, 0.02},
-	[MMX_FAULT_STATUS] = {0.6, 0.1},
+	[MMX_FAULT_STATUS] = {0.6, 0.25},
 	[MMX_FAULT_LATE] = {0.5, 0.1},
 };
 
--- a/src/libmasticmux/filter_attempt.c
+++ b/src/libmasticmux/filter_attempt.c
@@ -23,6 +23,9 @@
 /* Part of the latency objective that an attempt may spend in the queue of one
  * exit while others have not been tried. */
 #define PATIENCE_SHARE 4
+/* Attempts that stay in the own region if it has a target that may be used:
+ * a body that crosses to another one costs more than a short wait. */
+#define NEAR_ATTEMPTS 2
 /* Attempts at the end of which the queue is accepted as it is. */
 #define LAST_ATTEMPTS 2
 /* Time before the deadline at which a silent attempt is fenced. */
@@ -310,6 +313,8 @@
 		.repeatable = exchange->repeatable,
 		.tried = exchange->tried,
 		.tried_count = exchange->attempts,
+		.near_queue = exchange->objective > 0 &&
+			      exchange->attempts < NEAR_ATTEMPTS,
 	};
 	mmx_view_choice_t choice;
 
--- a/src/libmasticmux/http_client.c
+++ b/src/libmasticmux/http_client.c
@@ -203,6 +203,8 @@
 	if (request)
 		reply.status = evhttp_request_get_response_code(request);
 	answered = reply.status > 0 || reply.too_large;
+	if (request && answered)
+		reply.headers = evhttp_request_get_input_headers(request);
 	if (reply.status > 0 && !reply.too_large)
 		keep_connection_(client, call->connection);
 	else
@@ -218,6 +220,12 @@
 	end_call_(call, answered ? &reply : NULL);
 }
 
+const char *mmx_http_reply_header(const mmx_http_reply_t *reply,
+				  const char *name)
+{
+	return reply->headers ? evhttp_find_header(reply->headers, name) : NULL;
+}
+
 static void on_error_(enum evhttp_request_error error, void *arg)
 {
 	call_t *call = arg;
--- a/src/libmasticmux/include/private/dialect.h
+++ b/src/libmasticmux/include/private/dialect.h
@@ -16,6 +16,8 @@
 	const char *caller_service;
 	/* Name of the target that is meant: another one answers 421. */
 	const char *target;
+	/* In the response to a health check: name of the target. */
+	const char *identity;
 	/* Set by a target on each response of its own. */
 	const char *signature;
 	/* In a response: the target has not run the request. */
--- a/src/libmasticmux/include/private/http_client.h
+++ b/src/libmasticmux/include/private/http_client.h
@@ -15,6 +15,7 @@
 #include "masticmux/random.h"
 
 struct event_base;
+struct evkeyvalq;
 
 typedef struct mmx_http_client_t mmx_http_client_t;
 
@@ -36,9 +37,14 @@
 	int status;
 	const char *body; /* not ended by NUL */
 	size_t length;
-	bool too_large; /* longer than body_max; the body is empty */
+	bool too_large;		   /* longer than body_max; the body is empty */
+	struct evkeyvalq *headers; /* NULL when the head was not read */
 } mmx_http_reply_t;
 
+/* Value of a header of a reply, or NULL. */
+const char *mmx_http_reply_header(const mmx_http_reply_t *reply,
+				  const char *name);
+
 /* reply: NULL when none came; the service may have acted on the call. */
 typedef void (*mmx_http_reply_fn_t)(void *arg, const mmx_http_reply_t *reply);
 
--- a/src/libmasticmux/include/private/messages.h
+++ b/src/libmasticmux/include/private/messages.h
@@ -307,6 +307,7 @@
 	uint64_t born;	      /* start of the target, any unit; 0: not told */
 	uint64_t sequence;    /* grows with each announcement; 0: not told */
 	mmx_time_t cold_left; /* microseconds that it stays slow */
+	bool assumed; /* found by a probe: only if nothing else is known */
 } mmx_target_announced_t;
 
 /* exit -> entries, wire: state or level of a target has changed. */
--- a/src/libmasticmux/include/private/node_parts.h
+++ b/src/libmasticmux/include/private/node_parts.h
@@ -116,8 +116,9 @@
 	const struct mmx_dialect_t *dialect;
 	const struct mmx_announce_form_t *announcements; /* or NULL */
 	struct mmx_http_entry_t *http;			 /* path */
-	struct mmx_entry_t *entry;			 /* path */
-	struct mmx_exit_t *exit;			 /* path */
+	struct mmx_target_probe_t *probe; /* path; NULL: no address is known */
+	struct mmx_entry_t *entry;	  /* path */
+	struct mmx_exit_t *exit;	  /* path */
 };
 
 /* Creates and starts the peer task; the resolver outlives it. */
@@ -130,6 +131,9 @@
 /* True when the node can serve callers: /healthz says so. */
 bool mmx_node_is_ready(const mmx_node_t *node);
 
+/* The configuration is in force: path looks for its target if it knows none. */
+void mmx_part_path_configured(mmx_node_t *node);
+
 /* A target beside this node has changed: roster publishes it. */
 void mmx_part_roster_announce(mmx_node_t *node,
 			      const mmx_target_record_t *record);
--- a/src/libmasticmux/part_path.c
+++ b/src/libmasticmux/part_path.c
@@ -9,6 +9,7 @@
 #include "private/node_parts.h"
 #include "private/peer.h"
 #include "private/target_client.h"
+#include "private/target_probe.h"
 
 /* A node that leaves still accepts callers for this part of the time that it
  * has: they notice the planned stop only after some checks of /healthz. */
@@ -159,12 +160,31 @@
 	if (node->store)
 		mmx_http_entry_set_hold(path->http, MMX_HELD_BODY_MAX);
 	node->http = path->http;
+	if (node->settings->target.port && node->settings->service[0] &&
+	    node->dialect->identity)
+		node->probe =
+			mmx_target_probe_create(&(mmx_target_probe_config_t){
+				.runtime = node->runtime,
+				.exit = exit_task,
+				.dialect = node->dialect,
+				.address = node->settings->target,
+				.service = node->settings->service,
+			});
 	return mmx_announce_init(path->announce,
 				 &node->settings->listen_announce, error) &&
 	       mmx_http_entry_init(path->http, &node->settings->listen_callers,
 				   error);
 }
 
+void mmx_part_path_configured(mmx_node_t *node)
+{
+	const mmx_routing_service_t *service = mmx_routing_service(
+		mmx_fold_routing(node->fold), node->settings->service);
+
+	if (node->probe && service && service->health_path[0])
+		mmx_target_probe_start(node->probe, service->health_path);
+}
+
 static void close_(void *arg)
 {
 	path_t *path = arg;
@@ -204,6 +224,7 @@
 	path_t *path = (path_t *)part;
 
 	mmx_timer_cancel(&path->close);
+	mmx_target_probe_destroy(part->node->probe);
 	mmx_announce_destroy(path->announce);
 	mmx_http_entry_destroy(path->http);
 	mmx_target_client_destroy(path->client);
--- a/src/libmasticmux/settings.c
+++ b/src/libmasticmux/settings.c
@@ -34,6 +34,7 @@
 	PLACE_LOG_SERVICE,
 	PLACE_COLLECTOR,
 	PLACE_STORE,
+	PLACE_TARGET,
 	PLACE_SEEDS, /* the first of MMX_SEEDS_MAX */
 	PLACE_COUNT = PLACE_SEEDS + MMX_SEEDS_MAX
 } place_index_t;
@@ -41,7 +42,7 @@
 static const char *const place_path_[PLACE_SEEDS] = {
 	"listen.callers",  "listen.nodes",	  "listen.announce",
 	"listen.operator", "log_service.address", "trace.collector",
-	"store.address",
+	"store.address",   "node.target",
 };
 
 /* Settings while they are read. */
@@ -68,6 +69,8 @@
 		return &settings->collector;
 	case PLACE_STORE:
 		return &settings->store;
+	case PLACE_TARGET:
+		return &settings->target;
 	default:
 		return &settings->seeds[index - PLACE_SEEDS];
 	}
@@ -270,6 +273,7 @@
 	 mmx_schema_read_name, NAME_VALID,
 	 .offset = offsetof(mmx_settings_t, service),
 	 .size = sizeof(((mmx_settings_t *)NULL)->service)},
+	ADDRESS_RULE_("target", MMX_PRESENCE_OPTIONAL, target),
 	{"trusted_network", MMX_TREE_BOOLEAN, MMX_PRESENCE_OPTIONAL, read_flag_,
 	 "true or false", .offset = offsetof(mmx_settings_t, trusted_network)},
 };
--- a/src/test_libmasticmux/test_balance.c
+++ b/src/test_libmasticmux/test_balance.c
@@ -182,8 +182,11 @@
 		const choice_case_t *c = &choice_cases_[i];
 		mmx_balance_t *balance = create_(c->targets, c->count);
 		mmx_target_id_t tried = c->tried;
-		mmx_balance_request_t request = {c->repeatable, &tried,
-						 tried != 0};
+		mmx_balance_request_t request = {
+			.repeatable = c->repeatable,
+			.tried = &tried,
+			.tried_count = tried != 0,
+		};
 		int chosen[TARGETS_MAX] = {0};
 		mmx_random_t random;
 		bool any = false;
@@ -209,6 +212,87 @@
 	}
 }
 
+/*
+ * Load pattern: a region is nearly full for a moment, and a link to another
+ * one is billed by volume. Guards against requests that leave the region while
+ * it has a target that may be used, and against ones that wait at a target
+ * that is fuller than its neighbours.
+ */
+static void test_near_queue_(void)
+{
+	static const choice_case_t cases[] = {
+		{"free in the zone",
+		 true,
+		 0,
+		 {{ZONE, OPEN, 2, 0},
+		  {REGION, OPEN, 0, 0},
+		  {REMOTE, OPEN, 0, 0}},
+		 3,
+		 "ynn"},
+		{"free in the region",
+		 true,
+		 0,
+		 {{ZONE, OPEN, 3, 0},
+		  {REGION, OPEN, 2, 0},
+		  {REMOTE, OPEN, 0, 0}},
+		 3,
+		 "nyn"},
+		{"full region",
+		 true,
+		 0,
+		 {{ZONE, OPEN, 4, 0},
+		  {REGION, OPEN, 3, 0},
+		  {REMOTE, OPEN, 0, 0}},
+		 3,
+		 "nyn"},
+		{"equally full",
+		 true,
+		 0,
+		 {{ZONE, OPEN, 3, 0}, {ZONE, OPEN, 3, 0}, {REMOTE, OPEN, 0, 0}},
+		 3,
+		 "yyn"},
+		{"only suspects near",
+		 false,
+		 0,
+		 {{ZONE, MMX_USE_AVOID, 0, 0}, {REMOTE, OPEN, 0, 0}},
+		 2,
+		 "ny"},
+		{"tried before",
+		 true,
+		 1,
+		 {{ZONE, OPEN, 0, 0}, {REMOTE, OPEN, 0, 0}},
+		 2,
+		 "ny"},
+	};
+	size_t i;
+	int n;
+
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		const choice_case_t *c = &cases[i];
+		mmx_balance_t *balance = create_(c->targets, c->count);
+		mmx_target_id_t tried = c->tried;
+		mmx_balance_request_t request = {
+			.repeatable = c->repeatable,
+			.tried = &tried,
+			.tried_count = tried != 0,
+			.near_queue = true,
+		};
+		int chosen[TARGETS_MAX] = {0};
+		mmx_balance_choice_t choice;
+		mmx_random_t random;
+
+		mmx_random_seed(&random, 9);
+		for (n = 0; n < CHOICES; n++) {
+			CU_ASSERT_TRUE(mmx_balance_choose(balance, &request,
+							  &random, 0, &choice));
+			chosen[choice.target - 1]++;
+		}
+		for (n = 0; n < c->count; n++)
+			CU_ASSERT_EQUAL(chosen[n] > 0, c->expected[n] == 'y');
+		mmx_balance_destroy(balance);
+	}
+}
+
 /* Guards against load that gathers at a few targets. */
 static void test_spread_(void)
 {
@@ -281,6 +365,7 @@
 }
 
 CU_TestInfo mmx_tests_balance[] = {
+	{"a queue in the region before another region", test_near_queue_},
 	{"rings, uses and loads decide", test_choices_},
 	{"requests spread", test_spread_},
 	{"old reports are not believed", test_old_report_},
--- a/src/test_libmasticmux/test_exit_target.c
+++ b/src/test_libmasticmux/test_exit_target.c
@@ -119,7 +119,112 @@
 	mmx_exit_target_destroy(target);
 }
 
+#define SHORT_ROUTE 1
+#define LONG_ROUTE 2
+
+/*
+ * Load pattern: short calls that other services wait for share the slots of a
+ * target with long requests. Guards against short calls that are refused
+ * because the mean run time of all requests leaves no headroom, against long
+ * ones that are admitted although they cannot end in time, and against a wait
+ * beyond what the entry has patience for.
+ */
+static void test_short_calls_beside_long_requests_(void)
+{
+	static const struct {
+		const char *name;
+		uint32_t route;
+		mmx_time_t remaining;
+		mmx_time_t patience;
+		mmx_reason_t reason;
+	} cases[] = {
+		{"short call", SHORT_ROUTE, 400 * MS, 400 * MS,
+		 MMX_REASON_NONE},
+		{"long request", LONG_ROUTE, 400 * MS, 400 * MS,
+		 MMX_REASON_OVERLOADED},
+		{"long request in time", LONG_ROUTE, 2000 * MS, 2000 * MS,
+		 MMX_REASON_NONE},
+		{"no patience", SHORT_ROUTE, 400 * MS, 40 * MS,
+		 MMX_REASON_BUSY},
+		{"unknown route", 3, 400 * MS, 400 * MS, MMX_REASON_OVERLOADED},
+	};
+	mmx_exit_target_t *target = mmx_exit_target_create(1, 2, 3, "t", "s");
+	size_t i;
+	int n;
+
+	target->record.slots = 3;
+	target->record.state = MMX_TARGET_WARM;
+	target->in_progress = 3;
+	for (n = 0; n < 100; n++) {
+		mmx_exit_target_note_service(target, SHORT_ROUTE, 30 * MS, n);
+		mmx_exit_target_note_service(target, LONG_ROUTE, 500 * MS, n);
+	}
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		mmx_exit_request_t request = {
+			.account = "",
+			.share = {.ceiling_percent = 100},
+			.remaining = cases[i].remaining,
+			.patience = cases[i].patience,
+			.route = cases[i].route,
+		};
+
+		if (mmx_exit_target_admit(target, &request, 0) !=
+		    cases[i].reason)
+			printf("%s: %s\n", cases[i].name,
+			       mmx_reason_string[mmx_exit_target_admit(
+				       target, &request, 0)]);
+		CU_ASSERT_EQUAL(mmx_exit_target_admit(target, &request, 0),
+				cases[i].reason);
+	}
+	target->in_progress = 0;
+	mmx_exit_target_destroy(target);
+}
+
+/* Guards against urgent requests that wait behind others, and against an
+ * order among equals that is not that of arrival. */
+static void test_priorities_(void)
+{
+	static const struct {
+		const char *name;
+		uint8_t priorities[4];
+		int expected[4]; /* places in the order of arrival */
+	} cases[] = {
+		{"equal", {1, 1, 1, 1}, {0, 1, 2, 3}},
+		{"urgent last", {2, 2, 2, 0}, {3, 0, 1, 2}},
+		{"mixed", {2, 1, 2, 1}, {1, 3, 0, 2}},
+	};
+	size_t i;
+	int n;
+
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		mmx_exit_target_t *target =
+			mmx_exit_target_create(1, 2, 3, "t", "s");
+		mmx_attempt_t attempts[4] = {0};
+
+		target->record.slots = 1;
+		for (n = 0; n < 4; n++) {
+			attempts[n].share.ceiling_percent = 100;
+			attempts[n].execute = mmx_new_execute();
+			attempts[n].execute->priority = cases[i].priorities[n];
+			mmx_exit_target_queue(target, &attempts[n], 0);
+		}
+		for (n = 0; n < 4; n++) {
+			mmx_attempt_t *next = mmx_exit_target_next(target, 0);
+
+			CU_ASSERT_PTR_EQUAL(next,
+					    &attempts[cases[i].expected[n]]);
+			mmx_exit_target_unqueue(target, next);
+		}
+		for (n = 0; n < 4; n++)
+			mmx_message_destroy(&attempts[n].execute->message);
+		mmx_exit_target_destroy(target);
+	}
+}
+
 CU_TestInfo mmx_tests_exit_target[] = {
+	{"short calls beside long requests",
+	 test_short_calls_beside_long_requests_},
+	{"priorities in the queue", test_priorities_},
 	{"slots of a cold target", test_slots_},
 	{"admission", test_admit_},
 	{"load report", test_report_},
--- a/src/test_libmasticmux/test_settings.c
+++ b/src/test_libmasticmux/test_settings.c
@@ -78,10 +78,10 @@
 	 "did you mean 'retention_s'?"},
 	{5, "colour = 1",
 	 "5:1: node: unknown key 'colour'; valid keys: name, "
-	 "region, zone, fleet_keys, service, trusted_network"},
+	 "region, zone, fleet_keys, service, target, trusted_network"},
 	{5, "\"a\\u0000\\u001b\" = 1",
 	 "5:1: node: unknown key 'a\\u0000\\u001b'; valid keys: name, region, "
-	 "zone, fleet_keys, service, trusted_network"},
+	 "zone, fleet_keys, service, target, trusted_network"},
 	{16, "[traec]\ncollector = \"127.0.0.1:4318\"",
 	 "16:2: unknown key 'traec'; did you mean 'trace'?"},
 	{4, "",
