--- a/include/masticmux/counters.h
+++ b/include/masticmux/counters.h
@@ -45,7 +45,36 @@
 				mmx_counter_kind_t kind, const char *name,
 				const char *labels, const char *help);
 
-/** Appends all counters in Prometheus text format 0.0.4. */
+/** Upper bounds of the buckets of every histogram, microseconds. */
+#define MMX_HISTOGRAM_BUCKETS 12
+extern const int64_t mmx_histogram_bounds[MMX_HISTOGRAM_BUCKETS];
+
+/** Latencies by bucket; the values are read and written by the registry. */
+typedef struct mmx_histogram_t {
+	LIST_ENTRY(mmx_histogram_t) entry;
+	char *name;
+	char *labels;
+	char *help;
+	uint64_t count[MMX_HISTOGRAM_BUCKETS + 1]; /**< the last: above all */
+	int64_t sum;				   /**< microseconds */
+} mmx_histogram_t;
+
+/** Registers a histogram, or returns the one with the same name and labels. */
+mmx_histogram_t *mmx_counters_histogram(mmx_counters_t *counters,
+					const char *name, const char *labels,
+					const char *help);
+
+/**
+ * Counts one latency; NULL is allowed.
+ *
+ * @param took  microseconds, 0 or more
+ */
+void mmx_histogram_add(mmx_histogram_t *histogram, int64_t took);
+
+/**
+ * Appends all counters and histograms in Prometheus text format 0.0.4. Bounds
+ * and sums of histograms are written in seconds.
+ */
 void mmx_counters_write(const mmx_counters_t *counters, struct evbuffer *out);
 
 /** Adds to a counter; NULL is allowed, so that tests may leave it out. */
--- a/include/masticmux/settings.h
+++ b/include/masticmux/settings.h
@@ -54,6 +54,8 @@
 	mmx_address_t listen_nodes;
 	mmx_address_t listen_announce;
 	mmx_address_t listen_operator;
+	/** Further address of the operator server; port 0: none. */
+	mmx_address_t listen_metrics;
 	mmx_address_t seeds[MMX_SEEDS_MAX]; /**< without listen_nodes */
 	size_t seed_count;
 	mmx_address_t log_service; /**< port 0: no log service */
--- a/src/libmasticmux/entry.c
+++ b/src/libmasticmux/entry.c
@@ -42,6 +42,7 @@
 	uint64_t next_sequence;
 	GHashTable *by_request;	 /* of mmx_exchange_t */
 	GHashTable *by_sequence; /* of mmx_exchange_t with an attempt */
+	mmx_histogram_t *latency[MMX_OUTCOME_COUNT];
 	mmx_counter_t *outcome[MMX_OUTCOME_COUNT];
 	mmx_counter_t *reason[MMX_REASON_COUNT];
 };
@@ -92,9 +93,13 @@
 	g_free(exchange);
 }
 
-static void count_(mmx_entry_t *entry, mmx_outcome_t outcome,
+static void count_(const mmx_exchange_t *exchange, mmx_outcome_t outcome,
 		   mmx_reason_t reason)
 {
+	mmx_entry_t *entry = exchange->owner;
+
+	mmx_histogram_add(entry->latency[outcome],
+			  mmx_clock_now(entry->clock) - exchange->started);
 	mmx_counter_add(entry->outcome[outcome], 1);
 	if (reason != MMX_REASON_NONE)
 		mmx_counter_add(entry->reason[reason], 1);
@@ -117,7 +122,7 @@
 			    mmx_outcome_string[outcome],
 			    mmx_reason_string[reason]);
 	answer->body_end = true;
-	count_(entry, outcome, reason);
+	count_(exchange, outcome, reason);
 	mmx_entry_trace_answer(exchange, answer->head, outcome, reason);
 	mmx_task_post(entry->http, &answer->message);
 	mmx_entry_end(exchange);
@@ -133,7 +138,7 @@
 	answer->head = head;
 	evbuffer_add_buffer(answer->body, body);
 	answer->body_end = end;
-	count_(entry, MMX_OUTCOME_COMPLETED, MMX_REASON_NONE);
+	count_(exchange, MMX_OUTCOME_COMPLETED, MMX_REASON_NONE);
 	mmx_entry_trace_answer(exchange, answer->head, MMX_OUTCOME_COMPLETED,
 			       MMX_REASON_NONE);
 	mmx_task_post(entry->http, &answer->message);
@@ -150,7 +155,7 @@
 	answer->head = head;
 	evbuffer_add_buffer(answer->body, body);
 	answer->body_end = true;
-	count_(entry, answer->outcome, answer->reason);
+	count_(exchange, answer->outcome, answer->reason);
 	mmx_entry_trace_answer(exchange, answer->head, answer->outcome,
 			       answer->reason);
 	mmx_task_post(entry->http, &answer->message);
@@ -543,6 +548,9 @@
 		entry->outcome[i] = mmx_counters_get(
 			counters, MMX_COUNTER, "masticmux_requests_total",
 			labels, "Answers given to callers.");
+		entry->latency[i] = mmx_counters_histogram(
+			counters, "masticmux_request_seconds", labels,
+			"Time from the head of a request to its answer.");
 	}
 	for (i = MMX_REASON_NONE + 1; i < MMX_REASON_COUNT; i++) {
 		g_snprintf(labels, sizeof(labels), "reason=\"%s\"",
--- a/src/libmasticmux/exit.c
+++ b/src/libmasticmux/exit.c
@@ -393,6 +393,12 @@
 	exit->started = mmx_counters_get(
 		counters, MMX_COUNTER, "masticmux_exit_started_total", "",
 		"Attempts started at targets beside this node.");
+	exit->queue_time = mmx_counters_histogram(
+		counters, "masticmux_exit_queue_seconds", "",
+		"Time from the arrival of an attempt to its start.");
+	exit->run_time = mmx_counters_histogram(
+		counters, "masticmux_target_seconds", "",
+		"Time from the start of an attempt to its end.");
 	exit->refused = mmx_counters_get(counters, MMX_COUNTER,
 					 "masticmux_exit_refused_total", "",
 					 "Attempts refused by this exit.");
--- a/src/libmasticmux/exit_attempt.c
+++ b/src/libmasticmux/exit_attempt.c
@@ -88,6 +88,8 @@
 	mmx_exit_target_t *target = attempt->target;
 
 	mmx_exit_health_end(attempt, MMX_RESULT_ABANDONED);
+	mmx_histogram_add(exit->run_time,
+			  mmx_clock_now(exit->clock) - attempt->started);
 	mmx_exit_trace_ended(attempt, mmx_attempt_state_string[state], false);
 	target->in_progress--;
 	mmx_limits_finish(target->limits, attempt->execute->account,
@@ -136,6 +138,8 @@
 	attempt->state = MMX_ATTEMPT_RUNNING;
 	attempt->started = mmx_clock_now(exit->clock);
 	mmx_exit_health_start(attempt);
+	mmx_histogram_add(exit->queue_time,
+			  attempt->started - attempt->arrived);
 	call->address = target->address;
 	call->remaining = attempt->deadline - attempt->started;
 	call->head = execute->head;
--- a/src/libmasticmux/include/private/exit_internal.h
+++ b/src/libmasticmux/include/private/exit_internal.h
@@ -42,6 +42,8 @@
 	mmx_timer_t health;
 	mmx_time_t last_evaluation;
 	mmx_counter_t *started;
+	mmx_histogram_t *queue_time;
+	mmx_histogram_t *run_time;
 	mmx_counter_t *refused;
 	mmx_counter_t *fenced;
 	mmx_counter_t *expired;
--- a/src/libmasticmux/include/private/operator.h
+++ b/src/libmasticmux/include/private/operator.h
@@ -83,6 +83,10 @@
 uint16_t mmx_operator_port(const mmx_operator_t *server);
 
 /* What /healthz tells. */
+/* Listens on a further address. Valid after init. */
+bool mmx_operator_listen(mmx_operator_t *server, const mmx_address_t *address,
+			 mmx_error_t *error);
+
 /* /healthz answers 503 while the function returns false. */
 void mmx_operator_set_ready(mmx_operator_t *server, bool (*ready)(void *arg),
 			    void *arg);
--- a/src/libmasticmux/operator.c
+++ b/src/libmasticmux/operator.c
@@ -331,6 +331,14 @@
 	return mmx_listen_http(server->server, address, &server->port, error);
 }
 
+bool mmx_operator_listen(mmx_operator_t *server, const mmx_address_t *address,
+			 mmx_error_t *error)
+{
+	uint16_t port;
+
+	return mmx_listen_http(server->server, address, &port, error);
+}
+
 uint16_t mmx_operator_port(const mmx_operator_t *server)
 {
 	return server->port;
--- a/src/libmasticmux/part_operator.c
+++ b/src/libmasticmux/part_operator.c
@@ -352,7 +352,10 @@
 	mmx_operator_register(self->server, MMX_OPERATOR_GET, "/stop",
 			      on_stop_query_, self);
 	return mmx_operator_init(self->server, &node->settings->listen_operator,
-				 error);
+				 error) &&
+	       (!node->settings->listen_metrics.port ||
+		mmx_operator_listen(self->server,
+				    &node->settings->listen_metrics, error));
 }
 
 static void drain_(mmx_part_t *part)
--- a/src/libmasticmux/settings.c
+++ b/src/libmasticmux/settings.c
@@ -31,6 +31,7 @@
 	PLACE_NODES,
 	PLACE_ANNOUNCE,
 	PLACE_OPERATOR,
+	PLACE_METRICS,
 	PLACE_LOG_SERVICE,
 	PLACE_COLLECTOR,
 	PLACE_STORE,
@@ -40,9 +41,9 @@
 } place_index_t;
 
 static const char *const place_path_[PLACE_SEEDS] = {
-	"listen.callers",  "listen.nodes",	  "listen.announce",
-	"listen.operator", "log_service.address", "trace.collector",
-	"store.address",   "node.target",
+	"listen.callers",  "listen.nodes",   "listen.announce",
+	"listen.operator", "listen.metrics", "log_service.address",
+	"trace.collector", "store.address",  "node.target",
 };
 
 /* Settings while they are read. */
@@ -63,6 +64,8 @@
 		return &settings->listen_announce;
 	case PLACE_OPERATOR:
 		return &settings->listen_operator;
+	case PLACE_METRICS:
+		return &settings->listen_metrics;
 	case PLACE_LOG_SERVICE:
 		return &settings->log_service;
 	case PLACE_COLLECTOR:
@@ -283,6 +286,7 @@
 	ADDRESS_RULE_("nodes", MMX_PRESENCE_REQUIRED, listen_nodes),
 	ADDRESS_RULE_("announce", MMX_PRESENCE_REQUIRED, listen_announce),
 	ADDRESS_RULE_("operator", MMX_PRESENCE_REQUIRED, listen_operator),
+	ADDRESS_RULE_("metrics", MMX_PRESENCE_OPTIONAL, listen_metrics),
 };
 
 static const mmx_rule_t fleet_rules_[] = {
@@ -410,7 +414,7 @@
 {
 	if (first >= PLACE_SEEDS)
 		return true;
-	if (first > PLACE_OPERATOR)
+	if (first > PLACE_METRICS)
 		return false;
 	/* A seed may be this node itself: one file then suits every node. */
 	return !(first == PLACE_NODES && second >= PLACE_SEEDS);
@@ -431,7 +435,7 @@
 			char names[2][32];
 
 			if (!a->port || !is_pair_checked_(first, second) ||
-			    !is_conflict_(a, second <= PLACE_OPERATOR, b))
+			    !is_conflict_(a, second <= PLACE_METRICS, b))
 				continue;
 			mmx_address_format(b, text, sizeof(text));
 			describe_place_(first, names[0], sizeof(names[0]));
@@ -454,7 +458,7 @@
 
 	for (i = 0; i < PLACE_COUNT; i++) {
 		const mmx_address_t *address = address_at_(settings, i);
-		bool is_listener = i <= PLACE_OPERATOR;
+		bool is_listener = i <= PLACE_METRICS;
 		char name[32];
 
 		if (!address->port)
