Log what exits refuse and why calls fail

Cause: a line of a request names the refusals of exits but not what they rest on.

Change: one line for each attempt that an exit refuses, with load, run time, estimate of failure and its age, time left and patience; one for each call that failed. The line of a request shows the believed load of each target that was tried and the age of that belief.

--- a/include/masticmux/balance.h
+++ b/include/masticmux/balance.h
@@ -107,6 +107,18 @@
 			mmx_random_t *random, mmx_time_t now,
 			mmx_balance_choice_t *choice);
 
+/** What the choice of a target rests on. */
+typedef struct mmx_balance_belief_t {
+	uint32_t outstanding; /**< of this entry */
+	uint32_t others;      /**< of other entries, as last reported */
+	uint16_t slots;
+	mmx_time_t age; /**< of the report; MMX_TIME_NEVER: there was none */
+} mmx_balance_belief_t;
+
+/** Returns false for an unknown target. */
+bool mmx_balance_belief(const mmx_balance_t *balance, mmx_target_id_t target,
+			mmx_time_t now, mmx_balance_belief_t *belief);
+
 /** Requests of this entry outstanding at a target; 0 when unknown. */
 uint32_t mmx_balance_outstanding(const mmx_balance_t *balance,
 				 mmx_target_id_t target);
--- a/src/libmasticmux/balance.c
+++ b/src/libmasticmux/balance.c
@@ -360,6 +360,22 @@
 	return true;
 }
 
+bool mmx_balance_belief(const mmx_balance_t *balance, mmx_target_id_t target,
+			mmx_time_t now, mmx_balance_belief_t *belief)
+{
+	const target_t *known = find_(balance, target);
+
+	if (!known)
+		return false;
+	*belief = (mmx_balance_belief_t){
+		.outstanding = known->outstanding,
+		.others = known->others,
+		.slots = known->slots,
+		.age = known->reported ? now - known->reported : MMX_TIME_NEVER,
+	};
+	return true;
+}
+
 uint32_t mmx_balance_outstanding(const mmx_balance_t *balance,
 				 mmx_target_id_t target)
 {
--- a/src/libmasticmux/entry_trace.c
+++ b/src/libmasticmux/entry_trace.c
@@ -79,11 +79,31 @@
 		      left, NULL);
 }
 
-void mmx_entry_trace_attempt(mmx_exchange_t *exchange)
+/* "TARGET[LOAD/SLOTS,AGE]": load as believed, and age of the report in ms. */
+static void add_target_(mmx_exchange_t *exchange,
+			const mmx_balance_belief_t *belief)
+{
+	char text[MMX_NAME_MAX + 64];
+	int length;
+
+	length = g_snprintf(
+		text, sizeof(text), "%s[%u/%u,", target_name_(exchange),
+		belief->outstanding + belief->others, belief->slots);
+	if (belief->age == MMX_TIME_NEVER)
+		g_snprintf(text + length, sizeof(text) - (size_t)length,
+			   "none]");
+	else
+		g_snprintf(text + length, sizeof(text) - (size_t)length,
+			   "%lld]", (long long)(belief->age / MMX_US_PER_MS));
+	add_step_(exchange, ";", text);
+}
+
+void mmx_entry_trace_attempt(mmx_exchange_t *exchange,
+			     const mmx_balance_belief_t *belief)
 {
 	mmx_trace_t *trace = mmx_entry_trace(exchange->owner);
 
-	add_step_(exchange, ",", target_name_(exchange));
+	add_target_(exchange, belief);
 	if (!trace)
 		return;
 	exchange->attempt_span = mmx_span_start(trace, &exchange->trace,
--- a/src/libmasticmux/exit_attempt.c
+++ b/src/libmasticmux/exit_attempt.c
@@ -75,6 +75,7 @@
 			    mmx_reason_t reason)
 {
 	remove_from_queue_(attempt);
+	mmx_exit_log_refused(exit, attempt->execute, attempt->target, reason);
 	mmx_exit_trace_ended(attempt, mmx_reason_string[reason], true);
 	if (!attempt->abandoned)
 		mmx_exit_post_refusal(exit, &attempt->id, &attempt->origin,
@@ -296,6 +297,7 @@
 	if (target)
 		mmx_exit_health_note(exit, target, execute);
 	if (reason != MMX_REASON_NONE) {
+		mmx_exit_log_refused(exit, execute, target, reason);
 		mmx_exit_post_refusal(exit, &execute->attempt, &execute->origin,
 				      target, reason, false);
 		/* A copy that arrives later must not start either. */
--- a/src/libmasticmux/exit_call.c
+++ b/src/libmasticmux/exit_call.c
@@ -55,6 +55,9 @@
 {
 	bool started = event->result != MMX_CALL_NOT_SENT;
 
+	mmx_exit_log_failed(exit, attempt,
+			    mmx_call_result_string[event->result]);
+
 	if (!attempt->abandoned)
 		mmx_exit_post_refusal(exit, &attempt->id, &attempt->origin,
 				      attempt->target, MMX_REASON_TARGET_FAILED,
@@ -97,9 +100,12 @@
 			     const mmx_call_event_t *event)
 {
 	mmx_exit_target_t *target = attempt->target;
+	mmx_reply_kind_t kind = mmx_dialect_judge(exit->dialect, event->head,
+						  attempt->request_id);
 
-	switch (mmx_dialect_judge(exit->dialect, event->head,
-				  attempt->request_id)) {
+	if (kind != MMX_REPLY_VALID)
+		mmx_exit_log_failed(exit, attempt, mmx_reply_kind_string[kind]);
+	switch (kind) {
 	case MMX_REPLY_NOT_RUN:
 		mmx_exit_health_end(attempt, MMX_RESULT_ABANDONED);
 		drop_response_(exit, attempt, MMX_REASON_OVERLOADED, false,
@@ -181,6 +187,8 @@
 		mmx_message_destroy(&body->message);
 		return;
 	}
+	if (failed)
+		mmx_exit_log_failed(exit, attempt, "body broke off");
 	if (failed)
 		mmx_exit_health_fault(exit, attempt, MMX_FAULT_BROKEN);
 	else if (end && !attempt->error)
--- /dev/null
+++ b/src/libmasticmux/exit_log.c
@@ -0,0 +1,85 @@
+/* Lines of the exit: why an attempt was refused, or how its call failed. */
+#include "private/exit_internal.h"
+
+#include <glib.h>
+
+/* Numbers as text, for the pairs of a line. */
+typedef struct numbers_t {
+	char in_progress[12];
+	char queued[12];
+	char slots[12];
+	char run_ms[24];
+	char probability[8];
+	char evidence_ms[24];
+	char remaining_ms[24];
+	char patience_ms[24];
+} numbers_t;
+
+static void ms_(char *text, size_t size, mmx_time_t time)
+{
+	g_snprintf(text, size, "%lld", (long long)(time / MMX_US_PER_MS));
+}
+
+static void fill_target_(const mmx_exit_t *exit,
+			 const mmx_exit_target_t *target, uint32_t route,
+			 numbers_t *numbers)
+{
+	mmx_time_t now = mmx_clock_now(exit->clock);
+
+	g_snprintf(numbers->in_progress, sizeof(numbers->in_progress), "%u",
+		   target->in_progress);
+	g_snprintf(numbers->queued, sizeof(numbers->queued), "%u",
+		   target->queued);
+	g_snprintf(numbers->slots, sizeof(numbers->slots), "%u",
+		   mmx_exit_target_slots(target, now));
+	ms_(numbers->run_ms, sizeof(numbers->run_ms),
+	    mmx_exit_target_run_time(target, route));
+	g_snprintf(numbers->probability, sizeof(numbers->probability), "%.2f",
+		   mmx_fault_probability(&target->fault, now));
+	ms_(numbers->evidence_ms, sizeof(numbers->evidence_ms),
+	    now - target->fault.at);
+}
+
+void mmx_exit_log_refused(mmx_exit_t *exit, const mmx_execute_t *execute,
+			  const mmx_exit_target_t *target, mmx_reason_t reason)
+{
+	const char *id_name = exit->dialect->request_id;
+	const char *id = id_name && execute->head
+				 ? mmx_head_find(execute->head, id_name)
+				 : NULL;
+	numbers_t numbers = {.queued = ""};
+
+	if (!exit->log)
+		return;
+	if (target)
+		fill_target_(exit, target, execute->route, &numbers);
+	ms_(numbers.remaining_ms, sizeof(numbers.remaining_ms),
+	    execute->remaining);
+	ms_(numbers.patience_ms, sizeof(numbers.patience_ms),
+	    execute->patience);
+	mmx_log_event(
+		exit->log, MMX_LOG_INFO, "attempt_refused", "id", id, "target",
+		target ? target->record.name : "unknown", "reason",
+		mmx_reason_string[reason], "in_progress", numbers.in_progress,
+		"queued", numbers.queued, "slots", numbers.slots, "run_ms",
+		numbers.run_ms, "failing_probability", numbers.probability,
+		"evidence_age_ms", numbers.evidence_ms, "remaining_ms",
+		numbers.remaining_ms, "patience_ms", numbers.patience_ms, NULL);
+}
+
+void mmx_exit_log_failed(mmx_exit_t *exit, const mmx_attempt_t *attempt,
+			 const char *result)
+{
+	char took[24];
+	char left[24];
+	mmx_time_t now = mmx_clock_now(exit->clock);
+
+	if (!exit->log)
+		return;
+	ms_(took, sizeof(took), now - attempt->started);
+	ms_(left, sizeof(left), attempt->deadline - now);
+	mmx_log_event(exit->log, MMX_LOG_INFO, "call_failed", "id",
+		      attempt->request_id, "target",
+		      attempt->target->record.name, "result", result, "took_ms",
+		      took, "left_ms", left, NULL);
+}
--- a/src/libmasticmux/filter_attempt.c
+++ b/src/libmasticmux/filter_attempt.c
@@ -141,7 +141,7 @@
 	exchange->path_lost = false;
 	mmx_entry_new_attempt(exchange);
 	TAILQ_INSERT_TAIL(&self->open, exchange, path_entry);
-	mmx_entry_trace_attempt(exchange);
+	mmx_entry_trace_attempt(exchange, &choice->belief);
 	if (exchange->key[0] && mmx_entry_claims(self->entry)) {
 		mmx_attempt_claim(self, exchange);
 		if (self->guards->claim)
--- a/src/libmasticmux/include/private/entry.h
+++ b/src/libmasticmux/include/private/entry.h
@@ -143,8 +143,9 @@
 /* --- spans and history (entry_trace.c) ---------------------------------- */
 
 void mmx_entry_trace_start(mmx_exchange_t *exchange);
-/* An attempt has been chosen. */
-void mmx_entry_trace_attempt(mmx_exchange_t *exchange);
+/* An attempt has been chosen, from this belief. */
+void mmx_entry_trace_attempt(mmx_exchange_t *exchange,
+			     const mmx_balance_belief_t *belief);
 /* Context that goes to the exit. */
 void mmx_entry_trace_context(const mmx_exchange_t *exchange,
 			     mmx_trace_context_t *out);
--- a/src/libmasticmux/include/private/exit_internal.h
+++ b/src/libmasticmux/include/private/exit_internal.h
@@ -110,6 +110,15 @@
 /* The running attempt of this id, or NULL. */
 mmx_attempt_t *mmx_exit_running(mmx_exit_t *exit, const mmx_attempt_id_t *id);
 
+/* --- exit_log.c -------------------------------------------------------- */
+
+/* An attempt is refused; target may be NULL. */
+void mmx_exit_log_refused(mmx_exit_t *exit, const mmx_execute_t *execute,
+			  const mmx_exit_target_t *target, mmx_reason_t reason);
+/* The call of a running attempt has failed; result: a string constant. */
+void mmx_exit_log_failed(mmx_exit_t *exit, const mmx_attempt_t *attempt,
+			 const char *result);
+
 /* --- exit_trace.c ------------------------------------------------------ */
 
 void mmx_exit_trace_arrived(mmx_exit_t *exit, mmx_attempt_t *attempt);
--- a/src/libmasticmux/include/private/view.h
+++ b/src/libmasticmux/include/private/view.h
@@ -53,6 +53,7 @@
 	mmx_incarnation_t incarnation;
 	mmx_ring_t ring;
 	bool trial;
+	mmx_balance_belief_t belief; /* before this attempt */
 } mmx_view_choice_t;
 
 /*
--- a/src/libmasticmux/view.c
+++ b/src/libmasticmux/view.c
@@ -298,6 +298,8 @@
 			 mmx_ejection_trial_start(service->ejection,
 						  chosen.target),
 	};
+	mmx_balance_belief(service->balance, chosen.target, now_(view),
+			   &choice->belief);
 	mmx_balance_start(service->balance, chosen.target);
 	mmx_path_sent(&path_(view, choice->node)->path, now_(view));
 	return true;
