Give calls with a short objective 100 ms of patience

Cause: a call with an objective of 150 ms was refused where it would have waited 80 ms, and sent to another region, 66 ms away.

Change: at least 100 ms of patience, three attempts in the region, eight in all; exits hand out 65% of the retry budget.

--- a/src/libmasticmux/exit_attempt.c
+++ b/src/libmasticmux/exit_attempt.c
@@ -10,7 +10,7 @@
  * count as repeats without being recognised, and exits that know only some of
  * the targets of their service yet.
  */
-#define BUDGET_USED_PERCENT 75
+#define BUDGET_USED_PERCENT 65
 
 /* --- responses --------------------------------------------------------- */
 
--- a/src/libmasticmux/filter_attempt.c
+++ b/src/libmasticmux/filter_attempt.c
@@ -20,12 +20,13 @@
  * says that the attempt did not run, arrives in time.
  */
 #define DEADLINE_MARGIN_MAX_US (20 * MMX_US_PER_MS)
-/* Part of the latency objective that an attempt may spend in the queue of one
- * exit while others have not been tried. */
+/* Part of the latency objective that an attempt may spend in the queue of
+ * one exit, and the least: a way to another region and back takes that long. */
 #define PATIENCE_SHARE 4
+#define PATIENCE_MIN_US (100 * MMX_US_PER_MS)
 /* Attempts that stay in the own region if it has a target that may be used:
  * a body that crosses to another one costs more than a short wait. */
-#define NEAR_ATTEMPTS 2
+#define NEAR_ATTEMPTS 3
 /* Attempts at the end of which the queue is accepted as it is. */
 #define LAST_ATTEMPTS 2
 /* Time before the deadline at which a silent attempt is fenced. */
@@ -70,10 +71,12 @@
 static mmx_time_t patience_(const mmx_exchange_t *exchange,
 			    mmx_time_t remaining)
 {
+	mmx_time_t share = exchange->objective / PATIENCE_SHARE;
+
 	if (exchange->objective == 0 ||
 	    exchange->attempts + LAST_ATTEMPTS > exchange->attempts_max)
 		return remaining;
-	return MIN(remaining, exchange->objective / PATIENCE_SHARE);
+	return MIN(remaining, MAX(share, PATIENCE_MIN_US));
 }
 
 static mmx_execute_t *new_execute_(mmx_attempt_filter_t *self,
--- a/src/libmasticmux/include/private/exchange.h
+++ b/src/libmasticmux/include/private/exchange.h
@@ -10,7 +10,7 @@
 /* Longest Idempotency-Key, bytes. */
 #define MMX_IDEMPOTENCY_KEY_MAX 255
 /* Targets that one request may be tried at. */
-#define MMX_ATTEMPTS_MAX 6
+#define MMX_ATTEMPTS_MAX 8
 /* The same where nothing is known of the wanted latency: each exit then
  * queues the request if it can, and a refusal says that it is overloaded. */
 #define MMX_ATTEMPTS_DEFAULT 4
