--- a/include/masticmux/settings.h
+++ b/include/masticmux/settings.h
@@ -29,11 +29,10 @@
 #define MMX_STOP_GRACE_DEFAULT_S 60
 /**
  * Defaults of the fleet-wide retry budget of a service: attempts beyond the
- * first, in percent of its requests, plus a reserve, both per window.
+ * first, in percent of its requests, plus a reserve in any window.
  */
 #define MMX_RETRY_PERCENT_DEFAULT 20
 #define MMX_RETRY_RESERVE_DEFAULT 60
-#define MMX_RETRY_WINDOW_DEFAULT_S 10
 /** Default share of a service's slots that ejections leave, percent. */
 #define MMX_FLOOR_PERCENT_DEFAULT 70
 
@@ -74,11 +73,10 @@
 	/** The network between the nodes is private: records between them are
 	 * neither signed nor limited to loopback. */
 	bool trusted_network;
-	mmx_time_t stop_grace;	 /**< microseconds from SIGTERM */
-	uint32_t retry_percent;	 /**< see MMX_RETRY_PERCENT_DEFAULT */
-	int64_t retry_reserve;	 /**< attempts of the whole fleet */
-	mmx_time_t retry_window; /**< microseconds */
-	uint32_t floor_percent;	 /**< see MMX_FLOOR_PERCENT_DEFAULT */
+	mmx_time_t stop_grace;	/**< microseconds from SIGTERM */
+	uint32_t retry_percent; /**< see MMX_RETRY_PERCENT_DEFAULT */
+	int64_t retry_reserve;	/**< attempts of the whole fleet */
+	uint32_t floor_percent; /**< see MMX_FLOOR_PERCENT_DEFAULT */
 } mmx_settings_t;
 
 /**
--- a/src/libmasticmux/settings.c
+++ b/src/libmasticmux/settings.c
@@ -327,7 +327,6 @@
 	{"reserve", MMX_TREE_INTEGER, MMX_PRESENCE_OPTIONAL,
 	 mmx_schema_read_integer, NULL, 0, RETRY_RESERVE_MAX, "attempts", 1,
 	 offsetof(mmx_settings_t, retry_reserve), sizeof(int64_t)},
-	SECONDS_RULE_("window_s", retry_window),
 };
 
 static const mmx_rule_t targets_rules_[] = {
@@ -449,6 +448,16 @@
 	}
 }
 
+/* Both would decide on the configuration. */
+static void check_sources_(mmx_schema_t *schema, const reading_t *reading)
+{
+	if (reading->settings->store.port &&
+	    reading->settings->log_service.port)
+		mmx_schema_report(schema, reading->places[PLACE_STORE],
+				  "store.address: a node has either a store or "
+				  "a log service; remove one of the tables");
+}
+
 static void check_hosts_(mmx_schema_t *schema, const reading_t *reading)
 {
 	mmx_settings_t *settings = reading->settings;
@@ -504,13 +513,13 @@
 	settings->stop_grace = MMX_STOP_GRACE_DEFAULT_S * MMX_US_PER_S;
 	settings->retry_percent = MMX_RETRY_PERCENT_DEFAULT;
 	settings->retry_reserve = MMX_RETRY_RESERVE_DEFAULT;
-	settings->retry_window = MMX_RETRY_WINDOW_DEFAULT_S * MMX_US_PER_S;
 	settings->floor_percent = MMX_FLOOR_PERCENT_DEFAULT;
 	mmx_schema_init(&schema, file, findings, false, &reading);
 	mmx_schema_read(&schema, root, root_rules_, G_N_ELEMENTS(root_rules_),
 			settings);
 	check_pairs_(&schema, &reading);
 	check_hosts_(&schema, &reading);
+	check_sources_(&schema, &reading);
 	mmx_schema_finish(&schema);
 	if (mmx_findings_count(findings)) {
 		mmx_settings_destroy(settings);
