--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -1,7 +1,7 @@
 # Shared by the scripts: package installation, processes, settings of nodes,
 # control of the stand-ins, and checks that count failures.
 
-PACKAGES="g++ make pkg-config clang-format clang-tidy curl libevent-dev
+PACKAGES="python3 g++ make pkg-config clang-format clang-tidy curl libevent-dev
 	libevhtp-dev libtirpc-dev libglib2.0-dev libssl-dev libxxhash-dev
 	libjansson-dev libtomlplusplus-dev libcunit1-dev liblua5.4-dev"
 
