--- a/src/libmasticmux/filter_attempt.c
+++ b/src/libmasticmux/filter_attempt.c
@@ -15,20 +15,9 @@
 
 /* A fencing query without a reply is repeated after this time. */
 #define FENCE_RETRY_US (500 * MMX_US_PER_MS)
-/*
- * The exit gives up a little before the entry does, so that its refusal, which
- * says that the attempt did not run, arrives in time.
- */
-#define DEADLINE_MARGIN_MAX_US (20 * MMX_US_PER_MS)
-/* Part of the latency objective that an attempt may spend in the queue of
- * one exit, and the least: a way to another region and back takes that long. */
-#define PATIENCE_SHARE 4
-#define PATIENCE_MIN_US (100 * MMX_US_PER_MS)
 /* Attempts that stay in the own region if it has a target that may be used:
  * a body that crosses to another one costs more than a short wait. */
 #define NEAR_ATTEMPTS 3
-/* Attempts at the end of which the queue is accepted as it is. */
-#define LAST_ATTEMPTS 2
 /* Time before the deadline at which a silent attempt is fenced. */
 #define FENCE_LEAD_MAX_US (100 * MMX_US_PER_MS)
 
@@ -36,11 +25,6 @@
 
 /* --- sending ----------------------------------------------------------- */
 
-static mmx_time_t margin_(mmx_time_t remaining, mmx_time_t max)
-{
-	return MIN(remaining / 10, max);
-}
-
 static void set_deadline_timer_(mmx_attempt_filter_t *self,
 				mmx_exchange_t *exchange)
 {
@@ -49,7 +33,7 @@
 	mmx_time_t lead = 0;
 
 	if (!exchange->repeatable && exchange->state == MMX_EXCHANGE_SENT)
-		lead = margin_(2 * remaining, FENCE_LEAD_MAX_US);
+		lead = mmx_attempt_margin(2 * remaining, FENCE_LEAD_MAX_US);
 	mmx_timer_set(&exchange->timer, remaining - lead);
 }
 
@@ -63,62 +47,12 @@
 						   evbuffer_get_length(body)));
 }
 
-/*
- * The last attempts wait as long as the time left allows. The others are
- * refused where the wait would cost much of the objective, since another
- * target may have a free slot.
- */
-static mmx_time_t patience_(const mmx_exchange_t *exchange,
-			    mmx_time_t remaining)
-{
-	mmx_time_t share = exchange->objective / PATIENCE_SHARE;
-
-	if (exchange->objective == 0 ||
-	    exchange->attempts + LAST_ATTEMPTS > exchange->attempts_max)
-		return remaining;
-	return MIN(remaining, MAX(share, PATIENCE_MIN_US));
-}
-
-static mmx_execute_t *new_execute_(mmx_attempt_filter_t *self,
-				   const mmx_exchange_t *exchange)
-{
-	mmx_execute_t *execute = mmx_new_execute();
-	mmx_time_t remaining = exchange->deadline - mmx_clock_now(self->clock);
-
-	execute->attempt = exchange->attempt;
-	execute->exit = exchange->exit;
-	execute->exit_incarnation = exchange->exit_incarnation;
-	execute->target = exchange->target;
-	g_strlcpy(execute->service, exchange->service,
-		  sizeof(execute->service));
-	g_strlcpy(execute->account, exchange->account,
-		  sizeof(execute->account));
-	execute->repeatable = exchange->repeatable;
-	execute->remaining =
-		remaining - margin_(remaining, DEADLINE_MARGIN_MAX_US);
-	execute->keyed = exchange->key[0] != '\0';
-	execute->priority = exchange->priority;
-	execute->repeat = exchange->offers > 0;
-	execute->inherited = exchange->inherited;
-	execute->objective = exchange->objective;
-	execute->route = exchange->route[0] ? g_str_hash(exchange->route) : 0;
-	execute->patience = patience_(exchange, execute->remaining);
-	execute->trial = exchange->trial;
-	execute->peers = mmx_view_summary(self->view, exchange->target);
-	mmx_entry_trace_context(exchange, &execute->trace);
-	execute->head = mmx_head_copy(exchange->head);
-	evbuffer_add_buffer_reference(execute->body, exchange->body);
-	execute->body_end = exchange->body_end;
-	execute->origin = mmx_entry_origin(self->entry);
-	return execute;
-}
-
 void mmx_attempt_transmit(mmx_attempt_filter_t *self, mmx_exchange_t *exchange)
 {
 	mmx_execute_t *execute;
 
 	exchange->state = MMX_EXCHANGE_SENT;
-	execute = new_execute_(self, exchange);
+	execute = mmx_attempt_new_execute(self, exchange);
 	/* A long body is sent once and not held for another attempt. */
 	if (evbuffer_get_length(exchange->body) > MMX_HELD_BODY_MAX) {
 		exchange->body_whole = false;
--- /dev/null
+++ b/src/libmasticmux/filter_attempt_send.c
@@ -0,0 +1,72 @@
+/* What the attempt filter sends to an exit. */
+#include <event2/buffer.h>
+#include <glib.h>
+
+#include "private/filter_attempt.h"
+
+/*
+ * The exit gives up a little before the entry does, so that its refusal, which
+ * says that the attempt did not run, arrives in time.
+ */
+#define DEADLINE_MARGIN_MAX_US (20 * MMX_US_PER_MS)
+/* Part of the latency objective that an attempt may spend in the queue of
+ * one exit, and the least: a way to another region and back takes that long. */
+#define PATIENCE_SHARE 4
+#define PATIENCE_MIN_US (100 * MMX_US_PER_MS)
+/* Attempts at the end of which the queue is accepted as it is. */
+#define LAST_ATTEMPTS 2
+mmx_time_t mmx_attempt_margin(mmx_time_t remaining, mmx_time_t max)
+{
+	return MIN(remaining / 10, max);
+}
+
+/*
+ * The last attempts wait as long as the time left allows. The others are
+ * refused where the wait would cost much of the objective, since another
+ * target may have a free slot.
+ */
+static mmx_time_t patience_(const mmx_exchange_t *exchange,
+			    mmx_time_t remaining)
+{
+	mmx_time_t share = exchange->objective / PATIENCE_SHARE;
+
+	if (exchange->objective == 0 ||
+	    exchange->attempts + LAST_ATTEMPTS > exchange->attempts_max)
+		return remaining;
+	return MIN(remaining, MAX(share, PATIENCE_MIN_US));
+}
+
+mmx_execute_t *mmx_attempt_new_execute(mmx_attempt_filter_t *self,
+				       const mmx_exchange_t *exchange)
+{
+	mmx_execute_t *execute = mmx_new_execute();
+	mmx_time_t remaining = exchange->deadline - mmx_clock_now(self->clock);
+
+	execute->attempt = exchange->attempt;
+	execute->exit = exchange->exit;
+	execute->exit_incarnation = exchange->exit_incarnation;
+	execute->target = exchange->target;
+	g_strlcpy(execute->service, exchange->service,
+		  sizeof(execute->service));
+	g_strlcpy(execute->account, exchange->account,
+		  sizeof(execute->account));
+	execute->repeatable = exchange->repeatable;
+	execute->remaining =
+		remaining -
+		mmx_attempt_margin(remaining, DEADLINE_MARGIN_MAX_US);
+	execute->keyed = exchange->key[0] != '\0';
+	execute->priority = exchange->priority;
+	execute->repeat = exchange->offers > 0;
+	execute->inherited = exchange->inherited;
+	execute->objective = exchange->objective;
+	execute->route = exchange->route[0] ? g_str_hash(exchange->route) : 0;
+	execute->patience = patience_(exchange, execute->remaining);
+	execute->trial = exchange->trial;
+	execute->peers = mmx_view_summary(self->view, exchange->target);
+	mmx_entry_trace_context(exchange, &execute->trace);
+	execute->head = mmx_head_copy(exchange->head);
+	evbuffer_add_buffer_reference(execute->body, exchange->body);
+	execute->body_end = exchange->body_end;
+	execute->origin = mmx_entry_origin(self->entry);
+	return execute;
+}
--- a/src/libmasticmux/include/private/filter_attempt.h
+++ b/src/libmasticmux/include/private/filter_attempt.h
@@ -23,6 +23,13 @@
 	mmx_counter_t *remote_received;
 } mmx_attempt_filter_t;
 
+/* Part of the remaining time that is kept back, at most max. */
+mmx_time_t mmx_attempt_margin(mmx_time_t remaining, mmx_time_t max);
+
+/* The message of the attempt that was chosen. */
+mmx_execute_t *mmx_attempt_new_execute(mmx_attempt_filter_t *self,
+				       const mmx_exchange_t *exchange);
+
 /* Sends the attempt that was chosen, after its claim if it needs one. */
 void mmx_attempt_transmit(mmx_attempt_filter_t *self, mmx_exchange_t *exchange);
 
