Send unrepeatable calls on connections that are in recent use

Cause: a target that forgets idle connections without notice makes the first call on one of them fail, and nobody knows whether that call has run. For a call that may not be repeated this is a lost request; for others it costs one more attempt.

Change: a call that may not be repeated opens a connection when the others have been idle for more than 1 s. The Keep-Alive time that a target tells is honoured, with a margin of 1 s or half of it. Runtimes for tests can have a loop for sockets and a paused clock; the fixture of the target client's tests is a file of its own. Without the change three cases of target_reuse fail.

The change is for correctness on targets that drop idle connections.

--- a/include/masticmux/task.h
+++ b/include/masticmux/task.h
@@ -54,6 +54,14 @@
  */
 mmx_runtime_t *mmx_runtime_create(struct event_base *base);
 
+/**
+ * Creates a runtime whose loop handles sockets while its clock stands until
+ * mmx_clock_advance(), for tests.
+ *
+ * @param base  libevent loop
+ */
+mmx_runtime_t *mmx_runtime_create_paused(struct event_base *base);
+
 /** Destroys a runtime and the messages that were not delivered. */
 void mmx_runtime_destroy(mmx_runtime_t *runtime);
 
--- a/src/libmasticmux/exit_attempt.c
+++ b/src/libmasticmux/exit_attempt.c
@@ -142,6 +142,7 @@
 	mmx_histogram_add(exit->queue_time,
 			  attempt->started - attempt->arrived);
 	call->address = target->address;
+	call->repeatable = execute->repeatable;
 	call->remaining = attempt->deadline - attempt->started;
 	call->head = execute->head;
 	execute->head = NULL;
--- a/src/libmasticmux/include/private/messages.h
+++ b/src/libmasticmux/include/private/messages.h
@@ -264,6 +264,7 @@
 	mmx_message_t message;
 	mmx_attempt_id_t attempt;
 	mmx_address_t address;
+	bool repeatable;
 	mmx_time_t remaining; /* microseconds */
 	mmx_head_t *head;
 	struct evbuffer *body;
--- a/src/libmasticmux/include/private/target_client.h
+++ b/src/libmasticmux/include/private/target_client.h
@@ -43,6 +43,14 @@
 bool mmx_target_client_set_idle_timeout(mmx_target_client_t *client,
 					mmx_time_t timeout);
 
+/*
+ * A call that may not be repeated goes on a new connection if the others have
+ * been idle for longer, microseconds: the target may have forgotten them, and
+ * then nobody knows whether it got the request. By default any is taken.
+ */
+bool mmx_target_client_set_fresh_within(mmx_target_client_t *client,
+					mmx_time_t idle);
+
 /* Starts to take calls. */
 void mmx_target_client_init(mmx_target_client_t *client);
 
--- a/src/libmasticmux/include/private/target_connection.h
+++ b/src/libmasticmux/include/private/target_connection.h
@@ -51,12 +51,13 @@
 			   const mmx_address_t *address);
 
 /*
- * Takes an idle connection that the target has not closed, NULL if there is
- * none. The pool stays, even without a connection.
+ * Takes a connection that has been idle for at most max_idle microseconds and
+ * that the target has not closed, NULL if there is none. The pool stays, even
+ * without a connection.
  */
 mmx_target_connection_t *
 mmx_target_connection_reuse(mmx_target_shared_t *shared,
-			    mmx_target_pool_t *pool);
+			    mmx_target_pool_t *pool, mmx_time_t max_idle);
 
 /* Closes a connection; a call on it ends without a message. */
 void mmx_target_connection_close(mmx_target_connection_t *connection);
--- a/src/libmasticmux/part_path.c
+++ b/src/libmasticmux/part_path.c
@@ -15,6 +15,10 @@
  * has: they notice the planned stop only after some checks of /healthz. */
 #define ANNOUNCE_SHARE 2
 
+/* Targets may drop idle connections without notice, after seconds. A new one
+ * costs 1 ms. */
+#define FRESH_WITHIN_US (1 * MMX_US_PER_S)
+
 typedef struct path_t {
 	mmx_part_t part;
 	mmx_timer_t close;
@@ -120,6 +124,9 @@
 		node->runtime, mmx_entry_task(node->entry), node->counters);
 	path->announce =
 		mmx_announce_create(node->runtime, exit_task, node->counters);
+	if (node->store)
+		mmx_target_client_set_fresh_within(path->client,
+						   FRESH_WITHIN_US);
 	mmx_target_client_init(path->client);
 	mmx_announce_set_form(path->announce, node->announcements);
 	mmx_announce_set_trusted(path->announce,
--- a/src/libmasticmux/target_client.c
+++ b/src/libmasticmux/target_client.c
@@ -13,6 +13,7 @@
 	mmx_task_t task;
 	mmx_target_shared_t shared;
 	size_t connections_max;
+	mmx_time_t fresh_within;
 	bool initialised;
 };
 
@@ -62,11 +63,13 @@
 }
 
 static mmx_target_connection_t *acquire_(mmx_target_client_t *client,
-					 const mmx_address_t *address)
+					 const mmx_address_t *address,
+					 bool repeatable)
 {
 	mmx_target_pool_t *pool = get_pool_(client, address);
-	mmx_target_connection_t *connection =
-		mmx_target_connection_reuse(&client->shared, pool);
+	mmx_target_connection_t *connection = mmx_target_connection_reuse(
+		&client->shared, pool,
+		repeatable ? MMX_TIME_NEVER : client->fresh_within);
 
 	if (connection)
 		return connection;
@@ -82,7 +85,7 @@
 	assert(client->initialised);
 	assert(!g_hash_table_contains(client->shared.calls, &call->attempt));
 	if (call->remaining > 0)
-		connection = acquire_(client, &call->address);
+		connection = acquire_(client, &call->address, call->repeatable);
 	if (connection)
 		mmx_target_connection_start(connection, call);
 	else
@@ -195,6 +198,7 @@
 	client->shared.base = mmx_runtime_base(runtime);
 	client->shared.clock = mmx_runtime_clock(runtime);
 	client->connections_max = CONNECTIONS_MAX;
+	client->fresh_within = MMX_TIME_NEVER;
 	client->shared.connect_timeout = CONNECT_TIMEOUT;
 	client->shared.idle_timeout = IDLE_TIMEOUT;
 	client->shared.pools = g_hash_table_new_full(g_str_hash, g_str_equal,
@@ -250,6 +254,16 @@
 	return true;
 }
 
+bool mmx_target_client_set_fresh_within(mmx_target_client_t *client,
+					mmx_time_t idle)
+{
+	assert(idle >= 0);
+	if (client->initialised)
+		return false;
+	client->fresh_within = idle;
+	return true;
+}
+
 void mmx_target_client_init(mmx_target_client_t *client)
 {
 	assert(!client->initialised);
--- a/src/libmasticmux/target_connection.c
+++ b/src/libmasticmux/target_connection.c
@@ -19,6 +19,10 @@
 /* Output below which more of a request body is asked for, bytes. */
 #define OUTPUT_LOW (64 * 1024)
 
+/* A connection is closed this long before its target would close it. */
+#define KEEP_ALIVE_MARGIN (1 * MMX_US_PER_S)
+#define KEEP_ALIVE_MAX_S 3600
+
 /* A connection and, while it is in use, the one call on it. */
 struct mmx_target_connection_t {
 	LIST_ENTRY(mmx_target_connection_t) entry;
@@ -31,6 +35,8 @@
 	bool ended;   /* the target has closed its side */
 	bool stopped; /* reading is disabled */
 	bool in_use;
+	mmx_time_t idle_since;
+	mmx_time_t keep_alive; /* as the target tells; 0: not known */
 	/* the call */
 	mmx_attempt_id_t attempt;
 	mmx_time_t deadline;
@@ -126,11 +132,38 @@
 	mmx_target_connection_close(connection);
 }
 
+/* Closes before the target does, so that no request meets its close. */
+static mmx_time_t idle_time_(const mmx_target_connection_t *connection)
+{
+	mmx_time_t most = connection->shared->idle_timeout;
+
+	if (connection->keep_alive <= 0)
+		return most;
+	return MIN(most, MAX(connection->keep_alive - KEEP_ALIVE_MARGIN,
+			     connection->keep_alive / 2));
+}
+
+/* The time that the target keeps an unused connection, if it tells. */
+static void note_keep_alive_(mmx_target_connection_t *connection,
+			     const mmx_head_t *head)
+{
+	const char *value = mmx_head_find(head, "Keep-Alive");
+	const char *timeout = value ? strstr(value, "timeout=") : NULL;
+	guint64 seconds;
+
+	if (!timeout)
+		return;
+	seconds = g_ascii_strtoull(timeout + strlen("timeout="), NULL, 10);
+	if (seconds > 0 && seconds <= KEEP_ALIVE_MAX_S)
+		connection->keep_alive = (mmx_time_t)seconds * MMX_US_PER_S;
+}
+
 static void make_idle_(mmx_target_connection_t *connection)
 {
 	release_call_(connection);
+	connection->idle_since = mmx_clock_now(connection->shared->clock);
 	TAILQ_INSERT_HEAD(&connection->pool->idle, connection, idle_entry);
-	mmx_timer_set(&connection->timer, connection->shared->idle_timeout);
+	mmx_timer_set(&connection->timer, idle_time_(connection));
 }
 
 /* The whole response has been posted: keeps or closes the connection. */
@@ -165,6 +198,7 @@
 			mmx_new_call_event(&connection->attempt, MMX_CALL_HEAD);
 
 		event->head = g_steal_pointer(&connection->reader.head);
+		note_keep_alive_(connection, event->head);
 		mmx_head_remove_hop_by_hop(event->head);
 		evbuffer_remove_buffer(connection->received, event->body, part);
 		event->body_end = end;
@@ -363,14 +397,18 @@
 
 mmx_target_connection_t *
 mmx_target_connection_reuse(mmx_target_shared_t *shared,
-			    mmx_target_pool_t *pool)
+			    mmx_target_pool_t *pool, mmx_time_t max_idle)
 {
+	mmx_time_t now = mmx_clock_now(shared->clock);
 	mmx_target_connection_t *connection;
 	mmx_target_connection_t *next;
 
 	for (connection = TAILQ_FIRST(&pool->idle); connection;
 	     connection = next) {
 		next = TAILQ_NEXT(connection, idle_entry);
+		/* The others have been idle even longer. */
+		if (now - connection->idle_since > max_idle)
+			return NULL;
 		if (is_quiet_(connection)) {
 			TAILQ_REMOVE(&pool->idle, connection, idle_entry);
 			mmx_timer_cancel(&connection->timer);
--- a/src/libmasticmux/task.c
+++ b/src/libmasticmux/task.c
@@ -16,22 +16,30 @@
 	mmx_runtime_deliver(arg);
 }
 
-mmx_runtime_t *mmx_runtime_create(struct event_base *base)
+static mmx_runtime_t *create_(struct event_base *base, mmx_clock_t *clock)
 {
 	mmx_runtime_t *runtime = g_new0(mmx_runtime_t, 1);
 
 	STAILQ_INIT(&runtime->queue);
 	runtime->base = base;
-	if (base) {
-		runtime->clock = mmx_clock_create(base);
+	runtime->clock = clock;
+	if (base)
 		runtime->delivery =
 			event_new(base, -1, 0, on_delivery_, runtime);
-	} else {
-		runtime->clock = mmx_clock_create_paused();
-	}
 	return runtime;
 }
 
+mmx_runtime_t *mmx_runtime_create(struct event_base *base)
+{
+	return create_(base, base ? mmx_clock_create(base)
+				  : mmx_clock_create_paused());
+}
+
+mmx_runtime_t *mmx_runtime_create_paused(struct event_base *base)
+{
+	return create_(base, mmx_clock_create_paused());
+}
+
 void mmx_runtime_destroy(mmx_runtime_t *runtime)
 {
 	mmx_message_t *message;
--- a/src/test_libmasticmux/http_fixture.c
+++ b/src/test_libmasticmux/http_fixture.c
@@ -18,6 +18,13 @@
 	fixture->counters = mmx_counters_create();
 }
 
+void fixture_open_paused(fixture_t *fixture)
+{
+	fixture->base = event_base_new();
+	fixture->runtime = mmx_runtime_create_paused(fixture->base);
+	fixture->counters = mmx_counters_create();
+}
+
 void fixture_close(fixture_t *fixture)
 {
 	mmx_runtime_destroy(fixture->runtime);
--- a/src/test_libmasticmux/http_fixture.h
+++ b/src/test_libmasticmux/http_fixture.h
@@ -31,6 +31,8 @@
 typedef bool (*fixture_condition_t)(void *arg);
 
 void fixture_open(fixture_t *fixture);
+/* With a clock that stands until it is advanced. */
+void fixture_open_paused(fixture_t *fixture);
 void fixture_close(fixture_t *fixture);
 
 /* Runs the loop until the condition holds; false when the guard ends it. */
--- a/src/test_libmasticmux/test_target_client.c
+++ b/src/test_libmasticmux/test_target_client.c
@@ -2,283 +2,12 @@
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
-#include <event2/event.h>
 #include <netinet/in.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
-#include "http_fixture.h"
-#include "private/listen.h"
-#include "private/target_client.h"
-
-typedef enum then_t {
-	THEN_KEEP,
-	THEN_CLOSE,
-	THEN_RESET,
-} then_t;
-
-/* A target that sends a fixed response to whatever is a whole request. */
-typedef struct fake_target_t {
-	struct event_base *base;
-	struct evconnlistener *listener;
-	uint16_t port;
-	int accepted;
-	int closed;
-	const char *response;
-	then_t then;
-	GString *received; /* on the newest connection */
-	size_t received_bytes;
-	size_t wanted; /* bytes to answer after; 0: the end of a head */
-	struct bufferevent *newest;
-} fake_target_t;
-
-static void drop_(fake_target_t *target, struct bufferevent *bev)
-{
-	target->closed++;
-	if (target->newest == bev)
-		target->newest = NULL;
-	bufferevent_free(bev);
-}
-
-static void reset_(fake_target_t *target, struct bufferevent *bev)
-{
-	struct linger reset = {.l_onoff = 1, .l_linger = 0};
-
-	setsockopt(bufferevent_getfd(bev), SOL_SOCKET, SO_LINGER, &reset,
-		   sizeof(reset));
-	drop_(target, bev);
-}
-
-static void on_target_written_(struct bufferevent *bev, void *arg)
-{
-	drop_(arg, bev);
-}
-
-static void on_target_event_(struct bufferevent *bev, short what, void *arg)
-{
-	drop_(arg, bev);
-}
-
-static bool is_request_(const fake_target_t *target)
-{
-	if (target->wanted)
-		return target->received_bytes >= target->wanted;
-	return strstr(target->received->str, "\r\n\r\n") != NULL;
-}
-
-static void on_target_read_(struct bufferevent *bev, void *arg)
-{
-	fake_target_t *target = arg;
-	struct evbuffer *input = bufferevent_get_input(bev);
-	size_t length = evbuffer_get_length(input);
-
-	if (target->received->len < 1024)
-		g_string_append_len(target->received,
-				    (char *)evbuffer_pullup(input, -1),
-				    (gssize)length);
-	target->received_bytes += length;
-	evbuffer_drain(input, length);
-	if (!is_request_(target) || !target->response)
-		return;
-	g_string_truncate(target->received, 0);
-	target->received_bytes = 0;
-	if (target->then == THEN_RESET) {
-		reset_(target, bev);
-		return;
-	}
-	bufferevent_write(bev, target->response, strlen(target->response));
-	if (target->then == THEN_CLOSE && target->response[0])
-		bufferevent_setcb(bev, NULL, on_target_written_,
-				  on_target_event_, target);
-	else if (target->then == THEN_CLOSE)
-		drop_(target, bev);
-}
-
-static void on_accept_(struct evconnlistener *listener, evutil_socket_t fd,
-		       struct sockaddr *address, int length, void *arg)
-{
-	fake_target_t *target = arg;
-
-	target->accepted++;
-	g_string_truncate(target->received, 0);
-	target->received_bytes = 0;
-	target->newest =
-		bufferevent_socket_new(target->base, fd, BEV_OPT_CLOSE_ON_FREE);
-	bufferevent_setcb(target->newest, on_target_read_, NULL,
-			  on_target_event_, target);
-	bufferevent_enable(target->newest, EV_READ | EV_WRITE);
-}
-
-/* Stands for the exit task: records how a call goes. */
-typedef struct fake_exit_t {
-	mmx_task_t task;
-	mmx_task_t *client;
-	int heads;
-	int not_sent;
-	int failed;
-	int status;
-	GString *head;
-	size_t body_bytes;
-	GString *body; /* its first KiB */
-	bool ended;
-	bool broken;
-	bool grants;
-	size_t credit; /* granted by target_client */
-} fake_exit_t;
-
-static void take_part_(fake_exit_t *exit, const mmx_attempt_id_t *attempt,
-		       struct evbuffer *data, bool end)
-{
-	size_t length = evbuffer_get_length(data);
-	mmx_window_t *window;
-
-	CU_ASSERT_FALSE(exit->ended);
-	if (exit->body->len < 1024)
-		g_string_append_len(exit->body,
-				    (char *)evbuffer_pullup(data, -1),
-				    (gssize)length);
-	exit->body_bytes += length;
-	exit->ended = end;
-	if (!exit->grants || end || length == 0)
-		return;
-	window = mmx_new_window(MMX_TO_CALLER, (uint32_t)length);
-	window->attempt = *attempt;
-	mmx_task_post(exit->client, &window->message);
-}
-
-static void take_event_(fake_exit_t *exit, mmx_call_event_t *event)
-{
-	const mmx_header_t *header;
-
-	exit->heads += event->result == MMX_CALL_HEAD;
-	exit->not_sent += event->result == MMX_CALL_NOT_SENT;
-	exit->failed += event->result == MMX_CALL_FAILED;
-	if (event->result != MMX_CALL_HEAD) {
-		CU_ASSERT_FALSE(exit->ended);
-		exit->ended = true;
-		return;
-	}
-	exit->status = event->head->status;
-	STAILQ_FOREACH (header, &event->head->headers, entry)
-		g_string_append_printf(exit->head, "%s: %s\n", header->name,
-				       header->value);
-	take_part_(exit, &event->attempt, event->body, event->body_end);
-}
-
-static void handle_(mmx_task_t *task, mmx_message_t *message)
-{
-	fake_exit_t *exit = (fake_exit_t *)task;
-	mmx_body_t *body = (mmx_body_t *)message;
-
-	switch (message->ops->kind) {
-	case MMX_MESSAGE_CALL_EVENT:
-		take_event_(exit, (mmx_call_event_t *)message);
-		break;
-	case MMX_MESSAGE_BODY:
-		exit->broken = body->failed;
-		take_part_(exit, &body->attempt, body->data, body->end);
-		break;
-	case MMX_MESSAGE_WINDOW:
-		exit->credit += ((mmx_window_t *)message)->credit;
-		break;
-	default:
-		CU_FAIL("message that the exit does not take");
-	}
-	mmx_message_destroy(message);
-}
-
-static const mmx_task_ops_t ops_ = {"fake_exit", handle_};
-
-typedef struct setup_t {
-	fixture_t fixture;
-	fake_target_t target;
-	fake_exit_t exit;
-	mmx_target_client_t *client;
-	uint64_t sequence;
-} setup_t;
-
-static void create_(setup_t *setup)
-{
-	mmx_address_t address = {.host = "127.0.0.1"};
-
-	memset(setup, 0, sizeof(*setup));
-	fixture_open(&setup->fixture);
-	setup->target.base = setup->fixture.base;
-	setup->target.received = g_string_new(NULL);
-	setup->target.listener =
-		mmx_listen(setup->fixture.base, &address, on_accept_,
-			   &setup->target, &setup->target.port, NULL);
-	mmx_task_init(&setup->exit.task, &ops_, setup->fixture.runtime);
-	setup->exit.head = g_string_new(NULL);
-	setup->exit.body = g_string_new(NULL);
-	setup->exit.grants = true;
-	setup->client = mmx_target_client_create(setup->fixture.runtime,
-						 &setup->exit.task,
-						 setup->fixture.counters);
-	setup->exit.client = mmx_target_client_task(setup->client);
-}
-
-static void open_(setup_t *setup)
-{
-	create_(setup);
-	mmx_target_client_init(setup->client);
-}
-
-static void close_(setup_t *setup)
-{
-	mmx_target_client_destroy(setup->client);
-	mmx_task_finish(&setup->exit.task);
-	if (setup->target.newest)
-		bufferevent_free(setup->target.newest);
-	evconnlistener_free(setup->target.listener);
-	g_string_free(setup->target.received, TRUE);
-	g_string_free(setup->exit.head, TRUE);
-	g_string_free(setup->exit.body, TRUE);
-	fixture_close(&setup->fixture);
-}
-
-static mmx_attempt_id_t attempt_(const setup_t *setup)
-{
-	return (mmx_attempt_id_t){1, 2, setup->sequence};
-}
-
-static mmx_call_t *new_call_(setup_t *setup, const char *method)
-{
-	mmx_attempt_id_t attempt;
-	mmx_call_t *call;
-
-	setup->sequence++;
-	attempt = attempt_(setup);
-	call = mmx_new_call(&attempt);
-	g_strlcpy(call->address.host, "127.0.0.1", sizeof(call->address.host));
-	call->address.port = setup->target.port;
-	call->remaining = 60 * MMX_US_PER_S;
-	call->head = mmx_head_create_request(method, "/x?y");
-	mmx_head_add(call->head, "Host", "shop");
-	call->body_end = true;
-	setup->exit.ended = false;
-	setup->exit.broken = false;
-	setup->exit.body_bytes = 0;
-	g_string_truncate(setup->exit.body, 0);
-	g_string_truncate(setup->exit.head, 0);
-	return call;
-}
-
-static bool is_ended_(void *arg)
-{
-	return ((fake_exit_t *)arg)->ended;
-}
-
-static bool finish_(setup_t *setup)
-{
-	return fixture_wait(&setup->fixture, is_ended_, &setup->exit);
-}
-
-static void post_(setup_t *setup, mmx_call_t *call)
-{
-	mmx_task_post(mmx_target_client_task(setup->client), &call->message);
-}
+#include "target_setup.h"
 
 typedef struct response_case_t {
 	const char *name;
@@ -292,7 +21,6 @@
 	const char *body;
 } response_case_t;
 
-#define LINE "HTTP/1.1 200 OK\r\n"
 #define SHORT (30 * MMX_US_PER_MS)
 
 static const response_case_t responses_[] = {
@@ -343,14 +71,14 @@
 static bool run_response_(setup_t *setup, const response_case_t *item)
 {
 	fake_exit_t *exit = &setup->exit;
-	mmx_call_t *call = new_call_(setup, item->method);
+	mmx_call_t *call = target_setup_call(setup, item->method);
 
 	setup->target.response = item->response;
 	setup->target.then = item->then;
 	if (item->remaining)
 		call->remaining = item->remaining;
-	post_(setup, call);
-	return finish_(setup) && exit->broken == item->broken &&
+	target_setup_post(setup, call);
+	return target_setup_finish(setup) && exit->broken == item->broken &&
 	       exit->heads == (item->result == MMX_CALL_HEAD) &&
 	       exit->failed == (item->result == MMX_CALL_FAILED) &&
 	       exit->not_sent == 0 && strcmp(exit->body->str, item->body) == 0;
@@ -367,12 +95,12 @@
 		setup_t setup;
 		bool good;
 
-		open_(&setup);
+		target_setup_open(&setup);
 		good = run_response_(&setup, item);
 		setup.target.response = LINE "Content-Length: 4\r\n\r\nnext";
 		setup.target.then = THEN_KEEP;
-		post_(&setup, new_call_(&setup, "GET"));
-		good = good && finish_(&setup) &&
+		target_setup_post(&setup, target_setup_call(&setup, "GET"));
+		good = good && target_setup_finish(&setup) &&
 		       strcmp(setup.exit.body->str, "next") == 0 &&
 		       setup.target.accepted == (item->reused ? 1 : 2);
 		CU_ASSERT_TRUE(good);
@@ -382,7 +110,7 @@
 			       item->name, setup.exit.heads, setup.exit.failed,
 			       setup.exit.not_sent, setup.exit.broken,
 			       setup.target.accepted, setup.exit.body->str);
-		close_(&setup);
+		target_setup_close(&setup);
 	}
 }
 
@@ -397,12 +125,12 @@
 		g_string_append(response, "A: b\r\n");
 	g_string_append(response, "\r\n");
 	for (i = 0; i < 2; i++) {
-		open_(&setup);
+		target_setup_open(&setup);
 		setup.target.response = response->str;
-		post_(&setup, new_call_(&setup, "GET"));
-		CU_ASSERT_TRUE(finish_(&setup));
+		target_setup_post(&setup, target_setup_call(&setup, "GET"));
+		CU_ASSERT_TRUE(target_setup_finish(&setup));
 		CU_ASSERT_EQUAL(setup.exit.failed, 1);
-		close_(&setup);
+		target_setup_close(&setup);
 		g_string_assign(response, LINE "A: ");
 		while (response->len < 64 * 1024)
 			g_string_append(response, "aaaaaaaa");
@@ -417,29 +145,29 @@
 	setup_t setup;
 	mmx_call_t *call;
 
-	open_(&setup);
-	call = new_call_(&setup, "POST");
+	target_setup_open(&setup);
+	call = target_setup_call(&setup, "POST");
 	mmx_head_add(call->head, "Connection", "X-Hop");
 	mmx_head_add(call->head, "X-Hop", "1");
 	mmx_head_add(call->head, "Transfer-Encoding", "chunked");
 	mmx_head_add(call->head, "X-End", "2");
 	setup.target.wanted = SIZE_MAX;
-	post_(&setup, call);
+	target_setup_post(&setup, call);
 	while (!strstr(setup.target.received->str, "\r\n\r\n"))
 		fixture_turn(&setup.fixture);
 	CU_ASSERT_STRING_EQUAL(setup.target.received->str,
 			       "POST /x?y HTTP/1.1\r\nHost: shop\r\n"
 			       "X-End: 2\r\nContent-Length: 0\r\n\r\n");
-	close_(&setup);
-	open_(&setup);
+	target_setup_close(&setup);
+	target_setup_open(&setup);
 	setup.target.response = LINE "Connection: close, X-Hop\r\nX-Hop: 1\r\n"
 				     "Keep-Alive: timeout=5\r\nX-End: 2\r\n"
 				     "Content-Length: 0\r\n\r\n";
-	post_(&setup, new_call_(&setup, "GET"));
-	CU_ASSERT_TRUE(finish_(&setup));
+	target_setup_post(&setup, target_setup_call(&setup, "GET"));
+	CU_ASSERT_TRUE(target_setup_finish(&setup));
 	CU_ASSERT_STRING_EQUAL(setup.exit.head->str,
 			       "X-End: 2\nContent-Length: 0\n");
-	close_(&setup);
+	target_setup_close(&setup);
 }
 
 /* Guards against refusals that are reported as perhaps run. */
@@ -448,26 +176,26 @@
 	setup_t setup;
 	mmx_call_t *call;
 
-	create_(&setup);
+	target_setup_create(&setup);
 	CU_ASSERT_TRUE(mmx_target_client_set_connections_max(setup.client, 1));
 	mmx_target_client_init(setup.client);
 	CU_ASSERT_FALSE(mmx_target_client_set_connections_max(setup.client, 2));
-	call = new_call_(&setup, "GET");
+	call = target_setup_call(&setup, "GET");
 	call->address.port = 1;
-	post_(&setup, call);
-	CU_ASSERT_TRUE(finish_(&setup));
+	target_setup_post(&setup, call);
+	CU_ASSERT_TRUE(target_setup_finish(&setup));
 	CU_ASSERT_EQUAL(setup.exit.not_sent, 1);
-	call = new_call_(&setup, "GET");
+	call = target_setup_call(&setup, "GET");
 	call->remaining = 0;
-	post_(&setup, call);
-	CU_ASSERT_TRUE(finish_(&setup));
+	target_setup_post(&setup, call);
+	CU_ASSERT_TRUE(target_setup_finish(&setup));
 	CU_ASSERT_EQUAL(setup.exit.not_sent, 2);
-	post_(&setup, new_call_(&setup, "GET"));
-	post_(&setup, new_call_(&setup, "GET"));
-	CU_ASSERT_TRUE(finish_(&setup));
+	target_setup_post(&setup, target_setup_call(&setup, "GET"));
+	target_setup_post(&setup, target_setup_call(&setup, "GET"));
+	CU_ASSERT_TRUE(target_setup_finish(&setup));
 	CU_ASSERT_EQUAL(setup.exit.not_sent, 3);
 	CU_ASSERT_EQUAL(mmx_target_client_calls(setup.client), 1);
-	close_(&setup);
+	target_setup_close(&setup);
 }
 
 /* Guards against calls that wait for a target which accepts no connection:
@@ -491,16 +219,16 @@
 		sockets[i] = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
 		(void)connect(sockets[i], (struct sockaddr *)&address, length);
 	}
-	create_(&setup);
+	target_setup_create(&setup);
 	CU_ASSERT_TRUE(mmx_target_client_set_connect_timeout(
 		setup.client, 20 * MMX_US_PER_MS));
 	mmx_target_client_init(setup.client);
-	call = new_call_(&setup, "GET");
+	call = target_setup_call(&setup, "GET");
 	call->address.port = ntohs(address.sin_port);
-	post_(&setup, call);
-	CU_ASSERT_TRUE(finish_(&setup));
+	target_setup_post(&setup, call);
+	CU_ASSERT_TRUE(target_setup_finish(&setup));
 	CU_ASSERT_EQUAL(setup.exit.not_sent, 1);
-	close_(&setup);
+	target_setup_close(&setup);
 	for (i = 0; i < SOCKETS; i++)
 		close(sockets[i]);
 	close(server);
@@ -522,19 +250,19 @@
 	setup_t setup;
 	mmx_attempt_id_t attempt;
 
-	open_(&setup);
+	target_setup_open(&setup);
 	setup.target.response = NULL;
-	post_(&setup, new_call_(&setup, "GET"));
+	target_setup_post(&setup, target_setup_call(&setup, "GET"));
 	CU_ASSERT_TRUE(fixture_wait(&setup.fixture, target_has_request_,
 				    &setup.target));
-	attempt = attempt_(&setup);
+	attempt = target_setup_attempt(&setup);
 	mmx_task_post(mmx_target_client_task(setup.client),
 		      &mmx_new_call_cancel(&attempt)->message);
 	CU_ASSERT_TRUE(fixture_wait(&setup.fixture, target_has_closed_,
 				    &setup.target));
 	CU_ASSERT_FALSE(setup.exit.ended);
 	CU_ASSERT_EQUAL(mmx_target_client_connections(setup.client), 0);
-	close_(&setup);
+	target_setup_close(&setup);
 }
 
 /* Guards against a call that fails because the target closed an idle
@@ -543,16 +271,16 @@
 {
 	setup_t setup;
 
-	open_(&setup);
+	target_setup_open(&setup);
 	setup.target.response = LINE "Content-Length: 0\r\n\r\n";
-	post_(&setup, new_call_(&setup, "GET"));
-	CU_ASSERT_TRUE(finish_(&setup));
-	drop_(&setup.target, setup.target.newest);
-	post_(&setup, new_call_(&setup, "GET"));
-	CU_ASSERT_TRUE(finish_(&setup));
+	target_setup_post(&setup, target_setup_call(&setup, "GET"));
+	CU_ASSERT_TRUE(target_setup_finish(&setup));
+	target_setup_drop(&setup.target, setup.target.newest);
+	target_setup_post(&setup, target_setup_call(&setup, "GET"));
+	CU_ASSERT_TRUE(target_setup_finish(&setup));
 	CU_ASSERT_EQUAL(setup.exit.heads, 2);
 	CU_ASSERT_EQUAL(setup.target.accepted, 2);
-	close_(&setup);
+	target_setup_close(&setup);
 }
 
 #define UPLOAD (4 * 1024 * 1024)
@@ -563,7 +291,7 @@
 	static const char zeros[PART];
 	mmx_body_t *body = mmx_new_body(MMX_TO_TARGET);
 
-	body->attempt = attempt_(setup);
+	body->attempt = target_setup_attempt(setup);
 	if (!failed)
 		evbuffer_add(body->data, zeros, sizeof(zeros));
 	body->end = end;
@@ -600,18 +328,18 @@
 		setup_t setup;
 		mmx_call_t *call;
 
-		open_(&setup);
-		call = new_call_(&setup, "POST");
+		target_setup_open(&setup);
+		call = target_setup_call(&setup, "POST");
 		call->body_end = false;
 		if (!chunked)
 			mmx_head_add(call->head, "Content-Length", length);
 		setup.target.wanted = UPLOAD;
 		setup.target.response = LINE "Content-Length: 2\r\n\r\nok";
-		post_(&setup, call);
+		target_setup_post(&setup, call);
 		CU_ASSERT_TRUE(upload_(&setup));
-		CU_ASSERT_TRUE(finish_(&setup));
+		CU_ASSERT_TRUE(target_setup_finish(&setup));
 		CU_ASSERT_STRING_EQUAL(setup.exit.body->str, "ok");
-		close_(&setup);
+		target_setup_close(&setup);
 	}
 }
 
@@ -621,20 +349,20 @@
 	setup_t setup;
 	mmx_call_t *call;
 
-	open_(&setup);
-	call = new_call_(&setup, "POST");
+	target_setup_open(&setup);
+	call = target_setup_call(&setup, "POST");
 	call->body_end = false;
 	setup.target.response = NULL;
-	post_(&setup, call);
+	target_setup_post(&setup, call);
 	CU_ASSERT_TRUE(fixture_wait(&setup.fixture, target_has_request_,
 				    &setup.target));
 	post_part_(&setup, true, true);
-	CU_ASSERT_TRUE(finish_(&setup));
+	CU_ASSERT_TRUE(target_setup_finish(&setup));
 	CU_ASSERT_EQUAL(setup.exit.failed, 1);
 	CU_ASSERT_TRUE(fixture_wait(&setup.fixture, target_has_closed_,
 				    &setup.target));
 	CU_ASSERT_PTR_NULL(strstr(setup.target.received->str, "\r\n0\r\n"));
-	close_(&setup);
+	target_setup_close(&setup);
 }
 
 static bool window_is_full_(void *arg)
@@ -655,22 +383,22 @@
 	g_string_set_size(response, head + UPLOAD);
 	memset(response->str + head, 'x', UPLOAD);
 	g_string_append(response, "\r\n0\r\n\r\n");
-	open_(&setup);
+	target_setup_open(&setup);
 	setup.exit.grants = false;
 	setup.target.response = response->str;
-	post_(&setup, new_call_(&setup, "GET"));
+	target_setup_post(&setup, target_setup_call(&setup, "GET"));
 	CU_ASSERT_TRUE(
 		fixture_wait(&setup.fixture, window_is_full_, &setup.exit));
 	fixture_turn(&setup.fixture);
 	CU_ASSERT_EQUAL(setup.exit.body_bytes, MMX_WINDOW_BYTES);
 	setup.exit.grants = true;
 	window = mmx_new_window(MMX_TO_CALLER, MMX_WINDOW_BYTES);
-	window->attempt = attempt_(&setup);
+	window->attempt = target_setup_attempt(&setup);
 	mmx_task_post(mmx_target_client_task(setup.client), &window->message);
-	CU_ASSERT_TRUE(finish_(&setup));
+	CU_ASSERT_TRUE(target_setup_finish(&setup));
 	CU_ASSERT_EQUAL(setup.exit.body_bytes, UPLOAD);
 	CU_ASSERT_FALSE(setup.exit.broken);
-	close_(&setup);
+	target_setup_close(&setup);
 	g_string_free(response, TRUE);
 }
 
