Spread Retry-After of refusals over the time capacity takes to return

Cause: every refusal said 1 s, so callers that were refused together came back together, and callers of a node that stops waited although another node takes their request at once.

Change: where callers read fractions, refusals for capacity say 0.1 to 1 s and refusals without configuration 0.5 to 1 s, drawn per refusal; a node that stops says 0.1 s. Other callers are told 1 s as before.

--- a/src/libmasticmux/entry.c
+++ b/src/libmasticmux/entry.c
@@ -1,52 +1,18 @@
-#include "private/entry.h"
+#include "private/entry_internal.h"
 
 #include <assert.h>
 #include <event2/buffer.h>
 #include <glib.h>
 
+/* Slots become free within about a run time, a few hundred milliseconds. */
+#define RETRY_AFTER_MIN_US (100 * MMX_US_PER_MS)
+#define RETRY_AFTER_MAX_US (1 * MMX_US_PER_S)
+
 const char *const mmx_exchange_state_string[MMX_EXCHANGE_STATE_COUNT] = {
 	"waiting", "claiming", "querying",  "sent",
 	"fencing", "running",  "answering",
 };
 
-struct mmx_entry_t {
-	mmx_task_t task;
-	mmx_runtime_t *runtime;
-	mmx_clock_t *clock;
-	mmx_node_id_t node;
-	mmx_incarnation_t incarnation;
-	mmx_random_t random;
-	bool running;
-	bool draining;
-	mmx_task_t *http;
-	mmx_task_t *peer;
-	mmx_task_t *local_exit;
-	mmx_task_t *claims;
-	const mmx_fold_t *const *fold;
-	const mmx_directory_t *directory;
-	mmx_counters_t *counters;
-	struct mmx_trace_t *trace;
-	mmx_history_t *history;
-	mmx_log_t *log;
-	const mmx_guards_t *guards;
-	const mmx_view_members_ops_t *members;
-	void *members_context;
-	mmx_view_t *view;
-	mmx_pipeline_t pipeline;
-	mmx_filter_t *attempt_filter;
-	const mmx_dialect_t *dialect;
-	const char *caller_service;
-	bool budget_at_exits;
-	mmx_repeat_share_fn_t repeat_share;
-	void *repeat_context;
-	uint64_t next_sequence;
-	GHashTable *by_request;	 /* of mmx_exchange_t */
-	GHashTable *by_sequence; /* of mmx_exchange_t with an attempt */
-	mmx_histogram_t *latency[MMX_OUTCOME_COUNT];
-	mmx_counter_t *outcome[MMX_OUTCOME_COUNT];
-	mmx_counter_t *reason[MMX_REASON_COUNT];
-};
-
 /* --- exchanges --------------------------------------------------------- */
 
 static mmx_exchange_t *create_exchange_(mmx_entry_t *entry,
@@ -105,6 +71,34 @@
 		mmx_counter_add(entry->reason[reason], 1);
 }
 
+/*
+ * When to come back. A node that stops is replaced at once by another one;
+ * configuration and capacity come back within about a second. Callers that are
+ * refused together return spread over that time.
+ */
+static void add_retry_after_(mmx_entry_t *entry, mmx_head_t *head,
+			     mmx_reason_t reason)
+{
+	mmx_time_t least = RETRY_AFTER_MIN_US;
+	mmx_time_t delay;
+	char text[16];
+
+	if (!entry->dialect->fractional_retry_after) {
+		mmx_head_add(head, "Retry-After", "1");
+		return;
+	}
+	if (reason == MMX_REASON_NO_CONFIGURATION)
+		least = RETRY_AFTER_MAX_US / 2;
+	delay = reason == MMX_REASON_SHUTTING_DOWN
+			? RETRY_AFTER_MIN_US
+			: least + (mmx_time_t)mmx_random_below(
+					  &entry->random,
+					  (uint64_t)(RETRY_AFTER_MAX_US -
+						     least));
+	g_snprintf(text, sizeof(text), "%.2f", (double)delay / MMX_US_PER_S);
+	mmx_head_add(head, "Retry-After", text);
+}
+
 void mmx_entry_refuse(mmx_exchange_t *exchange, mmx_outcome_t outcome,
 		      mmx_reason_t reason)
 {
@@ -117,7 +111,7 @@
 	answer->head = mmx_head_create_response(status);
 	mmx_head_add(answer->head, "Content-Type", "text/plain");
 	if (status == 503)
-		mmx_head_add(answer->head, "Retry-After", "1");
+		add_retry_after_(entry, answer->head, reason);
 	evbuffer_add_printf(answer->body, "%s: %s\n",
 			    mmx_outcome_string[outcome],
 			    mmx_reason_string[reason]);
@@ -459,170 +453,6 @@
 	g_free(entry);
 }
 
-bool mmx_entry_set_http(mmx_entry_t *entry, mmx_task_t *http)
-{
-	if (entry->running)
-		return false;
-	entry->http = http;
-	return true;
-}
-
-bool mmx_entry_set_peer(mmx_entry_t *entry, mmx_task_t *peer)
-{
-	if (entry->running)
-		return false;
-	entry->peer = peer;
-	return true;
-}
-
-bool mmx_entry_set_local_exit(mmx_entry_t *entry, mmx_task_t *exit)
-{
-	if (entry->running)
-		return false;
-	entry->local_exit = exit;
-	return true;
-}
-
-bool mmx_entry_set_trace(mmx_entry_t *entry, struct mmx_trace_t *trace)
-{
-	if (entry->running)
-		return false;
-	entry->trace = trace;
-	return true;
-}
-
-bool mmx_entry_set_history(mmx_entry_t *entry, mmx_history_t *history)
-{
-	if (entry->running)
-		return false;
-	entry->history = history;
-	return true;
-}
-
-bool mmx_entry_set_log(mmx_entry_t *entry, mmx_log_t *log)
-{
-	if (entry->running)
-		return false;
-	entry->log = log;
-	return true;
-}
-
-mmx_log_t *mmx_entry_log(const mmx_entry_t *entry)
-{
-	return entry->log;
-}
-
-bool mmx_entry_set_claims(mmx_entry_t *entry, mmx_task_t *claims)
-{
-	if (entry->running)
-		return false;
-	entry->claims = claims;
-	return true;
-}
-
-bool mmx_entry_set_fold(mmx_entry_t *entry, const mmx_fold_t *const *fold)
-{
-	if (entry->running)
-		return false;
-	entry->fold = fold;
-	return true;
-}
-
-bool mmx_entry_set_directory(mmx_entry_t *entry,
-			     const mmx_directory_t *directory)
-{
-	if (entry->running)
-		return false;
-	entry->directory = directory;
-	return true;
-}
-
-static void register_reasons_(mmx_entry_t *entry, mmx_counters_t *counters)
-{
-	char labels[64];
-	int i;
-
-	for (i = 0; i < MMX_OUTCOME_COUNT; i++) {
-		g_snprintf(labels, sizeof(labels), "outcome=\"%s\"",
-			   mmx_outcome_string[i]);
-		entry->outcome[i] = mmx_counters_get(
-			counters, MMX_COUNTER, "masticmux_requests_total",
-			labels, "Answers given to callers.");
-		entry->latency[i] = mmx_counters_histogram(
-			counters, "masticmux_request_seconds", labels,
-			"Time from the head of a request to its answer.");
-	}
-	for (i = MMX_REASON_NONE + 1; i < MMX_REASON_COUNT; i++) {
-		g_snprintf(labels, sizeof(labels), "reason=\"%s\"",
-			   mmx_reason_string[i]);
-		entry->reason[i] = mmx_counters_get(
-			counters, MMX_COUNTER, "masticmux_refusals_total",
-			labels, "Refusals given to callers.");
-	}
-}
-
-bool mmx_entry_set_counters(mmx_entry_t *entry, mmx_counters_t *counters)
-{
-	if (entry->running)
-		return false;
-	entry->counters = counters;
-	register_reasons_(entry, counters);
-	return true;
-}
-
-bool mmx_entry_set_members(mmx_entry_t *entry,
-			   const mmx_view_members_ops_t *members, void *context)
-{
-	if (entry->running)
-		return false;
-	entry->members = members;
-	entry->members_context = context;
-	return true;
-}
-
-bool mmx_entry_set_dialect(mmx_entry_t *entry, const mmx_dialect_t *dialect,
-			   const char *caller_service)
-{
-	if (entry->running)
-		return false;
-	entry->dialect = dialect;
-	entry->caller_service = caller_service;
-	return true;
-}
-
-bool mmx_entry_set_repeat_share(mmx_entry_t *entry, mmx_repeat_share_fn_t fn,
-				void *context)
-{
-	if (entry->running)
-		return false;
-	entry->repeat_share = fn;
-	entry->repeat_context = context;
-	return true;
-}
-
-uint8_t mmx_entry_repeat_share(const mmx_entry_t *entry, mmx_time_t objective)
-{
-	return entry->repeat_share
-		       ? entry->repeat_share(entry->repeat_context, objective)
-		       : 0;
-}
-
-bool mmx_entry_set_budget_at_exits(mmx_entry_t *entry, bool at_exits)
-{
-	if (entry->running)
-		return false;
-	entry->budget_at_exits = at_exits;
-	return true;
-}
-
-bool mmx_entry_set_guards(mmx_entry_t *entry, const mmx_guards_t *guards)
-{
-	if (entry->running)
-		return false;
-	entry->guards = guards;
-	return true;
-}
-
 void mmx_entry_init(mmx_entry_t *entry)
 {
 	assert(entry->http && entry->local_exit && entry->fold &&
--- a/src/libmasticmux/include/private/dialect.h
+++ b/src/libmasticmux/include/private/dialect.h
@@ -22,6 +22,8 @@
 	const char *signature;
 	/* In a response: the target has not run the request. */
 	const char *not_run;
+	/* Callers read fractions of a second in Retry-After. */
+	bool fractional_retry_after;
 	/* In a response: running, waiting and slots, separated by commas. */
 	const char *load;
 } mmx_dialect_t;
--- /dev/null
+++ b/src/libmasticmux/include/private/entry_internal.h
@@ -0,0 +1,47 @@
+/* State that the files of the entry share. */
+#ifndef MASTICMUX_PRIVATE_ENTRY_INTERNAL_H
+#define MASTICMUX_PRIVATE_ENTRY_INTERNAL_H
+
+#include <glib.h>
+
+#include "private/entry.h"
+
+struct mmx_entry_t {
+	mmx_task_t task;
+	mmx_runtime_t *runtime;
+	mmx_clock_t *clock;
+	mmx_node_id_t node;
+	mmx_incarnation_t incarnation;
+	mmx_random_t random;
+	bool running;
+	bool draining;
+	mmx_task_t *http;
+	mmx_task_t *peer;
+	mmx_task_t *local_exit;
+	mmx_task_t *claims;
+	const mmx_fold_t *const *fold;
+	const mmx_directory_t *directory;
+	mmx_counters_t *counters;
+	struct mmx_trace_t *trace;
+	mmx_history_t *history;
+	mmx_log_t *log;
+	const mmx_guards_t *guards;
+	const mmx_view_members_ops_t *members;
+	void *members_context;
+	mmx_view_t *view;
+	mmx_pipeline_t pipeline;
+	mmx_filter_t *attempt_filter;
+	const mmx_dialect_t *dialect;
+	const char *caller_service;
+	bool budget_at_exits;
+	mmx_repeat_share_fn_t repeat_share;
+	void *repeat_context;
+	uint64_t next_sequence;
+	GHashTable *by_request;	 /* of mmx_exchange_t */
+	GHashTable *by_sequence; /* of mmx_exchange_t with an attempt */
+	mmx_histogram_t *latency[MMX_OUTCOME_COUNT];
+	mmx_counter_t *outcome[MMX_OUTCOME_COUNT];
+	mmx_counter_t *reason[MMX_REASON_COUNT];
+};
+
+#endif
--- a/src/test_libmasticmux/test_entry.c
+++ b/src/test_libmasticmux/test_entry.c
@@ -199,32 +199,43 @@
 	mmx_runtime_deliver(rig->runtime);
 }
 
+static void open_(rig_t *rig, bool configured)
+{
+	rig->trace = g_string_new("");
+	rig->runtime = mmx_runtime_create(NULL);
+	rig->fold = mmx_fold_create();
+	rig->in_force = rig->fold;
+	if (configured)
+		configure_(rig->fold);
+	rig->directory = mmx_directory_create(mmx_runtime_clock(rig->runtime));
+	fake_init(&rig->http, rig->runtime, rig->trace);
+	fake_init(&rig->peer, rig->runtime, rig->trace);
+	rig->entry = mmx_entry_create(rig->runtime, NODE, INCARNATION, 1);
+	mmx_entry_set_http(rig->entry, &rig->http.task);
+	mmx_entry_set_peer(rig->entry, &rig->peer.task);
+	mmx_entry_set_local_exit(rig->entry, &rig->peer.task);
+	mmx_entry_set_fold(rig->entry, &rig->in_force);
+	mmx_entry_set_directory(rig->entry, rig->directory);
+}
+
+static void close_(rig_t *rig)
+{
+	mmx_entry_destroy(rig->entry);
+	mmx_directory_destroy(rig->directory);
+	mmx_fold_destroy(rig->fold);
+	mmx_runtime_destroy(rig->runtime);
+	g_string_free(rig->trace, TRUE);
+}
+
 static void run_case_(const script_case_t *c, bool configured)
 {
-	rig_t rig = {.trace = g_string_new("")};
+	rig_t rig;
 
-	rig.runtime = mmx_runtime_create(NULL);
-	rig.fold = mmx_fold_create();
-	rig.in_force = rig.fold;
-	if (configured)
-		configure_(rig.fold);
-	rig.directory = mmx_directory_create(mmx_runtime_clock(rig.runtime));
-	fake_init(&rig.http, rig.runtime, rig.trace);
-	fake_init(&rig.peer, rig.runtime, rig.trace);
-	rig.entry = mmx_entry_create(rig.runtime, NODE, INCARNATION, 1);
-	mmx_entry_set_http(rig.entry, &rig.http.task);
-	mmx_entry_set_peer(rig.entry, &rig.peer.task);
-	mmx_entry_set_local_exit(rig.entry, &rig.peer.task);
-	mmx_entry_set_fold(rig.entry, &rig.in_force);
-	mmx_entry_set_directory(rig.entry, rig.directory);
+	open_(&rig, configured);
 	mmx_entry_init(rig.entry);
 	fake_run(c->script, step_, &rig);
 	fake_compare(c, rig.trace);
-	mmx_entry_destroy(rig.entry);
-	mmx_directory_destroy(rig.directory);
-	mmx_fold_destroy(rig.fold);
-	mmx_runtime_destroy(rig.runtime);
-	g_string_free(rig.trace, TRUE);
+	close_(&rig);
 }
 
 static void run_(const script_case_t *cases, size_t count)
@@ -273,6 +284,84 @@
 	run_(cases, sizeof(cases) / sizeof(cases[0]));
 }
 
+typedef struct retry_after_case_t {
+	const char *script; /* up to a refusal */
+	bool fractional;
+	bool configured;
+	double least; /* seconds */
+	double most;
+	bool spread;
+} retry_after_case_t;
+
+/* Stands for the HTTP task: keeps the Retry-After of the latest answer. */
+typedef struct header_task_t {
+	mmx_task_t task;
+	char value[16];
+} header_task_t;
+
+static void keep_header_(mmx_task_t *task, mmx_message_t *message)
+{
+	header_task_t *header = (header_task_t *)task;
+
+	if (message->ops->kind == MMX_MESSAGE_ANSWER) {
+		mmx_answer_t *answer = (mmx_answer_t *)message;
+		const char *value = mmx_head_find(answer->head, "Retry-After");
+
+		g_strlcpy(header->value, value ? value : "none",
+			  sizeof(header->value));
+	}
+	mmx_message_destroy(message);
+}
+
+static const mmx_task_ops_t header_ops_ = {"header", keep_header_};
+
+static void run_retry_after_(const retry_after_case_t *item)
+{
+	enum { REFUSALS = 20 };
+	mmx_dialect_t dialect = mmx_dialect_default;
+	header_task_t header = {.value = ""};
+	GHashTable *seen =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	rig_t rig;
+	int i;
+
+	dialect.fractional_retry_after = item->fractional;
+	open_(&rig, item->configured);
+	mmx_task_init(&header.task, &header_ops_, rig.runtime);
+	mmx_entry_set_http(rig.entry, &header.task);
+	mmx_entry_set_dialect(rig.entry, &dialect, NULL);
+	mmx_entry_init(rig.entry);
+	for (i = 0; i < REFUSALS; i++) {
+		char *end;
+		double seconds;
+
+		fake_run(item->script, step_, &rig);
+		seconds = g_ascii_strtod(header.value, &end);
+		CU_ASSERT(end != header.value && !*end);
+		CU_ASSERT(seconds >= item->least && seconds <= item->most);
+		g_hash_table_add(seen, g_strdup(header.value));
+	}
+	CU_ASSERT_EQUAL(g_hash_table_size(seen) > REFUSALS / 2, item->spread);
+	g_hash_table_destroy(seen);
+	close_(&rig);
+}
+
+/* Guards against callers that are refused together and return together, that
+ * wait for a node that does not come back, or that cannot read fractions. */
+static void test_retry_after_(void)
+{
+	static const retry_after_case_t cases[] = {
+		{"request", false, true, 1, 1, false},
+		{"request", true, true, 0.1, 1, true},
+		{"request", true, false, 0.5, 1, true},
+		{"drain; request", true, true, 0.1, 0.1, false},
+	};
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(cases); i++)
+		run_retry_after_(&cases[i]);
+}
+
 /* Guards against a second run of a request that must not be repeated, and
  * against not-run for one that may have run. */
 static void test_attempts_(void)
@@ -451,6 +540,7 @@
 
 CU_TestInfo mmx_tests_entry[] = {
 	{"refusals", test_refusals_},
+	{"time to come back", test_retry_after_},
 	{"attempts", test_attempts_},
 	{"fencing", test_fence_},
 	{"responses", test_responses_},
