Free all connections of the fake target in tests

Cause: the fake target freed the newest connection only. The cases of target_reuse leave an older one open, and the leak check of the sanitizer build reported 944 bytes. The fake now keeps a list of its open connections.

--- a/src/test_libmasticmux/target_setup.c
+++ b/src/test_libmasticmux/target_setup.c
@@ -15,6 +15,7 @@
 	target->closed++;
 	if (target->newest == bev)
 		target->newest = NULL;
+	g_ptr_array_remove(target->connections, bev);
 	bufferevent_free(bev);
 }
 
@@ -82,6 +83,7 @@
 	target->received_bytes = 0;
 	target->newest =
 		bufferevent_socket_new(target->base, fd, BEV_OPT_CLOSE_ON_FREE);
+	g_ptr_array_add(target->connections, target->newest);
 	bufferevent_setcb(target->newest, on_target_read_, NULL,
 			  on_target_event_, target);
 	bufferevent_enable(target->newest, EV_READ | EV_WRITE);
@@ -157,6 +159,7 @@
 	memset(setup, 0, sizeof(*setup));
 	open(&setup->fixture);
 	setup->target.base = setup->fixture.base;
+	setup->target.connections = g_ptr_array_new();
 	setup->target.received = g_string_new(NULL);
 	setup->target.listener =
 		mmx_listen(setup->fixture.base, &address, on_accept_,
@@ -187,12 +190,17 @@
 	mmx_target_client_init(setup->client);
 }
 
+static void free_connection_(gpointer connection, gpointer unused)
+{
+	bufferevent_free(connection);
+}
+
 void target_setup_close(setup_t *setup)
 {
 	mmx_target_client_destroy(setup->client);
 	mmx_task_finish(&setup->exit.task);
-	if (setup->target.newest)
-		bufferevent_free(setup->target.newest);
+	g_ptr_array_foreach(setup->target.connections, free_connection_, NULL);
+	g_ptr_array_free(setup->target.connections, TRUE);
 	evconnlistener_free(setup->target.listener);
 	g_string_free(setup->target.received, TRUE);
 	g_string_free(setup->exit.head, TRUE);
--- a/src/test_libmasticmux/target_setup.h
+++ b/src/test_libmasticmux/target_setup.h
@@ -30,6 +30,7 @@
 	GString *received; /* on the newest connection */
 	size_t received_bytes;
 	size_t wanted; /* bytes to answer after; 0: the end of a head */
+	GPtrArray *connections; /* of struct bufferevent, those open */
 	struct bufferevent *newest;
 } fake_target_t;
 
