--- a/Makefile
+++ b/Makefile
@@ -20,7 +20,7 @@
 SHARE_CXX := $(wildcard src/share/*.cc)
 PROGRAM_SRC := $(wildcard src/masticmux/*.c)
 STANDIN_SRC := $(wildcard src/standin/*.c)
-TEST_SRC := $(wildcard src/test_libmasticmux/*.c)
+TEST_SRC := $(wildcard src/test_libmasticmux/*.c platform/test/*.c)
 SCENARIO_SRC := $(wildcard test/*.c)
 BENCH_SRC := $(wildcard bench/*.c)
 # Linked into every benchmark.
