--- a/src/libmasticmux/http_ahead.c
+++ b/src/libmasticmux/http_ahead.c
@@ -9,7 +9,8 @@
 
 #include "private/http_caller_internal.h"
 
-/* Requests that one connection may have behind the one in progress. */
+/* Requests that one connection may have behind the one in progress; bounds the
+ * answers that wait in memory for their turn. */
 #define AHEAD_MAX 16
 
 static bool may_read_(const mmx_http_caller_t *caller)
--- a/src/libmasticmux/http_client.c
+++ b/src/libmasticmux/http_client.c
@@ -12,6 +12,8 @@
 #include <sys/queue.h>
 #include <sys/socket.h>
 
+/* Connections that are kept without a call: a node has a long poll and a few
+ * short calls at a time. */
 #define IDLE_MAX 4
 #define HEADERS_MAX (16 * 1024)
 
--- a/src/libmasticmux/target_connection.c
+++ b/src/libmasticmux/target_connection.c
@@ -19,8 +19,10 @@
 /* Output below which more of a request body is asked for, bytes. */
 #define OUTPUT_LOW (64 * 1024)
 
-/* A connection is closed this long before its target would close it. */
+/* A connection is closed this long before its target would close it: targets
+ * count whole seconds. */
 #define KEEP_ALIVE_MARGIN (1 * MMX_US_PER_S)
+/* Longer times than an hour are not believed. */
 #define KEEP_ALIVE_MAX_S 3600
 
 /* A connection and, while it is in use, the one call on it. */
