--- a/src/test_libmasticmux/suites.c
+++ b/src/test_libmasticmux/suites.c
@@ -60,6 +60,7 @@
 	{"stop", NULL, NULL, NULL, NULL, mmx_tests_stop},
 	{"target_client", NULL, NULL, NULL, NULL, mmx_tests_target_client},
 	{"target_delay", NULL, NULL, NULL, NULL, mmx_tests_target_delay},
+	{"target_probe", NULL, NULL, NULL, NULL, mmx_tests_target_probe},
 	{"target_reuse", NULL, NULL, NULL, NULL, mmx_tests_target_reuse},
 	{"task", NULL, NULL, NULL, NULL, mmx_tests_task},
 	{"trace", NULL, NULL, NULL, NULL, mmx_tests_trace},
--- a/src/test_libmasticmux/test_exit_announced.c
+++ b/src/test_libmasticmux/test_exit_announced.c
@@ -21,6 +21,7 @@
 	uint64_t born;
 	uint64_t sequence;
 	const char *states; /* of "a" and "b" afterwards; '-': unknown */
+	bool assumed;	    /* from a probe at the start of the node */
 } step_t;
 
 #define STEPS_MAX 6
@@ -50,6 +51,7 @@
 	announced->state = step->state;
 	announced->born = step->born;
 	announced->sequence = step->sequence;
+	announced->assumed = step->assumed;
 	if (step->state != MMX_TARGET_GONE) {
 		g_strlcpy(announced->service, "s", sizeof(announced->service));
 		announced->address = (mmx_address_t){"127.0.0.1", 80};
@@ -141,7 +143,32 @@
 		run_(&cases[i]);
 }
 
+/* Guards against a target that a probe found and that hides what the target
+ * itself announced. */
+static void test_assumed_announcements_(void)
+{
+	static const case_t cases[] = {
+		{"announced as leaving before",
+		 {{"a", DRAINING, 9, 3, "d-", false},
+		  {"a", WARM, 0, 0, "d-", true}}},
+		{"another target announced before",
+		 {{"b", WARM, 9, 3, "-w", false},
+		  {"a", WARM, 0, 0, "-w", true}}},
+		{"the same target announces itself",
+		 {{"a", WARM, 0, 0, "w-", true},
+		  {"a", DRAINING, 9, 3, "d-", false}}},
+		{"another target announces itself",
+		 {{"a", WARM, 0, 0, "w-", true},
+		  {"b", WARM, 9, 1, "gw", false}}},
+	};
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(cases); i++)
+		run_(&cases[i]);
+}
+
 CU_TestInfo mmx_tests_exit_announced[] = {
 	{"announcements that are late", test_late_announcements_},
+	{"announcements that are assumed", test_assumed_announcements_},
 	CU_TEST_INFO_NULL,
 };
