Link programs aside and rename them

Change: every program is linked under another name and renamed. The copy in scripts/soak.sh is gone.

--- a/Makefile
+++ b/Makefile
@@ -50,21 +50,23 @@
 	@rm -f $@
 	@ar rcs $@ $^
 
+# Programs are linked aside and renamed: nodes of a soak or a bench run start
+# again at any time, also while a build is on.
 $(BUILD)/masticmux: $(call obj,$(PROGRAM_SRC)) $(LIB)
-	@$(CXX) $(SAN) -o $@ $^ $(PKG_LIBS) -lm
+	@$(CXX) $(SAN) -o $@.new $^ $(PKG_LIBS) -lm && mv $@.new $@
 
 $(BUILD)/masticmux-standin: $(call obj,$(STANDIN_SRC)) $(LIB)
-	@$(CXX) $(SAN) -o $@ $^ $(PKG_LIBS) -lm
+	@$(CXX) $(SAN) -o $@.new $^ $(PKG_LIBS) -lm && mv $@.new $@
 
 $(BUILD)/unit-tests: $(call obj,$(TEST_SRC)) $(LIB)
-	@$(CXX) $(SAN) -o $@ $^ $(PKG_LIBS) $(TEST_LIBS) -lm
+	@$(CXX) $(SAN) -o $@.new $^ $(PKG_LIBS) $(TEST_LIBS) -lm && mv $@.new $@
 
 $(BUILD)/scenario-tests: $(call obj,$(SCENARIO_SRC)) $(LIB)
-	@$(CXX) $(SAN) -o $@ $^ $(PKG_LIBS) $(TEST_LIBS) -lm
+	@$(CXX) $(SAN) -o $@.new $^ $(PKG_LIBS) $(TEST_LIBS) -lm && mv $@.new $@
 
 $(BUILD)/bench/%: $(BUILD)/obj/bench/%.o $(call obj,$(BENCH_MODEL_SRC)) $(LIB)
 	@mkdir -p $(@D)
-	@$(CXX) $(SAN) -o $@ $^ $(PKG_LIBS) -lm
+	@$(CXX) $(SAN) -o $@.new $^ $(PKG_LIBS) -lm && mv $@.new $@
 
 $(BUILD)/obj/%.o: %.c
 	@mkdir -p $(@D)
--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -8,10 +8,6 @@
 first=${2:-$RANDOM}
 seconds=${3:-15}
 nodes=${4:-6}
-# Nodes start again at any time, also while a build writes the binary.
-directory=$(mktemp -d /tmp/masticmux-soak-binary-XXXXXX) || exit 1
-trap 'rm -r "$directory"' EXIT
-cp build/masticmux "$directory" || exit 1
 seq "$first" $((first + count - 1)) | xargs -P 4 -I SEED python3 \
-	platform/soak/soak.py --binary "$directory/masticmux" --seed SEED \
+	platform/soak/soak.py --binary build/masticmux --seed SEED \
 	--seconds "$seconds" --nodes "$nodes"
