--- a/src/test_libmasticmux/fakes.c
+++ b/src/test_libmasticmux/fakes.c
@@ -196,3 +196,32 @@
 	g_free(record);
 	mmx_change_destroy(change);
 }
+
+void fake_add_targets(mmx_directory_t *directory, mmx_node_id_t node,
+		      size_t count)
+{
+	size_t i;
+
+	for (i = 0; i < count; i++) {
+		mmx_target_record_t record = {
+			.id = 100 + i,
+			.node = node + i,
+			.incarnation = 1,
+			.version = 1,
+			.name = "t",
+			.service = "s",
+			.slots = 3,
+			.state = MMX_TARGET_WARM,
+		};
+
+		mmx_directory_update(directory, &record);
+	}
+}
+
+void fake_add_bytes(struct evbuffer *to, long size)
+{
+	char *bytes = g_malloc0((gsize)size);
+
+	evbuffer_add(to, bytes, (size_t)size);
+	g_free(bytes);
+}
--- a/src/test_libmasticmux/fakes.h
+++ b/src/test_libmasticmux/fakes.h
@@ -8,6 +8,7 @@
 #include <CUnit/CUnit.h>
 #include <glib.h>
 
+#include "masticmux/directory.h"
 #include "masticmux/fold.h"
 #include "private/messages.h"
 
@@ -39,6 +40,14 @@
 /* Compares the trace with that of the case; prints both if they differ. */
 void fake_compare(const script_case_t *c, const GString *trace);
 
+/* Adds targets of the service "s" with 3 slots, one each at the node and those
+ * with the next numbers. */
+void fake_add_targets(mmx_directory_t *directory, mmx_node_id_t node,
+		      size_t count);
+
+/* Appends that many bytes. */
+void fake_add_bytes(struct evbuffer *to, long size);
+
 /* Applies a change to a fold at its next offset and destroys the change. */
 void fake_apply(mmx_fold_t *fold, mmx_change_t *change);
 
--- a/src/test_libmasticmux/test_entry.c
+++ b/src/test_libmasticmux/test_entry.c
@@ -40,35 +40,6 @@
 	fake_apply(fold, change);
 }
 
-/* Targets of five nodes, this one among them. */
-static void add_targets_(mmx_directory_t *directory, size_t count)
-{
-	size_t i;
-
-	for (i = 0; i < count; i++) {
-		mmx_target_record_t record = {
-			.id = 100 + i,
-			.node = NODE + i,
-			.incarnation = 1,
-			.version = 1,
-			.name = "t",
-			.service = "s",
-			.slots = 3,
-			.state = MMX_TARGET_WARM,
-		};
-
-		mmx_directory_update(directory, &record);
-	}
-}
-
-static void add_bytes_(struct evbuffer *to, long size)
-{
-	char *bytes = g_malloc0((gsize)size);
-
-	evbuffer_add(to, bytes, (size_t)size);
-	g_free(bytes);
-}
-
 static void request_(rig_t *rig, char **words)
 {
 	mmx_request_t *request =
@@ -116,7 +87,7 @@
 		response->started = fake_flag(words, "started");
 	} else {
 		response->head = mmx_head_create_response(200);
-		add_bytes_(response->body, fake_number(words, "size", 3));
+		fake_add_bytes(response->body, fake_number(words, "size", 3));
 	}
 	mmx_task_post(mmx_entry_task(rig->entry), &response->message);
 }
@@ -129,7 +100,7 @@
 		body->attempt = id_(words);
 	else
 		body->request = (uint64_t)fake_number(words, "n", 1);
-	add_bytes_(body->data, fake_number(words, "size", 4));
+	fake_add_bytes(body->data, fake_number(words, "size", 4));
 	body->failed = fake_flag(words, "failed");
 	body->end = body->failed || fake_flag(words, "end");
 	mmx_task_post(mmx_entry_task(rig->entry), &body->message);
@@ -147,7 +118,7 @@
 	reply = mmx_new_fence_reply(&id, (mmx_fence_state_t)i);
 	if (fake_flag(words, "head")) {
 		reply->head = mmx_head_create_response(200);
-		add_bytes_(reply->body, fake_number(words, "size", 7));
+		fake_add_bytes(reply->body, fake_number(words, "size", 7));
 	}
 	mmx_task_post(mmx_entry_task(rig->entry), &reply->message);
 }
@@ -172,8 +143,8 @@
 		g_string_append_printf(rig->trace, "in-progress:%zu ",
 				       mmx_entry_in_progress(rig->entry));
 	else if (g_str_equal(words[0], "targets"))
-		add_targets_(rig->directory,
-			     (size_t)fake_number(words, "count", TARGETS));
+		fake_add_targets(rig->directory, NODE,
+				 (size_t)fake_number(words, "count", TARGETS));
 	else
 		CU_FAIL("unknown step");
 }
--- a/src/test_libmasticmux/test_filter_attempt_claim.c
+++ b/src/test_libmasticmux/test_filter_attempt_claim.c
@@ -40,34 +40,6 @@
 	fake_apply(fold, change);
 }
 
-static void add_targets_(mmx_directory_t *directory)
-{
-	size_t i;
-
-	for (i = 0; i < TARGETS; i++) {
-		mmx_target_record_t record = {
-			.id = 100 + i,
-			.node = NODE + i,
-			.incarnation = 1,
-			.version = 1,
-			.name = "t",
-			.service = "s",
-			.slots = 3,
-			.state = MMX_TARGET_WARM,
-		};
-
-		mmx_directory_update(directory, &record);
-	}
-}
-
-static void add_bytes_(struct evbuffer *to, long size)
-{
-	char *bytes = g_malloc0((gsize)size);
-
-	evbuffer_add(to, bytes, (size_t)size);
-	g_free(bytes);
-}
-
 static void request_(rig_t *rig, char **words)
 {
 	mmx_request_t *request =
@@ -132,7 +104,7 @@
 	reply->purpose = MMX_FENCE_QUERY;
 	if (fake_flag(words, "head")) {
 		reply->head = mmx_head_create_response(200);
-		add_bytes_(kept, 7);
+		fake_add_bytes(kept, 7);
 		/* As the exit of the same node. */
 		evbuffer_add_buffer_reference(reply->body, kept);
 	}
@@ -150,7 +122,7 @@
 		response->reason = MMX_REASON_OVERLOADED;
 	} else {
 		response->head = mmx_head_create_response(200);
-		add_bytes_(response->body, 3);
+		fake_add_bytes(response->body, 3);
 	}
 	mmx_task_post(mmx_entry_task(rig->entry), &response->message);
 }
@@ -160,7 +132,7 @@
 	mmx_body_t *body = mmx_new_body(MMX_TO_TARGET);
 
 	body->request = 1;
-	add_bytes_(body->data, fake_number(words, "size", 4));
+	fake_add_bytes(body->data, fake_number(words, "size", 4));
 	body->failed = fake_flag(words, "failed");
 	body->end = body->failed || fake_flag(words, "end");
 	mmx_task_post(mmx_entry_task(rig->entry), &body->message);
@@ -217,7 +189,7 @@
 	rig.in_force = rig.fold;
 	configure_(rig.fold);
 	rig.directory = mmx_directory_create(mmx_runtime_clock(rig.runtime));
-	add_targets_(rig.directory);
+	fake_add_targets(rig.directory, NODE, TARGETS);
 	fake_init(&rig.http, rig.runtime, rig.trace);
 	fake_init(&rig.peer, rig.runtime, rig.trace);
 	fake_init(&rig.claims, rig.runtime, rig.trace);
