Simplify loops and the set-up of the path

roster: the targets that a record no longer names are ended in one pass; the search started again after each one, though an update of the same incarnation does not move a target. exit: a replaced target ends through mmx_exit_target_lost() like others. exit_call: three tests of one flag become one. part_path: the set-up of exit, entry and probe are functions of their own. http_ahead: taking the first request out of list and table is written once.

--- a/src/libmasticmux/exit.c
+++ b/src/libmasticmux/exit.c
@@ -180,8 +180,7 @@
 					  &announced->address))
 			continue;
 		target->left = true;
-		set_state_(exit, target, MMX_TARGET_GONE);
-		mmx_exit_refuse_queue(exit, target);
+		mmx_exit_target_lost(exit, target);
 	}
 }
 
--- a/src/libmasticmux/exit_call.c
+++ b/src/libmasticmux/exit_call.c
@@ -187,17 +187,16 @@
 		mmx_message_destroy(&body->message);
 		return;
 	}
-	if (failed)
+	if (failed) {
 		mmx_exit_log_failed(exit, attempt, "body broke off");
-	if (failed)
 		mmx_exit_health_fault(exit, attempt, MMX_FAULT_BROKEN);
-	else if (end && !attempt->error)
-		mmx_exit_health_fault(exit, attempt, MMX_FAULT_SUCCESS);
-	if (failed)
 		mmx_exit_health_end(attempt, MMX_RESULT_ERROR);
-	else
+	} else {
+		if (end && !attempt->error)
+			mmx_exit_health_fault(exit, attempt, MMX_FAULT_SUCCESS);
 		judge_response_(exit, attempt, evbuffer_get_length(body->data),
 				end);
+	}
 	mmx_attempts_keep(exit->attempts, attempt, body->data);
 	if (attempt->abandoned || attempt->reply_at_end) {
 		mmx_message_destroy(&body->message);
--- a/src/libmasticmux/http_ahead.c
+++ b/src/libmasticmux/http_ahead.c
@@ -122,7 +122,8 @@
 	ahead->failed = body->failed;
 }
 
-mmx_http_ahead_t *mmx_http_ahead_take(mmx_http_caller_t *caller)
+/* Takes the first one out of the list and the table; NULL if there is none. */
+static mmx_http_ahead_t *unlink_first_(mmx_http_caller_t *caller)
 {
 	mmx_http_ahead_t *ahead = TAILQ_FIRST(&caller->ahead);
 
@@ -130,8 +131,17 @@
 		return NULL;
 	TAILQ_REMOVE(&caller->ahead, ahead, entry);
 	caller->ahead_count--;
-	/* The key of the table is the number in the connection from now on. */
 	g_hash_table_remove(caller->shared->requests, &ahead->request);
+	return ahead;
+}
+
+mmx_http_ahead_t *mmx_http_ahead_take(mmx_http_caller_t *caller)
+{
+	mmx_http_ahead_t *ahead = unlink_first_(caller);
+
+	if (!ahead)
+		return NULL;
+	/* The key of the table is the number in the connection from now on. */
 	caller->request = ahead->request;
 	g_hash_table_insert(caller->shared->requests, &caller->request, caller);
 	return ahead;
@@ -150,10 +160,7 @@
 	mmx_http_shared_t *shared = caller->shared;
 	mmx_http_ahead_t *ahead;
 
-	while ((ahead = TAILQ_FIRST(&caller->ahead))) {
-		TAILQ_REMOVE(&caller->ahead, ahead, entry);
-		caller->ahead_count--;
-		g_hash_table_remove(shared->requests, &ahead->request);
+	while ((ahead = unlink_first_(caller))) {
 		if (!ahead->end)
 			mmx_task_post(
 				shared->entry,
--- a/src/libmasticmux/part_path.c
+++ b/src/libmasticmux/part_path.c
@@ -112,25 +112,10 @@
 	return mmx_exit_repeat_share(node->exit, objective);
 }
 
-static bool init_(mmx_part_t *part, mmx_error_t *error)
+static void init_exit_(path_t *path)
 {
-	path_t *path = (path_t *)part;
-	mmx_node_t *node = part->node;
-	mmx_task_t *exit_task = mmx_exit_task(node->exit);
+	mmx_node_t *node = path->part.node;
 
-	path->client = mmx_target_client_create(node->runtime, exit_task,
-						node->counters);
-	path->http = mmx_http_entry_create(
-		node->runtime, mmx_entry_task(node->entry), node->counters);
-	path->announce =
-		mmx_announce_create(node->runtime, exit_task, node->counters);
-	if (node->store)
-		mmx_target_client_set_fresh_within(path->client,
-						   FRESH_WITHIN_US);
-	mmx_target_client_init(path->client);
-	mmx_announce_set_form(path->announce, node->announcements);
-	mmx_announce_set_trusted(path->announce,
-				 node->settings->trusted_network);
 	mmx_exit_set_target_client(node->exit,
 				   mmx_target_client_task(path->client));
 	mmx_exit_set_observer(
@@ -144,10 +129,16 @@
 	mmx_exit_set_trace(node->exit, node->trace);
 	mmx_exit_set_history(node->exit, node->history);
 	mmx_exit_init(node->exit);
+}
+
+static void init_entry_(path_t *path)
+{
+	mmx_node_t *node = path->part.node;
+
 	mmx_entry_set_http(node->entry, mmx_http_entry_task(path->http));
 	mmx_entry_set_peer(node->entry, mmx_peer_task(node->peer));
 	mmx_entry_set_claims(node->entry, node->claims);
-	mmx_entry_set_local_exit(node->entry, exit_task);
+	mmx_entry_set_local_exit(node->entry, mmx_exit_task(node->exit));
 	mmx_entry_set_fold(node->entry, &node->fold);
 	mmx_entry_set_directory(node->entry, node->directory);
 	mmx_entry_set_counters(node->entry, node->counters);
@@ -164,19 +155,49 @@
 	mmx_entry_set_trace(node->entry, node->trace);
 	mmx_entry_set_history(node->entry, node->history);
 	mmx_entry_init(node->entry);
-	if (node->store)
-		mmx_http_entry_set_hold(path->http, MMX_HELD_BODY_MAX);
+}
+
+static void create_probe_(mmx_node_t *node)
+{
+	const mmx_settings_t *settings = node->settings;
+
+	if (!settings->target.port || !settings->service[0] ||
+	    !node->dialect->identity)
+		return;
+	node->probe = mmx_target_probe_create(&(mmx_target_probe_config_t){
+		.runtime = node->runtime,
+		.exit = mmx_exit_task(node->exit),
+		.dialect = node->dialect,
+		.address = settings->target,
+		.service = settings->service,
+	});
+}
+
+static bool init_(mmx_part_t *part, mmx_error_t *error)
+{
+	path_t *path = (path_t *)part;
+	mmx_node_t *node = part->node;
+	mmx_task_t *exit_task = mmx_exit_task(node->exit);
+
+	path->client = mmx_target_client_create(node->runtime, exit_task,
+						node->counters);
+	path->http = mmx_http_entry_create(
+		node->runtime, mmx_entry_task(node->entry), node->counters);
+	path->announce =
+		mmx_announce_create(node->runtime, exit_task, node->counters);
 	node->http = path->http;
-	if (node->settings->target.port && node->settings->service[0] &&
-	    node->dialect->identity)
-		node->probe =
-			mmx_target_probe_create(&(mmx_target_probe_config_t){
-				.runtime = node->runtime,
-				.exit = exit_task,
-				.dialect = node->dialect,
-				.address = node->settings->target,
-				.service = node->settings->service,
-			});
+	if (node->store) {
+		mmx_target_client_set_fresh_within(path->client,
+						   FRESH_WITHIN_US);
+		mmx_http_entry_set_hold(path->http, MMX_HELD_BODY_MAX);
+	}
+	mmx_target_client_init(path->client);
+	mmx_announce_set_form(path->announce, node->announcements);
+	mmx_announce_set_trusted(path->announce,
+				 node->settings->trusted_network);
+	init_exit_(path);
+	init_entry_(path);
+	create_probe_(node);
 	return mmx_announce_init(path->announce,
 				 &node->settings->listen_announce, error) &&
 	       mmx_http_entry_init(path->http, &node->settings->listen_callers,
--- a/src/libmasticmux/roster.c
+++ b/src/libmasticmux/roster.c
@@ -125,30 +125,19 @@
 static void end_others_(mmx_roster_t *roster, mmx_node_id_t node,
 			const GArray *targets, uint64_t version)
 {
-	const mmx_directory_target_t *target;
+	const mmx_directory_target_t *target =
+		mmx_directory_node_first(roster->directory, node);
 	mmx_target_record_t record;
-	bool found;
-
-	do {
-		found = false;
-		target = mmx_directory_node_first(roster->directory, node);
-		for (; target && !found;
-		     target = mmx_directory_node_next(target)) {
-			if (mmx_directory_target_state(target) ==
-				    MMX_TARGET_GONE ||
-			    is_listed_(targets,
-				       mmx_directory_target_id(target)))
-				continue;
-			mmx_directory_record(target, &record);
-			found = true;
-			break;
-		}
-		if (!found)
-			break;
+
+	for (; target; target = mmx_directory_node_next(target)) {
+		if (mmx_directory_target_state(target) == MMX_TARGET_GONE ||
+		    is_listed_(targets, mmx_directory_target_id(target)))
+			continue;
+		mmx_directory_record(target, &record);
 		record.state = MMX_TARGET_GONE;
 		record.version = version;
-		found = mmx_directory_update(roster->directory, &record);
-	} while (found);
+		mmx_directory_update(roster->directory, &record);
+	}
 }
 
 static void take_(mmx_roster_t *roster, const mmx_roster_node_t *node,
