--- a/include/masticmux/log.h
+++ b/include/masticmux/log.h
@@ -49,6 +49,14 @@
 /** Lines dropped so far: beyond the limit, or because the reader is slow. */
 uint64_t mmx_log_dropped(const mmx_log_t *log);
 
+/**
+ * Formats a time as whole milliseconds, for a value of a line.
+ *
+ * @param size  of text, bytes; 24 hold any time
+ * @param time  microseconds
+ */
+void mmx_log_format_ms(char *text, size_t size, mmx_time_t time);
+
 /**
  * Writes one line; never blocks on a pipe whose reader is slow. Valid with log
  * NULL: then nothing is written.
--- a/src/libmasticmux/backoff.c
+++ b/src/libmasticmux/backoff.c
@@ -27,3 +27,13 @@
 {
 	backoff->healthy_since = now;
 }
+
+mmx_time_t mmx_backoff_call(mmx_time_t *delay, mmx_time_t min, mmx_time_t max,
+			    mmx_random_t *random)
+{
+	mmx_time_t doubled = 2 * *delay > min ? 2 * *delay : min;
+
+	*delay = doubled < max ? doubled : max;
+	return *delay / 2 +
+	       (mmx_time_t)mmx_random_below(random, (uint64_t)*delay / 2 + 1);
+}
--- a/src/libmasticmux/entry_trace.c
+++ b/src/libmasticmux/entry_trace.c
@@ -65,11 +65,9 @@
 	g_snprintf(version, sizeof(version), "%" PRIu64,
 		   exchange->configuration);
 	g_snprintf(code, sizeof(code), "%d", status);
-	g_snprintf(spent, sizeof(spent), "%lld",
-		   (long long)(took / MMX_US_PER_MS));
-	g_snprintf(left, sizeof(left), "%lld",
-		   (long long)((exchange->deadline - exchange->started - took) /
-			       MMX_US_PER_MS));
+	mmx_log_format_ms(spent, sizeof(spent), took);
+	mmx_log_format_ms(left, sizeof(left),
+			  exchange->deadline - exchange->started - took);
 	mmx_log_event(log, MMX_LOG_INFO, "request", "id", exchange->id, "route",
 		      exchange->route, "service", exchange->service,
 		      "configuration", version, "attempts",
@@ -153,8 +151,7 @@
 	if (!mmx_entry_trace(exchange->owner))
 		return;
 	mmx_traceparent_format(&exchange->trace, text);
-	mmx_head_remove(head, "traceparent");
-	mmx_head_add(head, "traceparent", text);
+	mmx_head_set(head, "traceparent", text);
 	mmx_span_set_text(exchange->span, "outcome",
 			  mmx_outcome_string[outcome]);
 	mmx_span_set_text(exchange->span, "reason", mmx_reason_string[reason]);
--- a/src/libmasticmux/exit_attempt.c
+++ b/src/libmasticmux/exit_attempt.c
@@ -102,14 +102,6 @@
 	mmx_exit_start_queued(exit, target);
 }
 
-static void set_header_(mmx_head_t *head, const char *name, const char *value)
-{
-	if (!name)
-		return;
-	mmx_head_remove(head, name);
-	mmx_head_add(head, name, value);
-}
-
 /* Tells the target the time that is left and who is meant. */
 static void address_call_(mmx_exit_t *exit, mmx_attempt_t *attempt,
 			  mmx_call_t *call)
@@ -119,8 +111,11 @@
 	char text[24];
 
 	g_snprintf(text, sizeof(text), "%lld", (long long)left_ms);
-	set_header_(call->head, dialect->timeout, text);
-	set_header_(call->head, dialect->target, attempt->target->record.name);
+	if (dialect->timeout)
+		mmx_head_set(call->head, dialect->timeout, text);
+	if (dialect->target)
+		mmx_head_set(call->head, dialect->target,
+			     attempt->target->record.name);
 	if (dialect->request_id)
 		attempt->request_id = g_strdup(
 			mmx_head_find(call->head, dialect->request_id));
--- a/src/libmasticmux/exit_log.c
+++ b/src/libmasticmux/exit_log.c
@@ -15,11 +15,6 @@
 	char patience_ms[24];
 } numbers_t;
 
-static void ms_(char *text, size_t size, mmx_time_t time)
-{
-	g_snprintf(text, size, "%lld", (long long)(time / MMX_US_PER_MS));
-}
-
 static void fill_target_(const mmx_exit_t *exit,
 			 const mmx_exit_target_t *target, uint32_t route,
 			 numbers_t *numbers)
@@ -32,12 +27,12 @@
 		   target->queued);
 	g_snprintf(numbers->slots, sizeof(numbers->slots), "%u",
 		   mmx_exit_target_slots(target, now));
-	ms_(numbers->run_ms, sizeof(numbers->run_ms),
-	    mmx_exit_target_run_time(target, route));
+	mmx_log_format_ms(numbers->run_ms, sizeof(numbers->run_ms),
+			  mmx_exit_target_run_time(target, route));
 	g_snprintf(numbers->probability, sizeof(numbers->probability), "%.2f",
 		   mmx_fault_probability(&target->fault, now));
-	ms_(numbers->evidence_ms, sizeof(numbers->evidence_ms),
-	    now - target->fault.at);
+	mmx_log_format_ms(numbers->evidence_ms, sizeof(numbers->evidence_ms),
+			  now - target->fault.at);
 }
 
 void mmx_exit_log_refused(mmx_exit_t *exit, const mmx_execute_t *execute,
@@ -53,10 +48,10 @@
 		return;
 	if (target)
 		fill_target_(exit, target, execute->route, &numbers);
-	ms_(numbers.remaining_ms, sizeof(numbers.remaining_ms),
-	    execute->remaining);
-	ms_(numbers.patience_ms, sizeof(numbers.patience_ms),
-	    execute->patience);
+	mmx_log_format_ms(numbers.remaining_ms, sizeof(numbers.remaining_ms),
+			  execute->remaining);
+	mmx_log_format_ms(numbers.patience_ms, sizeof(numbers.patience_ms),
+			  execute->patience);
 	mmx_log_event(
 		exit->log, MMX_LOG_INFO, "attempt_refused", "id", id, "target",
 		target ? target->record.name : "unknown", "reason",
@@ -76,8 +71,8 @@
 
 	if (!exit->log)
 		return;
-	ms_(took, sizeof(took), now - attempt->started);
-	ms_(left, sizeof(left), attempt->deadline - now);
+	mmx_log_format_ms(took, sizeof(took), now - attempt->started);
+	mmx_log_format_ms(left, sizeof(left), attempt->deadline - now);
 	mmx_log_event(exit->log, MMX_LOG_INFO, "call_failed", "id",
 		      attempt->request_id, "target",
 		      attempt->target->record.name, "result", result, "took_ms",
--- a/src/libmasticmux/filter_request.c
+++ b/src/libmasticmux/filter_request.c
@@ -45,8 +45,7 @@
 {
 	if (!self->dialect->caller_service || !self->caller_service)
 		return;
-	mmx_head_remove(head, self->dialect->caller_service);
-	mmx_head_add(head, self->dialect->caller_service, self->caller_service);
+	mmx_head_set(head, self->dialect->caller_service, self->caller_service);
 }
 
 static bool parse_(const request_filter_t *self, mmx_exchange_t *exchange)
--- a/src/libmasticmux/head.c
+++ b/src/libmasticmux/head.c
@@ -103,6 +103,12 @@
 	STAILQ_CONCAT(&head->headers, &kept);
 }
 
+void mmx_head_set(mmx_head_t *head, const char *name, const char *value)
+{
+	mmx_head_remove(head, name);
+	mmx_head_add(head, name, value);
+}
+
 const char *mmx_head_find(const mmx_head_t *head, const char *name)
 {
 	const mmx_header_t *header;
--- a/src/libmasticmux/http_client.c
+++ b/src/libmasticmux/http_client.c
@@ -12,6 +12,8 @@
 #include <sys/queue.h>
 #include <sys/socket.h>
 
+#include "private/backoff.h"
+
 /* Connections that are kept without a call: a node has a long poll and a few
  * short calls at a time. */
 #define IDLE_MAX 4
@@ -160,16 +162,12 @@
 
 void mmx_http_client_failed(mmx_http_client_t *client)
 {
-	mmx_time_t doubled =
-		MAX(2 * client->backoff, client->config.backoff_min);
+	const mmx_http_client_config_t *config = &client->config;
 
-	client->backoff = MIN(doubled, client->config.backoff_max);
-	/* Half of the delay is random, so that many clients do not return at
-	 * the same moment after an outage. */
 	client->not_before =
-		mmx_clock_now(client->config.clock) + client->backoff / 2 +
-		(mmx_time_t)mmx_random_below(&client->random,
-					     (uint64_t)client->backoff / 2 + 1);
+		mmx_clock_now(config->clock) +
+		mmx_backoff_call(&client->backoff, config->backoff_min,
+				 config->backoff_max, &client->random);
 }
 
 /* Ends a call; its connection has been given back. The callback may start the
--- a/src/libmasticmux/include/private/backoff.h
+++ b/src/libmasticmux/include/private/backoff.h
@@ -5,6 +5,7 @@
 #ifndef MASTICMUX_PRIVATE_BACKOFF_H
 #define MASTICMUX_PRIVATE_BACKOFF_H
 
+#include "masticmux/random.h"
 #include "masticmux/types.h"
 
 #define MMX_BACKOFF_FIRST_US (2 * MMX_US_PER_S)
@@ -24,4 +25,12 @@
 /* The target or path is healthy again from now on. */
 void mmx_backoff_recover(mmx_backoff_t *backoff, mmx_time_t now);
 
+/*
+ * Doubles the delay before the next call to a service that failed, between min
+ * and max; 0 stands for no failure before. Returns the delay with half of it
+ * random, so that many nodes do not return at the same moment after an outage.
+ */
+mmx_time_t mmx_backoff_call(mmx_time_t *delay, mmx_time_t min, mmx_time_t max,
+			    mmx_random_t *random);
+
 #endif
--- a/src/libmasticmux/include/private/head.h
+++ b/src/libmasticmux/include/private/head.h
@@ -34,6 +34,9 @@
 
 void mmx_head_add(mmx_head_t *head, const char *name, const char *value);
 
+/* Replaces every header of that name by one. */
+void mmx_head_set(mmx_head_t *head, const char *name, const char *value);
+
 /* Removes every header of that name, compared without case. */
 void mmx_head_remove(mmx_head_t *head, const char *name);
 
--- a/src/libmasticmux/include/private/store.h
+++ b/src/libmasticmux/include/private/store.h
@@ -27,7 +27,7 @@
 /* What a reader of a topic is told; each record once or more, in order. */
 typedef struct mmx_store_reader_ops_t {
 	void (*record)(void *arg, const mmx_store_record_t *record);
-	/* Everything that the topic held at the start has been told. */
+	/* Everything that the topic held at the start has been told; once. */
 	void (*synced)(void *arg);
 } mmx_store_reader_ops_t;
 
--- a/src/libmasticmux/log.c
+++ b/src/libmasticmux/log.c
@@ -166,6 +166,11 @@
 	end_(log, line);
 }
 
+void mmx_log_format_ms(char *text, size_t size, mmx_time_t time)
+{
+	g_snprintf(text, size, "%lld", (long long)(time / MMX_US_PER_MS));
+}
+
 void mmx_log_event(mmx_log_t *log, mmx_log_level_t level, const char *event,
 		   ...)
 {
--- a/src/libmasticmux/part_roster.c
+++ b/src/libmasticmux/part_roster.c
@@ -73,14 +73,11 @@
 		return;
 	}
 	g_clear_pointer(&self->stored, g_free);
-	self->retry =
-		CLAMP(2 * self->retry, WRITE_RETRY_MIN_US, WRITE_RETRY_MAX_US);
 	mmx_log_event(node->log, MMX_LOG_WARNING, "roster_write_failed",
 		      "result", mmx_store_result_string[result], NULL);
 	mmx_timer_set(&self->timer,
-		      self->retry / 2 + (mmx_time_t)mmx_random_below(
-						&node->random,
-						(uint64_t)self->retry / 2));
+		      mmx_backoff_call(&self->retry, WRITE_RETRY_MIN_US,
+				       WRITE_RETRY_MAX_US, &node->random));
 }
 
 static void write_(roster_part_t *self)
@@ -171,8 +168,6 @@
 	roster_part_t *self = arg;
 	char count[16];
 
-	if (self->synced)
-		return;
 	self->synced = true;
 	g_snprintf(count, sizeof(count), "%zu",
 		   mmx_roster_count(self->part.node->roster));
