Answer open requests before a stopping process ends

The process waited for its requests, and closed what was left when the time was up.

Change: at the start of a planned stop the deadlines of all requests, also of later ones, are limited to 0.25 s before the process ends. The usual ways of a deadline then give each its answer: fenced and not run, or unknown. The process ends 0.15 s before the grace time instead of 0.5 s.

--- a/src/libmasticmux/entry.c
+++ b/src/libmasticmux/entry.c
@@ -425,6 +425,7 @@
 	entry->clock = mmx_runtime_clock(runtime);
 	entry->node = node;
 	entry->incarnation = incarnation;
+	entry->latest_answer = MMX_TIME_NEVER;
 	mmx_random_seed(&entry->random, seed);
 	entry->guards = &mmx_guards_all;
 	entry->dialect = &mmx_dialect_default;
@@ -489,6 +490,29 @@
 	entry->draining = true;
 }
 
+void mmx_entry_answer_by(mmx_entry_t *entry, mmx_time_t latest)
+{
+	GList *exchanges = g_hash_table_get_values(entry->by_request);
+	GList *item;
+
+	assert(entry->running);
+	entry->latest_answer = latest;
+	for (item = exchanges; item; item = item->next) {
+		mmx_exchange_t *exchange = item->data;
+
+		if (exchange->deadline <= latest)
+			continue;
+		exchange->deadline = latest;
+		mmx_filter_attempt_deadline(entry->attempt_filter, exchange);
+	}
+	g_list_free(exchanges);
+}
+
+mmx_time_t mmx_entry_latest_answer(const mmx_entry_t *entry)
+{
+	return entry->latest_answer;
+}
+
 size_t mmx_entry_in_progress(const mmx_entry_t *entry)
 {
 	return g_hash_table_size(entry->by_request);
--- a/src/libmasticmux/filter_account.c
+++ b/src/libmasticmux/filter_account.c
@@ -48,7 +48,8 @@
 			return MMX_FILTER_DONE;
 		}
 	}
-	exchange->deadline = exchange->started + timeout_(exchange);
+	exchange->deadline = MIN(exchange->started + timeout_(exchange),
+				 mmx_entry_latest_answer(exchange->owner));
 	exchange->repeatable = is_repeatable_(exchange);
 	return MMX_FILTER_NEXT;
 }
--- a/src/libmasticmux/filter_attempt.c
+++ b/src/libmasticmux/filter_attempt.c
@@ -47,6 +47,18 @@
 						   evbuffer_get_length(body)));
 }
 
+void mmx_filter_attempt_deadline(mmx_filter_t *filter, mmx_exchange_t *exchange)
+{
+	/* A claim has a time limit of its own, and a fencing query is repeated
+	 * meanwhile. */
+	if (exchange->state == MMX_EXCHANGE_WAITING ||
+	    mmx_exchange_is_claiming(exchange) ||
+	    (exchange->state == MMX_EXCHANGE_FENCING &&
+	     exchange->timer.due <= exchange->deadline))
+		return;
+	set_deadline_timer_((mmx_attempt_filter_t *)filter, exchange);
+}
+
 void mmx_attempt_transmit(mmx_attempt_filter_t *self, mmx_exchange_t *exchange)
 {
 	mmx_execute_t *execute;
--- a/src/libmasticmux/include/private/entry.h
+++ b/src/libmasticmux/include/private/entry.h
@@ -84,6 +84,13 @@
 /* From now on new requests are refused with shutting-down. */
 void mmx_entry_drain(mmx_entry_t *entry);
 
+/*
+ * Gives every request its answer by this time, also those that arrive from
+ * now on: a process that is about to end would otherwise close connections
+ * without one. Valid after init.
+ */
+void mmx_entry_answer_by(mmx_entry_t *entry, mmx_time_t latest);
+
 /* Requests that have no whole answer yet. */
 size_t mmx_entry_in_progress(const mmx_entry_t *entry);
 
@@ -134,6 +141,9 @@
 /* Of an attempt that holds the key of an exchange here. */
 void mmx_filter_attempt_rival_reply(mmx_filter_t *filter,
 				    const mmx_fence_reply_t *reply);
+/* The deadline of the exchange has moved. */
+void mmx_filter_attempt_deadline(mmx_filter_t *filter,
+				 mmx_exchange_t *exchange);
 void mmx_filter_attempt_path_lost(mmx_filter_t *filter,
 				  const mmx_path_lost_t *lost);
 void mmx_filter_attempt_request_body(mmx_filter_t *filter,
@@ -162,6 +172,9 @@
 mmx_history_t *mmx_entry_history(const mmx_entry_t *entry);
 mmx_log_t *mmx_entry_log(const mmx_entry_t *entry);
 
+/* Latest deadline of a request; MMX_TIME_NEVER: not limited. */
+mmx_time_t mmx_entry_latest_answer(const mmx_entry_t *entry);
+
 /* What the attempt filter needs of its entry. */
 mmx_runtime_t *mmx_entry_runtime(const mmx_entry_t *entry);
 const mmx_directory_t *mmx_entry_directory(const mmx_entry_t *entry);
--- a/src/libmasticmux/include/private/entry_internal.h
+++ b/src/libmasticmux/include/private/entry_internal.h
@@ -15,6 +15,7 @@
 	mmx_random_t random;
 	bool running;
 	bool draining;
+	mmx_time_t latest_answer; /* of any request */
 	mmx_task_t *http;
 	mmx_task_t *peer;
 	mmx_task_t *local_exit;
--- a/src/libmasticmux/node.c
+++ b/src/libmasticmux/node.c
@@ -15,8 +15,12 @@
 
 #include "platform/platform.h"
 
-/* A planned stop ends this long before the process would be killed. */
-#define STOP_MARGIN_US (500 * MMX_US_PER_MS)
+/* A planned stop ends this long before the process would be killed: three
+ * polls. */
+#define STOP_MARGIN_US (150 * MMX_US_PER_MS)
+/* Requests that are open get their answers this long before the stop ends; a
+ * process on a slowed instance takes most of it to write them. */
+#define LAST_ANSWERS_US (250 * MMX_US_PER_MS)
 /* A few lines for each request at the usual rates; more is sampled away. */
 #define LOG_LINES_PER_S 200
 #define LOG_LINES_BURST 400
@@ -147,6 +151,8 @@
 	TAILQ_FOREACH (part, &node->parts, entry)
 		if (part->ops->drain)
 			part->ops->drain(part);
+	mmx_entry_answer_by(node->entry,
+			    node->drain_deadline - LAST_ANSWERS_US);
 	mmx_timer_set(&node->drain_timer, DRAIN_POLL_US);
 }
 
--- a/src/test_libmasticmux/test_entry.c
+++ b/src/test_libmasticmux/test_entry.c
@@ -139,6 +139,11 @@
 				  fake_number(words, "ms", 1) * MMX_US_PER_MS);
 	else if (g_str_equal(words[0], "drain"))
 		mmx_entry_drain(rig->entry);
+	else if (g_str_equal(words[0], "answer-by"))
+		mmx_entry_answer_by(
+			rig->entry,
+			mmx_clock_now(mmx_runtime_clock(rig->runtime)) +
+				fake_number(words, "ms", 1) * MMX_US_PER_MS);
 	else if (g_str_equal(words[0], "count"))
 		g_string_append_printf(rig->trace, "in-progress:%zu ",
 				       mmx_entry_in_progress(rig->entry));
@@ -509,11 +514,57 @@
 	run_(cases, sizeof(cases) / sizeof(cases[0]));
 }
 
+/* Guards against requests that are still open when a stopping process ends,
+ * whose callers then see a closed connection instead of an answer. */
+static void test_answer_by_(void)
+{
+	static const script_case_t cases[] = {
+		{"open and repeatable",
+		 "targets; request get; answer-by ms=300; wait ms=300; count",
+		 "execute1:0 cancel1 "
+		 "answer1:unknown:deadline-exceeded:504:27:end in-progress:0 "},
+		{"open and not repeatable, in the queue of its exit",
+		 "targets count=1; request; answer-by ms=300; wait ms=270; "
+		 "fence-reply fenced; count",
+		 "execute1:0 fence1 "
+		 "answer1:not-run:deadline-exceeded:503:27:end in-progress:0 "},
+		{"open and not repeatable, running",
+		 "targets; request; answer-by ms=300; wait ms=270; "
+		 "fence-reply running; wait ms=30",
+		 "execute1:0 fence1 cancel1 "
+		 "answer1:unknown:deadline-exceeded:504:27:end "},
+		{"silent, with a fencing query out",
+		 "targets; request; lost; answer-by ms=300; wait ms=300",
+		 "execute1:0 fence1 cancel1 "
+		 "answer1:unknown:deadline-exceeded:504:27:end "},
+		{"answered in time",
+		 "targets; request get; answer-by ms=300; response end; "
+		 "wait ms=300",
+		 "execute1:0 answer1:completed:none:200:3:end "},
+		{"arrives later",
+		 "targets; answer-by ms=300; request get; wait ms=300",
+		 "execute1:0 cancel1 "
+		 "answer1:unknown:deadline-exceeded:504:27:end "},
+		{"ends before that by itself",
+		 "targets; request get ms=500; answer-by ms=900; wait ms=500",
+		 "execute1:0 cancel1 "
+		 "answer1:unknown:deadline-exceeded:504:27:end "},
+		{"on its way out",
+		 "targets; request get; response size=70000; answer-by ms=300; "
+		 "wait ms=300",
+		 "execute1:0 answer1:completed:none:200:70000 cancel1 "
+		 "body1:0:end:failed "},
+	};
+
+	run_(cases, sizeof(cases) / sizeof(cases[0]));
+}
+
 CU_TestInfo mmx_tests_entry[] = {
 	{"refusals", test_refusals_},
 	{"time to come back", test_retry_after_},
 	{"attempts", test_attempts_},
 	{"fencing", test_fence_},
 	{"responses", test_responses_},
+	{"answers by the end of the process", test_answer_by_},
 	CU_TEST_INFO_NULL,
 };
