Start queued requests of equal priority by the time they are wanted by

The queue was in order of arrival, so that a call of 0.1 s with 0.4 s to go was judged by the whole queue of requests with 2.5 s to go.

Ruled out: priorities (nested calls and the requests in the queue have the same one, now shown in attempt_refused), slots left unused.

Change: of equal priority, the request starts first whose arrival plus wanted latency (deadline, if none is wanted) is earlier; admission counts only what would start before. Long requests come to the front with age.

--- a/src/libmasticmux/exit_log.c
+++ b/src/libmasticmux/exit_log.c
@@ -13,6 +13,7 @@
 	char evidence_ms[24];
 	char remaining_ms[24];
 	char patience_ms[24];
+	char priority[4];
 } numbers_t;
 
 static void fill_target_(const mmx_exit_t *exit,
@@ -52,6 +53,8 @@
 			  execute->remaining);
 	mmx_log_format_ms(numbers.patience_ms, sizeof(numbers.patience_ms),
 			  execute->patience);
+	g_snprintf(numbers.priority, sizeof(numbers.priority), "%u",
+		   execute->priority);
 	mmx_log_event(
 		exit->log, MMX_LOG_INFO, "attempt_refused", "id", id, "target",
 		target ? target->record.name : "unknown", "reason",
@@ -59,7 +62,8 @@
 		"queued", numbers.queued, "slots", numbers.slots, "run_ms",
 		numbers.run_ms, "failing_probability", numbers.probability,
 		"evidence_age_ms", numbers.evidence_ms, "remaining_ms",
-		numbers.remaining_ms, "patience_ms", numbers.patience_ms, NULL);
+		numbers.remaining_ms, "patience_ms", numbers.patience_ms,
+		"priority", numbers.priority, NULL);
 }
 
 void mmx_exit_log_failed(mmx_exit_t *exit, const mmx_attempt_t *attempt,
--- a/src/libmasticmux/exit_target.c
+++ b/src/libmasticmux/exit_target.c
@@ -109,15 +109,37 @@
 	return MMX_REASON_NONE;
 }
 
-/* Queued attempts that start before a new one of this priority. */
-static unsigned int ahead_(const mmx_exit_target_t *target, uint8_t priority)
+/* Time by which a request is wanted; its deadline if no latency is. */
+static mmx_time_t wanted_by_(mmx_time_t objective, mmx_time_t remaining,
+			     mmx_time_t now)
 {
+	return now + (objective > 0 ? objective : remaining);
+}
+
+/*
+ * Of equal priority, what is wanted earlier starts first: a short call that a
+ * running request waits for does not wait behind long requests, which in turn
+ * come to the front as they age.
+ */
+static bool starts_before_(const mmx_attempt_t *queued, uint8_t priority,
+			   mmx_time_t wanted_by)
+{
+	if (queued->execute->priority != priority)
+		return queued->execute->priority < priority;
+	return queued->wanted_by <= wanted_by;
+}
+
+/* Queued attempts that start before a new one. */
+static unsigned int ahead_(const mmx_exit_target_t *target,
+			   const mmx_exit_request_t *request, mmx_time_t now)
+{
+	mmx_time_t wanted_by =
+		wanted_by_(request->objective, request->remaining, now);
 	const mmx_attempt_t *attempt;
 	unsigned int ahead = target->queued;
 
 	TAILQ_FOREACH (attempt, &target->queue, queue_entry)
-		if (attempt->execute->priority > priority)
-			ahead--;
+		ahead -= !starts_before_(attempt, request->priority, wanted_by);
 	return ahead;
 }
 
@@ -126,7 +148,7 @@
 				   mmx_time_t now)
 {
 	unsigned int slots = mmx_exit_target_slots(target, now);
-	unsigned int ahead = ahead_(target, request->priority);
+	unsigned int ahead = ahead_(target, request, now);
 
 	if (target->stopped || target->record.state == MMX_TARGET_DRAINING ||
 	    target->record.state == MMX_TARGET_GONE)
@@ -195,8 +217,11 @@
 
 	attempt->under_floor = mmx_exit_target_class(target, &request, now) ==
 			       MMX_LIMITS_UNDER_FLOOR;
+	attempt->wanted_by = wanted_by_(attempt->execute->objective,
+					attempt->execute->remaining, now);
 	TAILQ_FOREACH (behind, &target->queue, queue_entry)
-		if (behind->execute->priority > attempt->execute->priority)
+		if (!starts_before_(behind, attempt->execute->priority,
+				    attempt->wanted_by))
 			break;
 	if (behind)
 		TAILQ_INSERT_BEFORE(behind, attempt, queue_entry);
--- a/src/libmasticmux/include/private/attempts.h
+++ b/src/libmasticmux/include/private/attempts.h
@@ -38,6 +38,7 @@
 	struct mmx_span_t *span; /* NULL: not sampled, also the next */
 	struct mmx_span_t *call_span;
 	mmx_time_t arrived;
+	mmx_time_t wanted_by; /* order in the queue of its target */
 	mmx_time_t started;
 	mmx_time_t deadline;
 	mmx_time_t forget_at;	  /* while ended */
--- a/src/test_libmasticmux/test_exit_target.c
+++ b/src/test_libmasticmux/test_exit_target.c
@@ -221,7 +221,86 @@
 	}
 }
 
+static mmx_attempt_t *queue_(mmx_exit_target_t *target, mmx_attempt_t *attempt,
+			     mmx_time_t objective, mmx_time_t now)
+{
+	attempt->share.ceiling_percent = 100;
+	attempt->execute = mmx_new_execute();
+	attempt->execute->priority = 1;
+	attempt->execute->objective = objective;
+	attempt->execute->remaining = 2 * objective;
+	mmx_exit_target_queue(target, attempt, now);
+	return attempt;
+}
+
+/*
+ * Load pattern: a service is full of long requests, and other services make
+ * short calls to it while they run requests of the same priority. Guards
+ * against short calls that are refused for the length of a queue of which they
+ * need not await the end, which fails the request that waits for them, and
+ * against long requests that wait for good behind short ones.
+ */
+static void test_short_calls_at_a_full_service_(void)
+{
+	enum { LONG = 2500 * MS, SHORT = 400 * MS, QUEUED = 6 };
+	static const struct {
+		const char *name;
+		mmx_time_t now; /* after the long requests were queued */
+		mmx_reason_t reason;
+		bool first; /* starts before the long requests */
+	} cases[] = {
+		{"the queue is new", 0, MMX_REASON_NONE, true},
+		{"the queue has waited", 2000 * MS, MMX_REASON_NONE, true},
+		{"the queue is older than the call may become", 2200 * MS,
+		 MMX_REASON_BUSY, false},
+	};
+	size_t i;
+	int n;
+
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		mmx_exit_target_t *target =
+			mmx_exit_target_create(1, 2, 3, "t", "s");
+		mmx_attempt_t attempts[QUEUED + 1] = {0};
+		mmx_exit_request_t request = {
+			.account = "",
+			.share = {.ceiling_percent = 100},
+			.remaining = 1200 * MS,
+			.patience = 200 * MS,
+			.priority = 1,
+			.objective = SHORT,
+			.route = SHORT_ROUTE,
+		};
+		mmx_attempt_t *call;
+
+		target->record.slots = 5;
+		target->record.state = MMX_TARGET_WARM;
+		target->in_progress = 5;
+		for (n = 0; n < 100; n++) {
+			mmx_exit_target_note_service(target, SHORT_ROUTE,
+						     100 * MS, n);
+			mmx_exit_target_note_service(target, LONG_ROUTE,
+						     700 * MS, n);
+		}
+		for (n = 0; n < QUEUED; n++)
+			queue_(target, &attempts[n], LONG, 0);
+		CU_ASSERT_EQUAL(mmx_exit_target_admit(target, &request,
+						      cases[i].now),
+				cases[i].reason);
+		call = queue_(target, &attempts[QUEUED], SHORT, cases[i].now);
+		CU_ASSERT_EQUAL(mmx_exit_target_next(target, cases[i].now) ==
+					call,
+				cases[i].first);
+		for (n = 0; n <= QUEUED; n++) {
+			mmx_exit_target_unqueue(target, &attempts[n]);
+			mmx_message_destroy(&attempts[n].execute->message);
+		}
+		target->in_progress = 0;
+		mmx_exit_target_destroy(target);
+	}
+}
+
 CU_TestInfo mmx_tests_exit_target[] = {
+	{"short calls at a full service", test_short_calls_at_a_full_service_},
 	{"short calls beside long requests",
 	 test_short_calls_beside_long_requests_},
 	{"priorities in the queue", test_priorities_},
