Wait longer at the last attempt in the own region

Change: the third attempt, the last one that stays in the region, accepts a queue of half of the wanted latency; it was a quarter for all but the last two attempts.

Ruled out: bytes of refused attempts; a refusal costs about 1 KB, an answer from afar about 6 KB, and answers were two thirds of the bytes.

--- a/src/libmasticmux/filter_attempt.c
+++ b/src/libmasticmux/filter_attempt.c
@@ -15,9 +15,6 @@
 
 /* A fencing query without a reply is repeated after this time. */
 #define FENCE_RETRY_US (500 * MMX_US_PER_MS)
-/* Attempts that stay in the own region if it has a target that may be used:
- * a body that crosses to another one costs more than a short wait. */
-#define NEAR_ATTEMPTS 3
 /* Time before the deadline at which a silent attempt is fenced. */
 #define FENCE_LEAD_MAX_US (100 * MMX_US_PER_MS)
 
@@ -263,7 +260,7 @@
 		.tried = exchange->tried,
 		.tried_count = exchange->attempts,
 		.near_queue = exchange->objective > 0 &&
-			      exchange->attempts < NEAR_ATTEMPTS,
+			      exchange->attempts < MMX_NEAR_ATTEMPTS,
 	};
 	mmx_view_choice_t choice;
 
--- a/src/libmasticmux/filter_attempt_send.c
+++ b/src/libmasticmux/filter_attempt_send.c
@@ -13,6 +13,9 @@
  * one exit, and the least: a way to another region and back takes that long. */
 #define PATIENCE_SHARE 4
 #define PATIENCE_MIN_US (100 * MMX_US_PER_MS)
+/* The same for the last attempt in the own region. When all regions are full,
+ * the queue elsewhere is no shorter, and the answer costs its way back. */
+#define LAST_NEAR_PATIENCE_SHARE 2
 /* Attempts at the end of which the queue is accepted as it is. */
 #define LAST_ATTEMPTS 2
 mmx_time_t mmx_attempt_margin(mmx_time_t remaining, mmx_time_t max)
@@ -28,7 +31,10 @@
 static mmx_time_t patience_(const mmx_exchange_t *exchange,
 			    mmx_time_t remaining)
 {
-	mmx_time_t share = exchange->objective / PATIENCE_SHARE;
+	mmx_time_t share =
+		exchange->objective / (exchange->attempts == MMX_NEAR_ATTEMPTS
+					       ? LAST_NEAR_PATIENCE_SHARE
+					       : PATIENCE_SHARE);
 
 	if (exchange->objective == 0 ||
 	    exchange->attempts + LAST_ATTEMPTS > exchange->attempts_max)
