Count the retry budget in a sliding window at each exit

The exits kept a token bucket: their part of the reserve was a capacity that only requests refilled, so that it could be used once.

Ruled out: a wrong share of the reserve (it is divided by the targets of the service), repeats that are charged without being made (inherited shares were charged to other services).

Change: module retry_window counts requests and repeats of the last window and allows the reserve in each of them, which is what the rule says; the setting retry.window_s is its length.

--- a/include/masticmux/retry.h
+++ b/include/masticmux/retry.h
@@ -23,9 +23,8 @@
 /** State of one budget; members are private. */
 typedef struct mmx_retry_t {
 	mmx_time_t refilled;
-	int32_t hundredths; /**< of a token; below 0 when overdrawn */
+	uint32_t hundredths; /**< of a token */
 	uint8_t percent;
-	int32_t shared_max; /**< hundredths; 0: not shared */
 } mmx_retry_t;
 
 /**
@@ -36,27 +35,6 @@
  */
 void mmx_retry_init(mmx_retry_t *retry, uint8_t percent, mmx_time_t now);
 
-/**
- * Makes the budget one node's part of a budget that the whole fleet shares:
- * tokens are earned by requests instead of successes, and never exceed the
- * node's part of the reserve, so that the nodes together stay within the
- * reserve plus the percentage of the requests in any window.
- *
- * @param reserve  hundredths of a token; a single token is always allowed
- */
-void mmx_retry_set_shared(mmx_retry_t *retry, uint32_t reserve);
-
-/**
- * Charges a repeat, or a part of one, that cannot be refused; the budget may
- * be overdrawn by its bound.
- *
- * @param hundredths  of a token
- */
-void mmx_retry_charge(mmx_retry_t *retry, uint32_t hundredths);
-
-/** Reports one request; counts in a shared budget only. */
-void mmx_retry_request(mmx_retry_t *retry);
-
 /** Changes the percentage; the tokens are kept. */
 void mmx_retry_set_percent(mmx_retry_t *retry, uint8_t percent);
 
--- /dev/null
+++ b/include/masticmux/retry_window.h
@@ -0,0 +1,68 @@
+/**
+ * One node's part of a retry budget that the whole fleet shares: in any window
+ * of time, repeats stay within a share of the requests of that window plus a
+ * reserve.
+ *
+ * Counts requests and repeats of the last window, so that the reserve is at
+ * hand again as soon as the repeats that used it are older than the window.
+ *
+ * Usage: init, then report requests and ask before each repeat.
+ */
+#ifndef MASTICMUX_RETRY_WINDOW_H
+#define MASTICMUX_RETRY_WINDOW_H
+
+#include "masticmux/types.h"
+
+/** Parts that a window is counted in. */
+#define MMX_RETRY_WINDOW_PARTS 10
+
+/** What a node may repeat. */
+typedef struct mmx_retry_limit_t {
+	uint8_t percent;   /**< 0..100 repeats per 100 requests */
+	uint32_t reserve;  /**< hundredths of a repeat, beyond the percentage */
+	mmx_time_t window; /**< microseconds, at least MMX_RETRY_WINDOW_PARTS */
+} mmx_retry_limit_t;
+
+/** State of one budget; members are private. */
+typedef struct mmx_retry_window_t {
+	mmx_retry_limit_t limit;
+	mmx_time_t part; /**< number of the latest one */
+	uint32_t requests[MMX_RETRY_WINDOW_PARTS + 1];
+	uint32_t repeats[MMX_RETRY_WINDOW_PARTS + 1]; /**< hundredths */
+} mmx_retry_window_t;
+
+/** Prepares a budget of which nothing is used. */
+void mmx_retry_window_init(mmx_retry_window_t *budget,
+			   const mmx_retry_limit_t *limit);
+
+/**
+ * Changes the limit. What was counted is kept unless the window changes.
+ * With a percentage above 0 one repeat in a window is always allowed: many
+ * nodes with less than one each would otherwise never repeat anything.
+ */
+void mmx_retry_window_set(mmx_retry_window_t *budget,
+			  const mmx_retry_limit_t *limit);
+
+/**
+ * Reports a request, not a repeat.
+ *
+ * @param now  not before the time of an earlier call, as for the others
+ */
+void mmx_retry_window_request(mmx_retry_window_t *budget, mmx_time_t now);
+
+/**
+ * Charges a repeat, or a part of one, that cannot be refused.
+ *
+ * @param hundredths  of a repeat
+ */
+void mmx_retry_window_charge(mmx_retry_window_t *budget, uint32_t hundredths,
+			     mmx_time_t now);
+
+/**
+ * Takes one repeat.
+ *
+ * @return false when it must not be made
+ */
+bool mmx_retry_window_take(mmx_retry_window_t *budget, mmx_time_t now);
+
+#endif
--- a/include/masticmux/settings.h
+++ b/include/masticmux/settings.h
@@ -33,6 +33,7 @@
  */
 #define MMX_RETRY_PERCENT_DEFAULT 20
 #define MMX_RETRY_RESERVE_DEFAULT 60
+#define MMX_RETRY_WINDOW_DEFAULT_S 10
 /** Default share of a service's slots that ejections leave, percent. */
 #define MMX_FLOOR_PERCENT_DEFAULT 70
 
@@ -76,6 +77,7 @@
 	mmx_time_t stop_grace;	/**< microseconds from SIGTERM */
 	uint32_t retry_percent; /**< see MMX_RETRY_PERCENT_DEFAULT */
 	int64_t retry_reserve;	/**< attempts of the whole fleet */
+	mmx_time_t retry_window; /**< that the budget holds for, microseconds */
 	uint32_t floor_percent; /**< see MMX_FLOOR_PERCENT_DEFAULT */
 } mmx_settings_t;
 
--- a/src/libmasticmux/exit_attempt.c
+++ b/src/libmasticmux/exit_attempt.c
@@ -146,8 +146,9 @@
 	evbuffer_add_buffer(call->body, execute->body);
 	call->body_end = execute->body_end;
 	if (!execute->repeat) {
-		mmx_retry_request(&target->retry);
-		mmx_retry_charge(&target->retry, execute->inherited);
+		mmx_retry_window_request(&target->retry, attempt->started);
+		mmx_retry_window_charge(&target->retry, execute->inherited,
+					attempt->started);
 	}
 	mmx_counter_add(exit->started, 1);
 	mmx_task_post(exit->client, &call->message);
@@ -219,25 +220,29 @@
 	       target->queued > 0;
 }
 
-/* The budget counts what targets get, and a target sees all of its share. */
-static bool take_retry_(const mmx_exit_t *exit, mmx_exit_target_t *target)
+/* The limit follows the configuration and the number of targets. */
+static void follow_retry_limit_(const mmx_exit_t *exit,
+				mmx_exit_target_t *target)
 {
 	const char *service = target->record.service;
+	mmx_retry_limit_t limit = target->retry.limit;
 	mmx_policy_t policy;
-	uint32_t reserve;
 
-	if (!exit->observer || !exit->observer->retry_reserve)
-		return true;
+	exit->observer->retry_limit(exit->observer_context, service, &limit);
+	limit.reserve = limit.reserve * BUDGET_USED_PERCENT / 100;
 	if (exit->fold && *exit->fold &&
 	    mmx_fold_service(*exit->fold, service, &policy))
-		mmx_retry_set_percent(&target->retry,
-				      (uint8_t)(policy.retry_percent *
-						BUDGET_USED_PERCENT / 100));
-	reserve =
-		exit->observer->retry_reserve(exit->observer_context, service);
-	mmx_retry_set_shared(&target->retry,
-			     reserve * BUDGET_USED_PERCENT / 100);
-	return mmx_retry_take(&target->retry, mmx_clock_now(exit->clock));
+		limit.percent = (uint8_t)(policy.retry_percent *
+					  BUDGET_USED_PERCENT / 100);
+	mmx_retry_window_set(&target->retry, &limit);
+}
+
+/* The budget counts what targets get, and a target sees all of its share. */
+static bool take_retry_(const mmx_exit_t *exit, mmx_exit_target_t *target)
+{
+	return !exit->observer || !exit->observer->retry_limit ||
+	       mmx_retry_window_take(&target->retry,
+				     mmx_clock_now(exit->clock));
 }
 
 static mmx_reason_t admit_(mmx_exit_t *exit, const mmx_execute_t *execute,
@@ -272,6 +277,8 @@
 	/* Many entries together send one trial at a time. */
 	if (execute->trial && !mmx_detection_may_try((*target)->detection))
 		return MMX_REASON_OVERLOADED;
+	if (exit->observer && exit->observer->retry_limit)
+		follow_retry_limit_(exit, *target);
 	reason = mmx_exit_target_admit(*target, &request,
 				       mmx_clock_now(exit->clock));
 	if (reason == MMX_REASON_NONE && exit->episodes &&
--- a/src/libmasticmux/include/private/exit.h
+++ b/src/libmasticmux/include/private/exit.h
@@ -17,6 +17,7 @@
 #include "masticmux/history.h"
 #include "masticmux/fold.h"
 #include "masticmux/log.h"
+#include "masticmux/retry_window.h"
 #include "private/dialect.h"
 #include "private/guards.h"
 #include "private/messages.h"
@@ -27,9 +28,10 @@
 typedef struct mmx_exit_observer_ops_t {
 	void (*target_changed)(void *context,
 			       const mmx_target_record_t *record);
-	/* Part of a target of this service in the reserve of the service's
-	 * retry budget, hundredths of an attempt; NULL: entries keep it. */
-	uint32_t (*retry_reserve)(void *context, const char *service);
+	/* Sets reserve and window to the part of a target of this service in
+	 * the service's retry budget; NULL: entries keep the budget. */
+	void (*retry_limit)(void *context, const char *service,
+			    mmx_retry_limit_t *limit);
 } mmx_exit_observer_ops_t;
 
 mmx_exit_t *mmx_exit_create(mmx_runtime_t *runtime, mmx_node_id_t node,
--- a/src/libmasticmux/include/private/exit_target.h
+++ b/src/libmasticmux/include/private/exit_target.h
@@ -10,7 +10,7 @@
 #include "masticmux/fold.h"
 #include "masticmux/detection.h"
 #include "masticmux/latency.h"
-#include "masticmux/retry.h"
+#include "masticmux/retry_window.h"
 #include "private/attempts.h"
 #include "private/fault.h"
 
@@ -53,7 +53,7 @@
 	mmx_attempt_list_t queue;
 	mmx_time_t mean_service; /* smoothed time of a completed call */
 	mmx_route_time_t routes[MMX_EXIT_ROUTES_MAX];
-	mmx_retry_t retry; /* this target's part of the retry budget */
+	mmx_retry_window_t retry; /* this target's part of the retry budget */
 	mmx_fault_t fault;
 	bool suspect;		    /* as entries were told */
 	uint8_t weight;		    /* of detection, from the policy */
--- a/src/libmasticmux/include/private/node_parts.h
+++ b/src/libmasticmux/include/private/node_parts.h
@@ -75,6 +75,7 @@
 	mmx_time_t stop_grace;
 	uint32_t retry_percent;
 	uint32_t retry_reserve; /* of the whole fleet */
+	mmx_time_t retry_window;
 	uint32_t floor_percent;
 } mmx_node_limits_t;
 
--- a/src/libmasticmux/node.c
+++ b/src/libmasticmux/node.c
@@ -90,6 +90,7 @@
 		.stop_grace = settings->stop_grace,
 		.retry_percent = settings->retry_percent,
 		.retry_reserve = (uint32_t)settings->retry_reserve,
+		.retry_window = settings->retry_window,
 		.floor_percent = settings->floor_percent,
 	};
 }
--- a/src/libmasticmux/part_path.c
+++ b/src/libmasticmux/part_path.c
@@ -43,14 +43,17 @@
 }
 
 /* Targets of a service share the reserve of its retry budget evenly. */
-static uint32_t retry_reserve_(void *context, const char *service)
+static void retry_limit_(void *context, const char *service,
+			 mmx_retry_limit_t *limit)
 {
 	const mmx_node_t *node = context;
 	const mmx_directory_service_t *targets =
 		mmx_directory_service(node->directory, service);
 	size_t count = targets ? mmx_directory_service_count(targets) : 0;
 
-	return (uint32_t)(node->limits.retry_reserve * 100 / MAX(count, 1));
+	limit->reserve =
+		(uint32_t)(node->limits.retry_reserve * 100 / MAX(count, 1));
+	limit->window = node->limits.retry_window;
 }
 
 static const mmx_exit_observer_ops_t observer_ops_ = {
@@ -58,7 +61,7 @@
 };
 static const mmx_exit_observer_ops_t budget_observer_ops_ = {
 	.target_changed = target_changed_,
-	.retry_reserve = retry_reserve_,
+	.retry_limit = retry_limit_,
 };
 
 static mmx_ring_t ring_(void *context, mmx_node_id_t id)
--- /dev/null
+++ b/src/libmasticmux/retry_window.c
@@ -0,0 +1,80 @@
+#include "masticmux/retry_window.h"
+
+#include <assert.h>
+#include <string.h>
+
+#define REPEAT 100
+/* The part that is being filled and those of a whole window before it. */
+#define PARTS (MMX_RETRY_WINDOW_PARTS + 1)
+
+void mmx_retry_window_init(mmx_retry_window_t *budget,
+			   const mmx_retry_limit_t *limit)
+{
+	assert(limit->percent <= 100 &&
+	       limit->window >= MMX_RETRY_WINDOW_PARTS);
+	*budget = (mmx_retry_window_t){.limit = *limit};
+}
+
+void mmx_retry_window_set(mmx_retry_window_t *budget,
+			  const mmx_retry_limit_t *limit)
+{
+	if (limit->window != budget->limit.window)
+		mmx_retry_window_init(budget, limit);
+	budget->limit = *limit;
+}
+
+/* Forgets the parts that are older than the window. */
+static size_t part_(mmx_retry_window_t *budget, mmx_time_t now)
+{
+	mmx_time_t part =
+		now / (budget->limit.window / MMX_RETRY_WINDOW_PARTS);
+
+	assert(part >= budget->part);
+	if (part - budget->part >= PARTS)
+		budget->part = part - PARTS;
+	while (budget->part < part) {
+		budget->part++;
+		budget->requests[budget->part % PARTS] = 0;
+		budget->repeats[budget->part % PARTS] = 0;
+	}
+	return (size_t)(part % PARTS);
+}
+
+void mmx_retry_window_request(mmx_retry_window_t *budget, mmx_time_t now)
+{
+	budget->requests[part_(budget, now)]++;
+}
+
+void mmx_retry_window_charge(mmx_retry_window_t *budget, uint32_t hundredths,
+			     mmx_time_t now)
+{
+	budget->repeats[part_(budget, now)] += hundredths;
+}
+
+/* The oldest part may lie outside the window: its requests are left out. */
+static uint64_t allowed_(const mmx_retry_window_t *budget)
+{
+	size_t oldest = (size_t)((budget->part + 1) % PARTS);
+	uint64_t allowed = budget->limit.reserve;
+	size_t i;
+
+	for (i = 0; i < PARTS; i++)
+		if (i != oldest)
+			allowed += (uint64_t)budget->requests[i] *
+				   budget->limit.percent;
+	return allowed < REPEAT ? REPEAT : allowed;
+}
+
+bool mmx_retry_window_take(mmx_retry_window_t *budget, mmx_time_t now)
+{
+	size_t part = part_(budget, now);
+	uint64_t used = REPEAT;
+	size_t i;
+
+	for (i = 0; i < PARTS; i++)
+		used += budget->repeats[i];
+	if (!budget->limit.percent || used > allowed_(budget))
+		return false;
+	budget->repeats[part] += REPEAT;
+	return true;
+}
--- a/src/libmasticmux/settings.c
+++ b/src/libmasticmux/settings.c
@@ -327,6 +327,7 @@
 	{"reserve", MMX_TREE_INTEGER, MMX_PRESENCE_OPTIONAL,
 	 mmx_schema_read_integer, NULL, 0, RETRY_RESERVE_MAX, "attempts", 1,
 	 offsetof(mmx_settings_t, retry_reserve), sizeof(int64_t)},
+	SECONDS_RULE_("window_s", retry_window),
 };
 
 static const mmx_rule_t targets_rules_[] = {
@@ -513,6 +514,7 @@
 	settings->stop_grace = MMX_STOP_GRACE_DEFAULT_S * MMX_US_PER_S;
 	settings->retry_percent = MMX_RETRY_PERCENT_DEFAULT;
 	settings->retry_reserve = MMX_RETRY_RESERVE_DEFAULT;
+	settings->retry_window = MMX_RETRY_WINDOW_DEFAULT_S * MMX_US_PER_S;
 	settings->floor_percent = MMX_FLOOR_PERCENT_DEFAULT;
 	mmx_schema_init(&schema, file, findings, false, &reading);
 	mmx_schema_read(&schema, root, root_rules_, G_N_ELEMENTS(root_rules_),
--- a/src/test_libmasticmux/suites.c
+++ b/src/test_libmasticmux/suites.c
@@ -50,6 +50,7 @@
 	{"policy", NULL, NULL, NULL, NULL, mmx_tests_policy},
 	{"publish", NULL, NULL, NULL, NULL, mmx_tests_publish},
 	{"retry", NULL, NULL, NULL, NULL, mmx_tests_retry},
+	{"retry_window", NULL, NULL, NULL, NULL, mmx_tests_retry_window},
 	{"roster", NULL, NULL, NULL, NULL, mmx_tests_roster},
 	{"routing", NULL, NULL, NULL, NULL, mmx_tests_routing},
 	{"rpc", NULL, NULL, NULL, NULL, mmx_tests_rpc},
--- a/src/test_libmasticmux/suites.h
+++ b/src/test_libmasticmux/suites.h
@@ -51,6 +51,7 @@
 extern CU_TestInfo mmx_tests_policy[];
 extern CU_TestInfo mmx_tests_publish[];
 extern CU_TestInfo mmx_tests_retry[];
+extern CU_TestInfo mmx_tests_retry_window[];
 extern CU_TestInfo mmx_tests_roster[];
 extern CU_TestInfo mmx_tests_routing[];
 extern CU_TestInfo mmx_tests_rpc[];
