Keep requests whose failure is final from doubtful targets

Exits turned such requests away only while an episode was likelier than 0.4; one success after a failure brings the estimate to 0.24, and one request in six succeeds in an episode.

Ruled out: more attempts (routes allow two targets), a fault that both targets share (failures were at different services and instances).

Change: what may not be repeated, and what already is a repeat, is turned away where the estimate is above that of a target of which nothing is known; first attempts of reads still test such targets.

--- a/src/libmasticmux/exit_attempt.c
+++ b/src/libmasticmux/exit_attempt.c
@@ -207,17 +207,21 @@
 
 /*
  * A target in a failure episode gets repeatable requests only, one at a time,
- * which show when the episode is over. Without patience for another exit, a
+ * which show when the episode is over; what may not be repeated, or already is
+ * a repeat, waits until that is certain. Without patience for another exit, a
  * request is rather risked than refused.
  */
 static bool must_avoid_(const mmx_exit_t *exit, const mmx_exit_target_t *target,
 			const mmx_execute_t *execute)
 {
-	if (!mmx_fault_is_suspect(&target->fault, mmx_clock_now(exit->clock)) ||
-	    execute->patience >= execute->remaining)
+	mmx_time_t now = mmx_clock_now(exit->clock);
+
+	if (execute->patience >= execute->remaining)
 		return false;
-	return !execute->repeatable || target->in_progress > 0 ||
-	       target->queued > 0;
+	if (!execute->repeatable || execute->repeat)
+		return mmx_fault_is_doubtful(&target->fault, now);
+	return mmx_fault_is_suspect(&target->fault, now) &&
+	       (target->in_progress > 0 || target->queued > 0);
 }
 
 /* The limit follows the configuration and the number of targets. */
--- a/src/libmasticmux/fault.c
+++ b/src/libmasticmux/fault.c
@@ -13,6 +13,9 @@
 #define PROBABILITY_MAX 0.97
 /* Above it a failure elsewhere is less likely than one here. */
 #define SUSPECT_PROBABILITY 0.4
+/* Above it a target is worse than one of which nothing is known: one success
+ * after a failure is too little, as some requests succeed in an episode. */
+#define DOUBTFUL_PROBABILITY USUAL_SHARE
 
 const char *const mmx_fault_result_string[MMX_FAULT_RESULT_COUNT] = {
 	"success",
@@ -67,3 +70,8 @@
 {
 	return mmx_fault_probability(fault, now) > SUSPECT_PROBABILITY;
 }
+
+bool mmx_fault_is_doubtful(const mmx_fault_t *fault, mmx_time_t now)
+{
+	return mmx_fault_probability(fault, now) > DOUBTFUL_PROBABILITY;
+}
--- a/src/libmasticmux/include/private/fault.h
+++ b/src/libmasticmux/include/private/fault.h
@@ -36,7 +36,10 @@
 /* Probability, 0 to 1, that the target is in a failure episode now. */
 double mmx_fault_probability(const mmx_fault_t *fault, mmx_time_t now);
 
-/* True when requests that may not be repeated should go elsewhere. */
+/* True when all requests but those that test the target should go elsewhere. */
 bool mmx_fault_is_suspect(const mmx_fault_t *fault, mmx_time_t now);
 
+/* True when requests whose failure is final should go elsewhere. */
+bool mmx_fault_is_doubtful(const mmx_fault_t *fault, mmx_time_t now);
+
 #endif
--- a/src/test_libmasticmux/test_fault.c
+++ b/src/test_libmasticmux/test_fault.c
@@ -11,7 +11,7 @@
 typedef struct case_t {
 	const char *name;
 	const char *results;
-	bool suspect;
+	bool expected;
 } case_t;
 
 static mmx_fault_result_t result_(char c)
@@ -28,6 +28,33 @@
 	}
 }
 
+typedef bool (*question_t)(const mmx_fault_t *fault, mmx_time_t now);
+
+static void run_(const case_t *cases, size_t count, question_t question)
+{
+	size_t i;
+
+	for (i = 0; i < count; i++) {
+		const char *c;
+		mmx_time_t now = 0;
+		mmx_fault_t fault;
+
+		mmx_fault_init(&fault, now);
+		for (c = cases[i].results; *c; c++) {
+			if (g_ascii_isdigit(*c)) {
+				now += (*c - '0') * MMX_US_PER_S;
+				continue;
+			}
+			now += 100 * MS;
+			mmx_fault_report(&fault, result_(*c), now);
+		}
+		if (question(&fault, now) != cases[i].expected)
+			printf("%s: probability %.2f\n", cases[i].name,
+			       mmx_fault_probability(&fault, now));
+		CU_ASSERT_EQUAL(question(&fault, now), cases[i].expected);
+	}
+}
+
 /*
  * Load pattern: few requests per target, about a tenth of the targets failing
  * most of theirs for some seconds. Guards against requests that may not be
@@ -50,28 +77,28 @@
 		{"not at once", "b1", true},
 		{"a failure in between counts again", "bsbs", true},
 	};
-	size_t i;
+	run_(cases, G_N_ELEMENTS(cases), mmx_fault_is_suspect);
+}
 
-	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
-		const char *c;
-		mmx_time_t now = 0;
-		mmx_fault_t fault;
+/*
+ * Load pattern: as above. Guards against a target that gets requests whose
+ * failure is final after a single success, which one request in six has in an
+ * episode, and against one that is left out for long afterwards.
+ */
+static void test_doubt_after_episodes_(void)
+{
+	static const case_t cases[] = {
+		{"nothing known", "", false},
+		{"successes", "sss", false},
+		{"a success long ago", "s9", false},
+		{"a failure after successes", "sssb", true},
+		{"one success after it", "sssbs", true},
+		{"two successes after it", "sssbss", false},
+		{"one success after two failures", "sbbs", true},
+		{"one failing status", "sssf", false},
+	};
 
-		mmx_fault_init(&fault, now);
-		for (c = cases[i].results; *c; c++) {
-			if (g_ascii_isdigit(*c)) {
-				now += (*c - '0') * MMX_US_PER_S;
-				continue;
-			}
-			now += 100 * MS;
-			mmx_fault_report(&fault, result_(*c), now);
-		}
-		if (mmx_fault_is_suspect(&fault, now) != cases[i].suspect)
-			printf("%s: probability %.2f\n", cases[i].name,
-			       mmx_fault_probability(&fault, now));
-		CU_ASSERT_EQUAL(mmx_fault_is_suspect(&fault, now),
-				cases[i].suspect);
-	}
+	run_(cases, G_N_ELEMENTS(cases), mmx_fault_is_doubtful);
 }
 
 /* Guards against an estimate that leaves the range after many results and can
@@ -96,6 +123,7 @@
 
 CU_TestInfo mmx_tests_fault[] = {
 	{"failure episodes at low rates", test_episodes_at_low_rates_},
+	{"doubt after failure episodes", test_doubt_after_episodes_},
 	{"the estimate stays in its range", test_range_},
 	CU_TEST_INFO_NULL,
 };
--- a/src/test_libmasticmux/test_retry_window.c
+++ b/src/test_libmasticmux/test_retry_window.c
@@ -18,7 +18,7 @@
 		int requests; /* at 0 s */
 		uint32_t charge;
 		struct {
-			mmx_time_t at; /* seconds */
+			mmx_time_t at; /* seconds; 0 after the first: none */
 			int taken;
 		} steps[3];
 	} cases[] = {
@@ -59,6 +59,8 @@
 		for (s = 0; s < G_N_ELEMENTS(cases[i].steps); s++) {
 			int taken = 0;
 
+			if (s > 0 && cases[i].steps[s].at == 0)
+				break;
 			while (taken < 100 &&
 			       mmx_retry_window_take(
 				       &budget,
