--- a/src/libmasticmux/filter_attempt_send.c
+++ b/src/libmasticmux/filter_attempt_send.c
@@ -11,11 +11,12 @@
 #define DEADLINE_MARGIN_MAX_US (20 * MMX_US_PER_MS)
 /* Part of the latency objective that an attempt may spend in the queue of
  * one exit, and the least: a way to another region and back takes that long. */
-#define PATIENCE_SHARE 4
+#define PATIENCE_PERCENT 25
 #define PATIENCE_MIN_US (100 * MMX_US_PER_MS)
 /* The same for the last attempt in the own region. When all regions are full,
- * the queue elsewhere is no shorter, and the answer costs its way back. */
-#define LAST_NEAR_PATIENCE_SHARE 2
+ * the queue elsewhere is no shorter, and the answer costs its way back. With a
+ * longer wait most answers of a full service would be late. */
+#define LAST_NEAR_PATIENCE_PERCENT 38
 /* Attempts at the end of which the queue is accepted as it is. */
 #define LAST_ATTEMPTS 2
 mmx_time_t mmx_attempt_margin(mmx_time_t remaining, mmx_time_t max)
@@ -31,10 +32,11 @@
 static mmx_time_t patience_(const mmx_exchange_t *exchange,
 			    mmx_time_t remaining)
 {
-	mmx_time_t share =
-		exchange->objective / (exchange->attempts == MMX_NEAR_ATTEMPTS
-					       ? LAST_NEAR_PATIENCE_SHARE
-					       : PATIENCE_SHARE);
+	mmx_time_t share = exchange->objective *
+			   (exchange->attempts == MMX_NEAR_ATTEMPTS
+				    ? LAST_NEAR_PATIENCE_PERCENT
+				    : PATIENCE_PERCENT) /
+			   100;
 
 	if (exchange->objective == 0 ||
 	    exchange->attempts + LAST_ATTEMPTS > exchange->attempts_max)
--- a/src/test_libmasticmux/suites.c
+++ b/src/test_libmasticmux/suites.c
@@ -27,6 +27,8 @@
 	{"filter", NULL, NULL, NULL, NULL, mmx_tests_filter},
 	{"filter_attempt_claim", NULL, NULL, NULL, NULL,
 	 mmx_tests_filter_attempt_claim},
+	{"filter_attempt_send", NULL, NULL, NULL, NULL,
+	 mmx_tests_filter_attempt_send},
 	{"fold", NULL, NULL, NULL, NULL, mmx_tests_fold},
 	{"gossip", NULL, NULL, NULL, NULL, mmx_tests_gossip},
 	{"gossip_codec", NULL, NULL, NULL, NULL, mmx_tests_gossip_codec},
--- a/src/test_libmasticmux/suites.h
+++ b/src/test_libmasticmux/suites.h
@@ -29,6 +29,7 @@
 extern CU_TestInfo mmx_tests_fault[];
 extern CU_TestInfo mmx_tests_filter[];
 extern CU_TestInfo mmx_tests_filter_attempt_claim[];
+extern CU_TestInfo mmx_tests_filter_attempt_send[];
 extern CU_TestInfo mmx_tests_fold[];
 extern CU_TestInfo mmx_tests_gossip[];
 extern CU_TestInfo mmx_tests_gossip_codec[];
--- /dev/null
+++ b/src/test_libmasticmux/test_filter_attempt_send.c
@@ -0,0 +1,136 @@
+#include "suites.h"
+
+#include <event2/buffer.h>
+#include <glib.h>
+
+#include "fakes.h"
+#include "private/entry.h"
+
+#define NODE 10
+#define MS MMX_US_PER_MS
+#define OBJECTIVE (2000 * MS)
+#define DEADLINE (5000 * MS)
+
+/* Stands for all exits: notes the patience of each attempt and refuses it. */
+typedef struct full_exits_t {
+	mmx_task_t task;
+	mmx_task_t *entry;
+	mmx_time_t patience[MMX_ATTEMPTS_MAX];
+	mmx_time_t remaining[MMX_ATTEMPTS_MAX];
+	size_t count;
+} full_exits_t;
+
+/* Stands for the HTTP task: notes the answer. */
+typedef struct answers_t {
+	mmx_task_t task;
+	mmx_outcome_t outcome;
+	int status;
+	size_t count;
+} answers_t;
+
+static void refuse_(mmx_task_t *task, mmx_message_t *message)
+{
+	full_exits_t *exits = (full_exits_t *)task;
+
+	if (message->ops->kind == MMX_MESSAGE_EXECUTE) {
+		mmx_execute_t *execute = (mmx_execute_t *)message;
+		mmx_response_t *response = mmx_new_response(&execute->attempt);
+
+		exits->patience[exits->count] = execute->patience;
+		exits->remaining[exits->count++] = execute->remaining;
+		response->reason = MMX_REASON_BUSY;
+		response->body_end = true;
+		mmx_task_post(exits->entry, &response->message);
+	}
+	mmx_message_destroy(message);
+}
+
+static void note_answer_(mmx_task_t *task, mmx_message_t *message)
+{
+	answers_t *answers = (answers_t *)task;
+
+	if (message->ops->kind == MMX_MESSAGE_ANSWER) {
+		mmx_answer_t *answer = (mmx_answer_t *)message;
+
+		answers->outcome = answer->outcome;
+		answers->status = answer->head->status;
+		answers->count++;
+	}
+	mmx_message_destroy(message);
+}
+
+static const mmx_task_ops_t exit_ops_ = {"full_exits", refuse_};
+static const mmx_task_ops_t answer_ops_ = {"answers", note_answer_};
+
+static mmx_fold_t *configure_(void)
+{
+	mmx_policy_t policy = {.deadline = DEADLINE, .retry_percent = 20};
+	mmx_routing_t *routing = mmx_routing_create(1);
+	mmx_routing_rule_t *rule = mmx_routing_add(routing, "s.test", "/");
+	mmx_fold_t *fold = mmx_fold_create();
+
+	rule->objective = OBJECTIVE;
+	rule->timeout = DEADLINE;
+	mmx_routing_add_destination(rule, "s", 1);
+	CU_ASSERT_TRUE(mmx_fold_replace(fold, routing, &policy));
+	return fold;
+}
+
+/*
+ * Load pattern: all targets of a service are full, in all regions. Guards
+ * against requests that leave their region after short waits, whose answers
+ * then come from afar without coming sooner; against waits that leave no time
+ * to answer within the wanted latency while there is another target to ask;
+ * and against a refusal while the time left would allow a longer wait.
+ */
+static void test_all_targets_full_(void)
+{
+	static const mmx_time_t expected[MMX_ATTEMPTS_MAX] = {
+		500 * MS, 500 * MS, 760 * MS, 500 * MS,
+		500 * MS, 500 * MS, 0,	      0 /* 0: all that is left */
+	};
+	mmx_runtime_t *runtime = mmx_runtime_create(NULL);
+	mmx_clock_t *clock = mmx_runtime_clock(runtime);
+	mmx_fold_t *fold = configure_();
+	const mmx_fold_t *in_force = fold;
+	mmx_directory_t *directory = mmx_directory_create(clock);
+	mmx_entry_t *entry = mmx_entry_create(runtime, NODE, 1, 1);
+	mmx_request_t *request = mmx_new_request(1);
+	full_exits_t exits = {.entry = mmx_entry_task(entry)};
+	answers_t answers = {.count = 0};
+	size_t i;
+
+	mmx_task_init(&exits.task, &exit_ops_, runtime);
+	mmx_task_init(&answers.task, &answer_ops_, runtime);
+	mmx_entry_set_http(entry, &answers.task);
+	mmx_entry_set_peer(entry, &exits.task);
+	mmx_entry_set_local_exit(entry, &exits.task);
+	mmx_entry_set_fold(entry, &in_force);
+	mmx_entry_set_directory(entry, directory);
+	mmx_entry_init(entry);
+	fake_add_targets(directory, NODE, MMX_ATTEMPTS_MAX + 2);
+	request->head = mmx_head_create_request("POST", "/p");
+	mmx_head_add(request->head, "Host", "s.test");
+	request->body_end = true;
+	mmx_task_post(mmx_entry_task(entry), &request->message);
+	mmx_runtime_deliver(runtime);
+
+	CU_ASSERT_EQUAL(exits.count, MMX_ATTEMPTS_MAX);
+	for (i = 0; i < exits.count; i++)
+		CU_ASSERT_EQUAL(exits.patience[i], expected[i]
+							   ? expected[i]
+							   : exits.remaining[i]);
+	CU_ASSERT_EQUAL(answers.count, 1);
+	CU_ASSERT_EQUAL(answers.outcome, MMX_OUTCOME_NOT_RUN);
+	CU_ASSERT_EQUAL(answers.status, 503);
+
+	mmx_entry_destroy(entry);
+	mmx_directory_destroy(directory);
+	mmx_fold_destroy(fold);
+	mmx_runtime_destroy(runtime);
+}
+
+CU_TestInfo mmx_tests_filter_attempt_send[] = {
+	{"all targets are full", test_all_targets_full_},
+	CU_TEST_INFO_NULL,
+};
