Bound the repeats of each route, and call the store less often

Its own exits had repeated about 50; the others were calls of repeated invoice-browse runs, which were repeated 86 times for 183 requests, for what 590 short calls to the same service had earned.

Ruled out: the store (budgets need none), exits that know few targets (all twelve were known), the sliding window (each exit was within its part).

Change: a route may repeat a share of its own requests and half of the reserve, within the budget of its service. A route that is seen for the first time takes an unused place in the table before a used one.

--- a/include/masticmux/retry_window.h
+++ b/include/masticmux/retry_window.h
@@ -6,7 +6,7 @@
  * Counts requests and repeats of the last window, so that the reserve is at
  * hand again as soon as the repeats that used it are older than the window.
  *
- * Usage: init, then report requests and ask before each repeat.
+ * Usage: init, then report requests, ask before each repeat and charge it.
  */
 #ifndef MASTICMUX_RETRY_WINDOW_H
 #define MASTICMUX_RETRY_WINDOW_H
@@ -16,6 +16,9 @@
 /** Parts that a window is counted in. */
 #define MMX_RETRY_WINDOW_PARTS 10
 
+/** Hundredths that stand for one repeat. */
+#define MMX_RETRY_WINDOW_REPEAT 100
+
 /** What a node may repeat. */
 typedef struct mmx_retry_limit_t {
 	uint8_t percent;   /**< 0..100 repeats per 100 requests */
@@ -51,18 +54,14 @@
 void mmx_retry_window_request(mmx_retry_window_t *budget, mmx_time_t now);
 
 /**
- * Charges a repeat, or a part of one, that cannot be refused.
+ * Charges a repeat, or a part of one.
  *
  * @param hundredths  of a repeat
  */
 void mmx_retry_window_charge(mmx_retry_window_t *budget, uint32_t hundredths,
 			     mmx_time_t now);
 
-/**
- * Takes one repeat.
- *
- * @return false when it must not be made
- */
-bool mmx_retry_window_take(mmx_retry_window_t *budget, mmx_time_t now);
+/** True when one more repeat may be made; charge it then. */
+bool mmx_retry_window_has(mmx_retry_window_t *budget, mmx_time_t now);
 
 #endif
--- a/src/libmasticmux/exit.c
+++ b/src/libmasticmux/exit.c
@@ -86,9 +86,6 @@
 	target->warm_since = -(mmx_time_t)MMX_TIME_NEVER / 2;
 	mmx_exit_health_init(exit, target);
 	mmx_fault_init(&target->fault, mmx_clock_now(exit->clock));
-	mmx_retry_window_init(&target->retry, &(mmx_retry_limit_t){
-						      .window = MMX_US_PER_S,
-					      });
 	LIST_INSERT_HEAD(&exit->targets, target, entry);
 	return target;
 }
--- a/src/libmasticmux/exit_attempt.c
+++ b/src/libmasticmux/exit_attempt.c
@@ -145,11 +145,10 @@
 	mmx_exit_trace_started(exit, attempt, call->head);
 	evbuffer_add_buffer(call->body, execute->body);
 	call->body_end = execute->body_end;
-	if (!execute->repeat) {
-		mmx_retry_window_request(&target->retry, attempt->started);
-		mmx_retry_window_charge(&target->retry, execute->inherited,
-					attempt->started);
-	}
+	if (!execute->repeat)
+		mmx_exit_target_note_request(target, execute->route,
+					     execute->inherited,
+					     attempt->started);
 	mmx_counter_add(exit->started, 1);
 	mmx_task_post(exit->client, &call->message);
 }
@@ -238,15 +237,16 @@
 	    mmx_fold_service(*exit->fold, service, &policy))
 		limit.percent = (uint8_t)(policy.retry_percent *
 					  BUDGET_USED_PERCENT / 100);
-	mmx_retry_window_set(&target->retry, &limit);
+	mmx_exit_target_set_retry_limit(target, &limit);
 }
 
 /* The budget counts what targets get, and a target sees all of its share. */
-static bool take_retry_(const mmx_exit_t *exit, mmx_exit_target_t *target)
+static bool take_retry_(const mmx_exit_t *exit, mmx_exit_target_t *target,
+			uint32_t route)
 {
 	return !exit->observer || !exit->observer->retry_limit ||
-	       mmx_retry_window_take(&target->retry,
-				     mmx_clock_now(exit->clock));
+	       mmx_exit_target_take_repeat(target, route,
+					   mmx_clock_now(exit->clock));
 }
 
 static mmx_reason_t admit_(mmx_exit_t *exit, const mmx_execute_t *execute,
@@ -289,7 +289,7 @@
 	    must_avoid_(exit, *target, execute))
 		return MMX_REASON_SUSPECT;
 	if (reason == MMX_REASON_NONE && execute->repeat &&
-	    !take_retry_(exit, *target))
+	    !take_retry_(exit, *target, execute->route))
 		return MMX_REASON_RETRY_BUDGET;
 	if (reason == MMX_REASON_DRAINING && !exit->guards->draining)
 		return MMX_REASON_NONE;
--- a/src/libmasticmux/exit_target.c
+++ b/src/libmasticmux/exit_target.c
@@ -16,10 +16,15 @@
 /* The same where the run time of the route itself is known: it varies less
  * than that of all routes together. */
 #define ROUTE_HEADROOM 2
+/* Part of the reserve of the retry budget that one route may use. */
+#define ROUTE_RESERVE_SHARE 2
 /* At most this part of the remaining time is spent in the queue: the expected
  * wait of a long queue is uncertain as well. */
 #define QUEUE_SHARE 2
 
+/* Until the limit is known. */
+static const mmx_retry_limit_t no_repeats_ = {.window = MMX_US_PER_S};
+
 mmx_exit_target_t *mmx_exit_target_create(mmx_target_id_t id,
 					  mmx_node_id_t node,
 					  mmx_incarnation_t incarnation,
@@ -34,6 +39,7 @@
 	g_strlcpy(target->record.service, service,
 		  sizeof(target->record.service));
 	TAILQ_INIT(&target->queue);
+	mmx_retry_window_init(&target->retry, &no_repeats_);
 	target->limits = mmx_limits_create();
 	return target;
 }
@@ -269,33 +275,83 @@
 		*mean += (took - *mean) / SERVICE_SMOOTHING;
 }
 
+static mmx_retry_limit_t route_limit_(const mmx_retry_limit_t *limit)
+{
+	mmx_retry_limit_t route = *limit;
+
+	route.reserve /= ROUTE_RESERVE_SHARE;
+	return route;
+}
+
 /* The entry of a route; one that is new takes the place used longest ago. */
-static mmx_route_time_t *route_time_(mmx_exit_target_t *target, uint32_t route)
+static mmx_exit_route_t *use_route_(mmx_exit_target_t *target, uint32_t route,
+				    mmx_time_t now)
 {
-	mmx_route_time_t *oldest = &target->routes[0];
+	mmx_exit_route_t *oldest = &target->routes[0];
+	mmx_retry_limit_t limit = route_limit_(&target->retry.limit);
 	size_t i;
 
 	for (i = 0; i < MMX_EXIT_ROUTES_MAX; i++) {
-		if (target->routes[i].route == route)
+		if (target->routes[i].route == route) {
+			target->routes[i].used = now;
 			return &target->routes[i];
-		if (target->routes[i].used < oldest->used)
+		}
+		if (oldest->route && (!target->routes[i].route ||
+				      target->routes[i].used < oldest->used))
 			oldest = &target->routes[i];
 	}
-	*oldest = (mmx_route_time_t){.route = route};
+	*oldest = (mmx_exit_route_t){.route = route, .used = now};
+	mmx_retry_window_init(&oldest->retry, &limit);
 	return oldest;
 }
 
+void mmx_exit_target_set_retry_limit(mmx_exit_target_t *target,
+				     const mmx_retry_limit_t *limit)
+{
+	mmx_retry_limit_t route = route_limit_(limit);
+	size_t i;
+
+	mmx_retry_window_set(&target->retry, limit);
+	for (i = 0; i < MMX_EXIT_ROUTES_MAX; i++)
+		if (target->routes[i].route)
+			mmx_retry_window_set(&target->routes[i].retry, &route);
+}
+
+void mmx_exit_target_note_request(mmx_exit_target_t *target, uint32_t route,
+				  uint8_t inherited, mmx_time_t now)
+{
+	mmx_retry_window_request(&target->retry, now);
+	mmx_retry_window_charge(&target->retry, inherited, now);
+	if (route)
+		mmx_retry_window_request(
+			&use_route_(target, route, now)->retry, now);
+}
+
+bool mmx_exit_target_take_repeat(mmx_exit_target_t *target, uint32_t route,
+				 mmx_time_t now)
+{
+	mmx_retry_window_t *own =
+		route ? &use_route_(target, route, now)->retry : NULL;
+
+	if (!mmx_retry_window_has(&target->retry, now) ||
+	    (own && !mmx_retry_window_has(own, now)))
+		return false;
+	mmx_retry_window_charge(&target->retry, MMX_RETRY_WINDOW_REPEAT, now);
+	if (own)
+		mmx_retry_window_charge(own, MMX_RETRY_WINDOW_REPEAT, now);
+	return true;
+}
+
 void mmx_exit_target_note_service(mmx_exit_target_t *target, uint32_t route,
 				  mmx_time_t took, mmx_time_t now)
 {
-	mmx_route_time_t *known;
+	mmx_exit_route_t *known;
 
 	smooth_(&target->mean_service, took);
 	if (route == 0)
 		return;
-	known = route_time_(target, route);
+	known = use_route_(target, route, now);
 	smooth_(&known->mean, took);
-	known->used = now;
 }
 
 mmx_time_t mmx_exit_target_run_time(const mmx_exit_target_t *target,
--- a/src/libmasticmux/include/private/exit_target.h
+++ b/src/libmasticmux/include/private/exit_target.h
@@ -22,15 +22,16 @@
  */
 #define MMX_EXIT_LEAVE_QUEUE_US (2 * MMX_US_PER_S)
 
-/* Routes whose run time is known apart from that of the others. */
+/* Routes that are known apart from the others. */
 #define MMX_EXIT_ROUTES_MAX 16
 
-/* Smoothed run time of the requests of one route. */
-typedef struct mmx_route_time_t {
-	uint32_t route; /* 0: unused */
-	mmx_time_t mean;
-	mmx_time_t used; /* time of the latest sample */
-} mmx_route_time_t;
+/* What is known of the requests of one route. */
+typedef struct mmx_exit_route_t {
+	uint32_t route;	 /* 0: unused */
+	mmx_time_t mean; /* smoothed run time; 0: none has completed */
+	mmx_time_t used; /* time of the latest request */
+	mmx_retry_window_t retry;
+} mmx_exit_route_t;
 
 typedef struct mmx_exit_target_t {
 	LIST_ENTRY(mmx_exit_target_t) entry;
@@ -52,7 +53,7 @@
 	mmx_limits_t *limits;
 	mmx_attempt_list_t queue;
 	mmx_time_t mean_service; /* smoothed time of a completed call */
-	mmx_route_time_t routes[MMX_EXIT_ROUTES_MAX];
+	mmx_exit_route_t routes[MMX_EXIT_ROUTES_MAX];
 	mmx_retry_window_t retry; /* this target's part of the retry budget */
 	mmx_fault_t fault;
 	bool suspect;		    /* as entries were told */
@@ -116,6 +117,26 @@
 			   mmx_time_t now);
 void mmx_exit_target_unqueue(mmx_exit_target_t *target, mmx_attempt_t *attempt);
 
+/* Limit of this target's part of the retry budget of its service. */
+void mmx_exit_target_set_retry_limit(mmx_exit_target_t *target,
+				     const mmx_retry_limit_t *limit);
+
+/*
+ * Notes the start of a request that is no repeat. inherited: chance in percent
+ * that a repeat of another request makes it, see EXECUTE.
+ */
+void mmx_exit_target_note_request(mmx_exit_target_t *target, uint32_t route,
+				  uint8_t inherited, mmx_time_t now);
+
+/*
+ * Takes a repeat from the budget; false when it must not be made. A route may
+ * repeat a share of its own requests and a part of the reserve: a request that
+ * makes calls spends the budgets of the services that it calls as well, and
+ * could otherwise be repeated for what many short requests have earned.
+ */
+bool mmx_exit_target_take_repeat(mmx_exit_target_t *target, uint32_t route,
+				 mmx_time_t now);
+
 /* Notes a completed call of a route that took this long. */
 void mmx_exit_target_note_service(mmx_exit_target_t *target, uint32_t route,
 				  mmx_time_t took, mmx_time_t now);
--- a/src/libmasticmux/part_roster.c
+++ b/src/libmasticmux/part_roster.c
@@ -20,7 +20,7 @@
 #define ROSTER_TOPIC "roster"
 /* Records of several nodes often change together; one read takes them all.
  * Every read is billed, and a new target is used within seconds anyway. */
-#define READ_PAUSE_US (1 * MMX_US_PER_S)
+#define READ_PAUSE_US (2 * MMX_US_PER_S)
 /* Wait after a write that failed; doubles up to the second figure. */
 #define WRITE_RETRY_MIN_US (200 * MMX_US_PER_MS)
 #define WRITE_RETRY_MAX_US (2 * MMX_US_PER_S)
--- a/src/libmasticmux/retry_window.c
+++ b/src/libmasticmux/retry_window.c
@@ -3,7 +3,6 @@
 #include <assert.h>
 #include <string.h>
 
-#define REPEAT 100
 /* The part that is being filled and those of a whole window before it. */
 #define PARTS (MMX_RETRY_WINDOW_PARTS + 1)
 
@@ -62,19 +61,16 @@
 		if (i != oldest)
 			allowed += (uint64_t)budget->requests[i] *
 				   budget->limit.percent;
-	return allowed < REPEAT ? REPEAT : allowed;
+	return allowed < MMX_RETRY_WINDOW_REPEAT ? MMX_RETRY_WINDOW_REPEAT : allowed;
 }
 
-bool mmx_retry_window_take(mmx_retry_window_t *budget, mmx_time_t now)
+bool mmx_retry_window_has(mmx_retry_window_t *budget, mmx_time_t now)
 {
-	size_t part = part_(budget, now);
-	uint64_t used = REPEAT;
+	uint64_t used = MMX_RETRY_WINDOW_REPEAT;
 	size_t i;
 
+	part_(budget, now);
 	for (i = 0; i < PARTS; i++)
 		used += budget->repeats[i];
-	if (!budget->limit.percent || used > allowed_(budget))
-		return false;
-	budget->repeats[part] += REPEAT;
-	return true;
+	return budget->limit.percent && used <= allowed_(budget);
 }
--- a/src/test_libmasticmux/test_exit_target.c
+++ b/src/test_libmasticmux/test_exit_target.c
@@ -299,7 +299,63 @@
 	}
 }
 
+static int take_repeats_(mmx_exit_target_t *target, uint32_t route,
+			 mmx_time_t now)
+{
+	int taken = 0;
+
+	while (taken < 1000 && mmx_exit_target_take_repeat(target, route, now))
+		taken++;
+	return taken;
+}
+
+/*
+ * Load pattern: a target serves many short calls and a few long requests that
+ * call other services, and the long ones fail. Guards against repeats of long
+ * requests that use up what short calls have earned: the calls of each repeat
+ * count as repeats at the services that it calls.
+ */
+static void test_failing_long_requests_(void)
+{
+	static const struct {
+		const char *name;
+		int calls;    /* short ones before */
+		int requests; /* long ones before */
+		int repeats;  /* of long requests that are allowed */
+		int more;     /* repeats of short calls after them */
+	} cases[] = {
+		{"only the part of the reserve", 0, 0, 4, 4},
+		{"short calls earn nothing for long ones", 100, 0, 4, 24},
+		{"long requests earn their share", 100, 20, 8, 24},
+		{"the whole is bounded by the service", 0, 20, 8, 4},
+	};
+	mmx_retry_limit_t limit = {20, 800, 10 * MMX_US_PER_S};
+	size_t i;
+	int n;
+
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		mmx_exit_target_t *target =
+			mmx_exit_target_create(1, 2, 3, "t", "s");
+		int repeats;
+		int more;
+
+		mmx_exit_target_set_retry_limit(target, &limit);
+		for (n = 0; n < cases[i].calls; n++)
+			mmx_exit_target_note_request(target, SHORT_ROUTE, 0, 0);
+		for (n = 0; n < cases[i].requests; n++)
+			mmx_exit_target_note_request(target, LONG_ROUTE, 0, 0);
+		repeats = take_repeats_(target, LONG_ROUTE, 0);
+		more = take_repeats_(target, SHORT_ROUTE, 0);
+		if (repeats != cases[i].repeats || more != cases[i].more)
+			printf("%s: %d, %d\n", cases[i].name, repeats, more);
+		CU_ASSERT_EQUAL(repeats, cases[i].repeats);
+		CU_ASSERT_EQUAL(more, cases[i].more);
+		mmx_exit_target_destroy(target);
+	}
+}
+
 CU_TestInfo mmx_tests_exit_target[] = {
+	{"failing long requests", test_failing_long_requests_},
 	{"short calls at a full service", test_short_calls_at_a_full_service_},
 	{"short calls beside long requests",
 	 test_short_calls_beside_long_requests_},
--- a/src/test_libmasticmux/test_retry_window.c
+++ b/src/test_libmasticmux/test_retry_window.c
@@ -7,6 +7,14 @@
 
 #define WINDOW (10 * MMX_US_PER_S)
 
+static bool take_(mmx_retry_window_t *budget, mmx_time_t now)
+{
+	if (!mmx_retry_window_has(budget, now))
+		return false;
+	mmx_retry_window_charge(budget, MMX_RETRY_WINDOW_REPEAT, now);
+	return true;
+}
+
 /* Guards against a reserve that can be used once and is then gone, so that
  * reads that meet a failing target are not repeated although the budget of the
  * last window is unused; and against more than the limit in a window. */
@@ -62,7 +70,7 @@
 			if (s > 0 && cases[i].steps[s].at == 0)
 				break;
 			while (taken < 100 &&
-			       mmx_retry_window_take(
+			       take_(
 				       &budget,
 				       cases[i].steps[s].at * MMX_US_PER_S))
 				taken++;
@@ -102,7 +110,7 @@
 			requests[request_count++] = now;
 			continue;
 		}
-		if (!mmx_retry_window_take(&budget, now))
+		if (!take_(&budget, now))
 			continue;
 		repeats[repeat_count++] = now;
 		while (first_repeat < repeat_count &&
