Let a target that returns under another name take over its attempts

Change: an exit that does not know the target of an attempt, or knows that it is gone, gives the attempt to a target of the same service beside it that does not leave. The attempt has not been sent to any target, and the exit's own target decides on admission, draining and slots as before.

The line of a request now has the number of targets that it reached.

--- a/src/libmasticmux/entry_trace.c
+++ b/src/libmasticmux/entry_trace.c
@@ -59,9 +59,12 @@
 	char code[12];
 	char spent[24];
 	char left[24];
+	char offers[12];
 
 	if (!log)
 		return;
+	g_snprintf(offers, sizeof(offers), "%u",
+		   exchange->offers + (outcome == MMX_OUTCOME_COMPLETED));
 	g_snprintf(version, sizeof(version), "%" PRIu64,
 		   exchange->configuration);
 	g_snprintf(code, sizeof(code), "%d", status);
@@ -71,7 +74,8 @@
 	mmx_log_event(log, MMX_LOG_INFO, "request", "id", exchange->id, "route",
 		      exchange->route, "service", exchange->service,
 		      "configuration", version, "attempts",
-		      exchange->steps ? exchange->steps->str : "", "status",
+		      exchange->steps ? exchange->steps->str : "", "offers",
+		      offers, "status",
 		      code, "outcome", mmx_outcome_string[outcome], "reason",
 		      mmx_reason_string[reason], "took_ms", spent, "left_ms",
 		      left, NULL);
--- a/src/libmasticmux/exit_attempt.c
+++ b/src/libmasticmux/exit_attempt.c
@@ -249,6 +249,26 @@
 					   mmx_clock_now(exit->clock));
 }
 
+/*
+ * The target that an attempt is for. A target that has started again under
+ * another name takes the attempts for the one before: nodes learn of the new
+ * name seconds later, and the attempt has not been sent to either.
+ */
+static mmx_exit_target_t *addressee_(mmx_exit_t *exit,
+				     const mmx_execute_t *execute)
+{
+	mmx_exit_target_t *meant = mmx_exit_find_target(exit, execute->target);
+	mmx_exit_target_t *target;
+
+	if (meant && meant->record.state != MMX_TARGET_GONE)
+		return meant;
+	LIST_FOREACH (target, &exit->targets, entry)
+		if (!target->leaving &&
+		    strcmp(target->record.service, execute->service) == 0)
+			return target;
+	return meant;
+}
+
 static mmx_reason_t admit_(mmx_exit_t *exit, const mmx_execute_t *execute,
 			   mmx_exit_target_t **target)
 {
@@ -264,7 +284,7 @@
 	};
 	mmx_reason_t reason;
 
-	*target = mmx_exit_find_target(exit, execute->target);
+	*target = addressee_(exit, execute);
 	if (execute->exit_incarnation &&
 	    execute->exit_incarnation != exit->incarnation &&
 	    exit->guards->incarnation)
--- a/src/test_libmasticmux/test_exit.c
+++ b/src/test_libmasticmux/test_exit.c
@@ -47,7 +47,8 @@
 {
 	mmx_target_announced_t *announced = mmx_new_target_announced();
 
-	g_strlcpy(announced->name, "t", sizeof(announced->name));
+	g_strlcpy(announced->name, fake_flag(words, "renamed") ? "u" : "t",
+		  sizeof(announced->name));
 	g_strlcpy(announced->service, fake_flag(words, "other") ? "other" : "s",
 		  sizeof(announced->service));
 	announced->slots = (uint16_t)fake_number(words, "slots", 1);
@@ -201,6 +202,32 @@
 	}
 }
 
+/*
+ * Guards against a service that refuses everything after a loss of power, while
+ * its targets are up under new names that only their own nodes know; and
+ * against attempts that reach a target of another service in this way.
+ */
+static void test_renamed_target_(void)
+{
+	static const script_case_t cases[] = {
+		{"known from the start", "warm renamed; execute; head end",
+		 "call1 response1:200:end "},
+		{"while the node runs",
+		 "warm; gone; warm renamed; execute; head end",
+		 "call1 response1:200:end "},
+		{"both are up", "warm; warm renamed slots=4; execute",
+		 "call1 "},
+		{"of another service", "warm renamed other; execute",
+		 "refused1:draining "},
+		{"withdrawn as well", "warm renamed; gone renamed; execute",
+		 "refused1:draining "},
+		{"meant for an earlier process", "warm renamed; execute inc=4",
+		 "refused1:wrong-incarnation "},
+	};
+
+	run_(cases, sizeof(cases) / sizeof(cases[0]));
+}
+
 /* Guards against an attempt that starts twice, or starts although its origin
  * was told that it does not. */
 static void test_once_(void)
@@ -403,6 +430,7 @@
 }
 
 CU_TestInfo mmx_tests_exit[] = {
+	{"targets that return under another name", test_renamed_target_},
 	{"an attempt runs at most once", test_once_},
 	{"fencing queries", test_fence_},
 	{"queries of other attempts", test_rivals_},
