Test failing targets less often, and queue rather than ask them

The service had no budget left for the repeats, so that nested calls and the requests that waited for them failed. Requests also asked up to six suspect targets before a sound one, because a free slot at a suspect came before a queue.

Change: after a failure a suspect target is left alone for 0.5 s; after a success the next read follows at once. Except for first attempts of reads, a queue at a sound target comes before a suspect one.

--- a/include/masticmux/balance.h
+++ b/include/masticmux/balance.h
@@ -50,6 +50,9 @@
 	/** A queue in the own region comes before a free slot in another one,
 	 * whose link costs more than a short wait. */
 	bool near_queue;
+	/** A queue comes before a suspect target, whose exit would refuse the
+	 * request. Otherwise a free slot at one comes before a queue. */
+	bool shun_suspects;
 } mmx_balance_request_t;
 
 /** What was chosen. */
--- a/src/libmasticmux/balance.c
+++ b/src/libmasticmux/balance.c
@@ -332,15 +332,28 @@
 			mmx_random_t *random, mmx_time_t now,
 			mmx_balance_choice_t *choice)
 {
-	/* A free slot at a suspect target comes before a queue elsewhere. */
-	static const struct {
+	typedef struct step_t {
 		uint32_t uses;
 		bool only_free;
-	} order[] = {
-		{BIT(MMX_USE_NORMAL), true},	   {AVOID, true},
-		{BIT(MMX_USE_NORMAL), false},	   {AVOID, false},
-		{BIT(MMX_USE_LAST_RESORT), false},
+	} step_t;
+	enum { STEPS = 5 };
+	static const step_t orders[2][STEPS] = {
+		{
+			{BIT(MMX_USE_NORMAL), true},
+			{AVOID, true},
+			{BIT(MMX_USE_NORMAL), false},
+			{AVOID, false},
+			{BIT(MMX_USE_LAST_RESORT), false},
+		},
+		{
+			{BIT(MMX_USE_NORMAL), true},
+			{BIT(MMX_USE_NORMAL), false},
+			{AVOID, true},
+			{AVOID, false},
+			{BIT(MMX_USE_LAST_RESORT), false},
+		},
 	};
+	const step_t *order = orders[request->shun_suspects];
 	const target_t *target = NULL;
 	size_t i;
 
@@ -349,7 +362,7 @@
 	choice->trial = target != NULL;
 	if (!target && request->near_queue)
 		target = pick_near_(balance, request, random, now);
-	for (i = 0; !target && i < sizeof(order) / sizeof(order[0]); i++)
+	for (i = 0; !target && i < STEPS; i++)
 		target = pick_use_(balance, request, order[i].uses,
 				   order[i].only_free, MMX_RING_REMOTE, random,
 				   now);
--- a/src/libmasticmux/exit_attempt.c
+++ b/src/libmasticmux/exit_attempt.c
@@ -220,7 +220,8 @@
 	if (!execute->repeatable || execute->repeat)
 		return mmx_fault_is_doubtful(&target->fault, now);
 	return mmx_fault_is_suspect(&target->fault, now) &&
-	       (target->in_progress > 0 || target->queued > 0);
+	       (target->in_progress > 0 || target->queued > 0 ||
+		!mmx_fault_may_test(&target->fault, now));
 }
 
 /* The limit follows the configuration and the number of targets. */
--- a/src/libmasticmux/fault.c
+++ b/src/libmasticmux/fault.c
@@ -17,6 +17,12 @@
  * after a failure is too little, as some requests succeed in an episode. */
 #define DOUBTFUL_PROBABILITY USUAL_SHARE
 
+/* Time without requests after a failure of a suspect target. In an episode
+ * connections break at once: without a pause as many requests would test the
+ * target as a sound one serves. Short against an episode, so that its end is
+ * seen soon. */
+#define TRIAL_PAUSE_US (500 * MMX_US_PER_MS)
+
 const char *const mmx_fault_result_string[MMX_FAULT_RESULT_COUNT] = {
 	"success",
 	"broken",
@@ -42,7 +48,11 @@
 
 void mmx_fault_init(mmx_fault_t *fault, mmx_time_t now)
 {
-	*fault = (mmx_fault_t){.failing = USUAL_SHARE, .at = now};
+	*fault = (mmx_fault_t){
+		.failing = USUAL_SHARE,
+		.at = now,
+		.failed = now - TRIAL_PAUSE_US,
+	};
 }
 
 double mmx_fault_probability(const mmx_fault_t *fault, mmx_time_t now)
@@ -64,6 +74,8 @@
 		fmin(fmax(failing / (failing + sound), PROBABILITY_MIN),
 		     PROBABILITY_MAX);
 	fault->at = now;
+	if (result != MMX_FAULT_SUCCESS)
+		fault->failed = now;
 }
 
 bool mmx_fault_is_suspect(const mmx_fault_t *fault, mmx_time_t now)
@@ -75,3 +87,8 @@
 {
 	return mmx_fault_probability(fault, now) > DOUBTFUL_PROBABILITY;
 }
+
+bool mmx_fault_may_test(const mmx_fault_t *fault, mmx_time_t now)
+{
+	return now - fault->failed >= TRIAL_PAUSE_US;
+}
--- a/src/libmasticmux/include/private/fault.h
+++ b/src/libmasticmux/include/private/fault.h
@@ -27,6 +27,7 @@
 typedef struct mmx_fault_t {
 	double failing; /* probability at the time of the latest result */
 	mmx_time_t at;
+	mmx_time_t failed; /* time of the latest failure */
 } mmx_fault_t;
 
 void mmx_fault_init(mmx_fault_t *fault, mmx_time_t now);
@@ -39,6 +40,10 @@
 /* True when all requests but those that test the target should go elsewhere. */
 bool mmx_fault_is_suspect(const mmx_fault_t *fault, mmx_time_t now);
 
+/* True when a request may test a suspect target: some time after a failure,
+ * at once after a success. */
+bool mmx_fault_may_test(const mmx_fault_t *fault, mmx_time_t now);
+
 /* True when requests whose failure is final should go elsewhere. */
 bool mmx_fault_is_doubtful(const mmx_fault_t *fault, mmx_time_t now);
 
--- a/src/test_libmasticmux/test_balance.c
+++ b/src/test_libmasticmux/test_balance.c
@@ -1,5 +1,7 @@
 #include "suites.h"
 
+#include <glib.h>
+
 #include "masticmux/balance.h"
 
 #define TARGETS_MAX 6
@@ -212,6 +214,35 @@
 	}
 }
 
+static void run_choices_(const choice_case_t *cases, size_t count,
+			 mmx_balance_request_t request)
+{
+	size_t i;
+	int n;
+
+	for (i = 0; i < count; i++) {
+		const choice_case_t *c = &cases[i];
+		mmx_balance_t *balance = create_(c->targets, c->count);
+		mmx_target_id_t tried = c->tried;
+		int chosen[TARGETS_MAX] = {0};
+		mmx_balance_choice_t choice;
+		mmx_random_t random;
+
+		request.repeatable = c->repeatable;
+		request.tried = &tried;
+		request.tried_count = tried != 0;
+		mmx_random_seed(&random, 9);
+		for (n = 0; n < CHOICES; n++) {
+			CU_ASSERT_TRUE(mmx_balance_choose(balance, &request,
+							  &random, 0, &choice));
+			chosen[choice.target - 1]++;
+		}
+		for (n = 0; n < c->count; n++)
+			CU_ASSERT_EQUAL(chosen[n] > 0, c->expected[n] == 'y');
+		mmx_balance_destroy(balance);
+	}
+}
+
 /*
  * Load pattern: a region is nearly full for a moment, and a link to another
  * one is billed by volume. Guards against requests that leave the region while
@@ -264,33 +295,46 @@
 		 2,
 		 "ny"},
 	};
-	size_t i;
-	int n;
+	run_choices_(cases, G_N_ELEMENTS(cases),
+		     (mmx_balance_request_t){.near_queue = true});
+}
 
-	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
-		const choice_case_t *c = &cases[i];
-		mmx_balance_t *balance = create_(c->targets, c->count);
-		mmx_target_id_t tried = c->tried;
-		mmx_balance_request_t request = {
-			.repeatable = c->repeatable,
-			.tried = &tried,
-			.tried_count = tried != 0,
-			.near_queue = true,
-		};
-		int chosen[TARGETS_MAX] = {0};
-		mmx_balance_choice_t choice;
-		mmx_random_t random;
+/*
+ * Load pattern: a service is full, and some of its targets fail all requests.
+ * Guards against requests that ask one failing target after the other, each of
+ * which refuses them, until no attempt is left for a sound one.
+ */
+static void test_full_service_with_suspects_(void)
+{
+	static const choice_case_t cases[] = {
+		{"a free slot at a sound target",
+		 true,
+		 0,
+		 {{ZONE, MMX_USE_AVOID, 0, 0}, {REMOTE, OPEN, 0, 0}},
+		 2,
+		 "ny"},
+		{"a queue before a suspect",
+		 true,
+		 0,
+		 {{ZONE, MMX_USE_AVOID, 0, 0}, {REMOTE, OPEN, 5, 0}},
+		 2,
+		 "ny"},
+		{"nothing but suspects",
+		 false,
+		 0,
+		 {{ZONE, MMX_USE_AVOID, 0, 0}, {REMOTE, MMX_USE_AVOID, 0, 0}},
+		 2,
+		 "yn"},
+		{"the sound one was tried",
+		 true,
+		 2,
+		 {{ZONE, MMX_USE_AVOID, 0, 0}, {REMOTE, OPEN, 0, 0}},
+		 2,
+		 "yn"},
+	};
 
-		mmx_random_seed(&random, 9);
-		for (n = 0; n < CHOICES; n++) {
-			CU_ASSERT_TRUE(mmx_balance_choose(balance, &request,
-							  &random, 0, &choice));
-			chosen[choice.target - 1]++;
-		}
-		for (n = 0; n < c->count; n++)
-			CU_ASSERT_EQUAL(chosen[n] > 0, c->expected[n] == 'y');
-		mmx_balance_destroy(balance);
-	}
+	run_choices_(cases, G_N_ELEMENTS(cases),
+		     (mmx_balance_request_t){.shun_suspects = true});
 }
 
 /* Guards against load that gathers at a few targets. */
@@ -366,6 +410,7 @@
 
 CU_TestInfo mmx_tests_balance[] = {
 	{"a queue in the region before another region", test_near_queue_},
+	{"a full service with suspects", test_full_service_with_suspects_},
 	{"rings, uses and loads decide", test_choices_},
 	{"requests spread", test_spread_},
 	{"old reports are not believed", test_old_report_},
--- a/src/test_libmasticmux/test_fault.c
+++ b/src/test_libmasticmux/test_fault.c
@@ -101,6 +101,27 @@
 	run_(cases, G_N_ELEMENTS(cases), mmx_fault_is_doubtful);
 }
 
+/*
+ * Load pattern: a busy service with targets that break each connection at
+ * once. Guards against a failing target that gets as many reads as a sound
+ * one, one after the other, each of which then needs a repeat; and against a
+ * pause that holds up a target whose episode is over.
+ */
+static void test_pause_of_failing_targets_(void)
+{
+	static const case_t cases[] = {
+		{"just failed", "b", false},
+		{"a second later", "b1", true},
+		{"failed once more", "b1b", false},
+		{"a success goes on at once", "b1s", true},
+		{"also while it is suspect", "bbb1s", true},
+		{"a failing status counts", "ffff", false},
+		{"never failed", "s", true},
+	};
+
+	run_(cases, G_N_ELEMENTS(cases), mmx_fault_may_test);
+}
+
 /* Guards against an estimate that leaves the range after many results and can
  * then not return. */
 static void test_range_(void)
@@ -124,6 +145,7 @@
 CU_TestInfo mmx_tests_fault[] = {
 	{"failure episodes at low rates", test_episodes_at_low_rates_},
 	{"doubt after failure episodes", test_doubt_after_episodes_},
+	{"pause of failing targets", test_pause_of_failing_targets_},
 	{"the estimate stays in its range", test_range_},
 	CU_TEST_INFO_NULL,
 };
