Hold requests while a node that starts reads its configuration

Ruled out: a slow store (median 0.14 s from start to configuration, worst 0.20 s), readiness (callers get to the node as soon as it listens).

Change: filter startup holds requests until configuration and roster are known, for 0.5 s after the start of the process and a quarter of the caller's time at most; then they are refused as before. Nodes without a store do not have it.

--- a/include/masticmux/settings.h
+++ b/include/masticmux/settings.h
@@ -74,11 +74,11 @@
 	/** The network between the nodes is private: records between them are
 	 * neither signed nor limited to loopback. */
 	bool trusted_network;
-	mmx_time_t stop_grace;	/**< microseconds from SIGTERM */
-	uint32_t retry_percent; /**< see MMX_RETRY_PERCENT_DEFAULT */
-	int64_t retry_reserve;	/**< attempts of the whole fleet */
+	mmx_time_t stop_grace;	 /**< microseconds from SIGTERM */
+	uint32_t retry_percent;	 /**< see MMX_RETRY_PERCENT_DEFAULT */
+	int64_t retry_reserve;	 /**< attempts of the whole fleet */
 	mmx_time_t retry_window; /**< that the budget holds for, microseconds */
-	uint32_t floor_percent; /**< see MMX_FLOOR_PERCENT_DEFAULT */
+	uint32_t floor_percent;	 /**< see MMX_FLOOR_PERCENT_DEFAULT */
 } mmx_settings_t;
 
 /**
--- a/src/libmasticmux/entry.c
+++ b/src/libmasticmux/entry.c
@@ -473,6 +473,12 @@
 	mmx_pipeline_add(&entry->pipeline,
 			 mmx_filter_request_create(entry->dialect,
 						   entry->caller_service));
+	if (entry->startup > 0) {
+		entry->startup_filter = mmx_filter_startup_create(
+			entry->clock,
+			mmx_clock_now(entry->clock) + entry->startup);
+		mmx_pipeline_add(&entry->pipeline, entry->startup_filter);
+	}
 	mmx_pipeline_add(&entry->pipeline,
 			 mmx_filter_route_create(entry->fold));
 	mmx_pipeline_add(&entry->pipeline,
@@ -485,6 +491,13 @@
 	return &entry->task;
 }
 
+void mmx_entry_started(mmx_entry_t *entry)
+{
+	assert(entry->running);
+	if (entry->startup_filter)
+		mmx_filter_startup_end(entry->startup_filter);
+}
+
 void mmx_entry_drain(mmx_entry_t *entry)
 {
 	entry->draining = true;
--- a/src/libmasticmux/entry_options.c
+++ b/src/libmasticmux/entry_options.c
@@ -157,6 +157,14 @@
 	return true;
 }
 
+bool mmx_entry_set_startup(mmx_entry_t *entry, mmx_time_t longest)
+{
+	if (entry->running)
+		return false;
+	entry->startup = longest;
+	return true;
+}
+
 bool mmx_entry_set_guards(mmx_entry_t *entry, const mmx_guards_t *guards)
 {
 	if (entry->running)
--- a/src/libmasticmux/entry_trace.c
+++ b/src/libmasticmux/entry_trace.c
@@ -75,8 +75,8 @@
 		      exchange->route, "service", exchange->service,
 		      "configuration", version, "attempts",
 		      exchange->steps ? exchange->steps->str : "", "offers",
-		      offers, "status",
-		      code, "outcome", mmx_outcome_string[outcome], "reason",
+		      offers, "status", code, "outcome",
+		      mmx_outcome_string[outcome], "reason",
 		      mmx_reason_string[reason], "took_ms", spent, "left_ms",
 		      left, NULL);
 }
--- a/src/libmasticmux/exit_log.c
+++ b/src/libmasticmux/exit_log.c
@@ -55,15 +55,15 @@
 			  execute->patience);
 	g_snprintf(numbers.priority, sizeof(numbers.priority), "%u",
 		   execute->priority);
-	mmx_log_event(
-		exit->log, MMX_LOG_INFO, "attempt_refused", "id", id, "target",
-		target ? target->record.name : "unknown", "reason",
-		mmx_reason_string[reason], "in_progress", numbers.in_progress,
-		"queued", numbers.queued, "slots", numbers.slots, "run_ms",
-		numbers.run_ms, "failing_probability", numbers.probability,
-		"evidence_age_ms", numbers.evidence_ms, "remaining_ms",
-		numbers.remaining_ms, "patience_ms", numbers.patience_ms,
-		"priority", numbers.priority, NULL);
+	mmx_log_event(exit->log, MMX_LOG_INFO, "attempt_refused", "id", id,
+		      "target", target ? target->record.name : "unknown",
+		      "reason", mmx_reason_string[reason], "in_progress",
+		      numbers.in_progress, "queued", numbers.queued, "slots",
+		      numbers.slots, "run_ms", numbers.run_ms,
+		      "failing_probability", numbers.probability,
+		      "evidence_age_ms", numbers.evidence_ms, "remaining_ms",
+		      numbers.remaining_ms, "patience_ms", numbers.patience_ms,
+		      "priority", numbers.priority, NULL);
 }
 
 void mmx_exit_log_failed(mmx_exit_t *exit, const mmx_attempt_t *attempt,
--- a/src/libmasticmux/exit_target.c
+++ b/src/libmasticmux/exit_target.c
@@ -323,8 +323,8 @@
 	mmx_retry_window_request(&target->retry, now);
 	mmx_retry_window_charge(&target->retry, inherited, now);
 	if (route)
-		mmx_retry_window_request(
-			&use_route_(target, route, now)->retry, now);
+		mmx_retry_window_request(&use_route_(target, route, now)->retry,
+					 now);
 }
 
 bool mmx_exit_target_take_repeat(mmx_exit_target_t *target, uint32_t route,
--- a/src/libmasticmux/filter_attempt.c
+++ b/src/libmasticmux/filter_attempt.c
@@ -259,12 +259,13 @@
 		.repeatable = exchange->repeatable,
 		.tried = exchange->tried,
 		.tried_count = exchange->attempts,
-		.near_queue = exchange->objective > 0 &&
-			      exchange->attempts < MMX_NEAR_ATTEMPTS,
-		/* First attempts of reads test suspect targets. */
-		.shun_suspects = exchange->objective > 0 &&
-				 (!exchange->repeatable ||
-				  exchange->attempts > 0),
+		.near_queue =
+			exchange->objective > 0 &&
+			exchange->attempts<
+				MMX_NEAR_ATTEMPTS,
+				/* First attempts of reads test suspect targets. */
+				.shun_suspects = exchange->objective> 0 &&
+			(!exchange->repeatable || exchange->attempts > 0),
 	};
 	mmx_view_choice_t choice;
 
--- a/src/libmasticmux/include/private/entry.h
+++ b/src/libmasticmux/include/private/entry.h
@@ -65,6 +65,13 @@
 /* See mmx_view_config_t. */
 bool mmx_entry_set_budget_at_exits(mmx_entry_t *entry, bool at_exits);
 
+/*
+ * Requests that arrive before mmx_entry_started() are held for this long after
+ * init at most, and for a quarter of the time that their caller waits; without
+ * it they are refused for want of a configuration.
+ */
+bool mmx_entry_set_startup(mmx_entry_t *entry, mmx_time_t longest);
+
 /* For tests only; what it points to outlives the entry. */
 bool mmx_entry_set_guards(mmx_entry_t *entry, const mmx_guards_t *guards);
 
@@ -81,6 +88,9 @@
 /* The task that messages are posted to. Valid after create. */
 mmx_task_t *mmx_entry_task(mmx_entry_t *entry);
 
+/* Configuration and targets are known. Valid after init, also repeatedly. */
+void mmx_entry_started(mmx_entry_t *entry);
+
 /* From now on new requests are refused with shutting-down. */
 void mmx_entry_drain(mmx_entry_t *entry);
 
@@ -123,6 +133,9 @@
 
 mmx_filter_t *mmx_filter_request_create(const mmx_dialect_t *dialect,
 					const char *caller_service);
+/* until: time at which requests are not held any more. */
+mmx_filter_t *mmx_filter_startup_create(mmx_clock_t *clock, mmx_time_t until);
+void mmx_filter_startup_end(mmx_filter_t *filter);
 mmx_filter_t *mmx_filter_route_create(const mmx_fold_t *const *fold);
 mmx_filter_t *mmx_filter_account_create(const mmx_fold_t *const *fold);
 mmx_filter_t *mmx_filter_attempt_create(mmx_entry_t *entry);
--- a/src/libmasticmux/include/private/entry_internal.h
+++ b/src/libmasticmux/include/private/entry_internal.h
@@ -32,6 +32,8 @@
 	mmx_view_t *view;
 	mmx_pipeline_t pipeline;
 	mmx_filter_t *attempt_filter;
+	mmx_filter_t *startup_filter; /* NULL: nothing is held */
+	mmx_time_t startup;
 	const mmx_dialect_t *dialect;
 	const char *caller_service;
 	bool budget_at_exits;
--- a/src/libmasticmux/include/private/exit_target.h
+++ b/src/libmasticmux/include/private/exit_target.h
@@ -88,7 +88,7 @@
 	const char *account;
 	mmx_limits_share_t share;
 	mmx_time_t remaining;
-	mmx_time_t patience; /* longest wait in the queue */
+	mmx_time_t patience;  /* longest wait in the queue */
 	mmx_time_t objective; /* wanted latency; 0: none */
 	uint8_t priority;
 	bool repeatable;
--- a/src/libmasticmux/include/private/node_parts.h
+++ b/src/libmasticmux/include/private/node_parts.h
@@ -98,6 +98,7 @@
 	mmx_part_list_t parts;
 	bool draining;
 	bool config_synced; /* the store was asked for the configuration */
+	bool roster_synced; /* the records of all nodes have been read */
 	bool finishing;	    /* second step of a planned stop */
 	mmx_timer_t drain_timer;
 	mmx_time_t drain_deadline;
@@ -134,6 +135,10 @@
 /* The configuration is in force: path looks for its target if it knows none. */
 void mmx_part_path_configured(mmx_node_t *node);
 
+/* Configuration or roster has been read for the first time: path serves the
+ * requests that wait for them. */
+void mmx_part_path_started(mmx_node_t *node);
+
 /* A target beside this node has changed: roster publishes it. */
 void mmx_part_roster_announce(mmx_node_t *node,
 			      const mmx_target_record_t *record);
--- a/src/libmasticmux/part_path.c
+++ b/src/libmasticmux/part_path.c
@@ -15,6 +15,10 @@
  * has: they notice the planned stop only after some checks of /healthz. */
 #define ANNOUNCE_SHARE 2
 
+/* A node reads configuration and roster within 0.2 s of its start; after this
+ * time the store is probably away. */
+#define STARTUP_US (500 * MMX_US_PER_MS)
+
 /* Targets may drop idle connections without notice, after seconds. A new one
  * costs 1 ms. */
 #define FRESH_WITHIN_US (1 * MMX_US_PER_S)
@@ -153,8 +157,10 @@
 		node->settings->service[0] ? node->settings->service : NULL);
 	mmx_entry_set_log(node->entry, node->log);
 	mmx_entry_set_budget_at_exits(node->entry, node->store != NULL);
-	if (node->store)
+	if (node->store) {
+		mmx_entry_set_startup(node->entry, STARTUP_US);
 		mmx_entry_set_repeat_share(node->entry, repeat_share_, node);
+	}
 	mmx_entry_set_trace(node->entry, node->trace);
 	mmx_entry_set_history(node->entry, node->history);
 	mmx_entry_init(node->entry);
@@ -207,6 +213,12 @@
 				   error);
 }
 
+void mmx_part_path_started(mmx_node_t *node)
+{
+	if (node->fold && node->roster_synced)
+		mmx_entry_started(node->entry);
+}
+
 void mmx_part_path_configured(mmx_node_t *node)
 {
 	const mmx_routing_service_t *service = mmx_routing_service(
@@ -214,6 +226,7 @@
 
 	if (node->probe && service && service->health_path[0])
 		mmx_target_probe_start(node->probe, service->health_path);
+	mmx_part_path_started(node);
 }
 
 static void close_(void *arg)
--- a/src/libmasticmux/part_roster.c
+++ b/src/libmasticmux/part_roster.c
@@ -173,6 +173,8 @@
 		   mmx_roster_count(self->part.node->roster));
 	mmx_log_event(self->part.node->log, MMX_LOG_INFO, "roster_read",
 		      "nodes", count, NULL);
+	self->part.node->roster_synced = true;
+	mmx_part_path_started(self->part.node);
 	write_(self);
 }
 
--- a/src/libmasticmux/retry_window.c
+++ b/src/libmasticmux/retry_window.c
@@ -25,8 +25,7 @@
 /* Forgets the parts that are older than the window. */
 static size_t part_(mmx_retry_window_t *budget, mmx_time_t now)
 {
-	mmx_time_t part =
-		now / (budget->limit.window / MMX_RETRY_WINDOW_PARTS);
+	mmx_time_t part = now / (budget->limit.window / MMX_RETRY_WINDOW_PARTS);
 
 	assert(part >= budget->part);
 	if (part - budget->part >= PARTS)
@@ -61,7 +60,8 @@
 		if (i != oldest)
 			allowed += (uint64_t)budget->requests[i] *
 				   budget->limit.percent;
-	return allowed < MMX_RETRY_WINDOW_REPEAT ? MMX_RETRY_WINDOW_REPEAT : allowed;
+	return allowed < MMX_RETRY_WINDOW_REPEAT ? MMX_RETRY_WINDOW_REPEAT
+						 : allowed;
 }
 
 bool mmx_retry_window_has(mmx_retry_window_t *budget, mmx_time_t now)
--- a/src/test_libmasticmux/test_entry.c
+++ b/src/test_libmasticmux/test_entry.c
@@ -144,7 +144,10 @@
 			rig->entry,
 			mmx_clock_now(mmx_runtime_clock(rig->runtime)) +
 				fake_number(words, "ms", 1) * MMX_US_PER_MS);
-	else if (g_str_equal(words[0], "count"))
+	else if (g_str_equal(words[0], "started")) {
+		configure_(rig->fold);
+		mmx_entry_started(rig->entry);
+	} else if (g_str_equal(words[0], "count"))
 		g_string_append_printf(rig->trace, "in-progress:%zu ",
 				       mmx_entry_in_progress(rig->entry));
 	else if (g_str_equal(words[0], "targets"))
@@ -514,6 +517,48 @@
 	run_(cases, sizeof(cases) / sizeof(cases[0]));
 }
 
+/*
+ * Load pattern: all nodes start together under load. Guards against refusals
+ * in the moment before the configuration is read, against requests that are
+ * held for long when the store is away, and against a held request that is
+ * forgotten.
+ */
+static void test_startup_(void)
+{
+	static const script_case_t cases[] = {
+		{"held until started",
+		 "targets; request; count; started; response end; count",
+		 "in-progress:1 execute1:0 "
+		 "answer1:completed:none:200:3:end in-progress:0 "},
+		{"in order of arrival",
+		 "targets; request; request n=2; started",
+		 "execute1:0 execute2:0 "},
+		{"the store is away", "request; wait ms=499; count; wait ms=1",
+		 "in-progress:1 answer1:not-run:no-configuration:503:26:end "},
+		{"a caller that waits for a short time",
+		 "request ms=500; wait ms=124; count; wait ms=1",
+		 "in-progress:1 answer1:not-run:no-configuration:503:26:end "},
+		{"not held for long after the start", "wait ms=500; request",
+		 "answer1:not-run:no-configuration:503:26:end "},
+		{"the caller leaves", "request; caller-gone; started; count",
+		 "in-progress:0 "},
+		{"the process stops", "request; answer-by ms=10; wait ms=500",
+		 "answer1:not-run:no-configuration:503:26:end "},
+	};
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		rig_t rig;
+
+		open_(&rig, false);
+		mmx_entry_set_startup(rig.entry, 500 * MMX_US_PER_MS);
+		mmx_entry_init(rig.entry);
+		fake_run(cases[i].script, step_, &rig);
+		fake_compare(&cases[i], rig.trace);
+		close_(&rig);
+	}
+}
+
 /* Guards against requests that are still open when a stopping process ends,
  * whose callers then see a closed connection instead of an answer. */
 static void test_answer_by_(void)
@@ -565,6 +610,7 @@
 	{"attempts", test_attempts_},
 	{"fencing", test_fence_},
 	{"responses", test_responses_},
+	{"requests during the start", test_startup_},
 	{"answers by the end of the process", test_answer_by_},
 	CU_TEST_INFO_NULL,
 };
--- a/src/test_libmasticmux/test_exit_target.c
+++ b/src/test_libmasticmux/test_exit_target.c
@@ -283,9 +283,9 @@
 		}
 		for (n = 0; n < QUEUED; n++)
 			queue_(target, &attempts[n], LONG, 0);
-		CU_ASSERT_EQUAL(mmx_exit_target_admit(target, &request,
-						      cases[i].now),
-				cases[i].reason);
+		CU_ASSERT_EQUAL(
+			mmx_exit_target_admit(target, &request, cases[i].now),
+			cases[i].reason);
 		call = queue_(target, &attempts[QUEUED], SHORT, cases[i].now);
 		CU_ASSERT_EQUAL(mmx_exit_target_next(target, cases[i].now) ==
 					call,
--- a/src/test_libmasticmux/test_filter_attempt_send.c
+++ b/src/test_libmasticmux/test_filter_attempt_send.c
@@ -117,9 +117,8 @@
 
 	CU_ASSERT_EQUAL(exits.count, MMX_ATTEMPTS_MAX);
 	for (i = 0; i < exits.count; i++)
-		CU_ASSERT_EQUAL(exits.patience[i], expected[i]
-							   ? expected[i]
-							   : exits.remaining[i]);
+		CU_ASSERT_EQUAL(exits.patience[i],
+				expected[i] ? expected[i] : exits.remaining[i]);
 	CU_ASSERT_EQUAL(answers.count, 1);
 	CU_ASSERT_EQUAL(answers.outcome, MMX_OUTCOME_NOT_RUN);
 	CU_ASSERT_EQUAL(answers.status, 503);
--- a/src/test_libmasticmux/test_retry_window.c
+++ b/src/test_libmasticmux/test_retry_window.c
@@ -46,7 +46,11 @@
 		 0,
 		 250,
 		 {{0, 0}, {11, 3}}},
-		{"at least one", {20, 40, WINDOW}, 0, 0, {{0, 1}, {5, 0}, {11, 1}}},
+		{"at least one",
+		 {20, 40, WINDOW},
+		 0,
+		 0,
+		 {{0, 1}, {5, 0}, {11, 1}}},
 		{"after a long silence",
 		 {20, 300, WINDOW},
 		 100,
@@ -70,9 +74,8 @@
 			if (s > 0 && cases[i].steps[s].at == 0)
 				break;
 			while (taken < 100 &&
-			       take_(
-				       &budget,
-				       cases[i].steps[s].at * MMX_US_PER_S))
+			       take_(&budget,
+				     cases[i].steps[s].at * MMX_US_PER_S))
 				taken++;
 			if (taken != cases[i].steps[s].taken)
 				printf("%s, step %zu: %d\n", cases[i].name, s,
