Try five targets of the own region before others

Attempts in the region are refused more often now (doubtful and suspect targets, used budgets), so that three of them were soon used up, and a queue in another region came before a suspect target.

Change: five attempts stay in the region, of eight. A refusal within a region costs about a millisecond.

--- a/src/libmasticmux/include/private/filter_attempt.h
+++ b/src/libmasticmux/include/private/filter_attempt.h
@@ -11,7 +11,7 @@
 
 /* Attempts that stay in the own region if it has a target that may be used:
  * a body that crosses to another one costs more than a short wait. */
-#define MMX_NEAR_ATTEMPTS 3
+#define MMX_NEAR_ATTEMPTS 5
 
 typedef struct mmx_attempt_filter_t {
 	mmx_filter_t filter;
