--- a/bench/bench_peer.c
+++ b/bench/bench_peer.c
@@ -193,7 +193,7 @@
 	return true;
 }
 
-static const mmx_peer_resolver_ops_t resolver_ops_ = {resolve_};
+static const mmx_peer_resolver_ops_t resolver_ops_ = {.resolve = resolve_};
 
 static mmx_peer_t *create_peer_(bench_t *bench, const char *name,
 				mmx_counters_t *counters, size_t key_count)
--- a/bench/bench_tables.c
+++ b/bench/bench_tables.c
@@ -374,7 +374,7 @@
 	return false;
 }
 
-static const mmx_peer_resolver_ops_t resolver_ops_ = {resolve_};
+static const mmx_peer_resolver_ops_t resolver_ops_ = {.resolve = resolve_};
 
 static void discard_(mmx_task_t *task, mmx_message_t *message)
 {
--- a/src/libmasticmux/include/private/peer.h
+++ b/src/libmasticmux/include/private/peer.h
@@ -60,6 +60,10 @@
 	/* False when the node is unknown. incarnation 0 accepts any. */
 	bool (*resolve)(mmx_peer_resolver_t *resolver, mmx_node_id_t node,
 			mmx_address_t *address, mmx_incarnation_t *incarnation);
+	/* Name of a node and its zone, for log lines; false when the node is
+	 * unknown. The texts are valid until the next message. May be NULL. */
+	bool (*describe)(mmx_peer_resolver_t *resolver, mmx_node_id_t node,
+			 const char **name, const char **zone);
 } mmx_peer_resolver_ops_t;
 
 struct mmx_peer_resolver_t {
--- a/src/libmasticmux/part_roster.c
+++ b/src/libmasticmux/part_roster.c
@@ -203,14 +203,20 @@
 
 static const mmx_nodes_ops_t nodes_ops_ = {.find = find_};
 
-static bool resolve_(mmx_peer_resolver_t *resolver, mmx_node_id_t id,
-		     mmx_address_t *address, mmx_incarnation_t *incarnation)
+static const mmx_roster_node_t *known_(mmx_peer_resolver_t *resolver,
+				       mmx_node_id_t id)
 {
 	const roster_part_t *self =
 		(roster_part_t *)((char *)resolver -
 				  offsetof(roster_part_t, resolver));
-	const mmx_roster_node_t *known =
-		mmx_roster_find(self->part.node->roster, id);
+
+	return mmx_roster_find(self->part.node->roster, id);
+}
+
+static bool resolve_(mmx_peer_resolver_t *resolver, mmx_node_id_t id,
+		     mmx_address_t *address, mmx_incarnation_t *incarnation)
+{
+	const mmx_roster_node_t *known = known_(resolver, id);
 
 	if (!known)
 		return false;
@@ -219,7 +225,19 @@
 	return true;
 }
 
-static const mmx_peer_resolver_ops_t resolver_ops_ = {resolve_};
+static bool describe_(mmx_peer_resolver_t *resolver, mmx_node_id_t id,
+		      const char **name, const char **zone)
+{
+	const mmx_roster_node_t *known = known_(resolver, id);
+
+	if (!known)
+		return false;
+	*name = known->name;
+	*zone = known->zone;
+	return true;
+}
+
+static const mmx_peer_resolver_ops_t resolver_ops_ = {resolve_, describe_};
 
 /* --- part -------------------------------------------------------------- */
 
--- a/src/libmasticmux/peer_node.c
+++ b/src/libmasticmux/peer_node.c
@@ -9,8 +9,14 @@
 static void log_state_(mmx_peer_node_t *node, const char *event,
 		       const char *reason)
 {
-	mmx_log_event(node->peer->config.log, MMX_LOG_INFO, event, "node",
-		      node->name, "reason", reason, NULL);
+	mmx_peer_resolver_t *resolver = node->peer->config.resolver;
+	const char *name = node->name;
+	const char *zone = "unknown";
+
+	if (resolver->ops->describe)
+		resolver->ops->describe(resolver, node->id, &name, &zone);
+	mmx_log_event(node->peer->config.log, MMX_LOG_INFO, event, "node", name,
+		      "zone", zone, "reason", reason, NULL);
 }
 
 void mmx_peer_unreachable(mmx_peer_node_t *node, const char *reason)
--- a/src/test_libmasticmux/peer_world.c
+++ b/src/test_libmasticmux/peer_world.c
@@ -173,7 +173,7 @@
 	return true;
 }
 
-static const mmx_peer_resolver_ops_t resolver_ops_ = {resolve_};
+static const mmx_peer_resolver_ops_t resolver_ops_ = {.resolve = resolve_};
 
 static void init_inbox_(mmx_test_inbox_t *inbox, mmx_runtime_t *runtime)
 {
