--- a/include/masticmux/settings.h
+++ b/include/masticmux/settings.h
@@ -33,6 +33,7 @@
  */
 #define MMX_RETRY_PERCENT_DEFAULT 20
 #define MMX_RETRY_RESERVE_DEFAULT 60
+/** Default length of the window of the retry budget, seconds. */
 #define MMX_RETRY_WINDOW_DEFAULT_S 10
 /** Default share of a service's slots that ejections leave, percent. */
 #define MMX_FLOOR_PERCENT_DEFAULT 70
--- a/src/libmasticmux/exit_attempt.c
+++ b/src/libmasticmux/exit_attempt.c
@@ -206,9 +206,10 @@
 
 /*
  * A target in a failure episode gets repeatable requests only, one at a time,
- * which show when the episode is over; what may not be repeated, or already is
- * a repeat, waits until that is certain. Without patience for another exit, a
- * request is rather risked than refused.
+ * which show when the episode is over. What may not be repeated, or already is
+ * a repeat, goes elsewhere until the target is no likelier to fail than one of
+ * which nothing is known. Without patience for another exit, a request is
+ * rather risked than refused.
  */
 static bool must_avoid_(const mmx_exit_t *exit, const mmx_exit_target_t *target,
 			const mmx_execute_t *execute)
