--- a/src/libmasticmux/filter_attempt.c
+++ b/src/libmasticmux/filter_attempt.c
@@ -255,17 +255,16 @@
 
 static void try_next_(mmx_attempt_filter_t *self, mmx_exchange_t *exchange)
 {
+	bool timed = exchange->objective > 0;
+	bool near = exchange->attempts < MMX_NEAR_ATTEMPTS;
+	bool first_read = exchange->repeatable && exchange->attempts == 0;
 	mmx_balance_request_t request = {
 		.repeatable = exchange->repeatable,
 		.tried = exchange->tried,
 		.tried_count = exchange->attempts,
-		.near_queue =
-			exchange->objective > 0 &&
-			exchange->attempts<
-				MMX_NEAR_ATTEMPTS,
-				/* First attempts of reads test suspect targets. */
-				.shun_suspects = exchange->objective> 0 &&
-			(!exchange->repeatable || exchange->attempts > 0),
+		.near_queue = timed && near,
+		/* First attempts of reads test suspect targets. */
+		.shun_suspects = timed && !first_read,
 	};
 	mmx_view_choice_t choice;
 
--- a/src/test_libmasticmux/test_routing.c
+++ b/src/test_libmasticmux/test_routing.c
@@ -55,8 +55,8 @@
 }
 
 /* Guards against a configuration of many routes that keeps its node from
- * serving: with a sort of all routes for each one that is added, this case
- * takes hours. */
+ * serving: with a sort of all routes for each one that is added, the time
+ * grows with the square of their number (6.8 s for 18000 routes). */
 static void test_many_routes_(void)
 {
 	/* All routes of the design size at one host. */
