--- a/include/masticmux/retry_window.h
+++ b/include/masticmux/retry_window.h
@@ -6,6 +6,11 @@
  * Counts requests and repeats of the last window, so that the reserve is at
  * hand again as soon as the repeats that used it are older than the window.
  *
+ * A node that cannot make a repeat itself may grant it to another one, which
+ * then makes it without a charge of its own: the allowance goes to where it is
+ * needed, and the sum over all nodes does not grow. A grant that is not used,
+ * or is lost, counts as a repeat.
+ *
  * Usage: init, then report requests, ask before each repeat and charge it.
  */
 #ifndef MASTICMUX_RETRY_WINDOW_H
@@ -16,6 +21,9 @@
 /** Parts that a window is counted in. */
 #define MMX_RETRY_WINDOW_PARTS 10
 
+/** Longest time between a grant and the repeat that it is for. */
+#define MMX_RETRY_GRANT_US (500 * MMX_US_PER_MS)
+
 /** Hundredths that stand for one repeat. */
 #define MMX_RETRY_WINDOW_REPEAT 100
 
@@ -29,9 +37,9 @@
 /** State of one budget; members are private. */
 typedef struct mmx_retry_window_t {
 	mmx_retry_limit_t limit;
-	mmx_time_t part; /**< number of the latest one */
-	uint32_t requests[MMX_RETRY_WINDOW_PARTS + 1];
-	uint32_t repeats[MMX_RETRY_WINDOW_PARTS + 1]; /**< hundredths */
+	mmx_time_t part; /**< number of the current one */
+	uint32_t requests[MMX_RETRY_WINDOW_PARTS + 2];
+	uint32_t repeats[MMX_RETRY_WINDOW_PARTS + 2]; /**< hundredths */
 } mmx_retry_window_t;
 
 /** Prepares a budget of which nothing is used. */
@@ -64,4 +72,13 @@
 /** True when one more repeat may be made; charge it then. */
 bool mmx_retry_window_has(mmx_retry_window_t *budget, mmx_time_t now);
 
+/**
+ * Charges a repeat that another node makes within MMX_RETRY_GRANT_US, as if it
+ * were made in the next part of the window.
+ *
+ * @return false when none is left, or when a part of the window is too short
+ *         for the time until the repeat is made
+ */
+bool mmx_retry_window_grant(mmx_retry_window_t *budget, mmx_time_t now);
+
 #endif
--- a/include/masticmux/types.h
+++ b/include/masticmux/types.h
@@ -71,6 +71,7 @@
 	MMX_REASON_BUSY, /**< no slot within the patience of the entry */
 	MMX_REASON_RETRY_BUDGET, /**< the budget for repeats is used up */
 	MMX_REASON_SUSPECT,	 /**< the target probably fails for now */
+	MMX_REASON_TIME_SHORT,	 /**< too little time left for a usual run */
 	MMX_REASON_COUNT
 } mmx_reason_t;
 
@@ -79,6 +80,9 @@
 /** Id of a node from its name, which ends with NUL. */
 mmx_node_id_t mmx_node_id(const char *name);
 
+/** Reasons between nodes become those that callers know. */
+mmx_reason_t mmx_reason_for_caller(mmx_reason_t reason);
+
 /**
  * HTTP status that goes with a refusal.
  *
--- a/src/libmasticmux/entry.c
+++ b/src/libmasticmux/entry.c
@@ -37,17 +37,25 @@
 	return exchange;
 }
 
+static void forget_sequence_(mmx_entry_t *entry, mmx_attempt_id_t *id)
+{
+	if (id->sequence)
+		g_hash_table_remove(entry->by_sequence, &id->sequence);
+	id->sequence = 0;
+}
+
 void mmx_entry_end(mmx_exchange_t *exchange)
 {
 	mmx_entry_t *entry = exchange->owner;
 
-	if (exchange->attempt.sequence)
-		g_hash_table_remove(entry->by_sequence,
-				    &exchange->attempt.sequence);
+	forget_sequence_(entry, &exchange->attempt);
+	forget_sequence_(entry, &exchange->earlier.id);
 	g_hash_table_remove(entry->by_request, &exchange->request);
 	mmx_entry_trace_end(exchange);
 	if (exchange->timer.clock)
 		mmx_timer_cancel(&exchange->timer);
+	if (exchange->overdue.clock)
+		mmx_timer_cancel(&exchange->overdue);
 	mmx_head_destroy(exchange->head);
 	mmx_head_destroy(exchange->answer_head);
 	evbuffer_free(exchange->body);
@@ -175,9 +183,7 @@
 {
 	mmx_entry_t *entry = exchange->owner;
 
-	if (exchange->attempt.sequence)
-		g_hash_table_remove(entry->by_sequence,
-				    &exchange->attempt.sequence);
+	forget_sequence_(entry, &exchange->attempt);
 	exchange->attempt.entry = entry->node;
 	exchange->attempt.incarnation = entry->incarnation;
 	exchange->attempt.sequence = ++entry->next_sequence;
@@ -185,6 +191,34 @@
 			    exchange);
 }
 
+/* The keys of the table lie in the exchange. */
+static void move_sequence_(mmx_exchange_t *exchange, mmx_attempt_id_t *from,
+			   mmx_attempt_id_t *to)
+{
+	mmx_entry_t *entry = exchange->owner;
+	mmx_attempt_id_t id = *from;
+
+	forget_sequence_(entry, from);
+	forget_sequence_(entry, to);
+	*to = id;
+	g_hash_table_insert(entry->by_sequence, &to->sequence, exchange);
+}
+
+void mmx_entry_set_attempt_aside(mmx_exchange_t *exchange)
+{
+	move_sequence_(exchange, &exchange->attempt, &exchange->earlier.id);
+}
+
+void mmx_entry_resume_attempt(mmx_exchange_t *exchange)
+{
+	move_sequence_(exchange, &exchange->earlier.id, &exchange->attempt);
+}
+
+void mmx_entry_forget_earlier(mmx_exchange_t *exchange)
+{
+	forget_sequence_(exchange->owner, &exchange->earlier.id);
+}
+
 void mmx_entry_post_exit(mmx_entry_t *entry, mmx_node_id_t exit,
 			 mmx_message_t *message)
 {
--- a/src/libmasticmux/entry_trace.c
+++ b/src/libmasticmux/entry_trace.c
@@ -49,6 +49,15 @@
 	g_string_append(exchange->steps, text);
 }
 
+/* Which attempt gave the answer, where two were out at once. */
+static const char *answered_by_(const mmx_exchange_t *exchange,
+				mmx_outcome_t outcome)
+{
+	if (outcome != MMX_OUTCOME_COMPLETED || !exchange->repeated)
+		return "none";
+	return exchange->earlier_answered ? "overdue" : "repeat";
+}
+
 /* One line for a request: who, what decided, how old that was, the outcome. */
 static void log_answer_(const mmx_exchange_t *exchange, int status,
 			mmx_outcome_t outcome, mmx_reason_t reason,
@@ -58,8 +67,9 @@
 	char version[24];
 	char code[12];
 	char spent[24];
-	char left[24];
+	char left[24] = "none";
 	char offers[12];
+	char repeated[24] = "none";
 
 	if (!log)
 		return;
@@ -68,15 +78,22 @@
 	g_snprintf(version, sizeof(version), "%" PRIu64,
 		   exchange->configuration);
 	g_snprintf(code, sizeof(code), "%d", status);
+	if (exchange->repeated)
+		mmx_log_format_ms(repeated, sizeof(repeated),
+				  exchange->repeated - exchange->started);
 	mmx_log_format_ms(spent, sizeof(spent), took);
-	mmx_log_format_ms(left, sizeof(left),
-			  exchange->deadline - exchange->started - took);
+	/* A request that is refused before it is routed has no deadline. */
+	if (exchange->deadline)
+		mmx_log_format_ms(left, sizeof(left),
+				  exchange->deadline - exchange->started -
+					  took);
 	mmx_log_event(log, MMX_LOG_INFO, "request", "id", exchange->id, "route",
 		      exchange->route, "service", exchange->service,
 		      "configuration", version, "attempts",
 		      exchange->steps ? exchange->steps->str : "", "offers",
-		      offers, "status", code, "outcome",
-		      mmx_outcome_string[outcome], "reason",
+		      offers, "overdue_repeat_ms", repeated, "answered_by",
+		      answered_by_(exchange, outcome), "status", code,
+		      "outcome", mmx_outcome_string[outcome], "reason",
 		      mmx_reason_string[reason], "took_ms", spent, "left_ms",
 		      left, NULL);
 }
--- a/src/libmasticmux/exit.c
+++ b/src/libmasticmux/exit.c
@@ -267,7 +267,6 @@
 		    target->lease_until < MMX_TIME_NEVER)
 			target->lease_until += late;
 		mmx_limits_expire(target->limits, now);
-		mmx_exit_expire_queued(exit, target);
 		if (target->lease_until <= now)
 			set_state_(exit, target, MMX_TARGET_GONE);
 		mmx_exit_start_queued(exit, target);
@@ -331,6 +330,7 @@
 	exit->record_max = RECORD_MAX;
 	LIST_INIT(&exit->targets);
 	mmx_timer_init(&exit->sweep, exit->clock, on_sweep_, exit);
+	mmx_timer_init(&exit->expiry, exit->clock, mmx_exit_on_expiry, exit);
 	mmx_timer_init(&exit->health, exit->clock, mmx_exit_health_on_timer,
 		       exit);
 	return exit;
@@ -343,6 +343,7 @@
 	if (!exit)
 		return;
 	mmx_timer_cancel(&exit->sweep);
+	mmx_timer_cancel(&exit->expiry);
 	mmx_timer_cancel(&exit->health);
 	mmx_task_finish(&exit->task);
 	if (exit->attempts)
@@ -400,6 +401,9 @@
 	exit->refused = mmx_counters_get(counters, MMX_COUNTER,
 					 "masticmux_exit_refused_total", "",
 					 "Attempts refused by this exit.");
+	exit->granted = mmx_counters_get(
+		counters, MMX_COUNTER, "masticmux_exit_grants_total", "",
+		"Repeats refused here and granted to another exit.");
 	exit->fenced = mmx_counters_get(counters, MMX_COUNTER,
 					"masticmux_exit_fence_total", "",
 					"Fencing queries received.");
--- a/src/libmasticmux/exit_attempt.c
+++ b/src/libmasticmux/exit_attempt.c
@@ -65,24 +65,6 @@
 
 /* --- life of an attempt ------------------------------------------------ */
 
-static void remove_from_queue_(mmx_attempt_t *attempt)
-{
-	mmx_exit_target_unqueue(attempt->target, attempt);
-}
-
-/* Ends a queued attempt that never starts. */
-void mmx_exit_refuse_queued(mmx_exit_t *exit, mmx_attempt_t *attempt,
-			    mmx_reason_t reason)
-{
-	remove_from_queue_(attempt);
-	mmx_exit_log_refused(exit, attempt->execute, attempt->target, reason);
-	mmx_exit_trace_ended(attempt, mmx_reason_string[reason], true);
-	if (!attempt->abandoned)
-		mmx_exit_post_refusal(exit, &attempt->id, &attempt->origin,
-				      attempt->target, reason, false);
-	mmx_attempts_end(exit->attempts, attempt, MMX_ATTEMPT_REFUSED);
-}
-
 void mmx_exit_end_running(mmx_exit_t *exit, mmx_attempt_t *attempt,
 			  mmx_attempt_state_t state)
 {
@@ -102,95 +84,6 @@
 	mmx_exit_start_queued(exit, target);
 }
 
-/* Tells the target the time that is left and who is meant. */
-static void address_call_(mmx_exit_t *exit, mmx_attempt_t *attempt,
-			  mmx_call_t *call)
-{
-	const mmx_dialect_t *dialect = exit->dialect;
-	mmx_time_t left_ms = MAX(call->remaining / MMX_US_PER_MS, 1);
-	char text[24];
-
-	g_snprintf(text, sizeof(text), "%lld", (long long)left_ms);
-	if (dialect->timeout)
-		mmx_head_set(call->head, dialect->timeout, text);
-	if (dialect->target)
-		mmx_head_set(call->head, dialect->target,
-			     attempt->target->record.name);
-	if (dialect->request_id)
-		attempt->request_id = g_strdup(
-			mmx_head_find(call->head, dialect->request_id));
-}
-
-static void start_(mmx_exit_t *exit, mmx_attempt_t *attempt)
-{
-	mmx_exit_target_t *target = attempt->target;
-	mmx_execute_t *execute = attempt->execute;
-	mmx_call_t *call = mmx_new_call(&attempt->id);
-
-	remove_from_queue_(attempt);
-	target->in_progress++;
-	mmx_limits_start(target->limits, execute->account,
-			 mmx_clock_now(exit->clock));
-	attempt->state = MMX_ATTEMPT_RUNNING;
-	attempt->started = mmx_clock_now(exit->clock);
-	mmx_exit_health_start(attempt);
-	mmx_histogram_add(exit->queue_time,
-			  attempt->started - attempt->arrived);
-	call->address = target->address;
-	call->repeatable = execute->repeatable;
-	call->remaining = attempt->deadline - attempt->started;
-	call->head = execute->head;
-	execute->head = NULL;
-	address_call_(exit, attempt, call);
-	mmx_exit_trace_started(exit, attempt, call->head);
-	evbuffer_add_buffer(call->body, execute->body);
-	call->body_end = execute->body_end;
-	if (!execute->repeat)
-		mmx_exit_target_note_request(target, execute->route,
-					     execute->inherited,
-					     attempt->started);
-	mmx_counter_add(exit->started, 1);
-	mmx_task_post(exit->client, &call->message);
-}
-
-/* Time that must be left for a start: what has waited starts only if it is
- * likely to end before its deadline. */
-static mmx_time_t needed_(const mmx_attempt_t *attempt, mmx_time_t now)
-{
-	return attempt->arrived < now
-		       ? mmx_exit_target_run_time(attempt->target,
-						  attempt->execute->route)
-		       : 0;
-}
-
-void mmx_exit_start_queued(mmx_exit_t *exit, mmx_exit_target_t *target)
-{
-	mmx_time_t now = mmx_clock_now(exit->clock);
-	mmx_attempt_t *attempt;
-
-	if (!mmx_exit_target_serves_queue(target, now) &&
-	    exit->guards->draining) {
-		mmx_exit_refuse_queue(exit, target);
-		return;
-	}
-	while ((attempt = mmx_exit_target_next(target, now))) {
-		/* The deadline is read here and not from a timer, so that a
-		 * process that was paused starts nothing whose time is up. */
-		if (attempt->deadline - now <= needed_(attempt, now)) {
-			mmx_counter_add(exit->expired, 1);
-			mmx_exit_refuse_queued(
-				exit, attempt,
-				attempt->deadline <= now
-					? MMX_REASON_DEADLINE_EXCEEDED
-					: MMX_REASON_OVERLOADED);
-			continue;
-		}
-		if (!mmx_exit_target_can_start(target, now))
-			return;
-		start_(exit, attempt);
-	}
-}
-
 static mmx_limits_share_t share_(const mmx_exit_t *exit, const char *account)
 {
 	mmx_limits_share_t share = {.ceiling_percent = 100};
@@ -271,6 +164,32 @@
 	return meant;
 }
 
+/* Less than half of a usual run is left: the target would work in vain. */
+static bool is_time_short_(const mmx_exit_target_t *target,
+			   const mmx_execute_t *execute)
+{
+	return execute->remaining <
+	       mmx_exit_target_run_time(target, execute->route) / 2;
+}
+
+/*
+ * A repeat that this target cannot take may be made at another one on the
+ * budget of this one, which would otherwise be left over where targets are
+ * suspect or full, and be missing elsewhere.
+ */
+static bool may_grant_(const mmx_exit_t *exit, mmx_exit_target_t *target,
+		       const mmx_execute_t *execute, mmx_reason_t reason)
+{
+	if (!execute->repeat || execute->granted || !target ||
+	    !exit->observer || !exit->observer->retry_limit)
+		return false;
+	if (reason != MMX_REASON_SUSPECT && reason != MMX_REASON_BUSY &&
+	    reason != MMX_REASON_OVERLOADED)
+		return false;
+	return mmx_exit_target_grant_repeat(target, execute->route,
+					    mmx_clock_now(exit->clock));
+}
+
 static mmx_reason_t admit_(mmx_exit_t *exit, const mmx_execute_t *execute,
 			   mmx_exit_target_t **target)
 {
@@ -302,7 +221,9 @@
 		return MMX_REASON_OVERLOADED;
 	/* Many entries together send one trial at a time. */
 	if (execute->trial && !mmx_detection_may_try((*target)->detection))
-		return MMX_REASON_OVERLOADED;
+		return MMX_REASON_SUSPECT;
+	if (is_time_short_(*target, execute))
+		return MMX_REASON_TIME_SHORT;
 	if (exit->observer && exit->observer->retry_limit)
 		follow_retry_limit_(exit, *target);
 	reason = mmx_exit_target_admit(*target, &request,
@@ -310,7 +231,7 @@
 	if (reason == MMX_REASON_NONE && exit->episodes &&
 	    must_avoid_(exit, *target, execute))
 		return MMX_REASON_SUSPECT;
-	if (reason == MMX_REASON_NONE && execute->repeat &&
+	if (reason == MMX_REASON_NONE && execute->repeat && !execute->granted &&
 	    !take_retry_(exit, *target, execute->route))
 		return MMX_REASON_RETRY_BUDGET;
 	if (reason == MMX_REASON_DRAINING && !exit->guards->draining)
@@ -318,6 +239,21 @@
 	return reason;
 }
 
+static void post_admission_refusal_(mmx_exit_t *exit,
+				    const mmx_execute_t *execute,
+				    mmx_exit_target_t *target,
+				    mmx_reason_t reason)
+{
+	mmx_response_t *response = mmx_new_response(&execute->attempt);
+
+	response->reason = reason;
+	response->body_end = true;
+	response->grant = may_grant_(exit, target, execute, reason);
+	mmx_counter_add(exit->refused, 1);
+	mmx_counter_add(exit->granted, response->grant);
+	mmx_exit_post_response(exit, response, target, &execute->origin);
+}
+
 static void on_new_execute_(mmx_exit_t *exit, mmx_execute_t *execute)
 {
 	mmx_exit_target_t *target;
@@ -328,8 +264,7 @@
 		mmx_exit_health_note(exit, target, execute);
 	if (reason != MMX_REASON_NONE) {
 		mmx_exit_log_refused(exit, execute, target, reason);
-		mmx_exit_post_refusal(exit, &execute->attempt, &execute->origin,
-				      target, reason, false);
+		post_admission_refusal_(exit, execute, target, reason);
 		/* A copy that arrives later must not start either. */
 		attempt = mmx_attempts_add(exit->attempts, &execute->attempt);
 		attempt->repeatable = execute->repeatable;
@@ -347,8 +282,7 @@
 	attempt->deadline = mmx_clock_now(exit->clock) + execute->remaining;
 	attempt->share = share_(exit, execute->account);
 	mmx_exit_trace_arrived(exit, attempt);
-	mmx_exit_target_queue(target, attempt, mmx_clock_now(exit->clock));
-	mmx_exit_start_queued(exit, target);
+	mmx_exit_enqueue(exit, attempt);
 }
 
 void mmx_exit_on_execute(mmx_exit_t *exit, mmx_execute_t *execute)
@@ -537,14 +471,6 @@
 	g_array_free(abandoning.cut, TRUE);
 }
 
-void mmx_exit_refuse_queue(mmx_exit_t *exit, mmx_exit_target_t *target)
-{
-	mmx_attempt_t *attempt;
-
-	while ((attempt = TAILQ_FIRST(&target->queue)))
-		mmx_exit_refuse_queued(exit, attempt, MMX_REASON_DRAINING);
-}
-
 typedef struct repeats_t {
 	mmx_time_t objective;
 	unsigned int running;
@@ -596,19 +522,3 @@
 	}
 	g_ptr_array_free(running, TRUE);
 }
-
-void mmx_exit_expire_queued(mmx_exit_t *exit, mmx_exit_target_t *target)
-{
-	mmx_time_t now = mmx_clock_now(exit->clock);
-	mmx_attempt_t *attempt;
-	mmx_attempt_t *next;
-
-	for (attempt = TAILQ_FIRST(&target->queue); attempt; attempt = next) {
-		next = TAILQ_NEXT(attempt, queue_entry);
-		if (attempt->deadline > now)
-			continue;
-		mmx_counter_add(exit->expired, 1);
-		mmx_exit_refuse_queued(exit, attempt,
-				       MMX_REASON_DEADLINE_EXCEEDED);
-	}
-}
--- a/src/libmasticmux/exit_call.c
+++ b/src/libmasticmux/exit_call.c
@@ -22,9 +22,10 @@
 	/* The target client closes the connection at the deadline. */
 	bool late = mmx_clock_now(exit->clock) >= attempt->deadline;
 
-	mmx_exit_health_fault(exit, attempt,
-			      started && late ? MMX_FAULT_LATE
-					      : MMX_FAULT_BROKEN);
+	if (!started || !late)
+		mmx_exit_health_fault(exit, attempt, MMX_FAULT_BROKEN);
+	else if (!attempt->overdue)
+		mmx_exit_health_fault(exit, attempt, MMX_FAULT_LATE);
 	mmx_exit_health_end(attempt, (started && late) || exit->episodes
 					     ? MMX_RESULT_ABANDONED
 					     : MMX_RESULT_ERROR);
--- a/src/libmasticmux/exit_health.c
+++ b/src/libmasticmux/exit_health.c
@@ -98,6 +98,8 @@
 		      "result", mmx_fault_result_string[result], "probability",
 		      probability, NULL);
 	mmx_exit_health_tell(exit, target);
+	if (suspect)
+		mmx_exit_give_back_queue(exit, target);
 }
 
 bool mmx_exit_health_end(mmx_attempt_t *attempt, mmx_result_t result)
@@ -184,6 +186,37 @@
 	mmx_exit_health_tell(exit, target);
 }
 
+/*
+ * A target that accepts requests and never answers shows it by their age. It
+ * is avoided from then on, and not from their deadline, which may be many
+ * times the usual run time away.
+ */
+static void note_overdue_(mmx_attempt_t *attempt, void *arg)
+{
+	mmx_exit_t *exit = arg;
+	mmx_time_t age = mmx_clock_now(exit->clock) - attempt->started;
+
+	if (attempt->state != MMX_ATTEMPT_RUNNING || attempt->overdue ||
+	    attempt->headed ||
+	    age < mmx_exit_target_overdue_limit(attempt->target,
+						attempt->execute->route,
+						attempt->execute->objective))
+		return;
+	attempt->overdue = true;
+	mmx_exit_log_overdue(exit, attempt, age);
+	mmx_exit_health_fault(exit, attempt, MMX_FAULT_OVERDUE);
+}
+
+static bool is_busy_(const mmx_exit_t *exit)
+{
+	const mmx_exit_target_t *target;
+
+	LIST_FOREACH (target, &exit->targets, entry)
+		if (target->in_progress > 0)
+			return true;
+	return false;
+}
+
 void mmx_exit_health_on_timer(void *arg)
 {
 	mmx_exit_t *exit = arg;
@@ -198,6 +231,8 @@
 	 * read; until then requests in progress look old. */
 	if (paused)
 		return;
+	if (exit->episodes && is_busy_(exit))
+		mmx_attempts_each_open(exit->attempts, note_overdue_, exit);
 	LIST_FOREACH (target, &exit->targets, entry)
 		evaluate_(exit, target, now);
 }
--- a/src/libmasticmux/exit_log.c
+++ b/src/libmasticmux/exit_log.c
@@ -66,6 +66,24 @@
 		      "priority", numbers.priority, NULL);
 }
 
+void mmx_exit_log_overdue(mmx_exit_t *exit, const mmx_attempt_t *attempt,
+			  mmx_time_t age)
+{
+	char age_ms[24];
+	char run_ms[24];
+
+	if (!exit->log)
+		return;
+	mmx_log_format_ms(age_ms, sizeof(age_ms), age);
+	mmx_log_format_ms(run_ms, sizeof(run_ms),
+			  mmx_exit_target_run_time(attempt->target,
+						   attempt->execute->route));
+	mmx_log_event(exit->log, MMX_LOG_INFO, "call_overdue", "id",
+		      attempt->request_id, "target",
+		      attempt->target->record.name, "age_ms", age_ms, "run_ms",
+		      run_ms, NULL);
+}
+
 void mmx_exit_log_failed(mmx_exit_t *exit, const mmx_attempt_t *attempt,
 			 const char *result)
 {
--- a/src/libmasticmux/exit_target.c
+++ b/src/libmasticmux/exit_target.c
@@ -342,27 +342,52 @@
 	return true;
 }
 
+bool mmx_exit_target_grant_repeat(mmx_exit_target_t *target, uint32_t route,
+				  mmx_time_t now)
+{
+	mmx_retry_window_t *own =
+		route ? &use_route_(target, route, now)->retry : NULL;
+
+	return (!own || mmx_retry_window_has(own, now)) &&
+	       mmx_retry_window_grant(&target->retry, now) &&
+	       (!own || mmx_retry_window_grant(own, now));
+}
+
 void mmx_exit_target_note_service(mmx_exit_target_t *target, uint32_t route,
 				  mmx_time_t took, mmx_time_t now)
 {
-	mmx_exit_route_t *known;
-
 	smooth_(&target->mean_service, took);
-	if (route == 0)
-		return;
-	known = use_route_(target, route, now);
-	smooth_(&known->mean, took);
+	if (route != 0)
+		mmx_overdue_add(&use_route_(target, route, now)->run, took);
 }
 
-mmx_time_t mmx_exit_target_run_time(const mmx_exit_target_t *target,
-				    uint32_t route)
+static const mmx_exit_route_t *find_route_(const mmx_exit_target_t *target,
+					   uint32_t route)
 {
 	size_t i;
 
 	for (i = 0; route && i < MMX_EXIT_ROUTES_MAX; i++)
-		if (target->routes[i].route == route && target->routes[i].mean)
-			return target->routes[i].mean;
-	return target->mean_service;
+		if (target->routes[i].route == route)
+			return &target->routes[i];
+	return NULL;
+}
+
+mmx_time_t mmx_exit_target_run_time(const mmx_exit_target_t *target,
+				    uint32_t route)
+{
+	const mmx_exit_route_t *known = find_route_(target, route);
+
+	return known && known->run.mean ? known->run.mean
+					: target->mean_service;
+}
+
+mmx_time_t mmx_exit_target_overdue_limit(const mmx_exit_target_t *target,
+					 uint32_t route, mmx_time_t objective)
+{
+	static const mmx_overdue_t unknown;
+	const mmx_exit_route_t *known = find_route_(target, route);
+
+	return mmx_overdue_limit(known ? &known->run : &unknown, objective);
 }
 
 void mmx_exit_target_report(const mmx_exit_target_t *target,
--- a/src/libmasticmux/fault.c
+++ b/src/libmasticmux/fault.c
@@ -24,26 +24,24 @@
 #define TRIAL_PAUSE_US (500 * MMX_US_PER_MS)
 
 const char *const mmx_fault_result_string[MMX_FAULT_RESULT_COUNT] = {
-	"success",
-	"broken",
-	"status",
-	"late",
+	"success", "broken", "status", "late", "overdue",
 };
 
 /*
  * How often a result occurs in either state. In an episode about three
  * requests in four fail. Sound targets answer with a failure of their own in
  * about one of a hundred requests, and in more when a service that they call
- * fails; connections of sound targets rarely break.
+ * fails; connections of sound targets rarely break. One request in thirty of a
+ * sound target is overdue by the distribution of its run times, and more when
+ * a service that it calls is.
  */
 static const struct {
 	double failing;
 	double sound;
 } likelihood_[MMX_FAULT_RESULT_COUNT] = {
-	[MMX_FAULT_SUCCESS] = {0.25, 0.95},
-	[MMX_FAULT_BROKEN] = {0.75, 0.02},
-	[MMX_FAULT_STATUS] = {0.6, 0.25},
-	[MMX_FAULT_LATE] = {0.5, 0.1},
+	[MMX_FAULT_SUCCESS] = {0.25, 0.95}, [MMX_FAULT_BROKEN] = {0.75, 0.02},
+	[MMX_FAULT_STATUS] = {0.6, 0.25},   [MMX_FAULT_LATE] = {0.5, 0.1},
+	[MMX_FAULT_OVERDUE] = {0.75, 0.08},
 };
 
 void mmx_fault_init(mmx_fault_t *fault, mmx_time_t now)
--- a/src/libmasticmux/filter_attempt.c
+++ b/src/libmasticmux/filter_attempt.c
@@ -13,17 +13,17 @@
 #include <event2/buffer.h>
 #include <glib.h>
 
+#include "masticmux/retry_window.h"
+
 /* A fencing query without a reply is repeated after this time. */
 #define FENCE_RETRY_US (500 * MMX_US_PER_MS)
 /* Time before the deadline at which a silent attempt is fenced. */
 #define FENCE_LEAD_MAX_US (100 * MMX_US_PER_MS)
 
-static void try_next_(mmx_attempt_filter_t *self, mmx_exchange_t *exchange);
-
 /* --- sending ----------------------------------------------------------- */
 
-static void set_deadline_timer_(mmx_attempt_filter_t *self,
-				mmx_exchange_t *exchange)
+void mmx_attempt_set_deadline(mmx_attempt_filter_t *self,
+			      mmx_exchange_t *exchange)
 {
 	mmx_time_t now = mmx_clock_now(self->clock);
 	mmx_time_t remaining = exchange->deadline - now;
@@ -53,7 +53,7 @@
 	    (exchange->state == MMX_EXCHANGE_FENCING &&
 	     exchange->timer.due <= exchange->deadline))
 		return;
-	set_deadline_timer_((mmx_attempt_filter_t *)filter, exchange);
+	mmx_attempt_set_deadline((mmx_attempt_filter_t *)filter, exchange);
 }
 
 void mmx_attempt_transmit(mmx_attempt_filter_t *self, mmx_exchange_t *exchange)
@@ -72,7 +72,8 @@
 	count_remote_(exchange, self->remote_sent, execute->head,
 		      execute->body);
 	mmx_entry_post_exit(self->entry, exchange->exit, &execute->message);
-	set_deadline_timer_(self, exchange);
+	mmx_attempt_set_deadline(self, exchange);
+	mmx_attempt_watch(self, exchange);
 }
 
 static void send_(mmx_attempt_filter_t *self, mmx_exchange_t *exchange,
@@ -116,6 +117,7 @@
 	end_trial_(self, exchange, MMX_VIEW_TRIAL_BAD);
 	exchange->state = MMX_EXCHANGE_WAITING;
 	mmx_timer_cancel(&exchange->timer);
+	mmx_timer_cancel(&exchange->overdue);
 }
 
 /* The part of a refused answer that is held is of no use any more. */
@@ -127,41 +129,20 @@
 		       evbuffer_get_length(exchange->answer_body));
 }
 
-/* Reasons between nodes become those that callers know. */
-static mmx_reason_t caller_reason_(mmx_reason_t reason)
-{
-	switch (reason) {
-	case MMX_REASON_NONE:
-		return MMX_REASON_TARGET_FAILED;
-	case MMX_REASON_DRAINING:
-		return MMX_REASON_NO_CAPACITY;
-	case MMX_REASON_BUSY:
-	case MMX_REASON_RETRY_BUDGET:
-	case MMX_REASON_SUSPECT:
-		return MMX_REASON_OVERLOADED;
-	case MMX_REASON_FENCED:
-		/* By this entry, because the deadline was near. */
-		return MMX_REASON_DEADLINE_EXCEEDED;
-	case MMX_REASON_WRONG_INCARNATION:
-	case MMX_REASON_FORGOTTEN:
-		return MMX_REASON_PATH_LOST;
-	default:
-		return reason;
-	}
-}
-
 void mmx_attempt_refuse(mmx_attempt_filter_t *self, mmx_exchange_t *exchange,
 			mmx_reason_t reason)
 {
 	mmx_attempt_close(self, exchange);
+	if (mmx_attempt_resume_earlier(self, exchange))
+		return;
 	mmx_entry_refuse(exchange,
 			 exchange->may_have_run ? MMX_OUTCOME_UNKNOWN
 						: MMX_OUTCOME_NOT_RUN,
-			 caller_reason_(reason));
+			 mmx_reason_for_caller(reason));
 }
 
-static bool can_send_again_(mmx_attempt_filter_t *self,
-			    const mmx_exchange_t *exchange)
+bool mmx_attempt_can_send_again(const mmx_attempt_filter_t *self,
+				const mmx_exchange_t *exchange)
 {
 	return exchange->body_whole &&
 	       exchange->attempts < exchange->attempts_max &&
@@ -204,9 +185,9 @@
 	mmx_attempt_close(self, exchange);
 	drop_held_answer_(exchange);
 	exchange->refusal = reason;
-	if (can_send_again_(self, exchange) &&
+	if (mmx_attempt_can_send_again(self, exchange) &&
 	    may_send_refused_(self, exchange, reason, offered))
-		try_next_(self, exchange);
+		mmx_attempt_try_next(self, exchange);
 	else
 		mmx_attempt_refuse(self, exchange, reason);
 }
@@ -229,7 +210,7 @@
 	exchange->offers++;
 	exchange->refusal = reason;
 	mmx_counter_add(self->repeated, 1);
-	try_next_(self, exchange);
+	mmx_attempt_try_next(self, exchange);
 }
 
 /* After an attempt that may have run. */
@@ -244,16 +225,16 @@
 	exchange->offers++;
 	exchange->refusal = reason;
 	if ((exchange->repeatable || !self->guards->fence) &&
-	    can_send_again_(self, exchange) &&
+	    mmx_attempt_can_send_again(self, exchange) &&
 	    mmx_view_take_retry(self->view, exchange->service)) {
 		mmx_counter_add(self->repeated, 1);
-		try_next_(self, exchange);
+		mmx_attempt_try_next(self, exchange);
 	} else {
 		mmx_attempt_refuse(self, exchange, reason);
 	}
 }
 
-static void try_next_(mmx_attempt_filter_t *self, mmx_exchange_t *exchange)
+void mmx_attempt_try_next(mmx_attempt_filter_t *self, mmx_exchange_t *exchange)
 {
 	bool timed = exchange->objective > 0;
 	bool near = exchange->attempts < MMX_NEAR_ATTEMPTS;
@@ -293,12 +274,18 @@
 		      MIN(FENCE_RETRY_US, exchange->deadline - now));
 }
 
-static void send_cancel_(mmx_attempt_filter_t *self, mmx_exchange_t *exchange)
+void mmx_attempt_send_cancel(mmx_attempt_filter_t *self,
+			     const mmx_attempt_id_t *id, mmx_node_id_t exit)
 {
-	mmx_cancel_t *cancel = mmx_new_cancel(&exchange->attempt);
+	mmx_cancel_t *cancel = mmx_new_cancel(id);
+
+	cancel->exit = exit;
+	mmx_entry_post_exit(self->entry, exit, &cancel->message);
+}
 
-	cancel->exit = exchange->exit;
-	mmx_entry_post_exit(self->entry, exchange->exit, &cancel->message);
+static void send_cancel_(mmx_attempt_filter_t *self, mmx_exchange_t *exchange)
+{
+	mmx_attempt_send_cancel(self, &exchange->attempt, exchange->exit);
 }
 
 /* The caller has part of the answer: it must see that the rest is missing. */
@@ -340,6 +327,7 @@
 		return;
 	}
 	send_cancel_(self, exchange);
+	mmx_attempt_drop_earlier(self, exchange, true);
 	exchange->may_have_run = true;
 	mmx_attempt_refuse(self, exchange, MMX_REASON_DEADLINE_EXCEEDED);
 }
@@ -378,7 +366,7 @@
 	case MMX_FENCE_RUNNING:
 		exchange->state = MMX_EXCHANGE_RUNNING;
 		drop_held_answer_(exchange);
-		set_deadline_timer_(self, exchange);
+		mmx_attempt_set_deadline(self, exchange);
 		break;
 	case MMX_FENCE_FINISHED:
 		drop_held_answer_(exchange);
@@ -428,6 +416,9 @@
 	for (; exchange; exchange = next) {
 		next = exchange == last ? NULL
 					: TAILQ_NEXT(exchange, path_entry);
+		if (exchange->earlier.id.sequence &&
+		    exchange->earlier.exit == lost->exit)
+			mmx_attempt_drop_earlier(self, exchange, true);
 		if (exchange->exit == lost->exit)
 			on_path_lost_(self, exchange);
 	}
@@ -440,6 +431,11 @@
 {
 	mmx_reason_t reason = response->reason;
 
+	if (response->grant)
+		exchange->granted_until =
+			mmx_clock_now(self->clock) + MMX_RETRY_GRANT_US;
+	else if (response->offered || response->started)
+		exchange->granted_until = 0;
 	if (exchange->state == MMX_EXCHANGE_ANSWERING) {
 		cut_answer_(self, exchange);
 		return;
@@ -460,7 +456,7 @@
 			     mmx_exchange_t *exchange)
 {
 	exchange->state = MMX_EXCHANGE_ANSWERING;
-	set_deadline_timer_(self, exchange);
+	mmx_attempt_set_deadline(self, exchange);
 }
 
 static void pass_held_answer_(mmx_attempt_filter_t *self,
@@ -473,6 +469,8 @@
 				   exchange->head_arrived,
 			   head->status >= 500);
 	exchange->answer_head = NULL;
+	if (end && head->status < 500)
+		mmx_attempt_note_time(self, exchange);
 	if (end)
 		mmx_attempt_close(self, exchange);
 	else
@@ -490,7 +488,7 @@
 	return response->head->status >= 500 && exchange->repeatable &&
 	       exchange->objective > 0 &&
 	       exchange->offers + 1 < exchange->offers_max &&
-	       can_send_again_(self, exchange) &&
+	       mmx_attempt_can_send_again(self, exchange) &&
 	       mmx_view_take_retry(self->view, exchange->service);
 }
 
@@ -509,6 +507,8 @@
 		repeat_(self, exchange, MMX_REASON_TARGET_FAILED);
 		return;
 	}
+	mmx_attempt_drop_earlier(self, exchange, true);
+	mmx_timer_cancel(&exchange->overdue);
 	exchange->target_time = response->target_time;
 	exchange->head_arrived = mmx_clock_now(self->clock);
 	exchange->answer_head = response->head;
@@ -516,7 +516,7 @@
 	evbuffer_add_buffer(exchange->answer_body, response->body);
 	if (exchange->state == MMX_EXCHANGE_SENT) {
 		exchange->state = MMX_EXCHANGE_RUNNING;
-		set_deadline_timer_(self, exchange);
+		mmx_attempt_set_deadline(self, exchange);
 	}
 	if (response->body_end ||
 	    evbuffer_get_length(exchange->answer_body) > MMX_HELD_BODY_MAX)
@@ -529,6 +529,11 @@
 	mmx_attempt_filter_t *self = (mmx_attempt_filter_t *)filter;
 	mmx_load_report_t load = response->load;
 
+	if (mmx_attempt_is_earlier(exchange, &response->attempt) &&
+	    !mmx_attempt_earlier_response(self, exchange, response)) {
+		mmx_view_report(self->view, &load);
+		return;
+	}
 	mmx_view_path_progress(self->view, exchange->exit);
 	count_remote_(exchange, self->remote_received, response->head,
 		      response->body);
@@ -560,6 +565,9 @@
 {
 	mmx_attempt_filter_t *self = (mmx_attempt_filter_t *)filter;
 
+	/* Parts follow a head, which ends the other attempt. */
+	if (mmx_attempt_is_earlier(exchange, &body->attempt))
+		return;
 	mmx_view_path_progress(self->view, exchange->exit);
 	count_remote_(exchange, self->remote_received, NULL, body->data);
 	if (exchange->state != MMX_EXCHANGE_ANSWERING) {
@@ -602,9 +610,10 @@
 	mmx_attempt_filter_t *self = (mmx_attempt_filter_t *)filter;
 
 	mmx_timer_init(&exchange->timer, self->clock, on_timer_, exchange);
+	mmx_attempt_watch_init(self, exchange);
 	exchange->inherited =
 		mmx_entry_repeat_share(self->entry, exchange->objective);
-	try_next_(self, exchange);
+	mmx_attempt_try_next(self, exchange);
 	return MMX_FILTER_WAIT;
 }
 
@@ -614,6 +623,7 @@
 
 	if (exchange->state == MMX_EXCHANGE_WAITING)
 		return;
+	mmx_attempt_drop_earlier(self, exchange, true);
 	if (!mmx_exchange_is_claiming(exchange))
 		send_cancel_(self, exchange);
 	/* A caller that leaves says nothing about the target. */
@@ -623,6 +633,7 @@
 
 static void destroy_(mmx_filter_t *filter)
 {
+	g_hash_table_destroy(((mmx_attempt_filter_t *)filter)->routes);
 	g_free(filter);
 }
 
@@ -644,6 +655,8 @@
 	self->guards = mmx_entry_guards(entry);
 	self->view = mmx_entry_view(entry);
 	TAILQ_INIT(&self->open);
+	self->routes =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	if (counters) {
 		self->sent = mmx_counters_get(counters, MMX_COUNTER,
 					      "masticmux_attempts_total", "",
@@ -654,6 +667,13 @@
 		self->fences = mmx_counters_get(counters, MMX_COUNTER,
 						"masticmux_fences_total", "",
 						"Fencing queries sent.");
+		self->overdue_repeats = mmx_counters_get(
+			counters, MMX_COUNTER,
+			"masticmux_overdue_repeats_total", "",
+			"Second attempts of requests without an answer yet.");
+		self->overdue_kept = mmx_counters_get(
+			counters, MMX_COUNTER, "masticmux_overdue_kept_total",
+			"", "Overdue attempts that gave the answer after all.");
 		self->remote_sent = mmx_counters_get(
 			counters, MMX_COUNTER, "masticmux_remote_bytes_total",
 			"direction=\"sent\"",
--- /dev/null
+++ b/src/libmasticmux/filter_attempt_overdue.c
@@ -0,0 +1,180 @@
+/*
+ * Second attempts of reads whose first one is overdue.
+ *
+ * Some targets accept requests and never answer them. The first attempt is
+ * left running beside the second, because it may only be slow; whichever
+ * answers first ends the other.
+ */
+#include <glib.h>
+
+#include "private/filter_attempt.h"
+
+/* Routes that are known apart; a configuration that renames its routes again
+ * and again must not make the table grow. */
+#define ROUTES_MAX 4096
+
+static mmx_overdue_t *route_(mmx_attempt_filter_t *self,
+			     const mmx_exchange_t *exchange)
+{
+	mmx_overdue_t *known =
+		g_hash_table_lookup(self->routes, exchange->route);
+
+	if (known)
+		return known;
+	if (g_hash_table_size(self->routes) >= ROUTES_MAX)
+		g_hash_table_remove_all(self->routes);
+	known = g_new0(mmx_overdue_t, 1);
+	g_hash_table_insert(self->routes, g_strdup(exchange->route), known);
+	return known;
+}
+
+void mmx_attempt_note_time(mmx_attempt_filter_t *self,
+			   const mmx_exchange_t *exchange)
+{
+	if (exchange->objective > 0)
+		mmx_overdue_add(route_(self, exchange),
+				mmx_clock_now(self->clock) - exchange->sent);
+}
+
+void mmx_attempt_watch(mmx_attempt_filter_t *self, mmx_exchange_t *exchange)
+{
+	mmx_time_t now = mmx_clock_now(self->clock);
+	mmx_time_t delay;
+
+	exchange->sent = now;
+	if (!exchange->repeatable || exchange->objective == 0)
+		return;
+	delay = mmx_overdue_repeat_after(route_(self, exchange),
+					 exchange->objective,
+					 exchange->deadline - now);
+	if (delay != MMX_TIME_NEVER)
+		mmx_timer_set(&exchange->overdue, delay);
+}
+
+void mmx_attempt_drop_earlier(mmx_attempt_filter_t *self,
+			      mmx_exchange_t *exchange, bool cancel)
+{
+	mmx_earlier_attempt_t *earlier = &exchange->earlier;
+
+	if (!earlier->id.sequence)
+		return;
+	if (cancel) {
+		mmx_attempt_send_cancel(self, &earlier->id, earlier->exit);
+		exchange->may_have_run = true;
+	}
+	mmx_view_finish(self->view, earlier->target, earlier->exit);
+	mmx_entry_forget_earlier(exchange);
+}
+
+bool mmx_attempt_resume_earlier(mmx_attempt_filter_t *self,
+				mmx_exchange_t *exchange)
+{
+	const mmx_earlier_attempt_t *earlier = &exchange->earlier;
+
+	if (!earlier->id.sequence)
+		return false;
+	exchange->target = earlier->target;
+	exchange->exit = earlier->exit;
+	exchange->exit_incarnation = earlier->exit_incarnation;
+	exchange->remote = earlier->remote;
+	exchange->sent = earlier->sent;
+	exchange->path_lost = false;
+	exchange->offers--;
+	mmx_entry_resume_attempt(exchange);
+	TAILQ_INSERT_TAIL(&self->open, exchange, path_entry);
+	exchange->state = MMX_EXCHANGE_RUNNING;
+	mmx_attempt_set_deadline(self, exchange);
+	mmx_entry_trace_note(exchange, "resumed", "earlier-kept");
+	return true;
+}
+
+/* The attempt that is out goes on beside the one that is made next. */
+static void set_aside_(mmx_attempt_filter_t *self, mmx_exchange_t *exchange)
+{
+	mmx_attempt_drop_earlier(self, exchange, true);
+	mmx_entry_set_attempt_aside(exchange);
+	exchange->earlier.exit = exchange->exit;
+	exchange->earlier.exit_incarnation = exchange->exit_incarnation;
+	exchange->earlier.target = exchange->target;
+	exchange->earlier.remote = exchange->remote;
+	exchange->earlier.sent = exchange->sent;
+	TAILQ_REMOVE(&self->open, exchange, path_entry);
+	mmx_entry_trace_attempt_end(exchange);
+	if (exchange->trial)
+		mmx_view_trial(self->view, exchange->target,
+			       MMX_VIEW_TRIAL_BAD);
+	exchange->trial = false;
+	exchange->state = MMX_EXCHANGE_WAITING;
+	mmx_timer_cancel(&exchange->timer);
+}
+
+static bool may_repeat_(const mmx_attempt_filter_t *self,
+			const mmx_exchange_t *exchange)
+{
+	return (exchange->state == MMX_EXCHANGE_SENT ||
+		exchange->state == MMX_EXCHANGE_RUNNING) &&
+	       !exchange->answer_head && exchange->body_end &&
+	       exchange->offers + 1 < exchange->offers_max &&
+	       mmx_attempt_can_send_again(self, exchange) &&
+	       mmx_view_take_retry(self->view, exchange->service);
+}
+
+static void on_overdue_(void *arg)
+{
+	mmx_exchange_t *exchange = arg;
+	mmx_attempt_filter_t *self = (mmx_attempt_filter_t *)exchange->filter;
+
+	if (!may_repeat_(self, exchange))
+		return;
+	mmx_entry_trace_note(exchange, "overdue", "overdue");
+	set_aside_(self, exchange);
+	exchange->offers++;
+	exchange->repeated = mmx_clock_now(self->clock);
+	mmx_counter_add(self->overdue_repeats, 1);
+	mmx_attempt_try_next(self, exchange);
+}
+
+void mmx_attempt_watch_init(mmx_attempt_filter_t *self,
+			    mmx_exchange_t *exchange)
+{
+	mmx_timer_init(&exchange->overdue, self->clock, on_overdue_, exchange);
+}
+
+/* The earlier attempt has failed or was refused: the later one is the only
+ * one. */
+static void drop_failed_(mmx_attempt_filter_t *self, mmx_exchange_t *exchange,
+			 const mmx_response_t *response, bool failed)
+{
+	bool ran = !failed || response->started;
+
+	if (ran) {
+		exchange->may_have_run = true;
+		mmx_view_completed(self->view, exchange->earlier.target, 0,
+				   true);
+	} else if (!response->offered) {
+		/* It has waited in a queue and was no offer. */
+		exchange->offers--;
+	}
+	mmx_attempt_drop_earlier(self, exchange,
+				 !failed && !response->body_end);
+}
+
+bool mmx_attempt_earlier_response(mmx_attempt_filter_t *self,
+				  mmx_exchange_t *exchange,
+				  const mmx_response_t *response)
+{
+	bool failed = response->reason != MMX_REASON_NONE || !response->head;
+	bool usable = !failed && response->head->status < 500;
+
+	mmx_view_path_progress(self->view, exchange->earlier.exit);
+	if (!usable) {
+		drop_failed_(self, exchange, response, failed);
+		return false;
+	}
+	mmx_attempt_send_cancel(self, &exchange->attempt, exchange->exit);
+	mmx_attempt_close(self, exchange);
+	mmx_attempt_resume_earlier(self, exchange);
+	exchange->earlier_answered = true;
+	mmx_counter_add(self->overdue_kept, 1);
+	return true;
+}
--- a/src/libmasticmux/filter_attempt_send.c
+++ b/src/libmasticmux/filter_attempt_send.c
@@ -65,6 +65,8 @@
 	execute->keyed = exchange->key[0] != '\0';
 	execute->priority = exchange->priority;
 	execute->repeat = exchange->offers > 0;
+	execute->granted = execute->repeat &&
+			   mmx_clock_now(self->clock) < exchange->granted_until;
 	execute->inherited = exchange->inherited;
 	execute->objective = exchange->objective;
 	execute->route = exchange->route[0] ? g_str_hash(exchange->route) : 0;
--- a/src/libmasticmux/include/private/attempts.h
+++ b/src/libmasticmux/include/private/attempts.h
@@ -53,6 +53,7 @@
 	mmx_detection_request_t detection; /* while judged */
 	bool judged;			   /* counts as work in progress */
 	bool trial;
+	bool overdue;	  /* reported as such */
 	bool offered;	  /* the target has got the request */
 	char *request_id; /* of the caller; NULL: none */
 	bool error;	  /* the status says so */
--- a/src/libmasticmux/include/private/entry.h
+++ b/src/libmasticmux/include/private/entry.h
@@ -196,6 +196,12 @@
 const mmx_guards_t *mmx_entry_guards(const mmx_entry_t *entry);
 /* A new attempt id; the exchange is found by it from now on. */
 void mmx_entry_new_attempt(mmx_exchange_t *exchange);
+/* The latest attempt becomes the earlier one, so that another can be made. */
+void mmx_entry_set_attempt_aside(mmx_exchange_t *exchange);
+/* The earlier attempt is the only one again. */
+void mmx_entry_resume_attempt(mmx_exchange_t *exchange);
+/* Whatever comes for the earlier attempt is not for this exchange any more. */
+void mmx_entry_forget_earlier(mmx_exchange_t *exchange);
 /* Posts to the exit of this node or to the peer task. */
 void mmx_entry_post_exit(mmx_entry_t *entry, mmx_node_id_t exit,
 			 mmx_message_t *message);
--- a/src/libmasticmux/include/private/exchange.h
+++ b/src/libmasticmux/include/private/exchange.h
@@ -31,6 +31,16 @@
 
 extern const char *const mmx_exchange_state_string[MMX_EXCHANGE_STATE_COUNT];
 
+/* An attempt that is still out while a later one is. */
+typedef struct mmx_earlier_attempt_t {
+	mmx_attempt_id_t id; /* sequence 0: there is none */
+	mmx_node_id_t exit;
+	mmx_incarnation_t exit_incarnation;
+	mmx_target_id_t target;
+	bool remote;
+	mmx_time_t sent;
+} mmx_earlier_attempt_t;
+
 typedef struct mmx_exchange_t {
 	TAILQ_ENTRY(mmx_exchange_t) path_entry; /* of the exit in use */
 	struct mmx_entry_t *owner;
@@ -70,6 +80,11 @@
 	mmx_node_id_t exit;
 	mmx_incarnation_t exit_incarnation;
 	mmx_target_id_t target;
+	mmx_time_t sent;       /* the latest attempt */
+	mmx_timer_t overdue;   /* no answer to the latest attempt so far */
+	mmx_time_t repeated;   /* a second attempt went out; 0: none did */
+	bool earlier_answered; /* the earlier one gave the answer */
+	mmx_earlier_attempt_t earlier;
 	bool path_lost;		 /* told of the attempt that is out */
 	bool remote;		 /* the exit is in another region */
 	bool trial;		 /* of an ejected target; not decided yet */
@@ -79,6 +94,7 @@
 	mmx_target_id_t tried[MMX_ATTEMPTS_MAX];
 	unsigned int attempts;
 	unsigned int attempts_max;
+	mmx_time_t granted_until; /* a repeat is charged elsewhere; 0: none */
 	unsigned int offers;  /* attempts that reached a target, or may have */
 	bool may_have_run;    /* an ended attempt may have run */
 	mmx_reason_t refusal; /* of the latest attempt */
--- a/src/libmasticmux/include/private/exit_internal.h
+++ b/src/libmasticmux/include/private/exit_internal.h
@@ -39,12 +39,14 @@
 	mmx_time_t last_seen;	  /* time of the latest message or timer */
 	mmx_time_t paused_for;	  /* length of the latest pause */
 	mmx_time_t resumed_until; /* messages may be from before it */
+	mmx_timer_t expiry; /* of queued attempts; set while there are any */
 	mmx_timer_t health;
 	mmx_time_t last_evaluation;
 	mmx_counter_t *started;
 	mmx_histogram_t *queue_time;
 	mmx_histogram_t *run_time;
 	mmx_counter_t *refused;
+	mmx_counter_t *granted;
 	mmx_counter_t *fenced;
 	mmx_counter_t *expired;
 };
@@ -68,19 +70,6 @@
 void mmx_exit_on_fence(mmx_exit_t *exit, const mmx_fence_t *fence);
 void mmx_exit_on_origin_lost(mmx_exit_t *exit, const mmx_origin_lost_t *lost);
 
-/* Starts queued attempts while there are slots. */
-void mmx_exit_start_queued(mmx_exit_t *exit, mmx_exit_target_t *target);
-
-/* Refuses the queued attempts whose deadline has passed. */
-void mmx_exit_expire_queued(mmx_exit_t *exit, mmx_exit_target_t *target);
-
-/* Gives every queued attempt back to its entry. */
-void mmx_exit_refuse_queue(mmx_exit_t *exit, mmx_exit_target_t *target);
-
-/* Ends a queued attempt that never starts. */
-void mmx_exit_refuse_queued(mmx_exit_t *exit, mmx_attempt_t *attempt,
-			    mmx_reason_t reason);
-
 /* Ends a running attempt; frees its slot. */
 void mmx_exit_end_running(mmx_exit_t *exit, mmx_attempt_t *attempt,
 			  mmx_attempt_state_t state);
@@ -99,6 +88,28 @@
 			   const mmx_exit_target_t *target, mmx_reason_t reason,
 			   bool started);
 
+/* --- exit_queue.c ------------------------------------------------------ */
+
+/* Queues an attempt that was admitted; it starts at once if it may. */
+void mmx_exit_enqueue(mmx_exit_t *exit, mmx_attempt_t *attempt);
+
+/* Starts queued attempts while there are slots. */
+void mmx_exit_start_queued(mmx_exit_t *exit, mmx_exit_target_t *target);
+
+/* Refuses the queued attempts that would not end in time any more. */
+void mmx_exit_on_expiry(void *arg);
+
+/* Gives every queued attempt back to its entry. */
+void mmx_exit_refuse_queue(mmx_exit_t *exit, mmx_exit_target_t *target);
+
+/* The same for those that their entry would send to another target: this one
+ * has become suspect. */
+void mmx_exit_give_back_queue(mmx_exit_t *exit, mmx_exit_target_t *target);
+
+/* Ends a queued attempt that never starts. */
+void mmx_exit_refuse_queued(mmx_exit_t *exit, mmx_attempt_t *attempt,
+			    mmx_reason_t reason);
+
 /* --- exit_call.c ------------------------------------------------------- */
 
 void mmx_exit_on_call_event(mmx_exit_t *exit, mmx_call_event_t *event);
@@ -115,6 +126,9 @@
 /* An attempt is refused; target may be NULL. */
 void mmx_exit_log_refused(mmx_exit_t *exit, const mmx_execute_t *execute,
 			  const mmx_exit_target_t *target, mmx_reason_t reason);
+/* A running attempt has no answer yet at this age. */
+void mmx_exit_log_overdue(mmx_exit_t *exit, const mmx_attempt_t *attempt,
+			  mmx_time_t age);
 /* The call of a running attempt has failed; result: a string constant. */
 void mmx_exit_log_failed(mmx_exit_t *exit, const mmx_attempt_t *attempt,
 			 const char *result);
--- a/src/libmasticmux/include/private/exit_target.h
+++ b/src/libmasticmux/include/private/exit_target.h
@@ -13,6 +13,7 @@
 #include "masticmux/retry_window.h"
 #include "private/attempts.h"
 #include "private/fault.h"
+#include "private/overdue.h"
 
 /* Longest queue of one target, whatever its speed, in requests. */
 #define MMX_EXIT_QUEUE_MAX 256
@@ -27,9 +28,9 @@
 
 /* What is known of the requests of one route. */
 typedef struct mmx_exit_route_t {
-	uint32_t route;	 /* 0: unused */
-	mmx_time_t mean; /* smoothed run time; 0: none has completed */
-	mmx_time_t used; /* time of the latest request */
+	uint32_t route;	   /* 0: unused */
+	mmx_overdue_t run; /* run times */
+	mmx_time_t used;   /* time of the latest request */
 	mmx_retry_window_t retry;
 } mmx_exit_route_t;
 
@@ -137,6 +138,13 @@
 bool mmx_exit_target_take_repeat(mmx_exit_target_t *target, uint32_t route,
 				 mmx_time_t now);
 
+/*
+ * Charges a repeat that this target cannot make to its budget, so that another
+ * one can; false when there is none to give.
+ */
+bool mmx_exit_target_grant_repeat(mmx_exit_target_t *target, uint32_t route,
+				  mmx_time_t now);
+
 /* Notes a completed call of a route that took this long. */
 void mmx_exit_target_note_service(mmx_exit_target_t *target, uint32_t route,
 				  mmx_time_t took, mmx_time_t now);
@@ -145,6 +153,13 @@
 mmx_time_t mmx_exit_target_run_time(const mmx_exit_target_t *target,
 				    uint32_t route);
 
+/*
+ * Age from which a running request of a route is overdue; MMX_TIME_NEVER when
+ * nothing is known.
+ */
+mmx_time_t mmx_exit_target_overdue_limit(const mmx_exit_target_t *target,
+					 uint32_t route, mmx_time_t objective);
+
 /*
  * True while queued requests may still start. A target that leaves works
  * through its queue for MMX_EXIT_LEAVE_QUEUE_US; entries send the rest
--- a/src/libmasticmux/include/private/fault.h
+++ b/src/libmasticmux/include/private/fault.h
@@ -17,8 +17,9 @@
 typedef enum mmx_fault_result_t {
 	MMX_FAULT_SUCCESS,
 	MMX_FAULT_BROKEN, /* the connection broke, or the answer was not whole */
-	MMX_FAULT_STATUS, /* a failure that the target says, maybe of others */
-	MMX_FAULT_LATE,	  /* no answer in the time that was left */
+	MMX_FAULT_STATUS,  /* a failure that the target says, maybe of others */
+	MMX_FAULT_LATE,	   /* no answer in the time that was left */
+	MMX_FAULT_OVERDUE, /* no answer yet, when most requests have theirs */
 	MMX_FAULT_RESULT_COUNT
 } mmx_fault_result_t;
 
--- a/src/libmasticmux/include/private/messages.h
+++ b/src/libmasticmux/include/private/messages.h
@@ -110,6 +110,8 @@
 	bool keyed;  /* a claim on an Idempotency-Key names this attempt */
 	bool trial;  /* reinstatement trial of an ejected target */
 	bool repeat; /* another target has got the request before */
+	/* A repeat that another exit has charged to its part of the budget. */
+	bool granted;
 	/* Probability in percent that the request is a call of a target that
 	 * runs a repeat: then it counts as one too. */
 	uint8_t inherited;
@@ -151,6 +153,9 @@
 	bool started;
 	bool offered; /* the target has got it, even if it did not run it */
 	bool good;    /* of a trial: a success that was not slow */
+	/* Of a refused repeat: it is charged to the budget of this exit and
+	 * may be made at another one within MMX_RETRY_GRANT_US. */
+	bool grant;
 	mmx_head_t *head;
 	struct evbuffer *body;
 	bool body_end;
--- a/src/libmasticmux/retry_window.c
+++ b/src/libmasticmux/retry_window.c
@@ -3,8 +3,13 @@
 #include <assert.h>
 #include <string.h>
 
-/* The part that is being filled and those of a whole window before it. */
-#define PARTS (MMX_RETRY_WINDOW_PARTS + 1)
+/* The current part, those of a whole window before it, and the next one, which
+ * holds grants. */
+#define PARTS (MMX_RETRY_WINDOW_PARTS + 2)
+/* A grant is used within the part that it is charged to or the one before if
+ * parts are this many times longer than its lifetime: the rest is for the way
+ * to the other node. */
+#define GRANT_PART_RATIO 2
 
 void mmx_retry_window_init(mmx_retry_window_t *budget,
 			   const mmx_retry_limit_t *limit)
@@ -22,18 +27,23 @@
 	budget->limit = *limit;
 }
 
+static mmx_time_t part_length_(const mmx_retry_window_t *budget)
+{
+	return budget->limit.window / MMX_RETRY_WINDOW_PARTS;
+}
+
 /* Forgets the parts that are older than the window. */
 static size_t part_(mmx_retry_window_t *budget, mmx_time_t now)
 {
-	mmx_time_t part = now / (budget->limit.window / MMX_RETRY_WINDOW_PARTS);
+	mmx_time_t part = now / part_length_(budget);
 
 	assert(part >= budget->part);
 	if (part - budget->part >= PARTS)
 		budget->part = part - PARTS;
 	while (budget->part < part) {
 		budget->part++;
-		budget->requests[budget->part % PARTS] = 0;
-		budget->repeats[budget->part % PARTS] = 0;
+		budget->requests[(budget->part + 1) % PARTS] = 0;
+		budget->repeats[(budget->part + 1) % PARTS] = 0;
 	}
 	return (size_t)(part % PARTS);
 }
@@ -52,7 +62,7 @@
 /* The oldest part may lie outside the window: its requests are left out. */
 static uint64_t allowed_(const mmx_retry_window_t *budget)
 {
-	size_t oldest = (size_t)((budget->part + 1) % PARTS);
+	size_t oldest = (size_t)((budget->part + 2) % PARTS);
 	uint64_t allowed = budget->limit.reserve;
 	size_t i;
 
@@ -74,3 +84,12 @@
 		used += budget->repeats[i];
 	return budget->limit.percent && used <= allowed_(budget);
 }
+
+bool mmx_retry_window_grant(mmx_retry_window_t *budget, mmx_time_t now)
+{
+	if (part_length_(budget) < GRANT_PART_RATIO * MMX_RETRY_GRANT_US ||
+	    !mmx_retry_window_has(budget, now))
+		return false;
+	budget->repeats[(budget->part + 1) % PARTS] += MMX_RETRY_WINDOW_REPEAT;
+	return true;
+}
--- a/src/libmasticmux/types.c
+++ b/src/libmasticmux/types.c
@@ -35,6 +35,7 @@
 	"busy",
 	"retry-budget",
 	"suspect",
+	"time-short",
 };
 
 mmx_node_id_t mmx_node_id(const char *name)
@@ -70,3 +71,26 @@
 		return 503;
 	}
 }
+
+mmx_reason_t mmx_reason_for_caller(mmx_reason_t reason)
+{
+	switch (reason) {
+	case MMX_REASON_NONE:
+		return MMX_REASON_TARGET_FAILED;
+	case MMX_REASON_DRAINING:
+		return MMX_REASON_NO_CAPACITY;
+	case MMX_REASON_BUSY:
+	case MMX_REASON_RETRY_BUDGET:
+	case MMX_REASON_SUSPECT:
+	case MMX_REASON_TIME_SHORT:
+		return MMX_REASON_OVERLOADED;
+	case MMX_REASON_FENCED:
+		/* By this entry, because the deadline was near. */
+		return MMX_REASON_DEADLINE_EXCEEDED;
+	case MMX_REASON_WRONG_INCARNATION:
+	case MMX_REASON_FORGOTTEN:
+		return MMX_REASON_PATH_LOST;
+	default:
+		return reason;
+	}
+}
--- a/src/libmasticmux/wire.c
+++ b/src/libmasticmux/wire.c
@@ -18,6 +18,7 @@
 #define FLAG_KEYED 0x80U
 #define FLAG_OFFERED 0x100U
 #define FLAG_REPEAT 0x200U
+#define FLAG_GRANTED 0x400U
 #define PERCENT_MAX 100
 
 /* A filter encodes or decodes, as XDR filters do; x_public holds the reason
@@ -254,6 +255,7 @@
 			 (execute->keyed ? FLAG_KEYED : 0) |
 			 (execute->trial ? FLAG_TRIAL : 0) |
 			 (execute->repeat ? FLAG_REPEAT : 0) |
+			 (execute->granted ? FLAG_GRANTED : 0) |
 			 (execute->peers ? FLAG_PEERS : 0);
 	uint32_t priority = execute->priority;
 	uint32_t inherited = execute->inherited;
@@ -265,7 +267,7 @@
 	    !text_(xdrs, execute->account, MMX_NAME_MAX) ||
 	    !flags_(xdrs, &flags,
 		    FLAG_BODY_END | FLAG_REPEATABLE | FLAG_TRIAL | FLAG_PEERS |
-			    FLAG_KEYED | FLAG_REPEAT) ||
+			    FLAG_KEYED | FLAG_REPEAT | FLAG_GRANTED) ||
 	    !duration_(xdrs, &execute->remaining) ||
 	    !duration_(xdrs, &execute->patience) ||
 	    !duration_(xdrs, &execute->objective) ||
@@ -281,6 +283,7 @@
 	execute->keyed = flags & FLAG_KEYED;
 	execute->trial = flags & FLAG_TRIAL;
 	execute->repeat = flags & FLAG_REPEAT;
+	execute->granted = flags & FLAG_GRANTED;
 	execute->priority = (uint8_t)priority;
 	execute->inherited = (uint8_t)inherited;
 	return !(flags & FLAG_PEERS) || summary_(xdrs, &execute->peers);
@@ -293,12 +296,14 @@
 	uint32_t flags = (response->body_end ? FLAG_BODY_END : 0) |
 			 (response->started ? FLAG_STARTED : 0) |
 			 (response->good ? FLAG_GOOD : 0) |
-			 (response->offered ? FLAG_OFFERED : 0);
+			 (response->offered ? FLAG_OFFERED : 0) |
+			 (response->grant ? FLAG_GRANTED : 0);
 
 	if (!attempt_(xdrs, &response->attempt) ||
 	    !word_(xdrs, &reason, MMX_REASON_COUNT - 1, "unknown reason") ||
 	    !flags_(xdrs, &flags,
-		    FLAG_BODY_END | FLAG_STARTED | FLAG_GOOD | FLAG_OFFERED) ||
+		    FLAG_BODY_END | FLAG_STARTED | FLAG_GOOD | FLAG_OFFERED |
+			    FLAG_GRANTED) ||
 	    !response_head_(xdrs, &response->head) ||
 	    !load_(xdrs, &response->load) ||
 	    !duration_(xdrs, &response->queue_time) ||
@@ -311,6 +316,7 @@
 	response->started = flags & FLAG_STARTED;
 	response->good = flags & FLAG_GOOD;
 	response->offered = flags & FLAG_OFFERED;
+	response->grant = flags & FLAG_GRANTED;
 	return true;
 }
 
--- a/src/test_libmasticmux/fakes.c
+++ b/src/test_libmasticmux/fakes.c
@@ -9,9 +9,10 @@
 	unsigned int n = (unsigned int)response->attempt.sequence;
 
 	if (response->reason != MMX_REASON_NONE)
-		g_string_append_printf(trace, "refused%u:%s%s ", n,
+		g_string_append_printf(trace, "refused%u:%s%s%s ", n,
 				       mmx_reason_string[response->reason],
-				       response->started ? ":started" : "");
+				       response->started ? ":started" : "",
+				       response->grant ? ":grant" : "");
 	else
 		g_string_append_printf(trace, "response%u:%d%s ", n,
 				       response->head->status,
@@ -218,6 +219,23 @@
 	}
 }
 
+mmx_fold_t *fake_routes(mmx_time_t objective, mmx_time_t timeout,
+			bool repeatable)
+{
+	mmx_policy_t policy = {.deadline = timeout, .retry_percent = 20};
+	mmx_routing_t *routing = mmx_routing_create(1);
+	mmx_routing_rule_t *rule = mmx_routing_add(routing, "s.test", "/");
+	mmx_fold_t *fold = mmx_fold_create();
+
+	rule->objective = objective;
+	rule->timeout = timeout;
+	rule->repeatable = repeatable;
+	rule->attempts_max = 4;
+	mmx_routing_add_destination(rule, "s", 1);
+	CU_ASSERT_TRUE(mmx_fold_replace(fold, routing, &policy));
+	return fold;
+}
+
 void fake_add_bytes(struct evbuffer *to, long size)
 {
 	char *bytes = g_malloc0((gsize)size);
--- a/src/test_libmasticmux/fakes.h
+++ b/src/test_libmasticmux/fakes.h
@@ -45,6 +45,11 @@
 void fake_add_targets(mmx_directory_t *directory, mmx_node_id_t node,
 		      size_t count);
 
+/* A configuration with the route s.test/ to the service "s", which promises
+ * this latency. */
+mmx_fold_t *fake_routes(mmx_time_t objective, mmx_time_t timeout,
+			bool repeatable);
+
 /* Appends that many bytes. */
 void fake_add_bytes(struct evbuffer *to, long size);
 
--- /dev/null
+++ b/src/test_libmasticmux/test_filter_attempt_overdue.c
@@ -0,0 +1,226 @@
+#include "suites.h"
+
+#include <event2/buffer.h>
+
+#include "fakes.h"
+#include "private/entry.h"
+
+#define NODE 10
+#define MS MMX_US_PER_MS
+#define OBJECTIVE (2000 * MS)
+#define DEADLINE (5000 * MS)
+
+typedef struct rig_t {
+	mmx_runtime_t *runtime;
+	mmx_entry_t *entry;
+	mmx_directory_t *directory;
+	fake_t http;
+	fake_t exits;
+	GString *trace;
+} rig_t;
+
+static void request_(rig_t *rig)
+{
+	mmx_request_t *request = mmx_new_request(1);
+
+	request->head = mmx_head_create_request("GET", "/p");
+	mmx_head_add(request->head, "Host", "s.test");
+	request->body_end = true;
+	mmx_task_post(mmx_entry_task(rig->entry), &request->message);
+}
+
+static void response_(rig_t *rig, char **words)
+{
+	mmx_attempt_id_t id = {
+		.entry = NODE,
+		.incarnation = 1,
+		.sequence = (uint64_t)fake_number(words, "n", 1),
+	};
+	mmx_response_t *response = mmx_new_response(&id);
+	int i;
+
+	response->body_end = !fake_flag(words, "open");
+	if (g_str_equal(words[0], "response")) {
+		response->head = mmx_head_create_response(
+			(int)fake_number(words, "status", 200));
+		fake_add_bytes(response->body, 3);
+	}
+	for (i = 1; i < MMX_REASON_COUNT; i++)
+		if (fake_flag(words, mmx_reason_string[i]))
+			response->reason = (mmx_reason_t)i;
+	response->started = fake_flag(words, "started");
+	response->offered = response->started;
+	response->grant = fake_flag(words, "grant");
+	mmx_task_post(mmx_entry_task(rig->entry), &response->message);
+}
+
+static void step_(char **words, void *arg)
+{
+	rig_t *rig = arg;
+	mmx_task_t *task = mmx_entry_task(rig->entry);
+
+	if (g_str_equal(words[0], "targets"))
+		fake_add_targets(rig->directory, NODE,
+				 (size_t)fake_number(words, "count", 5));
+	else if (g_str_equal(words[0], "request"))
+		request_(rig);
+	else if (g_str_equal(words[0], "response") ||
+		 g_str_equal(words[0], "refuse"))
+		response_(rig, words);
+	else if (g_str_equal(words[0], "wait"))
+		mmx_clock_advance(mmx_runtime_clock(rig->runtime),
+				  fake_number(words, "ms", 1) * MS);
+	else if (g_str_equal(words[0], "caller-gone"))
+		mmx_task_post(task, &mmx_new_caller_gone(1)->message);
+	else if (g_str_equal(words[0], "lost"))
+		mmx_task_post(task,
+			      &mmx_new_path_lost(rig->exits.exit)->message);
+	else if (g_str_equal(words[0], "count"))
+		g_string_append_printf(rig->trace, "in-progress:%zu ",
+				       mmx_entry_in_progress(rig->entry));
+	else
+		CU_FAIL("unknown step");
+	mmx_runtime_deliver(rig->runtime);
+}
+
+static void run_(const script_case_t *cases, size_t count, bool repeatable)
+{
+	size_t i;
+
+	for (i = 0; i < count; i++) {
+		mmx_fold_t *fold = fake_routes(OBJECTIVE, DEADLINE, repeatable);
+		const mmx_fold_t *in_force = fold;
+		rig_t rig = {
+			.runtime = mmx_runtime_create(NULL),
+			.trace = g_string_new(""),
+		};
+
+		rig.directory =
+			mmx_directory_create(mmx_runtime_clock(rig.runtime));
+		rig.entry = mmx_entry_create(rig.runtime, NODE, 1, 1);
+		fake_init(&rig.http, rig.runtime, rig.trace);
+		fake_init(&rig.exits, rig.runtime, rig.trace);
+		mmx_entry_set_http(rig.entry, &rig.http.task);
+		mmx_entry_set_peer(rig.entry, &rig.exits.task);
+		mmx_entry_set_local_exit(rig.entry, &rig.exits.task);
+		mmx_entry_set_fold(rig.entry, &in_force);
+		mmx_entry_set_directory(rig.entry, rig.directory);
+		mmx_entry_set_budget_at_exits(rig.entry, true);
+		mmx_entry_init(rig.entry);
+		fake_run(cases[i].script, step_, &rig);
+		fake_compare(&cases[i], rig.trace);
+		mmx_entry_destroy(rig.entry);
+		mmx_directory_destroy(rig.directory);
+		mmx_fold_destroy(fold);
+		mmx_runtime_destroy(rig.runtime);
+		g_string_free(rig.trace, TRUE);
+	}
+}
+
+/*
+ * Load pattern: targets that accept reads and never answer them, or answer
+ * late. Guards against a caller that waits for its deadline although another
+ * target would have answered; against a target that goes on working for
+ * nobody; and against two answers to one request.
+ */
+static void test_second_attempt_(void)
+{
+	static const script_case_t cases[] = {
+		{"answers in time",
+		 "targets; request; wait ms=1000; response; wait ms=4000",
+		 "execute1:0 answer1:completed:none:200:3:end "},
+		{"never answers",
+		 "targets; request; wait ms=1500; response n=2; count",
+		 "execute1:0 execute2:0 cancel1 "
+		 "answer1:completed:none:200:3:end in-progress:0 "},
+		{"is only slow",
+		 "targets; request; wait ms=1500; response n=1; response n=2",
+		 "execute1:0 execute2:0 cancel2 "
+		 "answer1:completed:none:200:3:end "},
+		{"is slow, and the caller leaves",
+		 "targets; request; wait ms=1500; caller-gone; response; count",
+		 "execute1:0 execute2:0 cancel1 cancel2 in-progress:0 "},
+		{"the second breaks, the first answers",
+		 "targets count=2; request; wait ms=1500; "
+		 "refuse n=2 target-failed started; response n=1",
+		 "execute1:0 execute2:0 answer1:completed:none:200:3:end "},
+		{"the first breaks, the second answers",
+		 "targets; request; wait ms=1500; "
+		 "refuse n=1 target-failed started; response n=2",
+		 "execute1:0 execute2:0 answer1:completed:none:200:3:end "},
+		{"the first fails, the second answers",
+		 "targets; request; wait ms=1500; response n=1 status=500; "
+		 "response n=2",
+		 "execute1:0 execute2:0 answer1:completed:none:200:3:end "},
+		{"the path of the second is lost",
+		 "targets count=2; request; wait ms=1500; lost; response n=1",
+		 "execute1:0 execute2:0 cancel2 "
+		 "answer1:completed:none:200:3:end "},
+		{"the second is overdue as well",
+		 "targets; request; wait ms=1500; wait ms=1500; response n=3",
+		 "execute1:0 execute2:0 cancel1 execute3:0 cancel2 "
+		 "answer1:completed:none:200:3:end "},
+		{"neither answers",
+		 "targets count=2; request; wait ms=1500; wait ms=3500; count",
+		 "execute1:0 execute2:0 cancel1 cancel2 "
+		 "answer1:unknown:deadline-exceeded:504:27:end in-progress:0 "},
+	};
+
+	run_(cases, G_N_ELEMENTS(cases), true);
+}
+
+/*
+ * Load pattern: as above, while other targets are full or suspect. Guards
+ * against a request that ends because its second attempt was refused, though
+ * its first goes on, and against an answer that leaves open whether a request
+ * ran which has only waited.
+ */
+static void test_refused_second_attempt_(void)
+{
+	static const script_case_t cases[] = {
+		{"no other target",
+		 "targets count=1; request; wait ms=1500; response n=1",
+		 "execute1:0 answer1:completed:none:200:3:end "},
+		{"refused everywhere",
+		 "targets count=3; request; wait ms=1500; refuse n=2 busy; "
+		 "refuse n=3 retry-budget; response n=1",
+		 "execute1:0 execute2:0 execute3:0 "
+		 "answer1:completed:none:200:3:end "},
+		{"the first has only waited, the second is refused",
+		 "targets count=2; request; wait ms=1500; "
+		 "refuse n=1 time-short; refuse n=2 overloaded; count",
+		 "execute1:0 execute2:0 "
+		 "answer1:not-run:overloaded:503:20:end in-progress:0 "},
+		{"the second is refused, the first has only waited",
+		 "targets count=2; request; wait ms=1500; "
+		 "refuse n=2 overloaded; refuse n=1 time-short; count",
+		 "execute1:0 execute2:0 "
+		 "answer1:not-run:overloaded:503:20:end in-progress:0 "},
+		{"the first broke, the second is refused",
+		 "targets count=2; request; wait ms=1500; "
+		 "refuse n=1 target-failed started; refuse n=2 overloaded",
+		 "execute1:0 execute2:0 "
+		 "answer1:unknown:overloaded:504:20:end "},
+	};
+
+	run_(cases, G_N_ELEMENTS(cases), true);
+}
+
+/* Guards against a second run of what may not be repeated. */
+static void test_not_repeatable_(void)
+{
+	static const script_case_t cases[] = {
+		{"never answers",
+		 "targets; request; wait ms=4890; response n=1",
+		 "execute1:0 answer1:completed:none:200:3:end "},
+	};
+
+	run_(cases, G_N_ELEMENTS(cases), false);
+}
+
+CU_TestInfo mmx_tests_filter_attempt_overdue[] = {
+	{"second attempts of overdue reads", test_second_attempt_},
+	{"refused second attempts", test_refused_second_attempt_},
+	{"no second attempt of other requests", test_not_repeatable_},
+	CU_TEST_INFO_NULL,
+};
--- a/src/test_libmasticmux/test_filter_attempt_send.c
+++ b/src/test_libmasticmux/test_filter_attempt_send.c
@@ -62,20 +62,6 @@
 static const mmx_task_ops_t exit_ops_ = {"full_exits", refuse_};
 static const mmx_task_ops_t answer_ops_ = {"answers", note_answer_};
 
-static mmx_fold_t *configure_(void)
-{
-	mmx_policy_t policy = {.deadline = DEADLINE, .retry_percent = 20};
-	mmx_routing_t *routing = mmx_routing_create(1);
-	mmx_routing_rule_t *rule = mmx_routing_add(routing, "s.test", "/");
-	mmx_fold_t *fold = mmx_fold_create();
-
-	rule->objective = OBJECTIVE;
-	rule->timeout = DEADLINE;
-	mmx_routing_add_destination(rule, "s", 1);
-	CU_ASSERT_TRUE(mmx_fold_replace(fold, routing, &policy));
-	return fold;
-}
-
 /*
  * Load pattern: all targets of a service are full, in all regions. Guards
  * against requests that leave their region after short waits, whose answers
@@ -91,7 +77,7 @@
 	};
 	mmx_runtime_t *runtime = mmx_runtime_create(NULL);
 	mmx_clock_t *clock = mmx_runtime_clock(runtime);
-	mmx_fold_t *fold = configure_();
+	mmx_fold_t *fold = fake_routes(OBJECTIVE, DEADLINE, false);
 	const mmx_fold_t *in_force = fold;
 	mmx_directory_t *directory = mmx_directory_create(clock);
 	mmx_entry_t *entry = mmx_entry_create(runtime, NODE, 1, 1);
--- a/src/test_libmasticmux/test_wire.c
+++ b/src/test_libmasticmux/test_wire.c
@@ -101,7 +101,8 @@
 }
 
 /* Guards against optional members that are lost: the latency distribution of
- * other targets, and the marks of keyed attempts and good responses. */
+ * other targets, and the marks of keyed attempts, good responses and repeats
+ * that another exit has charged. */
 static void test_optional_members_(void)
 {
 	mmx_execute_t *sent =
@@ -118,10 +119,13 @@
 		sent->peers->count[i] = (uint32_t)(i * i);
 	sent->peers->requests = 77;
 	sent->peers->errors = 5;
+	sent->granted = true;
 	answer->good = true;
+	answer->grant = true;
 	execute = (mmx_execute_t *)carry_(&sent->message);
 	response = (mmx_response_t *)carry_(&answer->message);
 	CU_ASSERT_TRUE(execute->keyed && response->good);
+	CU_ASSERT_TRUE(execute->granted && response->grant);
 	CU_ASSERT_PTR_NOT_NULL_FATAL(execute->peers);
 	CU_ASSERT_EQUAL(
 		memcmp(execute->peers, sent->peers, sizeof(*sent->peers)), 0);
@@ -157,7 +161,7 @@
 	{"NUL in the service", 48, MMX_MESSAGE_EXECUTE, 0x6a006273},
 	{"line break in the service", 48, MMX_MESSAGE_EXECUTE, 0x6a0a6273},
 	{"account too long", 52, MMX_MESSAGE_EXECUTE, 64},
-	{"unknown flag", 64, MMX_MESSAGE_EXECUTE, 0x400},
+	{"unknown flag", 64, MMX_MESSAGE_EXECUTE, 0x800},
 	{"flag without its distribution", 64, MMX_MESSAGE_EXECUTE, 0x20},
 	{"flag of another kind", 64, MMX_MESSAGE_EXECUTE, 0x8},
 	{"negative duration", 68, MMX_MESSAGE_EXECUTE, UINT32_MAX},
