Do not free queued attempts while the list of attempts is walked

Cause: overdue requests were reported while the list of open attempts was walked. A report that makes the target suspect gives its queue back, which frees queued reads that the walk still had before it.

Change: overdue attempts are collected first; they run, so that they outlast the reports. What has waited is marked instead of told by the clock, which made fresh attempts look as if they had waited.

--- a/src/libmasticmux/exit_health.c
+++ b/src/libmasticmux/exit_health.c
@@ -186,25 +186,46 @@
 	mmx_exit_health_tell(exit, target);
 }
 
+typedef struct overdue_t {
+	mmx_time_t now;
+	GPtrArray *attempts;
+} overdue_t;
+
+static void collect_overdue_(mmx_attempt_t *attempt, void *arg)
+{
+	overdue_t *overdue = arg;
+
+	if (attempt->state != MMX_ATTEMPT_RUNNING || attempt->overdue ||
+	    attempt->headed ||
+	    overdue->now - attempt->started <
+		    mmx_exit_target_overdue_limit(attempt->target,
+						  attempt->execute->route,
+						  attempt->execute->objective))
+		return;
+	g_ptr_array_add(overdue->attempts, attempt);
+}
+
 /*
  * A target that accepts requests and never answers shows it by their age. It
  * is avoided from then on, and not from their deadline, which may be many
- * times the usual run time away.
+ * times the usual run time away. Queued attempts may end meanwhile, those that
+ * run do not.
  */
-static void note_overdue_(mmx_attempt_t *attempt, void *arg)
+static void note_overdue_(mmx_exit_t *exit, mmx_time_t now)
 {
-	mmx_exit_t *exit = arg;
-	mmx_time_t age = mmx_clock_now(exit->clock) - attempt->started;
+	overdue_t overdue = {.now = now, .attempts = g_ptr_array_new()};
+	guint i;
 
-	if (attempt->state != MMX_ATTEMPT_RUNNING || attempt->overdue ||
-	    attempt->headed ||
-	    age < mmx_exit_target_overdue_limit(attempt->target,
-						attempt->execute->route,
-						attempt->execute->objective))
-		return;
-	attempt->overdue = true;
-	mmx_exit_log_overdue(exit, attempt, age);
-	mmx_exit_health_fault(exit, attempt, MMX_FAULT_OVERDUE);
+	mmx_attempts_each_open(exit->attempts, collect_overdue_, &overdue);
+	for (i = 0; i < overdue.attempts->len; i++) {
+		mmx_attempt_t *attempt =
+			g_ptr_array_index(overdue.attempts, i);
+
+		attempt->overdue = true;
+		mmx_exit_log_overdue(exit, attempt, now - attempt->started);
+		mmx_exit_health_fault(exit, attempt, MMX_FAULT_OVERDUE);
+	}
+	g_ptr_array_free(overdue.attempts, TRUE);
 }
 
 static bool is_busy_(const mmx_exit_t *exit)
@@ -232,7 +253,7 @@
 	if (paused)
 		return;
 	if (exit->episodes && is_busy_(exit))
-		mmx_attempts_each_open(exit->attempts, note_overdue_, exit);
+		note_overdue_(exit, now);
 	LIST_FOREACH (target, &exit->targets, entry)
 		evaluate_(exit, target, now);
 }
--- a/src/libmasticmux/exit_queue.c
+++ b/src/libmasticmux/exit_queue.c
@@ -70,9 +70,9 @@
 
 /* Time that must be left for a start: what has waited starts only if it is
  * likely to end before its deadline. */
-static mmx_time_t needed_(const mmx_attempt_t *attempt, mmx_time_t now)
+static mmx_time_t needed_(const mmx_attempt_t *attempt)
 {
-	return attempt->arrived < now
+	return attempt->waited
 		       ? mmx_exit_target_run_time(attempt->target,
 						  attempt->execute->route)
 		       : 0;
@@ -82,7 +82,7 @@
 static bool refuse_late_(mmx_exit_t *exit, mmx_attempt_t *attempt,
 			 mmx_time_t now)
 {
-	if (attempt->deadline - now > needed_(attempt, now))
+	if (attempt->deadline - now > needed_(attempt))
 		return false;
 	mmx_counter_add(exit->expired, 1);
 	mmx_exit_refuse_queued(exit, attempt,
@@ -128,11 +128,15 @@
 
 void mmx_exit_enqueue(mmx_exit_t *exit, mmx_attempt_t *attempt)
 {
-	mmx_exit_target_queue(attempt->target, attempt,
-			      mmx_clock_now(exit->clock));
-	mmx_exit_start_queued(exit, attempt->target);
-	if (attempt->state == MMX_ATTEMPT_QUEUED)
+	mmx_exit_target_t *target = attempt->target;
+
+	mmx_exit_target_queue(target, attempt, mmx_clock_now(exit->clock));
+	mmx_exit_start_queued(exit, target);
+	/* The attempt itself may have ended and be freed. */
+	TAILQ_FOREACH (attempt, &target->queue, queue_entry) {
+		attempt->waited = true;
 		set_expiry_(exit, attempt);
+	}
 }
 
 static void expire_(mmx_exit_t *exit, mmx_exit_target_t *target)
--- a/src/libmasticmux/include/private/attempts.h
+++ b/src/libmasticmux/include/private/attempts.h
@@ -44,6 +44,7 @@
 	mmx_time_t forget_at;	  /* while ended */
 	mmx_limits_share_t share; /* of its account */
 	bool under_floor;	  /* when it arrived */
+	bool waited;		  /* could not start when it arrived */
 	bool repeatable;
 	bool keyed;	   /* kept for the lifetime of its claim */
 	bool abandoned;	   /* nobody waits for the response */
