Ask a node of the zone for news of the store instead of the store

Cause: every node polled the store for the same records.

Ruled out: long polls between nodes (a connection with a call outstanding sends a NULL call every 150 ms); heartbeats from readers (they do not tell whether the reader still reaches the store); agreement on who reads, which would need the store.

Change: nodes of a zone are ranked by id. Each asks the first one before it that has not failed it lately, twice a second; the first of all reads the store. A node that is asked reads the store, whatever it believes of the others, so that differing views mean more readers and never fewer. An answer carries the age of the knowledge; without one, or when it is older than 1.6 s, the store is read at once. Records are handed on as they were read, with their offsets; those beyond 32 KiB are left to the store. The adapter reads pages as before and asks the relay first. Lines store_source tell the source.

--- a/src/libmasticmux/exit_health.c
+++ b/src/libmasticmux/exit_health.c
@@ -218,8 +218,7 @@
 
 	mmx_attempts_each_open(exit->attempts, collect_overdue_, &overdue);
 	for (i = 0; i < overdue.attempts->len; i++) {
-		mmx_attempt_t *attempt =
-			g_ptr_array_index(overdue.attempts, i);
+		mmx_attempt_t *attempt = g_ptr_array_index(overdue.attempts, i);
 
 		attempt->overdue = true;
 		mmx_exit_log_overdue(exit, attempt, now - attempt->started);
--- a/src/libmasticmux/include/private/node_parts.h
+++ b/src/libmasticmux/include/private/node_parts.h
@@ -158,6 +158,7 @@
 
 mmx_part_t *mmx_part_fleet_create(mmx_node_t *node);
 mmx_part_t *mmx_part_roster_create(mmx_node_t *node);
+mmx_part_t *mmx_part_relay_create(mmx_node_t *node);
 mmx_part_t *mmx_part_path_create(mmx_node_t *node);
 mmx_part_t *mmx_part_config_create(mmx_node_t *node);
 mmx_part_t *mmx_part_claims_create(mmx_node_t *node);
--- a/src/libmasticmux/include/private/rpc.h
+++ b/src/libmasticmux/include/private/rpc.h
@@ -51,6 +51,7 @@
 	MMX_PROCEDURE_CLAIM,
 	/* One-way: response of an attempt that came by another connection. */
 	MMX_PROCEDURE_RESPONSE,
+	MMX_PROCEDURE_STORE_NEWS,
 	MMX_PROCEDURE_COUNT
 } mmx_procedure_t;
 
--- a/src/libmasticmux/include/private/store.h
+++ b/src/libmasticmux/include/private/store.h
@@ -42,6 +42,48 @@
 
 typedef void (*mmx_store_put_fn_t)(void *arg, mmx_store_result_t result);
 
+/* What a reader would read at the store next. */
+typedef struct mmx_store_question_t {
+	const char *topic;
+	uint64_t from;	     /* offset of the first record wanted */
+	mmx_time_t fresh;    /* greatest age of an answer, microseconds */
+	mmx_time_t interval; /* shortest time between two questions */
+} mmx_store_question_t;
+
+struct mmx_store_news_t;
+
+/* news: the records from the offset on; NULL: read the store now. */
+typedef void (*mmx_store_news_fn_t)(void *arg,
+				    const struct mmx_store_news_t *news);
+
+typedef struct mmx_store_relay_t mmx_store_relay_t;
+
+/* Another way to what the store holds: nodes that have read it. Embedded first
+ * in its implementation. */
+typedef struct mmx_store_relay_ops_t {
+	/* Asks another node. False: the store is to be read. Else fn is called
+	 * once, never from inside the call. One question of a topic at a
+	 * time. */
+	bool (*ask)(mmx_store_relay_t *relay,
+		    const mmx_store_question_t *question,
+		    mmx_store_news_fn_t fn, void *arg);
+	/* Other nodes ask this one. */
+	bool (*serves)(const mmx_store_relay_t *relay);
+	/* The store was read: records before next are known and not kept. */
+	void (*started)(mmx_store_relay_t *relay, const char *topic,
+			uint64_t next);
+	/* A record came from the store. */
+	void (*record)(mmx_store_relay_t *relay, const char *topic,
+		       const mmx_store_record_t *record);
+	/* The store was read up to here. */
+	void (*confirmed)(mmx_store_relay_t *relay, const char *topic,
+			  uint64_t next);
+} mmx_store_relay_ops_t;
+
+struct mmx_store_relay_t {
+	const mmx_store_relay_ops_t *ops;
+};
+
 typedef struct mmx_store_ops_t {
 	/*
 	 * Follows a topic until the store is destroyed. pause: shortest time
@@ -54,6 +96,8 @@
 	void (*put)(mmx_store_t *store, const char *topic, const char *key,
 		    const char *value, size_t length, mmx_store_put_fn_t fn,
 		    void *arg);
+	/* Readers ask the relay before they read; NULL: they do not. */
+	void (*set_relay)(mmx_store_t *store, mmx_store_relay_t *relay);
 	/* Pending calls end without their callbacks. */
 	void (*destroy)(mmx_store_t *store);
 } mmx_store_ops_t;
--- a/src/libmasticmux/node.c
+++ b/src/libmasticmux/node.c
@@ -44,11 +44,9 @@
 
 /* Configuration and nodes from a shared store. */
 static const part_create_t store_parts_[] = {
-	mmx_part_roster_create,
-	mmx_part_path_create,
-	mmx_part_platform_create,
-	mmx_part_operator_create,
-	NULL,
+	mmx_part_roster_create,	  mmx_part_relay_create,
+	mmx_part_path_create,	  mmx_part_platform_create,
+	mmx_part_operator_create, NULL,
 };
 
 static size_t in_progress_(const mmx_node_t *node)
--- /dev/null
+++ b/src/libmasticmux/part_relay.c
@@ -0,0 +1,141 @@
+/* Part "relay": connects the relay of store news with roster and peers. */
+#include <glib.h>
+#include <string.h>
+
+#include "private/node_parts.h"
+#include "private/peer.h"
+#include "private/roster.h"
+#include "private/store_relay.h"
+
+/* Time for an answer. Nodes of a zone are milliseconds apart; a slow node
+ * should not be the one that others ask. */
+#define ANSWER_TIMEOUT_US (500 * MMX_US_PER_MS)
+
+typedef struct relay_part_t {
+	mmx_part_t part;
+	mmx_relay_t *relay;
+} relay_part_t;
+
+typedef struct zone_t {
+	const mmx_settings_t *settings;
+	GArray *nodes; /* of mmx_node_id_t */
+} zone_t;
+
+/* An open question. */
+typedef struct call_t {
+	mmx_store_answer_fn_t fn;
+	void *arg;
+} call_t;
+
+static void collect_(void *arg, const mmx_roster_node_t *node)
+{
+	zone_t *zone = arg;
+
+	if (strcmp(node->zone, zone->settings->zone) == 0 &&
+	    strcmp(node->region, zone->settings->region) == 0)
+		g_array_append_val(zone->nodes, node->id);
+}
+
+static void zone_(void *context, GArray *nodes)
+{
+	const mmx_node_t *node = context;
+	zone_t zone = {.settings = node->settings, .nodes = nodes};
+
+	if (!node->draining)
+		mmx_roster_each(node->roster, collect_, &zone);
+}
+
+static const char *name_(void *context, mmx_node_id_t id)
+{
+	const mmx_node_t *node = context;
+	const mmx_roster_node_t *known = mmx_roster_find(node->roster, id);
+
+	return known ? known->name : NULL;
+}
+
+static void on_answer_(void *arg, mmx_peer_result_t result,
+		       const uint8_t *bytes, size_t length)
+{
+	call_t *call = arg;
+
+	call->fn(call->arg, result == MMX_PEER_OK ? bytes : NULL, length);
+	g_free(call);
+}
+
+static void call_(void *context, mmx_node_id_t id, const uint8_t *bytes,
+		  size_t length, mmx_store_answer_fn_t fn, void *arg)
+{
+	const mmx_node_t *node = context;
+	mmx_peer_place_t place = {.node = id};
+	call_t *call = g_new0(call_t, 1);
+
+	call->fn = fn;
+	call->arg = arg;
+	mmx_peer_call(node->peer, &place, MMX_PROCEDURE_STORE_NEWS, bytes,
+		      length, ANSWER_TIMEOUT_US, on_answer_, call);
+}
+
+static const mmx_store_relay_node_ops_t node_ops_ = {
+	.zone = zone_,
+	.name = name_,
+	.call = call_,
+};
+
+static void serve_(void *arg, const mmx_peer_ticket_t *ticket,
+		   const uint8_t *bytes, size_t length)
+{
+	relay_part_t *self = arg;
+	mmx_node_t *node = self->part.node;
+	uint8_t *answer = NULL;
+	size_t size;
+
+	if (node->draining ||
+	    !mmx_relay_serve(self->relay, bytes, length, &answer, &size))
+		mmx_peer_refuse(node->peer, ticket);
+	else
+		mmx_peer_answer(node->peer, ticket, answer ? answer : bytes,
+				size);
+	g_free(answer);
+}
+
+static bool init_(mmx_part_t *part, mmx_error_t *error)
+{
+	relay_part_t *self = (relay_part_t *)part;
+	mmx_node_t *node = part->node;
+
+	(void)error;
+	mmx_peer_register(node->peer, MMX_PROCEDURE_STORE_NEWS, serve_, self);
+	node->store->ops->set_relay(node->store, mmx_relay_base(self->relay));
+	return true;
+}
+
+static void destroy_(mmx_part_t *part)
+{
+	relay_part_t *self = (relay_part_t *)part;
+
+	part->node->store->ops->set_relay(part->node->store, NULL);
+	mmx_relay_destroy(self->relay);
+	g_free(self);
+}
+
+static const mmx_part_ops_t ops_ = {
+	.name = "relay",
+	.init = init_,
+	.destroy = destroy_,
+};
+
+mmx_part_t *mmx_part_relay_create(mmx_node_t *node)
+{
+	relay_part_t *self = g_new0(relay_part_t, 1);
+
+	self->part.ops = &ops_;
+	self->relay = mmx_relay_create(&(mmx_store_relay_config_t){
+		.clock = node->clock,
+		.node = node->id,
+		.ops = &node_ops_,
+		.context = node,
+		.counters = node->counters,
+		.log = node->log,
+	});
+	return &self->part;
+}
--- a/src/libmasticmux/peer_call.c
+++ b/src/libmasticmux/peer_call.c
@@ -11,8 +11,9 @@
 
 static bool is_generic_(mmx_procedure_t procedure)
 {
-	return procedure >= MMX_PROCEDURE_CONFIG_PULL &&
-	       procedure <= MMX_PROCEDURE_CLAIM;
+	return (procedure >= MMX_PROCEDURE_CONFIG_PULL &&
+		procedure <= MMX_PROCEDURE_CLAIM) ||
+	       procedure == MMX_PROCEDURE_STORE_NEWS;
 }
 
 /* Takes a call out of the list or table that it waits in. */
--- a/src/test_libmasticmux/suites.c
+++ b/src/test_libmasticmux/suites.c
@@ -65,6 +65,7 @@
 	{"settings", NULL, NULL, NULL, NULL, mmx_tests_settings},
 	{"snapshot", NULL, NULL, NULL, NULL, mmx_tests_snapshot},
 	{"stop", NULL, NULL, NULL, NULL, mmx_tests_stop},
+	{"store_relay", NULL, NULL, NULL, NULL, mmx_tests_store_relay},
 	{"target_client", NULL, NULL, NULL, NULL, mmx_tests_target_client},
 	{"target_delay", NULL, NULL, NULL, NULL, mmx_tests_target_delay},
 	{"target_probe", NULL, NULL, NULL, NULL, mmx_tests_target_probe},
