Send less between regions, and hand out three quarters of the budget

Beside bodies, each attempt in another region carried the distribution of run times (176 bytes), its connection a NULL call each 150 ms, and each change of suspicion went to every entry that had used the target in the last minute.

Ruled out: fewer attempts in other regions (the third and fourth still succeed one time in seven, which is worth more to their callers than the bytes).

Change: the distribution goes to targets of the own region only; NULL calls each 200 ms, still two in the 500 ms after which a path counts as lost; suspicion is told to entries that used the target in the last 5 s, and its end to those that were told; 75% of the budget is handed out.

--- a/src/libmasticmux/exit_attempt.c
+++ b/src/libmasticmux/exit_attempt.c
@@ -10,7 +10,7 @@
  * count as repeats without being recognised, and exits that know only some of
  * the targets of their service yet.
  */
-#define BUDGET_USED_PERCENT 65
+#define BUDGET_USED_PERCENT 75
 
 /* --- responses --------------------------------------------------------- */
 
@@ -20,8 +20,11 @@
 {
 	response->exit = exit->node;
 	response->origin = *origin;
-	if (target)
+	if (target) {
 		mmx_exit_target_report(target, &response->load);
+		mmx_exit_health_reported(target, response->attempt.entry,
+					 &response->load);
+	}
 	/* The request whose response is whole is no load any more. */
 	if (response->head && response->body_end &&
 	    response->load.in_progress > 0)
--- a/src/libmasticmux/exit_health.c
+++ b/src/libmasticmux/exit_health.c
@@ -5,6 +5,10 @@
 
 /* Entries that sent requests within this time are told of changes. */
 #define ORIGIN_KEEP_US (60 * MMX_US_PER_S)
+/* Entries that sent requests within this time are told that a target has
+ * become suspect. The others learn it with their next response; telling all of
+ * them at each change would fill the links between regions. */
+#define SUSPECT_KEEP_US (5 * MMX_US_PER_S)
 /* The distribution at other targets is merged at most this often. */
 #define PEERS_INTERVAL_US MMX_US_PER_S
 
@@ -13,6 +17,7 @@
 	mmx_node_id_t node;
 	mmx_origin_t origin;
 	mmx_time_t last;
+	bool suspects; /* was told that the target is suspect */
 } origin_t;
 
 static uint8_t weight_(const mmx_exit_t *exit, const char *service)
@@ -76,6 +81,64 @@
 			    attempt->trial);
 }
 
+static void tell_(mmx_exit_t *exit, const mmx_exit_target_t *target,
+		  const origin_t *origin)
+{
+	mmx_evidence_t *evidence = mmx_new_evidence();
+
+	evidence->exit = exit->node;
+	evidence->origin = origin->origin;
+	mmx_exit_target_report(target, &evidence->load);
+	mmx_task_post(origin->origin.task, &evidence->message);
+}
+
+void mmx_exit_health_tell(mmx_exit_t *exit, mmx_exit_target_t *target)
+{
+	mmx_time_t now = mmx_clock_now(exit->clock);
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, target->origins);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const origin_t *origin = value;
+
+		if (now - origin->last > ORIGIN_KEEP_US)
+			g_hash_table_iter_remove(&iter);
+		else
+			tell_(exit, target, origin);
+	}
+}
+
+/* The target has become suspect, or is not any more: then only entries that
+ * believe it are told. */
+static void tell_suspicion_(mmx_exit_t *exit, mmx_exit_target_t *target)
+{
+	mmx_time_t now = mmx_clock_now(exit->clock);
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, target->origins);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		origin_t *origin = value;
+		bool recent = now - origin->last <= SUSPECT_KEEP_US;
+
+		if (target->suspect ? recent : origin->suspects)
+			tell_(exit, target, origin);
+		origin->suspects =
+			target->suspect && (recent || origin->suspects);
+	}
+}
+
+void mmx_exit_health_reported(const mmx_exit_target_t *target,
+			      mmx_node_id_t entry,
+			      const mmx_load_report_t *report)
+{
+	origin_t *origin = g_hash_table_lookup(target->origins, &entry);
+
+	if (origin && target->suspect)
+		origin->suspects = report->level >= MMX_SUSPICION_SUSPECT;
+}
+
 void mmx_exit_health_fault(mmx_exit_t *exit, mmx_attempt_t *attempt,
 			   mmx_fault_result_t result)
 {
@@ -97,7 +160,7 @@
 		      target->record.name, "suspect", suspect ? "yes" : "no",
 		      "result", mmx_fault_result_string[result], "probability",
 		      probability, NULL);
-	mmx_exit_health_tell(exit, target);
+	tell_suspicion_(exit, target);
 	if (suspect)
 		mmx_exit_give_back_queue(exit, target);
 }
@@ -111,29 +174,6 @@
 				    &attempt->detection, result);
 }
 
-void mmx_exit_health_tell(mmx_exit_t *exit, mmx_exit_target_t *target)
-{
-	mmx_time_t now = mmx_clock_now(exit->clock);
-	mmx_evidence_t *evidence;
-	GHashTableIter iter;
-	gpointer value;
-
-	g_hash_table_iter_init(&iter, target->origins);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		const origin_t *origin = value;
-
-		if (now - origin->last > ORIGIN_KEEP_US) {
-			g_hash_table_iter_remove(&iter);
-			continue;
-		}
-		evidence = mmx_new_evidence();
-		evidence->exit = exit->node;
-		evidence->origin = origin->origin;
-		mmx_exit_target_report(target, &evidence->load);
-		mmx_task_post(origin->origin.task, &evidence->message);
-	}
-}
-
 static void merge_peers_(mmx_exit_target_t *target, mmx_time_t now)
 {
 	mmx_latency_summary_t peers;
@@ -166,7 +206,7 @@
 
 	if (target->suspect && !mmx_fault_is_suspect(&target->fault, now)) {
 		target->suspect = false;
-		mmx_exit_health_tell(exit, target);
+		tell_suspicion_(exit, target);
 	}
 	if (weight != target->weight)
 		mmx_detection_set_weight(target->detection, weight);
--- a/src/libmasticmux/include/private/exit_internal.h
+++ b/src/libmasticmux/include/private/exit_internal.h
@@ -170,6 +170,11 @@
 void mmx_exit_health_fault(mmx_exit_t *exit, mmx_attempt_t *attempt,
 			   mmx_fault_result_t result);
 
+/* A response to an entry carries this report. */
+void mmx_exit_health_reported(const mmx_exit_target_t *target,
+			      mmx_node_id_t entry,
+			      const mmx_load_report_t *report);
+
 /* Tells the entries that use a target its state and level. */
 void mmx_exit_health_tell(mmx_exit_t *exit, mmx_exit_target_t *target);
 
--- a/src/libmasticmux/peer.c
+++ b/src/libmasticmux/peer.c
@@ -19,7 +19,7 @@
 const mmx_peer_times_t mmx_peer_times_default = {
 	.connect = 500 * MMX_US_PER_MS,
 	.greeting = 2 * MMX_US_PER_S,
-	.null_interval = 150 * MMX_US_PER_MS,
+	.null_interval = 200 * MMX_US_PER_MS,
 	.path = 500 * MMX_US_PER_MS,
 	.origin = 2 * MMX_US_PER_S,
 	.silent_age = 5 * MMX_US_PER_S,
--- a/src/libmasticmux/view.c
+++ b/src/libmasticmux/view.c
@@ -383,7 +383,10 @@
 	target_t *target = g_hash_table_lookup(view->targets, &id);
 	mmx_latency_summary_t *summary;
 
-	if (!target || now_(view) - target->summary_sent < SUMMARY_INTERVAL_US)
+	/* Entries of its own region tell an exit enough; each would add its
+	 * own copy to the few attempts that cross to another one. */
+	if (!target || target->ring == MMX_RING_REMOTE ||
+	    now_(view) - target->summary_sent < SUMMARY_INTERVAL_US)
 		return NULL;
 	target->summary_sent = now_(view);
 	summary = g_new0(mmx_latency_summary_t, 1);
--- a/src/test_libmasticmux/test_exit_queue.c
+++ b/src/test_libmasticmux/test_exit_queue.c
@@ -80,6 +80,14 @@
 	mmx_task_post(mmx_exit_task(rig->exit), &event->message);
 }
 
+static void fail_(rig_t *rig, char **words)
+{
+	mmx_attempt_id_t id = id_(words);
+
+	mmx_task_post(mmx_exit_task(rig->exit),
+		      &mmx_new_call_event(&id, MMX_CALL_FAILED)->message);
+}
+
 static void announce_(rig_t *rig)
 {
 	mmx_target_announced_t *announced = mmx_new_target_announced();
@@ -100,6 +108,8 @@
 		execute_(rig, words);
 	else if (g_str_equal(words[0], "head"))
 		head_(rig, words);
+	else if (g_str_equal(words[0], "fail"))
+		fail_(rig, words);
 	else if (g_str_equal(words[0], "wait"))
 		mmx_clock_advance(mmx_runtime_clock(rig->runtime),
 				  fake_number(words, "ms", 1) * MS);
@@ -255,9 +265,35 @@
 	run_(cases, G_N_ELEMENTS(cases), 0);
 }
 
+/*
+ * Load pattern: targets fail for seconds, again and again, and many entries
+ * have used each of them at some time. Guards against a message to all of them
+ * at each change, most of which cross to other regions; and against an entry
+ * that goes on to avoid a target which is sound again.
+ */
+static void test_suspicion_is_told_(void)
+{
+	static const script_case_t cases[] = {
+		{"to an entry that has just used the target, and when it is over",
+		 "execute; execute n=2; wait ms=400; wait ms=20000",
+		 "call1 call2 evidence evidence "},
+		{"not to one that used it long ago",
+		 "execute ms=10000; wait ms=6000; fail; wait ms=20000",
+		 "call1 refused1:target-failed:started "},
+		{"when it is over also to one that a response told",
+		 "execute ms=10000; wait ms=6000; fail; execute n=2 post; "
+		 "wait ms=20000",
+		 "call1 refused1:target-failed:started refused2:suspect "
+		 "evidence "},
+	};
+
+	run_(cases, G_N_ELEMENTS(cases), 0);
+}
+
 CU_TestInfo mmx_tests_exit_queue[] = {
 	{"a target that never answers", test_hung_target_},
 	{"requests that wait in vain", test_waits_in_vain_},
 	{"repeats for another target", test_grants_},
+	{"who is told of a suspicion", test_suspicion_is_told_},
 	CU_TEST_INFO_NULL,
 };
--- a/src/test_libmasticmux/test_filter_attempt_send.c
+++ b/src/test_libmasticmux/test_filter_attempt_send.c
@@ -17,6 +17,7 @@
 	mmx_task_t *entry;
 	mmx_time_t patience[MMX_ATTEMPTS_MAX];
 	mmx_time_t remaining[MMX_ATTEMPTS_MAX];
+	size_t summaries; /* attempts that carried a distribution */
 	size_t count;
 } full_exits_t;
 
@@ -36,6 +37,7 @@
 		mmx_execute_t *execute = (mmx_execute_t *)message;
 		mmx_response_t *response = mmx_new_response(&execute->attempt);
 
+		exits->summaries += execute->peers != NULL;
 		exits->patience[exits->count] = execute->patience;
 		exits->remaining[exits->count++] = execute->remaining;
 		response->reason = MMX_REASON_BUSY;
@@ -62,19 +64,18 @@
 static const mmx_task_ops_t exit_ops_ = {"full_exits", refuse_};
 static const mmx_task_ops_t answer_ops_ = {"answers", note_answer_};
 
-/*
- * Load pattern: all targets of a service are full, in all regions. Guards
- * against requests that leave their region after short waits, whose answers
- * then come from afar without coming sooner; against waits that leave no time
- * to answer within the wanted latency while there is another target to ask;
- * and against a refusal while the time left would allow a longer wait.
- */
-static void test_all_targets_full_(void)
+static mmx_ring_t ring_(void *context, mmx_node_id_t node)
+{
+	(void)node;
+	return *(const mmx_ring_t *)context;
+}
+
+static const mmx_view_members_ops_t members_ = {.ring = ring_};
+
+/* Sends one request to full targets that are this far away. */
+static void send_to_full_targets_(mmx_ring_t ring, full_exits_t *exits,
+				  answers_t *answers)
 {
-	static const mmx_time_t expected[MMX_ATTEMPTS_MAX] = {
-		500 * MS, 500 * MS, 500 * MS, 500 * MS,
-		760 * MS, 500 * MS, 0,	      0 /* 0: all that is left */
-	};
 	mmx_runtime_t *runtime = mmx_runtime_create(NULL);
 	mmx_clock_t *clock = mmx_runtime_clock(runtime);
 	mmx_fold_t *fold = fake_routes(OBJECTIVE, DEADLINE, false);
@@ -82,17 +83,17 @@
 	mmx_directory_t *directory = mmx_directory_create(clock);
 	mmx_entry_t *entry = mmx_entry_create(runtime, NODE, 1, 1);
 	mmx_request_t *request = mmx_new_request(1);
-	full_exits_t exits = {.entry = mmx_entry_task(entry)};
-	answers_t answers = {.count = 0};
-	size_t i;
 
-	mmx_task_init(&exits.task, &exit_ops_, runtime);
-	mmx_task_init(&answers.task, &answer_ops_, runtime);
-	mmx_entry_set_http(entry, &answers.task);
-	mmx_entry_set_peer(entry, &exits.task);
-	mmx_entry_set_local_exit(entry, &exits.task);
+	*exits = (full_exits_t){.entry = mmx_entry_task(entry)};
+	*answers = (answers_t){.count = 0};
+	mmx_task_init(&exits->task, &exit_ops_, runtime);
+	mmx_task_init(&answers->task, &answer_ops_, runtime);
+	mmx_entry_set_http(entry, &answers->task);
+	mmx_entry_set_peer(entry, &exits->task);
+	mmx_entry_set_local_exit(entry, &exits->task);
 	mmx_entry_set_fold(entry, &in_force);
 	mmx_entry_set_directory(entry, directory);
+	mmx_entry_set_members(entry, &members_, &ring);
 	mmx_entry_init(entry);
 	fake_add_targets(directory, NODE, MMX_ATTEMPTS_MAX + 2);
 	request->head = mmx_head_create_request("POST", "/p");
@@ -100,7 +101,30 @@
 	request->body_end = true;
 	mmx_task_post(mmx_entry_task(entry), &request->message);
 	mmx_runtime_deliver(runtime);
+	mmx_entry_destroy(entry);
+	mmx_directory_destroy(directory);
+	mmx_fold_destroy(fold);
+	mmx_runtime_destroy(runtime);
+}
+
+/*
+ * Load pattern: all targets of a service are full, in all regions. Guards
+ * against requests that leave their region after short waits, whose answers
+ * then come from afar without coming sooner; against waits that leave no time
+ * to answer within the wanted latency while there is another target to ask;
+ * and against a refusal while the time left would allow a longer wait.
+ */
+static void test_all_targets_full_(void)
+{
+	static const mmx_time_t expected[MMX_ATTEMPTS_MAX] = {
+		500 * MS, 500 * MS, 500 * MS, 500 * MS,
+		760 * MS, 500 * MS, 0,	      0 /* 0: all that is left */
+	};
+	full_exits_t exits;
+	answers_t answers;
+	size_t i;
 
+	send_to_full_targets_(MMX_RING_ZONE, &exits, &answers);
 	CU_ASSERT_EQUAL(exits.count, MMX_ATTEMPTS_MAX);
 	for (i = 0; i < exits.count; i++)
 		CU_ASSERT_EQUAL(exits.patience[i],
@@ -108,14 +132,38 @@
 	CU_ASSERT_EQUAL(answers.count, 1);
 	CU_ASSERT_EQUAL(answers.outcome, MMX_OUTCOME_NOT_RUN);
 	CU_ASSERT_EQUAL(answers.status, 503);
+}
 
-	mmx_entry_destroy(entry);
-	mmx_directory_destroy(directory);
-	mmx_fold_destroy(fold);
-	mmx_runtime_destroy(runtime);
+/*
+ * Load pattern: requests that leave their region, where each entry uses each
+ * target now and then. Guards against attempts that all carry the distribution
+ * of run times, which the entries of the target's own region send often enough.
+ */
+static void test_distribution_stays_in_its_region_(void)
+{
+	static const struct {
+		mmx_ring_t ring;
+		size_t summaries;
+	} cases[] = {
+		{MMX_RING_ZONE, MMX_ATTEMPTS_MAX},
+		{MMX_RING_REGION, MMX_ATTEMPTS_MAX},
+		{MMX_RING_REMOTE, 0},
+	};
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		full_exits_t exits;
+		answers_t answers;
+
+		send_to_full_targets_(cases[i].ring, &exits, &answers);
+		CU_ASSERT_EQUAL(exits.count, MMX_ATTEMPTS_MAX);
+		CU_ASSERT_EQUAL(exits.summaries, cases[i].summaries);
+	}
 }
 
 CU_TestInfo mmx_tests_filter_attempt_send[] = {
 	{"all targets are full", test_all_targets_full_},
+	{"the distribution stays in its region",
+	 test_distribution_stays_in_its_region_},
 	CU_TEST_INFO_NULL,
 };
