Give up on a peer that sends bytes without end before its head

Cause: blank lines before a message and interim responses were dropped for as long as they came. A target or a caller that sends them without end kept the process busy until the deadline of the request; memory stayed flat.

Ruled out: heads, header lines, chunk extensions, chunk sizes and trailers without end, and bytes that are no HTTP: they have limits already, and the new test holds them to these.

Change: blank lines and interim responses before one head may be as long as a head together.

Measured: four of the eleven cases of the test fail without the change.

--- a/src/libmasticmux/http_reader.c
+++ b/src/libmasticmux/http_reader.c
@@ -77,13 +77,16 @@
 }
 
 /* Drops blank lines before a request (RFC 9112, section 2.2). */
-static void skip_blank_lines_(struct evbuffer *input)
+static void skip_blank_lines_(mmx_http_reader_t *reader, struct evbuffer *input)
 {
 	char start[2];
 
-	while (evbuffer_copyout(input, start, 2) == 2 && start[0] == '\r' &&
-	       start[1] == '\n')
+	while (reader->skipped < MMX_HTTP_HEAD_MAX &&
+	       evbuffer_copyout(input, start, 2) == 2 && start[0] == '\r' &&
+	       start[1] == '\n') {
 		evbuffer_drain(input, 2);
+		reader->skipped += 2;
+	}
 }
 
 bool mmx_http_reader_is_done(const mmx_http_reader_t *reader)
@@ -168,6 +171,7 @@
 		return fail_(reader, MMX_HTTP_FAULT_LINE);
 	evbuffer_drain(input, length);
 	reader->scanned = 0;
+	reader->skipped += length;
 	return MMX_HTTP_DATA;
 }
 
@@ -179,7 +183,9 @@
 	size_t end;
 
 	if (reader->scanned == 0)
-		skip_blank_lines_(input);
+		skip_blank_lines_(reader, input);
+	if (reader->skipped >= MMX_HTTP_HEAD_MAX)
+		return fail_(reader, MMX_HTTP_FAULT_HEAD_TOO_LARGE);
 	length = MIN(evbuffer_get_length(input), (size_t)MMX_HTTP_HEAD_MAX);
 	if (length < 4)
 		return MMX_HTTP_MORE;
--- a/src/libmasticmux/include/private/http_reader.h
+++ b/src/libmasticmux/include/private/http_reader.h
@@ -86,6 +86,7 @@
 	size_t scanned;
 	uint64_t remaining;
 	size_t trailer_bytes;
+	size_t skipped; /* blank lines and interim responses, bytes */
 } mmx_http_reader_t;
 
 void mmx_http_reader_init(mmx_http_reader_t *reader, mmx_http_kind_t kind);
--- a/src/test_libmasticmux/test_http_reader.c
+++ b/src/test_libmasticmux/test_http_reader.c
@@ -245,8 +245,73 @@
 	}
 }
 
+/*
+ * Guards against a peer that sends bytes without end which are no message: the
+ * reader must give up on them, and not drop them for as long as they come,
+ * which keeps the process busy until the deadline of the request.
+ */
+static void test_endless_(void)
+{
+	static const struct {
+		const char *name;
+		mmx_http_kind_t kind;
+		const char *start;
+		const char *again;
+	} cases[] = {
+		{"blank lines before a response", MMX_HTTP_RESPONSE, "",
+		 "\r\n"},
+		{"blank lines before a request", MMX_HTTP_REQUEST, "", "\r\n"},
+		{"interim responses", MMX_HTTP_RESPONSE, "",
+		 "HTTP/1.1 103 Hints\r\n\r\n"},
+		{"interim responses and blank lines", MMX_HTTP_RESPONSE, "",
+		 "\r\nHTTP/1.1 100 Continue\r\n\r\n"},
+		{"headers", MMX_HTTP_RESPONSE, "HTTP/1.1 200 OK\r\n",
+		 "A: b\r\n"},
+		{"headers of a request", MMX_HTTP_REQUEST, "GET / HTTP/1.1\r\n",
+		 "A: b\r\n"},
+		{"one line", MMX_HTTP_RESPONSE, "HTTP/1.1 200 ", "x"},
+		{"bytes that are no HTTP", MMX_HTTP_RESPONSE, "", "\x16\x03"},
+		{"a chunk extension", MMX_HTTP_RESPONSE,
+		 LINE "Transfer-Encoding: chunked\r\n\r\n1;", "x"},
+		{"zeros of a chunk size", MMX_HTTP_RESPONSE,
+		 LINE "Transfer-Encoding: chunked\r\n\r\n", "0"},
+		{"trailers", MMX_HTTP_RESPONSE,
+		 LINE "Transfer-Encoding: chunked\r\n\r\n0\r\n", "T: v\r\n"},
+	};
+	enum { MOST = 64 * 1024 };
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct evbuffer *input = evbuffer_new();
+		struct evbuffer *body = evbuffer_new();
+		mmx_http_event_t event = MMX_HTTP_MORE;
+		mmx_http_reader_t reader;
+		size_t sent = strlen(cases[i].start);
+
+		mmx_http_reader_init(&reader, cases[i].kind);
+		evbuffer_add(input, cases[i].start, sent);
+		while (event != MMX_HTTP_FAILED && sent < MOST) {
+			evbuffer_add(input, cases[i].again,
+				     strlen(cases[i].again));
+			sent += strlen(cases[i].again);
+			do
+				event = mmx_http_reader_run(&reader, input,
+							    body);
+			while (event != MMX_HTTP_MORE &&
+			       event != MMX_HTTP_FAILED);
+		}
+		if (event != MMX_HTTP_FAILED)
+			printf("\n  %s\n", cases[i].name);
+		CU_ASSERT_EQUAL(event, MMX_HTTP_FAILED);
+		mmx_http_reader_finish(&reader);
+		evbuffer_free(input);
+		evbuffer_free(body);
+	}
+}
+
 CU_TestInfo mmx_tests_http_reader[] = {
 	{"framing of responses", test_responses_},
 	{"mutations in one piece and in parts", test_mutations_},
+	{"bytes without end", test_endless_},
 	CU_TEST_INFO_NULL,
 };
