Let targets that have just started use all their slots

Cause: after a loss of power all targets of a service are cold. The limit of overdue requests made it worse, as cold targets take twice as long and then count as suspect.

Change: the share that a cold target starts with is an option of the exit, 10% as before, and 100% with a shared store, whose targets tell how long they are slow. The limit of overdue requests is twice as long while a target is cold.

--- a/src/libmasticmux/exit.c
+++ b/src/libmasticmux/exit.c
@@ -84,6 +84,7 @@
 		mmx_directory_id(exit->node_name, announced->name), exit->node,
 		exit->incarnation, announced->name, announced->service);
 	target->warm_since = -(mmx_time_t)MMX_TIME_NEVER / 2;
+	target->cold_percent = exit->cold_percent;
 	mmx_exit_health_init(exit, target);
 	mmx_fault_init(&target->fault, mmx_clock_now(exit->clock));
 	LIST_INSERT_HEAD(&exit->targets, target, entry);
@@ -328,6 +329,7 @@
 	exit->guards = &mmx_guards_all;
 	exit->dialect = &mmx_dialect_default;
 	exit->record_max = RECORD_MAX;
+	exit->cold_percent = MMX_EXIT_COLD_PERCENT;
 	LIST_INIT(&exit->targets);
 	mmx_timer_init(&exit->sweep, exit->clock, on_sweep_, exit);
 	mmx_timer_init(&exit->expiry, exit->clock, mmx_exit_on_expiry, exit);
@@ -421,6 +423,15 @@
 	return true;
 }
 
+bool mmx_exit_set_cold_percent(mmx_exit_t *exit, uint8_t percent)
+{
+	assert(percent >= 1 && percent <= 100);
+	if (exit->running)
+		return false;
+	exit->cold_percent = percent;
+	return true;
+}
+
 bool mmx_exit_set_episodes(mmx_exit_t *exit, bool expected)
 {
 	if (exit->running)
--- a/src/libmasticmux/exit_health.c
+++ b/src/libmasticmux/exit_health.c
@@ -238,9 +238,9 @@
 	if (attempt->state != MMX_ATTEMPT_RUNNING || attempt->overdue ||
 	    attempt->headed ||
 	    overdue->now - attempt->started <
-		    mmx_exit_target_overdue_limit(attempt->target,
-						  attempt->execute->route,
-						  attempt->execute->objective))
+		    mmx_exit_target_overdue_limit(
+			    attempt->target, attempt->execute->route,
+			    attempt->execute->objective, overdue->now))
 		return;
 	g_ptr_array_add(overdue->attempts, attempt);
 }
--- a/src/libmasticmux/exit_target.c
+++ b/src/libmasticmux/exit_target.c
@@ -3,8 +3,8 @@
 #include <assert.h>
 #include <glib.h>
 
-/* A cold target starts with this share of its slots. */
-#define RAMP_START_PERCENT 10
+/* Cold targets take about this many times as long. */
+#define COLD_RUN_FACTOR 2
 /* Weight of a new sample in the smoothed service time: 1/8. */
 #define SERVICE_SMOOTHING 8
 /*
@@ -38,6 +38,7 @@
 	g_strlcpy(target->record.name, name, sizeof(target->record.name));
 	g_strlcpy(target->record.service, service,
 		  sizeof(target->record.service));
+	target->cold_percent = MMX_EXIT_COLD_PERCENT;
 	TAILQ_INIT(&target->queue);
 	mmx_retry_window_init(&target->retry, &no_repeats_);
 	target->limits = mmx_limits_create();
@@ -60,9 +61,9 @@
 
 	if (target->warm_up <= 0 || warm >= target->warm_up)
 		return target->record.slots;
-	percent =
-		RAMP_START_PERCENT +
-		(uint64_t)(warm * (100 - RAMP_START_PERCENT) / target->warm_up);
+	percent = target->cold_percent +
+		  (uint64_t)(warm * (100 - target->cold_percent) /
+			     target->warm_up);
 	slots = target->record.slots * percent / 100;
 	return slots > 0 ? (unsigned int)slots : 1;
 }
@@ -382,12 +383,17 @@
 }
 
 mmx_time_t mmx_exit_target_overdue_limit(const mmx_exit_target_t *target,
-					 uint32_t route, mmx_time_t objective)
+					 uint32_t route, mmx_time_t objective,
+					 mmx_time_t now)
 {
 	static const mmx_overdue_t unknown;
 	const mmx_exit_route_t *known = find_route_(target, route);
+	mmx_time_t limit =
+		mmx_overdue_limit(known ? &known->run : &unknown, objective);
 
-	return mmx_overdue_limit(known ? &known->run : &unknown, objective);
+	if (limit == MMX_TIME_NEVER || !mmx_exit_target_is_cold(target, now))
+		return limit;
+	return limit * COLD_RUN_FACTOR;
 }
 
 void mmx_exit_target_report(const mmx_exit_target_t *target,
--- a/src/libmasticmux/include/private/exit.h
+++ b/src/libmasticmux/include/private/exit.h
@@ -59,6 +59,13 @@
  */
 bool mmx_exit_set_episodes(mmx_exit_t *exit, bool expected);
 
+/*
+ * Share of its slots that a cold target starts with, 1 to 100. Targets that
+ * are only slower while they are cold need no ramp: after a loss of power all
+ * targets of a service are cold, and a ramp would refuse what they can serve.
+ */
+bool mmx_exit_set_cold_percent(mmx_exit_t *exit, uint8_t percent);
+
 /* Bound on the ended attempts that are remembered, 1 or more. */
 bool mmx_exit_set_record_max(mmx_exit_t *exit, size_t record_max);
 
--- a/src/libmasticmux/include/private/exit_internal.h
+++ b/src/libmasticmux/include/private/exit_internal.h
@@ -24,6 +24,7 @@
 	const mmx_guards_t *guards;
 	const mmx_dialect_t *dialect;
 	bool episodes; /* see mmx_exit_set_episodes() */
+	uint8_t cold_percent;
 	mmx_task_t *client;
 	const mmx_exit_observer_ops_t *observer;
 	void *observer_context;
--- a/src/libmasticmux/include/private/exit_target.h
+++ b/src/libmasticmux/include/private/exit_target.h
@@ -23,6 +23,9 @@
  */
 #define MMX_EXIT_LEAVE_QUEUE_US (2 * MMX_US_PER_S)
 
+/* A cold target starts with this share of its slots, unless it is set. */
+#define MMX_EXIT_COLD_PERCENT 10
+
 /* Routes that are known apart from the others. */
 #define MMX_EXIT_ROUTES_MAX 16
 
@@ -44,6 +47,7 @@
 	bool left;	       /* withdrawn by the process that was born then */
 	mmx_time_t warm_since; /* start of the ramp */
 	mmx_time_t warm_up;    /* length of the ramp, from the policy */
+	uint8_t cold_percent;  /* share of the slots at its start, 1 to 100 */
 	bool stopped;	       /* by a planned stop; outlives renewals */
 	bool leaving;	       /* stopped, draining or gone */
 	mmx_time_t leaving_since;
@@ -154,11 +158,12 @@
 				    uint32_t route);
 
 /*
- * Age from which a running request of a route is overdue; MMX_TIME_NEVER when
- * nothing is known.
+ * Age from which a running request of a route is overdue, later while the
+ * target is cold; MMX_TIME_NEVER when nothing is known.
  */
 mmx_time_t mmx_exit_target_overdue_limit(const mmx_exit_target_t *target,
-					 uint32_t route, mmx_time_t objective);
+					 uint32_t route, mmx_time_t objective,
+					 mmx_time_t now);
 
 /*
  * True while queued requests may still start. A target that leaves works
--- a/src/libmasticmux/part_path.c
+++ b/src/libmasticmux/part_path.c
@@ -23,6 +23,10 @@
  * costs 1 ms. */
 #define FRESH_WITHIN_US (1 * MMX_US_PER_S)
 
+/* Targets that announce how long they are cold are slower meanwhile, but have
+ * all their slots. */
+#define COLD_PERCENT 100
+
 typedef struct path_t {
 	mmx_part_t part;
 	mmx_timer_t close;
@@ -133,6 +137,8 @@
 	mmx_exit_set_log(node->exit, node->log);
 	mmx_exit_set_dialect(node->exit, node->dialect);
 	mmx_exit_set_episodes(node->exit, node->store != NULL);
+	if (node->store)
+		mmx_exit_set_cold_percent(node->exit, COLD_PERCENT);
 	mmx_exit_set_trace(node->exit, node->trace);
 	mmx_exit_set_history(node->exit, node->history);
 	mmx_exit_init(node->exit);
--- a/src/test_libmasticmux/test_exit_queue.c
+++ b/src/test_libmasticmux/test_exit_queue.c
@@ -88,14 +88,15 @@
 		      &mmx_new_call_event(&id, MMX_CALL_FAILED)->message);
 }
 
-static void announce_(rig_t *rig)
+static void announce_(rig_t *rig, mmx_target_state_t state)
 {
 	mmx_target_announced_t *announced = mmx_new_target_announced();
 
 	g_strlcpy(announced->name, "t", sizeof(announced->name));
 	g_strlcpy(announced->service, "s", sizeof(announced->service));
 	announced->slots = SLOTS;
-	announced->state = MMX_TARGET_WARM;
+	announced->state = state;
+	announced->cold_left = 3 * MMX_US_PER_S;
 	announced->lease = 3600 * MMX_US_PER_S;
 	mmx_task_post(mmx_exit_task(rig->exit), &announced->message);
 }
@@ -123,7 +124,7 @@
 {
 	int n;
 
-	announce_(rig);
+	announce_(rig, MMX_TARGET_WARM);
 	for (n = 0; n < 20; n++) {
 		fake_run("execute n=1000; wait ms=100; head n=1000", step_,
 			 rig);
@@ -133,7 +134,16 @@
 	g_string_truncate(rig->trace, 0);
 }
 
-static void run_(const script_case_t *cases, size_t count, uint32_t reserve)
+/* A target that has just started; nothing is known of its run times. */
+static void cold_start_(rig_t *rig)
+{
+	announce_(rig, MMX_TARGET_COLD);
+	mmx_runtime_deliver(rig->runtime);
+}
+
+static void run_from_(const script_case_t *cases, size_t count,
+		      uint32_t reserve, void (*start)(rig_t *rig),
+		      uint8_t cold_percent)
 {
 	size_t i;
 
@@ -147,8 +157,9 @@
 		mmx_exit_set_target_client(rig.exit, &rig.client.task);
 		mmx_exit_set_observer(rig.exit, &observer_, &rig);
 		mmx_exit_set_episodes(rig.exit, true);
+		mmx_exit_set_cold_percent(rig.exit, cold_percent);
 		mmx_exit_init(rig.exit);
-		warm_up_(&rig);
+		start(&rig);
 		fake_run(cases[i].script, step_, &rig);
 		fake_compare(&cases[i], rig.trace);
 		mmx_exit_destroy(rig.exit);
@@ -157,6 +168,11 @@
 	}
 }
 
+static void run_(const script_case_t *cases, size_t count, uint32_t reserve)
+{
+	run_from_(cases, count, reserve, warm_up_, 100);
+}
+
 /*
  * Load pattern: a target takes requests and answers none. Guards against
  * requests that may not be repeated and follow the first one into it; against
@@ -290,10 +306,40 @@
 	run_(cases, G_N_ELEMENTS(cases), 0);
 }
 
+/*
+ * Load pattern: all instances lose power, and all targets of a service start
+ * at the same time. Guards against requests that are refused while targets
+ * have free slots, and against targets that are avoided for being as slow as
+ * all are after a start.
+ */
+static void test_cold_targets_(void)
+{
+	static const script_case_t all[] = {
+		{"all slots are used", "execute; execute n=2; execute n=3",
+		 "call1 call2 "},
+		{"slow answers are no failure",
+		 "execute; execute n=2; wait ms=700; execute n=3 post; head; "
+		 "head n=2",
+		 "call1 call2 response1:200:end call3 response2:200:end "},
+		{"no answer is one",
+		 "execute ms=5000; execute n=2 ms=5000; wait ms=900",
+		 "call1 call2 evidence "},
+	};
+	static const script_case_t ramp[] = {
+		{"a ramp is kept where it is wanted",
+		 "execute; execute n=2; wait ms=200; head; wait ms=50",
+		 "call1 response1:200:end call2 "},
+	};
+
+	run_from_(all, G_N_ELEMENTS(all), 0, cold_start_, 100);
+	run_from_(ramp, G_N_ELEMENTS(ramp), 0, cold_start_, 10);
+}
+
 CU_TestInfo mmx_tests_exit_queue[] = {
 	{"a target that never answers", test_hung_target_},
 	{"requests that wait in vain", test_waits_in_vain_},
 	{"repeats for another target", test_grants_},
 	{"who is told of a suspicion", test_suspicion_is_told_},
+	{"all targets have just started", test_cold_targets_},
 	CU_TEST_INFO_NULL,
 };
