Let doubt about a target end with time

Requests that a target had never answered were reported at their deadline of 8 s, when its episode was over. But the estimate relaxes towards the usual share of failing targets, and doubt ended below that share: without a read that succeeds it never did.

Change: doubt ends a fifth above the usual share, two mean episodes after an overdue request and four after a failure.

Both new cases fail without the changes.

--- a/src/libmasticmux/fault.c
+++ b/src/libmasticmux/fault.c
@@ -13,9 +13,11 @@
 #define PROBABILITY_MAX 0.97
 /* Above it a failure elsewhere is less likely than one here. */
 #define SUSPECT_PROBABILITY 0.4
-/* Above it a target is worse than one of which nothing is known: one success
- * after a failure is too little, as some requests succeed in an episode. */
-#define DOUBTFUL_PROBABILITY USUAL_SHARE
+/* Above it a target is clearly worse than one of which nothing is known: one
+ * success after a failure is too little, as some requests succeed in an
+ * episode. Time alone leads back to the usual share and not below it: with that
+ * as the limit, a target without reads would be avoided for good. */
+#define DOUBTFUL_PROBABILITY (1.2 * USUAL_SHARE)
 
 /* Time without requests after a failure of a suspect target. In an episode
  * connections break at once: without a pause as many requests would test the
--- a/src/test_libmasticmux/test_exit_queue.c
+++ b/src/test_libmasticmux/test_exit_queue.c
@@ -196,6 +196,10 @@
 		 "execute n=5; wait ms=400",
 		 "call11 call12 evidence refused3:suspect refused4:suspect "
 		 "refused5:suspect "},
+		/* At the deadline of a hung request its episode is over. */
+		{"the end of its time is no new evidence",
+		 "execute ms=12000; wait ms=12000; fail; execute n=2 post",
+		 "call1 refused1:target-failed:started call2 "},
 		{"it was only slow",
 		 "execute; wait ms=400; head; execute n=2; wait ms=100; "
 		 "head n=2; execute n=3 post",
--- a/src/test_libmasticmux/test_fault.c
+++ b/src/test_libmasticmux/test_fault.c
@@ -6,8 +6,8 @@
 
 #define MS MMX_US_PER_MS
 
-/* Results in order: s success, b broken, f failing status, l late; a digit
- * waits that many seconds. */
+/* Results in order: s success, b broken, f failing status, l late, o overdue;
+ * a digit waits that many seconds. */
 typedef struct case_t {
 	const char *name;
 	const char *results;
@@ -23,6 +23,8 @@
 		return MMX_FAULT_STATUS;
 	case 'l':
 		return MMX_FAULT_LATE;
+	case 'o':
+		return MMX_FAULT_OVERDUE;
 	default:
 		return MMX_FAULT_SUCCESS;
 	}
@@ -96,6 +98,10 @@
 		{"two successes after it", "sssbss", false},
 		{"one success after two failures", "sbbs", true},
 		{"one failing status", "sssf", false},
+		{"an overdue request", "ssso", true},
+		{"while its episode may last", "ssso6", true},
+		{"after two mean episodes", "ssso93", false},
+		{"after four, where it was a failure", "sssb996", false},
 	};
 
 	run_(cases, G_N_ELEMENTS(cases), mmx_fault_is_doubtful);
