--- a/scripts/faults.sh
+++ b/scripts/faults.sh
@@ -537,8 +537,8 @@
 # short (kept until complete) or long (forwarded as it arrives).
 step_broken_answers_are_never_whole() {
 	break_answers late late_ms 2500 0
-	break_answers cut_short cut_bytes 40 -1
-	break_answers cut_long cut_bytes 100000 -1
+	break_answers cut_short cut_bytes 40 -1 answers_cut
+	break_answers cut_long cut_bytes 100000 -1 answers_cut
 	break_answers closed close_without_answer true false
 	check "answers were cut" control_above "${target[2]}" answers_cut 0
 	check "long answers are cut on their way" not is 0 \
@@ -547,12 +547,17 @@
 		cut_short_short '^errors: '
 	check_recovery
 }
-break_answers() { # NAME FAULT BAD GOOD
-	local size name
+# The nodes avoid the broken targets after the faults before. With COUNTER, the
+# load lasts until it has risen, so that a trial has met the fault.
+break_answers() { # NAME FAULT BAD GOOD [COUNTER]
+	local size name before
+	before=$(broken_count "${5:-started}")
 	set_fault "${target[2]}" "{\"$2\":$3}"
 	set_fault "${target[7]}" "{\"$2\":$3}"
 	begin_loads "$1_short" "$all_nodes" --rate 80
 	begin_loads "$1_long" "$all_nodes" --rate 80 --response-bytes 200000
+	[ -z "${5:-}" ] || check "$1: $5 rises" \
+		wait_until broken_count_above "$5" "$before"
 	for size in short long; do
 		name=$1_$size
 		end_loads "$name"
@@ -565,6 +570,13 @@
 	set_fault "${target[7]}" "{\"$2\":$4}"
 }
 
+# Sum of a counter over the broken targets.
+broken_count() { # COUNTER
+	echo $(($(control_value "${target[2]}" "$1") +
+		$(control_value "${target[7]}" "$1")))
+}
+broken_count_above() { [ "$(broken_count "$1")" -gt "$2" ]; }
+
 run() {
 	local before=$failures
 	step=$1
--- a/src/libmasticmux/view.c
+++ b/src/libmasticmux/view.c
@@ -18,6 +18,14 @@
  * nothing for twice as long, the exit is reachable.
  */
 #define PATH_SILENCE_MAX_US (2 * MMX_PATH_TIMEOUT_US)
+/*
+ * Time after which a report of an exit that its target is draining is
+ * forgotten, unless it is repeated. The directory records a target that leaves
+ * for good, but not the stop of an exit process whose target stays: the next
+ * process uses that target again. An exit that still stops refuses the attempt
+ * and so repeats the report.
+ */
+#define DRAINING_REPORT_TTL_US (2 * MMX_US_PER_S)
 
 const char *const mmx_view_trial_result_string[MMX_VIEW_TRIAL_COUNT] = {
 	"good",
@@ -46,7 +54,8 @@
 	mmx_locality_t locality;
 	mmx_availability_t availability;
 	uint64_t version; /* of the directory record */
-	bool draining;	  /* as reported by the exit for this version */
+	/* Until when it is draining by a report of its exit; 0: no report. */
+	mmx_time_t draining_until;
 	mmx_time_t summary_sent;
 	unsigned int sync_number; /* last one that found the target */
 } target_t;
@@ -135,8 +144,8 @@
 }
 
 static mmx_availability_t
-target_availability_(const mmx_view_t *view,
-		     const mmx_directory_target_t *record, bool draining)
+target_availability_(const mmx_view_t *view, const target_t *target,
+		     const mmx_directory_target_t *record)
 {
 	const mmx_view_members_ops_t *members = view->config.members;
 	mmx_target_state_t state = mmx_directory_target_state(record);
@@ -147,7 +156,7 @@
 					     mmx_directory_target_node(record));
 	if (node != MMX_AVAILABLE)
 		return node;
-	if (draining || state >= MMX_TARGET_DRAINING)
+	if (now_(view) < target->draining_until || state >= MMX_TARGET_DRAINING)
 		return MMX_AVAILABILITY_DRAINING;
 	return state == MMX_TARGET_COLD ? MMX_AVAILABILITY_COLD : MMX_AVAILABLE;
 }
@@ -200,10 +209,10 @@
 	if (!target)
 		target = add_target_(service, record);
 	if (target->version != mmx_directory_target_version(record))
-		target->draining = false;
+		target->draining_until = 0;
 	target->version = mmx_directory_target_version(record);
 	target->sync_number = service->sync_number;
-	availability = target_availability_(view, record, target->draining);
+	availability = target_availability_(view, target, record);
 	if (target->slots != slots || target->locality != locality)
 		mmx_balance_set_target(service->balance, id, slots, locality);
 	if (target->slots != slots || target->availability != availability) {
@@ -352,6 +361,7 @@
 {
 	target_t *target = g_hash_table_lookup(view->targets, &report->target);
 	const mmx_directory_target_t *record;
+	mmx_availability_t availability;
 	mmx_ejection_t *ejection;
 
 	if (!target || report->level >= MMX_HEALTH_COUNT)
@@ -363,16 +373,19 @@
 	mmx_ejection_report_health(ejection, target->id,
 				   (mmx_health_t)report->level,
 				   report->score / 1000.0);
-	if (report->state < MMX_TARGET_DRAINING || target->draining)
-		return;
 	/* The report may be ahead of the directory. */
-	target->draining = true;
+	target->draining_until = report->state < MMX_TARGET_DRAINING
+					 ? 0
+					 : now_(view) + DRAINING_REPORT_TTL_US;
 	record = mmx_directory_find(view->config.directory, target->id);
 	if (!record)
 		return;
-	target->availability = target_availability_(view, record, true);
+	availability = target_availability_(view, target, record);
+	if (availability == target->availability)
+		return;
+	target->availability = availability;
 	mmx_ejection_set_target(ejection, target->id, target->slots,
-				target->availability);
+				availability);
 }
 
 bool mmx_view_take_retry(mmx_view_t *view, const char *name)
--- a/src/test_libmasticmux/suites.c
+++ b/src/test_libmasticmux/suites.c
@@ -72,6 +72,7 @@
 	{"target_reuse", NULL, NULL, NULL, NULL, mmx_tests_target_reuse},
 	{"task", NULL, NULL, NULL, NULL, mmx_tests_task},
 	{"trace", NULL, NULL, NULL, NULL, mmx_tests_trace},
+	{"view", NULL, NULL, NULL, NULL, mmx_tests_view},
 	{"wire", NULL, NULL, NULL, NULL, mmx_tests_wire},
 	CU_SUITE_INFO_NULL,
 };
--- a/src/test_libmasticmux/suites.h
+++ b/src/test_libmasticmux/suites.h
@@ -71,6 +71,7 @@
 extern CU_TestInfo mmx_tests_target_reuse[];
 extern CU_TestInfo mmx_tests_task[];
 extern CU_TestInfo mmx_tests_trace[];
+extern CU_TestInfo mmx_tests_view[];
 extern CU_TestInfo mmx_tests_wire[];
 
 extern CU_SuiteInfo mmx_test_suites[];
--- /dev/null
+++ b/src/test_libmasticmux/test_view.c
@@ -0,0 +1,138 @@
+#include "suites.h"
+
+#include <glib.h>
+
+#include "private/view.h"
+
+#define EXIT_NODE 2
+
+typedef struct fixture_t {
+	mmx_clock_t *clock;
+	mmx_random_t random;
+	mmx_directory_t *directory;
+	const mmx_config_state_t *config_state;
+	mmx_view_t *view;
+	mmx_target_record_t record;
+} fixture_t;
+
+/* A view of one service with one target. */
+static fixture_t *open_(void)
+{
+	fixture_t *fixture = g_new0(fixture_t, 1);
+
+	fixture->clock = mmx_clock_create_paused();
+	mmx_random_seed(&fixture->random, 1);
+	fixture->directory = mmx_directory_create(fixture->clock);
+	fixture->view = mmx_view_create(&(mmx_view_config_t){
+		.clock = fixture->clock,
+		.random = &fixture->random,
+		.directory = fixture->directory,
+		.config_state = &fixture->config_state,
+		.guards = &mmx_guards_all,
+	});
+	fixture->record = (mmx_target_record_t){
+		.id = mmx_directory_id("exit", "target"),
+		.node = EXIT_NODE,
+		.incarnation = 1,
+		.version = 1,
+		.state = MMX_TARGET_WARM,
+		.slots = 3,
+		.name = "target",
+		.service = "s",
+	};
+	mmx_directory_update(fixture->directory, &fixture->record);
+	return fixture;
+}
+
+static void close_(fixture_t *fixture)
+{
+	mmx_view_destroy(fixture->view);
+	mmx_directory_destroy(fixture->directory);
+	mmx_clock_destroy(fixture->clock);
+	g_free(fixture);
+}
+
+static bool is_chosen_(fixture_t *fixture)
+{
+	mmx_balance_request_t request = {0};
+	mmx_view_choice_t choice;
+
+	if (!mmx_view_start_attempt(fixture->view, "s", &request, &choice))
+		return false;
+	mmx_view_finish_attempt(fixture->view, choice.target, choice.node);
+	return true;
+}
+
+static void report_(fixture_t *fixture, mmx_target_state_t state)
+{
+	mmx_view_report_load(fixture->view,
+			     &(mmx_load_report_t){
+				     .target = fixture->record.id,
+				     .slots = 3,
+				     .state = state,
+			     });
+}
+
+/*
+ * Guards against targets that are lost for good after a planned restart of
+ * their exit: the directory's record of the target does not change, so nothing
+ * but a later report or time ends what the stopping process has reported. Also
+ * guards against work for a target that leaves.
+ */
+static void test_draining_report_(void)
+{
+	enum { NONE = MMX_TARGET_STATE_COUNT };
+	static const struct {
+		const char *name;
+		int second_report; /* state, or NONE */
+		bool new_record;
+		mmx_target_state_t record_state; /* of the new record */
+		int wait_ms;			 /* after both */
+		bool chosen;
+	} cases[] = {
+		{"at once", NONE, false, MMX_TARGET_WARM, 0, false},
+		{"within its lifetime", NONE, false, MMX_TARGET_WARM, 900,
+		 false},
+		{"the exit was restarted", NONE, false, MMX_TARGET_WARM, 1100,
+		 true},
+		{"the new exit process reports", MMX_TARGET_WARM, false,
+		 MMX_TARGET_WARM, 0, true},
+		{"the exit still stops", MMX_TARGET_DRAINING, false,
+		 MMX_TARGET_WARM, 1900, false},
+		{"new record", NONE, true, MMX_TARGET_WARM, 100, true},
+		{"the target has left", NONE, true, MMX_TARGET_DRAINING, 60000,
+		 false},
+	};
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		fixture_t *fixture = open_();
+
+		CU_ASSERT_TRUE(is_chosen_(fixture));
+		report_(fixture, MMX_TARGET_DRAINING);
+		mmx_clock_advance(fixture->clock, MMX_US_PER_S);
+		CU_ASSERT_FALSE(is_chosen_(fixture));
+		if (cases[i].second_report != NONE)
+			report_(fixture,
+				(mmx_target_state_t)cases[i].second_report);
+		if (cases[i].new_record) {
+			fixture->record.version++;
+			fixture->record.state = cases[i].record_state;
+			mmx_directory_update(fixture->directory,
+					     &fixture->record);
+		}
+		mmx_clock_advance(fixture->clock,
+				  cases[i].wait_ms * MMX_US_PER_MS);
+		if (is_chosen_(fixture) != cases[i].chosen) {
+			printf("%s: chosen is %d\n", cases[i].name,
+			       !cases[i].chosen);
+			CU_FAIL("choice after a report");
+		}
+		close_(fixture);
+	}
+}
+
+CU_TestInfo mmx_tests_view[] = {
+	{"report of a draining target", test_draining_report_},
+	CU_TEST_INFO_NULL,
+};
