Let a node that stops serve its target for a third of its grace period

Cause: a rolling restart stops many nodes within seconds. Each refused all work for its target from its signal on, although the target stays and the process lives for half of the grace period anyway. Change: the exit admits attempts for a third of the grace period after the signal, on nodes with a store. A target that leaves meanwhile gets none.

--- a/src/libmasticmux/exit.c
+++ b/src/libmasticmux/exit.c
@@ -315,6 +315,24 @@
 
 static const mmx_task_ops_t task_ops_ = {"exit", handle_};
 
+static void stop_target_(mmx_exit_t *exit, mmx_exit_target_t *target)
+{
+	target->stopped = true;
+	if (target->record.state != MMX_TARGET_GONE)
+		set_state_(exit, target, MMX_TARGET_DRAINING);
+	if (!exit->guards->graceful_stop)
+		mmx_exit_abort_target(exit, target);
+}
+
+static void on_stop_timer_(void *arg)
+{
+	mmx_exit_t *exit = arg;
+	mmx_exit_target_t *target;
+
+	LIST_FOREACH (target, &exit->targets, entry)
+		stop_target_(exit, target);
+}
+
 mmx_exit_t *mmx_exit_create(mmx_runtime_t *runtime, mmx_node_id_t node,
 			    const char *node_name,
 			    mmx_incarnation_t incarnation)
@@ -334,6 +352,7 @@
 	mmx_timer_init(&exit->sweep_timer, exit->clock, on_sweep_, exit);
 	mmx_timer_init(&exit->expiry_timer, exit->clock, mmx_exit_on_expiry,
 		       exit);
+	mmx_timer_init(&exit->stop_timer, exit->clock, on_stop_timer_, exit);
 	mmx_timer_init(&exit->health_timer, exit->clock,
 		       mmx_exit_health_on_timer, exit);
 	return exit;
@@ -348,6 +367,7 @@
 	mmx_timer_cancel(&exit->sweep_timer);
 	mmx_timer_cancel(&exit->expiry_timer);
 	mmx_timer_cancel(&exit->health_timer);
+	mmx_timer_cancel(&exit->stop_timer);
 	mmx_task_finish(&exit->task);
 	if (exit->attempts)
 		mmx_exit_health_abandon_all(exit);
@@ -502,15 +522,6 @@
 	return &exit->task;
 }
 
-static void stop_target_(mmx_exit_t *exit, mmx_exit_target_t *target)
-{
-	target->stopped = true;
-	if (target->record.state != MMX_TARGET_GONE)
-		set_state_(exit, target, MMX_TARGET_DRAINING);
-	if (!exit->guards->graceful_stop)
-		mmx_exit_abort_target(exit, target);
-}
-
 bool mmx_exit_stop_target(mmx_exit_t *exit, const char *name)
 {
 	mmx_exit_target_t *target = find_target_by_name_(exit, name);
@@ -521,12 +532,12 @@
 	return true;
 }
 
-void mmx_exit_stop_all(mmx_exit_t *exit)
+void mmx_exit_stop_all(mmx_exit_t *exit, mmx_time_t delay)
 {
-	mmx_exit_target_t *target;
-
-	LIST_FOREACH (target, &exit->targets, entry)
-		stop_target_(exit, target);
+	if (delay > 0)
+		mmx_timer_set(&exit->stop_timer, delay);
+	else
+		on_stop_timer_(exit);
 }
 
 size_t mmx_exit_in_progress(const mmx_exit_t *exit, const char *name)
--- a/src/libmasticmux/include/private/exit.h
+++ b/src/libmasticmux/include/private/exit.h
@@ -99,8 +99,12 @@
  */
 bool mmx_exit_stop_target(mmx_exit_t *exit, const char *name);
 
-/* Starts a planned stop of every target, for a node that shuts down. */
-void mmx_exit_stop_all(mmx_exit_t *exit);
+/*
+ * Starts a planned stop of every target, for a node that shuts down.
+ *
+ * delay: microseconds for which new attempts are still admitted; 0: none
+ */
+void mmx_exit_stop_all(mmx_exit_t *exit, mmx_time_t delay);
 
 /* Number of requests queued or running at a target, or at all if name is
  * NULL. */
--- a/src/libmasticmux/part_path.c
+++ b/src/libmasticmux/part_path.c
@@ -17,6 +17,12 @@
  * /healthz. */
 #define STOP_ACCEPT_DIVISOR 2
 
+/* The target outlives a node that stops, so its exit admits requests for this
+ * fraction of the grace period, 1/n. The rest is for those that run then.
+ * Otherwise a rolling restart would take away most targets of a service at the
+ * same time. */
+#define STOP_SERVE_DIVISOR 3
+
 /* A node reads configuration and roster within 0.2 s of its start; after this
  * time the store is probably unavailable. */
 #define STARTUP_HOLD_US (500 * MMX_US_PER_MS)
@@ -254,11 +260,13 @@
 	path_part_t *self = (path_part_t *)part;
 	mmx_node_t *node = part->node;
 
-	mmx_exit_stop_all(node->exit);
 	if (!node->store) {
+		mmx_exit_stop_all(node->exit, 0);
 		end_accept_(self);
 		return;
 	}
+	mmx_exit_stop_all(node->exit,
+			  node->reloadable.stop_grace / STOP_SERVE_DIVISOR);
 	/* Callers learn of the stop only from the health check. */
 	mmx_http_entry_announce_drain(self->http);
 	mmx_timer_set(&self->accept_end,
--- a/src/test_libmasticmux/test_exit.c
+++ b/src/test_libmasticmux/test_exit.c
@@ -143,6 +143,9 @@
 				       ->message);
 	else if (g_str_equal(words[0], "stop"))
 		mmx_exit_stop_target(fixture->exit, "t");
+	else if (g_str_equal(words[0], "stop-all"))
+		mmx_exit_stop_all(fixture->exit,
+				  fake_number(words, "ms", 0) * MMX_US_PER_MS);
 	else if (g_str_equal(words[0], "wait"))
 		mmx_clock_advance(mmx_runtime_clock(fixture->runtime),
 				  fake_number(words, "ms", 1) * MMX_US_PER_MS);
@@ -438,6 +441,13 @@
 		{"an expired lease refuses the queue",
 		 "warm lease=200; execute; execute n=2; wait ms=500",
 		 "call1 evidence refused2:draining "},
+		/* A node that restarts while its target stays. */
+		{"a delayed stop admits attempts until then",
+		 "warm; stop-all ms=2000; wait ms=1900; execute; head end; "
+		 "wait ms=200; execute n=2",
+		 "call1 response1:200:end evidence refused2:draining "},
+		{"a target that leaves meanwhile gets none",
+		 "warm; stop-all ms=2000; stop; execute", "refused1:draining "},
 		{"a change of slots is announced",
 		 "warm; versions; warm slots=3; versions; warm slots=3; "
 		 "versions",
--- a/test/world.c
+++ b/test/world.c
@@ -394,7 +394,7 @@
 				MIN(node->world->targets[i].stop_at,
 				    world_now(node->world));
 	mmx_entry_drain(node->entry);
-	mmx_exit_stop_all(node->exit);
+	mmx_exit_stop_all(node->exit, 0);
 	mmx_runtime_deliver(node->runtime);
 	world_after(node->world, 10 * MMX_US_PER_MS, end_stopped_, node, NULL);
 }
