Let reads use more slots of a suspect target while others are full

Change: reads may use half of the slots of a suspect target in proportion to the probability that it is healthy, one at least. Further attempts of a read, like the first one, prefer a free slot of a suspect target to a queue.

--- a/src/libmasticmux/exit_attempt.c
+++ b/src/libmasticmux/exit_attempt.c
@@ -102,7 +102,7 @@
 /*
  * Returns true when a request must go to another target because this one may
  * be in a failure episode. During an episode, the target gets repeatable first
- * attempts only, one at a time, to detect its end. Requests that are not
+ * attempts only, a few at a time, to detect its end. Requests that are not
  * repeatable and retries are refused until the target is no more likely to
  * fail than one without any results. A request with no time left for another
  * exit is admitted, because a refusal would fail it for certain.
@@ -118,7 +118,10 @@
 	if (!execute->repeatable || execute->repeat)
 		return mmx_fault_is_elevated(&target->fault, now);
 	return mmx_fault_is_suspect(&target->fault, now) &&
-	       (target->in_progress > 0 || target->queued > 0 ||
+	       (target->in_progress + target->queued >=
+			mmx_fault_trial_slots(
+				&target->fault,
+				mmx_exit_target_slots(target, now), now) ||
 		!mmx_fault_trial_allowed(&target->fault, now));
 }
 
--- a/src/libmasticmux/fault.c
+++ b/src/libmasticmux/fault.c
@@ -27,6 +27,10 @@
  * episode, so that the end of the episode is detected soon. */
 #define TRIAL_PAUSE_US (500 * MMX_US_PER_MS)
 
+/* Part of its healthy slots that a suspect target uses for trials, 1/n. The rest
+ * stays free: a request that hangs holds its slot for several run times. */
+#define TRIAL_SLOTS_DIVISOR 2
+
 const char *const mmx_fault_result_string[MMX_FAULT_RESULT_COUNT] = {
 	"success", "broken", "status", "late", "overdue",
 };
@@ -92,6 +96,18 @@
 	return mmx_fault_probability(fault, now) > ELEVATED_PROBABILITY;
 }
 
+/* In proportion to the probability that the target is healthy: when the other
+ * targets of its service are full, its capacity is needed. */
+unsigned int mmx_fault_trial_slots(const mmx_fault_t *fault, unsigned int slots,
+				   mmx_time_t now)
+{
+	double healthy = 1 - mmx_fault_probability(fault, now);
+	unsigned int used =
+		(unsigned int)(healthy * slots / TRIAL_SLOTS_DIVISOR);
+
+	return used > 1 ? used : 1;
+}
+
 bool mmx_fault_trial_allowed(const mmx_fault_t *fault, mmx_time_t now)
 {
 	return now - fault->last_failure >= TRIAL_PAUSE_US;
--- a/src/libmasticmux/filter_attempt.c
+++ b/src/libmasticmux/filter_attempt.c
@@ -240,14 +240,13 @@
 {
 	bool has_objective = exchange->objective > 0;
 	bool same_region = exchange->attempts < MMX_SAME_REGION_ATTEMPTS;
-	bool may_test_suspect = exchange->repeatable && exchange->attempts == 0;
 	mmx_balance_request_t request = {
 		.repeatable = exchange->repeatable,
 		.tried = exchange->tried,
 		.tried_count = exchange->attempts,
 		.queue_in_region = has_objective && same_region,
-		/* The first attempts of repeatable requests test suspects. */
-		.queue_before_suspects = has_objective && !may_test_suspect,
+		/* Suspects have slots for repeatable requests only. */
+		.queue_before_suspects = has_objective && !exchange->repeatable,
 	};
 	mmx_view_choice_t choice;
 
--- a/src/libmasticmux/include/private/fault.h
+++ b/src/libmasticmux/include/private/fault.h
@@ -41,6 +41,14 @@
 /* True if only trial requests should be sent to the target. */
 bool mmx_fault_is_suspect(const mmx_fault_t *fault, mmx_time_t now);
 
+/*
+ * Slots of a suspect target that may be used for trial requests, one at least.
+ *
+ * slots: that it has when it is healthy, 1 or more
+ */
+unsigned int mmx_fault_trial_slots(const mmx_fault_t *fault, unsigned int slots,
+				   mmx_time_t now);
+
 /* True if a trial request may be sent to a suspect target: some time after a
  * failure, immediately after a success. */
 bool mmx_fault_trial_allowed(const mmx_fault_t *fault, mmx_time_t now);
--- a/src/test_libmasticmux/test_exit_queue.c
+++ b/src/test_libmasticmux/test_exit_queue.c
@@ -93,13 +93,14 @@
 		      &mmx_new_call_event(&id, MMX_CALL_FAILED)->message);
 }
 
-static void announce_(fixture_t *fixture, mmx_target_state_t state)
+static void announce_(fixture_t *fixture, mmx_target_state_t state,
+		      uint16_t slots)
 {
 	mmx_target_announced_t *announced = mmx_new_target_announced();
 
 	g_strlcpy(announced->name, "t", sizeof(announced->name));
 	g_strlcpy(announced->service, "s", sizeof(announced->service));
-	announced->slots = SLOTS;
+	announced->slots = slots;
 	announced->state = state;
 	announced->cold_left = 3 * MMX_US_PER_S;
 	announced->lease = 3600 * MMX_US_PER_S;
@@ -116,6 +117,9 @@
 		head_(fixture, words);
 	else if (g_str_equal(words[0], "fail"))
 		fail_(fixture, words);
+	else if (g_str_equal(words[0], "slots"))
+		announce_(fixture, MMX_TARGET_WARM,
+			  (uint16_t)fake_number(words, "n", SLOTS));
 	else if (g_str_equal(words[0], "wait"))
 		mmx_clock_advance(mmx_runtime_clock(fixture->runtime),
 				  fake_number(words, "ms", 1) * MS);
@@ -129,7 +133,7 @@
 {
 	int n;
 
-	announce_(fixture, MMX_TARGET_WARM);
+	announce_(fixture, MMX_TARGET_WARM, SLOTS);
 	for (n = 0; n < 20; n++) {
 		fake_run("execute n=1000; wait ms=100; head n=1000", run_step_,
 			 fixture);
@@ -142,7 +146,7 @@
 /* A cold target without known run times. */
 static void start_cold_(fixture_t *fixture)
 {
-	announce_(fixture, MMX_TARGET_COLD);
+	announce_(fixture, MMX_TARGET_COLD, SLOTS);
 	mmx_runtime_deliver(fixture->runtime);
 }
 
@@ -196,6 +200,10 @@
 		 "call1 refused2:suspect "},
 		{"a read tests the target", "execute; wait ms=400; execute n=2",
 		 "call1 call2 "},
+		{"reads use a part of many slots while others are full",
+		 "slots n=8; wait ms=20000; execute ms=5000; wait ms=900; "
+		 "execute n=2; execute n=3; execute n=4 post",
+		 "call1 evidence call2 refused3:suspect refused4:suspect "},
 		{"both are overdue, the queue is refused",
 		 "execute; execute n=2; execute n=3; wait ms=400",
 		 "call1 call2 evidence refused3:suspect "},
--- a/src/test_libmasticmux/test_fault.c
+++ b/src/test_libmasticmux/test_fault.c
@@ -130,6 +130,46 @@
 	check_cases_(cases, G_N_ELEMENTS(cases), mmx_fault_trial_allowed);
 }
 
+/*
+ * Load pattern: half of the targets of a service are suspect and the others are
+ * full. Guards against suspects that serve one request at a time although they
+ * are as likely to be healthy as not, and against slots that are filled with
+ * requests at a target that is almost certain to fail.
+ */
+static void test_trial_slots_(void)
+{
+	static const struct {
+		const char *name;
+		double probability;
+		unsigned int slots;
+		unsigned int expected;
+	} cases[] = {
+		{"as likely as not, many slots", 0.5, 8, 2},
+		{"a little less likely to fail", 0.41, 8, 2},
+		{"likely to fail", 0.8, 8, 1},
+		{"almost certain to fail", 0.97, 64, 1},
+		{"as likely as not, few slots", 0.5, 4, 1},
+		{"one slot", 0.5, 1, 1},
+		{"very many slots", 0.5, 64, 16},
+	};
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		mmx_fault_t fault;
+
+		mmx_fault_init(&fault, 0);
+		fault.failing_probability = cases[i].probability;
+		if (mmx_fault_trial_slots(&fault, cases[i].slots, 0) !=
+		    cases[i].expected)
+			printf("%s: %u\n", cases[i].name,
+			       mmx_fault_trial_slots(&fault, cases[i].slots,
+						     0));
+		CU_ASSERT_EQUAL(
+			mmx_fault_trial_slots(&fault, cases[i].slots, 0),
+			cases[i].expected);
+	}
+}
+
 /* Guards against a probability of 0 or 1 after many results, which no later
  * result could change. */
 static void test_range_(void)
@@ -156,6 +196,7 @@
 	{"elevated probability after failure episodes",
 	 test_elevated_after_episodes_},
 	{"pause between trials of failing targets", test_pause_between_trials_},
+	{"slots for trials at a suspect target", test_trial_slots_},
 	{"the probability stays within its bounds", test_range_},
 	CU_TEST_INFO_NULL,
 };
