--- a/scripts/faults.sh
+++ b/scripts/faults.sh
@@ -547,11 +547,12 @@
 		cut_short_short '^errors: '
 	check_recovery
 }
-# The nodes avoid the broken targets after the faults before. With COUNTER, the
-# load lasts until it has risen, so that a trial has met the fault.
+# After the faults before, the nodes avoid the broken targets for a while. With
+# COUNTER, the load lasts until this counter of theirs has risen, so that some
+# requests have met the fault.
 break_answers() { # NAME FAULT BAD GOOD [COUNTER]
 	local size name before
-	before=$(broken_count "${5:-started}")
+	[ -z "${5:-}" ] || before=$(broken_count "$5")
 	set_fault "${target[2]}" "{\"$2\":$3}"
 	set_fault "${target[7]}" "{\"$2\":$3}"
 	begin_loads "$1_short" "$all_nodes" --rate 80
--- a/src/libmasticmux/exit.c
+++ b/src/libmasticmux/exit.c
@@ -324,7 +324,8 @@
 		mmx_exit_abort_target(exit, target);
 }
 
-static void on_stop_timer_(void *arg)
+/* Also the callback of the timer of a delayed stop. */
+static void stop_targets_(void *arg)
 {
 	mmx_exit_t *exit = arg;
 	mmx_exit_target_t *target;
@@ -352,7 +353,7 @@
 	mmx_timer_init(&exit->sweep_timer, exit->clock, on_sweep_, exit);
 	mmx_timer_init(&exit->expiry_timer, exit->clock, mmx_exit_on_expiry,
 		       exit);
-	mmx_timer_init(&exit->stop_timer, exit->clock, on_stop_timer_, exit);
+	mmx_timer_init(&exit->stop_timer, exit->clock, stop_targets_, exit);
 	mmx_timer_init(&exit->health_timer, exit->clock,
 		       mmx_exit_health_on_timer, exit);
 	return exit;
@@ -537,7 +538,7 @@
 	if (delay > 0)
 		mmx_timer_set(&exit->stop_timer, delay);
 	else
-		on_stop_timer_(exit);
+		stop_targets_(exit);
 }
 
 size_t mmx_exit_in_progress(const mmx_exit_t *exit, const char *name)
--- a/src/libmasticmux/fault.c
+++ b/src/libmasticmux/fault.c
@@ -27,8 +27,9 @@
  * episode, so that the end of the episode is detected soon. */
 #define TRIAL_PAUSE_US (500 * MMX_US_PER_MS)
 
-/* Part of its healthy slots that a suspect target uses for trials, 1/n. The rest
- * stays free: a request that hangs holds its slot for several run times. */
+/* Share of its healthy slots that a suspect target uses for trials, 1/n. The
+ * rest stays free: a request that hangs holds its slot for several run times.
+ */
 #define TRIAL_SLOTS_DIVISOR 2
 
 const char *const mmx_fault_result_string[MMX_FAULT_RESULT_COUNT] = {
--- a/src/libmasticmux/include/private/exit_internal.h
+++ b/src/libmasticmux/include/private/exit_internal.h
@@ -44,7 +44,7 @@
 	mmx_time_t backlog_until; /* until then, messages may be delayed */
 	mmx_timer_t expiry_timer; /* refuses late queued attempts */
 	mmx_timer_t health_timer;
-	mmx_timer_t stop_timer; /* stops all targets */
+	mmx_timer_t stop_timer; /* of a delayed stop of all targets */
 	mmx_time_t last_evaluation;
 	mmx_counter_t *started;
 	mmx_histogram_t *queue_time;
