--- a/review/build.sh
+++ b/review/build.sh
@@ -1,6 +1,6 @@
 #!/bin/sh
 # Builds every stand-in that the cases start. All of them are Python programs
-# without dependencies (Python 3.11 or later), the store of platform/soak among
+# without packages (Python 3.11 or later), the store of platform/soak among
 # them: compiling them shows that they are complete.
 set -e
 cd "$(dirname "$0")"
