Log whose request a rejected response names

Change: call_failed gives status, response_id (own, other, none) and the number of earlier calls on the connection; masticmux_target_replies_total counts heads of responses by what they were taken for and by response_id. No decision changes.

--- a/src/libmasticmux/exit.c
+++ b/src/libmasticmux/exit.c
@@ -410,6 +410,26 @@
 	return true;
 }
 
+static void register_replies_(mmx_exit_t *exit, mmx_counters_t *counters)
+{
+	char labels[64];
+	int kind;
+	int id;
+
+	for (kind = 0; kind < MMX_REPLY_KIND_COUNT; kind++) {
+		for (id = 0; id < MMX_REPLY_ID_COUNT; id++) {
+			g_snprintf(labels, sizeof(labels),
+				   "kind=\"%s\",request_id=\"%s\"",
+				   mmx_reply_kind_string[kind],
+				   mmx_reply_id_string[id]);
+			exit->replies[kind][id] = mmx_counters_get(
+				counters, MMX_COUNTER,
+				"masticmux_target_replies_total", labels,
+				"Heads of responses from targets.");
+		}
+	}
+}
+
 bool mmx_exit_set_counters(mmx_exit_t *exit, mmx_counters_t *counters)
 {
 	if (exit->initialised)
@@ -435,6 +455,7 @@
 	exit->expired = mmx_counters_get(
 		counters, MMX_COUNTER, "masticmux_exit_expired_total", "",
 		"Queued attempts whose deadline passed before the start.");
+	register_replies_(exit, counters);
 	return true;
 }
 
--- a/src/libmasticmux/exit_call.c
+++ b/src/libmasticmux/exit_call.c
@@ -115,8 +115,12 @@
 	mmx_reply_kind_t kind = mmx_reply_classify(
 		exit->header_names, event->head, attempt->request_id);
 
+	mmx_reply_id_t id = mmx_reply_identify(exit->header_names, event->head,
+					       attempt->request_id);
+
+	mmx_counter_add(exit->replies[kind][id], 1);
 	if (kind != MMX_REPLY_VALID)
-		mmx_exit_log_failed(exit, attempt, mmx_reply_kind_string[kind]);
+		mmx_exit_log_reply(exit, attempt, event, kind);
 	switch (kind) {
 	case MMX_REPLY_NOT_RUN:
 		mmx_exit_health_end(attempt, MMX_RESULT_ABANDONED);
--- a/src/libmasticmux/exit_log.c
+++ b/src/libmasticmux/exit_log.c
@@ -84,19 +84,52 @@
 		      run_ms, NULL);
 }
 
+/* Times of the call of an attempt. */
+static void format_call_(const mmx_exit_t *exit, const mmx_attempt_t *attempt,
+			 char took_ms[24], char left_ms[24])
+{
+	mmx_time_t now = mmx_clock_now(exit->clock);
+
+	mmx_log_format_ms(took_ms, 24, now - attempt->started);
+	mmx_log_format_ms(left_ms, 24, attempt->deadline - now);
+}
+
 void mmx_exit_log_failed(mmx_exit_t *exit, const mmx_attempt_t *attempt,
 			 const char *result)
 {
 	char took_ms[24];
 	char left_ms[24];
-	mmx_time_t now = mmx_clock_now(exit->clock);
 
 	if (!exit->log)
 		return;
-	mmx_log_format_ms(took_ms, sizeof(took_ms), now - attempt->started);
-	mmx_log_format_ms(left_ms, sizeof(left_ms), attempt->deadline - now);
+	format_call_(exit, attempt, took_ms, left_ms);
 	mmx_log_event(exit->log, MMX_LOG_INFO, "call_failed", "id",
 		      attempt->request_id, "target",
 		      attempt->target->record.name, "result", result, "took_ms",
 		      took_ms, "left_ms", left_ms, NULL);
 }
+
+void mmx_exit_log_reply(mmx_exit_t *exit, const mmx_attempt_t *attempt,
+			const mmx_call_event_t *event, mmx_reply_kind_t kind)
+{
+	char took_ms[24];
+	char left_ms[24];
+	char status[12];
+	char earlier_calls[12];
+	mmx_reply_id_t id;
+
+	if (!exit->log)
+		return;
+	id = mmx_reply_identify(exit->header_names, event->head,
+				attempt->request_id);
+	format_call_(exit, attempt, took_ms, left_ms);
+	g_snprintf(status, sizeof(status), "%d", event->head->status);
+	g_snprintf(earlier_calls, sizeof(earlier_calls), "%u",
+		   event->earlier_calls);
+	mmx_log_event(
+		exit->log, MMX_LOG_INFO, "call_failed", "id",
+		attempt->request_id, "target", attempt->target->record.name,
+		"result", mmx_reply_kind_string[kind], "status", status,
+		"response_id", mmx_reply_id_string[id], "earlier_calls",
+		earlier_calls, "took_ms", took_ms, "left_ms", left_ms, NULL);
+}
--- a/src/libmasticmux/header_names.c
+++ b/src/libmasticmux/header_names.c
@@ -16,21 +16,30 @@
 	"foreign",
 };
 
-static bool is_success_(const mmx_head_t *response)
-{
-	return response->status >= 200 && response->status < 300;
-}
+const char *const mmx_reply_id_string[MMX_REPLY_ID_COUNT] = {
+	"own",
+	"none",
+	"other",
+};
 
-/* The target may send a late response to an earlier request instead. */
-static bool answers_request_(const mmx_header_names_t *names,
-			     const mmx_head_t *response, const char *request_id)
+mmx_reply_id_t mmx_reply_identify(const mmx_header_names_t *names,
+				  const mmx_head_t *response,
+				  const char *request_id)
 {
 	const char *response_id;
 
 	if (!names->request_id || !request_id)
-		return true;
+		return MMX_REPLY_ID_OWN;
 	response_id = mmx_head_find(response, names->request_id);
-	return response_id && strcmp(response_id, request_id) == 0;
+	if (!response_id)
+		return MMX_REPLY_ID_NONE;
+	return strcmp(response_id, request_id) == 0 ? MMX_REPLY_ID_OWN
+						    : MMX_REPLY_ID_OTHER;
+}
+
+static bool is_success_(const mmx_head_t *response)
+{
+	return response->status >= 200 && response->status < 300;
 }
 
 mmx_reply_kind_t mmx_reply_classify(const mmx_header_names_t *names,
@@ -39,7 +48,9 @@
 {
 	if (names->target && response->status == STATUS_MISDIRECTED_REQUEST)
 		return MMX_REPLY_WRONG_TARGET;
-	if (!answers_request_(names, response, request_id) &&
+	/* The target may send a late response to an earlier request instead. */
+	if (mmx_reply_identify(names, response, request_id) !=
+		    MMX_REPLY_ID_OWN &&
 	    !(names->not_run && mmx_head_find(response, names->not_run)))
 		return MMX_REPLY_MISMATCHED;
 	if (names->not_run && mmx_head_find(response, names->not_run))
--- a/src/libmasticmux/include/private/exit_internal.h
+++ b/src/libmasticmux/include/private/exit_internal.h
@@ -51,6 +51,7 @@
 	mmx_histogram_t *run_time;
 	mmx_counter_t *refused;
 	mmx_counter_t *granted;
+	mmx_counter_t *replies[MMX_REPLY_KIND_COUNT][MMX_REPLY_ID_COUNT];
 	mmx_counter_t *fenced;
 	mmx_counter_t *expired;
 };
@@ -141,6 +142,11 @@
 void mmx_exit_log_failed(mmx_exit_t *exit, const mmx_attempt_t *attempt,
 			 const char *result);
 
+/* Logs a response that is not passed on, with whose request it names and the
+ * calls that its connection had before. */
+void mmx_exit_log_reply(mmx_exit_t *exit, const mmx_attempt_t *attempt,
+			const mmx_call_event_t *event, mmx_reply_kind_t kind);
+
 /* Starts the span of an attempt. */
 void mmx_exit_trace_arrived(mmx_exit_t *exit, mmx_attempt_t *attempt);
 
--- a/src/libmasticmux/include/private/header_names.h
+++ b/src/libmasticmux/include/private/header_names.h
@@ -33,6 +33,25 @@
 /** Headers of a node without a platform adapter. */
 extern const mmx_header_names_t mmx_header_names_default;
 
+/** Whose request a response names. */
+typedef enum mmx_reply_id_t {
+	MMX_REPLY_ID_OWN,   /**< the request itself, or no ids are in use */
+	MMX_REPLY_ID_NONE,  /**< no request */
+	MMX_REPLY_ID_OTHER, /**< another request */
+	MMX_REPLY_ID_COUNT
+} mmx_reply_id_t;
+
+extern const char *const mmx_reply_id_string[MMX_REPLY_ID_COUNT];
+
+/**
+ * Compares the id in a response with the id of the request.
+ *
+ * @param request_id  of the request; NULL if it has none
+ */
+mmx_reply_id_t mmx_reply_identify(const mmx_header_names_t *names,
+				  const mmx_head_t *response,
+				  const char *request_id);
+
 /** Result of checking the head of a target's response. */
 typedef enum mmx_reply_kind_t {
 	MMX_REPLY_VALID,	/**< the response to this request */
--- a/src/libmasticmux/include/private/messages.h
+++ b/src/libmasticmux/include/private/messages.h
@@ -293,6 +293,7 @@
 	mmx_head_t *head;
 	struct evbuffer *body;
 	bool body_end;
+	uint32_t earlier_calls; /* on the same connection, head only */
 } mmx_call_event_t;
 
 /* exit -> target_client: close the connection of this call. */
--- a/src/libmasticmux/target_connection.c
+++ b/src/libmasticmux/target_connection.c
@@ -34,10 +34,11 @@
 	struct bufferevent *bev;
 	mmx_timer_t timer; /* ends the connect, the call or the idle time */
 	bool connected;
-	bool target_closed;    /* end of input was read */
-	bool reading_disabled; /* too much unread input */
-	bool in_use;	       /* not in the pool's idle list */
-	mmx_time_t idle_since; /* monotonic clock, microseconds */
+	bool target_closed;	/* end of input was read */
+	bool reading_disabled;	/* too much unread input */
+	bool in_use;		/* not in the pool's idle list */
+	uint32_t earlier_calls; /* completed before the present one */
+	mmx_time_t idle_since;	/* monotonic clock, microseconds */
 	/* idle time that the target announced, microseconds; 0: none */
 	mmx_time_t keep_alive_timeout;
 	/* state of the call */
@@ -168,6 +169,7 @@
 static void return_to_pool_(mmx_target_connection_t *connection)
 {
 	release_call_(connection);
+	connection->earlier_calls++;
 	connection->idle_since = mmx_clock_now(connection->shared->clock);
 	TAILQ_INSERT_HEAD(&connection->pool->idle, connection, idle_entry);
 	mmx_timer_set(&connection->timer, idle_timeout_(connection));
@@ -206,6 +208,7 @@
 			mmx_new_call_event(&connection->attempt, MMX_CALL_HEAD);
 
 		event->head = g_steal_pointer(&connection->reader.head);
+		event->earlier_calls = connection->earlier_calls;
 		read_keep_alive_(connection, event->head);
 		mmx_head_remove_hop_by_hop(event->head);
 		evbuffer_remove_buffer(connection->received_body, event->body,
--- a/src/test_libmasticmux/test_header_names.c
+++ b/src/test_libmasticmux/test_header_names.c
@@ -57,6 +57,37 @@
 	}
 }
 
+/* Guards against a log that does not tell a rejection of this request from one
+ * of another request. */
+static void test_identify_(void)
+{
+	static const mmx_header_names_t without_ids = {.not_run = "T-Not-Run"};
+	static const struct {
+		const mmx_header_names_t *names;
+		const char *request_id;
+		const char *response_id;
+		mmx_reply_id_t id;
+	} cases[] = {
+		{&names_, "7", "7", MMX_REPLY_ID_OWN},
+		{&names_, "7", "8", MMX_REPLY_ID_OTHER},
+		{&names_, "7", "", MMX_REPLY_ID_OTHER},
+		{&names_, "7", NULL, MMX_REPLY_ID_NONE},
+		{&without_ids, NULL, NULL, MMX_REPLY_ID_OWN},
+	};
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		mmx_head_t *head = mmx_head_create_response(503);
+
+		if (cases[i].response_id)
+			mmx_head_add(head, "T-Id", cases[i].response_id);
+		CU_ASSERT_EQUAL(mmx_reply_identify(cases[i].names, head,
+						   cases[i].request_id),
+				cases[i].id);
+		mmx_head_destroy(head);
+	}
+}
+
 /* Guards against a load that is read from a malformed header. */
 static void test_load_(void)
 {
@@ -87,6 +118,7 @@
 
 CU_TestInfo mmx_tests_header_names[] = {
 	{"classification of responses", test_classify_},
+	{"request that a response names", test_identify_},
 	{"load headers", test_load_},
 	CU_TEST_INFO_NULL,
 };
