--- a/scripts/check.sh
+++ b/scripts/check.sh
@@ -27,6 +27,20 @@
 	rm -f "$log"
 }
 
+# A step that KNOWN-RED.txt lists by its command counts neither way.
+known_step() {
+	local name=$1 log
+	shift
+	log=$(mktemp)
+	if "$@" >"$log" 2>&1; then
+		printf 'ok    %s, though listed in KNOWN-RED.txt\n' "$name"
+	else
+		printf 'known %s\n' "$name"
+		tail -n 60 "$log"
+	fi
+	rm -f "$log"
+}
+
 step "install" install_packages
 step "build" make all
 step "format" make format-check
@@ -34,7 +48,12 @@
 step "unit tests and scenarios" make test
 step "unit tests and scenarios with sanitizers" make sanitize
 for script in test/*.sh; do
-	[ -e "$script" ] && step "$script" bash "$script"
+	[ -e "$script" ] || continue
+	if grep -q -F "\`bash $script\`" KNOWN-RED.txt; then
+		known_step "$script" bash "$script"
+	else
+		step "$script" bash "$script"
+	fi
 done
 if [ -s KNOWN-RED.txt ]; then
 	echo "known to fail, not counted:"
