Tie a rejection to the request that it rejects

Cause: mmx_reply_classify() took Masticmux-Not-Executed and 421 as proof whatever request the response named, and the connection went back to the pool. A second copy of a rejection, late, was taken for the rejection of the next request on the connection, which the target was running.

Change: a response that names another request is never this one's. One without an id is told apart only by its place on the connection, so a connection is not used again after it, nor after any rejection: the rejected request is sent again with the same id, possibly to the same target.

A rejection now costs a new connection; its price is still to be measured.

--- a/src/libmasticmux/exit_call.c
+++ b/src/libmasticmux/exit_call.c
@@ -114,7 +114,6 @@
 	mmx_exit_target_t *target = attempt->target;
 	mmx_reply_kind_t kind = mmx_reply_classify(
 		exit->header_names, event->head, attempt->request_id);
-
 	mmx_reply_id_t id = mmx_reply_identify(exit->header_names, event->head,
 					       attempt->request_id);
 
--- a/src/libmasticmux/header_names.c
+++ b/src/libmasticmux/header_names.c
@@ -1,5 +1,6 @@
 #include "private/header_names.h"
 
+#include <glib.h>
 #include <stdio.h>
 #include <string.h>
 
@@ -28,13 +29,13 @@
 {
 	const char *response_id;
 
-	if (!names->request_id || !request_id)
+	if (!names->request_id)
 		return MMX_REPLY_ID_OWN;
 	response_id = mmx_head_find(response, names->request_id);
 	if (!response_id)
 		return MMX_REPLY_ID_NONE;
-	return strcmp(response_id, request_id) == 0 ? MMX_REPLY_ID_OWN
-						    : MMX_REPLY_ID_OTHER;
+	return g_strcmp0(response_id, request_id) == 0 ? MMX_REPLY_ID_OWN
+						       : MMX_REPLY_ID_OTHER;
 }
 
 static bool is_success_(const mmx_head_t *response)
@@ -46,15 +47,16 @@
 				    const mmx_head_t *response,
 				    const char *request_id)
 {
+	mmx_reply_id_t id = mmx_reply_identify(names, response, request_id);
+
+	if (id == MMX_REPLY_ID_OTHER)
+		return MMX_REPLY_MISMATCHED;
 	if (names->target && response->status == STATUS_MISDIRECTED_REQUEST)
 		return MMX_REPLY_WRONG_TARGET;
-	/* The target may send a late response to an earlier request instead. */
-	if (mmx_reply_identify(names, response, request_id) !=
-		    MMX_REPLY_ID_OWN &&
-	    !(names->not_run && mmx_head_find(response, names->not_run)))
-		return MMX_REPLY_MISMATCHED;
 	if (names->not_run && mmx_head_find(response, names->not_run))
 		return MMX_REPLY_NOT_RUN;
+	if (id == MMX_REPLY_ID_NONE && request_id)
+		return MMX_REPLY_MISMATCHED;
 	if (names->signature && is_success_(response) &&
 	    (!mmx_head_find(response, names->signature) ||
 	     mmx_head_find(response, "Content-Encoding")))
@@ -62,6 +64,15 @@
 	return MMX_REPLY_VALID;
 }
 
+bool mmx_reply_allows_reuse(const mmx_header_names_t *names,
+			    const mmx_head_t *response, const char *request_id)
+{
+	return mmx_reply_identify(names, response, request_id) ==
+		       MMX_REPLY_ID_OWN &&
+	       mmx_reply_classify(names, response, request_id) ==
+		       MMX_REPLY_VALID;
+}
+
 bool mmx_reply_parse_load(const mmx_header_names_t *names,
 			  const mmx_head_t *response, unsigned int *running,
 			  unsigned int *waiting, unsigned int *slots)
--- a/src/libmasticmux/include/private/header_names.h
+++ b/src/libmasticmux/include/private/header_names.h
@@ -44,7 +44,8 @@
 extern const char *const mmx_reply_id_string[MMX_REPLY_ID_COUNT];
 
 /**
- * Compares the id in a response with the id of the request.
+ * Compares the id in a response with the id of the request. Without a name for
+ * the header, no ids are in use.
  *
  * @param request_id  of the request; NULL if it has none
  */
@@ -65,9 +66,10 @@
 
 /**
  * Checks whether a response is the target's response to a request. It is
- * mismatched if it repeats another request_id or none, or if it is a success
- * without a signature or with a Content-Encoding; requests are assumed to ask
- * for no encoding.
+ * mismatched if it names another request, whatever its status and headers; if
+ * it names none, unless it says that the request has not run; or if it is a
+ * success without a signature or with a Content-Encoding. Requests are assumed
+ * to ask for no encoding.
  *
  * @param request_id  of the request; NULL if it has none
  */
@@ -75,6 +77,18 @@
 				    const mmx_head_t *response,
 				    const char *request_id);
 
+/**
+ * Returns true if a connection may carry another request after a response. A
+ * target may send a response a second time, when the next one is due. The copy
+ * is recognised by its id only if that is the id of a request that does not use
+ * the connection again: neither after a response without an id, nor after one
+ * that says that the request has not run, because that request is sent again.
+ *
+ * @param request_id  of the request; NULL if it has none
+ */
+bool mmx_reply_allows_reuse(const mmx_header_names_t *names,
+			    const mmx_head_t *response, const char *request_id);
+
 /**
  * Reads the load header of a response.
  *
--- a/src/libmasticmux/include/private/target_client.h
+++ b/src/libmasticmux/include/private/target_client.h
@@ -19,6 +19,7 @@
 #define MASTICMUX_PRIVATE_TARGET_CLIENT_H
 
 #include "masticmux/counters.h"
+#include "private/header_names.h"
 #include "private/messages.h"
 
 typedef struct mmx_target_client_t mmx_target_client_t;
@@ -77,6 +78,15 @@
 bool mmx_target_client_set_nonrepeatable_idle_max(mmx_target_client_t *client,
 						  mmx_time_t idle);
 
+/**
+ * Sets the names of the headers that tell whether a response belongs to its
+ * request; default: mmx_header_names_default.
+ *
+ * @param header_names  outlive the task
+ */
+bool mmx_target_client_set_header_names(mmx_target_client_t *client,
+					const mmx_header_names_t *header_names);
+
 /** Starts to accept calls. Valid once. */
 void mmx_target_client_init(mmx_target_client_t *client);
 
--- a/src/libmasticmux/include/private/target_connection.h
+++ b/src/libmasticmux/include/private/target_connection.h
@@ -28,6 +28,7 @@
 	struct event_base *base;
 	mmx_clock_t *clock;
 	mmx_task_t *exit;
+	const mmx_header_names_t *header_names;
 	mmx_time_t connect_timeout; /**< microseconds */
 	mmx_time_t idle_timeout;    /**< microseconds */
 	GHashTable *pools;	    /**< pool key -> mmx_target_pool_t */
--- a/src/libmasticmux/part_path.c
+++ b/src/libmasticmux/part_path.c
@@ -207,6 +207,7 @@
 
 	self->client = mmx_target_client_create(node->runtime, exit_task,
 						node->counters);
+	mmx_target_client_set_header_names(self->client, node->header_names);
 	self->http = mmx_http_entry_create(
 		node->runtime, mmx_entry_task(node->entry), node->counters);
 	self->announce =
--- a/src/libmasticmux/target_client.c
+++ b/src/libmasticmux/target_client.c
@@ -202,6 +202,7 @@
 	assert(mmx_runtime_base(runtime) && exit);
 	mmx_task_init(&client->task, &ops_, runtime);
 	client->shared.exit = exit;
+	client->shared.header_names = &mmx_header_names_default;
 	client->shared.base = mmx_runtime_base(runtime);
 	client->shared.clock = mmx_runtime_clock(runtime);
 	client->connections_max = CONNECTIONS_MAX;
@@ -272,6 +273,15 @@
 	return true;
 }
 
+bool mmx_target_client_set_header_names(mmx_target_client_t *client,
+					const mmx_header_names_t *header_names)
+{
+	if (client->initialised)
+		return false;
+	client->shared.header_names = header_names;
+	return true;
+}
+
 void mmx_target_client_init(mmx_target_client_t *client)
 {
 	assert(!client->initialised);
--- a/src/libmasticmux/target_connection.c
+++ b/src/libmasticmux/target_connection.c
@@ -43,12 +43,14 @@
 	mmx_time_t keep_alive_timeout;
 	/* state of the call */
 	mmx_attempt_id_t attempt;
+	char *request_id;    /* of the caller's request; NULL: none */
 	mmx_time_t deadline; /* monotonic clock, microseconds */
 	size_t sent_bytes;   /* of the request, written to the socket */
 	mmx_http_writer_t writer;
 	bool request_complete; /* the whole request body was taken */
 	mmx_http_reader_t reader;
 	bool head_posted;
+	bool reply_allows_reuse;	/* see mmx_reply_allows_reuse() */
 	bool response_complete;		/* the whole response was read */
 	struct evbuffer *received_body; /* response body, not posted yet */
 	size_t credit; /* response body bytes that the exit accepts */
@@ -103,6 +105,7 @@
 	bufferevent_free(connection->bev);
 	mmx_http_reader_finish(&connection->reader);
 	evbuffer_free(connection->received_body);
+	g_free(connection->request_id);
 	g_free(connection);
 }
 
@@ -179,6 +182,7 @@
 static void finish_call_(mmx_target_connection_t *connection)
 {
 	bool reusable = connection->reader.keep_alive &&
+			connection->reply_allows_reuse &&
 			!connection->target_closed &&
 			connection->request_complete &&
 			evbuffer_get_length(output_(connection)) == 0 &&
@@ -210,6 +214,9 @@
 		event->head = g_steal_pointer(&connection->reader.head);
 		event->earlier_calls = connection->earlier_calls;
 		read_keep_alive_(connection, event->head);
+		connection->reply_allows_reuse = mmx_reply_allows_reuse(
+			connection->shared->header_names, event->head,
+			connection->request_id);
 		mmx_head_remove_hop_by_hop(event->head);
 		evbuffer_remove_buffer(connection->received_body, event->body,
 				       part);
@@ -482,6 +489,16 @@
 	return true;
 }
 
+static void store_request_id_(mmx_target_connection_t *connection,
+			      const mmx_head_t *request)
+{
+	const char *name = connection->shared->header_names->request_id;
+
+	g_free(connection->request_id);
+	connection->request_id =
+		name ? g_strdup(mmx_head_find(request, name)) : NULL;
+}
+
 void mmx_target_connection_start_call(mmx_target_connection_t *connection,
 				      mmx_call_t *call)
 {
@@ -490,6 +507,7 @@
 	mmx_time_t wait = call->remaining;
 
 	connection->attempt = call->attempt;
+	store_request_id_(connection, call->head);
 	connection->deadline = mmx_clock_now(shared->clock) + call->remaining;
 	connection->sent_bytes = 0;
 	connection->request_complete = false;
--- a/src/test_libmasticmux/test_header_names.c
+++ b/src/test_libmasticmux/test_header_names.c
@@ -14,8 +14,9 @@
 };
 
 /* Guards against a success that is passed on although it does not belong to the
- * request, and against a failure that is taken for not-run although the target
- * did not report that. */
+ * request, against a failure that is taken for not-run although the target did
+ * not report that of this request, and against the reuse of a connection on
+ * which a copy of the response could be taken for the next one. */
 static void test_classify_(void)
 {
 	static const struct {
@@ -23,25 +24,65 @@
 		int status;
 		const char *headers[5]; /* name, value, ..., NULL */
 		mmx_reply_kind_t kind;
+		bool reuse;
 	} cases[] = {
-		{"valid", 200, {"T-Id", "7", "T-Sign", "s"}, MMX_REPLY_VALID},
-		{"no signature", 200, {"T-Id", "7"}, MMX_REPLY_MISMATCHED},
+		{"valid",
+		 200,
+		 {"T-Id", "7", "T-Sign", "s"},
+		 MMX_REPLY_VALID,
+		 true},
+		{"no signature",
+		 200,
+		 {"T-Id", "7"},
+		 MMX_REPLY_MISMATCHED,
+		 false},
 		{"other request",
 		 200,
 		 {"T-Id", "8", "T-Sign", "s"},
-		 MMX_REPLY_MISMATCHED},
-		{"no request id", 200, {"T-Sign", "s"}, MMX_REPLY_MISMATCHED},
+		 MMX_REPLY_MISMATCHED,
+		 false},
+		{"no request id",
+		 200,
+		 {"T-Sign", "s"},
+		 MMX_REPLY_MISMATCHED,
+		 false},
 		{"encoded",
 		 200,
 		 {"T-Id", "7", "Content-Encoding", "gzip"},
-		 MMX_REPLY_MISMATCHED},
-		{"failure of the target", 500, {"T-Id", "7"}, MMX_REPLY_VALID},
-		{"not run", 503, {"T-Not-Run", "1"}, MMX_REPLY_NOT_RUN},
+		 MMX_REPLY_MISMATCHED,
+		 false},
+		{"failure of the target",
+		 500,
+		 {"T-Id", "7"},
+		 MMX_REPLY_VALID,
+		 true},
+		{"not run", 503, {"T-Not-Run", "1"}, MMX_REPLY_NOT_RUN, false},
+		{"not run, with its id",
+		 503,
+		 {"T-Not-Run", "1", "T-Id", "7"},
+		 MMX_REPLY_NOT_RUN,
+		 false},
+		{"other request not run",
+		 503,
+		 {"T-Not-Run", "1", "T-Id", "8"},
+		 MMX_REPLY_MISMATCHED,
+		 false},
 		{"503 without the not-run header",
 		 503,
 		 {"T-Id", "7"},
-		 MMX_REPLY_VALID},
-		{"another target", 421, {NULL}, MMX_REPLY_WRONG_TARGET},
+		 MMX_REPLY_VALID,
+		 true},
+		{"another target", 421, {NULL}, MMX_REPLY_WRONG_TARGET, false},
+		{"another target, with its id",
+		 421,
+		 {"T-Id", "7"},
+		 MMX_REPLY_WRONG_TARGET,
+		 false},
+		{"other request at another target",
+		 421,
+		 {"T-Id", "8"},
+		 MMX_REPLY_MISMATCHED,
+		 false},
 	};
 	size_t i;
 
@@ -53,6 +94,8 @@
 			mmx_head_add(head, header[0], header[1]);
 		CU_ASSERT_EQUAL(mmx_reply_classify(&names_, head, "7"),
 				cases[i].kind);
+		CU_ASSERT_EQUAL(mmx_reply_allows_reuse(&names_, head, "7"),
+				cases[i].reuse);
 		mmx_head_destroy(head);
 	}
 }
@@ -72,6 +115,8 @@
 		{&names_, "7", "8", MMX_REPLY_ID_OTHER},
 		{&names_, "7", "", MMX_REPLY_ID_OTHER},
 		{&names_, "7", NULL, MMX_REPLY_ID_NONE},
+		{&names_, NULL, NULL, MMX_REPLY_ID_NONE},
+		{&names_, NULL, "7", MMX_REPLY_ID_OTHER},
 		{&without_ids, NULL, NULL, MMX_REPLY_ID_OWN},
 	};
 	size_t i;
--- a/src/test_libmasticmux/test_target_reuse.c
+++ b/src/test_libmasticmux/test_target_reuse.c
@@ -77,7 +77,64 @@
 		CU_ASSERT_TRUE(run_case_(&cases_[i]));
 }
 
+static const mmx_header_names_t names_ = {
+	.request_id = "Id",
+	.not_run = "Not-Run",
+	.target = "Target",
+};
+
+#define EMPTY_RESPONSE(status, headers) \
+	"HTTP/1.1 " status " X\r\n" headers "Content-Length: 0\r\n\r\n"
+
+/* Guards against a copy of a rejection that comes late, on a connection in use
+ * again, and is taken for the rejection of a request that runs. */
+static void test_rejections_(void)
+{
+	static const struct {
+		const char *name;
+		const char *response;
+		bool reused;
+	} cases[] = {
+		{"answer with the id", EMPTY_RESPONSE("200", "Id: 7\r\n"),
+		 true},
+		{"rejection with the id",
+		 EMPTY_RESPONSE("503", "Not-Run: 1\r\nId: 7\r\n"), false},
+		{"rejection without an id",
+		 EMPTY_RESPONSE("503", "Not-Run: 1\r\n"), false},
+		{"429 without an id", EMPTY_RESPONSE("429", "Not-Run: 1\r\n"),
+		 false},
+		{"421 without an id", EMPTY_RESPONSE("421", ""), false},
+		{"answer with another id", EMPTY_RESPONSE("200", "Id: 8\r\n"),
+		 false},
+		{"answer without an id", EMPTY_RESPONSE("200", ""), false},
+	};
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		setup_t setup;
+		mmx_call_t *call;
+		int calls;
+
+		target_setup_create(&setup);
+		mmx_target_client_set_header_names(setup.client, &names_);
+		mmx_target_client_init(setup.client);
+		setup.target.response = cases[i].response;
+		for (calls = 0; calls < 2; calls++) {
+			call = target_setup_new_call(&setup, "POST");
+			mmx_head_add(call->head, "Id", "7");
+			target_setup_post_call(&setup, call);
+			CU_ASSERT_TRUE(target_setup_wait(&setup));
+		}
+		if (setup.target.accepted != (cases[i].reused ? 1 : 2))
+			printf("\n%s: accepted %d\n", cases[i].name,
+			       setup.target.accepted);
+		CU_ASSERT_EQUAL(setup.target.accepted, cases[i].reused ? 1 : 2);
+		target_setup_close(&setup);
+	}
+}
+
 CU_TestInfo mmx_tests_target_reuse[] = {
 	{"idle connections", test_idle_connections_},
+	{"connections after a rejection", test_rejections_},
 	CU_TEST_INFO_NULL,
 };
