Drop a late copy of an answer and wait for the answer itself

Callers saw: where a target sends an answer a second time, late on a kept connection, the next request on it got 502 although the target ran and answered it. The target counted as broken, so that most requests of the service were refused with 503.

Cause: a response that names another request ended the call, though its own answer was still to come behind it.

Change: the connection remembers the request before. A head that names it is a copy: it is dropped with its body, counted (masticmux_target_late_copies_total), and the call goes on. The connection is closed after that call. A second copy, or a response that names any other request, ends the call as before.

Without the check the new test of target_reuse fails in three cases.

--- a/src/libmasticmux/include/private/target_connection.h
+++ b/src/libmasticmux/include/private/target_connection.h
@@ -41,6 +41,7 @@
 	mmx_counter_t *stale_messages;
 	mmx_counter_t *results[MMX_CALL_RESULT_COUNT];
 	mmx_counter_t *truncated_bodies;
+	mmx_counter_t *late_copies;
 } mmx_target_shared_t;
 
 /**
--- a/src/libmasticmux/target_client.c
+++ b/src/libmasticmux/target_client.c
@@ -184,6 +184,9 @@
 	client->shared.truncated_bodies = mmx_counters_get(
 		counters, MMX_COUNTER, "masticmux_target_broken_bodies_total",
 		"", "Responses that broke off after their head.");
+	client->shared.late_copies = mmx_counters_get(
+		counters, MMX_COUNTER, "masticmux_target_late_copies_total", "",
+		"Second copies of an answer, dropped before the next one.");
 	for (i = 0; i < MMX_CALL_RESULT_COUNT; i++) {
 		snprintf(labels, sizeof(labels), "result=\"%s\"",
 			 mmx_call_result_string[i]);
--- a/src/libmasticmux/target_connection.c
+++ b/src/libmasticmux/target_connection.c
@@ -44,13 +44,16 @@
 	/* state of the call */
 	mmx_attempt_id_t attempt;
 	char *request_id;    /* of the caller's request; NULL: none */
+	char *previous_id;   /* of the previous call on the connection */
 	mmx_time_t deadline; /* monotonic clock, microseconds */
 	size_t sent_bytes;   /* of the request, written to the socket */
 	mmx_http_writer_t writer;
 	bool request_complete; /* the whole request body was taken */
 	mmx_http_reader_t reader;
 	bool head_posted;
-	bool reply_allows_reuse;	/* see mmx_reply_allows_reuse() */
+	bool reply_allows_reuse; /* see mmx_reply_allows_reuse() */
+	bool dropping_copy;	 /* of the answer to the previous call */
+	bool copy_dropped;
 	bool response_complete;		/* the whole response was read */
 	struct evbuffer *received_body; /* response body, not posted yet */
 	size_t credit; /* response body bytes that the exit accepts */
@@ -106,6 +109,7 @@
 	mmx_http_reader_finish(&connection->reader);
 	evbuffer_free(connection->received_body);
 	g_free(connection->request_id);
+	g_free(connection->previous_id);
 	g_free(connection);
 }
 
@@ -181,12 +185,12 @@
 /* Returns the connection to the pool or closes it after a full response. */
 static void finish_call_(mmx_target_connection_t *connection)
 {
-	bool reusable = connection->reader.keep_alive &&
-			connection->reply_allows_reuse &&
-			!connection->target_closed &&
-			connection->request_complete &&
-			evbuffer_get_length(output_(connection)) == 0 &&
-			evbuffer_get_length(input_(connection)) == 0;
+	bool reusable =
+		connection->reader.keep_alive &&
+		connection->reply_allows_reuse && !connection->copy_dropped &&
+		!connection->target_closed && connection->request_complete &&
+		evbuffer_get_length(output_(connection)) == 0 &&
+		evbuffer_get_length(input_(connection)) == 0;
 
 	if (reusable)
 		return_to_pool_(connection);
@@ -202,7 +206,8 @@
 	size_t part = MIN(held, connection->credit);
 	bool end = connection->response_complete && part == held;
 
-	if (!connection->head_posted && !connection->reader.head)
+	if (connection->dropping_copy ||
+	    (!connection->head_posted && !connection->reader.head))
 		return;
 	if (connection->head_posted && part == 0 && !end)
 		return;
@@ -237,6 +242,38 @@
 		finish_call_(connection);
 }
 
+/*
+ * True for the head of a second, late copy of the answer to the previous call;
+ * the answer to the present one follows it. While a HEAD request is answered,
+ * the length of a copy is unknown.
+ */
+static bool is_late_copy_(const mmx_target_connection_t *connection)
+{
+	const char *name = connection->shared->header_names->request_id;
+	const char *id;
+
+	if (!name || !connection->previous_id || connection->copy_dropped ||
+	    connection->reader.without_body ||
+	    g_strcmp0(connection->previous_id, connection->request_id) == 0)
+		return false;
+	id = mmx_head_find(connection->reader.head, name);
+	return g_strcmp0(id, connection->previous_id) == 0;
+}
+
+/* Drops what has been read of a late copy. At its end the reader starts over
+ * with the answer to the present call. */
+static mmx_http_event_t drop_copy_(mmx_target_connection_t *connection,
+				   mmx_http_event_t event)
+{
+	evbuffer_drain(connection->received_body,
+		       evbuffer_get_length(connection->received_body));
+	if (event != MMX_HTTP_END)
+		return event;
+	connection->dropping_copy = false;
+	mmx_http_reader_reset(&connection->reader);
+	return MMX_HTTP_DATA;
+}
+
 static mmx_http_event_t read_next_(mmx_target_connection_t *connection)
 {
 	mmx_http_event_t event =
@@ -245,6 +282,13 @@
 
 	if (event == MMX_HTTP_MORE && connection->target_closed)
 		event = mmx_http_reader_eof(&connection->reader);
+	if (event == MMX_HTTP_HEAD && is_late_copy_(connection)) {
+		connection->dropping_copy = true;
+		connection->copy_dropped = true;
+		mmx_counter_add(connection->shared->late_copies, 1);
+	}
+	if (connection->dropping_copy)
+		event = drop_copy_(connection, event);
 	return event;
 }
 
@@ -494,7 +538,8 @@
 {
 	const char *name = connection->shared->header_names->request_id;
 
-	g_free(connection->request_id);
+	g_free(connection->previous_id);
+	connection->previous_id = connection->request_id;
 	connection->request_id =
 		name ? g_strdup(mmx_head_find(request, name)) : NULL;
 }
@@ -512,6 +557,8 @@
 	connection->sent_bytes = 0;
 	connection->request_complete = false;
 	connection->head_posted = false;
+	connection->dropping_copy = false;
+	connection->copy_dropped = false;
 	connection->response_complete = false;
 	connection->credit = MMX_WINDOW_BYTES;
 	mmx_http_reader_reset(&connection->reader);
--- a/src/test_libmasticmux/test_target_reuse.c
+++ b/src/test_libmasticmux/test_target_reuse.c
@@ -133,8 +133,91 @@
 	}
 }
 
+#define ANSWER(id, headers, body) \
+	STATUS_LINE_OK "Id: " id "\r\n" headers "\r\n" body
+#define OWN_ANSWER ANSWER("8", "Content-Length: 3\r\n", "own")
+
+typedef struct copy_case_t {
+	const char *name;
+	const char *method;
+	const char *response;
+	const char *id;	  /* of the call with this response */
+	const char *head; /* start of the head that the exit gets */
+	bool reused;	  /* for the next call */
+} copy_case_t;
+
+static const copy_case_t copy_cases_[] = {
+	{"no copy", "POST", OWN_ANSWER, "8", "Id: 8", true},
+	{"copy with a length", "POST",
+	 ANSWER("7", "Content-Length: 3\r\n", "old") OWN_ANSWER, "8", "Id: 8",
+	 false},
+	{"copy in chunks", "POST",
+	 ANSWER("7", "Transfer-Encoding: chunked\r\n", "3\r\nold\r\n0\r\n\r\n")
+		 OWN_ANSWER,
+	 "8", "Id: 8", false},
+	{"copy after an interim response", "POST",
+	 "HTTP/1.1 100 Continue\r\n\r\n" ANSWER("7", "Content-Length: 3\r\n",
+						"old") OWN_ANSWER,
+	 "8", "Id: 8", false},
+	{"two copies", "POST",
+	 ANSWER("7", "Content-Length: 0\r\n", "")
+		 ANSWER("7", "Content-Length: 0\r\n", "") OWN_ANSWER,
+	 "8", "Id: 7", false},
+	{"answer to a request that was not sent here", "POST",
+	 ANSWER("9", "Content-Length: 0\r\n", ""), "8", "Id: 9", false},
+	{"HEAD", "HEAD", ANSWER("7", "Content-Length: 3\r\n", ""), "8", "Id: 7",
+	 false},
+	{"same request again", "POST", ANSWER("7", "Content-Length: 0\r\n", ""),
+	 "7", "Id: 7", true},
+};
+
+/* Makes a call and returns true if the exit gets a head that begins so. */
+static bool call_(setup_t *setup, const char *method, const char *id,
+		  const char *response, const char *head)
+{
+	mmx_call_t *call = target_setup_new_call(setup, method);
+
+	mmx_head_add(call->head, "Id", id);
+	setup->target.response = response;
+	target_setup_post_call(setup, call);
+	return target_setup_wait(setup) &&
+	       g_str_has_prefix(setup->exit.head->str, head);
+}
+
+/* Guards against a late copy of the answer to the previous call that costs the
+ * present call its own answer, or is taken for it. */
+static void test_late_copies_(void)
+{
+	static const char *const previous =
+		ANSWER("7", "Content-Length: 3\r\n", "old");
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(copy_cases_); i++) {
+		const copy_case_t *item = &copy_cases_[i];
+		setup_t setup;
+		bool passed;
+
+		target_setup_create(&setup);
+		mmx_target_client_set_header_names(setup.client, &names_);
+		mmx_target_client_init(setup.client);
+		passed = call_(&setup, "POST", "7", previous, "Id: 7") &&
+			 call_(&setup, item->method, item->id, item->response,
+			       item->head) &&
+			 call_(&setup, "POST", "10",
+			       ANSWER("10", "Content-Length: 0\r\n", ""),
+			       "Id: 10") &&
+			 setup.target.accepted == (item->reused ? 1 : 2);
+		if (!passed)
+			printf("\n%s: accepted %d, head %s\n", item->name,
+			       setup.target.accepted, setup.exit.head->str);
+		CU_ASSERT_TRUE(passed);
+		target_setup_close(&setup);
+	}
+}
+
 CU_TestInfo mmx_tests_target_reuse[] = {
 	{"idle connections", test_idle_connections_},
 	{"connections after a rejection", test_rejections_},
+	{"late copies of an answer", test_late_copies_},
 	CU_TEST_INFO_NULL,
 };
