Answer what was passed on behind a request in a stop

Callers saw: a node that got SIGTERM closed a connection behind the answer to the first of several pipelined requests.

Cause: the first answer after the start of the stop carried "Connection: close" whatever stood behind it, and the connection closed with it.

Change: in a stop, "Connection: close" stands on the answer that has no request behind it that was passed on.

--- a/src/libmasticmux/http_answer.c
+++ b/src/libmasticmux/http_answer.c
@@ -71,7 +71,10 @@
 		mmx_counter_add(caller->shared->refused[answer->reason], 1);
 	}
 	frame_answer_(caller, answer);
-	if (caller->shared->draining || !caller->whole)
+	/* Behind "Connection: close" callers take requests for not read and
+	 * send them again. */
+	if (!caller->whole ||
+	    (caller->shared->draining && TAILQ_EMPTY(&caller->ahead)))
 		caller->close_after = true;
 	if (caller->close_after)
 		mmx_http_write_header(out, "Connection", "close");
--- a/src/libmasticmux/include/private/http_entry.h
+++ b/src/libmasticmux/include/private/http_entry.h
@@ -67,7 +67,8 @@
 
 /*
  * Stops accepting, closes idle connections and closes each other connection
- * after its next answer. Valid after init, any number of times.
+ * after the answers to the requests that were passed on, or to its next one.
+ * Valid after init, any number of times.
  */
 void mmx_http_entry_drain(mmx_http_entry_t *http);
 
--- a/src/test_libmasticmux/test_http_ahead.c
+++ b/src/test_libmasticmux/test_http_ahead.c
@@ -1,6 +1,7 @@
 /* Requests sent before the answer to the one before them. */
 #include "suites.h"
 
+#include <event2/buffer.h>
 #include <glib.h>
 #include <string.h>
 
@@ -159,9 +160,140 @@
 	}
 }
 
+typedef struct stop_case_t {
+	const char *name;
+	const char *before; /* sent before the stop, not to be passed on */
+	const char *after;  /* sent after it */
+	bool announced;	    /* the listener stays open */
+	bool begun;	    /* the head of the first answer is out */
+	int order[3];	    /* of the answers */
+} stop_case_t;
+
+static const stop_case_t stops_[] = {
+	{"in order", "", "", false, false, {0, 1, 2}},
+	{"reversed", "", "", false, false, {2, 1, 0}},
+	{"announced", "", "", true, false, {1, 0, 2}},
+	{"begun", "", "", false, true, {0, 2, 1}},
+	{"begun, announced", "", "", true, true, {2, 0, 1}},
+	{"waits for its turn",
+	 "PUT /next HTTP/1.1\r\n" HOST "\r\n",
+	 "",
+	 false,
+	 false,
+	 {0, 1, 2}},
+	{"malformed", "no request\r\n\r\n", "", false, false, {1, 2, 0}},
+	{"too late", "", NEXT, false, false, {0, 1, 2}},
+	{"too late, announced", "", NEXT, true, true, {2, 1, 0}},
+};
+
+static void begin_answer_(http_setup_t *setup, uint64_t request)
+{
+	mmx_answer_t *answer = mmx_new_answer(request);
+
+	answer->head = mmx_head_create_response(200);
+	mmx_task_post(mmx_http_entry_task(setup->http), &answer->message);
+}
+
+static void end_answer_(http_setup_t *setup, uint64_t request, const char *text,
+			bool failed)
+{
+	mmx_body_t *body = mmx_new_body(MMX_TO_CALLER);
+
+	body->request = request;
+	evbuffer_add(body->data, text, strlen(text));
+	body->end = true;
+	body->failed = failed;
+	mmx_task_post(mmx_http_entry_task(setup->http), &body->message);
+}
+
+static void stop_(http_setup_t *setup, const stop_case_t *item, wire_t *wire)
+{
+	uint64_t base = setup->entry.request - 2;
+
+	if (item->begun) {
+		begin_answer_(setup, base);
+		CU_ASSERT_TRUE(wire_expect(wire, "chunked\r\n\r\n"));
+	}
+	if (item->announced)
+		mmx_http_entry_announce_drain(setup->http);
+	else
+		mmx_http_entry_drain(setup->http);
+}
+
+static void answer_all_(http_setup_t *setup, const stop_case_t *item)
+{
+	static const char *const texts[] = {"first", "second", "third"};
+	uint64_t base = setup->entry.request - 2;
+	int n;
+
+	for (n = 0; n < 3; n++) {
+		int index = item->order[n];
+
+		if (item->begun && index == 0)
+			end_answer_(setup, base, texts[0], false);
+		else
+			answer_(setup, base + (uint64_t)index, texts[index]);
+	}
+}
+
+/* All answers, and "Connection: close" on the last one only. */
+static bool has_all_(const wire_t *wire)
+{
+	static const char *const parts[] = {
+		OK, "first", OK, "second", OK, "Connection: close\r\n", "third",
+	};
+	const char *at = wire->in->str;
+	const char *close = strstr(at, "Connection: close\r\n");
+	size_t i;
+
+	for (i = 0; at && i < G_N_ELEMENTS(parts); i++)
+		at = strstr(at, parts[i]);
+	return at && strcmp(at, "third") == 0 &&
+	       close > strstr(wire->in->str, "second");
+}
+
+/* Guards against a planned stop that closes a connection whose later requests
+ * have been passed on, and against a last answer that does not say so. */
+static void test_stop_(void)
+{
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(stops_); i++) {
+		const stop_case_t *item = &stops_[i];
+		http_setup_t setup;
+		wanted_t wanted = {.requests = 3};
+		wire_t wire;
+		bool good;
+
+		http_setup_open(&setup);
+		setup.entry.silent = true;
+		wanted.entry = &setup.entry;
+		wire_open(&wire, &setup.fixture,
+			  mmx_http_entry_port(setup.http));
+		wire_send(&wire, NEXT NEXT NEXT, strlen(NEXT NEXT NEXT));
+		CU_ASSERT_TRUE(
+			fixture_wait(&setup.fixture, has_come_, &wanted));
+		wire_send(&wire, item->before, strlen(item->before));
+		stop_(&setup, item, &wire);
+		wire_send(&wire, item->after, strlen(item->after));
+		answer_all_(&setup, item);
+		good = wire_expect_closed(&wire) && !wire.reset &&
+		       has_all_(&wire) && setup.entry.requests == 3 &&
+		       setup.entry.gone == 0;
+		CU_ASSERT_TRUE(good);
+		if (!good)
+			printf("\n%s: reset %d, %d requests, %d gone, got %s\n",
+			       item->name, wire.reset, setup.entry.requests,
+			       setup.entry.gone, wire.in->str);
+		wire_close(&wire);
+		http_setup_close(&setup);
+	}
+}
+
 CU_TestInfo mmx_tests_http_ahead[] = {
 	{"answers keep the order of the requests", test_order_},
 	{"other requests wait for their turn", test_others_wait_},
 	{"the connection ends", test_ends_},
+	{"a planned stop", test_stop_},
 	CU_TEST_INFO_NULL,
 };
