Close a connection that becomes idle during a stop

Callers saw: a connection whose last answer had begun, or was not written yet, when the node got SIGTERM stayed open after it. The stop counts open connections as in progress, so the process ended with its grace time only.

Cause: a stop looked for idle connections once, at its start, and "Connection: close" cannot be added to a head that is out already.

Change: during a stop, a connection is closed as soon as its answers are written and nothing of a request has arrived. A request that has arrived is answered first, with "Connection: close".

--- a/src/libmasticmux/http_caller.c
+++ b/src/libmasticmux/http_caller.c
@@ -335,6 +335,22 @@
 		bufferevent_enable(caller->bev, EV_READ);
 }
 
+/* The kernel holds bytes that have not been read yet. */
+static bool has_unread_(const mmx_http_caller_t *caller)
+{
+	char byte;
+
+	return recv(bufferevent_getfd(caller->bev), &byte, sizeof(byte),
+		    MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
+/* All answers are written, and nothing of a request has arrived. */
+static bool is_idle_(const mmx_http_caller_t *caller)
+{
+	return !caller->closing && current_wait_(caller) == WAIT_IDLE &&
+	       !has_unread_(caller);
+}
+
 static void write_part_(mmx_http_caller_t *caller, struct evbuffer *data,
 			bool end, bool failed);
 
@@ -365,7 +381,10 @@
 		forward_(caller);
 	mmx_http_ahead_read(caller);
 	limit_input_(caller);
-	update_timer_(caller);
+	if (caller->shared->closes_idle && is_idle_(caller))
+		close_when_written_(caller);
+	else
+		update_timer_(caller);
 }
 
 /* Its answer may have come already; the caller may be freed by this. */
@@ -501,23 +520,13 @@
 	feed_(caller);
 }
 
-/* The kernel holds bytes that have not been read yet. */
-static bool has_unread_(const mmx_http_caller_t *caller)
-{
-	char byte;
-
-	return recv(bufferevent_getfd(caller->bev), &byte, sizeof(byte),
-		    MSG_PEEK | MSG_DONTWAIT) > 0;
-}
-
 /*
  * Closing a socket with unread bytes resets the connection, so a request that
  * has arrived is read and answered with "Connection: close" first.
  */
 void mmx_http_caller_drain(mmx_http_caller_t *caller)
 {
-	if (caller->request == 0 && caller->wait == WAIT_IDLE &&
-	    !has_unread_(caller))
+	if (is_idle_(caller))
 		mmx_http_caller_close(caller);
 }
 
--- a/src/libmasticmux/http_entry.c
+++ b/src/libmasticmux/http_entry.c
@@ -247,6 +247,7 @@
 
 	assert(http->initialised);
 	http->shared.draining = true;
+	http->shared.closes_idle = true;
 	if (http->listener) {
 		evconnlistener_free(http->listener);
 		http->listener = NULL;
--- a/src/libmasticmux/include/private/http_caller.h
+++ b/src/libmasticmux/include/private/http_caller.h
@@ -37,6 +37,7 @@
 	size_t caller_count;
 	mmx_http_entry_timeouts_t timeouts;
 	bool draining;
+	bool closes_idle;  /* a connection that becomes idle is closed */
 	size_t hold_bytes; /* bodies up to this size are held until whole */
 	uint32_t head_bytes_max; /* 0: the limit of the reader only */
 	uint64_t body_bytes_max; /* 0: none */
--- a/src/test_libmasticmux/test_http_entry_connection.c
+++ b/src/test_libmasticmux/test_http_entry_connection.c
@@ -278,6 +278,93 @@
 	http_setup_close(&setup);
 }
 
+static void post_end_(http_setup_t *setup, uint64_t request, const char *text)
+{
+	mmx_body_t *body = mmx_new_body(MMX_TO_CALLER);
+
+	body->request = request;
+	evbuffer_add(body->data, text, strlen(text));
+	body->end = true;
+	mmx_task_post(mmx_http_entry_task(setup->http), &body->message);
+}
+
+/*
+ * Guards against a connection that stays open, idle, in a planned stop, because
+ * its last answer had begun before the stop, and against one that is closed
+ * with a request unread.
+ */
+static void test_drain_begun_(void)
+{
+	static const struct {
+		const char *after; /* sent during the stop */
+		const char *last;  /* of what is received */
+	} cases[] = {
+		{"", "\r\ndone\r\n0\r\n\r\n"},
+		{GET HOST "\r\n", "Connection: close\r\n\r\n<GET / >"},
+	};
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		http_setup_t setup;
+		wire_t wire;
+		mmx_answer_t *answer;
+
+		http_setup_open(&setup);
+		setup.entry.silent = true;
+		wire_open(&wire, &setup.fixture,
+			  mmx_http_entry_port(setup.http));
+		wire_send(&wire, GET HOST "\r\n", strlen(GET HOST "\r\n"));
+		fixture_wait(&setup.fixture, has_request_, &setup.entry);
+		setup.entry.silent = false;
+		answer = mmx_new_answer(setup.entry.request);
+		answer->head = mmx_head_create_response(200);
+		mmx_task_post(mmx_http_entry_task(setup.http),
+			      &answer->message);
+		CU_ASSERT_TRUE(wire_expect(&wire, "chunked\r\n\r\n"));
+		mmx_http_entry_drain(setup.http);
+		CU_ASSERT_EQUAL(send(wire.fd, cases[i].after,
+				     strlen(cases[i].after), 0),
+				strlen(cases[i].after));
+		post_end_(&setup, setup.entry.request, "done");
+		CU_ASSERT_TRUE(wire_expect_closed(&wire));
+		CU_ASSERT_FALSE(wire.reset);
+		CU_ASSERT_TRUE(g_str_has_suffix(wire.in->str, cases[i].last));
+		wire_close(&wire);
+		http_setup_close(&setup);
+	}
+}
+
+/* More than the buffers of the kernel take. */
+#define DOWNLOAD (16 * 1024 * 1024)
+
+/* Guards against a connection that stays open, idle, in a planned stop, because
+ * its last answer was not written when the stop began. */
+static void test_drain_unwritten_(void)
+{
+	http_setup_t setup;
+	wire_t wire;
+	GString *text = g_string_new(NULL);
+	int i;
+
+	g_string_set_size(text, DOWNLOAD);
+	memset(text->str, 'x', DOWNLOAD);
+	http_setup_open(&setup);
+	setup.entry.silent = true;
+	wire_open(&wire, &setup.fixture, mmx_http_entry_port(setup.http));
+	wire_send(&wire, GET HOST "\r\n", strlen(GET HOST "\r\n"));
+	fixture_wait(&setup.fixture, has_request_, &setup.entry);
+	fake_entry_answer(&setup.entry, setup.entry.request, text);
+	for (i = 0; i < 20; i++)
+		fixture_turn(&setup.fixture);
+	mmx_http_entry_drain(setup.http);
+	CU_ASSERT_TRUE(wire_expect_closed(&wire));
+	CU_ASSERT_FALSE(wire.reset);
+	CU_ASSERT_TRUE(wire.in->len > DOWNLOAD);
+	wire_close(&wire);
+	http_setup_close(&setup);
+	g_string_free(text, TRUE);
+}
+
 /* Guards against callers that take every descriptor of the node. */
 static void test_connection_limit_(void)
 {
@@ -309,6 +396,8 @@
 	{"framing of answers", test_downloads_},
 	{"drain", test_drain_},
 	{"drain with an unread request", test_drain_unread_},
+	{"drain with an answer that has begun", test_drain_begun_},
+	{"drain with an answer to be written", test_drain_unwritten_},
 	{"connection limit", test_connection_limit_},
 	CU_TEST_INFO_NULL,
 };
