Pass nothing on behind a request of HTTP/1.0

Callers saw: requests behind one of HTTP/1.0 with keep-alive could be lost though a target ran them.

Cause: they were passed on before its answer, and an answer of HTTP/1.0 whose length is not known ends with its connection.

Change: a request of HTTP/1.0 waits for its turn, and so does what comes behind it. That version has no requests sent ahead of answers.

Measured: 2 of the 6 cases of the test fail without the change, none with it.

--- a/src/libmasticmux/http_ahead.c
+++ b/src/libmasticmux/http_ahead.c
@@ -16,17 +16,19 @@
 static bool may_read_(const mmx_http_caller_t *caller)
 {
 	return caller->request && caller->whole && caller->posted &&
-	       caller->safe && !caller->close_after && !caller->closing &&
-	       !caller->ahead_stopped && !caller->shared->draining &&
-	       caller->ahead_count < AHEAD_MAX;
+	       caller->safe && caller->minor == 1 && !caller->close_after &&
+	       !caller->closing && !caller->ahead_stopped &&
+	       !caller->shared->draining && caller->ahead_count < AHEAD_MAX;
 }
 
 static bool is_readable_ahead_(const mmx_http_reader_t *reader)
 {
 	const char *method = reader->head->method;
 
-	return reader->framing == MMX_HTTP_NO_BODY && reader->keep_alive &&
-	       !mmx_head_find(reader->head, "Expect") &&
+	/* An answer of HTTP/1.0 may end with its connection, which would lose
+	 * the requests behind it. */
+	return reader->minor == 1 && reader->framing == MMX_HTTP_NO_BODY &&
+	       reader->keep_alive && !mmx_head_find(reader->head, "Expect") &&
 	       (strcmp(method, "GET") == 0 || strcmp(method, "HEAD") == 0);
 }
 
--- a/src/test_libmasticmux/test_http_ahead.c
+++ b/src/test_libmasticmux/test_http_ahead.c
@@ -8,6 +8,7 @@
 #include "http_setup.h"
 
 #define NEXT "GET /next HTTP/1.1\r\n" HOST "\r\n"
+#define NEXT_OLD "GET /next HTTP/1.0\r\n" HOST "Connection: keep-alive\r\n\r\n"
 
 typedef struct wanted_t {
 	fake_entry_t *entry;
@@ -77,19 +78,28 @@
 }
 
 /* Guards against a request that may not be repeated and is run although the
- * connection closes before its turn. */
+ * connection closes before its turn, and against one that is run behind an
+ * answer of HTTP/1.0, which may end with the connection. */
 static void test_others_wait_(void)
 {
-	static const char *const behind[] = {
-		"POST /next HTTP/1.1\r\n" HOST "Content-Length: 2\r\n\r\nab",
-		"PUT /next HTTP/1.1\r\n" HOST "\r\n",
-		"GET /next HTTP/1.1\r\n" HOST "Content-Length: 2\r\n\r\nab",
-		"GET /next HTTP/1.1\r\n" HOST "Connection: close\r\n\r\n",
+	static const struct {
+		const char *first;
+		const char *behind;
+	} cases[] = {
+		{NEXT,
+		 "POST /next HTTP/1.1\r\n" HOST "Content-Length: 2\r\n\r\nab"},
+		{NEXT, "PUT /next HTTP/1.1\r\n" HOST "\r\n"},
+		{NEXT,
+		 "GET /next HTTP/1.1\r\n" HOST "Content-Length: 2\r\n\r\nab"},
+		{NEXT,
+		 "GET /next HTTP/1.1\r\n" HOST "Connection: close\r\n\r\n"},
+		{NEXT, NEXT_OLD},
+		{NEXT_OLD, NEXT},
 	};
 	size_t i;
 	int n;
 
-	for (i = 0; i < G_N_ELEMENTS(behind); i++) {
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
 		http_setup_t setup;
 		wanted_t wanted = {.requests = 1};
 		wire_t wire;
@@ -99,8 +109,8 @@
 		wanted.entry = &setup.entry;
 		wire_open(&wire, &setup.fixture,
 			  mmx_http_entry_port(setup.http));
-		wire_send(&wire, NEXT, strlen(NEXT));
-		wire_send(&wire, behind[i], strlen(behind[i]));
+		wire_send(&wire, cases[i].first, strlen(cases[i].first));
+		wire_send(&wire, cases[i].behind, strlen(cases[i].behind));
 		CU_ASSERT_TRUE(
 			fixture_wait(&setup.fixture, has_come_, &wanted));
 		for (n = 0; n < 20; n++)
