Keep the connection when an answer breaks off early

Callers saw: when a target broke off its answer to a pipelined request, the connection was reset at that answer's turn, and the requests behind it were lost, at work or answered.

Cause: an answer that broke off was kept until its turn, its head was written then, and only a reset could tell that the rest was missing.

Change: before its turn nothing of it has been written, so 502 with reason answer-truncated takes its place and the connection goes on. Once its head is out, a reset remains the only way to say so.

Measured: the new test fails without the change (closed instead of the third answer) and passes with it.

--- a/src/libmasticmux/http_ahead.c
+++ b/src/libmasticmux/http_ahead.c
@@ -117,11 +117,33 @@
 	ahead->end = answer->body_end;
 }
 
+/* Nothing of the broken answer has been written, so that one with an error can
+ * take its place; a reset would lose the requests behind it. */
+static void replace_broken_(mmx_http_ahead_t *ahead)
+{
+	mmx_answer_t *answer = mmx_new_answer(ahead->request);
+
+	answer->outcome = MMX_OUTCOME_UNKNOWN;
+	answer->reason = MMX_REASON_ANSWER_TRUNCATED;
+	answer->head = mmx_head_create_response(
+		mmx_reason_status(answer->outcome, answer->reason));
+	mmx_head_add(answer->head, "Content-Type", "text/plain");
+	evbuffer_add_printf(answer->body, "%s: %s\n",
+			    mmx_outcome_string[answer->outcome],
+			    mmx_reason_string[answer->reason]);
+	answer->body_end = true;
+	mmx_message_destroy(&ahead->answer->message);
+	ahead->answer = answer;
+	evbuffer_drain(ahead->body, evbuffer_get_length(ahead->body));
+}
+
 void mmx_http_ahead_body(mmx_http_ahead_t *ahead, mmx_body_t *body)
 {
-	evbuffer_add_buffer(ahead->body, body->data);
 	ahead->end = body->end;
-	ahead->failed = body->failed;
+	if (body->failed)
+		replace_broken_(ahead);
+	else
+		evbuffer_add_buffer(ahead->body, body->data);
 }
 
 /* Takes the first one out of the list and the table; NULL if there is none. */
--- a/src/libmasticmux/http_caller.c
+++ b/src/libmasticmux/http_caller.c
@@ -403,8 +403,7 @@
 		mmx_http_answer_write_head(caller, ahead->answer);
 		caller->answered = true;
 		evbuffer_add_buffer(ahead->answer->body, ahead->body);
-		write_part_(caller, ahead->answer->body, ahead->end,
-			    ahead->failed);
+		write_part_(caller, ahead->answer->body, ahead->end, false);
 	} else {
 		feed_(caller);
 	}
@@ -503,11 +502,11 @@
 {
 	mmx_http_ahead_t *ahead = mmx_http_ahead_find(caller, body->request);
 
-	if (ahead) {
+	if (ahead && ahead->answer) {
 		mmx_http_ahead_body(ahead, body);
 		return;
 	}
-	if (!caller->answered) {
+	if (ahead || !caller->answered) {
 		mmx_counter_add(caller->shared->stale_messages, 1);
 		return;
 	}
--- a/src/libmasticmux/include/private/http_caller_internal.h
+++ b/src/libmasticmux/include/private/http_caller_internal.h
@@ -20,7 +20,6 @@
 	mmx_answer_t *answer;  /* NULL: not yet */
 	struct evbuffer *body; /* parts after the answer's own */
 	bool end;
-	bool failed;
 } mmx_http_ahead_t;
 
 typedef TAILQ_HEAD(mmx_http_ahead_list_t,
@@ -85,7 +84,8 @@
 mmx_http_ahead_t *mmx_http_ahead_find(mmx_http_caller_t *caller,
 				      uint64_t request);
 
-/* Keeps an answer, or a part of it, until its turn. */
+/* Keeps an answer, or a part of it, until its turn. One that breaks off before
+ * that becomes an error. */
 void mmx_http_ahead_answer(mmx_http_ahead_t *ahead, mmx_answer_t *answer);
 void mmx_http_ahead_body(mmx_http_ahead_t *ahead, mmx_body_t *body);
 
--- a/src/test_libmasticmux/test_http_ahead.c
+++ b/src/test_libmasticmux/test_http_ahead.c
@@ -300,10 +300,46 @@
 	}
 }
 
+/* Guards against an answer that broke off before its turn and takes the answers
+ * behind it along, and against one that then looks complete. */
+static void test_broken_(void)
+{
+	http_setup_t setup;
+	wanted_t wanted = {.requests = 3};
+	wire_t wire;
+	uint64_t base;
+	const char *at;
+
+	http_setup_open(&setup);
+	setup.entry.silent = true;
+	wanted.entry = &setup.entry;
+	wire_open(&wire, &setup.fixture, mmx_http_entry_port(setup.http));
+	wire_send(&wire, NEXT NEXT NEXT, strlen(NEXT NEXT NEXT));
+	CU_ASSERT_TRUE(fixture_wait(&setup.fixture, has_come_, &wanted));
+	base = setup.entry.request - 2;
+	begin_answer_(&setup, base + 1);
+	end_answer_(&setup, base + 1, "second", true);
+	answer_(&setup, base + 2, "third");
+	answer_(&setup, base, "first");
+	CU_ASSERT_TRUE(wire_expect(&wire, "third"));
+	CU_ASSERT_FALSE(wire.closed);
+	CU_ASSERT_PTR_NULL(strstr(wire.in->str, "second"));
+	at = strstr(wire.in->str, "first");
+	CU_ASSERT_PTR_NOT_NULL(at);
+	at = at ? strstr(at, "HTTP/1.1 502 ") : NULL;
+	CU_ASSERT_PTR_NOT_NULL(at);
+	at = at ? strstr(at, "Masticmux-Reason: answer-truncated\r\n") : NULL;
+	CU_ASSERT_PTR_NOT_NULL(at);
+	CU_ASSERT_EQUAL(setup.entry.gone, 0);
+	wire_close(&wire);
+	http_setup_close(&setup);
+}
+
 CU_TestInfo mmx_tests_http_ahead[] = {
 	{"answers keep the order of the requests", test_order_},
 	{"other requests wait for their turn", test_others_wait_},
 	{"the connection ends", test_ends_},
 	{"a planned stop", test_stop_},
+	{"an answer that broke off before its turn", test_broken_},
 	CU_TEST_INFO_NULL,
 };
