Apply the limit of a head to requests sent ahead

Callers saw: a request whose head is above the limit of the configuration was refused with 431 at the front of its connection and passed on behind another request.

Cause: the limit is checked where a request begins, and requests that are passed on ahead of their turn do not go that way.

Change: such a request waits for its turn, where it is refused behind the answers to the requests before it.

--- a/src/libmasticmux/http_ahead.c
+++ b/src/libmasticmux/http_ahead.c
@@ -21,14 +21,16 @@
 	       !caller->shared->draining && caller->ahead_count < AHEAD_MAX;
 }
 
-static bool is_readable_ahead_(const mmx_http_reader_t *reader)
+static bool is_readable_ahead_(const mmx_http_caller_t *caller)
 {
+	const mmx_http_reader_t *reader = &caller->reader;
 	const char *method = reader->head->method;
 
 	/* An answer of HTTP/1.0 may end with its connection, which would lose
 	 * the requests behind it. */
 	return reader->minor == 1 && reader->framing == MMX_HTTP_NO_BODY &&
 	       reader->keep_alive && !mmx_head_find(reader->head, "Expect") &&
+	       !mmx_http_caller_has_large_head(caller) &&
 	       (strcmp(method, "GET") == 0 || strcmp(method, "HEAD") == 0);
 }
 
@@ -62,7 +64,7 @@
 
 	switch (mmx_http_reader_run(&caller->reader, input, caller->received)) {
 	case MMX_HTTP_HEAD:
-		if (!is_readable_ahead_(&caller->reader)) {
+		if (!is_readable_ahead_(caller)) {
 			caller->ahead_stopped = true;
 			caller->ahead_headed = true;
 			return false;
--- a/src/libmasticmux/http_caller.c
+++ b/src/libmasticmux/http_caller.c
@@ -216,14 +216,20 @@
 	}
 }
 
+bool mmx_http_caller_has_large_head(const mmx_http_caller_t *caller)
+{
+	uint32_t max = caller->shared->head_bytes_max;
+
+	return max && caller->reader.head->bytes > max;
+}
+
 /* Refuses a request beyond the limits of the configuration. */
 static bool is_too_large_(mmx_http_caller_t *caller)
 {
 	const mmx_http_shared_t *shared = caller->shared;
 	const mmx_http_reader_t *reader = &caller->reader;
 
-	if (shared->head_bytes_max &&
-	    reader->head->bytes > shared->head_bytes_max)
+	if (mmx_http_caller_has_large_head(caller))
 		refuse_(caller, 431, MMX_REASON_HEADER_TOO_LARGE, "head");
 	else if (shared->body_bytes_max && reader->framing == MMX_HTTP_LENGTH &&
 		 reader->length > shared->body_bytes_max)
--- a/src/libmasticmux/include/private/http_caller_internal.h
+++ b/src/libmasticmux/include/private/http_caller_internal.h
@@ -67,6 +67,11 @@
 	bool ahead_failed;  /* the reader has found a fault */
 };
 
+/* --- http_caller.c ------------------------------------------------------ */
+
+/* The head in the reader is above the limit of the configuration. */
+bool mmx_http_caller_has_large_head(const mmx_http_caller_t *caller);
+
 /* --- http_answer.c ------------------------------------------------------ */
 
 /* Status line and headers; decides the framing of the body. */
--- a/src/test_libmasticmux/test_http_ahead.c
+++ b/src/test_libmasticmux/test_http_ahead.c
@@ -335,11 +335,55 @@
 	http_setup_close(&setup);
 }
 
+/* Guards against a head above the limit of the configuration that is passed on
+ * because its request was sent ahead, and against one that takes the answers
+ * before it along. */
+static void test_limit_(void)
+{
+	static const char large[] =
+		"GET /next HTTP/1.1\r\n" HOST
+		"X-Long: 0123456789012345678901234567890123"
+		"456789012345678901234567890123456789\r\n\r\n";
+	http_setup_t setup;
+	wanted_t wanted = {.requests = 2};
+	wire_t wire;
+	uint64_t base;
+	const char *at;
+	int n;
+
+	http_setup_open(&setup);
+	mmx_http_entry_set_limits(setup.http,
+				  &(mmx_caller_limits_t){.head_bytes = 64});
+	setup.entry.silent = true;
+	wanted.entry = &setup.entry;
+	wire_open(&wire, &setup.fixture, mmx_http_entry_port(setup.http));
+	wire_send(&wire, NEXT NEXT, strlen(NEXT NEXT));
+	wire_send(&wire, large, strlen(large));
+	CU_ASSERT_TRUE(fixture_wait(&setup.fixture, has_come_, &wanted));
+	for (n = 0; n < 20; n++)
+		fixture_turn(&setup.fixture);
+	CU_ASSERT_EQUAL(setup.entry.requests, 2);
+	base = setup.entry.request - 1;
+	answer_(&setup, base + 1, "second");
+	answer_(&setup, base, "first");
+	CU_ASSERT_TRUE(wire_expect_closed(&wire));
+	CU_ASSERT_FALSE(wire.reset);
+	at = strstr(wire.in->str, "first");
+	at = at ? strstr(at, "second") : NULL;
+	CU_ASSERT_PTR_NOT_NULL(at);
+	at = at ? strstr(at, "HTTP/1.1 431 ") : NULL;
+	CU_ASSERT_PTR_NOT_NULL(at);
+	CU_ASSERT_EQUAL(setup.entry.gone, 0);
+	wire_close(&wire);
+	http_setup_close(&setup);
+}
+
 CU_TestInfo mmx_tests_http_ahead[] = {
 	{"answers keep the order of the requests", test_order_},
 	{"other requests wait for their turn", test_others_wait_},
 	{"the connection ends", test_ends_},
 	{"a planned stop", test_stop_},
 	{"an answer that broke off before its turn", test_broken_},
+	{"a head above the limit", test_limit_},
 	CU_TEST_INFO_NULL,
 };
