Take the retry reserve as a fraction

Bounds may be whole numbers or fractions.

Cause: retry.reserve, which deploy/settings.toml.template fills in with that bound, took integers only. The other bounds of the template took both forms.

Change: retry.reserve is a number; 60.5 attempts allow 60. What is outside 0 to 1000000, or no number, is a finding with file, line and column. Tests go through all bounds of the template in both forms: the keys in test_settings, and `masticmux check` of the filled-in template in test/command_line.sh.

--- a/src/libmasticmux/settings.c
+++ b/src/libmasticmux/settings.c
@@ -22,6 +22,7 @@
 #define SECONDS_VALID "a number of seconds from 0.1 to 3600"
 #define SECONDS_MIN 0.1
 #define SECONDS_MAX 3600
+#define RETRY_RESERVE_VALID "a number of attempts from 0 to 1000000"
 #define RETRY_RESERVE_MAX 1000000
 #define SHARE_VALID "a number from 0.0 to 1.0"
 
@@ -266,6 +267,19 @@
 			llround(seconds * MMX_US_PER_S);
 }
 
+/* A number of attempts; a part of one allows none. */
+static void read_reserve_(mmx_schema_t *schema, const mmx_tree_node_t *node,
+			  const mmx_schema_rule_t *rule, void *into)
+{
+	double reserve = mmx_tree_number(node);
+
+	if (reserve < 0 || reserve > RETRY_RESERVE_MAX)
+		mmx_schema_reject(schema, node, rule);
+	else
+		*(int64_t *)((char *)into + rule->offset) =
+			(int64_t)floor(reserve);
+}
+
 static const mmx_schema_rule_t node_rules_[] = {
 	NAME_RULE_("name", node_name),
 	NAME_RULE_("region", region),
@@ -324,9 +338,9 @@
 static const mmx_schema_rule_t retry_rules_[] = {
 	{"share", MMX_TREE_FLOAT, MMX_PRESENCE_OPTIONAL, read_share_,
 	 SHARE_VALID, .offset = offsetof(mmx_settings_t, retry_percent)},
-	{"reserve", MMX_TREE_INTEGER, MMX_PRESENCE_OPTIONAL,
-	 mmx_schema_read_integer, NULL, 0, RETRY_RESERVE_MAX, "attempts", 1,
-	 offsetof(mmx_settings_t, retry_reserve), sizeof(int64_t)},
+	{"reserve", MMX_TREE_FLOAT, MMX_PRESENCE_OPTIONAL, read_reserve_,
+	 RETRY_RESERVE_VALID,
+	 .offset = offsetof(mmx_settings_t, retry_reserve)},
 	SECONDS_RULE_("window_s", retry_window),
 };
 
--- a/src/test_libmasticmux/test_settings.c
+++ b/src/test_libmasticmux/test_settings.c
@@ -19,6 +19,9 @@
 #define KEY_VALID                                                         \
 	"must be \"id:hex\" with an id of 1 to 15 letters, digits, '.', " \
 	"'_' or '-' and 64 hexadecimal digits; found "
+#define RESERVE_VALID "must be a number of attempts from 0 to 1000000; found "
+#define SECONDS_VALID "must be a number of seconds from 0.1 to 3600; found "
+#define SHARE_VALID "must be a number from 0.0 to 1.0; found "
 #define LINES 16
 
 /* A valid file; a case replaces one of its lines, counted from 1. */
@@ -119,6 +122,23 @@
 	{15, "retention_s = 31622401",
 	 "15:15: log_service.retention_s must be an integer from 1201 to "
 	 "31622400 seconds; found 31622401"},
+	{16, "[retry]\nreserve = -0.5",
+	 "17:11: retry.reserve " RESERVE_VALID "a float"},
+	{16, "[retry]\nreserve = 1000000.5",
+	 "17:11: retry.reserve " RESERVE_VALID "a float"},
+	{16, "[retry]\nreserve = -1",
+	 "17:11: retry.reserve " RESERVE_VALID "-1"},
+	{16, "[retry]\nreserve = true",
+	 "17:11: retry.reserve " RESERVE_VALID "a boolean"},
+	{16, "[stop]\ngrace_s = true",
+	 "17:11: stop.grace_s " SECONDS_VALID "a boolean"},
+	{16, "[stop]\ngrace_s = 0", "17:11: stop.grace_s " SECONDS_VALID "0"},
+	{16, "[retry]\nwindow_s = 0.05",
+	 "17:12: retry.window_s " SECONDS_VALID "a float"},
+	{16, "[retry]\nshare = 1.01",
+	 "17:9: retry.share " SHARE_VALID "a float"},
+	{16, "[targets]\nfloor_share = 2",
+	 "17:15: targets.floor_share " SHARE_VALID "2"},
 	/* addresses */
 	{7, "callers = \"localhost:8080\"",
 	 "7:11: listen.callers " ADDRESS_VALID "\"localhost:8080\""},
@@ -305,6 +325,70 @@
 	mmx_settings_destroy(settings);
 }
 
+#define VALUE_(member)                    \
+	offsetof(mmx_settings_t, member), \
+		sizeof(((mmx_settings_t *)NULL)->member)
+
+typedef struct bound_case_t {
+	const char *table;
+	const char *key;
+	const char *value;
+	size_t offset;
+	size_t size;
+	int64_t expected;
+} bound_case_t;
+
+/* The keys that deploy/settings.toml.template takes from bounds. */
+static const bound_case_t bounds_[] = {
+	{"stop", "grace_s", "6", VALUE_(stop_grace), 6000000},
+	{"stop", "grace_s", "6.0", VALUE_(stop_grace), 6000000},
+	{"stop", "grace_s", "6.25", VALUE_(stop_grace), 6250000},
+	{"retry", "share", "1", VALUE_(retry_percent), 100},
+	{"retry", "share", "0.2", VALUE_(retry_percent), 20},
+	{"retry", "reserve", "60", VALUE_(retry_reserve), 60},
+	{"retry", "reserve", "60.0", VALUE_(retry_reserve), 60},
+	{"retry", "reserve", "60.5", VALUE_(retry_reserve), 60},
+	{"retry", "reserve", "0", VALUE_(retry_reserve), 0},
+	{"retry", "reserve", "0.9", VALUE_(retry_reserve), 0},
+	{"retry", "reserve", "1e6", VALUE_(retry_reserve), 1000000},
+	{"retry", "window_s", "10", VALUE_(retry_window), 10000000},
+	{"retry", "window_s", "10.5", VALUE_(retry_window), 10500000},
+	{"targets", "floor_share", "1", VALUE_(floor_percent), 100},
+	{"targets", "floor_share", "0.7", VALUE_(floor_percent), 70},
+};
+
+/* Guards against a bound of the platform that stops every process because it
+ * is a fraction. */
+static void test_bounds_(void)
+{
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(bounds_); i++) {
+		const bound_case_t *row = &bounds_[i];
+		char *lines = g_strdup_printf("[%s]\n%s = %s", row->table,
+					      row->key, row->value);
+		mmx_findings_t *findings = mmx_findings_create();
+		char *text = text_(16, lines);
+		mmx_settings_t *settings =
+			mmx_settings_parse("s", text, strlen(text), findings);
+		int64_t found = -1;
+
+		mmx_test_findings(findings, "");
+		if (settings && row->size == sizeof(uint32_t))
+			found = *(uint32_t *)((char *)settings + row->offset);
+		else if (settings)
+			found = *(int64_t *)((char *)settings + row->offset);
+		CU_ASSERT_EQUAL(found, row->expected);
+		if (found != row->expected)
+			printf("\n%s: found %" G_GINT64_FORMAT "\n", lines,
+			       (gint64)found);
+		mmx_settings_destroy(settings);
+		mmx_findings_destroy(findings);
+		g_free(text);
+		g_free(lines);
+	}
+}
+
 /* Guards against a missing file that is taken for an empty one. */
 static void test_no_file_(void)
 {
@@ -322,6 +406,7 @@
 	{"values reach their members", test_values_},
 	{"own address among the seeds is left out", test_own_seed_},
 	{"fleet keys", test_fleet_keys_},
+	{"bounds as whole numbers and as fractions", test_bounds_},
 	{"unreadable file", test_no_file_},
 	CU_TEST_INFO_NULL,
 };
--- a/test/command_line.sh
+++ b/test/command_line.sh
@@ -66,5 +66,62 @@
 	explain --settings "$good"
 expect 1 stderr "masticmux explain: give either --request or --target" \
 	explain --settings "$good" --request 1 --target t
+
+# The platform gives bounds as whole numbers or as fractions; each of them must
+# leave the filled-in template of the deployment without a finding.
+whole() {
+	case $1 in
+	graceS) echo 6 ;;
+	budgetWindowS) echo 10 ;;
+	retryBudgetBase) echo 60 ;;
+	retryBudgetRatio | floorShare) echo 1 ;;
+	esac
+}
+fraction() {
+	case $1 in
+	graceS) echo 6.25 ;;
+	budgetWindowS) echo 10.5 ;;
+	retryBudgetBase) echo 60.5 ;;
+	retryBudgetRatio) echo 0.125 ;;
+	floorShare) echo 0.705 ;;
+	esac
+}
+
+template=deploy/settings.toml.template
+bounds=$(grep -o '#bounds\.[A-Za-z]*' "$template" | cut -d. -f2)
+if [ -z "$bounds" ]; then
+	echo "FAIL $template: no bounds found"
+	failures=$((failures + 1))
+fi
+# fill BOUND VALUE: the template with this value, the others as whole numbers.
+fill() {
+	local bound value text
+	text=$(sed -e 's/{{nodeName}}/node-1/; s/{{region}}/north/' \
+		-e 's/{{zone}}/north-a/; s/{{service}}/tills/' \
+		-e 's/{{appAddr}}/127.0.0.1:8301/' \
+		-e 's/{{listen.outbound}}/127.0.0.1:8304/' \
+		-e 's/{{ip}}:{{internalPorts.0}}/127.0.0.1:7620/' \
+		-e 's/{{listen.control}}/127.0.0.1:8306/' \
+		-e 's/{{listen.ready}}/127.0.0.1:8302/; s/{{ip}}/127.0.0.1/' \
+		-e 's/{{platform.address}}/127.0.0.1:8309/' "$template")
+	for bound in $bounds; do
+		value=$(whole "$bound")
+		[ "$bound" = "$1" ] && value=$2
+		text=$(printf '%s\n' "$text" | sed \
+			"s/{{#bounds.$bound}}\(.*\){{\.}}{{.bounds.$bound}}/\1$value/")
+	done
+	printf '%s\n' "$text"
+}
+for bound in $bounds; do
+	for value in "$(whole "$bound")" "$(fraction "$bound")"; do
+		file=$work/$bound-$value.toml
+		fill "$bound" "$value" >"$file"
+		if [ -z "$value" ] || grep -q '{{' "$file"; then
+			echo "FAIL $bound: the template cannot be filled in"
+			failures=$((failures + 1))
+		fi
+		expect 0 stdout "no findings" check --settings "$file"
+	done
+done
 [ "$failures" -eq 0 ] && echo "command line: all cases passed"
 [ "$failures" -eq 0 ]
