Refuse a setting that is not a number

Operators saw: "nan" passed the check of a settings file for grace_s, share, reserve, window_s and floor_share, and became an arbitrary figure.

Cause: the ranges were checked by what lies outside of them, and nothing compares with nan.

Change: the ranges are checked by what lies within; anything else is a finding with its place.

--- a/src/libmasticmux/settings.c
+++ b/src/libmasticmux/settings.c
@@ -242,13 +242,19 @@
 	*(bool *)((char *)into + rule->offset) = mmx_tree_integer(node) != 0;
 }
 
+/* False for a value that is no number, too. */
+static bool is_within_(double value, double min, double max)
+{
+	return value >= min && value <= max;
+}
+
 /* A share of 0 to 1, kept in percent. */
 static void read_share_(mmx_schema_t *schema, const mmx_tree_node_t *node,
 			const mmx_schema_rule_t *rule, void *into)
 {
 	double share = mmx_tree_number(node);
 
-	if (share < 0 || share > 1)
+	if (!is_within_(share, 0, 1))
 		mmx_schema_reject(schema, node, rule);
 	else
 		*(uint32_t *)((char *)into + rule->offset) =
@@ -260,7 +266,7 @@
 {
 	double seconds = mmx_tree_number(node);
 
-	if (seconds < SECONDS_MIN || seconds > SECONDS_MAX)
+	if (!is_within_(seconds, SECONDS_MIN, SECONDS_MAX))
 		mmx_schema_reject(schema, node, rule);
 	else
 		*(mmx_time_t *)((char *)into + rule->offset) =
@@ -273,7 +279,7 @@
 {
 	double reserve = mmx_tree_number(node);
 
-	if (reserve < 0 || reserve > RETRY_RESERVE_MAX)
+	if (!is_within_(reserve, 0, RETRY_RESERVE_MAX))
 		mmx_schema_reject(schema, node, rule);
 	else
 		*(int64_t *)((char *)into + rule->offset) =
