--- a/src/libmasticmux/http_ahead.c
+++ b/src/libmasticmux/http_ahead.c
@@ -16,17 +16,21 @@
 static bool may_read_(const mmx_http_caller_t *caller)
 {
 	return caller->request && caller->whole && caller->posted &&
-	       caller->safe && !caller->close_after && !caller->closing &&
-	       !caller->ahead_stopped && !caller->shared->draining &&
-	       caller->ahead_count < AHEAD_MAX;
+	       caller->safe && caller->minor == 1 && !caller->close_after &&
+	       !caller->closing && !caller->ahead_stopped &&
+	       !caller->shared->draining && caller->ahead_count < AHEAD_MAX;
 }
 
-static bool is_readable_ahead_(const mmx_http_reader_t *reader)
+static bool is_readable_ahead_(const mmx_http_caller_t *caller)
 {
+	const mmx_http_reader_t *reader = &caller->reader;
 	const char *method = reader->head->method;
 
-	return reader->framing == MMX_HTTP_NO_BODY && reader->keep_alive &&
-	       !mmx_head_find(reader->head, "Expect") &&
+	/* An answer of HTTP/1.0 may end with its connection, which would lose
+	 * the requests behind it. */
+	return reader->minor == 1 && reader->framing == MMX_HTTP_NO_BODY &&
+	       reader->keep_alive && !mmx_head_find(reader->head, "Expect") &&
+	       !mmx_http_caller_has_large_head(caller) &&
 	       (strcmp(method, "GET") == 0 || strcmp(method, "HEAD") == 0);
 }
 
@@ -60,7 +64,7 @@
 
 	switch (mmx_http_reader_run(&caller->reader, input, caller->received)) {
 	case MMX_HTTP_HEAD:
-		if (!is_readable_ahead_(&caller->reader)) {
+		if (!is_readable_ahead_(caller)) {
 			caller->ahead_stopped = true;
 			caller->ahead_headed = true;
 			return false;
@@ -115,11 +119,33 @@
 	ahead->end = answer->body_end;
 }
 
+/* Nothing of the broken answer has been written, so that one with an error can
+ * take its place; a reset would lose the requests behind it. */
+static void replace_broken_(mmx_http_ahead_t *ahead)
+{
+	mmx_answer_t *answer = mmx_new_answer(ahead->request);
+
+	answer->outcome = MMX_OUTCOME_UNKNOWN;
+	answer->reason = MMX_REASON_ANSWER_TRUNCATED;
+	answer->head = mmx_head_create_response(
+		mmx_reason_status(answer->outcome, answer->reason));
+	mmx_head_add(answer->head, "Content-Type", "text/plain");
+	evbuffer_add_printf(answer->body, "%s: %s\n",
+			    mmx_outcome_string[answer->outcome],
+			    mmx_reason_string[answer->reason]);
+	answer->body_end = true;
+	mmx_message_destroy(&ahead->answer->message);
+	ahead->answer = answer;
+	evbuffer_drain(ahead->body, evbuffer_get_length(ahead->body));
+}
+
 void mmx_http_ahead_body(mmx_http_ahead_t *ahead, mmx_body_t *body)
 {
-	evbuffer_add_buffer(ahead->body, body->data);
 	ahead->end = body->end;
-	ahead->failed = body->failed;
+	if (body->failed)
+		replace_broken_(ahead);
+	else
+		evbuffer_add_buffer(ahead->body, body->data);
 }
 
 /* Takes the first one out of the list and the table; NULL if there is none. */
--- a/src/libmasticmux/http_caller.c
+++ b/src/libmasticmux/http_caller.c
@@ -216,14 +216,20 @@
 	}
 }
 
+bool mmx_http_caller_has_large_head(const mmx_http_caller_t *caller)
+{
+	uint32_t max = caller->shared->head_bytes_max;
+
+	return max && caller->reader.head->bytes > max;
+}
+
 /* Refuses a request beyond the limits of the configuration. */
 static bool is_too_large_(mmx_http_caller_t *caller)
 {
 	const mmx_http_shared_t *shared = caller->shared;
 	const mmx_http_reader_t *reader = &caller->reader;
 
-	if (shared->head_bytes_max &&
-	    reader->head->bytes > shared->head_bytes_max)
+	if (mmx_http_caller_has_large_head(caller))
 		refuse_(caller, 431, MMX_REASON_HEADER_TOO_LARGE, "head");
 	else if (shared->body_bytes_max && reader->framing == MMX_HTTP_LENGTH &&
 		 reader->length > shared->body_bytes_max)
@@ -335,6 +341,22 @@
 		bufferevent_enable(caller->bev, EV_READ);
 }
 
+/* The kernel holds bytes that have not been read yet. */
+static bool has_unread_(const mmx_http_caller_t *caller)
+{
+	char byte;
+
+	return recv(bufferevent_getfd(caller->bev), &byte, sizeof(byte),
+		    MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
+/* All answers are written, and nothing of a request has arrived. */
+static bool is_idle_(const mmx_http_caller_t *caller)
+{
+	return !caller->closing && current_wait_(caller) == WAIT_IDLE &&
+	       !has_unread_(caller);
+}
+
 static void write_part_(mmx_http_caller_t *caller, struct evbuffer *data,
 			bool end, bool failed);
 
@@ -365,7 +387,10 @@
 		forward_(caller);
 	mmx_http_ahead_read(caller);
 	limit_input_(caller);
-	update_timer_(caller);
+	if (caller->shared->closes_idle && is_idle_(caller))
+		close_when_written_(caller);
+	else
+		update_timer_(caller);
 }
 
 /* Its answer may have come already; the caller may be freed by this. */
@@ -384,8 +409,7 @@
 		mmx_http_answer_write_head(caller, ahead->answer);
 		caller->answered = true;
 		evbuffer_add_buffer(ahead->answer->body, ahead->body);
-		write_part_(caller, ahead->answer->body, ahead->end,
-			    ahead->failed);
+		write_part_(caller, ahead->answer->body, ahead->end, false);
 	} else {
 		feed_(caller);
 	}
@@ -484,11 +508,11 @@
 {
 	mmx_http_ahead_t *ahead = mmx_http_ahead_find(caller, body->request);
 
-	if (ahead) {
+	if (ahead && ahead->answer) {
 		mmx_http_ahead_body(ahead, body);
 		return;
 	}
-	if (!caller->answered) {
+	if (ahead || !caller->answered) {
 		mmx_counter_add(caller->shared->stale_messages, 1);
 		return;
 	}
@@ -501,23 +525,13 @@
 	feed_(caller);
 }
 
-/* The kernel holds bytes that have not been read yet. */
-static bool has_unread_(const mmx_http_caller_t *caller)
-{
-	char byte;
-
-	return recv(bufferevent_getfd(caller->bev), &byte, sizeof(byte),
-		    MSG_PEEK | MSG_DONTWAIT) > 0;
-}
-
 /*
  * Closing a socket with unread bytes resets the connection, so a request that
  * has arrived is read and answered with "Connection: close" first.
  */
 void mmx_http_caller_drain(mmx_http_caller_t *caller)
 {
-	if (caller->request == 0 && caller->wait == WAIT_IDLE &&
-	    !has_unread_(caller))
+	if (is_idle_(caller))
 		mmx_http_caller_close(caller);
 }
 
