Withhold statuses that promise "not run" without proof

Callers saw: 503, 429 or 408 to a payment that its target had run (REFUSED).

A target's status was passed on although callers take 408, 421, 429 and 503 for "not run, and never will be". Only Masticmux-Not-Executed, or 421 where targets are named, proves that.

Change: such an answer to a request that may run only once counts as a failure of the target after a start: the caller gets 502, outcome unknown. A signed one is treated alike: a signature tells who answered, not that nothing ran; the 502 bears no signature, so it is no status under another one's signature. Requests that may be repeated are handled as before. Without a name for the not-run header nothing changes.

--- a/src/libmasticmux/exit_call.c
+++ b/src/libmasticmux/exit_call.c
@@ -104,6 +104,20 @@
 				     : MMX_ATTEMPT_REFUSED);
 }
 
+/* A request that may run only once must not be answered with a status that
+ * callers take for "has not run" on the status alone. */
+static mmx_reply_kind_t classify_(const mmx_exit_t *exit,
+				  const mmx_attempt_t *attempt,
+				  const mmx_call_event_t *event)
+{
+	mmx_reply_kind_t kind = mmx_reply_classify(
+		exit->header_names, event->head, attempt->request_id);
+
+	return kind == MMX_REPLY_UNPROVEN && attempt->repeatable
+		       ? MMX_REPLY_VALID
+		       : kind;
+}
+
 /*
  * Returns true for the target's response to this request. Otherwise ends the
  * attempt.
@@ -112,8 +126,7 @@
 			     const mmx_call_event_t *event)
 {
 	mmx_exit_target_t *target = attempt->target;
-	mmx_reply_kind_t kind = mmx_reply_classify(
-		exit->header_names, event->head, attempt->request_id);
+	mmx_reply_kind_t kind = classify_(exit, attempt, event);
 	mmx_reply_id_t id = mmx_reply_identify(exit->header_names, event->head,
 					       attempt->request_id);
 
@@ -138,6 +151,14 @@
 		drop_response_(exit, attempt, MMX_REASON_TARGET_FAILED, true,
 			       event->body_end);
 		return false;
+	case MMX_REPLY_UNPROVEN:
+		mmx_exit_health_report_result(exit, attempt, MMX_FAULT_STATUS);
+		mmx_exit_health_end(attempt, exit->expect_episodes
+						     ? MMX_RESULT_ABANDONED
+						     : MMX_RESULT_ERROR);
+		drop_response_(exit, attempt, MMX_REASON_TARGET_FAILED, true,
+			       event->body_end);
+		return false;
 	default:
 		return true;
 	}
--- a/src/libmasticmux/header_names.c
+++ b/src/libmasticmux/header_names.c
@@ -11,10 +11,7 @@
 };
 
 const char *const mmx_reply_kind_string[MMX_REPLY_KIND_COUNT] = {
-	"valid",
-	"not-run",
-	"wrong-target",
-	"foreign",
+	"valid", "not-run", "wrong-target", "foreign", "unproven",
 };
 
 const char *const mmx_reply_id_string[MMX_REPLY_ID_COUNT] = {
@@ -43,6 +40,20 @@
 	return response->status >= 200 && response->status < 300;
 }
 
+/* Callers take these statuses for "has not run and never will". */
+static bool promises_not_run_(const mmx_head_t *response)
+{
+	switch (response->status) {
+	case 408:
+	case STATUS_MISDIRECTED_REQUEST:
+	case 429:
+	case 503:
+		return true;
+	default:
+		return false;
+	}
+}
+
 mmx_reply_kind_t mmx_reply_classify(const mmx_header_names_t *names,
 				    const mmx_head_t *response,
 				    const char *request_id)
@@ -61,16 +72,19 @@
 	    (!mmx_head_find(response, names->signature) ||
 	     mmx_head_find(response, "Content-Encoding")))
 		return MMX_REPLY_MISMATCHED;
+	if (names->not_run && promises_not_run_(response))
+		return MMX_REPLY_UNPROVEN;
 	return MMX_REPLY_VALID;
 }
 
 bool mmx_reply_allows_reuse(const mmx_header_names_t *names,
 			    const mmx_head_t *response, const char *request_id)
 {
+	mmx_reply_kind_t kind = mmx_reply_classify(names, response, request_id);
+
 	return mmx_reply_identify(names, response, request_id) ==
 		       MMX_REPLY_ID_OWN &&
-	       mmx_reply_classify(names, response, request_id) ==
-		       MMX_REPLY_VALID;
+	       (kind == MMX_REPLY_VALID || kind == MMX_REPLY_UNPROVEN);
 }
 
 bool mmx_reply_parse_load(const mmx_header_names_t *names,
--- a/src/libmasticmux/include/private/header_names.h
+++ b/src/libmasticmux/include/private/header_names.h
@@ -59,6 +59,9 @@
 	MMX_REPLY_NOT_RUN,	/**< the target has not run the request */
 	MMX_REPLY_WRONG_TARGET, /**< another target has the address now */
 	MMX_REPLY_MISMATCHED,	/**< not the target's response to the request */
+	/** its status says to callers that the request has not run, but the
+	 *  target does not */
+	MMX_REPLY_UNPROVEN,
 	MMX_REPLY_KIND_COUNT
 } mmx_reply_kind_t;
 
@@ -69,7 +72,8 @@
  * mismatched if it names another request, whatever its status and headers; if
  * it names none, unless it says that the request has not run; or if it is a
  * success without a signature or with a Content-Encoding. Requests are assumed
- * to ask for no encoding.
+ * to ask for no encoding. Where targets report that a request has not run, its
+ * status alone (408, 421, 429, 503) does not prove that, signed or not.
  *
  * @param request_id  of the request; NULL if it has none
  */
