Never take a reset for the end of an unframed response

Callers saw: a success with a part of its body, framed as whole (MIXED), when a target answered without a length while the request body was still on its way, and then reset the connection.

Cause: the write takes the error of the reset from the socket, so the read that follows finds a plain end of the input. libevent reports both in one callback, and the end was looked at first. Closing with unread bytes, as a target does that answers early, sends such a reset.

Change: an error outweighs the end of the input. The other handlers of these events (http_caller, connection) treat both alike.

--- a/src/libmasticmux/target_connection.c
+++ b/src/libmasticmux/target_connection.c
@@ -337,8 +337,11 @@
 		on_connected_(connection);
 	} else if (!connection->in_use) {
 		mmx_target_connection_close(connection);
-	} else if (events & BEV_EVENT_EOF) {
-		/* The input read before may still complete the response. */
+	} else if (!(events & BEV_EVENT_ERROR) && events & BEV_EVENT_EOF) {
+		/* After an error, the end of the input is not the target's: a
+		 * write takes the error of a reset from the socket, and a read
+		 * then finds the end. The input read before may still complete
+		 * the response. */
 		connection->target_closed = true;
 		read_response_(connection);
 	} else {
--- a/src/test_libmasticmux/suites.c
+++ b/src/test_libmasticmux/suites.c
@@ -67,6 +67,7 @@
 	{"stop", NULL, NULL, NULL, NULL, mmx_tests_stop},
 	{"store_relay", NULL, NULL, NULL, NULL, mmx_tests_store_relay},
 	{"target_client", NULL, NULL, NULL, NULL, mmx_tests_target_client},
+	{"target_cut", NULL, NULL, NULL, NULL, mmx_tests_target_cut},
 	{"target_delay", NULL, NULL, NULL, NULL, mmx_tests_target_delay},
 	{"target_probe", NULL, NULL, NULL, NULL, mmx_tests_target_probe},
 	{"target_reuse", NULL, NULL, NULL, NULL, mmx_tests_target_reuse},
--- a/src/test_libmasticmux/target_setup.c
+++ b/src/test_libmasticmux/target_setup.c
@@ -20,7 +20,8 @@
 	bufferevent_free(bev);
 }
 
-static void reset_connection_(fake_target_t *target, struct bufferevent *bev)
+void target_setup_reset_connection(fake_target_t *target,
+				   struct bufferevent *bev)
 {
 	struct linger reset = {.l_onoff = 1, .l_linger = 0};
 
@@ -31,7 +32,12 @@
 
 static void on_target_written_(struct bufferevent *bev, void *arg)
 {
-	target_setup_close_connection(arg, bev);
+	fake_target_t *target = arg;
+
+	if (target->action == ACTION_RESET_AFTER)
+		target_setup_reset_connection(target, bev);
+	else
+		target_setup_close_connection(target, bev);
 }
 
 static void on_target_event_(struct bufferevent *bev, short events, void *arg)
@@ -63,15 +69,17 @@
 	g_string_truncate(target->received, 0);
 	target->received_bytes = 0;
 	if (target->action == ACTION_RESET) {
-		reset_connection_(target, bev);
+		target_setup_reset_connection(target, bev);
 		return;
 	}
 	bufferevent_write(bev, target->response, strlen(target->response));
-	if (target->action == ACTION_CLOSE && target->response[0])
+	if (target->action == ACTION_KEEP_OPEN)
+		return;
+	if (target->response[0])
 		bufferevent_setcb(bev, NULL, on_target_written_,
 				  on_target_event_, target);
-	else if (target->action == ACTION_CLOSE)
-		target_setup_close_connection(target, bev);
+	else
+		on_target_written_(bev, target);
 }
 
 static void on_accept_(struct evconnlistener *listener, evutil_socket_t fd,
--- a/src/test_libmasticmux/target_setup.h
+++ b/src/test_libmasticmux/target_setup.h
@@ -18,6 +18,7 @@
 	ACTION_KEEP_OPEN,
 	ACTION_CLOSE,
 	ACTION_RESET, /* instead of a response */
+	ACTION_RESET_AFTER,
 } response_action_t;
 
 /* A target that sends a fixed response to each complete request. */
@@ -77,6 +78,9 @@
 void target_setup_close_connection(fake_target_t *target,
 				   struct bufferevent *bev);
 
+void target_setup_reset_connection(fake_target_t *target,
+				   struct bufferevent *bev);
+
 /* Creates a call without a body for the next attempt and resets the record of
  * the previous one. */
 mmx_call_t *target_setup_new_call(setup_t *setup, const char *method);
