Reset a connection whose unframed answer is not written to its end

Cause: only an answer that the target broke off ended with a reset. A caller that reads slowly, a node at the end of its grace time and a killed process closed the socket in order while the rest of the answer was in the node's memory.

Change: SO_LINGER is set to 0 from the head of an unframed answer on, so that any close is a reset, also the kernel's after a kill; it is unset when the last byte has been handed to the kernel.

The kill of a process was not run for this.

--- a/src/libmasticmux/http_caller.c
+++ b/src/libmasticmux/http_caller.c
@@ -72,13 +72,18 @@
 	mmx_http_caller_close(caller);
 }
 
-/* Closes with a reset, so that a response cannot be taken for complete. */
-static void abort_(mmx_http_caller_t *caller)
+static void set_reset_on_close_(mmx_http_caller_t *caller, bool reset)
 {
-	struct linger reset = {.l_onoff = 1, .l_linger = 0};
+	struct linger linger = {.l_onoff = reset, .l_linger = 0};
 
 	setsockopt(bufferevent_getfd(caller->bev), SOL_SOCKET, SO_LINGER,
-		   &reset, sizeof(reset));
+		   &linger, sizeof(linger));
+}
+
+/* Closes with a reset, so that a response cannot be taken for complete. */
+static void abort_(mmx_http_caller_t *caller)
+{
+	set_reset_on_close_(caller, true);
 	close_counted_(caller, MMX_HTTP_CLOSE_BROKEN_ANSWER);
 }
 
@@ -148,6 +153,8 @@
 {
 	mmx_http_shared_t *shared = caller->shared;
 
+	if (caller->writer.framing == MMX_HTTP_UNTIL_CLOSE)
+		set_reset_on_close_(caller, false);
 	shutdown(bufferevent_getfd(caller->bev), SHUT_WR);
 	evbuffer_drain(input_(caller), evbuffer_get_length(input_(caller)));
 	bufferevent_enable(caller->bev, EV_READ);
@@ -368,6 +375,16 @@
 	update_timer_(caller);
 }
 
+static void write_head_(mmx_http_caller_t *caller, mmx_answer_t *answer)
+{
+	mmx_http_answer_write_head(caller, answer);
+	caller->answered = true;
+	/* The end of this answer is the end of the connection, which the kernel
+	 * also makes when the process dies. */
+	if (caller->writer.framing == MMX_HTTP_UNTIL_CLOSE)
+		set_reset_on_close_(caller, true);
+}
+
 /* Its answer may have come already; the caller may be freed by this. */
 static void take_ahead_(mmx_http_caller_t *caller, mmx_http_ahead_t *ahead)
 {
@@ -381,8 +398,7 @@
 	caller->close_after = !ahead->keep_alive;
 	caller->credit = 0;
 	if (ahead->answer) {
-		mmx_http_answer_write_head(caller, ahead->answer);
-		caller->answered = true;
+		write_head_(caller, ahead->answer);
 		evbuffer_add_buffer(ahead->answer->body, ahead->body);
 		write_part_(caller, ahead->answer->body, ahead->end,
 			    ahead->failed);
@@ -475,8 +491,7 @@
 		mmx_counter_add(caller->shared->stale_messages, 1);
 		return;
 	}
-	mmx_http_answer_write_head(caller, answer);
-	caller->answered = true;
+	write_head_(caller, answer);
 	write_part_(caller, answer->body, answer->body_end, false);
 }
 
--- a/src/test_libmasticmux/test_http_entry_connection.c
+++ b/src/test_libmasticmux/test_http_entry_connection.c
@@ -223,6 +223,62 @@
 	}
 }
 
+static bool is_closed_as_slow_(void *arg)
+{
+	return fixture_counter(arg, "masticmux_http_closed_total",
+			       "cause=\"slow-reader\"") > 0;
+}
+
+/* Guards against an answer without a length that is cut off because its caller
+ * reads slowly, or because the node ends, and then ends in order, which looks
+ * complete. */
+static void test_unframed_cut_(void)
+{
+	enum { BYTES = 32 * 1024 * 1024 };
+	static const char request[] = "GET / HTTP/1.0\r\n\r\n";
+	int by_stop;
+
+	for (by_stop = 0; by_stop < 2; by_stop++) {
+		mmx_http_entry_timeouts_t timeouts;
+		char *data = g_malloc0(BYTES);
+		http_setup_t setup;
+		mmx_body_t *body;
+		wire_t wire;
+
+		http_setup_create(&setup);
+		timeouts = mmx_http_entry_timeouts(setup.http);
+		timeouts.write =
+			by_stop ? MMX_US_PER_S * 60 : MMX_US_PER_MS * 20;
+		mmx_http_entry_set_timeouts(setup.http, &timeouts);
+		http_setup_listen(&setup);
+		setup.entry.silent = true;
+		wire_open(&wire, &setup.fixture,
+			  mmx_http_entry_port(setup.http));
+		wire_send(&wire, request, strlen(request));
+		fixture_wait(&setup.fixture, has_request_, &setup.entry);
+		send_answer_(&setup, &(download_case_t){.parts = 1});
+		body = mmx_new_body(MMX_TO_CALLER);
+		body->request = setup.entry.request;
+		body->end = true;
+		evbuffer_add(body->data, data, BYTES);
+		mmx_task_post(mmx_http_entry_task(setup.http), &body->message);
+		if (by_stop)
+			fixture_turn(&setup.fixture);
+		else
+			CU_ASSERT_TRUE(fixture_wait(&setup.fixture,
+						    is_closed_as_slow_,
+						    &setup.fixture));
+		if (by_stop)
+			mmx_http_entry_destroy(g_steal_pointer(&setup.http));
+		CU_ASSERT_TRUE(wire_expect_closed(&wire));
+		CU_ASSERT_TRUE(wire.reset);
+		CU_ASSERT_TRUE(wire.in->len < BYTES);
+		wire_close(&wire);
+		http_setup_close(&setup);
+		g_free(data);
+	}
+}
+
 /* Guards against requests that are cut off by a planned stop. */
 static void test_drain_(void)
 {
@@ -307,6 +363,7 @@
 	{"caller gone", test_caller_gone_},
 	{"upload under credit", test_upload_},
 	{"framing of answers", test_downloads_},
+	{"cut of an answer without a length", test_unframed_cut_},
 	{"drain", test_drain_},
 	{"drain with an unread request", test_drain_unread_},
 	{"connection limit", test_connection_limit_},
