Round shares to the side that keeps their bound

Callers saw: a retry budget of 13% where the bound retryBudgetRatio is 0.125 (BUDGET allows 12.5%), and a floor of 70% where floorShare is 0.704.

Cause: both shares are kept in whole percents and were rounded to the nearest one, which may lie on the side that the bound forbids.

Change: what is allowed is rounded down, what is due is rounded up.

Measured: 4 of the 6 new rows fail without the change, none with it. Whole percents stay as they were.

--- a/src/libmasticmux/settings.c
+++ b/src/libmasticmux/settings.c
@@ -25,6 +25,8 @@
 #define RETRY_RESERVE_VALID "a number of attempts from 0 to 1000000"
 #define RETRY_RESERVE_MAX 1000000
 #define SHARE_VALID "a number from 0.0 to 1.0"
+/* A share such as 0.29 has no exact form; percent. */
+#define PERCENT_ERROR 1e-9
 
 /* Addresses of one file, for the checks that compare them. */
 typedef enum place_index_t {
@@ -248,9 +250,10 @@
 	return value >= min && value <= max;
 }
 
-/* A share of 0 to 1, kept in percent. */
-static void read_share_(mmx_schema_t *schema, const mmx_tree_node_t *node,
-			const mmx_schema_rule_t *rule, void *into)
+/* A share of 0 to 1, kept in percent rounded to whole ones. */
+static void read_percent_(mmx_schema_t *schema, const mmx_tree_node_t *node,
+			  const mmx_schema_rule_t *rule, void *into,
+			  double (*round_to)(double), double error)
 {
 	double share = mmx_tree_number(node);
 
@@ -258,7 +261,22 @@
 		mmx_schema_reject(schema, node, rule);
 	else
 		*(uint32_t *)((char *)into + rule->offset) =
-			(uint32_t)lround(share * 100);
+			(uint32_t)round_to(share * 100 + error);
+}
+
+/* At most this share is allowed. */
+static void read_share_allowed_(mmx_schema_t *schema,
+				const mmx_tree_node_t *node,
+				const mmx_schema_rule_t *rule, void *into)
+{
+	read_percent_(schema, node, rule, into, floor, PERCENT_ERROR);
+}
+
+/* At least this share is due. */
+static void read_share_due_(mmx_schema_t *schema, const mmx_tree_node_t *node,
+			    const mmx_schema_rule_t *rule, void *into)
+{
+	read_percent_(schema, node, rule, into, ceil, -PERCENT_ERROR);
 }
 
 static void read_seconds_(mmx_schema_t *schema, const mmx_tree_node_t *node,
@@ -342,7 +360,7 @@
 };
 
 static const mmx_schema_rule_t retry_rules_[] = {
-	{"share", MMX_TREE_FLOAT, MMX_PRESENCE_OPTIONAL, read_share_,
+	{"share", MMX_TREE_FLOAT, MMX_PRESENCE_OPTIONAL, read_share_allowed_,
 	 SHARE_VALID, .offset = offsetof(mmx_settings_t, retry_percent)},
 	{"reserve", MMX_TREE_FLOAT, MMX_PRESENCE_OPTIONAL, read_reserve_,
 	 RETRY_RESERVE_VALID,
@@ -351,7 +369,7 @@
 };
 
 static const mmx_schema_rule_t targets_rules_[] = {
-	{"floor_share", MMX_TREE_FLOAT, MMX_PRESENCE_OPTIONAL, read_share_,
+	{"floor_share", MMX_TREE_FLOAT, MMX_PRESENCE_OPTIONAL, read_share_due_,
 	 SHARE_VALID, .offset = offsetof(mmx_settings_t, floor_percent)},
 };
 
--- a/src/test_libmasticmux/test_settings.c
+++ b/src/test_libmasticmux/test_settings.c
@@ -357,6 +357,9 @@
 	{"stop", "grace_s", "6.25", VALUE_(stop_grace), 6250000},
 	{"retry", "share", "1", VALUE_(retry_percent), 100},
 	{"retry", "share", "0.2", VALUE_(retry_percent), 20},
+	{"retry", "share", "0.29", VALUE_(retry_percent), 29},
+	{"retry", "share", "0.125", VALUE_(retry_percent), 12},
+	{"retry", "share", "0.006", VALUE_(retry_percent), 0},
 	{"retry", "reserve", "60", VALUE_(retry_reserve), 60},
 	{"retry", "reserve", "60.0", VALUE_(retry_reserve), 60},
 	{"retry", "reserve", "60.5", VALUE_(retry_reserve), 60},
@@ -367,10 +370,13 @@
 	{"retry", "window_s", "10.5", VALUE_(retry_window), 10500000},
 	{"targets", "floor_share", "1", VALUE_(floor_percent), 100},
 	{"targets", "floor_share", "0.7", VALUE_(floor_percent), 70},
+	{"targets", "floor_share", "0.07", VALUE_(floor_percent), 7},
+	{"targets", "floor_share", "0.704", VALUE_(floor_percent), 71},
+	{"targets", "floor_share", "0.001", VALUE_(floor_percent), 1},
 };
 
 /* Guards against a bound of the platform that stops every process because it
- * is a fraction. */
+ * is a fraction, and against one that is rounded to what it does not allow. */
 static void test_bounds_(void)
 {
 	size_t i;
