--- a/src/libmasticmux/include/private/http_entry.h
+++ b/src/libmasticmux/include/private/http_entry.h
@@ -73,9 +73,9 @@
 void mmx_http_entry_drain(mmx_http_entry_t *http);
 
 /*
- * As drain, but connections are still accepted until drain is called: callers
- * that have not noticed the planned stop yet get answers, and are told to
- * close. Valid after init.
+ * As drain, but connections are still accepted and idle ones stay open until
+ * drain is called: callers that have not noticed the planned stop yet get
+ * answers, and are told to close. Valid after init.
  */
 void mmx_http_entry_announce_drain(mmx_http_entry_t *http);
 
