Deliver the response that follows a fence

Callers saw: 504 at the deadline for a request that had run, although its answer was complete in time.

Cause: when the head of a response was sent before the path was lost, the exit answers the fence with running and sends the whole response as a second fence reply. The call of the fence had its reply by then, so the peer task dropped the second one as not served.

Change: the peer task sends the second reply as a response, which the entry takes on the connection of the fence. One whose content was not kept becomes a refusal that says that the request has run.

--- a/src/libmasticmux/peer_inbound.c
+++ b/src/libmasticmux/peer_inbound.c
@@ -505,6 +505,29 @@
 	}
 }
 
+/*
+ * After a fence was answered with running, the exit sends the whole response as
+ * a second fence reply if its head was sent before the fence. The call of the
+ * fence has its reply, so the entry gets this one as a response.
+ */
+static void post_whole_response_(mmx_peer_link_t *link,
+				 mmx_fence_reply_t *reply)
+{
+	mmx_response_t *response = mmx_new_response(&reply->attempt);
+
+	if (reply->head) {
+		response->head = g_steal_pointer(&reply->head);
+		evbuffer_add_buffer(response->body, reply->body);
+	} else {
+		response->reason = MMX_REASON_ANSWER_TRUNCATED;
+		response->started = true;
+		response->offered = true;
+	}
+	response->body_end = true;
+	from_exit_response_(link, response);
+	mmx_message_destroy(&response->message);
+}
+
 static void from_exit_fence_reply_(mmx_peer_link_t *link,
 				   mmx_fence_reply_t *reply)
 {
@@ -512,6 +535,11 @@
 		g_hash_table_lookup(link->served, &reply->attempt);
 	bool recovers = reply->purpose == MMX_FENCE_RECOVER;
 
+	if (served && !served->fence_due && recovers &&
+	    reply->state == MMX_FENCE_FINISHED) {
+		post_whole_response_(link, reply);
+		return;
+	}
 	if (!served || !served->fence_due) {
 		mmx_peer_drop(link->peer, MMX_DROP_NOT_SERVED);
 		return;
--- a/src/test_libmasticmux/test_entry.c
+++ b/src/test_libmasticmux/test_entry.c
@@ -449,6 +449,11 @@
 		 "targets; request; lost; response; fence-reply running; "
 		 "fence-reply finished head",
 		 "execute1:0 fence1 answer1:completed:none:200:7:end "},
+		{"head on the old connection, whole response pushed on the new "
+		 "one",
+		 "targets; request; lost; response; fence-reply running; "
+		 "response end",
+		 "execute1:0 fence1 answer1:completed:none:200:3:end "},
 		{"no reply until the deadline",
 		 "targets; request; wait ms=1900; refuse deadline-exceeded",
 		 "execute1:0 fence1 "
--- a/src/test_libmasticmux/test_peer_faults.c
+++ b/src/test_libmasticmux/test_peer_faults.c
@@ -159,6 +159,60 @@
 	mmx_test_world_destroy(world);
 }
 
+static void post_fence_finished_(const mmx_attempt_id_t *attempt,
+				 const mmx_origin_t *origin, bool kept)
+{
+	mmx_fence_reply_t *reply =
+		mmx_new_fence_reply(attempt, MMX_FENCE_FINISHED);
+
+	reply->origin = *origin;
+	if (kept) {
+		reply->head = mmx_head_create_response(200);
+		evbuffer_add(reply->body, "whole", 5);
+	}
+	mmx_task_post(origin->task, &reply->message);
+}
+
+/* Guards against a response that is lost although its fence was answered with
+ * running: its head had been sent on the earlier connection, so that the exit
+ * sends the whole response once it is complete. */
+static void test_whole_response_after_fence_(void)
+{
+	bool kept[] = {true, false};
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(kept); i++) {
+		mmx_test_world_t *world = mmx_test_world_create(&relayed_);
+		mmx_execute_t *execute = mmx_test_deliver(world, 1);
+		mmx_response_t *response = mmx_new_response(&execute->attempt);
+		mmx_origin_t origin;
+
+		response->origin = execute->origin;
+		response->head = mmx_head_create_response(200);
+		mmx_task_post(response->origin.task, &response->message);
+		response = mmx_test_expect(world, &world->a.entry,
+					   MMX_MESSAGE_RESPONSE);
+		CU_ASSERT_FALSE(response->body_end);
+		mmx_message_destroy(&response->message);
+		post_(world, &mmx_test_fence(1)->message);
+		origin = answer_fence_(world, MMX_FENCE_RUNNING);
+		expect_fence_reply_(world, MMX_FENCE_RUNNING);
+		post_fence_finished_(&execute->attempt, &origin, kept[i]);
+		response = mmx_test_expect(world, &world->a.entry,
+					   MMX_MESSAGE_RESPONSE);
+		CU_ASSERT_TRUE(response->body_end);
+		CU_ASSERT_EQUAL(response->reason,
+				kept[i] ? MMX_REASON_NONE
+					: MMX_REASON_ANSWER_TRUNCATED);
+		CU_ASSERT_EQUAL(response->started, !kept[i]);
+		CU_ASSERT_EQUAL(evbuffer_get_length(response->body),
+				kept[i] ? 5 : 0);
+		mmx_message_destroy(&response->message);
+		mmx_message_destroy(&execute->message);
+		mmx_test_world_destroy(world);
+	}
+}
+
 /* Guards against a fence that queues behind what it is meant to pass: even on
  * a healthy path it takes another connection than the attempt. */
 static void test_fence_on_healthy_path_(void)
@@ -552,6 +606,8 @@
 CU_TestInfo mmx_tests_peer_faults[] = {
 	{"a silent connection is replaced", test_silent_connection_},
 	{"a response follows the fence", test_response_after_fence_},
+	{"the whole response follows the fence",
+	 test_whole_response_after_fence_},
 	{"a fence passes its attempt", test_fence_on_healthy_path_},
 	{"a fence ends its attempt on both sides", test_fence_ends_attempt_},
 	{"an unreachable node refuses accurately", test_unreachable_},
