Do not reuse a connection with unread input

Callers saw: bytes that a target sends on an idle connection may be taken for the response to the next call on it: a failed request if they name another request, and a false not-run if they are a rejection without an id.

Cause: a connection was taken from the pool if nothing was unread in the socket. The loop may have moved the bytes into the input buffer already, while the deferred callback that closes the connection is still due.

Change: a connection with bytes in its input buffer is closed as well.

--- a/src/libmasticmux/target_connection.c
+++ b/src/libmasticmux/target_connection.c
@@ -452,14 +452,15 @@
 }
 
 /* False if the target has closed the connection or sent bytes on it. The event
- * loop may not have seen either yet. */
+ * loop may not have seen either yet, or its callback may still be due. */
 static bool is_open_and_silent_(const mmx_target_connection_t *connection)
 {
 	char byte;
 	ssize_t got = recv(bufferevent_getfd(connection->bev), &byte, 1,
 			   MSG_PEEK | MSG_DONTWAIT);
 
-	return got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+	return got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK) &&
+	       evbuffer_get_length(input_(connection)) == 0;
 }
 
 mmx_target_connection_t *
--- a/src/test_libmasticmux/test_target_reuse.c
+++ b/src/test_libmasticmux/test_target_reuse.c
@@ -1,5 +1,10 @@
 #include "suites.h"
 
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <string.h>
+#include <sys/socket.h>
+
 #include "target_setup.h"
 
 #define IDLE_MAX_US (1 * MMX_US_PER_S)
@@ -215,9 +220,46 @@
 	}
 }
 
+static void post_next_call_(evutil_socket_t fd, short what, void *arg)
+{
+	setup_t *setup = arg;
+
+	target_setup_post_call(setup, target_setup_new_call(setup, "POST"));
+}
+
+/* Guards against a copy of a rejection that arrives on an idle connection and
+ * is taken for the response to the next call: the loop has moved it from the
+ * socket into the input buffer, and the call comes before the read callback. */
+static void test_bytes_while_idle_(void)
+{
+	static const char copy[] = EMPTY_RESPONSE("503", "Not-Run: 1\r\n");
+	setup_t setup;
+	struct event *next_call;
+
+	target_setup_open(&setup);
+	setup.target.response = WITHOUT_TIMEOUT;
+	target_setup_post_call(&setup, target_setup_new_call(&setup, "GET"));
+	CU_ASSERT_TRUE(target_setup_wait(&setup));
+	CU_ASSERT_EQUAL(send(bufferevent_getfd(setup.target.latest), copy,
+			     strlen(copy), 0),
+			(ssize_t)strlen(copy));
+	/* Runs before the socket is read; the call that it posts is handled
+	 * after that and before the deferred callback of the read. */
+	next_call =
+		event_new(setup.fixture.base, -1, 0, post_next_call_, &setup);
+	event_active(next_call, EV_TIMEOUT, 0);
+	fixture_turn(&setup.fixture);
+	CU_ASSERT_TRUE(target_setup_wait(&setup));
+	CU_ASSERT_EQUAL(setup.exit.status, 200);
+	CU_ASSERT_EQUAL(setup.target.accepted, 2);
+	event_free(next_call);
+	target_setup_close(&setup);
+}
+
 CU_TestInfo mmx_tests_target_reuse[] = {
 	{"idle connections", test_idle_connections_},
 	{"connections after a rejection", test_rejections_},
 	{"late copies of an answer", test_late_copies_},
+	{"bytes on an idle connection", test_bytes_while_idle_},
 	CU_TEST_INFO_NULL,
 };
