Take a 421 as evidence about the address that sent it only

Callers saw: refusals as draining by a sound target, until its next announcement.

Cause: a 421 marked the target of the attempt as gone, although the target may have announced another address after the call had started. The 421 then came from whichever target has its earlier address.

Change: the attempt keeps the address of its call; the target is gone only if that is still its address. The attempt itself is not run either way.

--- a/src/libmasticmux/exit_queue.c
+++ b/src/libmasticmux/exit_queue.c
@@ -54,6 +54,7 @@
 	mmx_exit_health_start(attempt);
 	mmx_histogram_add(exit->queue_time,
 			  attempt->started - attempt->arrived);
+	attempt->address = target->address;
 	call->address = target->address;
 	call->repeatable = execute->repeatable;
 	call->remaining = attempt->deadline - attempt->started;
--- a/src/test_libmasticmux/test_exit.c
+++ b/src/test_libmasticmux/test_exit.c
@@ -38,6 +38,8 @@
 	.target_changed = target_changed_,
 };
 
+static const mmx_header_names_t header_names_ = {.target = "Target"};
+
 static mmx_attempt_id_t attempt_id_(char **words)
 {
 	return (mmx_attempt_id_t){
@@ -56,6 +58,10 @@
 		  sizeof(announced->name));
 	g_strlcpy(announced->service, fake_flag(words, "other") ? "other" : "s",
 		  sizeof(announced->service));
+	announced->address = (mmx_address_t){
+		.host = "127.0.0.1",
+		.port = (uint16_t)fake_number(words, "port", 80),
+	};
 	announced->slots = (uint16_t)fake_number(words, "slots", 1);
 	/* A withdrawal has only the name; the record must keep the rest. */
 	if (state == MMX_TARGET_GONE) {
@@ -111,7 +117,8 @@
 	mmx_call_event_t *event = mmx_new_call_event(&id, result);
 
 	if (result == MMX_CALL_HEAD) {
-		event->head = mmx_head_create_response(200);
+		event->head = mmx_head_create_response(
+			(int)fake_number(words, "status", 200));
 		evbuffer_add(event->body, "abc", 3);
 		event->body_end = fake_flag(words, "end");
 	}
@@ -203,6 +210,7 @@
 					       INCARNATION);
 		mmx_exit_set_target_client(fixture.exit, &fixture.client.task);
 		mmx_exit_set_observer(fixture.exit, &observer_, &fixture);
+		mmx_exit_set_header_names(fixture.exit, &header_names_);
 		mmx_exit_init(fixture.exit);
 		fake_run(cases[i].script, run_step_, &fixture);
 		fake_compare(&cases[i], fixture.trace);
@@ -238,6 +246,26 @@
 	run_cases_(cases, sizeof(cases) / sizeof(cases[0]));
 }
 
+/*
+ * Failures: a target that now has another address gets no requests, because its
+ * earlier address belongs to another target, which rejected a call; a target
+ * whose own address belongs to another one gets requests.
+ */
+static void test_misdirected_(void)
+{
+	static const script_case_t cases[] = {
+		{"at its address",
+		 "warm; execute; head status=421 end; execute n=2",
+		 "call1 evidence refused1:draining refused2:draining "},
+		{"at its earlier address",
+		 "warm; execute; warm port=81; head status=421 end; "
+		 "execute n=2",
+		 "call1 refused1:draining call2 "},
+	};
+
+	run_cases_(cases, sizeof(cases) / sizeof(cases[0]));
+}
+
 /*
  * Failures: an attempt starts twice, or starts after its entry was told that it
  * never will, because messages are duplicated, late or meant for an earlier
@@ -459,6 +487,7 @@
 
 CU_TestInfo mmx_tests_exit[] = {
 	{"targets that restart under another name", test_renamed_target_},
+	{"requests that reach another target", test_misdirected_},
 	{"an attempt runs at most once", test_at_most_once_},
 	{"fencing queries", test_fence_},
 	{"fencing by other entries", test_fence_of_other_entry_},
