Check every request id of a response

A rejection that names two requests was taken as proof for either of them.

Cause: only the first of several id headers was compared.

Change: a response that names another request anywhere is not this one's; the same id twice still counts as its own.

Result: the new case of test_header_names, a rejection with the request's id and another one, was classified as not-run on the code before and is a mismatch now; 289 of 289 unit tests pass.

--- a/src/libmasticmux/header_names.c
+++ b/src/libmasticmux/header_names.c
@@ -2,7 +2,7 @@
 
 #include <glib.h>
 #include <stdio.h>
-#include <string.h>
+#include <strings.h>
 
 #define STATUS_MISDIRECTED_REQUEST 421
 
@@ -27,15 +27,19 @@
 				  const mmx_head_t *response,
 				  const char *request_id)
 {
-	const char *response_id;
+	mmx_reply_id_t id = MMX_REPLY_ID_NONE;
+	const mmx_header_t *header;
 
 	if (!names->request_id)
 		return MMX_REPLY_ID_OWN;
-	response_id = mmx_head_find(response, names->request_id);
-	if (!response_id)
-		return MMX_REPLY_ID_NONE;
-	return g_strcmp0(response_id, request_id) == 0 ? MMX_REPLY_ID_OWN
-						       : MMX_REPLY_ID_OTHER;
+	STAILQ_FOREACH (header, &response->headers, entry) {
+		if (strcasecmp(header->name, names->request_id) != 0)
+			continue;
+		if (g_strcmp0(header->value, request_id) != 0)
+			return MMX_REPLY_ID_OTHER;
+		id = MMX_REPLY_ID_OWN;
+	}
+	return id;
 }
 
 static bool is_success_(const mmx_head_t *response)
--- a/src/libmasticmux/include/private/header_names.h
+++ b/src/libmasticmux/include/private/header_names.h
@@ -37,7 +37,7 @@
 typedef enum mmx_reply_id_t {
 	MMX_REPLY_ID_OWN,   /**< the request itself, or no ids are in use */
 	MMX_REPLY_ID_NONE,  /**< no request */
-	MMX_REPLY_ID_OTHER, /**< another request */
+	MMX_REPLY_ID_OTHER, /**< another request, or more than one */
 	MMX_REPLY_ID_COUNT
 } mmx_reply_id_t;
 
--- a/src/test_libmasticmux/test_header_names.c
+++ b/src/test_libmasticmux/test_header_names.c
@@ -22,7 +22,7 @@
 	static const struct {
 		const char *name;
 		int status;
-		const char *headers[5]; /* name, value, ..., NULL */
+		const char *headers[7]; /* name, value, ..., NULL */
 		mmx_reply_kind_t kind;
 		bool reuse;
 	} cases[] = {
@@ -67,6 +67,16 @@
 		 {"T-Not-Run", "1", "T-Id", "8"},
 		 MMX_REPLY_MISMATCHED,
 		 false},
+		{"not run, with its id twice",
+		 503,
+		 {"T-Not-Run", "1", "T-Id", "7", "t-id", "7"},
+		 MMX_REPLY_NOT_RUN,
+		 false},
+		{"not run, with its id and another one",
+		 503,
+		 {"T-Not-Run", "1", "T-Id", "7", "T-Id", "8"},
+		 MMX_REPLY_MISMATCHED,
+		 false},
 		{"503 without the not-run header",
 		 503,
 		 {"T-Id", "7"},
