Store client: do not reuse a connection with unread bytes

Callers saw: nothing yet. A response of the store, or of the log service, that arrives twice was taken for the response to the next call: an append got the offset of the one before it, and a node read on from an offset behind the end of the log.

Cause: responses are matched to calls by their place on the connection, and an idle connection was taken whatever it held.

Change: an idle connection with bytes behind its last response, or one that the server has closed unnoticed, is discarded.

A copy that arrives after the next call was sent is still taken for its response; the store names no calls.

--- a/src/libmasticmux/http_client.c
+++ b/src/libmasticmux/http_client.c
@@ -1,6 +1,7 @@
 #include "private/http_client.h"
 
 #include <assert.h>
+#include <errno.h>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
@@ -137,15 +138,33 @@
 	client->idle_count++;
 }
 
+/* False if the server has sent bytes behind its response, which would be taken
+ * for the next one, or has closed the connection unnoticed. */
+static bool is_silent_(const connection_t *connection)
+{
+	struct bufferevent *socket =
+		evhttp_connection_get_bufferevent(connection->http);
+	int fd = bufferevent_getfd(socket);
+	char byte;
+
+	if (evbuffer_get_length(bufferevent_get_input(socket)) > 0)
+		return false;
+	/* Without a socket, evhttp connects again. */
+	return fd < 0 || (recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0 &&
+			  (errno == EAGAIN || errno == EWOULDBLOCK));
+}
+
 static connection_t *acquire_connection_(mmx_http_client_t *client)
 {
 	const mmx_http_client_config_t *config = &client->config;
-	connection_t *connection = LIST_FIRST(&client->idle);
+	connection_t *connection;
 
-	if (connection) {
+	while ((connection = LIST_FIRST(&client->idle))) {
 		LIST_REMOVE(connection, entry);
 		client->idle_count--;
-		return connection;
+		if (is_silent_(connection))
+			return connection;
+		discard_connection_(client, connection);
 	}
 	connection = g_new0(connection_t, 1);
 	connection->http = evhttp_connection_base_new(
--- a/src/test_libmasticmux/test_log_client.c
+++ b/src/test_libmasticmux/test_log_client.c
@@ -1,6 +1,7 @@
 #include "suites.h"
 
 #include <event2/buffer.h>
+#include <event2/bufferevent.h>
 #include <event2/event.h>
 #include <event2/http.h>
 #include <glib.h>
@@ -19,6 +20,7 @@
 	CLOSE,	   /* closes the connection without a response */
 	SILENT,	   /* leaves the request pending */
 	TOO_LARGE, /* responds with a body above the limit */
+	TWICE,	   /* responds and sends a copy of the response */
 } server_mode_t;
 
 typedef struct fixture_t {
@@ -49,10 +51,23 @@
 		   length ? (char *)evbuffer_pullup(input, -1) : "");
 }
 
+static void send_copy_(const fixture_t *fixture,
+		       struct evhttp_connection *connection)
+{
+	struct bufferevent *socket =
+		evhttp_connection_get_bufferevent(connection);
+
+	evbuffer_add_printf(bufferevent_get_output(socket),
+			    "HTTP/1.1 %d x\r\nContent-Length: %zu\r\n\r\n%s",
+			    fixture->status, strlen(fixture->body),
+			    fixture->body);
+}
+
 static void on_request_(struct evhttp_request *request, void *arg)
 {
 	fixture_t *fixture = arg;
 	struct evbuffer *body = evbuffer_new();
+	struct evhttp_connection *connection;
 
 	record_request_(fixture, request);
 	if (fixture->mode == SILENT) {
@@ -69,7 +84,10 @@
 		} else {
 			evbuffer_add_printf(body, "%s", fixture->body);
 		}
+		connection = evhttp_request_get_connection(request);
 		evhttp_send_reply(request, fixture->status, "x", body);
+		if (fixture->mode == TWICE)
+			send_copy_(fixture, connection);
 	}
 	evbuffer_free(body);
 }
@@ -170,6 +188,8 @@
 	 MMX_LOG_MALFORMED, 0},
 	{"append, large answer", true, TOO_LARGE, 200, "", MMX_LOG_MALFORMED,
 	 0},
+	{"append, answered twice", true, TWICE, 200, "{\"offset\":9}",
+	 MMX_LOG_OK, 9},
 	{"read", false, ANSWER, 200,
 	 "{\"first\":1,\"next\":6,\"records\":[" RECORD_JSON "]}", MMX_LOG_OK,
 	 6},
@@ -195,7 +215,8 @@
 };
 
 /* Guards against a lost response that is reported as success or refusal, a call
- * that never completes, and a failure that blocks later calls. */
+ * that never completes, a failure that blocks later calls, and a copy of a
+ * response that is taken for the response to the next call. */
 static void test_results_(void)
 {
 	size_t i;
