--- a/src/test_libmasticmux/test_header_names.c
+++ b/src/test_libmasticmux/test_header_names.c
@@ -16,7 +16,7 @@
 typedef struct classify_case_t {
 	const char *name;
 	int status;
-	const char *headers[5]; /* name, value, ..., NULL */
+	const char *headers[7]; /* name, value, ..., NULL */
 	mmx_reply_kind_t kind;
 	bool reuse;
 } classify_case_t;
@@ -47,6 +47,16 @@
 	 {"T-Not-Run", "1", "T-Id", "8"},
 	 MMX_REPLY_MISMATCHED,
 	 false},
+	{"not run, with its id twice",
+	 503,
+	 {"T-Not-Run", "1", "T-Id", "7", "t-id", "7"},
+	 MMX_REPLY_NOT_RUN,
+	 false},
+	{"not run, with its id and another one",
+	 503,
+	 {"T-Not-Run", "1", "T-Id", "7", "T-Id", "8"},
+	 MMX_REPLY_MISMATCHED,
+	 false},
 	{"503 without the not-run header",
 	 503,
 	 {"T-Id", "7"},
