Take service and address of the local target from the settings

Cause: an announcement could change the service and the address of the target beside the node, although the settings name both.

Change: announcements with another service or address are rejected with 400. Each rejection is counted by its reason (masticmux_announcements_rejected_total) and logged with the field (announcement_rejected).

--- a/src/libmasticmux/announce.c
+++ b/src/libmasticmux/announce.c
@@ -24,8 +24,20 @@
 	uint16_t port;
 	const mmx_announce_format_t *format; /* NULL: none */
 	bool trusted;
+	char service[MMX_NAME_MAX + 1]; /* of the only target; "": any */
+	mmx_address_t target;		/* port 0: any */
+	mmx_log_t *log;
 	mmx_counter_t *accepted;
 	mmx_counter_t *rejected;
+	mmx_counter_t *reasons[MMX_ANNOUNCE_REJECTION_COUNT];
+};
+
+const char *const mmx_announce_rejection_string[MMX_ANNOUNCE_REJECTION_COUNT] =
+	{
+		"bad-request",
+		"malformed",
+		"other-service",
+		"other-address",
 };
 
 /* An integer member of an announcement and its range. */
@@ -241,9 +253,14 @@
 }
 
 static void reject_(mmx_announce_t *announce, struct evhttp_request *request,
-		    int status, const char *error)
+		    mmx_announce_rejection_t reason, int status,
+		    const char *error)
 {
 	mmx_counter_add(announce->rejected, 1);
+	mmx_counter_add(announce->reasons[reason], 1);
+	mmx_log_event(announce->log, MMX_LOG_WARNING, "announcement_rejected",
+		      "reason", mmx_announce_rejection_string[reason], "error",
+		      error, "uri", evhttp_request_get_uri(request), NULL);
 	send_reply_(request, status, error);
 }
 
@@ -255,19 +272,54 @@
 	send_reply_(request, HTTP_OK, NULL);
 }
 
+/* A withdrawal names neither a service nor an address. */
+static bool has_other_service_(const mmx_announce_t *announce,
+			       const mmx_target_announced_t *announced)
+{
+	return announce->service[0] && announced->state != MMX_TARGET_GONE &&
+	       strcmp(announced->service, announce->service) != 0;
+}
+
+static bool has_other_address_(const mmx_announce_t *announce,
+			       const mmx_target_announced_t *announced)
+{
+	return announce->target.port && announced->state != MMX_TARGET_GONE &&
+	       !mmx_address_is_equal(&announced->address, &announce->target);
+}
+
+/* announced: NULL if it could not be parsed; error says why then */
+static void handle_parsed_(mmx_announce_t *announce,
+			   struct evhttp_request *request,
+			   mmx_target_announced_t *announced,
+			   const mmx_error_t *error)
+{
+	if (!announced) {
+		reject_(announce, request, MMX_ANNOUNCE_MALFORMED,
+			HTTP_BADREQUEST, error->text);
+	} else if (has_other_service_(announce, announced)) {
+		reject_(announce, request, MMX_ANNOUNCE_OTHER_SERVICE,
+			HTTP_BADREQUEST, "the settings name another service");
+		mmx_message_destroy(&announced->message);
+	} else if (has_other_address_(announce, announced)) {
+		reject_(announce, request, MMX_ANNOUNCE_OTHER_ADDRESS,
+			HTTP_BADREQUEST, "the settings name another address");
+		mmx_message_destroy(&announced->message);
+	} else {
+		accept_(announce, request, announced);
+	}
+}
+
 static void handle_post_(mmx_announce_t *announce,
 			 struct evhttp_request *request)
 {
 	struct evbuffer *body = evhttp_request_get_input_buffer(request);
 	mmx_error_t error = {.code = MMX_ERROR_NONE};
-	mmx_target_announced_t *announced =
-		mmx_announce_parse((const char *)evbuffer_pullup(body, -1),
-				   evbuffer_get_length(body), &error);
 
-	if (announced)
-		accept_(announce, request, announced);
-	else
-		reject_(announce, request, HTTP_BADREQUEST, error.text);
+	handle_parsed_(
+		announce, request,
+		mmx_announce_parse((const char *)evbuffer_pullup(body, -1),
+				   evbuffer_get_length(body), &error),
+		&error);
 }
 
 static void handle_format_(mmx_announce_t *announce,
@@ -276,13 +328,12 @@
 	struct evbuffer *body = evhttp_request_get_input_buffer(request);
 	size_t length = evbuffer_get_length(body);
 	mmx_error_t error = {.code = MMX_ERROR_NONE};
-	mmx_target_announced_t *announced = announce->format->parse(
-		uri, (const char *)evbuffer_pullup(body, -1), length, &error);
 
-	if (announced)
-		accept_(announce, request, announced);
-	else
-		reject_(announce, request, HTTP_BADREQUEST, error.text);
+	handle_parsed_(announce, request,
+		       announce->format->parse(
+			       uri, (const char *)evbuffer_pullup(body, -1),
+			       length, &error),
+		       &error);
 }
 
 static void handle_delete_(mmx_announce_t *announce,
@@ -291,8 +342,8 @@
 	mmx_target_announced_t *announced;
 
 	if (!is_name_(name)) {
-		reject_(announce, request, HTTP_BADREQUEST,
-			"the path must be /v1/targets/NAME");
+		reject_(announce, request, MMX_ANNOUNCE_BAD_REQUEST,
+			HTTP_BADREQUEST, "the path must be /v1/targets/NAME");
 		return;
 	}
 	announced = mmx_new_target_announced();
@@ -313,16 +364,40 @@
 		handle_format_(announce, request, uri);
 	else if (strncmp(uri, TARGETS_PATH, length) != 0 ||
 		 (uri[length] && uri[length] != '/'))
-		reject_(announce, request, HTTP_NOTFOUND, "no such path");
+		reject_(announce, request, MMX_ANNOUNCE_BAD_REQUEST,
+			HTTP_NOTFOUND, "no such path");
 	else if (command == EVHTTP_REQ_POST && !uri[length])
 		handle_post_(announce, request);
 	else if (command == EVHTTP_REQ_DELETE && uri[length])
 		handle_delete_(announce, request, uri + length + 1);
 	else
-		reject_(announce, request, HTTP_BADMETHOD,
+		reject_(announce, request, MMX_ANNOUNCE_BAD_REQUEST,
+			HTTP_BADMETHOD,
 			"use POST /v1/targets or DELETE /v1/targets/NAME");
 }
 
+static void register_counters_(mmx_announce_t *announce,
+			       mmx_counters_t *counters)
+{
+	char labels[40];
+	int i;
+
+	announce->accepted = mmx_counters_get(
+		counters, MMX_COUNTER, "masticmux_announcements_total",
+		"result=\"accepted\"", "Announcements of targets.");
+	announce->rejected = mmx_counters_get(
+		counters, MMX_COUNTER, "masticmux_announcements_total",
+		"result=\"rejected\"", "Announcements of targets.");
+	for (i = 0; i < MMX_ANNOUNCE_REJECTION_COUNT; i++) {
+		g_snprintf(labels, sizeof(labels), "reason=\"%s\"",
+			   mmx_announce_rejection_string[i]);
+		announce->reasons[i] = mmx_counters_get(
+			counters, MMX_COUNTER,
+			"masticmux_announcements_rejected_total", labels,
+			"Rejected announcements of targets, by reason.");
+	}
+}
+
 mmx_announce_t *mmx_announce_create(mmx_runtime_t *runtime, mmx_task_t *exit,
 				    mmx_counters_t *counters)
 {
@@ -331,14 +406,8 @@
 	assert(mmx_runtime_base(runtime) && exit);
 	announce->runtime = runtime;
 	announce->exit = exit;
-	if (counters) {
-		announce->accepted = mmx_counters_get(
-			counters, MMX_COUNTER, "masticmux_announcements_total",
-			"result=\"accepted\"", "Announcements of targets.");
-		announce->rejected = mmx_counters_get(
-			counters, MMX_COUNTER, "masticmux_announcements_total",
-			"result=\"rejected\"", "Announcements of targets.");
-	}
+	if (counters)
+		register_counters_(announce, counters);
 	return announce;
 }
 
@@ -358,6 +427,20 @@
 	announce->format = format;
 }
 
+void mmx_announce_set_target(mmx_announce_t *announce, const char *service,
+			     const mmx_address_t *address)
+{
+	assert(!announce->server);
+	g_strlcpy(announce->service, service, sizeof(announce->service));
+	announce->target = *address;
+}
+
+void mmx_announce_set_log(mmx_announce_t *announce, mmx_log_t *log)
+{
+	assert(!announce->server);
+	announce->log = log;
+}
+
 void mmx_announce_set_trusted_network(mmx_announce_t *announce, bool trusted)
 {
 	assert(!announce->server);
--- a/src/libmasticmux/include/private/announce.h
+++ b/src/libmasticmux/include/private/announce.h
@@ -17,6 +17,7 @@
 
 #include "masticmux/counters.h"
 #include "masticmux/error.h"
+#include "masticmux/log.h"
 #include "private/messages.h"
 
 /** Range of lease_ms in an announcement. */
@@ -25,6 +26,18 @@
 
 typedef struct mmx_announce_t mmx_announce_t;
 
+/** Why an announcement is rejected. */
+typedef enum mmx_announce_rejection_t {
+	MMX_ANNOUNCE_BAD_REQUEST, /**< method, path or name in the path */
+	MMX_ANNOUNCE_MALFORMED,	  /**< the body or the query is not valid */
+	MMX_ANNOUNCE_OTHER_SERVICE,
+	MMX_ANNOUNCE_OTHER_ADDRESS,
+	MMX_ANNOUNCE_REJECTION_COUNT
+} mmx_announce_rejection_t;
+
+extern const char
+	*const mmx_announce_rejection_string[MMX_ANNOUNCE_REJECTION_COUNT];
+
 /** A second format of announcements, accepted on the same address. */
 typedef struct mmx_announce_format_t {
 	/** True if a POST to this path and query has this format. */
@@ -45,6 +58,20 @@
 void mmx_announce_set_format(mmx_announce_t *announce,
 			     const mmx_announce_format_t *format);
 
+/**
+ * Sets the only target that may announce itself: announcements with another
+ * service or address are rejected. Valid before init.
+ *
+ * @param service  "" for any, which is the default
+ * @param address  port 0 for any, which is the default
+ */
+void mmx_announce_set_target(mmx_announce_t *announce, const char *service,
+			     const mmx_address_t *address);
+
+/** Sets where rejections are logged; NULL, the default, for nowhere. Valid
+ * before init. */
+void mmx_announce_set_log(mmx_announce_t *announce, mmx_log_t *log);
+
 /**
  * Allows init to listen on addresses other than loopback; by default it
  * refuses them. Valid before init.
--- a/src/libmasticmux/part_path.c
+++ b/src/libmasticmux/part_path.c
@@ -220,6 +220,9 @@
 	}
 	mmx_target_client_init(self->client);
 	mmx_announce_set_format(self->announce, node->announcements);
+	mmx_announce_set_target(self->announce, node->settings->service,
+				&node->settings->target);
+	mmx_announce_set_log(self->announce, node->log);
 	mmx_announce_set_trusted_network(self->announce,
 					 node->settings->trusted_network);
 	init_exit_(self);
--- a/src/test_libmasticmux/test_announce.c
+++ b/src/test_libmasticmux/test_announce.c
@@ -166,6 +166,75 @@
 	fixture_close(&fixture);
 }
 
+static void post_(fixture_t *fixture, const mmx_announce_t *announce,
+		  const char *body)
+{
+	char *sent = g_strdup_printf(
+		"POST /v1/targets HTTP/1.1\r\nHost: n\r\n"
+		"Connection: close\r\nContent-Length: %zu\r\n\r\n%s",
+		strlen(body), body);
+	wire_t wire;
+
+	wire_open(&wire, fixture, mmx_announce_port(announce));
+	wire_send(&wire, sent, strlen(sent));
+	CU_ASSERT_TRUE(wire_expect_closed(&wire));
+	wire_close(&wire);
+	g_free(sent);
+}
+
+#define TARGET(service, port) WITH(T, "\"" service "\"", A, port, "3", W, LEASE)
+
+/* Guards against an announcement of another writer that moves the target beside
+ * the node to another service or address than the settings name. */
+static void test_other_target_(void)
+{
+	static const struct {
+		const char *service; /* in the settings */
+		uint16_t port;	     /* in the settings; 0: none */
+		const char *body;
+		const char *rejected; /* reason; NULL if accepted */
+	} cases[] = {
+		{"shop", 80, TARGET("shop", "80"), NULL},
+		{"shop", 80, TARGET("till", "80"), "other-service"},
+		{"shop", 80, TARGET("shop", "81"), "other-address"},
+		{"shop", 80, "{}", "malformed"},
+		{"", 80, TARGET("till", "80"), NULL},
+		{"shop", 0, TARGET("shop", "81"), NULL},
+	};
+	mmx_address_t address = {.host = "127.0.0.1"};
+	mmx_address_t target = {.host = "127.0.0.1"};
+	fixture_t fixture;
+	fake_exit_t exit = {.count = 0};
+	mmx_announce_t *announce;
+	size_t i;
+
+	fixture_open(&fixture);
+	mmx_task_init(&exit.task, &ops_, fixture.runtime);
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		char *labels = g_strdup_printf("reason=\"%s\"",
+					       cases[i].rejected ?: "none");
+		mmx_counter_t *rejected = mmx_counters_get(
+			fixture.counters, MMX_COUNTER,
+			"masticmux_announcements_rejected_total", labels, "");
+		int64_t before = rejected->value;
+
+		target.port = cases[i].port;
+		announce = mmx_announce_create(fixture.runtime, &exit.task,
+					       fixture.counters);
+		mmx_announce_set_target(announce, cases[i].service, &target);
+		CU_ASSERT_TRUE_FATAL(
+			mmx_announce_init(announce, &address, NULL));
+		exit.count = 0;
+		post_(&fixture, announce, cases[i].body);
+		CU_ASSERT_EQUAL(exit.count, !cases[i].rejected);
+		CU_ASSERT_EQUAL(rejected->value - before,
+				cases[i].rejected != NULL);
+		mmx_announce_destroy(announce);
+		g_free(labels);
+	}
+	fixture_close(&fixture);
+}
+
 /* Guards against announcements from other instances: they could arrive if the
  * server listened on an address that is not loopback. */
 static void test_loopback_only_(void)
@@ -188,6 +257,7 @@
 CU_TestInfo mmx_tests_announce[] = {
 	{"bodies", test_bodies_},
 	{"requests", test_requests_},
+	{"another target than in the settings", test_other_target_},
 	{"loopback only", test_loopback_only_},
 	CU_TEST_INFO_NULL,
 };
