Accept a roster record under the name of its node only

Callers saw: a node did not send requests to the target beside it, and nodes that started lost targets, after one entry of another writer in the roster.

Cause: a record was applied to the node that it names, whatever its key. The node itself watches its own key only, so it did not see and repair a record under another key that emptied or moved it; other nodes, and the node itself for its own targets, took the targets away.

--- a/src/libmasticmux/include/private/roster.h
+++ b/src/libmasticmux/include/private/roster.h
@@ -39,14 +39,15 @@
  * become MMX_TARGET_GONE in the directory. A record that is not newer than the
  * known one is ignored, which is no error.
  *
+ * key: of the record in the store; must be the name of the node in it
  * value: JSON text of length bytes
  * offset: of the record in the store
  *
  * Returns false and sets the error if the record is not valid; nothing is
  * applied then.
  */
-bool mmx_roster_merge(mmx_roster_t *roster, const char *value, size_t length,
-		      uint64_t offset, mmx_error_t *error);
+bool mmx_roster_merge(mmx_roster_t *roster, const char *key, const char *value,
+		      size_t length, uint64_t offset, mmx_error_t *error);
 
 /* Removes a node whose record was deleted at this offset, and its targets.
  * Ignored if the known record is not older. */
--- a/src/libmasticmux/part_roster.c
+++ b/src/libmasticmux/part_roster.c
@@ -153,7 +153,7 @@
 	}
 	if (!record->value) {
 		mmx_roster_remove(node->roster, record->key, record->offset);
-	} else if (!mmx_roster_merge(node->roster, record->value,
+	} else if (!mmx_roster_merge(node->roster, record->key, record->value,
 				     record->length, record->offset, &error)) {
 		mmx_counter_add(self->invalid_records, 1);
 		mmx_log_event(node->log, MMX_LOG_WARNING,
--- a/src/libmasticmux/roster.c
+++ b/src/libmasticmux/roster.c
@@ -48,8 +48,8 @@
 	return true;
 }
 
-static bool read_node_(const json_t *object, mmx_roster_node_t *node,
-		       mmx_error_t *error)
+static bool read_node_(const json_t *object, const char *key,
+		       mmx_roster_node_t *node, mmx_error_t *error)
 {
 	const char *address =
 		json_string_value(json_object_get(object, "address"));
@@ -58,6 +58,11 @@
 	    !read_name_(object, "region", node->region, error) ||
 	    !read_name_(object, "zone", node->zone, error))
 		return false;
+	/* The record of a node stands under its name only, so that there is
+	 * one newest record and its node sees whatever replaces it. */
+	if (strcmp(node->name, key) != 0)
+		return mmx_error_set(error, MMX_ERROR_INVALID,
+				     "'node' must be the key of the record");
 	if (!address || !mmx_address_parse(address, &node->address))
 		return mmx_error_set(error, MMX_ERROR_INVALID,
 				     "'address' must be an IP address with a "
@@ -165,8 +170,8 @@
 			&g_array_index(targets, mmx_target_record_t, i));
 }
 
-bool mmx_roster_merge(mmx_roster_t *roster, const char *value, size_t length,
-		      uint64_t offset, mmx_error_t *error)
+bool mmx_roster_merge(mmx_roster_t *roster, const char *key, const char *value,
+		      size_t length, uint64_t offset, mmx_error_t *error)
 {
 	GArray *targets =
 		g_array_new(FALSE, FALSE, sizeof(mmx_target_record_t));
@@ -178,7 +183,7 @@
 	valid = json_is_object(object) ||
 		mmx_error_set(error, MMX_ERROR_INVALID,
 			      "the record is not a JSON object");
-	valid = valid && read_node_(object, &node, error) &&
+	valid = valid && read_node_(object, key, &node, error) &&
 		read_targets_(object, &node, targets, error);
 	known = valid ? mmx_roster_find(roster, node.id) : NULL;
 	if (valid && (!known || known->offset < offset))
--- a/src/test_libmasticmux/test_roster.c
+++ b/src/test_libmasticmux/test_roster.c
@@ -61,9 +61,9 @@
 	size_t i;
 
 	for (i = 0; i < G_N_ELEMENTS(steps); i++) {
-		CU_ASSERT_TRUE(mmx_roster_merge(fixture.roster, steps[i].text,
-						strlen(steps[i].text),
-						steps[i].offset, &error));
+		CU_ASSERT_TRUE(mmx_roster_merge(
+			fixture.roster, "n1", steps[i].text,
+			strlen(steps[i].text), steps[i].offset, &error));
 		CU_ASSERT_EQUAL(count_(&fixture), steps[i].targets);
 	}
 	CU_ASSERT_PTR_NOT_NULL(
@@ -96,7 +96,7 @@
 	size_t i;
 
 	for (i = 0; i < G_N_ELEMENTS(texts); i++) {
-		CU_ASSERT_FALSE(mmx_roster_merge(fixture.roster, texts[i],
+		CU_ASSERT_FALSE(mmx_roster_merge(fixture.roster, "n1", texts[i],
 						 strlen(texts[i]), i, &error));
 		CU_ASSERT_NOT_EQUAL(error.text[0], '\0');
 	}
@@ -105,6 +105,29 @@
 	close_(&fixture);
 }
 
+/* Guards against a record under another key that moves a node or takes its
+ * targets away; the node itself reads its own key only and cannot mend it. */
+static void test_other_key_(void)
+{
+	static const char sound[] = NODE "[" TARGET("a") "]}";
+	static const char *const keys[] = {"n2", "odd", "", "N1", "n1 "};
+	fixture_t fixture = open_();
+	mmx_error_t error = {MMX_ERROR_NONE, ""};
+	size_t i;
+
+	CU_ASSERT_TRUE(mmx_roster_merge(fixture.roster, "n1", sound,
+					strlen(sound), 1, &error));
+	for (i = 0; i < G_N_ELEMENTS(keys); i++) {
+		CU_ASSERT_FALSE(mmx_roster_merge(fixture.roster, keys[i],
+						 NODE "[]}", strlen(NODE "[]}"),
+						 i + 2, &error));
+		CU_ASSERT_PTR_NOT_NULL(strstr(error.text, "key"));
+		CU_ASSERT_EQUAL(count_(&fixture), 1);
+	}
+	CU_ASSERT_EQUAL(mmx_roster_count(fixture.roster), 1);
+	close_(&fixture);
+}
+
 /* Guards against an encoded record that other nodes cannot decode, and against
  * draining targets in it. */
 static void test_encode_(void)
@@ -130,8 +153,8 @@
 	mmx_error_t error;
 
 	CU_ASSERT_STRING_EQUAL(text, NODE "[" TARGET("a") "]}");
-	CU_ASSERT_TRUE(mmx_roster_merge(fixture.roster, text, strlen(text), 1,
-					&error));
+	CU_ASSERT_TRUE(mmx_roster_merge(fixture.roster, "n1", text,
+					strlen(text), 1, &error));
 	CU_ASSERT_EQUAL(count_(&fixture), 1);
 	g_free(text);
 	close_(&fixture);
@@ -140,6 +163,7 @@
 CU_TestInfo mmx_tests_roster[] = {
 	{"order of the records of a node", test_record_order_},
 	{"invalid records change nothing", test_invalid_records_},
+	{"records under another key", test_other_key_},
 	{"encoding of a record", test_encode_},
 	CU_TEST_INFO_NULL,
 };
