Let a target return that another one at its address is not

Callers saw: 503 from a service whose targets ran, after a heartbeat of another writer, whole but for its own id, had named the address of each target.

Cause: an announcement of another target at an address marked the former one as withdrawn, for good. A later 421 showed that the new one was not there, but the announcements of the true one were still acknowledged and ignored, also as older than those of the refuted one.

Change: a replaced target remembers which one replaced it. When that one is refuted by 421, the replaced ones count again from their next announcement, unless they have withdrawn; the start time of a refuted target no longer outdates others at the address. What has left by its own word stays left.

Result: four of the 33 new steps of test_exit_announced failed before. A target is still out of use from such a heartbeat until a request is answered with 421 and its next heartbeat arrives.

--- a/src/libmasticmux/exit.c
+++ b/src/libmasticmux/exit.c
@@ -65,6 +65,20 @@
 	mmx_exit_refuse_queue(exit, target);
 }
 
+void mmx_exit_set_target_refuted(mmx_exit_t *exit, mmx_exit_target_t *target)
+{
+	mmx_exit_target_t *other;
+
+	target->disputed = true;
+	LIST_FOREACH (other, &exit->targets, entry) {
+		if (other->replaced_by != target->record.id)
+			continue;
+		other->replaced_by = 0;
+		other->disputed = true;
+	}
+	mmx_exit_set_target_gone(exit, target);
+}
+
 static mmx_time_t warm_up_(const mmx_exit_t *exit, const char *service)
 {
 	mmx_policy_t policy;
@@ -127,14 +141,15 @@
 
 /*
  * True for an announcement of this target that was sent before the latest
- * known one, or before the target withdrew.
+ * known one, or before the target withdrew or was replaced.
  */
 static bool is_outdated_(const mmx_exit_target_t *target,
 			 const mmx_target_announced_t *announced)
 {
 	if (announced->process_start != target->process_start)
 		return announced->process_start < target->process_start;
-	return target->withdrawn || announced->sequence <= target->sequence;
+	return target->withdrawn || target->replaced_by ||
+	       announced->sequence <= target->sequence;
 }
 
 /*
@@ -160,7 +175,8 @@
 		if (strcmp(target->record.name, announced->name) == 0) {
 			if (is_outdated_(target, announced))
 				return true;
-		} else if (target->process_start > announced->process_start &&
+		} else if (!target->disputed &&
+			   target->process_start > announced->process_start &&
 			   mmx_address_is_equal(&target->address,
 						&announced->address)) {
 			return true;
@@ -183,7 +199,8 @@
 		    !mmx_address_is_equal(&target->address,
 					  &announced->address))
 			continue;
-		target->withdrawn = true;
+		target->replaced_by =
+			mmx_directory_id(exit->node_name, announced->name);
 		mmx_exit_set_target_gone(exit, target);
 	}
 }
@@ -196,6 +213,8 @@
 		return;
 	}
 	target->withdrawn = false;
+	target->replaced_by = 0;
+	target->disputed = false;
 	target->process_start = announced->process_start;
 	target->sequence = announced->sequence;
 }
--- a/src/libmasticmux/exit_call.c
+++ b/src/libmasticmux/exit_call.c
@@ -128,7 +128,7 @@
 		return false;
 	case MMX_REPLY_WRONG_TARGET:
 		mmx_exit_health_end(attempt, MMX_RESULT_ABANDONED);
-		mmx_exit_set_target_gone(exit, target);
+		mmx_exit_set_target_refuted(exit, target);
 		drop_response_(exit, attempt, MMX_REASON_DRAINING, false,
 			       event->body_end);
 		return false;
--- a/src/libmasticmux/include/private/exit_internal.h
+++ b/src/libmasticmux/include/private/exit_internal.h
@@ -65,6 +65,12 @@
  */
 void mmx_exit_set_target_gone(mmx_exit_t *exit, mmx_exit_target_t *target);
 
+/*
+ * The same when a request was answered by another target: those that this one
+ * had replaced at the address may announce themselves again.
+ */
+void mmx_exit_set_target_refuted(mmx_exit_t *exit, mmx_exit_target_t *target);
+
 /* Detects a pause of the process. To be called for each message and timer. */
 void mmx_exit_detect_pause(mmx_exit_t *exit);
 
--- a/src/libmasticmux/include/private/exit_target.h
+++ b/src/libmasticmux/include/private/exit_target.h
@@ -48,6 +48,8 @@
 	uint64_t process_start; /* in the latest TARGET_ANNOUNCED; 0: none */
 	uint64_t sequence;	/* in the latest TARGET_ANNOUNCED; 0: none */
 	bool withdrawn;		/* the process with this start has withdrawn */
+	mmx_target_id_t replaced_by; /* target that took its address; 0: none */
+	bool disputed; /* another target may have its address: see 421 */
 	mmx_time_t ramp_start;
 	mmx_time_t ramp_length; /* from the policy or the announcement */
 	uint8_t cold_percent;	/* share of the slots at its start, 1 to 100 */
--- a/src/test_libmasticmux/test_exit_announced.c
+++ b/src/test_libmasticmux/test_exit_announced.c
@@ -7,12 +7,15 @@
 
 #include "fakes.h"
 #include "private/exit.h"
+#include "private/header_names.h"
 
 typedef struct fixture_t {
 	mmx_runtime_t *runtime;
 	mmx_exit_t *exit;
 	fake_t client;
+	fake_t origin;
 	GString *trace;
+	uint64_t attempts;
 	char states[3]; /* first letters of the states of "a" and "b" */
 } fixture_t;
 
@@ -28,6 +31,10 @@
 	const char *states; /* expected for "a" and "b"; '-': unknown */
 } step_t;
 
+/* Sequence that stands for a request to the target of the step that is answered
+ * by another target. */
+#define MISDIRECTED (UINT64_MAX - 1)
+
 #define STEPS_MAX 6
 
 typedef struct case_t {
@@ -39,8 +46,9 @@
 {
 	fixture_t *fixture = context;
 
-	fixture->states[record->name[0] - 'a'] =
-		mmx_target_state_string[record->state][0];
+	if (record->name[0] <= 'b')
+		fixture->states[record->name[0] - 'a'] =
+			mmx_target_state_string[record->state][0];
 }
 
 static const mmx_exit_observer_ops_t observer_ = {
@@ -66,20 +74,52 @@
 	mmx_runtime_deliver(fixture->runtime);
 }
 
+static void misdirect_(fixture_t *fixture, const step_t *step)
+{
+	mmx_attempt_id_t id = {1, 1, ++fixture->attempts};
+	mmx_execute_t *execute = mmx_new_execute();
+	mmx_call_event_t *event = mmx_new_call_event(&id, MMX_CALL_HEAD);
+	mmx_task_t *task = mmx_exit_task(fixture->exit);
+
+	execute->attempt = id;
+	execute->exit = 1;
+	execute->exit_incarnation = 1;
+	execute->target = mmx_directory_id("node", step->name);
+	g_strlcpy(execute->service, "s", sizeof(execute->service));
+	execute->remaining = MMX_US_PER_S;
+	execute->head = mmx_head_create_request("GET", "/");
+	execute->body_end = true;
+	execute->origin.task = &fixture->origin.task;
+	execute->origin.connection = 1;
+	mmx_task_post(task, &execute->message);
+	mmx_runtime_deliver(fixture->runtime);
+	event->head = mmx_head_create_response(421);
+	event->body_end = true;
+	mmx_task_post(task, &event->message);
+	mmx_runtime_deliver(fixture->runtime);
+}
+
 static void run_case_(const case_t *c)
 {
+	static const mmx_header_names_t header_names = {.target = "Target"};
+
 	fixture_t fixture = {.states = "--"};
 	size_t i;
 
 	fixture.runtime = mmx_runtime_create(NULL);
 	fixture.trace = g_string_new("");
 	fake_init(&fixture.client, fixture.runtime, fixture.trace);
+	fake_init(&fixture.origin, fixture.runtime, fixture.trace);
 	fixture.exit = mmx_exit_create(fixture.runtime, 1, "node", 1);
 	mmx_exit_set_target_client(fixture.exit, &fixture.client.task);
 	mmx_exit_set_observer(fixture.exit, &observer_, &fixture);
+	mmx_exit_set_header_names(fixture.exit, &header_names);
 	mmx_exit_init(fixture.exit);
 	for (i = 0; i < STEPS_MAX && c->steps[i].name; i++) {
-		announce_(&fixture, &c->steps[i]);
+		if (c->steps[i].sequence == MISDIRECTED)
+			misdirect_(&fixture, &c->steps[i]);
+		else
+			announce_(&fixture, &c->steps[i]);
 		if (strcmp(fixture.states, c->steps[i].states) != 0)
 			printf("%s, step %zu: %s instead of %s\n", c->name, i,
 			       fixture.states, c->steps[i].states);
@@ -87,6 +127,7 @@
 	}
 	mmx_exit_destroy(fixture.exit);
 	mmx_task_finish(&fixture.client.task);
+	mmx_task_finish(&fixture.origin.task);
 	g_string_free(fixture.trace, TRUE);
 	mmx_runtime_destroy(fixture.runtime);
 }
@@ -170,8 +211,63 @@
 		run_case_(&cases[i]);
 }
 
+/*
+ * Failure: one announcement of another writer, with a name of its own and the
+ * address of a target, keeps that target out of use for good.
+ */
+static void test_refuted_replacements_(void)
+{
+	static const case_t cases[] = {
+		{"the target at the address announces itself again",
+		 {{"a", WARM, 9, 7, "w-"},
+		  {"b", WARM, 12, 1, "gw"},
+		  {"b", WARM, 0, MISDIRECTED, "gg"},
+		  {"a", WARM, 9, 8, "wg"},
+		  {"a", DRAINING, 9, 9, "dg"}}},
+		{"without start times",
+		 {{"a", WARM, 0, 7, "w-"},
+		  {"b", WARM, 0, 1, "gw"},
+		  {"b", WARM, 0, MISDIRECTED, "gg"},
+		  {"a", WARM, 0, 8, "wg"}}},
+		{"two announcements of another writer",
+		 {{"a", WARM, 9, 7, "w-"},
+		  {"b", WARM, 12, 1, "gw"},
+		  {"c", WARM, 15, 1, "gg"},
+		  {"c", WARM, 0, MISDIRECTED, "gg"},
+		  {"a", WARM, 9, 8, "wg"}}},
+		{"late announcement of the target at the address",
+		 {{"a", WARM, 9, 7, "w-"},
+		  {"b", WARM, 12, 1, "gw"},
+		  {"b", WARM, 0, MISDIRECTED, "gg"},
+		  {"a", WARM, 9, 6, "gg"}}},
+		{"it has withdrawn before",
+		 {{"a", WARM, 9, 7, "w-"},
+		  {"a", GONE, 9, 0, "g-"},
+		  {"b", WARM, 12, 1, "gw"},
+		  {"b", WARM, 0, MISDIRECTED, "gg"},
+		  {"a", WARM, 9, 8, "gg"}}},
+		{"it withdraws meanwhile",
+		 {{"a", WARM, 9, 7, "w-"},
+		  {"b", WARM, 12, 1, "gw"},
+		  {"a", GONE, 9, 0, "gw"},
+		  {"b", WARM, 0, MISDIRECTED, "gg"},
+		  {"a", WARM, 9, 8, "gg"}}},
+		{"a true replacement announces itself again",
+		 {{"a", WARM, 9, 7, "w-"},
+		  {"b", WARM, 12, 1, "gw"},
+		  {"b", WARM, 0, MISDIRECTED, "gg"},
+		  {"b", WARM, 12, 2, "gw"},
+		  {"a", WARM, 9, 8, "gw"}}},
+	};
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(cases); i++)
+		run_case_(&cases[i]);
+}
+
 CU_TestInfo mmx_tests_exit_announced[] = {
 	{"late announcements", test_late_announcements_},
 	{"targets found by a probe", test_probed_targets_},
+	{"refuted replacements", test_refuted_replacements_},
 	CU_TEST_INFO_NULL,
 };
