--- a/include/masticmux/routing.h
+++ b/include/masticmux/routing.h
@@ -32,7 +32,7 @@
 	mmx_time_t objective; /**< latency objective, microseconds; 0: none */
 	uint8_t attempts_max; /**< targets that one request may be sent to */
 	uint8_t priority;     /**< MMX_PRIORITY_FIRST is the most urgent */
-	uint32_t weight_total;
+	int64_t weight_total;
 	mmx_destination_t *destinations;
 	size_t destination_count; /**< at least 1 */
 } mmx_routing_rule_t;
