--- a/src/libmasticmux/exit_call.c
+++ b/src/libmasticmux/exit_call.c
@@ -143,7 +143,7 @@
 		mmx_exit_health_end(attempt, MMX_RESULT_ABANDONED);
 		/* The target may have another address by now. */
 		if (mmx_address_is_equal(&attempt->address, &target->address))
-			mmx_exit_set_target_gone(exit, target);
+			mmx_exit_set_target_refuted(exit, target);
 		drop_response_(exit, attempt, MMX_REASON_DRAINING, false,
 			       event->body_end);
 		return false;
