Drop a copy only where its end and what follows it are certain

Callers saw: nothing yet; found by the review of the fix. A rejection within the body of an answer could be read as the answer to the next call (a false 'not run') after a copy of an answer to HEAD, whose length is not that of its head. After a dropped copy a rejection without an id was still trusted by its place. A copy without end was read until the deadline.

Cause: a copy was recognised by the first id in its head, and nothing was asked of what follows it.

Change: no copy is dropped after or for a HEAD request; every id in its head must be the previous one; one without a length, or longer than a held body, ends the call as failed; behind a copy only a response that names the request is its answer.

--- a/src/libmasticmux/target_connection.c
+++ b/src/libmasticmux/target_connection.c
@@ -54,6 +54,7 @@
 	bool reply_allows_reuse; /* see mmx_reply_allows_reuse() */
 	bool dropping_copy;	 /* of the answer to the previous call */
 	bool copy_dropped;
+	size_t copy_bytes;		/* of its body, dropped so far */
 	bool response_complete;		/* the whole response was read */
 	struct evbuffer *received_body; /* response body, not posted yet */
 	size_t credit; /* response body bytes that the exit accepts */
@@ -242,22 +243,30 @@
 		finish_call_(connection);
 }
 
-/*
- * True for the head of a second, late copy of the answer to the previous call;
- * the answer to the present one follows it. While a HEAD request is answered,
- * the length of a copy is unknown.
- */
+/* True for the head of a second, late copy of the answer to the previous call;
+ * the answer to the present one follows it. */
 static bool is_late_copy_(const mmx_target_connection_t *connection)
 {
-	const char *name = connection->shared->header_names->request_id;
-	const char *id;
+	const mmx_header_names_t *names = connection->shared->header_names;
 
-	if (!name || !connection->previous_id || connection->copy_dropped ||
-	    connection->reader.without_body ||
-	    g_strcmp0(connection->previous_id, connection->request_id) == 0)
-		return false;
-	id = mmx_head_find(connection->reader.head, name);
-	return g_strcmp0(id, connection->previous_id) == 0;
+	return names->request_id && connection->previous_id &&
+	       !connection->copy_dropped && !connection->reader.without_body &&
+	       g_strcmp0(connection->previous_id, connection->request_id) !=
+		       0 &&
+	       mmx_reply_identify(names, connection->reader.head,
+				  connection->previous_id) == MMX_REPLY_ID_OWN;
+}
+
+static mmx_http_event_t start_copy_(mmx_target_connection_t *connection)
+{
+	connection->dropping_copy = true;
+	connection->copy_dropped = true;
+	connection->copy_bytes = 0;
+	mmx_counter_add(connection->shared->late_copies, 1);
+	/* Nothing can follow a body that ends with the connection. */
+	return connection->reader.framing == MMX_HTTP_UNTIL_CLOSE
+		       ? MMX_HTTP_FAILED
+		       : MMX_HTTP_DATA;
 }
 
 /* Drops what has been read of a late copy. At its end the reader starts over
@@ -265,8 +274,12 @@
 static mmx_http_event_t drop_copy_(mmx_target_connection_t *connection,
 				   mmx_http_event_t event)
 {
-	evbuffer_drain(connection->received_body,
-		       evbuffer_get_length(connection->received_body));
+	size_t length = evbuffer_get_length(connection->received_body);
+
+	evbuffer_drain(connection->received_body, length);
+	connection->copy_bytes += length;
+	if (connection->copy_bytes > MMX_HELD_BODY_MAX)
+		return MMX_HTTP_FAILED;
 	if (event != MMX_HTTP_END)
 		return event;
 	connection->dropping_copy = false;
@@ -282,13 +295,18 @@
 
 	if (event == MMX_HTTP_MORE && connection->target_closed)
 		event = mmx_http_reader_eof(&connection->reader);
-	if (event == MMX_HTTP_HEAD && is_late_copy_(connection)) {
-		connection->dropping_copy = true;
-		connection->copy_dropped = true;
-		mmx_counter_add(connection->shared->late_copies, 1);
-	}
 	if (connection->dropping_copy)
-		event = drop_copy_(connection, event);
+		return drop_copy_(connection, event);
+	if (event != MMX_HTTP_HEAD)
+		return event;
+	if (is_late_copy_(connection))
+		return start_copy_(connection);
+	/* Behind a copy, the place on the connection proves nothing. */
+	if (connection->copy_dropped &&
+	    mmx_reply_identify(connection->shared->header_names,
+			       connection->reader.head,
+			       connection->request_id) != MMX_REPLY_ID_OWN)
+		return MMX_HTTP_FAILED;
 	return event;
 }
 
@@ -543,7 +561,10 @@
 	const char *name = connection->shared->header_names->request_id;
 
 	g_free(connection->previous_id);
-	connection->previous_id = connection->request_id;
+	connection->previous_id = g_steal_pointer(&connection->request_id);
+	/* The length of a copy of an answer to HEAD is unknown. */
+	if (connection->reader.without_body)
+		g_clear_pointer(&connection->previous_id, g_free);
 	connection->request_id =
 		name ? g_strdup(mmx_head_find(request, name)) : NULL;
 }
--- a/src/test_libmasticmux/test_target_reuse.c
+++ b/src/test_libmasticmux/test_target_reuse.c
@@ -144,39 +144,49 @@
 
 typedef struct copy_case_t {
 	const char *name;
+	const char *previous; /* method of the call before */
 	const char *method;
 	const char *response;
 	const char *id;	  /* of the call with this response */
-	const char *head; /* start of the head that the exit gets */
+	const char *head; /* start of the head that the exit gets; NULL: none */
 	bool reused;	  /* for the next call */
 } copy_case_t;
 
+#define COPY ANSWER("7", "Content-Length: 3\r\n", "old")
+#define REJECTION EMPTY_RESPONSE("503", "Not-Run: 1\r\n")
+
 static const copy_case_t copy_cases_[] = {
-	{"no copy", "POST", OWN_ANSWER, "8", "Id: 8", true},
-	{"copy with a length", "POST",
-	 ANSWER("7", "Content-Length: 3\r\n", "old") OWN_ANSWER, "8", "Id: 8",
+	{"no copy", "POST", "POST", OWN_ANSWER, "8", "Id: 8", true},
+	{"copy with a length", "POST", "POST", COPY OWN_ANSWER, "8", "Id: 8",
 	 false},
-	{"copy in chunks", "POST",
+	{"copy in chunks", "POST", "POST",
 	 ANSWER("7", "Transfer-Encoding: chunked\r\n", "3\r\nold\r\n0\r\n\r\n")
 		 OWN_ANSWER,
 	 "8", "Id: 8", false},
-	{"copy after an interim response", "POST",
-	 "HTTP/1.1 100 Continue\r\n\r\n" ANSWER("7", "Content-Length: 3\r\n",
-						"old") OWN_ANSWER,
-	 "8", "Id: 8", false},
-	{"two copies", "POST",
-	 ANSWER("7", "Content-Length: 0\r\n", "")
-		 ANSWER("7", "Content-Length: 0\r\n", "") OWN_ANSWER,
-	 "8", "Id: 7", false},
-	{"answer to a request that was not sent here", "POST",
-	 ANSWER("9", "Content-Length: 0\r\n", ""), "8", "Id: 9", false},
-	{"HEAD", "HEAD", ANSWER("7", "Content-Length: 3\r\n", ""), "8", "Id: 7",
+	{"copy after an interim response", "POST", "POST",
+	 "HTTP/1.1 100 Continue\r\n\r\n" COPY OWN_ANSWER, "8", "Id: 8", false},
+	{"two copies", "POST", "POST", COPY COPY OWN_ANSWER, "8", NULL, false},
+	{"copy, then a rejection without an id", "POST", "POST", COPY REJECTION,
+	 "8", NULL, false},
+	{"copy, then 421 without an id", "POST", "POST",
+	 COPY EMPTY_RESPONSE("421", ""), "8", NULL, false},
+	{"copy without a length", "POST", "POST", ANSWER("7", "", "old"), "8",
+	 NULL, false},
+	{"copy of an answer to HEAD", "HEAD", "POST", COPY OWN_ANSWER, "8",
+	 "Id: 7", false},
+	{"copy before the answer to HEAD", "POST", "HEAD",
+	 ANSWER("7", "Content-Length: 3\r\n", ""), "8", "Id: 7", false},
+	{"copy with a second id", "POST", "POST",
+	 ANSWER("7", "Id: 8\r\nContent-Length: 0\r\n", ""), "8", "Id: 7",
 	 false},
-	{"same request again", "POST", ANSWER("7", "Content-Length: 0\r\n", ""),
-	 "7", "Id: 7", true},
+	{"answer to a request that was not sent here", "POST", "POST",
+	 ANSWER("9", "Content-Length: 0\r\n", ""), "8", "Id: 9", false},
+	{"same request again", "POST", "POST",
+	 ANSWER("7", "Content-Length: 0\r\n", ""), "7", "Id: 7", true},
 };
 
-/* Makes a call and returns true if the exit gets a head that begins so. */
+/* Makes a call and returns true if the exit gets a head that begins so, or if
+ * head is NULL and the call fails. */
 static bool call_(setup_t *setup, const char *method, const char *id,
 		  const char *response, const char *head)
 {
@@ -184,17 +194,18 @@
 
 	mmx_head_add(call->head, "Id", id);
 	setup->target.response = response;
+	setup->exit.failed = 0;
 	target_setup_post_call(setup, call);
-	return target_setup_wait(setup) &&
-	       g_str_has_prefix(setup->exit.head->str, head);
+	if (!target_setup_wait(setup))
+		return false;
+	return head ? g_str_has_prefix(setup->exit.head->str, head)
+		    : setup->exit.failed == 1;
 }
 
 /* Guards against a late copy of the answer to the previous call that costs the
  * present call its own answer, or is taken for it. */
 static void test_late_copies_(void)
 {
-	static const char *const previous =
-		ANSWER("7", "Content-Length: 3\r\n", "old");
 	size_t i;
 
 	for (i = 0; i < G_N_ELEMENTS(copy_cases_); i++) {
@@ -205,13 +216,18 @@
 		target_setup_create(&setup);
 		mmx_target_client_set_header_names(setup.client, &names_);
 		mmx_target_client_init(setup.client);
-		passed = call_(&setup, "POST", "7", previous, "Id: 7") &&
-			 call_(&setup, item->method, item->id, item->response,
-			       item->head) &&
-			 call_(&setup, "POST", "10",
-			       ANSWER("10", "Content-Length: 0\r\n", ""),
-			       "Id: 10") &&
-			 setup.target.accepted == (item->reused ? 1 : 2);
+		passed =
+			call_(&setup, item->previous, "7",
+			      strcmp(item->previous, "HEAD") == 0
+				      ? ANSWER("7", "Content-Length: 3\r\n", "")
+				      : COPY,
+			      "Id: 7") &&
+			call_(&setup, item->method, item->id, item->response,
+			      item->head) &&
+			call_(&setup, "POST", "10",
+			      ANSWER("10", "Content-Length: 0\r\n", ""),
+			      "Id: 10") &&
+			setup.target.accepted == (item->reused ? 1 : 2);
 		if (!passed)
 			printf("\n%s: accepted %d, head %s\n", item->name,
 			       setup.target.accepted, setup.exit.head->str);
@@ -256,10 +272,29 @@
 	target_setup_close(&setup);
 }
 
+/* Guards against a copy without end that keeps a call until its deadline. */
+static void test_long_copy_(void)
+{
+	GString *copy = g_string_new(
+		STATUS_LINE_OK "Id: 7\r\nContent-Length: 9999999\r\n\r\n");
+	setup_t setup;
+
+	while (copy->len < 2 * (size_t)MMX_HELD_BODY_MAX)
+		g_string_append(copy, "old ");
+	target_setup_create(&setup);
+	mmx_target_client_set_header_names(setup.client, &names_);
+	mmx_target_client_init(setup.client);
+	CU_ASSERT_TRUE(call_(&setup, "POST", "7", COPY, "Id: 7"));
+	CU_ASSERT_TRUE(call_(&setup, "POST", "8", copy->str, NULL));
+	target_setup_close(&setup);
+	g_string_free(copy, TRUE);
+}
+
 CU_TestInfo mmx_tests_target_reuse[] = {
 	{"idle connections", test_idle_connections_},
 	{"connections after a rejection", test_rejections_},
 	{"late copies of an answer", test_late_copies_},
+	{"a long copy of an answer", test_long_copy_},
 	{"bytes on an idle connection", test_bytes_while_idle_},
 	CU_TEST_INFO_NULL,
 };
