Keep a target that has withdrawn out after a restart of its node

A process that had just started took over any announcement of a target that it did not know, dropped the withdrawal of such a target, and kept no start time of a withdrawal. A late announcement was then newer than all that was known.

Withdrawals of unknown targets are remembered with their start time, and one without a start time holds for the latest start. In the first 4 s of a process, an announcement of an unknown target is not taken over; the health path is asked again, and its answer enters the target. After 4 s no announcement from before the start can arrive.

--- a/src/libmasticmux/exit.c
+++ b/src/libmasticmux/exit.c
@@ -13,6 +13,8 @@
 /* Time after a pause of the process in which the messages that arrived during
  * the pause are handled. */
 #define BACKLOG_US (50 * MMX_US_PER_MS)
+/* Time for which the withdrawal of an unknown target is remembered. */
+#define WITHDRAWN_KEPT_US (600 * MMX_US_PER_S)
 
 mmx_exit_target_t *mmx_exit_find_target(const mmx_exit_t *exit,
 					mmx_target_id_t id)
@@ -125,16 +127,17 @@
 		target->stopped = false;
 }
 
-/*
- * True for an announcement of this target that was sent before the latest
- * known one, or before the target withdrew.
- */
-static bool is_outdated_(const mmx_exit_target_t *target,
-			 const mmx_target_announced_t *announced)
+/* True if the targets have announced what the answer to a probe says. */
+static bool is_answered_by_targets_(const mmx_exit_t *exit,
+				    const mmx_target_announced_t *announced)
 {
-	if (announced->process_start != target->process_start)
-		return announced->process_start < target->process_start;
-	return target->withdrawn || announced->sequence <= target->sequence;
+	const mmx_exit_target_t *target;
+
+	LIST_FOREACH (target, &exit->targets, entry)
+		if (target->record.state != MMX_TARGET_GONE ||
+		    strcmp(target->record.name, announced->name) == 0)
+			return true;
+	return false;
 }
 
 /*
@@ -148,17 +151,17 @@
 	const mmx_exit_target_t *target;
 
 	if (announced->assumed)
-		return !LIST_EMPTY(&exit->targets);
+		return is_answered_by_targets_(exit, announced);
 	if (announced->state == MMX_TARGET_GONE) {
 		target = find_target_by_name_(exit, announced->name);
-		return target && announced->process_start &&
-		       announced->process_start < target->process_start;
+		return target &&
+		       !mmx_exit_order_accept(exit, target, announced);
 	}
 	if (!announced->process_start && !announced->sequence)
 		return false;
 	LIST_FOREACH (target, &exit->targets, entry) {
 		if (strcmp(target->record.name, announced->name) == 0) {
-			if (is_outdated_(target, announced))
+			if (!mmx_exit_order_accept(exit, target, announced))
 				return true;
 		} else if (target->process_start > announced->process_start &&
 			   mmx_address_is_equal(&target->address,
@@ -188,18 +191,6 @@
 	}
 }
 
-static void record_process_(mmx_exit_target_t *target,
-			    const mmx_target_announced_t *announced)
-{
-	if (announced->state == MMX_TARGET_GONE) {
-		target->withdrawn = true;
-		return;
-	}
-	target->withdrawn = false;
-	target->process_start = announced->process_start;
-	target->sequence = announced->sequence;
-}
-
 /* Starts the ramp, which only a target that reports itself as cold needs. */
 static void update_ramp_(mmx_exit_t *exit, mmx_exit_target_t *target,
 			 const mmx_target_announced_t *announced)
@@ -217,18 +208,41 @@
 	}
 }
 
+/*
+ * Remembers the withdrawal of a target that has not announced itself to this
+ * process. Nobody is told: without a service there is no record to publish.
+ */
+static void withdraw_unknown_(mmx_exit_t *exit, mmx_exit_target_t *target,
+			      const mmx_target_announced_t *announced)
+{
+	if (!target)
+		target = add_target_(exit, announced);
+	target->record.state = MMX_TARGET_GONE;
+	target->lease_until = mmx_clock_now(exit->clock) + WITHDRAWN_KEPT_US;
+	mmx_exit_order_record(exit, target, announced);
+	mmx_exit_target_update_leaving(target, mmx_clock_now(exit->clock));
+	mmx_log_event(exit->log, MMX_LOG_INFO, "target_withdrawn", "target",
+		      target->record.name, NULL);
+}
+
 static void on_announced_(mmx_exit_t *exit,
 			  const mmx_target_announced_t *announced)
 {
 	mmx_exit_target_t *target = find_target_by_name_(exit, announced->name);
 	mmx_target_state_t state = announced->state;
 
-	if (is_stale_(exit, announced) || (!target && state == MMX_TARGET_GONE))
+	if (is_stale_(exit, announced) ||
+	    mmx_exit_order_is_unconfirmed(exit, target, announced))
+		return;
+	if (state == MMX_TARGET_GONE &&
+	    (!target || target->record.version == 0)) {
+		withdraw_unknown_(exit, target, announced);
 		return;
+	}
 	remove_replaced_(exit, announced);
 	if (!target)
 		target = add_target_(exit, announced);
-	record_process_(target, announced);
+	mmx_exit_order_record(exit, target, announced);
 	update_ramp_(exit, target, announced);
 	/* A withdrawal has no fields but the name of the target. */
 	if (state == MMX_TARGET_GONE)
@@ -264,6 +278,7 @@
 	mmx_exit_detect_pause(exit);
 	exit->last_sweep = now;
 	mmx_attempts_expire(exit->attempts);
+	mmx_exit_order_expire(exit);
 	LIST_FOREACH (target, &exit->targets, entry) {
 		/* Renewals were not read while this process was paused. */
 		if (late > MMX_EXIT_PAUSE_MIN_US &&
@@ -533,6 +548,7 @@
 					     RESPONSE_BYTES_MAX);
 	mmx_attempts_set_guards(exit->attempts, exit->guards);
 	exit->last_sweep = mmx_clock_now(exit->clock);
+	exit->init_time = exit->last_sweep;
 	exit->last_evaluation = exit->last_sweep;
 	exit->last_activity = exit->last_sweep;
 	mmx_timer_set(&exit->health_timer, MMX_DETECTION_PERIOD_US);
--- a/src/libmasticmux/include/private/exit.h
+++ b/src/libmasticmux/include/private/exit.h
@@ -35,6 +35,11 @@
 	 * retry budget of the service. NULL: entries keep the budget. */
 	void (*retry_limit)(void *context, const char *service,
 			    mmx_retry_limit_t *limit);
+	/* Requests that the target beside this node is asked whether it is to
+	 * be used; the answer is an assumed TARGET_ANNOUNCED. Called for each
+	 * announcement that is not taken over because it may be outdated. NULL:
+	 * every announcement of an unknown target is taken over. */
+	void (*target_unconfirmed)(void *context);
 } mmx_exit_observer_ops_t;
 
 /* runtime outlives the result. */
--- a/src/libmasticmux/include/private/exit_internal.h
+++ b/src/libmasticmux/include/private/exit_internal.h
@@ -37,6 +37,7 @@
 	size_t record_max; /* of attempts */
 	mmx_attempts_t *attempts;
 	mmx_exit_target_list_t targets;
+	mmx_time_t init_time; /* of mmx_exit_init() */
 	mmx_timer_t sweep_timer;
 	mmx_time_t last_sweep;
 	mmx_time_t last_activity; /* time of the latest message or timer */
@@ -65,6 +66,31 @@
  */
 void mmx_exit_set_target_gone(mmx_exit_t *exit, mmx_exit_target_t *target);
 
+/*
+ * Returns false for an announcement of this target that must be ignored: it was
+ * sent before the latest one, before the target withdrew, or by an earlier
+ * process of the target.
+ */
+bool mmx_exit_order_accept(const mmx_exit_t *exit,
+			   const mmx_exit_target_t *target,
+			   const mmx_target_announced_t *announced);
+
+/*
+ * True for an announcement that may have been sent before the target withdrew
+ * from the process of this node that ran before: it is of an unknown target and
+ * arrives soon after the start. Asks the observer to have the target confirmed.
+ */
+bool mmx_exit_order_is_unconfirmed(const mmx_exit_t *exit,
+				   const mmx_exit_target_t *target,
+				   const mmx_target_announced_t *announced);
+
+/* Records an announcement as the latest one of the target. */
+void mmx_exit_order_record(const mmx_exit_t *exit, mmx_exit_target_t *target,
+			   const mmx_target_announced_t *announced);
+
+/* Removes targets that were never announced and withdrew long ago. */
+void mmx_exit_order_expire(mmx_exit_t *exit);
+
 /* Detects a pause of the process. To be called for each message and timer. */
 void mmx_exit_detect_pause(mmx_exit_t *exit);
 
--- a/src/libmasticmux/include/private/exit_target.h
+++ b/src/libmasticmux/include/private/exit_target.h
@@ -48,6 +48,7 @@
 	uint64_t process_start; /* in the latest TARGET_ANNOUNCED; 0: none */
 	uint64_t sequence;	/* in the latest TARGET_ANNOUNCED; 0: none */
 	bool withdrawn;		/* the process with this start has withdrawn */
+	mmx_time_t withdrawn_at;
 	mmx_time_t ramp_start;
 	mmx_time_t ramp_length; /* from the policy or the announcement */
 	uint8_t cold_percent;	/* share of the slots at its start, 1 to 100 */
--- a/src/libmasticmux/include/private/target_probe.h
+++ b/src/libmasticmux/include/private/target_probe.h
@@ -1,10 +1,10 @@
 /**
- * Target probe: after the start of the process, sends one health check to the
+ * Target probe: after the start of the process, sends a health check to the
  * address where the target of this node is expected, instead of waiting for the
  * next announcement. A target that is healthy and not about to leave responds
- * with its name.
+ * with its name. The check is repeated for announcements that may be outdated.
  *
- * Usage: create, start, destroy.
+ * Usage: create, start, repeat any number of times, destroy.
  */
 #ifndef MASTICMUX_PRIVATE_TARGET_PROBE_H
 #define MASTICMUX_PRIVATE_TARGET_PROBE_H
@@ -38,6 +38,10 @@
  */
 void mmx_target_probe_start(mmx_target_probe_t *probe, const char *path);
 
+/** Sends the health check again, unless it was not started or is in progress.
+ */
+void mmx_target_probe_repeat(mmx_target_probe_t *probe);
+
 /**
  * Converts the response to a health check to an announcement of a warm target,
  * marked as assumed.
--- a/src/libmasticmux/part_path.c
+++ b/src/libmasticmux/part_path.c
@@ -73,12 +73,22 @@
 	limit->window = node->reloadable.retry_window;
 }
 
+static void target_unconfirmed_(void *context)
+{
+	const mmx_node_t *node = context;
+
+	if (node->probe)
+		mmx_target_probe_repeat(node->probe);
+}
+
 static const mmx_exit_observer_ops_t observer_ops_ = {
 	.target_changed = target_changed_,
 };
-static const mmx_exit_observer_ops_t budget_observer_ops_ = {
+/* With a store, targets outlive the node beside them. */
+static const mmx_exit_observer_ops_t store_observer_ops_ = {
 	.target_changed = target_changed_,
 	.retry_limit = retry_limit_,
+	.target_unconfirmed = target_unconfirmed_,
 };
 
 static mmx_locality_t locality_(void *context, mmx_node_id_t id)
@@ -140,8 +150,8 @@
 	mmx_exit_set_target_client(node->exit,
 				   mmx_target_client_task(self->client));
 	mmx_exit_set_observer(
-		node->exit,
-		node->store ? &budget_observer_ops_ : &observer_ops_, node);
+		node->exit, node->store ? &store_observer_ops_ : &observer_ops_,
+		node);
 	mmx_exit_set_config_state(node->exit, &node->config_state);
 	mmx_exit_set_counters(node->exit, node->counters);
 	mmx_exit_set_log(node->exit, node->log);
--- a/src/libmasticmux/target_probe.c
+++ b/src/libmasticmux/target_probe.c
@@ -19,6 +19,8 @@
 struct mmx_target_probe_t {
 	mmx_target_probe_config_t config;
 	mmx_http_client_t *http; /* NULL until started */
+	char *path;
+	bool in_progress;
 };
 
 mmx_target_probe_t *
@@ -35,6 +37,7 @@
 	if (!probe)
 		return;
 	mmx_http_client_destroy(probe->http);
+	g_free(probe->path);
 	g_free(probe);
 }
 
@@ -66,10 +69,11 @@
 
 static void on_reply_(void *arg, const mmx_http_reply_t *reply)
 {
-	const mmx_target_probe_t *probe = arg;
+	mmx_target_probe_t *probe = arg;
 	const mmx_header_names_t *names = probe->config.header_names;
 	mmx_target_announced_t *announced;
 
+	probe->in_progress = false;
 	if (!reply)
 		return;
 	announced = mmx_target_probe_parse_response(
@@ -94,5 +98,15 @@
 		.backoff_min = MMX_US_PER_S,
 		.backoff_max = MMX_US_PER_S,
 	});
-	mmx_http_client_get(probe->http, path, TIMEOUT_US, on_reply_, probe);
+	probe->path = g_strdup(path);
+	mmx_target_probe_repeat(probe);
+}
+
+void mmx_target_probe_repeat(mmx_target_probe_t *probe)
+{
+	if (!probe->http || probe->in_progress)
+		return;
+	probe->in_progress = true;
+	mmx_http_client_get(probe->http, probe->path, TIMEOUT_US, on_reply_,
+			    probe);
 }
--- a/src/test_libmasticmux/test_exit_announced.c
+++ b/src/test_libmasticmux/test_exit_announced.c
@@ -13,7 +13,8 @@
 	mmx_exit_t *exit;
 	fake_t client;
 	GString *trace;
-	char states[3]; /* first letters of the states of "a" and "b" */
+	char states[3];	    /* first letters of the states of "a" and "b" */
+	unsigned int asked; /* times that the target was to be confirmed */
 } fixture_t;
 
 /* Sequence that stands for a target that was found by a probe and did not
@@ -25,10 +26,10 @@
 	mmx_target_state_t state;
 	uint64_t born;
 	uint64_t sequence;
-	const char *states; /* expected for "a" and "b"; '-': unknown */
+	const char *states; /* expected; '-': unknown. NULL: only wait */
 } step_t;
 
-#define STEPS_MAX 6
+#define STEPS_MAX 10
 
 typedef struct case_t {
 	const char *name;
@@ -47,6 +48,19 @@
 	.target_changed = target_changed_,
 };
 
+static void target_unconfirmed_(void *context)
+{
+	fixture_t *fixture = context;
+
+	fixture->states[2]++;
+}
+
+/* Of a process whose target may have withdrawn before it started. */
+static const mmx_exit_observer_ops_t restarted_observer_ = {
+	.target_changed = target_changed_,
+	.target_unconfirmed = target_unconfirmed_,
+};
+
 static void announce_(fixture_t *fixture, const step_t *step)
 {
 	mmx_target_announced_t *announced = mmx_new_target_announced();
@@ -66,19 +80,27 @@
 	mmx_runtime_deliver(fixture->runtime);
 }
 
-static void run_case_(const case_t *c)
+static void run_case_(const case_t *c, const mmx_exit_observer_ops_t *observer)
 {
-	fixture_t fixture = {.states = "--"};
+	fixture_t fixture = {.states = "--0"};
 	size_t i;
 
+	if (!observer->target_unconfirmed)
+		fixture.states[2] = '\0';
 	fixture.runtime = mmx_runtime_create(NULL);
 	fixture.trace = g_string_new("");
 	fake_init(&fixture.client, fixture.runtime, fixture.trace);
 	fixture.exit = mmx_exit_create(fixture.runtime, 1, "node", 1);
 	mmx_exit_set_target_client(fixture.exit, &fixture.client.task);
-	mmx_exit_set_observer(fixture.exit, &observer_, &fixture);
+	mmx_exit_set_observer(fixture.exit, observer, &fixture);
 	mmx_exit_init(fixture.exit);
 	for (i = 0; i < STEPS_MAX && c->steps[i].name; i++) {
+		if (!c->steps[i].states) {
+			mmx_clock_advance(mmx_runtime_clock(fixture.runtime),
+					  (mmx_time_t)c->steps[i].sequence *
+						  MMX_US_PER_MS);
+			continue;
+		}
 		announce_(&fixture, &c->steps[i]);
 		if (strcmp(fixture.states, c->steps[i].states) != 0)
 			printf("%s, step %zu: %s instead of %s\n", c->name, i,
@@ -94,6 +116,10 @@
 #define WARM MMX_TARGET_WARM
 #define DRAINING MMX_TARGET_DRAINING
 #define GONE MMX_TARGET_GONE
+#define WAIT(ms)                                     \
+	{                                            \
+		"wait", MMX_TARGET_WARM, 0, ms, NULL \
+	}
 
 /*
  * Failure: a target is used again after it has withdrawn, or after another
@@ -145,7 +171,7 @@
 	size_t i;
 
 	for (i = 0; i < G_N_ELEMENTS(cases); i++)
-		run_case_(&cases[i]);
+		run_case_(&cases[i], &observer_);
 }
 
 /*
@@ -167,11 +193,115 @@
 	size_t i;
 
 	for (i = 0; i < G_N_ELEMENTS(cases); i++)
-		run_case_(&cases[i]);
+		run_case_(&cases[i], &observer_);
+}
+
+/*
+ * Failure: a target that has withdrawn is used again because the withdrawal
+ * came before the first announcement, or told no start time, or the target was
+ * only known from a probe.
+ */
+static void test_withdrawals_of_unknown_targets_(void)
+{
+	static const case_t cases[] = {
+		{"renewal after the withdrawal",
+		 {{"a", GONE, 9, 0, "--"}, {"a", WARM, 9, 4, "--"}}},
+		{"withdrawn twice",
+		 {{"a", GONE, 9, 0, "--"},
+		  {"a", GONE, 9, 0, "--"},
+		  WAIT(20000),
+		  {"a", WARM, 9, 4, "--"}}},
+		{"without a start time",
+		 {{"a", GONE, 0, 0, "--"},
+		  WAIT(3900),
+		  {"a", WARM, 9, 4, "--"},
+		  WAIT(200),
+		  {"a", WARM, 9, 5, "w-"}}},
+		{"restarted under its name",
+		 {{"a", GONE, 9, 0, "--"},
+		  {"a", WARM, 12, 1, "w-"},
+		  {"a", WARM, 9, 4, "w-"}}},
+		{"probed after the withdrawal",
+		 {{"a", GONE, 9, 0, "--"},
+		  {"a", WARM, 0, ASSUMED, "--"},
+		  {"b", WARM, 0, ASSUMED, "-w"}}},
+		{"probed before the withdrawal",
+		 {{"a", WARM, 0, ASSUMED, "w-"},
+		  {"a", GONE, 9, 0, "g-"},
+		  {"a", WARM, 9, 4, "g-"}}},
+		{"probed, and withdrawn without a start time",
+		 {{"a", WARM, 0, ASSUMED, "w-"},
+		  {"a", GONE, 0, 0, "g-"},
+		  WAIT(3900),
+		  {"a", WARM, 9, 4, "g-"}}},
+		{"withdrawal of a process that was never announced",
+		 {{"a", WARM, 9, 4, "w-"},
+		  {"a", GONE, 12, 0, "g-"},
+		  {"a", WARM, 12, 3, "g-"}}},
+		{"draining without a start time",
+		 {{"a", WARM, 9, 1, "w-"},
+		  {"a", DRAINING, 0, 3, "d-"},
+		  {"a", WARM, 9, 2, "d-"}}},
+		{"withdrawn long ago",
+		 {{"a", GONE, 9, 0, "--"},
+		  WAIT(700000),
+		  {"b", WARM, 9, 1, "-w"}}},
+	};
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(cases); i++)
+		run_case_(&cases[i], &observer_);
+}
+
+/*
+ * Failure: a target that withdrew from the process before is used again after a
+ * restart because an announcement arrives late, or a target that is sound is
+ * not used for long because its health check fails.
+ */
+static void test_restarted_process_(void)
+{
+	static const case_t cases[] = {
+		{"announced late", {{"a", WARM, 9, 4, "--1"}}},
+		{"confirmed by a probe",
+		 {{"a", WARM, 9, 4, "--1"},
+		  {"a", WARM, 0, ASSUMED, "w-1"},
+		  WAIT(1500),
+		  {"a", WARM, 9, 5, "w-1"}}},
+		{"probed before the first announcement",
+		 {{"a", WARM, 0, ASSUMED, "w-0"}, {"a", WARM, 9, 4, "w-0"}}},
+		{"sound target whose health check fails",
+		 {{"a", WARM, 9, 4, "--1"},
+		  WAIT(1500),
+		  {"a", WARM, 9, 5, "--2"},
+		  WAIT(1500),
+		  {"a", WARM, 9, 6, "--3"},
+		  WAIT(1500),
+		  {"a", WARM, 9, 7, "w-3"}}},
+		{"started long ago", {WAIT(4100), {"a", WARM, 9, 4, "w-0"}}},
+		{"still draining",
+		 {{"a", DRAINING, 9, 4, "d-0"}, {"a", WARM, 9, 3, "d-0"}}},
+		{"draining after a late announcement",
+		 {{"a", WARM, 9, 3, "--1"},
+		  {"a", DRAINING, 9, 4, "d-1"},
+		  {"a", WARM, 0, ASSUMED, "d-1"}}},
+		{"withdrawn after the restart",
+		 {{"a", GONE, 9, 0, "--0"}, {"a", WARM, 9, 4, "--0"}}},
+		{"another target at the address of a probed one",
+		 {{"a", WARM, 0, ASSUMED, "w-0"}, {"b", WARM, 9, 4, "w-1"}}},
+		{"own format, without start time and sequence",
+		 {{"a", WARM, 0, 0, "w-0"}}},
+	};
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(cases); i++)
+		run_case_(&cases[i], &restarted_observer_);
 }
 
 CU_TestInfo mmx_tests_exit_announced[] = {
 	{"late announcements", test_late_announcements_},
 	{"targets found by a probe", test_probed_targets_},
+	{"withdrawals of unknown targets",
+	 test_withdrawals_of_unknown_targets_},
+	{"restarted process", test_restarted_process_},
 	CU_TEST_INFO_NULL,
 };
