Obey a target that has started again with its clock set back

A backend that started again under its id after its clock had stepped back was acknowledged and ignored from then on, also when it reported draining or deregistered: it got requests until it exited (DRAIN).

Announcements of an earlier start were always taken for late ones of a process before.

A start that was not replaced by a later one may withdraw at once. Other announcements of an earlier start are taken over when they have gone on for 4 s with a growing sequence and none of the latest start in between. The last 4 starts that were replaced are remembered; late withdrawals of theirs have no effect, as before.

A new test in test_exit_announced.c: 9 assertions failed before.

--- a/src/libmasticmux/exit.c
+++ b/src/libmasticmux/exit.c
@@ -148,7 +148,7 @@
 static bool is_stale_(const mmx_exit_t *exit,
 		      const mmx_target_announced_t *announced)
 {
-	const mmx_exit_target_t *target;
+	mmx_exit_target_t *target;
 
 	if (announced->assumed)
 		return is_answered_by_targets_(exit, announced);
--- a/src/libmasticmux/exit_order.c
+++ b/src/libmasticmux/exit_order.c
@@ -17,18 +17,61 @@
 	       (now < exit->backlog_until ? exit->pause_length : 0);
 }
 
-static bool accept_start_(const mmx_exit_t *exit,
-			  const mmx_exit_target_t *target,
+static unsigned int find_replaced_(const mmx_exit_order_t *order,
+				   uint64_t start)
+{
+	unsigned int i = 0;
+
+	while (i < MMX_EXIT_REPLACED_MAX && order->replaced[i] != start)
+		i++;
+	return i;
+}
+
+/*
+ * True if announcements of another start have arrived for longer than those of
+ * a process that has ended can, and none of the latest start in between.
+ */
+static bool goes_on_(const mmx_exit_t *exit, mmx_exit_order_t *order,
+		     const mmx_target_announced_t *announced)
+{
+	bool is_known = order->candidate == announced->process_start;
+
+	/* A withdrawal has no sequence. */
+	if (announced->state == MMX_TARGET_GONE)
+		return is_known &&
+		       age_(exit, order->candidate_since) > LATE_MAX_US;
+	if (is_known && announced->sequence <= order->candidate_sequence)
+		return false;
+	if (!is_known)
+		order->candidate_since = mmx_clock_now(exit->clock);
+	order->candidate = announced->process_start;
+	order->candidate_sequence = announced->sequence;
+	return age_(exit, order->candidate_since) > LATE_MAX_US;
+}
+
+/*
+ * Decides on an announcement of another start than the latest. An earlier start
+ * may be a new one after the clock of the target was set back. Whether it is
+ * shows only with time, but its withdrawal has to hold at once.
+ */
+static bool accept_start_(const mmx_exit_t *exit, mmx_exit_target_t *target,
 			  const mmx_target_announced_t *announced)
 {
-	if (target->withdrawn && !target->process_start &&
-	    announced->state < MMX_TARGET_DRAINING)
-		return age_(exit, target->withdrawn_at) > LATE_MAX_US;
-	return announced->process_start > target->process_start;
+	bool leaves = announced->state >= MMX_TARGET_DRAINING;
+	uint64_t start = announced->process_start;
+
+	if (!start)
+		return false;
+	if (!target->process_start && target->withdrawn)
+		return leaves ||
+		       age_(exit, target->order.withdrawn_at) > LATE_MAX_US;
+	if (find_replaced_(&target->order, start) == MMX_EXIT_REPLACED_MAX &&
+	    (leaves || start > target->process_start))
+		return true;
+	return goes_on_(exit, &target->order, announced);
 }
 
-bool mmx_exit_order_accept(const mmx_exit_t *exit,
-			   const mmx_exit_target_t *target,
+bool mmx_exit_order_accept(const mmx_exit_t *exit, mmx_exit_target_t *target,
 			   const mmx_target_announced_t *announced)
 {
 	bool leaves = announced->state >= MMX_TARGET_DRAINING;
@@ -58,17 +101,32 @@
 	return true;
 }
 
+static void replace_start_(mmx_exit_target_t *target, uint64_t start)
+{
+	mmx_exit_order_t *order = &target->order;
+	unsigned int i = find_replaced_(order, start);
+
+	if (i < MMX_EXIT_REPLACED_MAX)
+		order->replaced[i] = 0;
+	if (target->process_start) {
+		order->replaced[order->replaced_next] = target->process_start;
+		order->replaced_next =
+			(order->replaced_next + 1) % MMX_EXIT_REPLACED_MAX;
+	}
+	target->process_start = start;
+	target->sequence = 0;
+}
+
 void mmx_exit_order_record(const mmx_exit_t *exit, mmx_exit_target_t *target,
 			   const mmx_target_announced_t *announced)
 {
 	if (announced->process_start &&
-	    announced->process_start != target->process_start) {
-		target->process_start = announced->process_start;
-		target->sequence = 0;
-	}
+	    announced->process_start != target->process_start)
+		replace_start_(target, announced->process_start);
+	target->order.candidate = 0;
 	target->withdrawn = announced->state == MMX_TARGET_GONE;
 	if (target->withdrawn)
-		target->withdrawn_at = mmx_clock_now(exit->clock);
+		target->order.withdrawn_at = mmx_clock_now(exit->clock);
 	else
 		target->sequence = announced->sequence;
 }
--- a/src/libmasticmux/include/private/exit_internal.h
+++ b/src/libmasticmux/include/private/exit_internal.h
@@ -69,10 +69,10 @@
 /*
  * Returns false for an announcement of this target that must be ignored: it was
  * sent before the latest one, before the target withdrew, or by an earlier
- * process of the target.
+ * process of the target. Remembers one that may be of an earlier process or of
+ * a new one, so that a later one can decide.
  */
-bool mmx_exit_order_accept(const mmx_exit_t *exit,
-			   const mmx_exit_target_t *target,
+bool mmx_exit_order_accept(const mmx_exit_t *exit, mmx_exit_target_t *target,
 			   const mmx_target_announced_t *announced);
 
 /*
--- a/src/libmasticmux/include/private/exit_target.h
+++ b/src/libmasticmux/include/private/exit_target.h
@@ -31,6 +31,23 @@
 /* Number of routes with statistics of their own. */
 #define MMX_EXIT_ROUTES_MAX 16
 
+/* Number of replaced starts of a target that are remembered. */
+#define MMX_EXIT_REPLACED_MAX 4
+
+/*
+ * What decides on the order of the announcements of a target, beside the latest
+ * start and sequence (exit_order.c).
+ */
+typedef struct mmx_exit_order_t {
+	uint64_t replaced[MMX_EXIT_REPLACED_MAX]; /* starts; 0: unused */
+	unsigned int replaced_next;		  /* the oldest of them */
+	/* Another start, which is taken over if its announcements go on. */
+	uint64_t candidate; /* 0: none */
+	uint64_t candidate_sequence;
+	mmx_time_t candidate_since;
+	mmx_time_t withdrawn_at;
+} mmx_exit_order_t;
+
 /* Statistics of the requests of one route. */
 typedef struct mmx_exit_route_stats_t {
 	uint32_t route; /* 0: unused */
@@ -48,7 +65,7 @@
 	uint64_t process_start; /* in the latest TARGET_ANNOUNCED; 0: none */
 	uint64_t sequence;	/* in the latest TARGET_ANNOUNCED; 0: none */
 	bool withdrawn;		/* the process with this start has withdrawn */
-	mmx_time_t withdrawn_at;
+	mmx_exit_order_t order;
 	mmx_time_t ramp_start;
 	mmx_time_t ramp_length; /* from the policy or the announcement */
 	uint8_t cold_percent;	/* share of the slots at its start, 1 to 100 */
--- a/src/test_libmasticmux/test_exit_announced.c
+++ b/src/test_libmasticmux/test_exit_announced.c
@@ -297,11 +297,72 @@
 		run_case_(&cases[i], &restarted_observer_);
 }
 
+/*
+ * Failure: nothing that a target says has an effect because it has started
+ * again under its name with its clock set back, or a late announcement is taken
+ * for such a start.
+ */
+static void test_clock_set_back_(void)
+{
+	static const case_t cases[] = {
+		{"drains soon after its start",
+		 {{"a", WARM, 12, 3, "w-"},
+		  {"a", WARM, 10, 1, "w-"},
+		  WAIT(1500),
+		  {"a", DRAINING, 10, 2, "d-"},
+		  {"a", WARM, 10, 1, "d-"},
+		  {"a", WARM, 12, 4, "d-"}}},
+		{"drains later",
+		 {{"a", WARM, 12, 3, "w-"},
+		  {"a", WARM, 10, 1, "w-"},
+		  WAIT(2500),
+		  {"a", WARM, 10, 2, "w-"},
+		  WAIT(2500),
+		  {"a", WARM, 10, 3, "w-"},
+		  WAIT(1500),
+		  {"a", DRAINING, 10, 5, "d-"},
+		  {"a", WARM, 10, 4, "d-"}}},
+		{"withdraws without an announcement",
+		 {{"a", WARM, 12, 3, "w-"},
+		  {"a", GONE, 10, 0, "g-"},
+		  {"a", WARM, 10, 1, "g-"},
+		  {"a", WARM, 12, 4, "g-"}}},
+		{"starts after a withdrawal",
+		 {{"a", WARM, 12, 3, "w-"},
+		  {"a", GONE, 12, 0, "g-"},
+		  {"a", WARM, 10, 1, "g-"},
+		  WAIT(2500),
+		  {"a", WARM, 10, 2, "g-"},
+		  WAIT(2500),
+		  {"a", WARM, 10, 3, "w-"}}},
+		{"one late announcement twice",
+		 {{"a", WARM, 12, 3, "w-"},
+		  {"a", GONE, 12, 0, "g-"},
+		  {"a", WARM, 10, 1, "g-"},
+		  WAIT(5000),
+		  {"a", WARM, 10, 1, "g-"}}},
+		{"late announcements of an earlier process",
+		 {{"a", WARM, 9, 5, "w-"},
+		  {"a", WARM, 12, 1, "w-"},
+		  WAIT(1500),
+		  {"a", DRAINING, 9, 6, "w-"},
+		  WAIT(1500),
+		  {"a", WARM, 12, 2, "w-"},
+		  WAIT(1500),
+		  {"a", DRAINING, 9, 7, "w-"}}},
+	};
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(cases); i++)
+		run_case_(&cases[i], &observer_);
+}
+
 CU_TestInfo mmx_tests_exit_announced[] = {
 	{"late announcements", test_late_announcements_},
 	{"targets found by a probe", test_probed_targets_},
 	{"withdrawals of unknown targets",
 	 test_withdrawals_of_unknown_targets_},
 	{"restarted process", test_restarted_process_},
+	{"clock of a target set back", test_clock_set_back_},
 	CU_TEST_INFO_NULL,
 };
