Keep a target out that reported draining without a start time

Found by reading: a target whose start time was not known, from a probe or a first report of draining without it, was taken back by a late announcement with a start time, which counted as a new start.

Such a report now holds for 4 s against announcements of any start, as a withdrawal without a start time does.

Two new cases in test_exit_announced.c: 2 assertions failed before. Two more cases show that a pause of the process does not count as waiting: 3 assertions fail when the pause is not subtracted.

--- a/src/libmasticmux/exit_order.c
+++ b/src/libmasticmux/exit_order.c
@@ -62,9 +62,9 @@
 
 	if (!start)
 		return false;
-	if (!target->process_start && target->withdrawn)
+	if (!target->process_start && target->order.left)
 		return leaves ||
-		       age_(exit, target->order.withdrawn_at) > LATE_MAX_US;
+		       age_(exit, target->order.left_at) > LATE_MAX_US;
 	if (find_replaced_(&target->order, start) == MMX_EXIT_REPLACED_MAX &&
 	    (leaves || start > target->process_start))
 		return true;
@@ -125,9 +125,9 @@
 		replace_start_(target, announced->process_start);
 	target->order.candidate = 0;
 	target->withdrawn = announced->state == MMX_TARGET_GONE;
-	if (target->withdrawn)
-		target->order.withdrawn_at = mmx_clock_now(exit->clock);
-	else
+	target->order.left = announced->state >= MMX_TARGET_DRAINING;
+	target->order.left_at = mmx_clock_now(exit->clock);
+	if (!target->withdrawn)
 		target->sequence = announced->sequence;
 }
 
--- a/src/libmasticmux/include/private/exit_target.h
+++ b/src/libmasticmux/include/private/exit_target.h
@@ -45,7 +45,8 @@
 	uint64_t candidate; /* 0: none */
 	uint64_t candidate_sequence;
 	mmx_time_t candidate_since;
-	mmx_time_t withdrawn_at;
+	bool left; /* the latest announcement was a withdrawal */
+	mmx_time_t left_at;
 } mmx_exit_order_t;
 
 /* Statistics of the requests of one route. */
--- a/src/test_libmasticmux/test_exit_announced.c
+++ b/src/test_libmasticmux/test_exit_announced.c
@@ -80,6 +80,18 @@
 	mmx_runtime_deliver(fixture->runtime);
 }
 
+/* During a pause of the process no timer fires. */
+static void pass_time_(mmx_runtime_t *runtime, const step_t *step)
+{
+	mmx_clock_t *clock = mmx_runtime_clock(runtime);
+	mmx_time_t length = (mmx_time_t)step->sequence * MMX_US_PER_MS;
+
+	if (strcmp(step->name, "pause") == 0)
+		mmx_clock_jump(clock, length);
+	else
+		mmx_clock_advance(clock, length);
+}
+
 static void run_case_(const case_t *c, const mmx_exit_observer_ops_t *observer)
 {
 	fixture_t fixture = {.states = "--0"};
@@ -96,9 +108,7 @@
 	mmx_exit_init(fixture.exit);
 	for (i = 0; i < STEPS_MAX && c->steps[i].name; i++) {
 		if (!c->steps[i].states) {
-			mmx_clock_advance(mmx_runtime_clock(fixture.runtime),
-					  (mmx_time_t)c->steps[i].sequence *
-						  MMX_US_PER_MS);
+			pass_time_(fixture.runtime, &c->steps[i]);
 			continue;
 		}
 		announce_(&fixture, &c->steps[i]);
@@ -120,6 +130,10 @@
 	{                                            \
 		"wait", MMX_TARGET_WARM, 0, ms, NULL \
 	}
+#define PAUSE(ms)                                     \
+	{                                             \
+		"pause", MMX_TARGET_WARM, 0, ms, NULL \
+	}
 
 /*
  * Failure: a target is used again after it has withdrawn, or after another
@@ -242,6 +256,16 @@
 		 {{"a", WARM, 9, 1, "w-"},
 		  {"a", DRAINING, 0, 3, "d-"},
 		  {"a", WARM, 9, 2, "d-"}}},
+		{"draining without a start time, not known before",
+		 {{"a", DRAINING, 0, 4, "d-"},
+		  WAIT(3900),
+		  {"a", WARM, 9, 3, "d-"},
+		  WAIT(200),
+		  {"a", WARM, 12, 1, "w-"}}},
+		{"probed, and draining without a start time",
+		 {{"a", WARM, 0, ASSUMED, "w-"},
+		  {"a", DRAINING, 0, 4, "d-"},
+		  {"a", WARM, 9, 3, "d-"}}},
 		{"withdrawn long ago",
 		 {{"a", GONE, 9, 0, "--"},
 		  WAIT(700000),
@@ -278,6 +302,12 @@
 		  WAIT(1500),
 		  {"a", WARM, 9, 7, "w-3"}}},
 		{"started long ago", {WAIT(4100), {"a", WARM, 9, 4, "w-0"}}},
+		{"announced late during a pause",
+		 {WAIT(500),
+		  PAUSE(6000),
+		  {"a", WARM, 9, 4, "--1"},
+		  WAIT(100),
+		  {"a", WARM, 9, 5, "w-1"}}},
 		{"still draining",
 		 {{"a", DRAINING, 9, 4, "d-0"}, {"a", WARM, 9, 3, "d-0"}}},
 		{"draining after a late announcement",
@@ -341,6 +371,12 @@
 		  {"a", WARM, 10, 1, "g-"},
 		  WAIT(5000),
 		  {"a", WARM, 10, 1, "g-"}}},
+		{"late announcements before and after a pause",
+		 {{"a", WARM, 12, 3, "w-"},
+		  {"a", GONE, 12, 0, "g-"},
+		  {"a", WARM, 10, 1, "g-"},
+		  PAUSE(6000),
+		  {"a", WARM, 10, 2, "g-"}}},
 		{"late announcements of an earlier process",
 		 {{"a", WARM, 9, 5, "w-"},
 		  {"a", WARM, 12, 1, "w-"},
