Give no retries for calls of repeated runs

A call made by a repeated run counts as a repeat at the service that is called, and not as a request for it. The exits charged it, but counted it as a request as well, which earns a share of a repeat.

The exit now counts a request by the probability that it is no such call. Without this, the new test gives 18, 7 and 4 retries where 16, 6 and 3 are within the limit.

--- a/include/masticmux/retry_window.h
+++ b/include/masticmux/retry_window.h
@@ -38,8 +38,8 @@
 typedef struct mmx_retry_window_t {
 	mmx_retry_limit_t limit;
 	mmx_time_t part; /**< number of the current part */
-	uint32_t requests[MMX_RETRY_WINDOW_PARTS + 2];
-	uint32_t repeats[MMX_RETRY_WINDOW_PARTS + 2]; /**< hundredths */
+	uint32_t requests[MMX_RETRY_WINDOW_PARTS + 2]; /**< hundredths */
+	uint32_t repeats[MMX_RETRY_WINDOW_PARTS + 2];  /**< hundredths */
 } mmx_retry_window_t;
 
 /** Prepares an unused budget. The ranges of the limit are asserted. */
@@ -55,12 +55,14 @@
 			  const mmx_retry_limit_t *limit);
 
 /**
- * Counts a request that is not a repeat.
+ * Counts a request, or the part of one that is not a repeat.
  *
- * @param now  not before the time of an earlier call, asserted; this holds for
- *             all functions of the budget
+ * @param hundredths  of a request
+ * @param now         not before the time of an earlier call, asserted; this
+ *                    holds for all functions of the budget
  */
-void mmx_retry_window_count_request(mmx_retry_window_t *budget, mmx_time_t now);
+void mmx_retry_window_count_request(mmx_retry_window_t *budget,
+				    uint32_t hundredths, mmx_time_t now);
 
 /**
  * Charges a repeat, or a part of one.
--- a/src/libmasticmux/exit_target.c
+++ b/src/libmasticmux/exit_target.c
@@ -345,13 +345,16 @@
 				    uint8_t caller_repeat_percent,
 				    mmx_time_t now)
 {
-	mmx_retry_window_count_request(&target->retry_budget, now);
+	uint32_t request = 100U - caller_repeat_percent;
+
+	assert(caller_repeat_percent <= 100);
+	mmx_retry_window_count_request(&target->retry_budget, request, now);
 	mmx_retry_window_charge(&target->retry_budget, caller_repeat_percent,
 				now);
 	if (route)
 		mmx_retry_window_count_request(
 			&find_or_add_route_(target, route, now)->route_budget,
-			now);
+			request, now);
 }
 
 bool mmx_exit_target_take_retry(mmx_exit_target_t *target, uint32_t route,
--- a/src/libmasticmux/include/private/exit_target.h
+++ b/src/libmasticmux/include/private/exit_target.h
@@ -139,7 +139,8 @@
  * Records the start of a request that is not a retry, for the retry budget.
  *
  * caller_repeat_percent: probability that the request is a call on behalf of a
- *                        retry, 0 to 100; this part of it is charged
+ *                        retry, 0 to 100; this part of it is charged and earns
+ *                        no retries
  */
 void mmx_exit_target_record_request(mmx_exit_target_t *target, uint32_t route,
 				    uint8_t caller_repeat_percent,
--- a/src/libmasticmux/retry_window.c
+++ b/src/libmasticmux/retry_window.c
@@ -10,6 +10,8 @@
  * part that it is charged to or in the one before; the time beyond its lifetime
  * is for the transfer to the other node. */
 #define PART_TO_GRANT_MIN 2
+/* Hundredths of one request. */
+#define HUNDREDTHS 100
 
 void mmx_retry_window_init(mmx_retry_window_t *budget,
 			   const mmx_retry_limit_t *limit)
@@ -49,9 +51,10 @@
 	return (size_t)(part % PARTS);
 }
 
-void mmx_retry_window_count_request(mmx_retry_window_t *budget, mmx_time_t now)
+void mmx_retry_window_count_request(mmx_retry_window_t *budget,
+				    uint32_t hundredths, mmx_time_t now)
 {
-	budget->requests[advance_(budget, now)]++;
+	budget->requests[advance_(budget, now)] += hundredths;
 }
 
 void mmx_retry_window_charge(mmx_retry_window_t *budget, uint32_t hundredths,
@@ -65,13 +68,15 @@
 static uint64_t allowance_(const mmx_retry_window_t *budget)
 {
 	size_t oldest = (size_t)((budget->part + 2) % PARTS);
-	uint64_t allowed = budget->limit.reserve;
+	uint64_t requests = 0;
+	uint64_t allowed;
 	size_t i;
 
 	for (i = 0; i < PARTS; i++)
 		if (i != oldest)
-			allowed += (uint64_t)budget->requests[i] *
-				   budget->limit.percent;
+			requests += budget->requests[i];
+	allowed = budget->limit.reserve +
+		  requests * budget->limit.percent / HUNDREDTHS;
 	return allowed < MMX_RETRY_WINDOW_REPEAT_HUNDREDTHS
 		       ? MMX_RETRY_WINDOW_REPEAT_HUNDREDTHS
 		       : allowed;
--- a/src/test_libmasticmux/test_exit_target.c
+++ b/src/test_libmasticmux/test_exit_target.c
@@ -366,7 +366,47 @@
 	}
 }
 
+/*
+ * Repeated runs of other services call this one. Failure: their calls earn
+ * retries, although they count as retries themselves, so that the fleet makes
+ * more retries than its limit.
+ */
+static void test_calls_of_retries_(void)
+{
+	static const struct {
+		const char *name;
+		int calls;
+		uint8_t repeat_percent; /* of each call */
+		int retries;		/* allowed then */
+	} cases[] = {
+		{"calls of first runs", 100, 0, 28},
+		{"some calls of repeated runs", 100, 10, 16},
+		{"one call in four", 20, 25, 6},
+		{"only calls of repeated runs", 5, 100, 3},
+	};
+	mmx_retry_limit_t limit = {20, 800, 10 * MMX_US_PER_S};
+	size_t i;
+	int n;
+
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		mmx_exit_target_t *target =
+			mmx_exit_target_create(1, 2, 3, "t", "s");
+		int retries;
+
+		mmx_exit_target_set_retry_limit(target, &limit);
+		for (n = 0; n < cases[i].calls; n++)
+			mmx_exit_target_record_request(
+				target, 0, cases[i].repeat_percent, 0);
+		retries = take_retries_(target, 0, 5 * MMX_US_PER_S);
+		if (retries != cases[i].retries)
+			printf("%s: %d\n", cases[i].name, retries);
+		CU_ASSERT_EQUAL(retries, cases[i].retries);
+		mmx_exit_target_destroy(target);
+	}
+}
+
 CU_TestInfo mmx_tests_exit_target[] = {
+	{"calls of retries earn no retries", test_calls_of_retries_},
 	{"failing long requests", test_failing_long_requests_},
 	{"short calls at a busy service", test_short_calls_at_a_busy_service_},
 	{"short calls beside long requests",
--- a/src/test_libmasticmux/test_retry_window.c
+++ b/src/test_libmasticmux/test_retry_window.c
@@ -67,7 +67,7 @@
 
 		mmx_retry_window_init(&budget, &cases[i].limit);
 		for (n = 0; n < cases[i].requests; n++)
-			mmx_retry_window_count_request(&budget, 0);
+			mmx_retry_window_count_request(&budget, 100, 0);
 		mmx_retry_window_charge(&budget, cases[i].charge, 0);
 		for (s = 0; s < G_N_ELEMENTS(cases[i].steps); s++) {
 			int taken = 0;
@@ -110,7 +110,7 @@
 		now += (mmx_time_t)mmx_random_below(&random,
 						    800 * MMX_US_PER_MS);
 		if (mmx_random_below(&random, 2)) {
-			mmx_retry_window_count_request(&budget, now);
+			mmx_retry_window_count_request(&budget, 100, now);
 			requests[request_count++] = now;
 			continue;
 		}
@@ -210,7 +210,7 @@
 		make_granted_repeats_(&fleet, granted, now);
 		if (mmx_random_below(&random, 3) == 0) {
 			mmx_retry_window_count_request(&fleet.budgets[node],
-						       now);
+						       100, now);
 			g_array_append_val(fleet.requests, now);
 		} else if (mmx_random_below(&random, 2)) {
 			grant_repeat_(&fleet, &random, node, now, granted);
