Leave room for calls of repeated runs in the retry budget

Calls of repeated runs are charged to the exit that they reach, but cannot be refused. Repeats of the exit's own used up its part at once, and the calls of the rest of the window then came on top: 21 repeats beyond the parts of their targets in that window, while others had 14 left.

An exit now keeps these charges apart. Its own repeats leave room for as many as the rate of the last 4 to 5 s leads to in a window. Without this, the new test gives 7 and 5 repeats where 5 and 1 are left beside the calls.

--- a/include/masticmux/retry_window.h
+++ b/include/masticmux/retry_window.h
@@ -40,6 +40,7 @@
 	mmx_time_t part; /**< number of the current part */
 	uint32_t requests[MMX_RETRY_WINDOW_PARTS + 2]; /**< hundredths */
 	uint32_t repeats[MMX_RETRY_WINDOW_PARTS + 2];  /**< hundredths */
+	uint32_t calls[MMX_RETRY_WINDOW_PARTS + 2];    /**< hundredths */
 } mmx_retry_window_t;
 
 /** Prepares an unused budget. The ranges of the limit are asserted. */
@@ -72,6 +73,16 @@
 void mmx_retry_window_charge(mmx_retry_window_t *budget, uint32_t hundredths,
 			     mmx_time_t now);
 
+/**
+ * Charges a call made by a repeated run, or a part of one. Such calls count as
+ * repeats, but a node cannot refuse them. So repeats leave room for as many
+ * calls in the next window as their rate of the last parts leads to.
+ *
+ * @param hundredths  of a call
+ */
+void mmx_retry_window_charge_call(mmx_retry_window_t *budget,
+				  uint32_t hundredths, mmx_time_t now);
+
 /** True if one more repeat is allowed; to be charged if it is made. */
 bool mmx_retry_window_allows(mmx_retry_window_t *budget, mmx_time_t now);
 
--- a/src/libmasticmux/exit_target.c
+++ b/src/libmasticmux/exit_target.c
@@ -349,8 +349,8 @@
 
 	assert(caller_repeat_percent <= 100);
 	mmx_retry_window_count_request(&target->retry_budget, request, now);
-	mmx_retry_window_charge(&target->retry_budget, caller_repeat_percent,
-				now);
+	mmx_retry_window_charge_call(&target->retry_budget,
+				     caller_repeat_percent, now);
 	if (route)
 		mmx_retry_window_count_request(
 			&find_or_add_route_(target, route, now)->route_budget,
--- a/src/libmasticmux/retry_window.c
+++ b/src/libmasticmux/retry_window.c
@@ -12,6 +12,9 @@
 #define PART_TO_GRANT_MIN 2
 /* Hundredths of one request. */
 #define HUNDREDTHS 100
+/* Parts that the rate of calls made by repeated runs is taken from. Such calls
+ * begin and end with the failures of another service, within seconds. */
+#define CALL_RATE_PARTS 5
 
 void mmx_retry_window_init(mmx_retry_window_t *budget,
 			   const mmx_retry_limit_t *limit)
@@ -47,6 +50,7 @@
 		budget->part++;
 		budget->requests[(budget->part + 1) % PARTS] = 0;
 		budget->repeats[(budget->part + 1) % PARTS] = 0;
+		budget->calls[(budget->part + 1) % PARTS] = 0;
 	}
 	return (size_t)(part % PARTS);
 }
@@ -63,6 +67,35 @@
 	budget->repeats[advance_(budget, now)] += hundredths;
 }
 
+void mmx_retry_window_charge_call(mmx_retry_window_t *budget,
+				  uint32_t hundredths, mmx_time_t now)
+{
+	budget->calls[advance_(budget, now)] += hundredths;
+}
+
+/* Charges of calls in the last window, or those to expect in the next one if
+ * these are more, since a repeat counts in both. */
+static uint64_t call_charges_(const mmx_retry_window_t *budget, mmx_time_t now)
+{
+	mmx_time_t length = part_length_(budget);
+	uint64_t rate_time =
+		(uint64_t)((CALL_RATE_PARTS - 1) * length + now % length);
+	uint64_t charged = 0;
+	uint64_t recent = 0;
+	uint64_t expected;
+	size_t i;
+
+	for (i = 0; i < PARTS; i++) {
+		size_t part = (size_t)((budget->part + PARTS - i) % PARTS);
+
+		charged += budget->calls[part];
+		if (i < CALL_RATE_PARTS)
+			recent += budget->calls[part];
+	}
+	expected = recent * (uint64_t)budget->limit.window / rate_time;
+	return expected > charged ? expected : charged;
+}
+
 /* Hundredths of a repeat that are allowed in the window. The requests of the
  * oldest part are left out, since it may lie outside the window. */
 static uint64_t allowance_(const mmx_retry_window_t *budget)
@@ -90,6 +123,7 @@
 	advance_(budget, now);
 	for (i = 0; i < PARTS; i++)
 		used += budget->repeats[i];
+	used += call_charges_(budget, now);
 	return budget->limit.percent && used <= allowance_(budget);
 }
 
--- a/src/test_libmasticmux/test_retry_window.c
+++ b/src/test_libmasticmux/test_retry_window.c
@@ -133,6 +133,53 @@
 	g_free(repeats);
 }
 
+/*
+ * Load pattern: repeated runs of another service make calls at an even rate,
+ * and from a later time on every failed request asks for a repeat. Guards
+ * against repeats that use up the limit before the calls of the rest of the
+ * window have come, so that both together exceed it.
+ */
+static void test_calls_to_come_(void)
+{
+	enum { STEP = 100 * MMX_US_PER_MS, RESERVE = 1000 };
+	static const struct {
+		const char *name;
+		mmx_time_t calls_until; /* from 0 s on */
+		uint32_t call;		/* hundredths in each step */
+		mmx_time_t repeats_from;
+		int repeats_max; /* in the window from 0 s on */
+		int repeats_min;
+	} cases[] = {
+		{"no calls", 0, 0, 5, 10, 10},
+		{"few calls", 10, 2, 5, 8, 7},
+		{"calls of half of the limit", 10, 5, 5, 5, 4},
+		{"calls of nearly the limit", 10, 9, 5, 1, 0},
+		{"calls that have ended", 2, 5, 7, 9, 9},
+	};
+	mmx_retry_limit_t limit = {20, RESERVE, WINDOW};
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		mmx_retry_window_t budget;
+		mmx_time_t now;
+		int taken = 0;
+
+		mmx_retry_window_init(&budget, &limit);
+		for (now = 0; now < WINDOW; now += STEP) {
+			if (now < cases[i].calls_until * MMX_US_PER_S)
+				mmx_retry_window_charge_call(
+					&budget, cases[i].call, now);
+			if (now >= cases[i].repeats_from * MMX_US_PER_S)
+				taken += take_repeat_(&budget, now);
+		}
+		if (taken > cases[i].repeats_max ||
+		    taken < cases[i].repeats_min)
+			printf("%s: %d\n", cases[i].name, taken);
+		CU_ASSERT(taken <= cases[i].repeats_max &&
+			  taken >= cases[i].repeats_min);
+	}
+}
+
 /* Budgets of all nodes, and the times of their requests and repeats. */
 typedef struct fleet_t {
 	mmx_retry_window_t budgets[8];
@@ -249,6 +296,7 @@
 CU_TestInfo mmx_tests_retry_window[] = {
 	{"the reserve is available again after a window", test_reserve_},
 	{"any window is within the limit", test_any_window_},
+	{"repeats leave room for calls to come", test_calls_to_come_},
 	{"grants keep the fleet within the limit", test_grants_},
 	{"no grants with short windows", test_short_windows_grant_nothing_},
 	CU_TEST_INFO_NULL,
