Check idle connections in one place, and identify a response once

Cause: the clients of targets and of the store each had a copy of the check that an idle connection holds nothing unread, and the log line of a response compared its ids again after its caller had.

Change: mmx_idle_socket_is_silent() serves both clients; the exit passes the result on. Behaviour is the same.

--- a/src/libmasticmux/exit_call.c
+++ b/src/libmasticmux/exit_call.c
@@ -132,7 +132,7 @@
 
 	mmx_counter_add(exit->replies[kind][id], 1);
 	if (kind != MMX_REPLY_VALID)
-		mmx_exit_log_reply(exit, attempt, event, kind);
+		mmx_exit_log_reply(exit, attempt, event, kind, id);
 	switch (kind) {
 	case MMX_REPLY_NOT_RUN:
 		mmx_exit_health_end(attempt, MMX_RESULT_ABANDONED);
--- a/src/libmasticmux/exit_log.c
+++ b/src/libmasticmux/exit_log.c
@@ -110,18 +110,16 @@
 }
 
 void mmx_exit_log_reply(mmx_exit_t *exit, const mmx_attempt_t *attempt,
-			const mmx_call_event_t *event, mmx_reply_kind_t kind)
+			const mmx_call_event_t *event, mmx_reply_kind_t kind,
+			mmx_reply_id_t id)
 {
 	char took_ms[24];
 	char left_ms[24];
 	char status[12];
 	char earlier_calls[12];
-	mmx_reply_id_t id;
 
 	if (!exit->log)
 		return;
-	id = mmx_reply_identify(exit->header_names, event->head,
-				attempt->request_id);
 	format_call_(exit, attempt, took_ms, left_ms);
 	g_snprintf(status, sizeof(status), "%d", event->head->status);
 	g_snprintf(earlier_calls, sizeof(earlier_calls), "%u",
--- a/src/libmasticmux/http_client.c
+++ b/src/libmasticmux/http_client.c
@@ -1,7 +1,6 @@
 #include "private/http_client.h"
 
 #include <assert.h>
-#include <errno.h>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
@@ -14,6 +13,7 @@
 #include <sys/socket.h>
 
 #include "private/backoff.h"
+#include "private/idle_socket.h"
 
 /* Maximum number of idle connections; a node has one long poll and a few short
  * calls in progress at a time. */
@@ -138,20 +138,15 @@
 	client->idle_count++;
 }
 
-/* False if the server has sent bytes behind its response, which would be taken
- * for the next one, or has closed the connection unnoticed. */
-static bool is_silent_(const connection_t *connection)
+static bool is_reusable_(const connection_t *connection)
 {
-	struct bufferevent *socket =
+	struct bufferevent *bev =
 		evhttp_connection_get_bufferevent(connection->http);
-	int fd = bufferevent_getfd(socket);
-	char byte;
 
-	if (evbuffer_get_length(bufferevent_get_input(socket)) > 0)
-		return false;
 	/* Without a socket, evhttp connects again. */
-	return fd < 0 || (recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0 &&
-			  (errno == EAGAIN || errno == EWOULDBLOCK));
+	return bufferevent_getfd(bev) < 0
+		       ? evbuffer_get_length(bufferevent_get_input(bev)) == 0
+		       : mmx_idle_socket_is_silent(bev);
 }
 
 static connection_t *acquire_connection_(mmx_http_client_t *client)
@@ -162,7 +157,7 @@
 	while ((connection = LIST_FIRST(&client->idle))) {
 		LIST_REMOVE(connection, entry);
 		client->idle_count--;
-		if (is_silent_(connection))
+		if (is_reusable_(connection))
 			return connection;
 		discard_connection_(client, connection);
 	}
--- a/src/libmasticmux/include/private/exit_internal.h
+++ b/src/libmasticmux/include/private/exit_internal.h
@@ -177,7 +177,8 @@
 /* Logs a response that is not passed on, with whose request it names and the
  * calls that its connection had before. */
 void mmx_exit_log_reply(mmx_exit_t *exit, const mmx_attempt_t *attempt,
-			const mmx_call_event_t *event, mmx_reply_kind_t kind);
+			const mmx_call_event_t *event, mmx_reply_kind_t kind,
+			mmx_reply_id_t id);
 
 /* Starts the span of an attempt. */
 void mmx_exit_trace_arrived(mmx_exit_t *exit, mmx_attempt_t *attempt);
--- a/src/libmasticmux/target_connection.c
+++ b/src/libmasticmux/target_connection.c
@@ -1,6 +1,5 @@
 #include "private/target_connection.h"
 
-#include <errno.h>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
@@ -12,6 +11,7 @@
 
 #include "private/http_head.h"
 #include "private/http_writer.h"
+#include "private/idle_socket.h"
 #include "private/listen.h"
 
 /* Unread input at which reading stops, bytes; must hold a whole head. */
@@ -472,18 +472,6 @@
 	return connection;
 }
 
-/* False if the target has closed the connection or sent bytes on it. The event
- * loop may not have seen either yet, or its callback may still be due. */
-static bool is_open_and_silent_(const mmx_target_connection_t *connection)
-{
-	char byte;
-	ssize_t got = recv(bufferevent_getfd(connection->bev), &byte, 1,
-			   MSG_PEEK | MSG_DONTWAIT);
-
-	return got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK) &&
-	       evbuffer_get_length(input_(connection)) == 0;
-}
-
 mmx_target_connection_t *
 mmx_target_connection_reuse(mmx_target_shared_t *shared,
 			    mmx_target_pool_t *pool, mmx_time_t max_idle)
@@ -498,7 +486,7 @@
 		/* The list is ordered: the rest has been idle for longer. */
 		if (now - connection->idle_since > max_idle)
 			return NULL;
-		if (is_open_and_silent_(connection)) {
+		if (mmx_idle_socket_is_silent(connection->bev)) {
 			TAILQ_REMOVE(&pool->idle, connection, idle_entry);
 			mmx_timer_cancel(&connection->timer);
 			connection->in_use = true;
