Believe a rejection without an id on a new connection only

Callers saw: 503 for payments that ran, and payments that ran twice.

Cause: a target wrote an earlier rejection, of a request on another of its connections, on a connection in use again. The exit believed it for the request that was at work there. Closing the connection after a rejection keeps its copy off that connection, but not off the others.

Change: a rejection or 421 without an id is proof only on a connection that had no call before. On others a request that may run once ends as unknown; one that may be repeated is tried elsewhere, and the target is not withdrawn. A target whose latest rejection had no id gets requests that may run once on new connections, where its rejections are proof.

--- a/src/libmasticmux/exit_call.c
+++ b/src/libmasticmux/exit_call.c
@@ -104,15 +104,23 @@
 				     : MMX_ATTEMPT_REFUSED);
 }
 
-/* A request that may run only once must not be answered with a status that
- * callers take for "has not run" on the status alone. */
+/*
+ * A request that may run only once must not be answered with a status that
+ * callers take for "has not run" on the status alone, nor on a rejection that
+ * may be a late copy of one that the target gave to another request.
+ */
 static mmx_reply_kind_t classify_(const mmx_exit_t *exit,
 				  const mmx_attempt_t *attempt,
-				  const mmx_call_event_t *event)
+				  const mmx_call_event_t *event,
+				  mmx_reply_id_t id)
 {
 	mmx_reply_kind_t kind = mmx_reply_classify(
 		exit->header_names, event->head, attempt->request_id);
 
+	if (mmx_reply_is_rejection(kind) && id == MMX_REPLY_ID_NONE &&
+	    event->earlier_calls > 0)
+		return attempt->repeatable ? MMX_REPLY_NOT_RUN
+					   : MMX_REPLY_UNPROVEN;
 	return kind == MMX_REPLY_UNPROVEN && attempt->repeatable
 		       ? MMX_REPLY_VALID
 		       : kind;
@@ -126,9 +134,9 @@
 			     const mmx_call_event_t *event)
 {
 	mmx_exit_target_t *target = attempt->target;
-	mmx_reply_kind_t kind = classify_(exit, attempt, event);
 	mmx_reply_id_t id = mmx_reply_identify(exit->header_names, event->head,
 					       attempt->request_id);
+	mmx_reply_kind_t kind = classify_(exit, attempt, event, id);
 
 	mmx_counter_add(exit->replies[kind][id], 1);
 	if (kind != MMX_REPLY_VALID)
--- a/src/libmasticmux/header_names.c
+++ b/src/libmasticmux/header_names.c
@@ -81,6 +81,11 @@
 	return MMX_REPLY_VALID;
 }
 
+bool mmx_reply_is_rejection(mmx_reply_kind_t kind)
+{
+	return kind == MMX_REPLY_NOT_RUN || kind == MMX_REPLY_WRONG_TARGET;
+}
+
 bool mmx_reply_allows_reuse(const mmx_header_names_t *names,
 			    const mmx_head_t *response, const char *request_id)
 {
--- a/src/libmasticmux/include/private/header_names.h
+++ b/src/libmasticmux/include/private/header_names.h
@@ -81,6 +81,13 @@
 				    const mmx_head_t *response,
 				    const char *request_id);
 
+/**
+ * Returns true for a response that says that the request has not run. Without
+ * an id it proves that only on a connection that had no request before: a
+ * target may send one of its earlier rejections again, late, on any connection.
+ */
+bool mmx_reply_is_rejection(mmx_reply_kind_t kind);
+
 /**
  * Returns true if a connection may carry another request after a response. A
  * target may send a response a second time, when the next one is due. The copy
--- a/src/libmasticmux/include/private/target_connection.h
+++ b/src/libmasticmux/include/private/target_connection.h
@@ -16,11 +16,14 @@
 typedef LIST_HEAD(mmx_target_connection_list_t,
 		  mmx_target_connection_t) mmx_target_connection_list_t;
 
-/** Connections to one address. */
+/** Connections to one address. Freed with its last connection, unless the
+ *  target rejects without an id. */
 typedef struct mmx_target_pool_t {
 	char *key;		     /**< address as "HOST PORT" */
 	mmx_target_idle_list_t idle; /**< most recently used first */
 	size_t count;		     /**< connections, idle and in use */
+	/** The latest rejection named no request. */
+	bool rejects_without_id;
 } mmx_target_pool_t;
 
 /** State shared by all connections of one target_client. */
--- a/src/libmasticmux/target_client.c
+++ b/src/libmasticmux/target_client.c
@@ -70,10 +70,15 @@
 		    bool repeatable)
 {
 	mmx_target_pool_t *pool = get_pool_(client, address);
-	mmx_target_connection_t *connection = mmx_target_connection_reuse(
-		&client->shared, pool,
-		repeatable ? MMX_TIME_NEVER : client->nonrepeatable_idle_max);
+	mmx_target_connection_t *connection = NULL;
 
+	/* On a connection that is not new, a rejection without an id would
+	 * leave open whether the request has run. */
+	if (repeatable || !pool->rejects_without_id)
+		connection = mmx_target_connection_reuse(
+			&client->shared, pool,
+			repeatable ? MMX_TIME_NEVER
+				   : client->nonrepeatable_idle_max);
 	if (connection)
 		return connection;
 	if (pool->count >= client->connections_max)
--- a/src/libmasticmux/target_connection.c
+++ b/src/libmasticmux/target_connection.c
@@ -103,7 +103,7 @@
 	shared->connection_count--;
 	mmx_counter_set(shared->connection_gauge,
 			(int64_t)shared->connection_count);
-	if (--pool->count == 0)
+	if (--pool->count == 0 && !pool->rejects_without_id)
 		g_hash_table_remove(shared->pools, pool->key);
 	evbuffer_remove_cb(output_(connection), on_output_drained_, connection);
 	bufferevent_free(connection->bev);
@@ -199,6 +199,22 @@
 		mmx_target_connection_close(connection);
 }
 
+/* Evaluates whether the head ends the use of this connection, and of kept ones
+ * for requests that may not be repeated. */
+static void check_reuse_(mmx_target_connection_t *connection,
+			 const mmx_head_t *head)
+{
+	const mmx_header_names_t *names = connection->shared->header_names;
+	const char *request_id = connection->request_id;
+
+	connection->reply_allows_reuse =
+		mmx_reply_allows_reuse(names, head, request_id);
+	if (mmx_reply_is_rejection(mmx_reply_classify(names, head, request_id)))
+		connection->pool->rejects_without_id =
+			mmx_reply_identify(names, head, request_id) ==
+			MMX_REPLY_ID_NONE;
+}
+
 /* Posts the received head and body within the credit of the exit. */
 static void post_received_(mmx_target_connection_t *connection)
 {
@@ -220,9 +236,7 @@
 		event->head = g_steal_pointer(&connection->reader.head);
 		event->earlier_calls = connection->earlier_calls;
 		read_keep_alive_(connection, event->head);
-		connection->reply_allows_reuse = mmx_reply_allows_reuse(
-			connection->shared->header_names, event->head,
-			connection->request_id);
+		check_reuse_(connection, event->head);
 		mmx_head_remove_hop_by_hop(event->head);
 		evbuffer_remove_buffer(connection->received_body, event->body,
 				       part);
--- a/src/test_libmasticmux/test_exit.c
+++ b/src/test_libmasticmux/test_exit.c
@@ -13,6 +13,7 @@
 #define NODE 20
 #define INCARNATION 5
 #define ENTRY 10
+#define REQUEST_ID "7"
 
 typedef struct fixture_t {
 	mmx_runtime_t *runtime;
@@ -85,6 +86,7 @@
 	execute->repeatable = fake_flag(words, "get");
 	execute->remaining = fake_number(words, "ms", 1000) * MMX_US_PER_MS;
 	execute->head = mmx_head_create_request("POST", "/");
+	mmx_head_add(execute->head, "Id", REQUEST_ID);
 	execute->body_end = !fake_flag(words, "open");
 	execute->origin.task = &fixture->origin.task;
 	execute->origin.connection = (uint64_t)fake_number(words, "conn", 1);
@@ -121,6 +123,9 @@
 			mmx_head_add(event->head, "Not-Run", "1");
 		if (fake_flag(words, "signed"))
 			mmx_head_add(event->head, "Sign", "s");
+		if (fake_flag(words, "id"))
+			mmx_head_add(event->head, "Id", REQUEST_ID);
+		event->earlier_calls = fake_flag(words, "kept");
 		evbuffer_add(event->body, "abc", 3);
 		event->body_end = fake_flag(words, "end");
 	}
@@ -209,6 +214,13 @@
 	.not_run = "Not-Run",
 };
 
+static const mmx_header_names_t names_with_id_ = {
+	.timeout = "Timeout",
+	.request_id = "Id",
+	.target = "Target",
+	.not_run = "Not-Run",
+};
+
 static void run_cases_with_(const script_case_t *cases, size_t count,
 			    const mmx_header_names_t *header_names)
 {
@@ -541,9 +553,45 @@
 	run_cases_(cases, sizeof(cases) / sizeof(cases[0]));
 }
 
+/*
+ * Failure: an earlier rejection without an id, of any request, comes late on a
+ * connection in use again and is taken for that of a request that runs, which
+ * is then sent to another target or answered as not run.
+ */
+static void test_rejections_without_id_(void)
+{
+	static const script_case_t cases[] = {
+		{"on a new connection",
+		 "warm; execute; head status=503 rejected end",
+		 "call1 refused1:overloaded "},
+		{"on a connection in use again",
+		 "warm; execute; head status=503 rejected kept end",
+		 "call1 refused1:target-failed:started "},
+		{"with the id, on a connection in use again",
+		 "warm; execute; head status=503 rejected id kept end",
+		 "call1 refused1:overloaded "},
+		{"421 on a new connection",
+		 "warm; execute; head status=421 end",
+		 "call1 evidence refused1:draining "},
+		{"421 on a connection in use again",
+		 "warm; execute; head status=421 kept end; execute n=2",
+		 "call1 refused1:target-failed:started call2 "},
+		{"may be repeated",
+		 "warm; execute get; head status=503 rejected kept end",
+		 "call1 refused1:overloaded "},
+		{"421, may be repeated",
+		 "warm; execute get; head status=421 kept end; execute n=2",
+		 "call1 refused1:overloaded call2 "},
+	};
+
+	run_cases_with_(cases, sizeof(cases) / sizeof(cases[0]),
+			&names_with_id_);
+}
+
 CU_TestInfo mmx_tests_exit[] = {
 	{"targets that restart under another name", test_renamed_target_},
 	{"requests that reach another target", test_misdirected_},
+	{"late rejections without an id", test_rejections_without_id_},
 	{"an attempt runs at most once", test_at_most_once_},
 	{"fencing queries", test_fence_},
 	{"fencing by other entries", test_fence_of_other_entry_},
--- a/src/test_libmasticmux/test_target_reuse.c
+++ b/src/test_libmasticmux/test_target_reuse.c
@@ -236,6 +236,53 @@
 	}
 }
 
+/*
+ * Guards against a request that is lost because a rejection without an id, on a
+ * connection in use again, leaves open whether it has run. Requests that may be
+ * repeated go on using kept connections.
+ */
+static void test_target_rejects_without_id_(void)
+{
+	static const struct {
+		const char *name;
+		const char *rejection;
+		bool repeatable; /* the call after it */
+		bool reused;
+	} cases[] = {
+		{"without an id", REJECTION, false, false},
+		{"421 without an id", EMPTY_RESPONSE("421", ""), false, false},
+		{"with the id",
+		 EMPTY_RESPONSE("503", "Not-Run: 1\r\nId: 8\r\n"), false, true},
+		{"without an id, then a repeatable call", REJECTION, true,
+		 true},
+	};
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		setup_t setup;
+		mmx_call_t *call;
+		bool passed;
+
+		target_setup_create(&setup);
+		mmx_target_client_set_header_names(setup.client, &names_);
+		mmx_target_client_init(setup.client);
+		passed = call_(&setup, "POST", "8", cases[i].rejection, "") &&
+			 call_(&setup, "POST", "7", COPY, "Id: 7");
+		setup.target.response = OWN_ANSWER;
+		call = target_setup_new_call(&setup, "POST");
+		call->repeatable = cases[i].repeatable;
+		mmx_head_add(call->head, "Id", "8");
+		target_setup_post_call(&setup, call);
+		passed = target_setup_wait(&setup) && passed &&
+			 setup.target.accepted == (cases[i].reused ? 2 : 3);
+		if (!passed)
+			printf("\n%s: accepted %d\n", cases[i].name,
+			       setup.target.accepted);
+		CU_ASSERT_TRUE(passed);
+		target_setup_close(&setup);
+	}
+}
+
 static void post_next_call_(evutil_socket_t fd, short what, void *arg)
 {
 	setup_t *setup = arg;
@@ -293,6 +340,7 @@
 CU_TestInfo mmx_tests_target_reuse[] = {
 	{"idle connections", test_idle_connections_},
 	{"connections after a rejection", test_rejections_},
+	{"targets that reject without an id", test_target_rejects_without_id_},
 	{"late copies of an answer", test_late_copies_},
 	{"a long copy of an answer", test_long_copy_},
 	{"bytes on an idle connection", test_bytes_while_idle_},
