Keep to the limits that targets name in their answers

Cause: nothing read Server-Limit, and a target that is asked little looks idle, so that entries preferred it.

Change: the exit beside a target, through which all its requests pass, starts no more than the target names, with a token bucket. Load reports tell entries how long a target starts nothing, in 16 bits of the message that were unused. A statement counts only in a response that is the target's own, of its present process. A rate that is not a number is ignored.

--- a/include/masticmux/balance.h
+++ b/include/masticmux/balance.h
@@ -93,6 +93,16 @@
 void mmx_balance_report_load(mmx_balance_t *balance, mmx_target_id_t target,
 			     uint32_t load, mmx_time_t now);
 
+/**
+ * Sets until when the target starts no further request, because of a limit on
+ * their rate. Until then it is chosen only if there is no other. Unknown targets
+ * are allowed.
+ *
+ * @param until  monotonic clock, microseconds; 0: it takes requests now
+ */
+void mmx_balance_pause(mmx_balance_t *balance, mmx_target_id_t target,
+		       mmx_time_t until);
+
 /** Counts an attempt as outstanding; unknown targets are allowed. */
 void mmx_balance_start(mmx_balance_t *balance, mmx_target_id_t target);
 
--- a/src/libmasticmux/balance.c
+++ b/src/libmasticmux/balance.c
@@ -24,7 +24,8 @@
 
 typedef struct target_t {
 	mmx_target_id_t id;
-	mmx_time_t report_time; /* time of the last load report, 0: none */
+	mmx_time_t report_time;	 /* time of the last load report, 0: none */
+	mmx_time_t paused_until; /* starts no further request before */
 	uint32_t others;      /* requests of other entries, as last reported */
 	uint32_t outstanding; /* requests of this entry */
 	uint16_t slots;
@@ -153,6 +154,15 @@
 	known->report_time = now;
 }
 
+void mmx_balance_pause(mmx_balance_t *balance, mmx_target_id_t target,
+		       mmx_time_t until)
+{
+	target_t *known = find_target_(balance, target);
+
+	if (known)
+		known->paused_until = until;
+}
+
 void mmx_balance_start(mmx_balance_t *balance, mmx_target_id_t target)
 {
 	target_t *known = find_target_(balance, target);
@@ -180,14 +190,25 @@
 	return load;
 }
 
+static bool is_paused_(const target_t *target, mmx_time_t now)
+{
+	return now < target->paused_until;
+}
+
 static bool has_free_slot_(const target_t *target, mmx_time_t now)
 {
-	return estimated_load_(target, now) < target->slots;
+	return !is_paused_(target, now) &&
+	       estimated_load_(target, now) < target->slots;
 }
 
 static const target_t *less_loaded_(const target_t *a, const target_t *b,
 				    mmx_time_t now)
 {
+	mmx_time_t wait_a = MAX(a->paused_until - now, 0);
+	mmx_time_t wait_b = MAX(b->paused_until - now, 0);
+
+	if (wait_a != wait_b)
+		return wait_b < wait_a ? b : a;
 	return estimated_load_(b, now) * a->slots <
 			       estimated_load_(a, now) * b->slots
 		       ? b
@@ -259,8 +280,9 @@
 }
 
 /* Returns the least loaded target of the zone if it has a free slot, else the
- * least loaded one of zone and region, however long its queue is. The search
- * starts at a random candidate to spread equally loaded targets. */
+ * least loaded one of zone and region, however long its queue is, unless all
+ * are paused. The search starts at a random candidate to spread equally loaded
+ * targets. */
 static const target_t *pick_in_region_(const mmx_balance_t *balance,
 				       const mmx_balance_request_t *request,
 				       mmx_random_t *random, mmx_time_t now)
@@ -284,7 +306,7 @@
 		if (has_free_slot_(best, now))
 			return best;
 	}
-	return best;
+	return best && !is_paused_(best, now) ? best : NULL;
 }
 
 static bool has_target_with_(const mmx_balance_t *balance, uint32_t uses)
--- a/src/libmasticmux/exit.c
+++ b/src/libmasticmux/exit.c
@@ -384,6 +384,7 @@
 	mmx_timer_init(&exit->sweep_timer, exit->clock, on_sweep_, exit);
 	mmx_timer_init(&exit->expiry_timer, exit->clock, mmx_exit_on_expiry,
 		       exit);
+	mmx_timer_init(&exit->pace_timer, exit->clock, mmx_exit_on_pace, exit);
 	mmx_timer_init(&exit->stop_timer, exit->clock, stop_targets_, exit);
 	mmx_timer_init(&exit->health_timer, exit->clock,
 		       mmx_exit_health_on_timer, exit);
@@ -398,6 +399,7 @@
 		return;
 	mmx_timer_cancel(&exit->sweep_timer);
 	mmx_timer_cancel(&exit->expiry_timer);
+	mmx_timer_cancel(&exit->pace_timer);
 	mmx_timer_cancel(&exit->health_timer);
 	mmx_timer_cancel(&exit->stop_timer);
 	mmx_task_finish(&exit->task);
@@ -612,6 +614,6 @@
 
 	if (!target)
 		return false;
-	mmx_exit_target_report(target, report);
+	mmx_exit_target_report(target, mmx_clock_now(exit->clock), report);
 	return true;
 }
--- a/src/libmasticmux/exit_attempt.c
+++ b/src/libmasticmux/exit_attempt.c
@@ -20,7 +20,8 @@
 	response->exit = exit->node;
 	response->origin = *origin;
 	if (target) {
-		mmx_exit_target_report(target, &response->load);
+		mmx_exit_target_report(target, mmx_clock_now(exit->clock),
+				       &response->load);
 		mmx_exit_health_report_sent(target, response->attempt.entry,
 					    &response->load);
 	}
--- a/src/libmasticmux/exit_call.c
+++ b/src/libmasticmux/exit_call.c
@@ -139,6 +139,7 @@
 	mmx_reply_kind_t kind = classify_(exit, attempt, event, id);
 
 	mmx_counter_add(exit->replies[kind][id], 1);
+	mmx_exit_read_statements(exit, attempt, event, kind, id);
 	if (kind != MMX_REPLY_VALID)
 		mmx_exit_log_reply(exit, attempt, event, kind, id);
 	switch (kind) {
--- a/src/libmasticmux/exit_health.c
+++ b/src/libmasticmux/exit_health.c
@@ -90,7 +90,8 @@
 
 	evidence->exit = exit->node;
 	evidence->origin = origin->origin;
-	mmx_exit_target_report(target, &evidence->load);
+	mmx_exit_target_report(target, mmx_clock_now(exit->clock),
+			       &evidence->load);
 	mmx_task_post(origin->origin.task, &evidence->message);
 }
 
--- a/src/libmasticmux/exit_log.c
+++ b/src/libmasticmux/exit_log.c
@@ -8,6 +8,7 @@
 	char in_progress[12];
 	char queued[12];
 	char slots[12];
+	char limit_wait_ms[24];
 	char run_ms[24];
 	char probability[8];
 	char evidence_ms[24];
@@ -28,6 +29,9 @@
 		   target->queued);
 	g_snprintf(values->slots, sizeof(values->slots), "%u",
 		   mmx_exit_target_slots(target, now));
+	mmx_log_format_ms(
+		values->limit_wait_ms, sizeof(values->limit_wait_ms),
+		mmx_rate_limit_wait(&target->rate_limit, target->queued, now));
 	mmx_log_format_ms(values->run_ms, sizeof(values->run_ms),
 			  mmx_exit_target_expected_run_time(target, route));
 	g_snprintf(values->probability, sizeof(values->probability), "%.2f",
@@ -59,11 +63,11 @@
 		      "target", target ? target->record.name : "unknown",
 		      "reason", mmx_reason_string[reason], "in_progress",
 		      values.in_progress, "queued", values.queued, "slots",
-		      values.slots, "run_ms", values.run_ms,
-		      "failing_probability", values.probability,
-		      "evidence_age_ms", values.evidence_ms, "remaining_ms",
-		      values.remaining_ms, "patience_ms", values.patience_ms,
-		      "priority", values.priority, NULL);
+		      values.slots, "limit_wait_ms", values.limit_wait_ms,
+		      "run_ms", values.run_ms, "failing_probability",
+		      values.probability, "evidence_age_ms", values.evidence_ms,
+		      "remaining_ms", values.remaining_ms, "patience_ms",
+		      values.patience_ms, "priority", values.priority, NULL);
 }
 
 void mmx_exit_log_overdue(mmx_exit_t *exit, const mmx_attempt_t *attempt,
--- a/src/libmasticmux/exit_order.c
+++ b/src/libmasticmux/exit_order.c
@@ -110,6 +110,7 @@
 	if (i < MMX_EXIT_REPLACED_MAX)
 		order->replaced[i] = 0;
 	if (target->process_start) {
+		mmx_rate_limit_clear(&target->rate_limit);
 		order->replaced[order->replaced_next] = target->process_start;
 		order->replaced_next =
 			(order->replaced_next + 1) % MMX_EXIT_REPLACED_MAX;
--- a/src/libmasticmux/exit_queue.c
+++ b/src/libmasticmux/exit_queue.c
@@ -55,6 +55,8 @@
 	mmx_histogram_add(exit->queue_time,
 			  attempt->started - attempt->arrived);
 	attempt->address = target->address;
+	attempt->process_start = target->process_start;
+	mmx_rate_limit_take(&target->rate_limit, attempt->started);
 	call->address = target->address;
 	call->repeatable = execute->repeatable;
 	call->remaining = attempt->deadline - attempt->started;
@@ -115,6 +117,28 @@
 		mmx_timer_set(&exit->expiry_timer, due - now);
 }
 
+/* Sets the timer that starts the next queued attempt of a target whose limit
+ * delays it. Others start when a slot becomes free. */
+static void set_pace_(mmx_exit_t *exit, const mmx_exit_target_t *target,
+		      mmx_time_t now)
+{
+	mmx_time_t wait = mmx_rate_limit_wait(&target->rate_limit, 0, now);
+
+	if (wait > 0 && (!mmx_timer_is_set(&exit->pace_timer) ||
+			 exit->pace_timer.due > now + wait))
+		mmx_timer_set(&exit->pace_timer, wait);
+}
+
+void mmx_exit_on_pace(void *arg)
+{
+	mmx_exit_t *exit = arg;
+	mmx_exit_target_t *target;
+
+	mmx_exit_detect_pause(exit);
+	LIST_FOREACH (target, &exit->targets, entry)
+		mmx_exit_start_queued(exit, target);
+}
+
 void mmx_exit_start_queued(mmx_exit_t *exit, mmx_exit_target_t *target)
 {
 	mmx_time_t now = mmx_clock_now(exit->clock);
@@ -131,8 +155,10 @@
 		 * an attempt whose deadline has passed. */
 		if (refuse_late_(exit, attempt, now))
 			continue;
-		if (!mmx_exit_target_can_start(target, now))
+		if (!mmx_exit_target_can_start(target, now)) {
+			set_pace_(exit, target, now);
 			return;
+		}
 		start_attempt_(exit, attempt);
 	}
 }
--- a/src/libmasticmux/exit_target.c
+++ b/src/libmasticmux/exit_target.c
@@ -80,7 +80,8 @@
 
 bool mmx_exit_target_can_start(const mmx_exit_target_t *target, mmx_time_t now)
 {
-	return target->in_progress < mmx_exit_target_slots(target, now);
+	return target->in_progress < mmx_exit_target_slots(target, now) &&
+	       mmx_rate_limit_wait(&target->rate_limit, 0, now) == 0;
 }
 
 mmx_limits_class_t
@@ -99,13 +100,15 @@
  */
 static bool may_queue_(const mmx_exit_target_t *target,
 		       const mmx_exit_request_t *request, unsigned int ahead,
-		       unsigned int slots, mmx_time_t max_wait)
+		       unsigned int slots, mmx_time_t max_wait, mmx_time_t now)
 {
 	mmx_time_t remaining = request->remaining;
 	mmx_time_t run_time =
 		mmx_exit_target_expected_run_time(target, request->route);
 	int headroom = request->route ? ROUTE_START_HEADROOM : START_HEADROOM;
-	mmx_time_t wait = target->mean_service_time * (ahead + 1) / slots;
+	mmx_time_t wait =
+		MAX(target->mean_service_time * (ahead + 1) / slots,
+		    mmx_rate_limit_wait(&target->rate_limit, ahead, now));
 
 	return ahead < MMX_EXIT_QUEUE_MAX && wait <= max_wait &&
 	       wait <= remaining / QUEUE_TIME_DIVISOR &&
@@ -122,7 +125,7 @@
 
 	if (!may_queue_(target, request,
 			mmx_limits_queued(target->limits, request->account),
-			slots, request->max_wait))
+			slots, request->max_wait, now))
 		return MMX_REASON_ACCOUNT_LIMIT;
 	return MMX_REASON_NONE;
 }
@@ -187,11 +190,12 @@
 	default:
 		break;
 	}
-	if (target->in_progress < slots && ahead == 0)
+	if (mmx_exit_target_can_start(target, now) && ahead == 0)
 		return MMX_REASON_NONE;
-	if (may_queue_(target, request, ahead, slots, request->max_wait))
+	if (may_queue_(target, request, ahead, slots, request->max_wait, now))
 		return MMX_REASON_NONE;
-	return may_queue_(target, request, ahead, slots, request->remaining)
+	return may_queue_(target, request, ahead, slots, request->remaining,
+			  now)
 		       ? MMX_REASON_BUSY
 		       : MMX_REASON_OVERLOADED;
 }
@@ -431,9 +435,12 @@
 	return limit * COLD_RUN_FACTOR;
 }
 
-void mmx_exit_target_report(const mmx_exit_target_t *target,
+void mmx_exit_target_report(const mmx_exit_target_t *target, mmx_time_t now,
 			    mmx_load_report_t *report)
 {
+	mmx_time_t wait =
+		mmx_rate_limit_wait(&target->rate_limit, target->queued, now);
+
 	*report = (mmx_load_report_t){
 		.target = target->record.id,
 		.slots = target->record.slots,
@@ -441,6 +448,8 @@
 		.queued = (uint16_t)target->queued,
 		.state = target->stopped ? MMX_TARGET_DRAINING
 					 : target->record.state,
+		.wait_ms = (uint16_t)MIN(
+			(wait + MMX_US_PER_MS - 1) / MMX_US_PER_MS, UINT16_MAX),
 	};
 	if (target->suspect)
 		report->level = MMX_HEALTH_SUSPECT;
--- a/src/libmasticmux/header_names.c
+++ b/src/libmasticmux/header_names.c
@@ -1,6 +1,7 @@
 #include "private/header_names.h"
 
 #include <glib.h>
+#include <math.h>
 #include <stdio.h>
 #include <strings.h>
 
@@ -106,3 +107,16 @@
 	return text &&
 	       sscanf(text, "%9u,%9u,%9u", running, waiting, slots) == 3;
 }
+
+bool mmx_reply_parse_limit(const mmx_header_names_t *names,
+			   const mmx_head_t *response, double *rate)
+{
+	const char *text =
+		names->limit ? mmx_head_find(response, names->limit) : NULL;
+	char *end;
+
+	if (!text || !g_ascii_isdigit(text[0]))
+		return false;
+	*rate = g_ascii_strtod(text, &end);
+	return *end == '\0' && isfinite(*rate);
+}
--- a/src/libmasticmux/include/private/attempts.h
+++ b/src/libmasticmux/include/private/attempts.h
@@ -41,7 +41,9 @@
 	mmx_origin_t origin;
 	struct mmx_span_t *span;      /* time here; NULL: not sampled */
 	struct mmx_span_t *call_span; /* of the call; NULL: not sampled */
-	mmx_address_t address;	      /* of the target when the call started */
+	/* Of the target when the call started. */
+	mmx_address_t address;
+	uint64_t process_start;
 	mmx_time_t arrived;
 	mmx_time_t soft_deadline; /* orders the queue of the target */
 	mmx_time_t started;
--- a/src/libmasticmux/include/private/exit_internal.h
+++ b/src/libmasticmux/include/private/exit_internal.h
@@ -44,6 +44,7 @@
 	mmx_time_t pause_length;  /* length of the latest pause */
 	mmx_time_t backlog_until; /* until then, messages may be delayed */
 	mmx_timer_t expiry_timer; /* refuses late queued attempts */
+	mmx_timer_t pace_timer;	  /* starts those that a limit delays */
 	mmx_timer_t health_timer;
 	mmx_timer_t stop_timer; /* of a delayed stop of all targets */
 	mmx_time_t last_evaluation;
@@ -137,6 +138,9 @@
 /* Starts queued attempts while there are free slots; refuses late ones. */
 void mmx_exit_start_queued(mmx_exit_t *exit, mmx_exit_target_t *target);
 
+/* Timer: starts queued attempts whose target has a limit. */
+void mmx_exit_on_pace(void *arg);
+
 /* Timer: refuses the queued attempts that can no longer finish in time. */
 void mmx_exit_on_expiry(void *arg);
 
@@ -154,6 +158,15 @@
 /* Handler of a result of the target client. */
 void mmx_exit_on_call_event(mmx_exit_t *exit, mmx_call_event_t *event);
 
+/*
+ * Applies what the target says of itself in a response.
+ *
+ * kind, id: what the response is and whose request it names
+ */
+void mmx_exit_read_statements(mmx_exit_t *exit, const mmx_attempt_t *attempt,
+			      const mmx_call_event_t *event,
+			      mmx_reply_kind_t kind, mmx_reply_id_t id);
+
 /* Handlers that take ownership of their message. */
 void mmx_exit_on_body(mmx_exit_t *exit, mmx_body_t *body);
 void mmx_exit_on_window(mmx_exit_t *exit, mmx_window_t *window);
--- a/src/libmasticmux/include/private/exit_target.h
+++ b/src/libmasticmux/include/private/exit_target.h
@@ -14,6 +14,7 @@
 #include "private/attempts.h"
 #include "private/fault.h"
 #include "private/overdue.h"
+#include "private/rate_limit.h"
 
 /* Bound on the queue of one target, in requests. */
 #define MMX_EXIT_QUEUE_MAX 256
@@ -80,6 +81,7 @@
 	unsigned int queued_under_floor; /* of accounts under their floor */
 	unsigned int queued_limited;	 /* of accounts with any limit */
 	mmx_limits_t *limits;
+	mmx_rate_limit_t rate_limit; /* as the target names it */
 	mmx_attempt_list_t queue;
 	mmx_time_t mean_service_time; /* smoothed run time of completed calls */
 	mmx_exit_route_stats_t routes[MMX_EXIT_ROUTES_MAX];
@@ -216,7 +218,7 @@
 void mmx_exit_target_update_leaving(mmx_exit_target_t *target, mmx_time_t now);
 
 /* Fills the load report that responses carry. */
-void mmx_exit_target_report(const mmx_exit_target_t *target,
+void mmx_exit_target_report(const mmx_exit_target_t *target, mmx_time_t now,
 			    mmx_load_report_t *report);
 
 #endif
--- a/src/libmasticmux/include/private/header_names.h
+++ b/src/libmasticmux/include/private/header_names.h
@@ -28,6 +28,9 @@
 	bool fractional_retry_after;
 	/** In a response: "RUNNING,WAITING,SLOTS" of the target. */
 	const char *load;
+	/** In a response: requests a second that the target takes from all
+	 *  nodes together, a decimal number, for as long as it says so. */
+	const char *limit;
 } mmx_header_names_t;
 
 /** Headers of a node without a platform adapter. */
@@ -113,4 +116,13 @@
 			  const mmx_head_t *response, unsigned int *running,
 			  unsigned int *waiting, unsigned int *slots);
 
+/**
+ * Reads the limit header of a response.
+ *
+ * @param rate  requests a second, 0 or more
+ * @return false if the header is absent, malformed or not in use
+ */
+bool mmx_reply_parse_limit(const mmx_header_names_t *names,
+			   const mmx_head_t *response, double *rate);
+
 #endif
--- a/src/libmasticmux/include/private/messages.h
+++ b/src/libmasticmux/include/private/messages.h
@@ -136,7 +136,9 @@
 	uint16_t in_progress;
 	uint16_t queued;
 	mmx_target_state_t state;
-	uint8_t level;	/* mmx_detection_level_t */
+	uint8_t level; /* mmx_detection_level_t */
+	/* Until its limit lets another request start, milliseconds. */
+	uint16_t wait_ms;
 	uint32_t score; /* evidence against the target in thousandths */
 } mmx_load_report_t;
 
--- a/src/libmasticmux/view.c
+++ b/src/libmasticmux/view.c
@@ -370,6 +370,10 @@
 	mmx_balance_report_load(target->service->balance, target->id,
 				(uint32_t)report->in_progress + report->queued,
 				now_(view));
+	mmx_balance_pause(target->service->balance, target->id,
+			  report->wait_ms
+				  ? now_(view) + report->wait_ms * MMX_US_PER_MS
+				  : 0);
 	mmx_ejection_report_health(ejection, target->id,
 				   (mmx_health_t)report->level,
 				   report->score / 1000.0);
--- a/src/libmasticmux/wire.c
+++ b/src/libmasticmux/wire.c
@@ -152,7 +152,7 @@
 	if (!hyper_(xdrs, &load->target) ||
 	    !pair_(xdrs, &load->slots, &load->in_progress) ||
 	    !pair_(xdrs, &load->queued, &state) ||
-	    !pair_(xdrs, &level, &(uint16_t){0}) ||
+	    !pair_(xdrs, &level, &load->wait_ms) ||
 	    !word_(xdrs, &load->score, UINT32_MAX, ""))
 		return false;
 	if (state >= MMX_TARGET_STATE_COUNT || level > UINT8_MAX)
--- a/src/test_libmasticmux/suites.c
+++ b/src/test_libmasticmux/suites.c
@@ -55,6 +55,7 @@
 	{"platform", NULL, NULL, NULL, NULL, mmx_tests_platform},
 	{"policy", NULL, NULL, NULL, NULL, mmx_tests_policy},
 	{"publish", NULL, NULL, NULL, NULL, mmx_tests_publish},
+	{"rate_limit", NULL, NULL, NULL, NULL, mmx_tests_rate_limit},
 	{"retry", NULL, NULL, NULL, NULL, mmx_tests_retry},
 	{"retry_window", NULL, NULL, NULL, NULL, mmx_tests_retry_window},
 	{"roster", NULL, NULL, NULL, NULL, mmx_tests_roster},
--- a/src/test_libmasticmux/suites.h
+++ b/src/test_libmasticmux/suites.h
@@ -54,6 +54,7 @@
 extern CU_TestInfo mmx_tests_platform[];
 extern CU_TestInfo mmx_tests_policy[];
 extern CU_TestInfo mmx_tests_publish[];
+extern CU_TestInfo mmx_tests_rate_limit[];
 extern CU_TestInfo mmx_tests_retry[];
 extern CU_TestInfo mmx_tests_retry_window[];
 extern CU_TestInfo mmx_tests_roster[];
--- a/src/test_libmasticmux/test_balance.c
+++ b/src/test_libmasticmux/test_balance.c
@@ -302,6 +302,75 @@
 		       (mmx_balance_request_t){.queue_in_region = true});
 }
 
+/*
+ * Load pattern: some targets of a service take few requests a second.
+ * Guards against requests that are sent to such a target because it looks idle,
+ * and are refused there, while another one would serve them.
+ */
+static void test_paused_(void)
+{
+	static const struct {
+		const char *name;
+		mmx_locality_t localities[2];
+		mmx_time_t paused_until[2];
+		int outstanding[2];
+		bool queue_in_region;
+		mmx_target_id_t chosen;
+	} cases[] = {
+		{"another one is busier",
+		 {ZONE, ZONE},
+		 {2, 0},
+		 {0, 2},
+		 false,
+		 2},
+		{"another one is far away",
+		 {ZONE, REMOTE},
+		 {2, 0},
+		 {0, 0},
+		 false,
+		 2},
+		{"the same with a queue in the region allowed",
+		 {ZONE, REMOTE},
+		 {2, 0},
+		 {0, 0},
+		 true,
+		 2},
+		{"all paused", {ZONE, ZONE}, {3, 2}, {0, 1}, false, 2},
+		{"paused until now", {ZONE, ZONE}, {1, 0}, {0, 1}, false, 1},
+	};
+	mmx_random_t random;
+	size_t i;
+	int n;
+
+	mmx_random_seed(&random, 1);
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		mmx_balance_t *balance = mmx_balance_create();
+		mmx_balance_request_t request = {
+			.queue_in_region = cases[i].queue_in_region};
+		mmx_balance_choice_t choice;
+		mmx_target_id_t id;
+
+		for (id = 1; id <= 2; id++) {
+			mmx_balance_set_target(balance, id, 3,
+					       cases[i].localities[id - 1]);
+			for (n = 0; n < cases[i].outstanding[id - 1]; n++)
+				mmx_balance_start(balance, id);
+			mmx_balance_pause(balance, id,
+					  cases[i].paused_until[id - 1]);
+		}
+		for (n = 0; n < CHOICES; n++) {
+			if (mmx_balance_choose(balance, &request, &random, 1,
+					       &choice) &&
+			    choice.target == cases[i].chosen)
+				continue;
+			printf("\n%s: chose another\n", cases[i].name);
+			CU_FAIL("target");
+			break;
+		}
+		mmx_balance_destroy(balance);
+	}
+}
+
 /*
  * Load pattern: a service is full, and some of its targets fail all requests.
  * Guards against requests that are sent to one failing target after the other,
@@ -415,6 +484,7 @@
 }
 
 CU_TestInfo mmx_tests_balance[] = {
+	{"targets that a limit pauses", test_paused_},
 	{"a queue in the region before another region", test_queue_in_region_},
 	{"a full service with suspects", test_full_service_with_suspects_},
 	{"locality, use and load decide", test_choices_},
--- a/src/test_libmasticmux/test_exit.c
+++ b/src/test_libmasticmux/test_exit.c
@@ -68,6 +68,8 @@
 		announced->slots = 0;
 	}
 	announced->state = state;
+	announced->process_start = (uint64_t)fake_number(words, "start", 0);
+	announced->sequence = (uint64_t)fake_number(words, "seq", 0);
 	announced->lease =
 		fake_number(words, "lease", 3600 * 1000) * MMX_US_PER_MS;
 	mmx_task_post(mmx_exit_task(fixture->exit), &announced->message);
@@ -85,6 +87,7 @@
 	g_strlcpy(execute->service, "s", sizeof(execute->service));
 	execute->repeatable = fake_flag(words, "get");
 	execute->remaining = fake_number(words, "ms", 1000) * MMX_US_PER_MS;
+	execute->max_wait = fake_number(words, "max-wait", 0) * MMX_US_PER_MS;
 	execute->head = mmx_head_create_request("POST", "/");
 	mmx_head_add(execute->head, "Id", REQUEST_ID);
 	execute->body_end = !fake_flag(words, "open");
@@ -125,6 +128,8 @@
 			mmx_head_add(event->head, "Sign", "s");
 		if (fake_flag(words, "id"))
 			mmx_head_add(event->head, "Id", REQUEST_ID);
+		if (fake_flag(words, "limit"))
+			mmx_head_add(event->head, "Limit", "4");
 		event->earlier_calls = fake_flag(words, "kept");
 		evbuffer_add(event->body, "abc", 3);
 		event->body_end = fake_flag(words, "end");
@@ -219,6 +224,7 @@
 	.request_id = "Id",
 	.target = "Target",
 	.not_run = "Not-Run",
+	.limit = "Limit",
 };
 
 static void run_cases_with_(const script_case_t *cases, size_t count,
@@ -588,10 +594,61 @@
 			&names_with_id_);
 }
 
+/*
+ * Failures: a target gets more requests than the limit that it names; one that
+ * has a limit no more, or has started again, goes on getting few; a limit is
+ * taken from an answer to another request, or of another target.
+ */
+static void test_named_limit_(void)
+{
+	static const script_case_t cases[] = {
+		{"refused at once",
+		 "warm slots=9; execute; head id limit end; execute n=2; "
+		 "wait ms=251; execute n=3; execute n=4",
+		 "call1 response1:200:end refused2:busy call3 refused4:busy "},
+		{"queued until it may start",
+		 "warm slots=9; execute; head id limit end; "
+		 "execute n=2 max-wait=300; wait ms=200; wait ms=51",
+		 "call1 response1:200:end call2 "},
+		{"named by a rejection",
+		 "warm slots=9; execute; head status=503 rejected id limit end; "
+		 "execute n=2",
+		 "call1 refused1:overloaded refused2:busy "},
+		{"named no more",
+		 "warm slots=9; execute; head id limit end; wait ms=251; "
+		 "execute n=2; head n=2 id end; execute n=3",
+		 "call1 response1:200:end call2 response2:200:end call3 "},
+		{"a failure does not end it",
+		 "warm slots=9; execute; head id limit end; wait ms=251; "
+		 "execute n=2; head n=2 status=500 id end; execute n=3",
+		 "call1 response1:200:end call2 response2:500:end "
+		 "refused3:busy "},
+		{"the target has started again",
+		 "warm slots=9 start=1 seq=1; execute; head id limit end; "
+		 "warm slots=9 start=2 seq=1; execute n=2",
+		 "call1 response1:200:end call2 "},
+		{"named by the process before",
+		 "warm slots=9 start=1 seq=1; execute; "
+		 "warm slots=9 start=2 seq=1; head id limit end; execute n=2",
+		 "call1 response1:200:end call2 "},
+		{"in an answer without an id",
+		 "warm slots=9; execute get; head limit kept end; execute n=2",
+		 "call1 refused1:target-failed:started call2 "},
+		{"of another target",
+		 "warm slots=9; execute get; head status=421 limit kept end; "
+		 "execute n=2",
+		 "call1 refused1:overloaded call2 "},
+	};
+
+	run_cases_with_(cases, sizeof(cases) / sizeof(cases[0]),
+			&names_with_id_);
+}
+
 CU_TestInfo mmx_tests_exit[] = {
 	{"targets that restart under another name", test_renamed_target_},
 	{"requests that reach another target", test_misdirected_},
 	{"late rejections without an id", test_rejections_without_id_},
+	{"limits that targets name", test_named_limit_},
 	{"an attempt runs at most once", test_at_most_once_},
 	{"fencing queries", test_fence_},
 	{"fencing by other entries", test_fence_of_other_entry_},
--- a/src/test_libmasticmux/test_exit_target.c
+++ b/src/test_libmasticmux/test_exit_target.c
@@ -112,11 +112,11 @@
 	target->record.state = MMX_TARGET_WARM;
 	target->in_progress = 2;
 	target->queued = 1;
-	mmx_exit_target_report(target, &report);
+	mmx_exit_target_report(target, 0, &report);
 	CU_ASSERT_EQUAL(report.state, MMX_TARGET_WARM);
 	CU_ASSERT_EQUAL(report.in_progress + report.queued, 3);
 	target->stopped = true;
-	mmx_exit_target_report(target, &report);
+	mmx_exit_target_report(target, 0, &report);
 	CU_ASSERT_EQUAL(report.state, MMX_TARGET_DRAINING);
 	target->in_progress = 0;
 	mmx_exit_target_destroy(target);
--- a/src/test_libmasticmux/test_header_names.c
+++ b/src/test_libmasticmux/test_header_names.c
@@ -11,6 +11,7 @@
 	.signature = "T-Sign",
 	.not_run = "T-Not-Run",
 	.load = "T-Load",
+	.limit = "T-Limit",
 };
 
 typedef struct classify_case_t {
@@ -208,10 +209,39 @@
 	CU_ASSERT_EQUAL(slots, 8);
 }
 
+/* Guards against a limit that is read from a malformed header, and against one
+ * that is lost because of its form. */
+static void test_limit_(void)
+{
+	static const struct {
+		const char *text; /* NULL: no header */
+		double rate;	  /* -1: invalid */
+	} cases[] = {
+		{"3", 3},      {"3.5", 3.5}, {"0", 0},	  {"0.25", 0.25},
+		{"1e3", 1000}, {NULL, -1},   {"", -1},	  {"-1", -1},
+		{"many", -1},  {"inf", -1},  {"nan", -1}, {"1e999", -1},
+		{"3 a s", -1}, {"3,5", -1},
+	};
+	double rate = -1;
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		mmx_head_t *head = mmx_head_create_response(200);
+
+		if (cases[i].text)
+			mmx_head_add(head, "T-Limit", cases[i].text);
+		if (!mmx_reply_parse_limit(&names_, head, &rate))
+			rate = -1;
+		CU_ASSERT_EQUAL(rate, cases[i].rate);
+		mmx_head_destroy(head);
+	}
+}
+
 CU_TestInfo mmx_tests_header_names[] = {
 	{"classification of responses", test_classify_},
 	{"statuses without proof", test_unproven_},
 	{"request that a response names", test_identify_},
 	{"load headers", test_load_},
+	{"limit headers", test_limit_},
 	CU_TEST_INFO_NULL,
 };
--- a/src/test_libmasticmux/test_wire.c
+++ b/src/test_libmasticmux/test_wire.c
@@ -94,6 +94,7 @@
 	CU_ASSERT_EQUAL(response->head->status, 201);
 	CU_ASSERT_EQUAL(response->load.queued, 65535);
 	CU_ASSERT_EQUAL(response->load.state, MMX_TARGET_DRAINING);
+	CU_ASSERT_EQUAL(response->load.wait_ms, 65535);
 	CU_ASSERT_EQUAL(response->load.score, 123456);
 	CU_ASSERT_EQUAL(response->target_time, 22);
 	mmx_message_destroy(&execute->message);
--- a/src/test_libmasticmux/wire_samples.c
+++ b/src/test_libmasticmux/wire_samples.c
@@ -13,6 +13,7 @@
 					  0xffffffffffffffffULL};
 
 static const mmx_load_report_t load_ = {
+	.wait_ms = 65535,
 	.target = 42,
 	.slots = 3,
 	.in_progress = 2,
