Send nothing to targets that say in their answers that they leave

Cause: nothing read Server-Leaving; an exit knew only what was announced to it.

Change: the exit treats the target as draining until it withdraws or starts again. An entry that gets the answer remembers it as well, since the exit forgets when it restarts; the store's record of a target now has the start of its process, so that a new one is used at once.

--- a/include/masticmux/directory.h
+++ b/include/masticmux/directory.h
@@ -41,6 +41,7 @@
 	char service[MMX_NAME_MAX + 1];
 	uint16_t slots; /**< 1..65535 requests at a time */
 	mmx_target_state_t state;
+	uint64_t process_start; /**< of the target, any unit; 0: not told */
 } mmx_target_record_t;
 
 /** Buckets that the targets are divided into for anti-entropy. */
@@ -100,6 +101,8 @@
 mmx_node_id_t mmx_directory_target_node(const mmx_directory_target_t *target);
 mmx_incarnation_t
 mmx_directory_target_incarnation(const mmx_directory_target_t *target);
+uint64_t
+mmx_directory_target_process_start(const mmx_directory_target_t *target);
 uint16_t mmx_directory_target_slots(const mmx_directory_target_t *target);
 mmx_target_state_t
 mmx_directory_target_state(const mmx_directory_target_t *target);
--- a/src/libmasticmux/directory.c
+++ b/src/libmasticmux/directory.c
@@ -45,6 +45,7 @@
 	uint32_t position; /* in the array of the service */
 	uint32_t gone_s;   /* when the state became GONE */
 	uint16_t slots;
+	uint64_t process_start;
 	uint8_t state;
 };
 
@@ -279,6 +280,7 @@
 	target->service = intern_service_(directory, record->service);
 	target->version = record->version;
 	target->slots = record->slots;
+	target->process_start = record->process_start;
 	target->state = (uint8_t)record->state;
 	target->gone_s = now_s_(directory);
 	toggle_digest_(directory, target);
@@ -375,6 +377,7 @@
 		.incarnation = target->node->incarnation,
 		.version = target->version,
 		.slots = target->slots,
+		.process_start = target->process_start,
 		.state = (mmx_target_state_t)target->state,
 	};
 	g_strlcpy(record->name, target->name->text, sizeof(record->name));
@@ -398,6 +401,12 @@
 	return target->node->incarnation;
 }
 
+uint64_t
+mmx_directory_target_process_start(const mmx_directory_target_t *target)
+{
+	return target->process_start;
+}
+
 uint16_t mmx_directory_target_slots(const mmx_directory_target_t *target)
 {
 	return target->slots;
--- a/src/libmasticmux/entry_options.c
+++ b/src/libmasticmux/entry_options.c
@@ -123,6 +123,11 @@
 	return true;
 }
 
+const mmx_header_names_t *mmx_entry_header_names(const mmx_entry_t *entry)
+{
+	return entry->header_names;
+}
+
 bool mmx_entry_set_header_names(mmx_entry_t *entry,
 				const mmx_header_names_t *header_names,
 				const char *caller_service)
--- a/src/libmasticmux/exit.c
+++ b/src/libmasticmux/exit.c
@@ -67,6 +67,13 @@
 	mmx_exit_refuse_queue(exit, target);
 }
 
+void mmx_exit_set_target_leaving(mmx_exit_t *exit, mmx_exit_target_t *target)
+{
+	target->says_leaving = true;
+	if (target->record.state < MMX_TARGET_DRAINING)
+		set_state_(exit, target, MMX_TARGET_DRAINING);
+}
+
 void mmx_exit_set_target_refuted(mmx_exit_t *exit, mmx_exit_target_t *target)
 {
 	mmx_exit_target_t *other;
@@ -266,7 +273,8 @@
 	else
 		update_target_(exit, target, announced);
 	update_stopped_(target, state);
-	if (target->stopped && state < MMX_TARGET_DRAINING)
+	if ((target->stopped || target->says_leaving) &&
+	    state < MMX_TARGET_DRAINING)
 		state = MMX_TARGET_DRAINING;
 	set_state_(exit, target, state);
 	mmx_exit_target_update_leaving(target, mmx_clock_now(exit->clock));
--- a/src/libmasticmux/exit_order.c
+++ b/src/libmasticmux/exit_order.c
@@ -116,7 +116,9 @@
 			(order->replaced_next + 1) % MMX_EXIT_REPLACED_MAX;
 	}
 	target->process_start = start;
+	target->record.process_start = start;
 	target->sequence = 0;
+	target->says_leaving = false;
 }
 
 void mmx_exit_order_record(const mmx_exit_t *exit, mmx_exit_target_t *target,
@@ -129,8 +131,10 @@
 	target->withdrawn = announced->state == MMX_TARGET_GONE;
 	target->order.left = announced->state >= MMX_TARGET_DRAINING;
 	target->order.left_at = mmx_clock_now(exit->clock);
-	if (target->withdrawn)
+	if (target->withdrawn) {
+		target->says_leaving = false;
 		return;
+	}
 	target->replaced_by = 0;
 	target->disputed = false;
 	target->sequence = announced->sequence;
--- a/src/libmasticmux/exit_stated.c
+++ b/src/libmasticmux/exit_stated.c
@@ -47,4 +47,6 @@
 	if (attempt->process_start != target->process_start)
 		return;
 	read_limit_(exit, target, event->head, kind);
+	if (mmx_reply_says_leaving(exit->header_names, event->head))
+		mmx_exit_set_target_leaving(exit, target);
 }
--- a/src/libmasticmux/filter_attempt.c
+++ b/src/libmasticmux/filter_attempt.c
@@ -348,6 +348,16 @@
 						      : MMX_REASON_FENCED);
 }
 
+/* The caller that gets the answer learns of it, so it binds this entry even if
+ * the exit forgets. */
+static void note_leaving_(mmx_attempt_filter_t *self,
+			  const mmx_exchange_t *exchange,
+			  const mmx_head_t *head)
+{
+	if (mmx_reply_says_leaving(mmx_entry_header_names(self->entry), head))
+		mmx_view_target_leaves(self->view, exchange->target);
+}
+
 void mmx_filter_attempt_fence_reply(mmx_filter_t *filter,
 				    mmx_exchange_t *exchange,
 				    mmx_fence_reply_t *reply)
@@ -380,6 +390,7 @@
 					    MMX_REASON_ANSWER_TRUNCATED);
 			break;
 		}
+		note_leaving_(self, exchange, reply->head);
 		mmx_attempt_close(self, exchange);
 		mmx_entry_answer(exchange, reply->head, reply->body, true);
 		reply->head = NULL;
@@ -502,6 +513,7 @@
 {
 	if (exchange->state == MMX_EXCHANGE_ANSWERING || exchange->answer_head)
 		return;
+	note_leaving_(self, exchange, response->head);
 	end_trial_(self, exchange,
 		   response->good ? MMX_VIEW_TRIAL_GOOD : MMX_VIEW_TRIAL_BAD);
 	if (may_replace_(self, exchange, response)) {
--- a/src/libmasticmux/header_names.c
+++ b/src/libmasticmux/header_names.c
@@ -120,3 +120,10 @@
 	*rate = g_ascii_strtod(text, &end);
 	return *end == '\0' && isfinite(*rate);
 }
+
+bool mmx_reply_says_leaving(const mmx_header_names_t *names,
+			    const mmx_head_t *response)
+{
+	return names->leaving &&
+	       g_strcmp0(mmx_head_find(response, names->leaving), "1") == 0;
+}
--- a/src/libmasticmux/include/private/entry.h
+++ b/src/libmasticmux/include/private/entry.h
@@ -58,6 +58,7 @@
  *
  * caller_service: service of this instance, or NULL
  */
+const mmx_header_names_t *mmx_entry_header_names(const mmx_entry_t *entry);
 bool mmx_entry_set_header_names(mmx_entry_t *entry,
 				const mmx_header_names_t *header_names,
 				const char *caller_service);
--- a/src/libmasticmux/include/private/exit_internal.h
+++ b/src/libmasticmux/include/private/exit_internal.h
@@ -67,8 +67,12 @@
  */
 void mmx_exit_set_target_gone(mmx_exit_t *exit, mmx_exit_target_t *target);
 
+/* Marks a target as draining until it withdraws or a new process of it announces
+ * itself, because it says in a response that it leaves. */
+void mmx_exit_set_target_leaving(mmx_exit_t *exit, mmx_exit_target_t *target);
+
 /*
- * The same when a request was answered by another target: those that this one
+ * Marks a target as gone when a request was answered by another target: those that this one
  * had replaced at the address may announce themselves again.
  */
 void mmx_exit_set_target_refuted(mmx_exit_t *exit, mmx_exit_target_t *target);
--- a/src/libmasticmux/include/private/exit_target.h
+++ b/src/libmasticmux/include/private/exit_target.h
@@ -74,6 +74,7 @@
 	mmx_time_t ramp_length; /* from the policy or the announcement */
 	uint8_t cold_percent;	/* share of the slots at its start, 1 to 100 */
 	bool stopped;		/* by a planned stop; renewals keep it */
+	bool says_leaving;	/* its process does, in its responses */
 	bool leaving;		/* stopped, draining or gone */
 	mmx_time_t leaving_since;
 	unsigned int in_progress;	 /* running attempts */
--- a/src/libmasticmux/include/private/header_names.h
+++ b/src/libmasticmux/include/private/header_names.h
@@ -31,6 +31,8 @@
 	/** In a response: requests a second that the target takes from all
 	 *  nodes together, a decimal number, for as long as it says so. */
 	const char *limit;
+	/** In a response, with the value 1: the target leaves. */
+	const char *leaving;
 } mmx_header_names_t;
 
 /** Headers of a node without a platform adapter. */
@@ -125,4 +127,8 @@
 bool mmx_reply_parse_limit(const mmx_header_names_t *names,
 			   const mmx_head_t *response, double *rate);
 
+/** True if the target says in a response that it leaves. */
+bool mmx_reply_says_leaving(const mmx_header_names_t *names,
+			    const mmx_head_t *response);
+
 #endif
--- a/src/libmasticmux/include/private/view.h
+++ b/src/libmasticmux/include/private/view.h
@@ -91,6 +91,10 @@
 /* Reports load and health level, from a response or an EVIDENCE message. */
 void mmx_view_report_load(mmx_view_t *view, const mmx_load_report_t *report);
 
+/* Stops using a target that says in a response that it leaves, until a new
+ * process of it announces itself. */
+void mmx_view_target_leaves(mmx_view_t *view, mmx_target_id_t target);
+
 /* Takes a token of the retry budget; false if a retry is not allowed. */
 bool mmx_view_take_retry(mmx_view_t *view, const char *service);
 
--- a/src/libmasticmux/roster.c
+++ b/src/libmasticmux/roster.c
@@ -76,6 +76,8 @@
 {
 	json_t *slots = json_object_get(object, "slots");
 	json_int_t count = json_integer_value(slots);
+	json_t *start = json_object_get(object, "start");
+	json_int_t start_value = json_integer_value(start);
 
 	*record = (mmx_target_record_t){
 		.node = node->id,
@@ -91,6 +93,10 @@
 				     "'slots' must be an integer from 1 to %d",
 				     UINT16_MAX);
 	record->slots = (uint16_t)count;
+	if (start && (!json_is_integer(start) || start_value < 0))
+		return mmx_error_set(error, MMX_ERROR_INVALID,
+				     "'start' must be an integer, 0 or more");
+	record->process_start = (uint64_t)start_value;
 	record->id = mmx_directory_id(node->name, record->name);
 	return true;
 }
@@ -226,6 +232,19 @@
 		fn(arg, node);
 }
 
+static json_t *encode_target_(const mmx_target_record_t *target)
+{
+	json_t *object =
+		json_pack("{s:s,s:s,s:i}", "name", target->name, "service",
+			  target->service, "slots", (int)target->slots);
+
+	if (target->process_start)
+		json_object_set_new(
+			object, "start",
+			json_integer((json_int_t)target->process_start));
+	return object;
+}
+
 char *mmx_roster_encode(const mmx_roster_node_t *node,
 			const mmx_target_record_t *targets, size_t count)
 {
@@ -239,11 +258,8 @@
 	mmx_address_format(&node->address, address, sizeof(address));
 	for (i = 0; i < count; i++)
 		if (targets[i].state < MMX_TARGET_DRAINING)
-			json_array_append_new(
-				list, json_pack("{s:s,s:s,s:i}", "name",
-						targets[i].name, "service",
-						targets[i].service, "slots",
-						(int)targets[i].slots));
+			json_array_append_new(list,
+					      encode_target_(&targets[i]));
 	object = json_pack("{s:s,s:s,s:s,s:s,s:o}", "node", node->name,
 			   "region", node->region, "zone", node->zone,
 			   "address", address, "targets", list);
--- a/src/libmasticmux/view.c
+++ b/src/libmasticmux/view.c
@@ -26,6 +26,9 @@
  * and so repeats the report.
  */
 #define DRAINING_REPORT_TTL_US (2 * MMX_US_PER_S)
+/* Longest time that a target takes to leave. For as long it is remembered, in
+ * case that its exit restarts and offers it again. */
+#define LEAVING_TTL_US (60 * MMX_US_PER_S)
 
 const char *const mmx_view_trial_result_string[MMX_VIEW_TRIAL_COUNT] = {
 	"good",
@@ -60,6 +63,13 @@
 	unsigned int sync_number; /* last one that found the target */
 } target_t;
 
+/* A target that said that it leaves. */
+typedef struct departure_t {
+	mmx_target_id_t id;
+	uint64_t process_start; /* 0: not known */
+	mmx_time_t until;
+} departure_t;
+
 typedef struct path_t {
 	mmx_node_id_t node;
 	mmx_path_t path;
@@ -70,7 +80,9 @@
 	GHashTable *services; /* name -> service_t */
 	GHashTable *targets;  /* id -> target_t */
 	GHashTable *paths;    /* node -> path_t */
-	mmx_timer_t timer;    /* evaluates the paths */
+	/* id -> departure_t; the records of the targets may be gone */
+	GHashTable *departures;
+	mmx_timer_t timer; /* evaluates the paths */
 };
 
 static mmx_time_t now_(const mmx_view_t *view)
@@ -143,6 +155,19 @@
 	return members->locality(view->config.members_context, node);
 }
 
+static bool has_left_(const mmx_view_t *view,
+		      const mmx_directory_target_t *record)
+{
+	mmx_target_id_t id = mmx_directory_target_id(record);
+	uint64_t start = mmx_directory_target_process_start(record);
+	const departure_t *departure =
+		g_hash_table_lookup(view->departures, &id);
+
+	return departure && now_(view) < departure->until &&
+	       (departure->process_start == start || !start ||
+		!departure->process_start);
+}
+
 static mmx_availability_t
 target_availability_(const mmx_view_t *view, const target_t *target,
 		     const mmx_directory_target_t *record)
@@ -156,7 +181,8 @@
 					     mmx_directory_target_node(record));
 	if (node != MMX_AVAILABLE)
 		return node;
-	if (now_(view) < target->draining_until || state >= MMX_TARGET_DRAINING)
+	if (now_(view) < target->draining_until ||
+	    state >= MMX_TARGET_DRAINING || has_left_(view, record))
 		return MMX_AVAILABILITY_DRAINING;
 	return state == MMX_TARGET_COLD ? MMX_AVAILABILITY_COLD : MMX_AVAILABLE;
 }
@@ -357,11 +383,26 @@
 		mmx_retry_success(&target->service->retry);
 }
 
+/* Applies a change of availability that the directory does not show. */
+static void update_availability_(mmx_view_t *view, target_t *target)
+{
+	const mmx_directory_target_t *record =
+		mmx_directory_find(view->config.directory, target->id);
+	mmx_availability_t availability;
+
+	if (!record)
+		return;
+	availability = target_availability_(view, target, record);
+	if (availability == target->availability)
+		return;
+	target->availability = availability;
+	mmx_ejection_set_target(target->service->ejection, target->id,
+				target->slots, availability);
+}
+
 void mmx_view_report_load(mmx_view_t *view, const mmx_load_report_t *report)
 {
 	target_t *target = g_hash_table_lookup(view->targets, &report->target);
-	const mmx_directory_target_t *record;
-	mmx_availability_t availability;
 	mmx_ejection_t *ejection;
 
 	if (!target || report->level >= MMX_HEALTH_COUNT)
@@ -381,15 +422,30 @@
 	target->draining_until = report->state < MMX_TARGET_DRAINING
 					 ? 0
 					 : now_(view) + DRAINING_REPORT_TTL_US;
-	record = mmx_directory_find(view->config.directory, target->id);
-	if (!record)
-		return;
-	availability = target_availability_(view, target, record);
-	if (availability == target->availability)
-		return;
-	target->availability = availability;
-	mmx_ejection_set_target(ejection, target->id, target->slots,
-				availability);
+	update_availability_(view, target);
+}
+
+static gboolean is_forgotten_(gpointer key, gpointer value, gpointer data)
+{
+	return now_(data) >= ((const departure_t *)value)->until;
+}
+
+void mmx_view_target_leaves(mmx_view_t *view, mmx_target_id_t id)
+{
+	const mmx_directory_target_t *record =
+		mmx_directory_find(view->config.directory, id);
+	target_t *target = g_hash_table_lookup(view->targets, &id);
+	departure_t *departure = g_new0(departure_t, 1);
+
+	g_hash_table_foreach_remove(view->departures, is_forgotten_, view);
+	departure->id = id;
+	if (record)
+		departure->process_start =
+			mmx_directory_target_process_start(record);
+	departure->until = now_(view) + LEAVING_TTL_US;
+	g_hash_table_replace(view->departures, &departure->id, departure);
+	if (target)
+		update_availability_(view, target);
 }
 
 bool mmx_view_take_retry(mmx_view_t *view, const char *name)
@@ -513,6 +569,8 @@
 					      g_free);
 	view->paths = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
 					    g_free);
+	view->departures = g_hash_table_new_full(g_int64_hash, g_int64_equal,
+						 NULL, g_free);
 	mmx_timer_init(&view->timer, config->clock, on_timer_, view);
 	return view;
 }
@@ -525,5 +583,6 @@
 	g_hash_table_destroy(view->targets);
 	g_hash_table_destroy(view->services);
 	g_hash_table_destroy(view->paths);
+	g_hash_table_destroy(view->departures);
 	g_free(view);
 }
--- a/src/test_libmasticmux/test_exit.c
+++ b/src/test_libmasticmux/test_exit.c
@@ -130,6 +130,8 @@
 			mmx_head_add(event->head, "Id", REQUEST_ID);
 		if (fake_flag(words, "limit"))
 			mmx_head_add(event->head, "Limit", "4");
+		if (fake_flag(words, "leaving"))
+			mmx_head_add(event->head, "Leaving", "1");
 		event->earlier_calls = fake_flag(words, "kept");
 		evbuffer_add(event->body, "abc", 3);
 		event->body_end = fake_flag(words, "end");
@@ -225,6 +227,7 @@
 	.target = "Target",
 	.not_run = "Not-Run",
 	.limit = "Limit",
+	.leaving = "Leaving",
 };
 
 static void run_cases_with_(const script_case_t *cases, size_t count,
@@ -644,11 +647,49 @@
 			&names_with_id_);
 }
 
+/*
+ * Failures: a target that says that it leaves, while its announcements do not,
+ * gets requests; one that has started again gets none; the statement is taken
+ * from the answer of another target or process.
+ */
+static void test_says_leaving_(void)
+{
+	static const script_case_t cases[] = {
+		{"in an answer",
+		 "warm start=1 seq=1; execute; head id leaving end; execute n=2",
+		 "call1 evidence response1:200:end refused2:draining "},
+		{"announced as warm again",
+		 "warm start=1 seq=1; execute; head id leaving end; "
+		 "warm start=1 seq=2; execute n=2",
+		 "call1 evidence response1:200:end refused2:draining "},
+		{"in a rejection",
+		 "warm start=1 seq=1; execute; "
+		 "head status=503 rejected id leaving end; execute n=2",
+		 "call1 evidence refused1:overloaded refused2:draining "},
+		{"the target has started again",
+		 "warm start=1 seq=1; execute; head id leaving end; "
+		 "warm start=2 seq=1; execute n=2",
+		 "call1 evidence response1:200:end evidence call2 "},
+		{"said by the process before",
+		 "warm start=1 seq=1; execute; warm start=2 seq=1; "
+		 "head id leaving end; execute n=2",
+		 "call1 response1:200:end call2 "},
+		{"said by another target",
+		 "warm; execute get; head status=421 leaving kept end; "
+		 "execute n=2",
+		 "call1 refused1:overloaded call2 "},
+	};
+
+	run_cases_with_(cases, sizeof(cases) / sizeof(cases[0]),
+			&names_with_id_);
+}
+
 CU_TestInfo mmx_tests_exit[] = {
 	{"targets that restart under another name", test_renamed_target_},
 	{"requests that reach another target", test_misdirected_},
 	{"late rejections without an id", test_rejections_without_id_},
 	{"limits that targets name", test_named_limit_},
+	{"targets that say that they leave", test_says_leaving_},
 	{"an attempt runs at most once", test_at_most_once_},
 	{"fencing queries", test_fence_},
 	{"fencing by other entries", test_fence_of_other_entry_},
--- a/src/test_libmasticmux/test_roster.c
+++ b/src/test_libmasticmux/test_roster.c
@@ -160,10 +160,53 @@
 	close_(&fixture);
 }
 
+/* Guards against the start of a target's process that is lost on the way, or
+ * that makes records of earlier releases invalid. */
+static void test_process_start_(void)
+{
+	static const struct {
+		const char *start;
+		bool valid;
+		uint64_t process_start;
+	} cases[] = {
+		{"", true, 0},
+		{",\"start\":0", true, 0},
+		{",\"start\":1772300000123", true, 1772300000123},
+		{",\"start\":-1", false, 0},
+		{",\"start\":1.5", false, 0},
+		{",\"start\":\"1\"", false, 0},
+	};
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		fixture_t fixture = open_();
+		char *text = g_strdup_printf(
+			NODE "[{\"name\":\"a\",\"service\":\"s\","
+			     "\"slots\":3%s}]}",
+			cases[i].start);
+		const mmx_directory_target_t *target;
+		mmx_error_t error;
+
+		CU_ASSERT_EQUAL(mmx_roster_merge(fixture.roster, "n1", text,
+						 strlen(text), 1, &error),
+				cases[i].valid);
+		target = mmx_directory_find(fixture.directory,
+					    mmx_directory_id("n1", "a"));
+		CU_ASSERT_EQUAL(target != NULL, cases[i].valid);
+		if (target)
+			CU_ASSERT_EQUAL(
+				mmx_directory_target_process_start(target),
+				cases[i].process_start);
+		g_free(text);
+		close_(&fixture);
+	}
+}
+
 CU_TestInfo mmx_tests_roster[] = {
 	{"order of the records of a node", test_record_order_},
 	{"invalid records change nothing", test_invalid_records_},
 	{"records under another key", test_other_key_},
 	{"encoding of a record", test_encode_},
+	{"start of a target's process", test_process_start_},
 	CU_TEST_INFO_NULL,
 };
--- a/src/test_libmasticmux/test_view.c
+++ b/src/test_libmasticmux/test_view.c
@@ -132,7 +132,66 @@
 	}
 }
 
+/*
+ * Guards against requests to a target that has said that it leaves, when its
+ * exit restarts and offers it again, and against a target that is lost for good
+ * when it has started again.
+ */
+static void test_leaving_(void)
+{
+	static const struct {
+		const char *name;
+		uint64_t first_start; /* of the process of the target */
+		uint64_t second_start;
+		bool removed; /* from the directory in between */
+		int wait_s;
+		bool chosen;
+	} cases[] = {
+		{"at once", 5, 5, false, 0, false},
+		{"offered again", 5, 5, true, 30, false},
+		{"started again", 5, 6, true, 0, true},
+		{"started again, record unchanged else", 5, 6, false, 0, true},
+		{"start not told", 0, 0, true, 30, false},
+		{"start told later", 0, 5, true, 30, false},
+		{"long after", 5, 5, true, 61, true},
+	};
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		fixture_t *fixture = open_();
+		mmx_target_record_t *record = &fixture->record;
+
+		record->process_start = cases[i].first_start;
+		record->version++;
+		mmx_directory_update(fixture->directory, record);
+		CU_ASSERT_TRUE(is_chosen_(fixture));
+		mmx_view_target_leaves(fixture->view, record->id);
+		CU_ASSERT_FALSE(is_chosen_(fixture));
+		if (cases[i].removed) {
+			record->version++;
+			record->state = MMX_TARGET_GONE;
+			mmx_directory_update(fixture->directory, record);
+		}
+		mmx_clock_advance(fixture->clock, MMX_US_PER_S);
+		CU_ASSERT_FALSE(is_chosen_(fixture));
+		record->version++;
+		record->state = MMX_TARGET_WARM;
+		record->process_start = cases[i].second_start;
+		mmx_directory_update(fixture->directory, record);
+		mmx_clock_advance(fixture->clock,
+				  cases[i].wait_s * MMX_US_PER_S +
+					  100 * MMX_US_PER_MS);
+		if (is_chosen_(fixture) != cases[i].chosen) {
+			printf("%s: chosen is %d\n", cases[i].name,
+			       !cases[i].chosen);
+			CU_FAIL("choice after a target said that it leaves");
+		}
+		close_(fixture);
+	}
+}
+
 CU_TestInfo mmx_tests_view[] = {
 	{"report of a draining target", test_draining_report_},
+	{"target that says that it leaves", test_leaving_},
 	CU_TEST_INFO_NULL,
 };
