Refuse requests late in a stop that its end would break off

Callers saw: requests that a stopping node took late in its grace period were passed on and answered 502 at its end, while their targets were at work.

Cause: a node that stops closes idle connections and its listener, but went on reading requests on connections where a part of one had arrived, and shortened their deadlines to its own end.

Change: from the end of accepting on, a request whose deadline lies beyond the end of the process is refused at once as not run. Connections are accepted for half of the grace period as before, but for 3 s at most.

--- a/src/libmasticmux/entry.c
+++ b/src/libmasticmux/entry.c
@@ -554,6 +554,16 @@
 	g_list_free(exchanges);
 }
 
+void mmx_entry_refuse_capped(mmx_entry_t *entry)
+{
+	entry->refuses_capped = true;
+}
+
+bool mmx_entry_refuses_capped(const mmx_entry_t *entry)
+{
+	return entry->refuses_capped;
+}
+
 mmx_time_t mmx_entry_deadline_cap(const mmx_entry_t *entry)
 {
 	return entry->deadline_cap;
--- a/src/libmasticmux/filter_account.c
+++ b/src/libmasticmux/filter_account.c
@@ -38,6 +38,7 @@
 				    mmx_exchange_t *exchange)
 {
 	const account_filter_t *self = (account_filter_t *)filter;
+	mmx_time_t cap = mmx_entry_deadline_cap(exchange->owner);
 
 	if (exchange->account[0]) {
 		exchange->has_account = mmx_config_state_get_account(
@@ -49,8 +50,15 @@
 			return MMX_FILTER_DONE;
 		}
 	}
-	exchange->deadline = MIN(exchange->started + timeout_(exchange),
-				 mmx_entry_deadline_cap(exchange->owner));
+	exchange->deadline = exchange->started + timeout_(exchange);
+	if (exchange->deadline > cap) {
+		if (mmx_entry_refuses_capped(exchange->owner)) {
+			mmx_entry_refuse(exchange, MMX_OUTCOME_NOT_RUN,
+					 MMX_REASON_SHUTTING_DOWN);
+			return MMX_FILTER_DONE;
+		}
+		exchange->deadline = cap;
+	}
 	exchange->repeatable = is_repeatable_(exchange);
 	return MMX_FILTER_NEXT;
 }
--- a/src/libmasticmux/include/private/entry.h
+++ b/src/libmasticmux/include/private/entry.h
@@ -119,6 +119,13 @@
  */
 void mmx_entry_cap_deadlines(mmx_entry_t *entry, mmx_time_t latest);
 
+/*
+ * Refuses, as shutting-down, requests that arrive from now on with a deadline
+ * that the limit would shorten: they might be broken off while they run. Valid
+ * after mmx_entry_cap_deadlines() and before.
+ */
+void mmx_entry_refuse_capped(mmx_entry_t *entry);
+
 /* Number of requests without a complete answer. */
 size_t mmx_entry_in_progress(const mmx_entry_t *entry);
 
@@ -212,6 +219,9 @@
  * MMX_TIME_NEVER. */
 mmx_time_t mmx_entry_deadline_cap(const mmx_entry_t *entry);
 
+/* True after mmx_entry_refuse_capped(). */
+bool mmx_entry_refuses_capped(const mmx_entry_t *entry);
+
 /* Accessors for the attempt filter. */
 mmx_runtime_t *mmx_entry_runtime(const mmx_entry_t *entry);
 const mmx_directory_t *mmx_entry_directory(const mmx_entry_t *entry);
--- a/src/libmasticmux/include/private/entry_internal.h
+++ b/src/libmasticmux/include/private/entry_internal.h
@@ -16,6 +16,7 @@
 	bool running;		 /* mmx_entry_init() was called */
 	bool draining;		 /* new requests are refused */
 	mmx_time_t deadline_cap; /* limit of all deadlines */
+	bool refuses_capped;	 /* new requests that it would shorten */
 	mmx_task_t *http;
 	mmx_task_t *peer;
 	mmx_task_t *local_exit;
--- a/src/libmasticmux/part_path.c
+++ b/src/libmasticmux/part_path.c
@@ -13,9 +13,10 @@
 #include "private/target_probe.h"
 
 /* A node that stops still accepts connections for this fraction of its grace
- * period, 1/n, since callers notice the stop only after several checks of
- * /healthz. */
+ * period, 1/n, and not longer than callers take to notice the stop by several
+ * checks of /healthz. */
 #define STOP_ACCEPT_DIVISOR 2
+#define STOP_ACCEPT_MAX_US (3 * MMX_US_PER_S)
 
 /* The target outlives a node that stops, so its exit admits requests for this
  * fraction of the grace period, 1/n. The rest is for those that run then.
@@ -266,6 +267,8 @@
 	path_part_t *self = arg;
 
 	self->accept_ended = true;
+	/* Requests still arrive on connections that are not idle. */
+	mmx_entry_refuse_capped(self->part.node->entry);
 	mmx_http_entry_drain(self->http);
 }
 
@@ -284,7 +287,8 @@
 	/* Callers learn of the stop only from the health check. */
 	mmx_http_entry_announce_drain(self->http);
 	mmx_timer_set(&self->accept_end,
-		      node->reloadable.stop_grace / STOP_ACCEPT_DIVISOR);
+		      MIN(node->reloadable.stop_grace / STOP_ACCEPT_DIVISOR,
+			  STOP_ACCEPT_MAX_US));
 }
 
 static size_t in_progress_(const mmx_part_t *part)
--- a/src/test_libmasticmux/test_entry.c
+++ b/src/test_libmasticmux/test_entry.c
@@ -145,6 +145,8 @@
 			fixture->entry,
 			mmx_clock_now(mmx_runtime_clock(fixture->runtime)) +
 				fake_number(words, "ms", 1) * MMX_US_PER_MS);
+	else if (g_str_equal(words[0], "refuse-capped"))
+		mmx_entry_refuse_capped(fixture->entry);
 	else if (g_str_equal(words[0], "started")) {
 		apply_configuration_(fixture->config_state);
 		mmx_entry_started(fixture->entry);
@@ -617,6 +619,30 @@
 	run_cases_(cases, sizeof(cases) / sizeof(cases[0]));
 }
 
+/* Guards against requests that come late in a stop, are passed on, and are broken
+ * off at the end of the process. */
+static void test_late_in_stop_(void)
+{
+	static const script_case_t cases[] = {
+		{"would be broken off",
+		 "targets; answer-by ms=300; refuse-capped; request get ms=500",
+		 "answer1:not-run:shutting-down:503:23:end "},
+		{"has its time",
+		 "targets; answer-by ms=600; refuse-capped; "
+		 "request get ms=500; response end",
+		 "execute1:0 answer1:completed:none:200:3:end "},
+		{"came before",
+		 "targets; answer-by ms=300; request get ms=500; "
+		 "refuse-capped; response end",
+		 "execute1:0 answer1:completed:none:200:3:end "},
+		{"no end is set",
+		 "targets; refuse-capped; request get ms=500; response end",
+		 "execute1:0 answer1:completed:none:200:3:end "},
+	};
+
+	run_cases_(cases, sizeof(cases) / sizeof(cases[0]));
+}
+
 CU_TestInfo mmx_tests_entry[] = {
 	{"refusals", test_refusals_},
 	{"Retry-After", test_retry_after_},
@@ -625,5 +651,6 @@
 	{"responses", test_responses_},
 	{"requests during startup", test_startup_},
 	{"answers before the process ends", test_deadline_cap_},
+	{"requests late in a stop", test_late_in_stop_},
 	CU_TEST_INFO_NULL,
 };
