Keep a limit that cannot be read, and mark the target that answered

Cause: found in the reading of the change. A success with a Server-Limit that is no number ended the limit. Where an exit answered from another target than the one it was asked for, the entry noted the leaving of the wrong one.

The start of a target stands where it needs no padding in the directory.

--- a/src/libmasticmux/directory.c
+++ b/src/libmasticmux/directory.c
@@ -36,6 +36,7 @@
 struct mmx_directory_target_t {
 	mmx_target_id_t id; /* first: key of the table of targets */
 	uint64_t version;
+	uint64_t process_start;
 	directory_node_t *node;
 	mmx_directory_service_t *service;
 	target_name_t *name;
@@ -45,7 +46,6 @@
 	uint32_t position; /* in the array of the service */
 	uint32_t gone_s;   /* when the state became GONE */
 	uint16_t slots;
-	uint64_t process_start;
 	uint8_t state;
 };
 
--- a/src/libmasticmux/exit_stated.c
+++ b/src/libmasticmux/exit_stated.c
@@ -15,18 +15,23 @@
 		      "per_s", rate, NULL);
 }
 
-/* A limit holds for as long as successes name it. */
+/* A limit holds for as long as successes name it; one that cannot be read
+ * changes nothing. */
 static void read_limit_(mmx_exit_t *exit, mmx_exit_target_t *target,
 			const mmx_head_t *head, mmx_reply_kind_t kind)
 {
+	const char *name = exit->header_names->limit;
 	mmx_rate_limit_t *limit = &target->rate_limit;
 	bool was_active = limit->active;
 	double old_rate = limit->rate;
 	double rate;
 
+	if (!name)
+		return;
 	if (mmx_reply_parse_limit(exit->header_names, head, &rate))
 		mmx_rate_limit_set(limit, rate, mmx_clock_now(exit->clock));
-	else if (kind == MMX_REPLY_VALID && head->status < 500)
+	else if (kind == MMX_REPLY_VALID && head->status < 500 &&
+		 !mmx_head_find(head, name))
 		mmx_rate_limit_clear(limit);
 	if (was_active != limit->active ||
 	    (was_active && old_rate != limit->rate))
--- a/src/libmasticmux/filter_attempt.c
+++ b/src/libmasticmux/filter_attempt.c
@@ -350,12 +350,11 @@
 
 /* The caller that gets the answer learns of it, so it binds this entry even if
  * the exit forgets. */
-static void note_leaving_(mmx_attempt_filter_t *self,
-			  const mmx_exchange_t *exchange,
+static void note_leaving_(mmx_attempt_filter_t *self, mmx_target_id_t target,
 			  const mmx_head_t *head)
 {
 	if (mmx_reply_says_leaving(mmx_entry_header_names(self->entry), head))
-		mmx_view_target_leaves(self->view, exchange->target);
+		mmx_view_target_leaves(self->view, target);
 }
 
 void mmx_filter_attempt_fence_reply(mmx_filter_t *filter,
@@ -390,7 +389,7 @@
 					    MMX_REASON_ANSWER_TRUNCATED);
 			break;
 		}
-		note_leaving_(self, exchange, reply->head);
+		note_leaving_(self, exchange->target, reply->head);
 		mmx_attempt_close(self, exchange);
 		mmx_entry_answer(exchange, reply->head, reply->body, true);
 		reply->head = NULL;
@@ -513,7 +512,8 @@
 {
 	if (exchange->state == MMX_EXCHANGE_ANSWERING || exchange->answer_head)
 		return;
-	note_leaving_(self, exchange, response->head);
+	/* The exit may have used another target than the one it was asked for. */
+	note_leaving_(self, response->load.target, response->head);
 	end_trial_(self, exchange,
 		   response->good ? MMX_VIEW_TRIAL_GOOD : MMX_VIEW_TRIAL_BAD);
 	if (may_replace_(self, exchange, response)) {
--- a/src/test_libmasticmux/test_exit.c
+++ b/src/test_libmasticmux/test_exit.c
@@ -130,6 +130,8 @@
 			mmx_head_add(event->head, "Id", REQUEST_ID);
 		if (fake_flag(words, "limit"))
 			mmx_head_add(event->head, "Limit", "4");
+		if (fake_flag(words, "bad-limit"))
+			mmx_head_add(event->head, "Limit", "few");
 		if (fake_flag(words, "leaving"))
 			mmx_head_add(event->head, "Leaving", "1");
 		event->earlier_calls = fake_flag(words, "kept");
@@ -621,6 +623,11 @@
 		 "warm slots=9; execute; head id limit end; wait ms=251; "
 		 "execute n=2; head n=2 id end; execute n=3",
 		 "call1 response1:200:end call2 response2:200:end call3 "},
+		{"a limit that cannot be read does not end it",
+		 "warm slots=9; execute; head id limit end; wait ms=251; "
+		 "execute n=2; head n=2 id bad-limit end; execute n=3",
+		 "call1 response1:200:end call2 response2:200:end "
+		 "refused3:busy "},
 		{"a failure does not end it",
 		 "warm slots=9; execute; head id limit end; wait ms=251; "
 		 "execute n=2; head n=2 status=500 id end; execute n=3",
