Keep SIGHUP from ending a node that starts or ends

Cause: SIGHUP is handled while the event loop runs only. Before its handler is set and after it is freed, the default action ends the process; one that arrives in the start would otherwise say that the settings have changed since.

Change: the command blocks the signal except while the node runs, so that one of the start stays pending and the settings are read again.

--- a/src/masticmux/command_node.c
+++ b/src/masticmux/command_node.c
@@ -1,9 +1,34 @@
 /* node: runs the process beside a target instance. */
+#include <signal.h>
 #include <stdio.h>
 
 #include "commands.h"
 #include "masticmux/node.h"
 
+/*
+ * Changes whether SIGHUP is blocked: SIG_BLOCK or SIG_UNBLOCK. Where the node
+ * does not handle it, during start and end, it would end the process. One that
+ * arrives during start stays pending, so that the settings are read again.
+ */
+static void mask_hangup_(int how)
+{
+	sigset_t set;
+
+	sigemptyset(&set);
+	sigaddset(&set, SIGHUP);
+	sigprocmask(how, &set, NULL);
+}
+
+static bool run_node_(mmx_node_t *node)
+{
+	bool result;
+
+	mask_hangup_(SIG_UNBLOCK);
+	result = mmx_node_run(node);
+	mask_hangup_(SIG_BLOCK);
+	return result;
+}
+
 static mmx_exit_status_t run_(const void *options,
 			      const mmx_settings_t *settings)
 {
@@ -14,7 +39,7 @@
 	mmx_node_set_settings_path(node, options);
 	if (!mmx_node_init(node, &error))
 		fprintf(stderr, "masticmux node: %s\n", error.text);
-	else if (mmx_node_run(node))
+	else if (run_node_(node))
 		status = MMX_EXIT_OK;
 	else
 		fprintf(stderr, "masticmux node: stopped with requests in "
@@ -33,6 +58,7 @@
 	};
 	mmx_exit_status_t status = MMX_EXIT_ERROR;
 
+	mask_hangup_(SIG_BLOCK);
 	if (mmx_command_parse(&argc, &argv, NULL,
 			      "Runs the process beside a target instance until "
 			      "SIGTERM.\nExit status: 0 stopped with nothing "
