Keep the start of a target's process in its record only

The exit had it twice since the record carries it to the store, and had to set both. Change: the field of the target is gone; the record's is used.

--- a/src/libmasticmux/exit.c
+++ b/src/libmasticmux/exit.c
@@ -185,7 +185,8 @@
 			if (!mmx_exit_order_accept(exit, target, announced))
 				return true;
 		} else if (!target->disputed &&
-			   target->process_start > announced->process_start &&
+			   target->record.process_start >
+				   announced->process_start &&
 			   mmx_address_is_equal(&target->address,
 						&announced->address)) {
 			return true;
--- a/src/libmasticmux/exit_order.c
+++ b/src/libmasticmux/exit_order.c
@@ -62,11 +62,11 @@
 
 	if (!start)
 		return false;
-	if (!target->process_start && target->order.left)
+	if (!target->record.process_start && target->order.left)
 		return leaves ||
 		       age_(exit, target->order.left_at) > LATE_MAX_US;
 	if (find_replaced_(&target->order, start) == MMX_EXIT_REPLACED_MAX &&
-	    (leaves || start > target->process_start))
+	    (leaves || start > target->record.process_start))
 		return true;
 	return goes_on_(exit, &target->order, announced);
 }
@@ -77,7 +77,7 @@
 	bool leaves = announced->state >= MMX_TARGET_DRAINING;
 
 	/* A target that leaves does so without a start time as well. */
-	if (announced->process_start != target->process_start &&
+	if (announced->process_start != target->record.process_start &&
 	    (announced->process_start || !leaves))
 		return accept_start_(exit, target, announced);
 	if (announced->state == MMX_TARGET_GONE)
@@ -109,13 +109,13 @@
 
 	if (i < MMX_EXIT_REPLACED_MAX)
 		order->replaced[i] = 0;
-	if (target->process_start) {
+	if (target->record.process_start) {
 		mmx_rate_limit_clear(&target->rate_limit);
-		order->replaced[order->replaced_next] = target->process_start;
+		order->replaced[order->replaced_next] =
+			target->record.process_start;
 		order->replaced_next =
 			(order->replaced_next + 1) % MMX_EXIT_REPLACED_MAX;
 	}
-	target->process_start = start;
 	target->record.process_start = start;
 	target->sequence = 0;
 	target->says_leaving = false;
@@ -125,7 +125,7 @@
 			   const mmx_target_announced_t *announced)
 {
 	if (announced->process_start &&
-	    announced->process_start != target->process_start)
+	    announced->process_start != target->record.process_start)
 		replace_start_(target, announced->process_start);
 	target->order.candidate = 0;
 	target->withdrawn = announced->state == MMX_TARGET_GONE;
--- a/src/libmasticmux/exit_queue.c
+++ b/src/libmasticmux/exit_queue.c
@@ -55,7 +55,7 @@
 	mmx_histogram_add(exit->queue_time,
 			  attempt->started - attempt->arrived);
 	attempt->address = target->address;
-	attempt->process_start = target->process_start;
+	attempt->process_start = target->record.process_start;
 	mmx_rate_limit_take(&target->rate_limit, attempt->started);
 	call->address = target->address;
 	call->repeatable = execute->repeatable;
--- a/src/libmasticmux/exit_stated.c
+++ b/src/libmasticmux/exit_stated.c
@@ -49,7 +49,7 @@
 	    (id == MMX_REPLY_ID_NONE && event->earlier_calls > 0))
 		return;
 	/* It may be of an earlier process of the target. */
-	if (attempt->process_start != target->process_start)
+	if (attempt->process_start != target->record.process_start)
 		return;
 	read_limit_(exit, target, event->head, kind);
 	if (mmx_reply_says_leaving(exit->header_names, event->head))
--- a/src/libmasticmux/include/private/exit_target.h
+++ b/src/libmasticmux/include/private/exit_target.h
@@ -64,9 +64,8 @@
 	mmx_target_record_t record;
 	mmx_address_t address;
 	mmx_time_t lease_until;
-	uint64_t process_start; /* in the latest TARGET_ANNOUNCED; 0: none */
-	uint64_t sequence;	/* in the latest TARGET_ANNOUNCED; 0: none */
-	bool withdrawn;		/* the process with this start has withdrawn */
+	uint64_t sequence; /* in the latest TARGET_ANNOUNCED; 0: none */
+	bool withdrawn;	   /* the process with this start has withdrawn */
 	mmx_target_id_t replaced_by; /* target that took its address; 0: none */
 	bool disputed; /* another target may have its address: see 421 */
 	mmx_exit_order_t order;
