--- a/src/libmasticmux/header_names.c
+++ b/src/libmasticmux/header_names.c
@@ -87,13 +87,9 @@
 	return kind == MMX_REPLY_NOT_RUN || kind == MMX_REPLY_WRONG_TARGET;
 }
 
-bool mmx_reply_allows_reuse(const mmx_header_names_t *names,
-			    const mmx_head_t *response, const char *request_id)
+bool mmx_reply_allows_reuse(mmx_reply_kind_t kind, mmx_reply_id_t id)
 {
-	mmx_reply_kind_t kind = mmx_reply_classify(names, response, request_id);
-
-	return mmx_reply_identify(names, response, request_id) ==
-		       MMX_REPLY_ID_OWN &&
+	return id == MMX_REPLY_ID_OWN &&
 	       (kind == MMX_REPLY_VALID || kind == MMX_REPLY_UNPROVEN);
 }
 
--- a/src/libmasticmux/include/private/header_names.h
+++ b/src/libmasticmux/include/private/header_names.h
@@ -100,10 +100,10 @@
  * the connection again: neither after a response without an id, nor after one
  * that says that the request has not run, because that request is sent again.
  *
- * @param request_id  of the request; NULL if it has none
+ * @param kind  of mmx_reply_classify()
+ * @param id    of mmx_reply_identify()
  */
-bool mmx_reply_allows_reuse(const mmx_header_names_t *names,
-			    const mmx_head_t *response, const char *request_id);
+bool mmx_reply_allows_reuse(mmx_reply_kind_t kind, mmx_reply_id_t id);
 
 /**
  * Reads the load header of a response.
--- a/src/libmasticmux/target_connection.c
+++ b/src/libmasticmux/target_connection.c
@@ -205,14 +205,14 @@
 			 const mmx_head_t *head)
 {
 	const mmx_header_names_t *names = connection->shared->header_names;
-	const char *request_id = connection->request_id;
-
-	connection->reply_allows_reuse =
-		mmx_reply_allows_reuse(names, head, request_id);
-	if (mmx_reply_is_rejection(mmx_reply_classify(names, head, request_id)))
-		connection->pool->rejects_without_id =
-			mmx_reply_identify(names, head, request_id) ==
-			MMX_REPLY_ID_NONE;
+	mmx_reply_kind_t kind =
+		mmx_reply_classify(names, head, connection->request_id);
+	mmx_reply_id_t id =
+		mmx_reply_identify(names, head, connection->request_id);
+
+	connection->reply_allows_reuse = mmx_reply_allows_reuse(kind, id);
+	if (mmx_reply_is_rejection(kind))
+		connection->pool->rejects_without_id = id == MMX_REPLY_ID_NONE;
 }
 
 /* Posts the received head and body within the credit of the exit. */
--- a/src/test_libmasticmux/test_header_names.c
+++ b/src/test_libmasticmux/test_header_names.c
@@ -111,7 +111,9 @@
 			mmx_head_add(head, header[0], header[1]);
 		CU_ASSERT_EQUAL(mmx_reply_classify(&names_, head, "7"),
 				classify_cases_[i].kind);
-		CU_ASSERT_EQUAL(mmx_reply_allows_reuse(&names_, head, "7"),
+		CU_ASSERT_EQUAL(mmx_reply_allows_reuse(
+					mmx_reply_classify(&names_, head, "7"),
+					mmx_reply_identify(&names_, head, "7")),
 				classify_cases_[i].reuse);
 		mmx_head_destroy(head);
 	}
