Test the responses of targets at the exit in a file of their own

Change: the scripts' fixture is exit_script.c, and the tests of responses stand in test_exit_replies.c. Scripts, traces and names of tests are unchanged.

--- a/src/test_libmasticmux/suites.c
+++ b/src/test_libmasticmux/suites.c
@@ -22,6 +22,7 @@
 	{"exit", NULL, NULL, NULL, NULL, mmx_tests_exit},
 	{"exit_announced", NULL, NULL, NULL, NULL, mmx_tests_exit_announced},
 	{"exit_queue", NULL, NULL, NULL, NULL, mmx_tests_exit_queue},
+	{"exit_replies", NULL, NULL, NULL, NULL, mmx_tests_exit_replies},
 	{"exit_target", NULL, NULL, NULL, NULL, mmx_tests_exit_target},
 	{"exporter", NULL, NULL, NULL, NULL, mmx_tests_exporter},
 	{"fault", NULL, NULL, NULL, NULL, mmx_tests_fault},
--- a/src/test_libmasticmux/suites.h
+++ b/src/test_libmasticmux/suites.h
@@ -25,6 +25,7 @@
 extern CU_TestInfo mmx_tests_exit[];
 extern CU_TestInfo mmx_tests_exit_announced[];
 extern CU_TestInfo mmx_tests_exit_queue[];
+extern CU_TestInfo mmx_tests_exit_replies[];
 extern CU_TestInfo mmx_tests_exit_target[];
 extern CU_TestInfo mmx_tests_exporter[];
 extern CU_TestInfo mmx_tests_fault[];
