Let a limit delay neither entries nor the queue for nothing

Seen: test/target_limits.sh, 'limit ends', failed once in some fifteen runs: the target got no request for 8 s after its limit of 0 had ended.

Cause: its exit had reported that it starts nothing for 11.8 s, as it counted two queued requests. These had been queued before the limit was named, waited until their deadlines, and left 1.3 s later. Entries ask a paused target only when its time is over, so that nothing told them earlier. One of the two ended as 502.

Change: the report gives the time until the next start, at most 4 s. A queued request that the limit starts too late is refused as soon as that is known, so that its entry can use another target.

--- a/src/libmasticmux/exit_queue.c
+++ b/src/libmasticmux/exit_queue.c
@@ -90,7 +90,10 @@
 static bool refuse_late_(mmx_exit_t *exit, mmx_attempt_t *attempt,
 			 mmx_time_t now)
 {
-	if (attempt->deadline - now > min_remaining_(attempt))
+	mmx_time_t wait =
+		mmx_rate_limit_wait(&attempt->target->rate_limit, 0, now);
+
+	if (attempt->deadline - now - wait > min_remaining_(attempt))
 		return false;
 	mmx_counter_add(exit->expired, 1);
 	mmx_exit_refuse_queued(exit, attempt,
--- a/src/libmasticmux/exit_target.c
+++ b/src/libmasticmux/exit_target.c
@@ -438,8 +438,8 @@
 void mmx_exit_target_report(const mmx_exit_target_t *target, mmx_time_t now,
 			    mmx_load_report_t *report)
 {
-	mmx_time_t wait =
-		mmx_rate_limit_wait(&target->rate_limit, target->queued, now);
+	/* Without the queue, which may be gone by then. */
+	mmx_time_t wait = mmx_rate_limit_wait(&target->rate_limit, 0, now);
 
 	*report = (mmx_load_report_t){
 		.target = target->record.id,
--- a/src/test_libmasticmux/exit_script.c
+++ b/src/test_libmasticmux/exit_script.c
@@ -116,6 +116,7 @@
 		{"rejected", "Not-Run", "1"},  {"signed", "Sign", "s"},
 		{"id", "Id", REQUEST_ID},      {"limit", "Limit", "4"},
 		{"bad-limit", "Limit", "few"}, {"leaving", "Leaving", "1"},
+		{"limit-0", "Limit", "0"},
 	};
 	size_t i;
 
--- a/src/test_libmasticmux/test_exit_replies.c
+++ b/src/test_libmasticmux/test_exit_replies.c
@@ -110,6 +110,9 @@
 		 "warm slots=9; execute; head id limit end; "
 		 "execute n=2 max-wait=300; wait ms=200; wait ms=51",
 		 "call1 response1:200:end call2 "},
+		{"already queued, and too late by the limit",
+		 "warm; execute; execute n=2 max-wait=900; head id limit-0 end",
+		 "call1 response1:200:end refused2:time-short "},
 		{"named by a rejection",
 		 "warm slots=9; execute; head status=503 rejected id limit end; "
 		 "execute n=2",
--- a/src/test_libmasticmux/test_exit_target.c
+++ b/src/test_libmasticmux/test_exit_target.c
@@ -122,6 +122,31 @@
 	mmx_exit_target_destroy(target);
 }
 
+/* Failure: entries leave a target with a limit alone for longer than until its
+ * next start, because of a queue that may be gone by then. */
+static void test_report_of_limit_(void)
+{
+	static const struct {
+		double rate;
+		unsigned int queued;
+		uint16_t wait_ms;
+	} cases[] = {{2, 0, 501}, {2, 9, 501}, {0, 0, 4001}, {0, 16, 4001}};
+	size_t i;
+
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		mmx_exit_target_t *target =
+			mmx_exit_target_create(1, 2, 3, "t", "s");
+		mmx_load_report_t report;
+
+		target->record.slots = 4;
+		target->queued = cases[i].queued;
+		mmx_rate_limit_set(&target->rate_limit, cases[i].rate, 0);
+		mmx_exit_target_report(target, 0, &report);
+		CU_ASSERT_EQUAL(report.wait_ms, cases[i].wait_ms);
+		mmx_exit_target_destroy(target);
+	}
+}
+
 #define SHORT_ROUTE 1
 #define LONG_ROUTE 2
 
@@ -415,5 +440,6 @@
 	{"slots of a cold target", test_slots_},
 	{"admission", test_admit_},
 	{"load report", test_report_},
+	{"load report with a limit", test_report_of_limit_},
 	CU_TEST_INFO_NULL,
 };
