Agree on types for keys, priorities and limits of accounts

Change: reasons invalid-key (401) and account-rate (429), account parameters priority, rate and burst, public routes, and the use of an account's limit in EXECUTE. The new word travels only where it is known, so that a fleet without limits may hold nodes of an earlier release.

--- a/include/masticmux/config_state.h
+++ b/include/masticmux/config_state.h
@@ -28,6 +28,7 @@
 	mmx_time_t objective; /**< latency, microseconds; 0: none */
 	uint8_t attempts_max; /**< targets tried at most; 0: the default */
 	uint8_t priority;     /**< see MMX_PRIORITY_FIRST */
+	bool is_public;	      /**< callers need no key of an account */
 } mmx_route_t;
 
 /** Parameters of a client account. */
@@ -38,6 +39,10 @@
 	mmx_time_t deadline;	 /**< microseconds; 0: use the policy's */
 	uint32_t repeatable;	 /**< method mask, if has_repeatable */
 	bool has_repeatable;
+	bool has_priority;
+	uint8_t priority; /**< replaces that of the route, if has_priority */
+	double rate;	  /**< requests a second of the fleet; 0: no limit */
+	double burst;	  /**< requests beyond the rate, 0 or more */
 } mmx_account_t;
 
 /**
--- a/include/masticmux/types.h
+++ b/include/masticmux/types.h
@@ -72,6 +72,8 @@
 	MMX_REASON_RETRY_BUDGET, /**< the budget for repeats is used up */
 	MMX_REASON_SUSPECT,	 /**< the target probably fails for now */
 	MMX_REASON_TIME_SHORT,	 /**< too little time left for a usual run */
+	MMX_REASON_INVALID_KEY,	 /**< no valid key of a client account */
+	MMX_REASON_ACCOUNT_RATE, /**< over the fleet-wide limit of the account */
 	MMX_REASON_COUNT
 } mmx_reason_t;
 
--- a/src/libmasticmux/filter_attempt_send.c
+++ b/src/libmasticmux/filter_attempt_send.c
@@ -67,6 +67,7 @@
 		mmx_attempt_margin(remaining, DEADLINE_MARGIN_MAX_US);
 	execute->keyed = exchange->idempotency_key[0] != '\0';
 	execute->priority = exchange->priority;
+	execute->account_use = exchange->account_use;
 	execute->repeat = exchange->offers > 0;
 	execute->granted =
 		execute->repeat &&
--- a/src/libmasticmux/include/private/exchange.h
+++ b/src/libmasticmux/include/private/exchange.h
@@ -67,6 +67,8 @@
 	mmx_policy_t policy;
 	bool has_account;
 	mmx_account_t account_parameters; /* valid if has_account */
+	/* Use of the account's limit in the whole fleet, permille; 0: unknown. */
+	uint16_t account_use;
 	bool repeatable;
 	unsigned int offers_max; /* most targets that may receive it */
 	uint8_t priority;
--- a/src/libmasticmux/include/private/messages.h
+++ b/src/libmasticmux/include/private/messages.h
@@ -120,6 +120,8 @@
 	mmx_time_t remaining; /* until the caller gives up, microseconds */
 	mmx_time_t max_wait;  /* longest wait for a slot at the exit */
 	uint8_t priority;     /* see MMX_PRIORITY_FIRST */
+	/* Use of the account's limit in the whole fleet, permille; 0: unknown. */
+	uint16_t account_use;
 	mmx_trace_context_t trace;
 	/* Completions at the service's other targets; NULL: not this time. */
 	mmx_latency_summary_t *peers;
--- a/src/libmasticmux/types.c
+++ b/src/libmasticmux/types.c
@@ -36,6 +36,8 @@
 	"retry-budget",
 	"suspect",
 	"time-short",
+	"invalid-key",
+	"account-rate",
 };
 
 mmx_node_id_t mmx_node_id(const char *name)
@@ -59,11 +61,14 @@
 	switch (reason) {
 	case MMX_REASON_BAD_REQUEST:
 		return 400;
+	case MMX_REASON_INVALID_KEY:
+		return 401;
 	case MMX_REASON_UNKNOWN_ACCOUNT:
 		return 403;
 	case MMX_REASON_UNKNOWN_SERVICE:
 		return 404;
 	case MMX_REASON_ACCOUNT_LIMIT:
+	case MMX_REASON_ACCOUNT_RATE:
 		return 429;
 	case MMX_REASON_HEADER_TOO_LARGE:
 		return 431;
--- a/src/libmasticmux/wire.c
+++ b/src/libmasticmux/wire.c
@@ -19,7 +19,9 @@
 #define FLAG_OFFERED 0x100U
 #define FLAG_REPEAT 0x200U
 #define FLAG_GRANTED 0x400U
+#define FLAG_ACCOUNT_USE 0x800U
 #define PERCENT_MAX 100
+#define PERMILLE_MAX 1000
 
 /* A filter encodes or decodes, as XDR filters do; x_public holds the reason
  * of the first refusal. */
@@ -256,7 +258,9 @@
 			 (execute->trial ? FLAG_TRIAL : 0) |
 			 (execute->repeat ? FLAG_REPEAT : 0) |
 			 (execute->granted ? FLAG_GRANTED : 0) |
-			 (execute->peers ? FLAG_PEERS : 0);
+			 (execute->peers ? FLAG_PEERS : 0) |
+			 (execute->account_use ? FLAG_ACCOUNT_USE : 0);
+	uint32_t account_use = execute->account_use;
 	uint32_t priority = execute->priority;
 	uint32_t inherited = execute->caller_repeat_percent;
 
@@ -267,7 +271,8 @@
 	    !text_(xdrs, execute->account, MMX_NAME_MAX) ||
 	    !flags_(xdrs, &flags,
 		    FLAG_BODY_END | FLAG_REPEATABLE | FLAG_TRIAL | FLAG_PEERS |
-			    FLAG_KEYED | FLAG_REPEAT | FLAG_GRANTED) ||
+			    FLAG_KEYED | FLAG_REPEAT | FLAG_GRANTED |
+			    FLAG_ACCOUNT_USE) ||
 	    !duration_(xdrs, &execute->remaining) ||
 	    !duration_(xdrs, &execute->max_wait) ||
 	    !duration_(xdrs, &execute->objective) ||
@@ -286,6 +291,12 @@
 	execute->granted = flags & FLAG_GRANTED;
 	execute->priority = (uint8_t)priority;
 	execute->caller_repeat_percent = (uint8_t)inherited;
+	/* Absent where no account has a limit, so that such a fleet may hold
+	 * nodes of an earlier release. */
+	if ((flags & FLAG_ACCOUNT_USE) &&
+	    !word_(xdrs, &account_use, PERMILLE_MAX, "use out of range"))
+		return false;
+	execute->account_use = (uint16_t)account_use;
 	return !(flags & FLAG_PEERS) || summary_(xdrs, &execute->peers);
 }
 
--- a/src/test_libmasticmux/wire_samples.c
+++ b/src/test_libmasticmux/wire_samples.c
@@ -37,6 +37,7 @@
 	execute->remaining = 1234567;
 	execute->max_wait = 89;
 	execute->priority = 7;
+	execute->account_use = 640;
 	execute->route = 11;
 	execute->caller_repeat_percent = 60;
 	execute->objective = 7654;
