Identify client accounts by the key that a request carries

Cause: a customer has tenants with bearer keys, in the configuration of the platform.

Change: the routing table holds accounts and keyed digests of their keys; the filter "identity" finds the account of each request, answers 401 without a valid key, removes the key and tells the target the account. The priority of an account goes before that of the route. Refused keys are counted by reason, the accounts and keys in force are gauges, and the request line has the account. A key that two accounts have identifies neither.

--- a/include/masticmux/routing.h
+++ b/include/masticmux/routing.h
@@ -1,10 +1,11 @@
 /**
  * Routing table: one complete version of the configuration. It is used where
  * each version that the operator publishes replaces the previous one. It holds
- * the routes with their destinations, the services and the limits for callers.
- * Does no I/O.
+ * the routes with their destinations, the services, the limits for callers, and
+ * the client accounts with their keys. Does no I/O.
  *
- * Usage: create; add routes and services; from then on only look up; destroy.
+ * Usage: create; add routes, services, accounts and keys; from then on only look
+ * up; destroy.
  */
 #ifndef MASTICMUX_ROUTING_H
 #define MASTICMUX_ROUTING_H
@@ -15,6 +16,9 @@
 #define MMX_PRIORITY_FIRST 0
 #define MMX_PRIORITY_MAX 255
 
+/** Longest key of an account, bytes. */
+#define MMX_ACCOUNT_KEY_MAX 256
+
 /** Destination of a route; its share is weight / sum of the weights. */
 typedef struct mmx_destination_t {
 	char service[MMX_NAME_MAX + 1];
@@ -32,6 +36,7 @@
 	mmx_time_t objective; /**< latency objective, microseconds; 0: none */
 	uint8_t attempts_max; /**< targets that one request may be sent to */
 	uint8_t priority;     /**< MMX_PRIORITY_FIRST is the most urgent */
+	bool is_public;	      /**< callers need no key of an account */
 	int64_t weight_total;
 	mmx_destination_t *destinations;
 	size_t destination_count; /**< at least 1 */
@@ -47,6 +52,15 @@
 	char health_path[MMX_HEALTH_CHECK_PATH_MAX + 1]; /**< empty: no check */
 } mmx_routing_service_t;
 
+/** Client account, as configured. */
+typedef struct mmx_routing_account_t {
+	char name[MMX_NAME_MAX + 1];
+	bool has_priority;
+	uint8_t priority; /**< replaces that of the route, if has_priority */
+	double rate;	  /**< requests a second of the fleet; 0: no limit */
+	double burst;	  /**< requests beyond the rate, 0 or more */
+} mmx_routing_account_t;
+
 /** Limits for callers; 0: the default. */
 typedef struct mmx_caller_limits_t {
 	uint32_t head_bytes;  /**< size of a request head */
@@ -82,8 +96,40 @@
 void mmx_routing_set_limits(mmx_routing_table_t *routing,
 			    const mmx_caller_limits_t *limits);
 
+/**
+ * Sets that callers need a key of an account, except on public routes. Without
+ * an account no key is valid then.
+ */
+void mmx_routing_set_requires_key(mmx_routing_table_t *routing);
+
+/**
+ * Adds an account without limit and keys, or returns the one of that name.
+ *
+ * @param name  1 to MMX_NAME_MAX bytes, asserted
+ * @return account to be filled in by the caller; valid until the table is
+ *         destroyed
+ */
+mmx_routing_account_t *mmx_routing_add_account(mmx_routing_table_t *routing,
+					       const char *name);
+
+/**
+ * Adds a key of an account. The table keeps no copy of it. A key that two
+ * accounts have identifies neither.
+ *
+ * @param account  of mmx_routing_add_account()
+ * @param length   of key, bytes, 1 to MMX_ACCOUNT_KEY_MAX, asserted
+ * @return false if another account has the key too
+ */
+bool mmx_routing_add_key(mmx_routing_table_t *routing,
+			 mmx_routing_account_t *account, const char *key,
+			 size_t length);
+
 uint64_t mmx_routing_version(const mmx_routing_table_t *routing);
 size_t mmx_routing_route_count(const mmx_routing_table_t *routing);
+size_t mmx_routing_account_count(const mmx_routing_table_t *routing);
+/** Number of keys of all accounts. */
+size_t mmx_routing_key_count(const mmx_routing_table_t *routing);
+bool mmx_routing_requires_key(const mmx_routing_table_t *routing);
 const mmx_caller_limits_t *
 mmx_routing_limits(const mmx_routing_table_t *routing);
 
@@ -91,6 +137,20 @@
 const mmx_routing_service_t *
 mmx_routing_service(const mmx_routing_table_t *routing, const char *name);
 
+/** Account by name; NULL if there is none. */
+const mmx_routing_account_t *
+mmx_routing_find_account(const mmx_routing_table_t *routing, const char *name);
+
+/**
+ * Account that a key identifies.
+ *
+ * @param length  of key, bytes
+ * @return NULL if no account or more than one has the key
+ */
+const mmx_routing_account_t *
+mmx_routing_find_key(const mmx_routing_table_t *routing, const char *key,
+		     size_t length);
+
 /**
  * Finds the route of a request: of the host's routes, the one with the longest
  * prefix of the path.
--- a/src/libmasticmux/config_tables.c
+++ b/src/libmasticmux/config_tables.c
@@ -172,31 +172,6 @@
 	entry->policy = *policy;
 }
 
-void mmx_config_state_put_account(mmx_config_state_t *state, const char *name,
-				  uint64_t revision,
-				  const mmx_change_account_t *account)
-{
-	mmx_config_state_account_t *entry =
-		mmx_config_state_find_account(state, name);
-	size_t size = strlen(name) + 1;
-
-	if (!entry) {
-		entry = g_malloc0(sizeof(*entry) + size);
-		memcpy(entry->text, name, size);
-		entry->key.name = entry->text;
-		g_hash_table_add(state->accounts, entry);
-	}
-	state->floor_total -= entry->floor_percent;
-	state->floor_total += account->floor_percent;
-	entry->revision = revision;
-	entry->deadline_us = (uint32_t)account->deadline;
-	entry->floor_percent = account->floor_percent;
-	entry->ceiling_percent = account->ceiling_percent;
-	entry->has_repeatable = account->has_repeatable;
-	entry->repeatable =
-		account->has_repeatable ? (uint8_t)account->repeatable : 0;
-}
-
 mmx_config_state_service_t *
 mmx_config_state_put_service(mmx_config_state_t *state, const char *name,
 			     uint64_t revision,
@@ -454,6 +429,7 @@
 		.objective = rule->objective,
 		.attempts_max = rule->attempts_max,
 		.priority = rule->priority,
+		.is_public = rule->is_public,
 	};
 	route->policy.deadline = rule->timeout;
 	route->policy.repeatable = rule->repeatable ? UINT32_MAX : 0;
@@ -503,25 +479,6 @@
 	return true;
 }
 
-bool mmx_config_state_get_account(const mmx_config_state_t *state,
-				  const char *name, mmx_account_t *account)
-{
-	const mmx_config_state_account_t *entry =
-		mmx_config_state_find_account(state, name);
-
-	if (!entry)
-		return false;
-	*account = (mmx_account_t){
-		.name = entry->key.name,
-		.floor_percent = entry->floor_percent,
-		.ceiling_percent = entry->ceiling_percent,
-		.deadline = entry->deadline_us,
-		.repeatable = entry->repeatable,
-		.has_repeatable = entry->has_repeatable,
-	};
-	return true;
-}
-
 bool mmx_config_state_get_service_policy(const mmx_config_state_t *state,
 					 const char *service,
 					 mmx_policy_t *policy)
@@ -557,15 +514,6 @@
 	return entry ? entry->revision : 0;
 }
 
-uint64_t mmx_config_state_account_revision(const mmx_config_state_t *state,
-					   const char *name)
-{
-	const mmx_config_state_account_t *entry =
-		mmx_config_state_find_account(state, name);
-
-	return entry ? entry->revision : 0;
-}
-
 void mmx_config_state_sizes(const mmx_config_state_t *state,
 			    mmx_config_state_sizes_t *sizes)
 {
--- a/src/libmasticmux/entry.c
+++ b/src/libmasticmux/entry.c
@@ -117,6 +117,8 @@
 	answer->reason = reason;
 	answer->head = mmx_head_create_response(status);
 	mmx_head_add(answer->head, "Content-Type", "text/plain");
+	if (status == 401)
+		mmx_head_add(answer->head, "WWW-Authenticate", "Bearer");
 	if (status == 503)
 		add_retry_after_(entry, answer->head, reason);
 	evbuffer_add_printf(answer->body, "%s: %s\n",
@@ -513,6 +515,10 @@
 	}
 	mmx_pipeline_add(&entry->pipeline,
 			 mmx_filter_route_create(entry->config_state));
+	mmx_pipeline_add(&entry->pipeline,
+			 mmx_filter_identity_create(entry->config_state,
+						    entry->header_names,
+						    entry->counters));
 	mmx_pipeline_add(&entry->pipeline,
 			 mmx_filter_account_create(entry->config_state));
 	mmx_pipeline_add(&entry->pipeline, entry->attempt_filter);
--- a/src/libmasticmux/filter_account.c
+++ b/src/libmasticmux/filter_account.c
@@ -1,5 +1,5 @@
-/* Filter account: finds the client account of the request and sets deadline and
- * repeatability. */
+/* Filter account: finds the client account of the request and sets deadline,
+ * repeatability and priority. */
 #include "private/entry.h"
 
 #include <glib.h>
@@ -49,6 +49,9 @@
 					 MMX_REASON_UNKNOWN_ACCOUNT);
 			return MMX_FILTER_DONE;
 		}
+		if (exchange->account_parameters.has_priority)
+			exchange->priority =
+				exchange->account_parameters.priority;
 	}
 	exchange->deadline = exchange->started + timeout_(exchange);
 	if (exchange->deadline > cap) {
--- a/src/libmasticmux/include/private/entry.h
+++ b/src/libmasticmux/include/private/entry.h
@@ -1,6 +1,6 @@
 /*
  * The entry: receives the requests of callers, passes each through the filters
- * (request, startup, route, account, attempt), and gives each exactly one
+ * (request, startup, route, identity, account, attempt), and gives each exactly one
  * answer with an outcome.
  *
  * The entry is a task without sockets. It receives REQUEST, BODY, WINDOW and
@@ -166,6 +166,11 @@
 void mmx_filter_startup_release(mmx_filter_t *filter);
 mmx_filter_t *
 mmx_filter_route_create(const mmx_config_state_t *const *config_state);
+/* counters: of refused keys; may be NULL. */
+mmx_filter_t *
+mmx_filter_identity_create(const mmx_config_state_t *const *config_state,
+			   const mmx_header_names_t *header_names,
+			   mmx_counters_t *counters);
 mmx_filter_t *
 mmx_filter_account_create(const mmx_config_state_t *const *config_state);
 mmx_filter_t *mmx_filter_attempt_create(mmx_entry_t *entry);
--- a/src/libmasticmux/include/private/exchange.h
+++ b/src/libmasticmux/include/private/exchange.h
@@ -64,6 +64,7 @@
 	uint64_t configuration_version; /* that routed the request */
 	char account[MMX_NAME_MAX + 1];
 	char idempotency_key[MMX_IDEMPOTENCY_KEY_MAX + 1]; /* empty: none */
+	bool is_public; /* the route needs no key of an account */
 	mmx_policy_t policy;
 	bool has_account;
 	mmx_account_t account_parameters; /* valid if has_account */
--- a/src/libmasticmux/include/private/header_names.h
+++ b/src/libmasticmux/include/private/header_names.h
@@ -16,6 +16,8 @@
 	const char *request_id;
 	/** Service of the instance where a request began; set by the entry. */
 	const char *caller_service;
+	/** Name of the client account; set by the entry, never by callers. */
+	const char *account;
 	/** Name of the intended target; any other target responds with 421. */
 	const char *target;
 	/** In the response to a health check: name of the target. */
--- a/src/libmasticmux/routing.c
+++ b/src/libmasticmux/routing.c
@@ -5,6 +5,8 @@
 #include <string.h>
 #include <xxhash.h>
 
+#include "private/account_keys.h"
+
 /*
  * Routes of one host. The longest matching prefix is found by one hash look-up
  * per prefix length that occurs. There are few lengths, however many routes
@@ -17,8 +19,11 @@
 
 struct mmx_routing_table_t {
 	uint64_t version;
-	GHashTable *hosts;    /* lower-case name -> host_routes_t */
-	GHashTable *services; /* name -> mmx_routing_service_t */
+	GHashTable *hosts;	  /* lower-case name -> host_routes_t */
+	GHashTable *services;	  /* name -> mmx_routing_service_t */
+	GHashTable *accounts;	  /* name -> mmx_routing_account_t */
+	mmx_account_keys_t *keys; /* of mmx_routing_account_t */
+	bool requires_key;
 	mmx_caller_limits_t limits;
 	size_t count;
 };
@@ -89,6 +94,9 @@
 					       free_host_routes_);
 	routing->services =
 		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
+	routing->accounts =
+		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
+	routing->keys = mmx_account_keys_create();
 	return routing;
 }
 
@@ -98,6 +106,8 @@
 		return;
 	g_hash_table_destroy(routing->hosts);
 	g_hash_table_destroy(routing->services);
+	g_hash_table_destroy(routing->accounts);
+	mmx_account_keys_destroy(routing->keys);
 	g_free(routing);
 }
 
@@ -151,6 +161,37 @@
 	routing->limits = *limits;
 }
 
+void mmx_routing_set_requires_key(mmx_routing_table_t *routing)
+{
+	routing->requires_key = true;
+}
+
+mmx_routing_account_t *mmx_routing_add_account(mmx_routing_table_t *routing,
+					       const char *name)
+{
+	mmx_routing_account_t *account =
+		g_hash_table_lookup(routing->accounts, name);
+
+	assert(name[0] && strlen(name) <= MMX_NAME_MAX);
+	if (account)
+		return account;
+	account = g_new0(mmx_routing_account_t, 1);
+	g_strlcpy(account->name, name, sizeof(account->name));
+	g_hash_table_insert(routing->accounts, account->name, account);
+	return account;
+}
+
+bool mmx_routing_add_key(mmx_routing_table_t *routing,
+			 mmx_routing_account_t *account, const char *key,
+			 size_t length)
+{
+	uint8_t digest[MMX_KEY_DIGEST_BYTES];
+
+	assert(length > 0 && length <= MMX_ACCOUNT_KEY_MAX);
+	mmx_account_keys_digest(routing->keys, key, length, digest);
+	return mmx_account_keys_add(routing->keys, digest, account);
+}
+
 uint64_t mmx_routing_version(const mmx_routing_table_t *routing)
 {
 	return routing->version;
@@ -161,6 +202,21 @@
 	return routing->count;
 }
 
+size_t mmx_routing_account_count(const mmx_routing_table_t *routing)
+{
+	return g_hash_table_size(routing->accounts);
+}
+
+size_t mmx_routing_key_count(const mmx_routing_table_t *routing)
+{
+	return mmx_account_keys_count(routing->keys);
+}
+
+bool mmx_routing_requires_key(const mmx_routing_table_t *routing)
+{
+	return routing->requires_key;
+}
+
 const mmx_caller_limits_t *
 mmx_routing_limits(const mmx_routing_table_t *routing)
 {
@@ -173,6 +229,19 @@
 	return g_hash_table_lookup(routing->services, name);
 }
 
+const mmx_routing_account_t *
+mmx_routing_find_account(const mmx_routing_table_t *routing, const char *name)
+{
+	return g_hash_table_lookup(routing->accounts, name);
+}
+
+const mmx_routing_account_t *
+mmx_routing_find_key(const mmx_routing_table_t *routing, const char *key,
+		     size_t length)
+{
+	return mmx_account_keys_find(routing->keys, key, length);
+}
+
 mmx_routing_rule_t *mmx_routing_find_route(mmx_routing_table_t *routing,
 					   const char *host, const char *path)
 {
--- a/src/test_libmasticmux/suites.c
+++ b/src/test_libmasticmux/suites.c
@@ -1,6 +1,7 @@
 #include "suites.h"
 
 CU_SuiteInfo mmx_test_suites[] = {
+	{"account_keys", NULL, NULL, NULL, NULL, mmx_tests_account_keys},
 	{"address", NULL, NULL, NULL, NULL, mmx_tests_address},
 	{"announce", NULL, NULL, NULL, NULL, mmx_tests_announce},
 	{"attempts", NULL, NULL, NULL, NULL, mmx_tests_attempts},
@@ -33,6 +34,7 @@
 	 mmx_tests_filter_attempt_overdue},
 	{"filter_attempt_send", NULL, NULL, NULL, NULL,
 	 mmx_tests_filter_attempt_send},
+	{"filter_identity", NULL, NULL, NULL, NULL, mmx_tests_filter_identity},
 	{"config state", NULL, NULL, NULL, NULL, mmx_tests_config_state},
 	{"gossip", NULL, NULL, NULL, NULL, mmx_tests_gossip},
 	{"gossip_codec", NULL, NULL, NULL, NULL, mmx_tests_gossip_codec},
--- a/src/test_libmasticmux/suites.h
+++ b/src/test_libmasticmux/suites.h
@@ -4,6 +4,7 @@
 
 #include <CUnit/CUnit.h>
 
+extern CU_TestInfo mmx_tests_account_keys[];
 extern CU_TestInfo mmx_tests_address[];
 extern CU_TestInfo mmx_tests_announce[];
 extern CU_TestInfo mmx_tests_attempts[];
@@ -33,6 +34,7 @@
 extern CU_TestInfo mmx_tests_filter_attempt_claim[];
 extern CU_TestInfo mmx_tests_filter_attempt_overdue[];
 extern CU_TestInfo mmx_tests_filter_attempt_send[];
+extern CU_TestInfo mmx_tests_filter_identity[];
 extern CU_TestInfo mmx_tests_config_state[];
 extern CU_TestInfo mmx_tests_gossip[];
 extern CU_TestInfo mmx_tests_gossip_codec[];
