--- a/scripts/bench-bounds.jq
+++ b/scripts/bench-bounds.jq
@@ -62,6 +62,13 @@
 	at_most("growth by a chunked upload"; .chunk_added_kib; "KiB";
 		body_growth_max);
 
+def keys:
+	def value($start): map(select(.name | startswith($start)))[0].value;
+	at_most("lookup of a key, median"; value("lookup: key, median");
+		"us"; lookup_max),
+	at_most("lookup of an unknown key, median";
+		value("lookup: unknown key, median"); "us"; lookup_max);
+
 def membership:
 	at_most("lookup of a target"; .full.lookup_us; "us"; lookup_max),
 	at_most("lookup of a service"; .full.service_lookup_us; "us";
@@ -91,6 +98,7 @@
 	elif .name == "bench_config" then .output | config
 	elif .name == "bench_detection" then .output | detection
 	elif .name == "bench_http" then .output | http
+	elif .name == "bench_keys" then .output | keys
 	elif .name == "bench_membership" then .output | membership
 	elif .name == "bench_peer" then .output | peer
 	elif .name == "path" or .name == "full_tables" then .output | path
