Publish keys, limits and priority of accounts, and public routes

Cause: only the platform's configuration could give accounts keys, priority and limits; change files of the project's own interface could not.

Change: accounts of change files have priority, rate, burst and key_digests, routes have public. Once an account in force has a key, keys are required and Masticmux-Account tells the target the account.

--- a/include/masticmux/change.h
+++ b/include/masticmux/change.h
@@ -10,13 +10,20 @@
  *
  * Format of a record: compact JSON with sorted keys, empty sections omitted:
  *
- *   {"account":{NAME:{"base":N,"ceiling_percent":N,"deadline_ms":N,
- *                     "floor_percent":N,"repeatable":[METHOD,...]}},
+ *   {"account":{NAME:{"base":N,"burst":X,"ceiling_percent":N,"deadline_ms":N,
+ *                     "floor_percent":N,"key_digests":[DIGEST,...],
+ *                     "priority":N,"rate":X,"repeatable":[METHOD,...]}},
  *    "change":{"id":TEXT,"publisher":NAME},
  *    "service":{NAME:{"base":N,"route":[{"host":TEXT,"path_prefix":TEXT,
- *                     ...overridden policy fields}],"template":NAME}},
+ *                     "public":BOOL,...overridden policy fields}],
+ *                     "template":NAME}},
  *    "template":{NAME:{"base":N,...all policy fields}}}
  *
+ * Where a route is not public, or an account has no deadline, methods,
+ * priority, rate, burst or keys, the record has no such key. A change that uses
+ * none of burst, key_digests, priority, public and rate gives a record that
+ * releases without them can read.
+ *
  * Usage: mmx_change_load() or mmx_change_from_json(), walk the lists,
  * mmx_change_destroy().
  */
@@ -58,6 +65,14 @@
 /** Default for an account that omits the key, percent. */
 #define MMX_ACCOUNT_CEILING_PERCENT 100
 
+/** Maximum number of keys of one account; normally two, while one is replaced.
+ */
+#define MMX_ACCOUNT_KEYS_MAX 8
+/** Bytes of the SHA-256 digest of a key. */
+#define MMX_CHANGE_DIGEST_BYTES 32
+/** Highest rate and burst of an account, requests a second and requests. */
+#define MMX_ACCOUNT_RATE_MAX 1e9
+
 /** Policy that services refer to by name. */
 typedef struct mmx_change_template_t {
 	STAILQ_ENTRY(mmx_change_template_t) entry;
@@ -71,6 +86,7 @@
 	STAILQ_ENTRY(mmx_change_route_t) entry;
 	char *host;	   /**< in lower case, without port */
 	char *path_prefix; /**< starts with '/'; default "/" */
+	bool is_public;	   /**< callers need no key of an account */
 	mmx_policy_override_t override;
 } mmx_change_route_t;
 
@@ -97,6 +113,12 @@
 	mmx_time_t deadline;	 /**< microseconds; 0: use the policy's */
 	uint32_t repeatable;	 /**< method mask, if has_repeatable */
 	bool has_repeatable;
+	bool has_priority;
+	uint8_t priority; /**< replaces that of the route, if has_priority */
+	double rate;	  /**< requests a second of the fleet; 0: no limit */
+	double burst;	  /**< requests beyond the rate, 0 or more */
+	size_t key_count;
+	uint8_t key_digests[MMX_ACCOUNT_KEYS_MAX][MMX_CHANGE_DIGEST_BYTES];
 } mmx_change_account_t;
 
 typedef STAILQ_HEAD(mmx_change_template_list_t,
--- a/include/masticmux/config_state.h
+++ b/include/masticmux/config_state.h
@@ -191,15 +191,21 @@
 bool mmx_config_state_get_account(const mmx_config_state_t *state,
 				  const char *name, mmx_account_t *account);
 
-/** True if callers need a key of an account, except on public routes. */
+/** Number of keys of all accounts. */
+size_t mmx_config_state_key_count(const mmx_config_state_t *state);
+
+/**
+ * True if callers need a key of an account, except on public routes: in a
+ * routing table that says so, and otherwise as soon as an account has a key.
+ */
 bool mmx_config_state_requires_key(const mmx_config_state_t *state);
 
 /**
  * Finds the account that a key identifies.
  *
  * @param length  of key, bytes
- * @return name of the account, valid until the next apply or replace; NULL if no
- *         account or more than one has the key
+ * @return name of the account, valid until the next apply or replace; NULL if
+ *         no account or more than one has the key
  */
 const char *mmx_config_state_find_key(const mmx_config_state_t *state,
 				      const char *key, size_t length);
--- a/include/masticmux/routing.h
+++ b/include/masticmux/routing.h
@@ -4,8 +4,8 @@
  * the routes with their destinations, the services, the limits for callers, and
  * the client accounts with their keys. Does no I/O.
  *
- * Usage: create; add routes, services, accounts and keys; from then on only look
- * up; destroy.
+ * Usage: create; add routes, services, accounts and keys; from then on only
+ * look up; destroy.
  */
 #ifndef MASTICMUX_ROUTING_H
 #define MASTICMUX_ROUTING_H
--- a/src/libmasticmux/change_read.c
+++ b/src/libmasticmux/change_read.c
@@ -19,6 +19,11 @@
 #define PATH_PREFIX_VALID                                              \
 	"1 to 255 printable ASCII characters that start with '/' and " \
 	"hold no blank, '?' or '#'"
+#define RATE_VALID "a number from 0 to 1000000000"
+#define DIGESTS_VALID                                          \
+	"an array of at most 8 strings, each \"sha256:\" and " \
+	"64 hexadecimal digits"
+#define DIGEST_PREFIX "sha256:"
 #define ROUTES_VALID "an array of at most 1024 tables, which may be empty"
 
 /* Longest label of a host name, bytes (RFC 1035). */
@@ -27,7 +32,8 @@
 /* State while a change is read. */
 typedef struct change_reader_t {
 	mmx_change_t *change;
-	GHashTable *routes; /* "HOST PREFIX" -> path and line, for messages */
+	GHashTable *routes;  /* "HOST PREFIX" -> path and line, for messages */
+	GHashTable *digests; /* of keys -> name of the account */
 } change_reader_t;
 
 static void read_methods_(mmx_schema_t *schema, const mmx_tree_node_t *node,
@@ -190,6 +196,12 @@
 	route->path_prefix = g_strdup(text);
 }
 
+static void read_public_(mmx_schema_t *schema, const mmx_tree_node_t *node,
+			 const mmx_schema_rule_t *rule, void *into)
+{
+	((mmx_change_route_t *)into)->is_public = mmx_tree_integer(node) != 0;
+}
+
 static const mmx_schema_rule_t route_rules_[] = {
 	POLICY_(MMX_PRESENCE_OPTIONAL, MMX_PRESENCE_OPTIONAL,
 		offsetof(mmx_change_route_t, override.values)),
@@ -197,6 +209,8 @@
 	 .valid = HOST_VALID},
 	{"path_prefix", MMX_TREE_STRING, MMX_PRESENCE_RECORD, read_path_prefix_,
 	 .valid = PATH_PREFIX_VALID},
+	{"public", MMX_TREE_BOOLEAN, MMX_PRESENCE_OPTIONAL, read_public_,
+	 .valid = "true or false"},
 };
 
 static void check_duplicate_route_(mmx_schema_t *schema,
@@ -283,8 +297,95 @@
 			      mmx_change_add_service(into, name));
 }
 
-/* Index of `repeatable` in account_rules_. */
+static void read_rate_(mmx_schema_t *schema, const mmx_tree_node_t *node,
+		       const mmx_schema_rule_t *rule, void *into)
+{
+	double value = mmx_tree_number(node);
+
+	if (value >= 0 && value <= MMX_ACCOUNT_RATE_MAX)
+		*(double *)((char *)into + rule->offset) = value;
+	else
+		mmx_schema_reject(schema, node, rule);
+}
+
+static bool parse_digest_(const mmx_tree_node_t *node,
+			  uint8_t digest[MMX_CHANGE_DIGEST_BYTES])
+{
+	size_t prefix = strlen(DIGEST_PREFIX);
+	const char *text;
+	size_t length;
+	size_t i;
+
+	if (mmx_tree_kind(node) != MMX_TREE_STRING)
+		return false;
+	text = mmx_tree_string(node, &length);
+	if (length != prefix + 2 * MMX_CHANGE_DIGEST_BYTES ||
+	    strncmp(text, DIGEST_PREFIX, prefix) != 0)
+		return false;
+	for (i = 0; i < MMX_CHANGE_DIGEST_BYTES; i++) {
+		int high = g_ascii_xdigit_value(text[prefix + 2 * i]);
+		int low = g_ascii_xdigit_value(text[prefix + 2 * i + 1]);
+
+		if (high < 0 || low < 0)
+			return false;
+		digest[i] = (uint8_t)(high << 4 | low);
+	}
+	return true;
+}
+
+/* Reports a value without it: where a digest is expected, a mistaken file may
+ * hold a key. */
+static void read_digest_(mmx_schema_t *schema, const mmx_tree_node_t *node,
+			 mmx_change_account_t *account)
+{
+	change_reader_t *reader = schema->user_data;
+	uint8_t *digest = account->key_digests[account->key_count];
+	const char *other;
+	char *text;
+
+	if (!parse_digest_(node, digest)) {
+		mmx_schema_report(schema, mmx_tree_place(node),
+				  "must be a string of \"" DIGEST_PREFIX
+				  "\" and 64 hexadecimal digits");
+		return;
+	}
+	text = g_ascii_strdown(mmx_tree_string(node, NULL), -1);
+	other = g_hash_table_lookup(reader->digests, text);
+	if (other) {
+		mmx_schema_report(schema, mmx_tree_place(node),
+				  "account '%s' has this key already", other);
+		g_free(text);
+		return;
+	}
+	g_hash_table_insert(reader->digests, text, account->name);
+	account->key_count++;
+}
+
+static void read_digests_(mmx_schema_t *schema, const mmx_tree_node_t *node,
+			  const mmx_schema_rule_t *rule, void *into)
+{
+	const mmx_tree_node_t *child = mmx_tree_first(node);
+	size_t outer = mmx_schema_push(schema, rule->key);
+	size_t index;
+
+	if (mmx_tree_count(node) > MMX_ACCOUNT_KEYS_MAX) {
+		mmx_schema_report(schema, mmx_tree_place(node),
+				  "must hold at most %d digests; found %zu",
+				  MMX_ACCOUNT_KEYS_MAX, mmx_tree_count(node));
+		child = NULL;
+	}
+	for (index = 0; child; index++, child = mmx_tree_next(child)) {
+		size_t length = mmx_schema_push_index(schema, index);
+
+		read_digest_(schema, child, into);
+		mmx_schema_pop(schema, length);
+	}
+	mmx_schema_pop(schema, outer);
+}
+
+/* Indices in account_rules_. */
 #define ACCOUNT_REPEATABLE 4
+#define ACCOUNT_PRIORITY 5
 
 static const mmx_schema_rule_t account_rules_[] = {
 	BASE_(mmx_change_account_t),
@@ -298,6 +399,14 @@
 		 MMX_DEADLINE_MAX / MMX_US_PER_MS, "milliseconds",
 		 MMX_US_PER_MS, 0, mmx_change_account_t, deadline),
 	METHODS_(MMX_PRESENCE_OPTIONAL, 0, mmx_change_account_t),
+	INTEGER_("priority", MMX_PRESENCE_OPTIONAL, 0, UINT8_MAX,
+		 "(0: the most urgent)", 1, 0, mmx_change_account_t, priority),
+	{"rate", MMX_TREE_FLOAT, MMX_PRESENCE_OPTIONAL, read_rate_,
+	 .valid = RATE_VALID, .offset = offsetof(mmx_change_account_t, rate)},
+	{"burst", MMX_TREE_FLOAT, MMX_PRESENCE_OPTIONAL, read_rate_,
+	 .valid = RATE_VALID, .offset = offsetof(mmx_change_account_t, burst)},
+	{"key_digests", MMX_TREE_ARRAY, MMX_PRESENCE_OPTIONAL, read_digests_,
+	 .valid = DIGESTS_VALID},
 };
 
 static void read_account_(mmx_schema_t *schema, const mmx_tree_node_t *table,
@@ -309,6 +418,7 @@
 				      G_N_ELEMENTS(account_rules_), account);
 
 	account->has_repeatable = present >> ACCOUNT_REPEATABLE & 1;
+	account->has_priority = present >> ACCOUNT_PRIORITY & 1;
 	if (account->floor_percent > account->ceiling_percent)
 		mmx_schema_report(schema, mmx_tree_place(table),
 				  "floor_percent %u is above ceiling_percent "
@@ -377,6 +487,8 @@
 
 	reader.routes =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	reader.digests =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	mmx_schema_init(&schema, file, findings, is_record, &reader);
 	mmx_schema_read_table(&schema, root, root_rules_,
 			      G_N_ELEMENTS(root_rules_), change);
@@ -393,6 +505,7 @@
 	}
 	mmx_schema_finish(&schema);
 	g_hash_table_destroy(reader.routes);
+	g_hash_table_destroy(reader.digests);
 	if (mmx_findings_count(findings)) {
 		mmx_change_destroy(change);
 		return NULL;
--- a/src/libmasticmux/change_write.c
+++ b/src/libmasticmux/change_write.c
@@ -104,6 +104,9 @@
 					    json_string(route->path_prefix));
 			write_policy_(item, &route->override.values,
 				      route->override.fields);
+			if (route->is_public)
+				json_object_set_new(item, "public",
+						    json_true());
 			json_array_append_new(routes, item);
 		}
 		json_object_set_new(object, "route", routes);
@@ -111,6 +114,40 @@
 	return section;
 }
 
+static json_t *write_digests_(const mmx_change_account_t *account)
+{
+	json_t *digests = json_array();
+	size_t i;
+	size_t j;
+
+	for (i = 0; i < account->key_count; i++) {
+		GString *text = g_string_new("sha256:");
+
+		for (j = 0; j < MMX_CHANGE_DIGEST_BYTES; j++)
+			g_string_append_printf(text, "%02x",
+					       account->key_digests[i][j]);
+		json_array_append_new(digests, json_string(text->str));
+		g_string_free(text, TRUE);
+	}
+	return digests;
+}
+
+/* Keys that earlier releases do not know are written only where they are used.
+ */
+static void write_identity_(json_t *object, const mmx_change_account_t *account)
+{
+	if (account->has_priority)
+		json_object_set_new(object, "priority",
+				    json_integer(account->priority));
+	if (account->rate > 0)
+		json_object_set_new(object, "rate", json_real(account->rate));
+	if (account->burst > 0)
+		json_object_set_new(object, "burst", json_real(account->burst));
+	if (account->key_count > 0)
+		json_object_set_new(object, "key_digests",
+				    write_digests_(account));
+}
+
 static json_t *write_accounts_(const mmx_change_t *change)
 {
 	const mmx_change_account_t *account;
@@ -130,6 +167,7 @@
 			json_object_set_new(
 				object, "repeatable",
 				write_methods_(account->repeatable));
+		write_identity_(object, account);
 	}
 	return section;
 }
--- a/src/libmasticmux/config_tables.c
+++ b/src/libmasticmux/config_tables.c
@@ -83,8 +83,8 @@
 		g_hash_table_new_full(hash_name_, equal_name_, g_free, NULL);
 	state->routes = g_hash_table_new_full(hash_route_, equal_route_,
 					      free_route_, NULL);
-	state->accounts =
-		g_hash_table_new_full(hash_name_, equal_name_, g_free, NULL);
+	state->accounts = g_hash_table_new_full(
+		hash_name_, equal_name_, mmx_config_state_free_account, NULL);
 	state->verdicts = g_new0(mmx_config_state_verdict_t,
 				 MMX_CONFIG_STATE_VERDICTS_MAX);
 	state->verdict_index = g_hash_table_new(hash_verdict_, equal_verdict_);
@@ -100,6 +100,7 @@
 	g_hash_table_destroy(state->services);
 	g_hash_table_destroy(state->templates);
 	g_hash_table_destroy(state->accounts);
+	mmx_account_keys_destroy(state->keys);
 	g_hash_table_destroy(state->verdict_index);
 	g_free(state->verdicts);
 	mmx_routing_destroy(state->routing);
@@ -268,6 +269,7 @@
 	if (change->override.fields)
 		route->override =
 			g_memdup2(&change->override, sizeof(change->override));
+	route->is_public = change->is_public;
 	host->prefix_depths |= depth_bit_(route->key.prefix, length);
 	assert(!g_hash_table_contains(state->routes, route));
 	g_hash_table_add(state->routes, route);
@@ -474,6 +476,7 @@
 		return false;
 	route->service = entry->service->key.name;
 	route->policy = entry->service->template_entry->policy;
+	route->is_public = entry->is_public;
 	if (entry->override)
 		mmx_policy_apply(&route->policy, entry->override);
 	return true;
--- a/src/libmasticmux/config_task.c
+++ b/src/libmasticmux/config_task.c
@@ -89,6 +89,8 @@
 	mmx_counter_t *is_current;
 	mmx_counter_t *is_loaded;
 	mmx_counter_t *is_reader;
+	mmx_counter_t *accounts;
+	mmx_counter_t *keys;
 	mmx_counter_t *records[MMX_VERDICT_COUNT];
 	mmx_counter_t *stats[G_N_ELEMENTS(stat_metrics_)];
 };
@@ -280,6 +282,7 @@
 	const char *stats = (const char *)mmx_config_stats(task->config);
 	const mmx_config_state_counts_t *counts =
 		mmx_config_state_counts(config_state);
+	mmx_config_state_sizes_t sizes;
 	size_t i;
 
 	mmx_timer_set(&task->report, REPORT_INTERVAL_US);
@@ -290,6 +293,10 @@
 	mmx_counter_set(task->is_loaded, task->was_loaded);
 	mmx_counter_set(task->is_reader,
 			mmx_config_reader_rank(task->config) >= 0);
+	mmx_config_state_sizes(config_state, &sizes);
+	mmx_counter_set(task->accounts, (int64_t)sizes.accounts);
+	mmx_counter_set(task->keys,
+			(int64_t)mmx_config_state_key_count(config_state));
 	for (i = 0; i < MMX_VERDICT_COUNT; i++)
 		mmx_counter_set(task->records[i], (int64_t)counts->records[i]);
 	for (i = 0; i < G_N_ELEMENTS(stat_metrics_); i++) {
@@ -318,6 +325,12 @@
 	task->is_reader = mmx_counters_get(
 		counters, MMX_GAUGE, "masticmux_configuration_reader", "",
 		"1 if the node reads the log for its region");
+	task->accounts =
+		mmx_counters_get(counters, MMX_GAUGE, "masticmux_accounts", "",
+				 "Client accounts in force.");
+	task->keys =
+		mmx_counters_get(counters, MMX_GAUGE, "masticmux_account_keys",
+				 "", "Keys of client accounts in force.");
 	for (i = 0; i < MMX_VERDICT_COUNT; i++) {
 		g_snprintf(labels, sizeof(labels), "verdict=\"%s\"",
 			   mmx_verdict_string[i]);
--- a/src/libmasticmux/filter_identity.c
+++ b/src/libmasticmux/filter_identity.c
@@ -14,6 +14,9 @@
 #define SCHEME "Bearer "
 #define SCHEME_LENGTH (sizeof(SCHEME) - 1)
 #define KEY_HEADER "Authorization"
+/* Names the account to targets where no other header does; without keys it is
+ * the one in which callers name their account. */
+#define ACCOUNT_HEADER "Masticmux-Account"
 
 /* Why a request has no valid key. */
 typedef enum key_fault_t {
@@ -96,12 +99,12 @@
 static void set_account_(const identity_filter_t *self,
 			 mmx_exchange_t *exchange, const char *account)
 {
-	const char *name = self->header_names->account;
+	const char *name = self->header_names->account
+				   ? self->header_names->account
+				   : ACCOUNT_HEADER;
 
 	g_strlcpy(exchange->account, account ? account : "",
 		  sizeof(exchange->account));
-	if (!name)
-		return;
 	mmx_head_remove(exchange->head, name);
 	if (account)
 		mmx_head_add(exchange->head, name, account);
--- a/src/libmasticmux/include/private/account_keys.h
+++ b/src/libmasticmux/include/private/account_keys.h
@@ -2,13 +2,13 @@
  * Account keys: table from the keys of client accounts to their owners.
  *
  * It holds no key, only a keyed digest of a part of the SHA-256 digest of each,
- * so that keys can be configured in plain text or as SHA-256 digests. The secret
- * of the keyed digest is generated when the process first creates a table and
- * never leaves it: whoever sees a table, in a core file for example, can
- * neither read keys from it nor compare it with the table of another process.
- * Because the secret also determines the position in the table, the time of a
- * look-up tells a caller nothing about the keys that exist; digests are compared
- * in constant time.
+ * so that keys can be configured in plain text or as SHA-256 digests. The
+ * secret of the keyed digest is generated when the first key is added or looked
+ * up, and never leaves the process: a table alone, without the secret, gives
+ * away no key and cannot be compared with that of another process. Because the
+ * secret also determines the position in the table, the time of a look-up tells
+ * a caller nothing about the keys that exist; digests are compared in constant
+ * time.
  *
  * Usage: create, add and remove keys, find, destroy.
  */
--- a/src/libmasticmux/include/private/config_tables.h
+++ b/src/libmasticmux/include/private/config_tables.h
@@ -11,6 +11,7 @@
 #include <glib.h>
 
 #include "masticmux/config_state.h"
+#include "private/account_keys.h"
 
 /** Bytes of the truncated SHA-256 digest that identifies a change. */
 #define MMX_CONFIG_STATE_ID_DIGEST_BYTES 16
@@ -50,6 +51,7 @@
 	mmx_config_state_route_key_t key;
 	mmx_config_state_service_t *service;
 	mmx_policy_override_t *override; /**< NULL if nothing is overridden */
+	bool is_public;
 	char text[];
 } mmx_config_state_route_t;
 
@@ -62,6 +64,16 @@
 	char text[];
 };
 
+/** Keys and limits of an account. */
+typedef struct mmx_config_state_identity_t {
+	double rate;
+	double burst;
+	bool has_priority;
+	uint8_t priority;
+	uint8_t key_count;
+	uint8_t digests[][MMX_KEY_DIGEST_BYTES]; /**< key_count of them */
+} mmx_config_state_identity_t;
+
 typedef struct mmx_config_state_account_t {
 	mmx_config_state_key_t key;
 	uint64_t revision;
@@ -70,6 +82,7 @@
 	uint8_t ceiling_percent;
 	uint8_t repeatable;
 	bool has_repeatable;
+	mmx_config_state_identity_t *identity; /**< NULL: no keys and limits */
 	char text[];
 } mmx_config_state_account_t;
 
@@ -91,7 +104,8 @@
 	GHashTable *hosts;
 	GHashTable *routes;
 	GHashTable *accounts;
-	uint32_t floor_total; /**< sum of floor_percent of all accounts */
+	mmx_account_keys_t *keys; /**< owned by accounts; NULL: none so far */
+	uint32_t floor_total;	  /**< sum of floor_percent of all accounts */
 	mmx_config_state_verdict_t
 		*verdicts; /**< ring buffer of MMX_CONFIG_STATE_VERDICTS_MAX */
 	size_t verdict_next; /**< index that the next verdict is stored at */
@@ -130,6 +144,10 @@
 				  uint64_t revision,
 				  const mmx_change_account_t *account);
 
+/** Frees an account. Its keys must have been removed, or the table of keys is
+ *  destroyed with it. */
+void mmx_config_state_free_account(gpointer account);
+
 /**
  * Creates a service or changes its template; doesn't change its routes.
  *
--- a/src/libmasticmux/include/private/entry.h
+++ b/src/libmasticmux/include/private/entry.h
@@ -1,7 +1,7 @@
 /*
  * The entry: receives the requests of callers, passes each through the filters
- * (request, startup, route, identity, account, attempt), and gives each exactly one
- * answer with an outcome.
+ * (request, startup, route, identity, account, attempt), and gives each exactly
+ * one answer with an outcome.
  *
  * The entry is a task without sockets. It receives REQUEST, BODY, WINDOW and
  * CALLER_GONE from http_entry, RESPONSE, BODY, WINDOW, FENCE_REPLY and EVIDENCE
--- a/src/libmasticmux/snapshot.c
+++ b/src/libmasticmux/snapshot.c
@@ -32,6 +32,9 @@
 	ITEM_ROUTE,
 	ITEM_ACCOUNT,
 	ITEM_VERDICT,
+	/* Not known to earlier releases; written only where they are needed. */
+	ITEM_PUBLIC_ROUTE,
+	ITEM_IDENTIFIED_ACCOUNT, /* with keys or limits */
 	ITEM_KIND_COUNT
 } item_kind_t;
 
@@ -89,6 +92,25 @@
 	return done;
 }
 
+static bool xdr_identity_(XDR *xdr, mmx_change_account_t *account)
+{
+	bool_t has_priority = account->has_priority;
+	uint32_t count = (uint32_t)account->key_count;
+	bool done = xdr_bool(xdr, &has_priority) &&
+		    xdr_uint8_t(xdr, &account->priority) &&
+		    xdr_double(xdr, &account->rate) &&
+		    xdr_double(xdr, &account->burst) &&
+		    xdr_uint32_t(xdr, &count) && count <= MMX_ACCOUNT_KEYS_MAX;
+	uint32_t i;
+
+	account->has_priority = has_priority;
+	account->key_count = count;
+	for (i = 0; done && i < count; i++)
+		done = xdr_opaque(xdr, (char *)account->key_digests[i],
+				  MMX_KEY_DIGEST_BYTES);
+	return done;
+}
+
 static bool xdr_verdict_(XDR *xdr, mmx_config_state_verdict_t *verdict)
 {
 	return xdr_opaque(xdr, (char *)verdict->id, sizeof(verdict->id)) &&
@@ -112,6 +134,7 @@
 		       xdr_text_(xdr, item->template_name,
 				 sizeof(item->template_name));
 	case ITEM_ROUTE:
+	case ITEM_PUBLIC_ROUTE:
 		return xdr_text_(xdr, item->host, sizeof(item->host)) &&
 		       xdr_text_(xdr, item->prefix, sizeof(item->prefix)) &&
 		       xdr_override_(xdr, &item->override);
@@ -119,6 +142,11 @@
 		return xdr_text_(xdr, item->name, sizeof(item->name)) &&
 		       xdr_uint64_t(xdr, &item->revision) &&
 		       xdr_account_(xdr, &item->account);
+	case ITEM_IDENTIFIED_ACCOUNT:
+		return xdr_text_(xdr, item->name, sizeof(item->name)) &&
+		       xdr_uint64_t(xdr, &item->revision) &&
+		       xdr_account_(xdr, &item->account) &&
+		       xdr_identity_(xdr, &item->account);
 	case ITEM_VERDICT:
 		return xdr_verdict_(xdr, &item->verdict);
 	default:
@@ -208,7 +236,8 @@
 
 	for (i = 0; i < service->route_count; i++) {
 		const mmx_config_state_route_t *route = service->routes[i];
-		item_t item = {.kind = ITEM_ROUTE};
+		item_t item = {.kind = route->is_public ? ITEM_PUBLIC_ROUTE
+							: ITEM_ROUTE};
 
 		g_strlcpy(item.host, route->key.host->key.name,
 			  sizeof(item.host));
@@ -238,6 +267,19 @@
 	g_ptr_array_free(entries, TRUE);
 }
 
+static void copy_identity_(const mmx_config_state_identity_t *identity,
+			   mmx_change_account_t *account)
+{
+	account->has_priority = identity->has_priority;
+	account->priority = identity->priority;
+	account->rate = identity->rate;
+	account->burst = identity->burst;
+	for (; account->key_count < identity->key_count; account->key_count++)
+		memcpy(account->key_digests[account->key_count],
+		       identity->digests[account->key_count],
+		       MMX_KEY_DIGEST_BYTES);
+}
+
 static void put_accounts_(writer_t *writer, const mmx_config_state_t *state)
 {
 	GPtrArray *entries = sorted_entries_(state->accounts);
@@ -254,6 +296,10 @@
 		item.account.deadline = entry->deadline_us;
 		item.account.has_repeatable = entry->has_repeatable;
 		item.account.repeatable = entry->repeatable;
+		if (entry->identity) {
+			item.kind = ITEM_IDENTIFIED_ACCOUNT;
+			copy_identity_(entry->identity, &item.account);
+		}
 		put_item_(writer, &item);
 	}
 	g_ptr_array_free(entries, TRUE);
@@ -530,15 +576,25 @@
 		return false;
 	route = mmx_change_add_route(loader->routes, item->host, item->prefix);
 	route->override = item->override;
+	route->is_public = item->kind == ITEM_PUBLIC_ROUTE;
 	loader->last = route;
 	return strcmp(route->host, item->host) == 0;
 }
 
+static bool is_valid_account_(const mmx_change_account_t *account)
+{
+	return account->deadline >= 0 &&
+	       account->deadline <= MMX_DEADLINE_MAX && account->rate >= 0 &&
+	       account->rate <= MMX_ACCOUNT_RATE_MAX && account->burst >= 0 &&
+	       account->burst <= MMX_ACCOUNT_RATE_MAX;
+}
+
 static bool load_item_(loader_t *loader, const item_t *item)
 {
 	mmx_config_state_t *state = loader->state;
 
-	if (item->kind != ITEM_ROUTE && item->kind != ITEM_SERVICE)
+	if (item->kind != ITEM_ROUTE && item->kind != ITEM_PUBLIC_ROUTE &&
+	    item->kind != ITEM_SERVICE)
 		flush_routes_(loader);
 	switch (item->kind) {
 	case ITEM_TEMPLATE:
@@ -548,10 +604,11 @@
 	case ITEM_SERVICE:
 		return load_service_(loader, item);
 	case ITEM_ROUTE:
+	case ITEM_PUBLIC_ROUTE:
 		return load_route_(loader, item);
 	case ITEM_ACCOUNT:
-		if (item->account.deadline < 0 ||
-		    item->account.deadline > MMX_DEADLINE_MAX)
+	case ITEM_IDENTIFIED_ACCOUNT:
+		if (!is_valid_account_(&item->account))
 			return false;
 		mmx_config_state_put_account(state, item->name, item->revision,
 					     &item->account);
--- a/src/test_libmasticmux/config_support.c
+++ b/src/test_libmasticmux/config_support.c
@@ -1,6 +1,7 @@
 #include "config_support.h"
 
 #include <glib.h>
+#include <openssl/evp.h>
 #include <string.h>
 
 static char *encode_(mmx_change_t *change, const char *id)
@@ -25,6 +26,25 @@
 	return encode_(change, id);
 }
 
+char *test_keys_record(const char *id, const char *name, uint64_t base,
+		       const char *const keys[])
+{
+	mmx_change_t *change = mmx_change_create();
+	mmx_change_account_t *account = mmx_change_add_account(change, name);
+
+	account->base = base;
+	account->has_priority = true;
+	account->priority = 2;
+	account->rate = 0.1;
+	account->burst = 24;
+	for (; keys[account->key_count]; account->key_count++)
+		EVP_Digest(keys[account->key_count],
+			   strlen(keys[account->key_count]),
+			   account->key_digests[account->key_count], NULL,
+			   EVP_sha256(), NULL);
+	return encode_(change, id);
+}
+
 char *test_accounts_record(const char *id, const char *name, int count)
 {
 	mmx_change_t *change = mmx_change_create();
@@ -59,10 +79,13 @@
 	g_strlcpy(service->template_name, template_name,
 		  sizeof(service->template_name));
 	for (i = 0; routes[i]; i++) {
-		const char *slash = strchr(routes[i], '/');
-		char *host = g_strndup(routes[i], (gsize)(slash - routes[i]));
+		bool is_public = routes[i][0] == '+';
+		const char *start = routes[i] + is_public;
+		const char *slash = strchr(start, '/');
+		char *host = g_strndup(start, (gsize)(slash - start));
 
-		mmx_change_add_route(service, host, slash);
+		mmx_change_add_route(service, host, slash)->is_public =
+			is_public;
 		g_free(host);
 	}
 	return encode_(change, id);
--- a/src/test_libmasticmux/config_support.h
+++ b/src/test_libmasticmux/config_support.h
@@ -9,6 +9,11 @@
 char *test_account_record(const char *id, const char *name, uint64_t base,
 			  uint8_t floor_percent);
 
+/* The same with keys, of which only the digests are in the record; `keys` is a
+ * NULL-terminated array. */
+char *test_keys_record(const char *id, const char *name, uint64_t base,
+		       const char *const keys[]);
+
 /* A change that creates the accounts NAME-0 to NAME-(count - 1). */
 char *test_accounts_record(const char *id, const char *name, int count);
 
@@ -16,7 +21,7 @@
 char *test_template_record(const char *id, const char *name, uint64_t base);
 
 /* A change of one service; `routes` is a NULL-terminated array of
- * "host/prefix". */
+ * "host/prefix"; a route that begins with '+' is public. */
 char *test_service_record(const char *id, const char *name, uint64_t base,
 			  const char *template_name,
 			  const char *const routes[]);
--- a/src/test_libmasticmux/test_change.c
+++ b/src/test_libmasticmux/test_change.c
@@ -53,6 +53,9 @@
 	return mmx_test_join_lines(valid_, LINES, line, replacement);
 }
 
+#define HEX_62 "00000000000000000000000000000000000000000000000000000000000000"
+#define DIGEST_VALID "must be a string of \"sha256:\" and 64 hexadecimal digits"
+
 typedef struct finding_case_t {
 	int line; /* line that is replaced */
 	const char *replacement;
@@ -187,6 +190,39 @@
 	{22, "ceiling_percent = 19",
 	 "19:1: account.front-desk: floor_percent 20 is above ceiling_percent "
 	 "19; it must be at most that"},
+	{22, "priority = 256",
+	 "22:12: account.front-desk.priority must be an integer from 0 to 255 "
+	 "(0: the most urgent); found 256"},
+	{22, "rate = -0.5",
+	 "22:8: account.front-desk.rate must be a number from 0 to 1000000000; "
+	 "found a float"},
+	{22, "burst = nan",
+	 "22:9: account.front-desk.burst must be a number from 0 to "
+	 "1000000000; found a float"},
+	{18, "public = 1",
+	 "18:10: service.cards.route[1].public must be true or false; found an "
+	 "integer"},
+	/* keys: a value that is no digest may be a key and is not shown */
+	{22, "key_digests = \"k-1\"",
+	 "22:15: account.front-desk.key_digests must be an array of at most 8 "
+	 "strings, each \"sha256:\" and 64 hexadecimal digits; found a "
+	 "string"},
+	{22, "key_digests = [\"k-1\"]",
+	 "22:16: account.front-desk.key_digests[0]: " DIGEST_VALID},
+	{22, "key_digests = [7]",
+	 "22:16: account.front-desk.key_digests[0]: " DIGEST_VALID},
+	{22, "key_digests = [\"sha256:" HEX_62 "0g\"]",
+	 "22:16: account.front-desk.key_digests[0]: " DIGEST_VALID},
+	{22, "key_digests = [\"sha256:" HEX_62 "000\"]",
+	 "22:16: account.front-desk.key_digests[0]: " DIGEST_VALID},
+	{22, "key_digests = [1, 2, 3, 4, 5, 6, 7, 8, 9]",
+	 "22:15: account.front-desk.key_digests: must hold at most 8 digests; "
+	 "found 9"},
+	{22,
+	 "key_digests = [\"sha256:" HEX_62 "0a\"]\n[account.x]\nbase = 0\n"
+	 "key_digests = [\"sha256:" HEX_62 "0A\"]",
+	 "25:16: account.x.key_digests[0]: account 'front-desk' has this key "
+	 "already"},
 };
 
 /* Guards against an invalid change that is accepted, and against findings that
--- a/src/test_libmasticmux/test_change_json.c
+++ b/src/test_libmasticmux/test_change_json.c
@@ -20,6 +20,12 @@
 	"\"ceiling_percent\":100,\"deadline_ms\":600000,\"floor_percent\":100,"
 	"\"repeatable\":[]},\"b\":{\"base\":1,\"ceiling_percent\":1,"
 	"\"floor_percent\":0,\"repeatable\":[\"GET\",\"PATCH\"]}}," CHANGE "}",
+	"{\"account\":{\"a\":{\"base\":0,\"burst\":24.0,"
+	"\"ceiling_percent\":100,\"floor_percent\":0,\"key_digests\":["
+	"\"sha256:000102030405060708090a0b0c0d0e0f"
+	"f0f1f2f3f4f5f6f7f8f9fafbfcfdfeff\"],"
+	"\"priority\":0,\"rate\":0.10000000000000001}}," CHANGE "}",
+	ROUTE("\"host\":\"a.example\",\"path_prefix\":\"/\",\"public\":true"),
 	"{" CHANGE ",\"service\":{\"s\":{\"base\":3,\"route\":[],"
 	"\"template\":\"t\"}}}",
 	ROUTE("\"deadline_ms\":1,\"detection_weight\":0,\"floor_percent\":0,"
--- a/src/test_libmasticmux/test_config_state.c
+++ b/src/test_libmasticmux/test_config_state.c
@@ -239,10 +239,60 @@
 	mmx_config_state_destroy(state);
 }
 
+/* Guards against keys that stay valid after a change has withdrawn them or that
+ * identify one of two accounts, and against keys that are asked for where no
+ * account has one. */
+static void test_keys_(void)
+{
+	/* owners: of k1, k2, k3; '-': none */
+	static const struct {
+		const char *account;
+		uint64_t base;
+		const char *keys[3];
+		const char *owners;
+		size_t count;
+	} steps[] = {
+		{"a", 0, {NULL}, "---", 0},
+		{"a", 1, {"k1", "k2", NULL}, "aa-", 2},
+		{"b", 0, {"k3", NULL}, "aab", 3},
+		{"a", 2, {"k2", NULL}, "-ab", 2},
+		{"b", 3, {"k2", "k3", NULL}, "--b", 3},
+		{"a", 4, {"k1", NULL}, "abb", 3},
+		{"b", 4, {"k1", NULL}, "abb", 3}, /* rejected: stale base */
+		{"b", 5, {NULL}, "a--", 1},
+		{"a", 6, {NULL}, "---", 0},
+	};
+	mmx_config_state_t *state = mmx_config_state_create();
+	char text[8];
+	size_t i;
+	int k;
+
+	for (i = 0; i < G_N_ELEMENTS(steps); i++) {
+		g_snprintf(text, sizeof(text), "id-%zu", i);
+		test_apply(state,
+			   test_keys_record(text, steps[i].account,
+					    steps[i].base, steps[i].keys));
+		for (k = 0; k < 3; k++) {
+			const char *owner;
+
+			g_snprintf(text, sizeof(text), "k%d", k + 1);
+			owner = mmx_config_state_find_key(state, text, 2);
+			CU_ASSERT_EQUAL(owner ? owner[0] : '-',
+					steps[i].owners[k]);
+		}
+		CU_ASSERT_EQUAL(mmx_config_state_key_count(state),
+				steps[i].count);
+		CU_ASSERT_EQUAL(mmx_config_state_requires_key(state),
+				steps[i].count > 0);
+	}
+	mmx_config_state_destroy(state);
+}
+
 CU_TestInfo mmx_tests_config_state[] = {
 	{"verdicts", test_verdicts_},
 	{"longest prefix", test_routes_},
 	{"removed route", test_removed_route_},
 	{"bounded verdicts", test_verdict_limit_},
+	{"keys of accounts", test_keys_},
 	CU_TEST_INFO_NULL,
 };
--- a/src/test_libmasticmux/test_filter_identity.c
+++ b/src/test_libmasticmux/test_filter_identity.c
@@ -4,6 +4,7 @@
 #include <glib.h>
 #include <string.h>
 
+#include "config_support.h"
 #include "fakes.h"
 #include "private/entry.h"
 
@@ -360,9 +361,46 @@
 	tear_down_(&fixture);
 }
 
+/* Guards against keys of published accounts that are not asked for, and against
+ * a caller that names another account to the target: with the project's own
+ * header names, Masticmux-Account is the header that tells it. */
+static void test_published_accounts_(void)
+{
+	static const char *const routes[] = {"s.test/", "+s.test/open", NULL};
+	static const char *const keys[] = {"k-1", NULL};
+	const char *name = "Masticmux-Account";
+	const recorder_t *recorder;
+	fixture_t fixture;
+
+	set_up_(&fixture, &mmx_header_names_default);
+	fixture.active_state = fixture.state;
+	test_apply(fixture.state, test_template_record("1", "web", 0));
+	test_apply(fixture.state,
+		   test_service_record("2", "s", 0, "web", routes));
+	test_apply(fixture.state, test_account_record("3", "iron", 0, 0));
+	recorder = send_(&fixture, "/", "Masticmux-Account: iron");
+	CU_ASSERT_STRING_EQUAL(recorder->account, "iron");
+	test_apply(fixture.state, test_keys_record("4", "gold", 0, keys));
+	recorder = send_(&fixture, "/", "Masticmux-Account: iron");
+	CU_ASSERT_EQUAL(recorder->status, 401);
+	recorder = send_(&fixture, "/open", "MASTICMUX-account: iron");
+	CU_ASSERT_PTR_NOT_NULL_FATAL(recorder->head);
+	CU_ASSERT_EQUAL(count_headers_(recorder->head, name), 0);
+	CU_ASSERT_STRING_EQUAL(recorder->account, "");
+	recorder = send_(&fixture, "/",
+			 "Masticmux-Account: iron\nAuthorization: Bearer k-1");
+	CU_ASSERT_PTR_NOT_NULL_FATAL(recorder->head);
+	CU_ASSERT_EQUAL(count_headers_(recorder->head, name), 1);
+	CU_ASSERT_STRING_EQUAL(mmx_head_find(recorder->head, name), "gold");
+	CU_ASSERT_STRING_EQUAL(recorder->account, "gold");
+	CU_ASSERT_EQUAL(recorder->priority, 2);
+	tear_down_(&fixture);
+}
+
 CU_TestInfo mmx_tests_filter_identity[] = {
 	{"keys and headers", test_keys_},
 	{"versions that withdraw and add keys", test_versions_},
 	{"no accounts", test_without_accounts_},
+	{"published accounts", test_published_accounts_},
 	CU_TEST_INFO_NULL,
 };
