Test that an unknown route goes before a missing key

Cause: the table of keys had no request without a route, so that a 401 in place of the 404 would not have been noticed.

Change: the private route of the test has a prefix, and two cases have none.

--- a/src/test_libmasticmux/test_filter_identity.c
+++ b/src/test_libmasticmux/test_filter_identity.c
@@ -79,14 +79,14 @@
 			    key, strlen(key));
 }
 
-/* Puts a version into force: routes / and /open/, the latter public. */
+/* Puts a version into force: routes /a/ and /open/, the latter public. */
 static void configure_(fixture_t *fixture, uint64_t version, bool requires_key,
 		       const account_key_t *keys)
 {
 	mmx_policy_t policy = {.deadline = MMX_US_PER_S};
 	mmx_routing_table_t *routing = mmx_routing_create(version);
 	mmx_routing_rule_t *rule =
-		mmx_routing_add_route(routing, "s.test", "/");
+		mmx_routing_add_route(routing, "s.test", "/a/");
 	mmx_routing_account_t *account;
 
 	rule->timeout = MMX_US_PER_S;
@@ -212,44 +212,42 @@
 	const char *fault; /* label of the counter; or NULL */
 } key_case_t;
 
+#define BEARER "Authorization: Bearer "
+
 static const key_case_t key_cases_[] = {
-	{"/", "Authorization: Bearer g-1", "gold", NULL},
-	{"/", "authorization: bearer g-2", "gold", NULL},
-	{"/", "AUTHORIZATION: Bearer  i-1", "iron", NULL},
-	{"/", "Authorization: Bearer " KEY_256, "long", NULL},
-	{"/", "", "401", "missing"},
-	{"/", "Authorization: Bearer x", "401", "unknown"},
-	{"/", "Authorization: Bearer g-", "401", "unknown"},
-	{"/", "Authorization: Bearer G-1", "401", "unknown"},
-	{"/", "Authorization: Bearer shared", "401", "unknown"},
-	{"/", "Authorization: Bearer ", "401", "malformed"},
-	{"/", "Authorization: ", "401", "malformed"},
-	{"/", "Authorization: g-1", "401", "malformed"},
-	{"/", "Authorization: Basic g-1", "401", "malformed"},
-	{"/", "Authorization: Bearer g-1 x", "401", "malformed"},
-	{"/", "Authorization: Bearer\tg-1", "401", "malformed"},
-	{"/", "Authorization: Bearer g-1, Bearer g-1", "401", "malformed"},
-	{"/", "Authorization: Bearer " KEY_256 "k", "401", "oversized"},
-	{"/", "Authorization: Bearer g-1\nAuthorization: Bearer g-1", "401",
-	 "duplicate"},
-	{"/", "Authorization: Bearer g-1\nauthorization: Bearer i-1", "401",
-	 "duplicate"},
-	{"/", "Masticmux-Account: gold", "401", "missing"},
-	{"/", "Masticmux-Account: gold\nAuthorization: Bearer i-1", "iron",
-	 NULL},
-	{"/", "Masticmux-Tenant: gold", "401", "missing"},
-	{"/",
-	 "Masticmux-Tenant: gold\nMASTICMUX-TENANT: one\n"
-	 "Authorization: Bearer i-1",
+	{"/a/", BEARER "g-1", "gold", NULL},
+	{"/a/", "authorization: bearer g-2", "gold", NULL},
+	{"/a/", "AUTHORIZATION: Bearer  i-1", "iron", NULL},
+	{"/a/", BEARER KEY_256, "long", NULL},
+	{"/a/", "", "401", "missing"},
+	{"/a/", BEARER "x", "401", "unknown"},
+	{"/a/", BEARER "g-", "401", "unknown"},
+	{"/a/", BEARER "G-1", "401", "unknown"},
+	{"/a/", BEARER "shared", "401", "unknown"},
+	{"/a/", BEARER, "401", "malformed"},
+	{"/a/", "Authorization: ", "401", "malformed"},
+	{"/a/", "Authorization: g-1", "401", "malformed"},
+	{"/a/", "Authorization: Basic g-1", "401", "malformed"},
+	{"/a/", BEARER "g-1 x", "401", "malformed"},
+	{"/a/", "Authorization: Bearer\tg-1", "401", "malformed"},
+	{"/a/", BEARER "g-1, Bearer g-1", "401", "malformed"},
+	{"/a/", BEARER KEY_256 "k", "401", "oversized"},
+	{"/a/", BEARER "g-1\n" BEARER "g-1", "401", "duplicate"},
+	{"/a/", BEARER "g-1\nauthorization: x", "401", "duplicate"},
+	{"/a/", "Masticmux-Account: gold", "401", "missing"},
+	{"/a/", "Masticmux-Account: gold\n" BEARER "i-1", "iron", NULL},
+	{"/a/", "Masticmux-Tenant: gold", "401", "missing"},
+	{"/a/", "Masticmux-Tenant: gold\nMASTICMUX-TENANT: one\n" BEARER "i-1",
 	 "iron", NULL},
 	{"/open/", "", "none", NULL},
-	{"/open/", "Authorization: Bearer i-1", "iron", NULL},
-	{"/open/", "Authorization: Bearer x", "none", NULL},
+	{"/open/", BEARER "i-1", "iron", NULL},
+	{"/open/", BEARER "x", "none", NULL},
 	{"/open/", "Authorization: Basic i-1", "none", NULL},
-	{"/open/", "masticmux-tenant: gold\nMasticmux-Account: gold", "none",
-	 NULL},
-	{"/open/", "Authorization: Bearer i-1\nAuthorization: Bearer i-1",
-	 "none", NULL},
+	{"/open/", "masticmux-tenant: gold", "none", NULL},
+	{"/open/", "Masticmux-Account: gold", "none", NULL},
+	{"/open/", BEARER "i-1\n" BEARER "i-1", "none", NULL},
+	{"/b/", "", "404", NULL},
+	{"/b/", BEARER "x", "404", NULL},
 };
 
 static void check_forwarded_(const recorder_t *recorder, const char *account)
@@ -283,8 +281,11 @@
 		check_forwarded_(recorder, result);
 		return;
 	}
-	CU_ASSERT_EQUAL(recorder->reason, MMX_REASON_INVALID_KEY);
-	CU_ASSERT_STRING_EQUAL(recorder->challenge, "Bearer");
+	CU_ASSERT_EQUAL(recorder->reason, c->fault
+						  ? MMX_REASON_INVALID_KEY
+						  : MMX_REASON_UNKNOWN_SERVICE);
+	CU_ASSERT_EQUAL(g_strcmp0(recorder->challenge, "Bearer") == 0,
+			c->fault != NULL);
 }
 
 /* Guards against requests that run without a valid key or as another account,
@@ -315,26 +316,28 @@
 	static const account_key_t second[] = {
 		{"gold", "g-2"}, {"iron", "i-1"}, {NULL, NULL}};
 	static const account_key_t none[] = {{NULL, NULL}};
-	const char *g_1 = "Authorization: Bearer g-1";
-	const char *g_2 = "Authorization: Bearer g-2";
-	const char *i_1 = "Authorization: Bearer i-1";
 	fixture_t fixture;
 	const recorder_t *recorder;
 
 	set_up_(&fixture, &names_);
-	CU_ASSERT_STRING_EQUAL(result_(send_(&fixture, "/", "")), "503");
+	CU_ASSERT_STRING_EQUAL(result_(send_(&fixture, "/a/", "")), "503");
 	configure_(&fixture, 1, true, first);
-	CU_ASSERT_STRING_EQUAL(result_(send_(&fixture, "/", g_1)), "gold");
-	CU_ASSERT_STRING_EQUAL(result_(send_(&fixture, "/", g_2)), "401");
+	CU_ASSERT_STRING_EQUAL(result_(send_(&fixture, "/a/", BEARER "g-1")),
+			       "gold");
+	CU_ASSERT_STRING_EQUAL(result_(send_(&fixture, "/a/", BEARER "g-2")),
+			       "401");
 	configure_(&fixture, 2, true, second);
-	CU_ASSERT_STRING_EQUAL(result_(send_(&fixture, "/", g_1)), "401");
-	CU_ASSERT_STRING_EQUAL(result_(send_(&fixture, "/", g_2)), "gold");
-	CU_ASSERT_STRING_EQUAL(result_(send_(&fixture, "/", i_1)), "iron");
+	CU_ASSERT_STRING_EQUAL(result_(send_(&fixture, "/a/", BEARER "g-1")),
+			       "401");
+	CU_ASSERT_STRING_EQUAL(result_(send_(&fixture, "/a/", BEARER "g-2")),
+			       "gold");
+	CU_ASSERT_STRING_EQUAL(result_(send_(&fixture, "/a/", BEARER "i-1")),
+			       "iron");
 	configure_(&fixture, 3, true, none);
-	CU_ASSERT_STRING_EQUAL(result_(send_(&fixture, "/", i_1)), "401");
+	CU_ASSERT_STRING_EQUAL(result_(send_(&fixture, "/a/", BEARER "i-1")),
+			       "401");
 	configure_(&fixture, 4, false, NULL);
-	recorder = send_(&fixture, "/",
-			 "Authorization: Bearer i-1\nMASTICMUX-tenant: iron");
+	recorder = send_(&fixture, "/a/", BEARER "i-1\nMASTICMUX-tenant: iron");
 	CU_ASSERT_STRING_EQUAL(result_(recorder), "none");
 	CU_ASSERT_STRING_EQUAL(mmx_head_find(recorder->head, "Authorization"),
 			       "Bearer i-1");
@@ -350,7 +353,7 @@
 
 	set_up_(&fixture, &mmx_header_names_default);
 	configure_(&fixture, 1, false, NULL);
-	recorder = send_(&fixture, "/",
+	recorder = send_(&fixture, "/a/",
 			 "Authorization: Basic x\nMasticmux-Tenant: t");
 	CU_ASSERT_PTR_NOT_NULL_FATAL(recorder->head);
 	CU_ASSERT_STRING_EQUAL(mmx_head_find(recorder->head, "Authorization"),
