Order the queue of a target by the use of limits

Cause: where slots are short, an account that floods a service up to its limit takes them from accounts that use little of theirs.

Change: the queue of an exit is ordered by priority, then by soft deadline plus objective times the use of the account's limit (module fair_queue, split from exit_target). Admission counts by the same order. A new attempt evicts at most one behind it, busy and not run: one that has no time left, or one from a full queue, the least urgent first, then the one that uses most of its limit. An evicted repeat keeps its charge as a grant.

--- a/scripts/bench-bounds.jq
+++ b/scripts/bench-bounds.jq
@@ -82,6 +82,13 @@
 	at_most("growth by a body, signed and not";
 		([.bodies[].peak_growth_kib] | max); "KiB"; body_growth_max);
 
+# docs/ACCOUNTS.md, section 1.3: the required share and the aim.
+def fair:
+	at_least("lowest share of an account, to the mean"; .lowest_to_mean;
+		""; 0.25),
+	at_least("the same to the mean of its priority";
+		.lowest_to_mean_of_priority; ""; 0.8);
+
 def path: .results[] | select(.met != null);
 
 def rows:
@@ -90,6 +97,7 @@
 	elif .name == "bench_balance" then .output | balance
 	elif .name == "bench_config" then .output | config
 	elif .name == "bench_detection" then .output | detection
+	elif .name == "bench_fair" then .output | fair
 	elif .name == "bench_http" then .output | http
 	elif .name == "bench_membership" then .output | membership
 	elif .name == "bench_peer" then .output | peer
--- a/src/libmasticmux/exit.c
+++ b/src/libmasticmux/exit.c
@@ -472,6 +472,20 @@
 	}
 }
 
+static void register_evictions_(mmx_exit_t *exit, mmx_counters_t *counters)
+{
+	char labels[32];
+	int cause;
+
+	for (cause = 0; cause < MMX_FAIR_QUEUE_CAUSE_COUNT; cause++) {
+		g_snprintf(labels, sizeof(labels), "cause=\"%s\"",
+			   mmx_fair_queue_cause_string[cause]);
+		exit->evicted[cause] = mmx_counters_get(
+			counters, MMX_COUNTER, "masticmux_exit_evictions_total",
+			labels, "Queued attempts refused in favour of others.");
+	}
+}
+
 bool mmx_exit_set_counters(mmx_exit_t *exit, mmx_counters_t *counters)
 {
 	if (exit->initialised)
@@ -498,6 +512,7 @@
 		counters, MMX_COUNTER, "masticmux_exit_expired_total", "",
 		"Queued attempts whose deadline passed before the start.");
 	register_replies_(exit, counters);
+	register_evictions_(exit, counters);
 	return true;
 }
 
--- a/src/libmasticmux/exit_attempt.c
+++ b/src/libmasticmux/exit_attempt.c
@@ -216,6 +216,7 @@
 		.max_wait = execute->max_wait,
 		.objective = execute->objective,
 		.priority = execute->priority,
+		.account_use = execute->account_use,
 		.repeatable = execute->repeatable,
 		.route = execute->route,
 	};
--- a/src/libmasticmux/exit_log.c
+++ b/src/libmasticmux/exit_log.c
@@ -70,6 +70,37 @@
 		      values.patience_ms, "priority", values.priority, NULL);
 }
 
+void mmx_exit_log_evicted(mmx_exit_t *exit, const mmx_attempt_t *evicted,
+			  const mmx_attempt_t *placed,
+			  mmx_fair_queue_cause_t cause)
+{
+	const mmx_execute_t *execute = evicted->execute;
+	const mmx_execute_t *by = placed->execute;
+	char waited_ms[24];
+	char queued[12];
+	char use[8];
+	char by_use[8];
+	char priority[4];
+	char by_priority[4];
+
+	if (!exit->log)
+		return;
+	mmx_log_format_ms(waited_ms, sizeof(waited_ms),
+			  mmx_clock_now(exit->clock) - evicted->arrived);
+	g_snprintf(queued, sizeof(queued), "%u", evicted->target->queued);
+	g_snprintf(use, sizeof(use), "%u", execute->account_use);
+	g_snprintf(by_use, sizeof(by_use), "%u", by->account_use);
+	g_snprintf(priority, sizeof(priority), "%u", execute->priority);
+	g_snprintf(by_priority, sizeof(by_priority), "%u", by->priority);
+	mmx_log_event(exit->log, MMX_LOG_INFO, "attempt_evicted", "target",
+		      evicted->target->record.name, "cause",
+		      mmx_fair_queue_cause_string[cause], "account",
+		      execute->account, "use_permille", use, "priority",
+		      priority, "by_account", by->account, "by_use_permille",
+		      by_use, "by_priority", by_priority, "queued", queued,
+		      "waited_ms", waited_ms, NULL);
+}
+
 void mmx_exit_log_overdue(mmx_exit_t *exit, const mmx_attempt_t *attempt,
 			  mmx_time_t age)
 {
--- a/src/libmasticmux/exit_queue.c
+++ b/src/libmasticmux/exit_queue.c
@@ -8,18 +8,34 @@
 #include <event2/buffer.h>
 #include <glib.h>
 
-void mmx_exit_refuse_queued(mmx_exit_t *exit, mmx_attempt_t *attempt,
-			    mmx_reason_t reason)
+/* grant: the attempt is a repeat whose charge another exit is to accept. */
+static void refuse_queued_(mmx_exit_t *exit, mmx_attempt_t *attempt,
+			   mmx_reason_t reason, bool grant)
 {
+	mmx_response_t *response;
+
 	mmx_exit_target_dequeue(attempt->target, attempt);
 	mmx_exit_log_refused(exit, attempt->execute, attempt->target, reason);
 	mmx_exit_trace_ended(attempt, mmx_reason_string[reason], true);
-	if (!attempt->abandoned)
-		mmx_exit_post_refusal(exit, &attempt->id, &attempt->origin,
-				      attempt->target, reason, false);
+	if (!attempt->abandoned) {
+		response = mmx_new_response(&attempt->id);
+		response->reason = reason;
+		response->body_end = true;
+		response->grant = grant;
+		mmx_counter_add(exit->refused, 1);
+		mmx_counter_add(exit->granted, grant);
+		mmx_exit_post_response(exit, response, attempt->target,
+				       &attempt->origin);
+	}
 	mmx_attempts_end(exit->attempts, attempt, MMX_ATTEMPT_REFUSED);
 }
 
+void mmx_exit_refuse_queued(mmx_exit_t *exit, mmx_attempt_t *attempt,
+			    mmx_reason_t reason)
+{
+	refuse_queued_(exit, attempt, reason, false);
+}
+
 /* Sets the request headers for the remaining time and the target's name. */
 static void set_call_headers_(mmx_exit_t *exit, mmx_attempt_t *attempt,
 			      mmx_call_t *call)
@@ -166,11 +182,51 @@
 	}
 }
 
+static void evict_(mmx_exit_t *exit, mmx_attempt_t *evicted,
+		   const mmx_attempt_t *placed, mmx_fair_queue_cause_t cause)
+{
+	mmx_exit_log_evicted(exit, evicted, placed, cause);
+	mmx_counter_add(exit->evicted[cause], 1);
+	/* A repeat was charged when it was admitted, here or at the exit that
+	 * granted it, and must not be charged again for the same run. */
+	refuse_queued_(exit, evicted, MMX_REASON_BUSY,
+		       evicted->execute->repeat && exit->observer &&
+			       exit->observer->retry_limit);
+}
+
+/*
+ * Evicts at most one attempt that starts after a newly placed one: one that can
+ * no longer start in time, which gives those behind it their places back, or
+ * else one from a queue that is too long. Its entry can use another target.
+ */
+static void make_room_(mmx_exit_t *exit, const mmx_attempt_t *placed)
+{
+	const mmx_exit_target_t *target = placed->target;
+	mmx_fair_queue_place_t place = mmx_fair_queue_place_of(placed);
+	mmx_time_t now = mmx_clock_now(exit->clock);
+	mmx_attempt_t *evicted;
+
+	if (mmx_exit_target_can_start(target, now) &&
+	    mmx_exit_target_next_queued(target, now) == placed)
+		return;
+	evicted = mmx_exit_target_displaced(target, placed, now);
+	if (evicted) {
+		evict_(exit, evicted, placed, MMX_FAIR_QUEUE_DISPLACED);
+		return;
+	}
+	if (target->queued <= MMX_EXIT_QUEUE_MAX)
+		return;
+	evicted = mmx_fair_queue_victim(&target->queue, &place);
+	if (evicted)
+		evict_(exit, evicted, placed, MMX_FAIR_QUEUE_FULL);
+}
+
 void mmx_exit_enqueue(mmx_exit_t *exit, mmx_attempt_t *attempt)
 {
 	mmx_exit_target_t *target = attempt->target;
 
 	mmx_exit_target_enqueue(target, attempt, mmx_clock_now(exit->clock));
+	make_room_(exit, attempt);
 	mmx_exit_start_queued(exit, target);
 	/* The attempt itself may have been refused and freed. */
 	TAILQ_FOREACH (attempt, &target->queue, queue_entry) {
--- a/src/libmasticmux/exit_target.c
+++ b/src/libmasticmux/exit_target.c
@@ -92,6 +92,15 @@
 				&request->share, target->record.slots, now);
 }
 
+/* Expected wait behind this many others, which that many slots serve. */
+static mmx_time_t expected_wait_(const mmx_exit_target_t *target,
+				 unsigned int ahead, unsigned int slots,
+				 mmx_time_t now)
+{
+	return MAX(target->mean_service_time * (ahead + 1) / slots,
+		   mmx_rate_limit_wait(&target->rate_limit, ahead, now));
+}
+
 /*
  * Returns whether a request may be queued behind this many others.
  *
@@ -106,9 +115,7 @@
 	mmx_time_t run_time =
 		mmx_exit_target_expected_run_time(target, request->route);
 	int headroom = request->route ? ROUTE_START_HEADROOM : START_HEADROOM;
-	mmx_time_t wait =
-		MAX(target->mean_service_time * (ahead + 1) / slots,
-		    mmx_rate_limit_wait(&target->rate_limit, ahead, now));
+	mmx_time_t wait = expected_wait_(target, ahead, slots, now);
 
 	return ahead < MMX_EXIT_QUEUE_MAX && wait <= max_wait &&
 	       wait <= remaining / QUEUE_TIME_DIVISOR &&
@@ -130,51 +137,34 @@
 	return MMX_REASON_NONE;
 }
 
-/*
- * Time by which a request should complete: from its latency objective, or its
- * deadline if it has none.
- */
-static mmx_time_t soft_deadline_(mmx_time_t objective, mmx_time_t remaining,
-				 mmx_time_t now)
+/* As may_queue_(), with the reason for which it may not. */
+static mmx_reason_t admit_to_queue_(const mmx_exit_target_t *target,
+				    const mmx_exit_request_t *request,
+				    const mmx_fair_queue_place_t *place,
+				    unsigned int ahead, mmx_time_t now)
 {
-	return now + (objective > 0 ? objective : remaining);
-}
-
-/*
- * Attempts of equal priority start in the order of their soft deadlines. A
- * short call that a running request waits for thus overtakes long requests, and
- * a long request that has waited overtakes newer short calls.
- */
-static bool starts_before_(const mmx_attempt_t *queued, uint8_t priority,
-			   mmx_time_t soft_deadline)
-{
-	if (queued->execute->priority != priority)
-		return queued->execute->priority < priority;
-	return queued->soft_deadline <= soft_deadline;
-}
-
-/* Number of queued attempts that would start before this request. */
-static unsigned int count_ahead_(const mmx_exit_target_t *target,
-				 const mmx_exit_request_t *request,
-				 mmx_time_t now)
-{
-	mmx_time_t soft_deadline =
-		soft_deadline_(request->objective, request->remaining, now);
-	const mmx_attempt_t *attempt;
-	unsigned int ahead = target->queued;
+	unsigned int slots = mmx_exit_target_slots(target, now);
 
-	TAILQ_FOREACH (attempt, &target->queue, queue_entry)
-		ahead -= !starts_before_(attempt, request->priority,
-					 soft_deadline);
-	return ahead;
+	if (!may_queue_(target, request, ahead, slots, request->max_wait, now))
+		return may_queue_(target, request, ahead, slots,
+				  request->remaining, now)
+			       ? MMX_REASON_BUSY
+			       : MMX_REASON_OVERLOADED;
+	if (target->queued >= MMX_EXIT_QUEUE_MAX &&
+	    mmx_fair_queue_is_refused(&target->queue, place))
+		return MMX_REASON_BUSY;
+	return MMX_REASON_NONE;
 }
 
 mmx_reason_t mmx_exit_target_admit(const mmx_exit_target_t *target,
 				   const mmx_exit_request_t *request,
 				   mmx_time_t now)
 {
-	unsigned int slots = mmx_exit_target_slots(target, now);
-	unsigned int ahead = count_ahead_(target, request, now);
+	mmx_fair_queue_place_t place = mmx_fair_queue_place(
+		request->priority, request->objective, request->remaining,
+		request->account_use, now);
+	unsigned int ahead =
+		target->queued - mmx_fair_queue_behind(&target->queue, &place);
 
 	if (target->stopped || target->record.state == MMX_TARGET_DRAINING ||
 	    target->record.state == MMX_TARGET_GONE)
@@ -186,18 +176,15 @@
 		return admit_over_ceiling_(target, request, now);
 	case MMX_LIMITS_UNDER_FLOOR:
 		ahead = target->queued_under_floor;
+		/* Its floor exempts it from leaving a full queue. */
+		place.use = 0;
 		break;
 	default:
 		break;
 	}
 	if (mmx_exit_target_can_start(target, now) && ahead == 0)
 		return MMX_REASON_NONE;
-	if (may_queue_(target, request, ahead, slots, request->max_wait, now))
-		return MMX_REASON_NONE;
-	return may_queue_(target, request, ahead, slots, request->remaining,
-			  now)
-		       ? MMX_REASON_BUSY
-		       : MMX_REASON_OVERLOADED;
+	return admit_to_queue_(target, request, &place, ahead, now);
 }
 
 static mmx_exit_request_t account_request_(const mmx_attempt_t *attempt)
@@ -240,21 +227,11 @@
 			     mmx_time_t now)
 {
 	mmx_exit_request_t request = account_request_(attempt);
-	mmx_attempt_t *behind;
 
 	attempt->under_floor =
 		mmx_exit_target_limits_class(target, &request, now) ==
 		MMX_LIMITS_UNDER_FLOOR;
-	attempt->soft_deadline = soft_deadline_(
-		attempt->execute->objective, attempt->execute->remaining, now);
-	TAILQ_FOREACH (behind, &target->queue, queue_entry)
-		if (!starts_before_(behind, attempt->execute->priority,
-				    attempt->soft_deadline))
-			break;
-	if (behind)
-		TAILQ_INSERT_BEFORE(behind, attempt, queue_entry);
-	else
-		TAILQ_INSERT_TAIL(&target->queue, attempt, queue_entry);
+	mmx_fair_queue_insert(&target->queue, attempt, now);
 	target->queued++;
 	target->queued_under_floor += attempt->under_floor;
 	target->queued_limited += has_limits_(attempt);
@@ -270,6 +247,39 @@
 	mmx_limits_unqueue(target->limits, attempt->execute->account);
 }
 
+/* Whether a queued attempt behind this many others can start in time. */
+static bool may_wait_(const mmx_exit_target_t *target,
+		      const mmx_attempt_t *attempt, unsigned int ahead,
+		      mmx_time_t now)
+{
+	mmx_time_t wait = expected_wait_(
+		target, ahead, mmx_exit_target_slots(target, now), now);
+	mmx_time_t run_time = mmx_exit_target_expected_run_time(
+		target, attempt->execute->route);
+
+	return now - attempt->arrived + wait <= attempt->execute->max_wait &&
+	       wait + run_time <= attempt->deadline - now;
+}
+
+mmx_attempt_t *mmx_exit_target_displaced(const mmx_exit_target_t *target,
+					 const mmx_attempt_t *placed,
+					 mmx_time_t now)
+{
+	mmx_attempt_t *attempt;
+	bool is_behind = false;
+	unsigned int ahead = 0;
+
+	TAILQ_FOREACH (attempt, &target->queue, queue_entry) {
+		if (is_behind && attempt->execute->account_use > 0 &&
+		    !attempt->under_floor &&
+		    !may_wait_(target, attempt, ahead, now))
+			return attempt;
+		is_behind = is_behind || attempt == placed;
+		ahead++;
+	}
+	return NULL;
+}
+
 bool mmx_exit_target_serves_queue(const mmx_exit_target_t *target,
 				  mmx_time_t now)
 {
--- a/src/libmasticmux/include/private/attempts.h
+++ b/src/libmasticmux/include/private/attempts.h
@@ -45,7 +45,7 @@
 	mmx_address_t address;
 	uint64_t process_start;
 	mmx_time_t arrived;
-	mmx_time_t soft_deadline; /* orders the queue of the target */
+	mmx_time_t queue_key; /* orders the queue of the target */
 	mmx_time_t started;
 	mmx_time_t deadline;
 	mmx_time_t expire_at;	  /* while ended */
--- a/src/libmasticmux/include/private/exit_internal.h
+++ b/src/libmasticmux/include/private/exit_internal.h
@@ -56,6 +56,7 @@
 	mmx_counter_t *replies[MMX_REPLY_KIND_COUNT][MMX_REPLY_ID_COUNT];
 	mmx_counter_t *fenced;
 	mmx_counter_t *expired;
+	mmx_counter_t *evicted[MMX_FAIR_QUEUE_CAUSE_COUNT];
 };
 
 mmx_exit_target_t *mmx_exit_find_target(const mmx_exit_t *exit,
@@ -183,6 +184,11 @@
 void mmx_exit_log_refused(mmx_exit_t *exit, const mmx_execute_t *execute,
 			  const mmx_exit_target_t *target, mmx_reason_t reason);
 
+/* Logs the eviction of a queued attempt in favour of another. */
+void mmx_exit_log_evicted(mmx_exit_t *exit, const mmx_attempt_t *evicted,
+			  const mmx_attempt_t *placed,
+			  mmx_fair_queue_cause_t cause);
+
 /* Logs a running attempt that has no response at this age, microseconds. */
 void mmx_exit_log_overdue(mmx_exit_t *exit, const mmx_attempt_t *attempt,
 			  mmx_time_t age);
--- a/src/libmasticmux/include/private/exit_target.h
+++ b/src/libmasticmux/include/private/exit_target.h
@@ -12,6 +12,7 @@
 #include "masticmux/latency.h"
 #include "masticmux/retry_window.h"
 #include "private/attempts.h"
+#include "private/fair_queue.h"
 #include "private/fault.h"
 #include "private/overdue.h"
 #include "private/rate_limit.h"
@@ -124,6 +125,8 @@
 	mmx_time_t max_wait;  /* longest wait in the queue */
 	mmx_time_t objective; /* latency objective; 0: none */
 	uint8_t priority;     /* see MMX_PRIORITY_FIRST */
+	/* Use of the account's limit, permille; 0: unknown or no limit. */
+	uint16_t account_use;
 	bool repeatable;
 	uint32_t route; /* 0: unknown */
 } mmx_exit_request_t;
@@ -139,7 +142,8 @@
  * accounts under their floor wait behind each other only.
  *
  * Returns MMX_REASON_NONE when the request may start or be queued, and
- * MMX_REASON_BUSY when only max_wait is too short for the queue.
+ * MMX_REASON_BUSY when only max_wait is too short for the queue, or when the
+ * queue is full and none in it is a better choice for leaving it.
  */
 mmx_reason_t mmx_exit_target_admit(const mmx_exit_target_t *target,
 				   const mmx_exit_request_t *request,
@@ -154,6 +158,16 @@
 			     mmx_time_t now);
 void mmx_exit_target_dequeue(mmx_exit_target_t *target, mmx_attempt_t *attempt);
 
+/*
+ * Returns the first queued attempt behind a newly placed one that can no longer
+ * meet its deadline or its longest wait; NULL when there is none. Only attempts
+ * whose account's use is known are considered: that use may have let others
+ * overtake them after they were admitted.
+ */
+mmx_attempt_t *mmx_exit_target_displaced(const mmx_exit_target_t *target,
+					 const mmx_attempt_t *placed,
+					 mmx_time_t now);
+
 /* Sets the limit of the target's part of the retry budget of its service. */
 void mmx_exit_target_set_retry_limit(mmx_exit_target_t *target,
 				     const mmx_retry_limit_t *limit);
--- a/src/test_libmasticmux/exit_script.c
+++ b/src/test_libmasticmux/exit_script.c
@@ -85,6 +85,9 @@
 	execute->repeatable = fake_flag(words, "get");
 	execute->remaining = fake_number(words, "ms", 1000) * MMX_US_PER_MS;
 	execute->max_wait = fake_number(words, "max-wait", 0) * MMX_US_PER_MS;
+	execute->objective = fake_number(words, "objective", 0) * MMX_US_PER_MS;
+	execute->priority = (uint8_t)fake_number(words, "priority", 0);
+	execute->account_use = (uint16_t)fake_number(words, "use", 0);
 	execute->head = mmx_head_create_request("POST", "/");
 	mmx_head_add(execute->head, "Id", REQUEST_ID);
 	execute->body_end = !fake_flag(words, "open");
--- a/src/test_libmasticmux/suites.c
+++ b/src/test_libmasticmux/suites.c
@@ -25,6 +25,7 @@
 	{"exit_replies", NULL, NULL, NULL, NULL, mmx_tests_exit_replies},
 	{"exit_target", NULL, NULL, NULL, NULL, mmx_tests_exit_target},
 	{"exporter", NULL, NULL, NULL, NULL, mmx_tests_exporter},
+	{"fair_queue", NULL, NULL, NULL, NULL, mmx_tests_fair_queue},
 	{"fault", NULL, NULL, NULL, NULL, mmx_tests_fault},
 	{"filter", NULL, NULL, NULL, NULL, mmx_tests_filter},
 	{"filter_attempt_claim", NULL, NULL, NULL, NULL,
--- a/src/test_libmasticmux/suites.h
+++ b/src/test_libmasticmux/suites.h
@@ -28,6 +28,7 @@
 extern CU_TestInfo mmx_tests_exit_replies[];
 extern CU_TestInfo mmx_tests_exit_target[];
 extern CU_TestInfo mmx_tests_exporter[];
+extern CU_TestInfo mmx_tests_fair_queue[];
 extern CU_TestInfo mmx_tests_fault[];
 extern CU_TestInfo mmx_tests_filter[];
 extern CU_TestInfo mmx_tests_filter_attempt_claim[];
--- /dev/null
+++ b/src/test_libmasticmux/test_fair_queue.c
@@ -0,0 +1,287 @@
+/* Tests of the order of a queue by the use of limits, and of evictions. */
+#include "suites.h"
+
+#include "exit_script.h"
+#include "masticmux/random.h"
+#include "private/exit_target.h"
+
+#define MS MMX_US_PER_MS
+#define ATTEMPTS 64
+/* Steps before each pattern: one slot, and a mean run time of 100 ms. */
+#define START "warm; execute n=1; wait ms=100; head end; execute ms=9000 n=2; "
+#define START_TRACE "call1 response1:200:end call2 "
+#define FLOOD " ms=9000 max-wait=250 objective=500 use=1000; "
+#define USUAL " ms=9000 max-wait=250 objective=500 use=100; "
+
+/*
+ * Failures: an account that uses its whole limit is served before others; an
+ * attempt that others have overtaken is kept until its time is over; a request
+ * is admitted behind more requests than it was judged by; attempts are evicted
+ * because of accounts without limits.
+ */
+static void test_patterns_(void)
+{
+	static const script_case_t cases[] = {
+		{"one account floods a service",
+		 START "execute n=11" FLOOD "execute n=12" FLOOD
+		       "execute n=3" USUAL "execute n=13" FLOOD "head n=2 end",
+		 START_TRACE "refused12:busy refused13:busy "
+			     "response2:200:end call3 "},
+		{"many small accounts beside two large ones",
+		 START "execute n=11" FLOOD "execute n=12" FLOOD
+		       "execute n=3" USUAL "execute n=4" USUAL
+		       "execute n=5" USUAL "head n=2 end; head n=3 end",
+		 START_TRACE "refused12:busy refused11:busy refused5:busy "
+			     "response2:200:end call3 response3:200:end "
+			     "call4 "},
+		{"two priorities",
+		 START "execute n=3 priority=1" USUAL "execute n=11" FLOOD
+		       "head n=2 end; head n=11 end",
+		 START_TRACE "response2:200:end call11 response11:200:end "
+			     "call3 "},
+		{"a burst of uploads beside reads",
+		 START "execute n=11 ms=9000 max-wait=9000 objective=2000 "
+		       "use=1000; execute n=3" USUAL "head n=2 end; "
+		       "wait ms=3600; execute n=4" USUAL
+		       "head n=3 end; head n=11 end",
+		 START_TRACE "response2:200:end call3 response3:200:end "
+			     "call11 response11:200:end call4 "},
+		{"all at their limit",
+		 START "execute n=11" FLOOD "execute n=12" FLOOD
+		       "execute n=13" FLOOD "head n=2 end; head n=11 end",
+		 START_TRACE "refused13:busy response2:200:end call11 "
+			     "response11:200:end call12 "},
+		{"the deadline instead of the longest wait",
+		 START "execute n=11 ms=620 max-wait=620 objective=500 "
+		       "use=1000; execute n=3 ms=9000 max-wait=9000 use=1; "
+		       "execute n=4 priority=0 objective=9 ms=9000 "
+		       "max-wait=9000; execute n=5 objective=9 ms=9000 "
+		       "max-wait=9000; execute n=6 objective=9 ms=9000 "
+		       "max-wait=9000; execute n=7 objective=9 ms=9000 "
+		       "max-wait=9000; execute n=8 objective=9 ms=9000 "
+		       "max-wait=9000",
+		 START_TRACE "refused11:busy "},
+		{"accounts without limits",
+		 START "execute n=11 ms=9000 max-wait=250 objective=3000; "
+		       "execute n=12 ms=9000 max-wait=250 objective=3000; "
+		       "execute n=3 ms=9000 max-wait=250 objective=100; "
+		       "head n=2 end; head n=3 end; head n=11 end",
+		 START_TRACE "response2:200:end call3 response3:200:end "
+			     "call11 response11:200:end call12 "},
+	};
+
+	exit_script_run(cases, G_N_ELEMENTS(cases), &exit_script_names);
+}
+
+/*
+ * Failures: a full queue evicts another attempt than the one whose account uses
+ * most of its limit, more than one, one of a more urgent priority, or one of an
+ * account without a limit.
+ */
+static void test_full_queue_(void)
+{
+	static const struct {
+		const char *name;
+		const char *fill; /* all queued attempts but one */
+		const char *one;  /* attempt 999 */
+		const char *new;  /* attempt 1000 */
+		const char *trace;
+	} cases[] = {
+		{"largest use", "use=500", "use=900", "use=100",
+		 "call1 refused999:busy "},
+		{"largest use is not the last", "use=500",
+		 "use=900 objective=300", "", "call1 refused999:busy "},
+		{"of equals the last", "use=500", "use=500", "use=100",
+		 "call1 refused999:busy "},
+		{"least urgent priority", "use=500", "use=100 priority=1",
+		 "use=50", "call1 refused999:busy "},
+		{"not that of a more urgent one", "priority=1 use=500",
+		 "use=900 objective=400", "priority=1 use=100",
+		 "call1 refused256:busy "},
+		{"largest use is that of the new request", "use=500", "use=500",
+		 "use=1000 objective=100", "call1 refused1000:busy "},
+		{"the new request would be the last", "use=500", "use=500",
+		 "use=1000", "call1 refused1000:overloaded "},
+		{"no limits", "", "", "objective=100", "call1 "},
+		{"only one has a limit", "", "use=10", "objective=100",
+		 "call1 refused999:busy "},
+	};
+	GString *script = g_string_new("");
+	script_case_t c;
+	size_t i;
+	int n;
+
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		g_string_assign(script, "warm; execute n=1");
+		for (n = 2; n <= MMX_EXIT_QUEUE_MAX; n++)
+			g_string_append_printf(script,
+					       "; execute n=%d %s "
+					       "objective=500",
+					       n, cases[i].fill);
+		g_string_append_printf(script,
+				       "; execute n=999 %s objective=500"
+				       "; execute n=1000 %s objective=500",
+				       cases[i].one, cases[i].new);
+		c = (script_case_t){cases[i].name, script->str, cases[i].trace};
+		exit_script_run(&c, 1, &exit_script_names);
+	}
+	g_string_free(script, TRUE);
+}
+
+typedef struct world_t {
+	mmx_exit_target_t *target;
+	mmx_attempt_t attempts[ATTEMPTS];
+	bool used[ATTEMPTS];
+	mmx_random_t random;
+} world_t;
+
+static void init_(world_t *world, uint64_t seed)
+{
+	*world = (world_t){.target = mmx_exit_target_create(1, 2, 3, "t", "s")};
+	world->target->record.slots = 1;
+	world->target->in_progress = 1;
+	world->target->record.state = MMX_TARGET_WARM;
+	world->target->mean_service_time = 10 * MS;
+	mmx_random_seed(&world->random, seed);
+}
+
+static void remove_(world_t *world, mmx_attempt_t *attempt)
+{
+	mmx_exit_target_dequeue(world->target, attempt);
+	mmx_message_destroy(&attempt->execute->message);
+	world->used[attempt - world->attempts] = false;
+}
+
+static void finish_(world_t *world)
+{
+	while (!TAILQ_EMPTY(&world->target->queue))
+		remove_(world, TAILQ_FIRST(&world->target->queue));
+	world->target->in_progress = 0;
+	mmx_exit_target_destroy(world->target);
+}
+
+/* Queues an attempt at random; NULL when all are in use. */
+static mmx_attempt_t *add_(world_t *world, uint8_t priorities, bool limited,
+			   mmx_time_t now)
+{
+	static const mmx_time_t objectives[] = {20 * MS, 0, 500 * MS};
+	size_t i = mmx_random_below(&world->random, ATTEMPTS);
+	mmx_attempt_t *attempt = &world->attempts[i];
+
+	if (world->used[i])
+		return NULL;
+	world->used[i] = true;
+	*attempt = (mmx_attempt_t){.share = {.ceiling_percent = 100},
+				   .arrived = now,
+				   .execute = mmx_new_execute()};
+	attempt->execute->priority =
+		(uint8_t)mmx_random_below(&world->random, priorities);
+	attempt->execute->objective =
+		objectives[mmx_random_below(&world->random, priorities)];
+	attempt->execute->remaining =
+		(mmx_time_t)mmx_random_below(&world->random, 2000) * MS;
+	if (limited)
+		attempt->execute->account_use =
+			mmx_random_below(&world->random, 2) ? 1000 : 1;
+	mmx_exit_target_enqueue(world->target, attempt, now);
+	return attempt;
+}
+
+/* The order before accounts had limits: priority, soft deadline, arrival. */
+static bool was_before_(const mmx_attempt_t *a, const mmx_attempt_t *b)
+{
+	const mmx_execute_t *x = a->execute;
+	const mmx_execute_t *y = b->execute;
+	mmx_time_t of_a =
+		a->arrived + (x->objective ? x->objective : x->remaining);
+	mmx_time_t of_b =
+		b->arrived + (y->objective ? y->objective : y->remaining);
+
+	if (x->priority != y->priority)
+		return x->priority < y->priority;
+	return of_a != of_b ? of_a < of_b : a->arrived < b->arrived;
+}
+
+/* Failure: the order, the admission or an eviction differs from before although
+ * the use of no limit is known. */
+static void test_without_use_(void)
+{
+	world_t world;
+	mmx_exit_request_t request = {.account = "",
+				      .share = {.ceiling_percent = 100},
+				      .remaining = MMX_TIME_NEVER / 4};
+	mmx_attempt_t *attempt;
+	mmx_attempt_t *next;
+	unsigned int ahead;
+	int step;
+
+	init_(&world, 7);
+	for (step = 1; step <= 20000; step++) {
+		attempt = add_(&world, 3, false, step * MS);
+		if (attempt) {
+			ahead = 0;
+			TAILQ_FOREACH (next, &world.target->queue, queue_entry)
+				ahead += was_before_(next, attempt);
+			CU_ASSERT_PTR_NULL(mmx_exit_target_displaced(
+				world.target, attempt, step * MS));
+			mmx_exit_target_dequeue(world.target, attempt);
+			request.priority = attempt->execute->priority;
+			request.objective = attempt->execute->objective;
+			request.remaining = attempt->execute->remaining + 1;
+			/* Just long enough, or not quite. */
+			request.max_wait = (ahead + 1) * 10 * MS - step % 2;
+			CU_ASSERT_EQUAL(mmx_exit_target_admit(
+						world.target, &request,
+						step * MS) == MMX_REASON_NONE,
+					step % 2 == 0 &&
+						(ahead + 5) * 10 * MS <=
+							request.remaining &&
+						(ahead + 1) * 20 * MS <=
+							request.remaining);
+			mmx_exit_target_enqueue(world.target, attempt,
+						step * MS);
+		}
+		attempt = TAILQ_FIRST(&world.target->queue);
+		if (!attempt || mmx_random_below(&world.random, 4) < 1)
+			continue;
+		TAILQ_FOREACH (next, &world.target->queue, queue_entry)
+			CU_ASSERT_FALSE(was_before_(next, attempt));
+		remove_(&world, attempt);
+	}
+	finish_(&world);
+}
+
+/*
+ * Failure: an account that uses its whole limit is starved: requests that
+ * arrive more than one objective later overtake its own.
+ */
+static void test_wait_is_bounded_(void)
+{
+	world_t world;
+	const mmx_attempt_t *next;
+	mmx_attempt_t *first;
+	mmx_time_t longest = 0;
+	int step;
+
+	init_(&world, 9);
+	for (step = 1; step <= 20000; step++) {
+		add_(&world, 1, true, step * MS);
+		first = TAILQ_FIRST(&world.target->queue);
+		if (!first || mmx_random_below(&world.random, 4) < 1)
+			continue;
+		TAILQ_FOREACH (next, &world.target->queue, queue_entry)
+			longest = MAX(longest, first->arrived - next->arrived);
+		remove_(&world, first);
+	}
+	/* The order takes effect, and no more than that. */
+	CU_ASSERT_TRUE(longest > 15 * MS && longest <= 20 * MS);
+	finish_(&world);
+}
+
+CU_TestInfo mmx_tests_fair_queue[] = {
+	{"load patterns", test_patterns_},
+	{"a full queue", test_full_queue_},
+	{"no use of a limit is known", test_without_use_},
+	{"the wait is bounded", test_wait_is_bounded_},
+	CU_TEST_INFO_NULL,
+};
