Keep requests with large bodies in their region

Cause: uploads and downloads of 60 to 90 KB made most of the bytes between regions, and second attempts of overdue downloads doubled the load of a full service.

Change: routes of the kinds upload and download are marked; their attempts stay in the region while it has a usable target, may wait there for a whole latency objective, and have no second attempt beside an overdue one.

--- a/include/masticmux/balance.h
+++ b/include/masticmux/balance.h
@@ -50,6 +50,9 @@
 	/** Prefer a queue in the entry's own region to a free slot in another
 	 * region, whose link costs more than a short wait. */
 	bool queue_in_region;
+	/** Exclude other regions as long as the entry's own one has a target that
+	 * may be used, even if all of them were tried. */
+	bool region_only;
 	/** Prefer a queue to a suspect target, whose exit would refuse the
 	 * request. If false, a free slot of a suspect target is preferred. */
 	bool queue_before_suspects;
--- a/include/masticmux/config_state.h
+++ b/include/masticmux/config_state.h
@@ -29,6 +29,7 @@
 	uint8_t attempts_max; /**< targets tried at most; 0: the default */
 	uint8_t priority;     /**< see MMX_PRIORITY_FIRST */
 	bool is_public;	      /**< callers need no key of an account */
+	bool large_bodies;    /**< of requests or of responses */
 } mmx_route_t;
 
 /** Parameters of a client account. */
--- a/include/masticmux/routing.h
+++ b/include/masticmux/routing.h
@@ -32,6 +32,7 @@
 	char *prefix; /**< of the path; compared byte by byte */
 	size_t prefix_length;
 	bool repeatable;      /**< requests may be executed more than once */
+	bool large_bodies;    /**< of requests or of responses */
 	mmx_time_t timeout;   /**< of a request, microseconds */
 	mmx_time_t objective; /**< latency objective, microseconds; 0: none */
 	uint8_t attempts_max; /**< targets that one request may be sent to */
--- a/src/libmasticmux/balance.c
+++ b/src/libmasticmux/balance.c
@@ -361,6 +361,18 @@
 			      random, now);
 }
 
+static bool has_usable_in_region_(const mmx_balance_t *balance)
+{
+	size_t end = balance->locality_start[MMX_LOCALITY_REMOTE];
+	size_t i;
+
+	for (i = 0; i < end; i++)
+		if (USE_BIT(balance->targets[i].use) &
+		    (USE_BIT(MMX_USE_NORMAL) | AVOID_USES))
+			return true;
+	return false;
+}
+
 bool mmx_balance_choose(const mmx_balance_t *balance,
 			const mmx_balance_request_t *request,
 			mmx_random_t *random, mmx_time_t now,
@@ -388,6 +400,10 @@
 		},
 	};
 	const step_t *preference = preferences[request->queue_before_suspects];
+	mmx_locality_t farthest =
+		request->region_only && has_usable_in_region_(balance)
+			? MMX_LOCALITY_REGION
+			: MMX_LOCALITY_REMOTE;
 	const target_t *target = NULL;
 	size_t i;
 
@@ -398,8 +414,8 @@
 		target = pick_in_region_(balance, request, random, now);
 	for (i = 0; !target && i < STEP_COUNT; i++)
 		target = pick_with_use_(balance, request, preference[i].uses,
-					preference[i].only_free,
-					MMX_LOCALITY_REMOTE, random, now);
+					preference[i].only_free, farthest,
+					random, now);
 	if (!target)
 		return false;
 	choice->target = target->id;
--- a/src/libmasticmux/config_tables.c
+++ b/src/libmasticmux/config_tables.c
@@ -432,6 +432,7 @@
 		.is_public = rule->is_public,
 	};
 	route->policy.deadline = rule->timeout;
+	route->large_bodies = rule->large_bodies;
 	route->policy.repeatable = rule->repeatable ? UINT32_MAX : 0;
 	return true;
 }
--- a/src/libmasticmux/filter_attempt.c
+++ b/src/libmasticmux/filter_attempt.c
@@ -244,7 +244,9 @@
 		.repeatable = exchange->repeatable,
 		.tried = exchange->tried,
 		.tried_count = exchange->attempts,
-		.queue_in_region = has_objective && same_region,
+		.queue_in_region = has_objective &&
+				   (same_region || exchange->large_bodies),
+		.region_only = has_objective && exchange->large_bodies,
 		/* Suspects have slots for repeatable requests only. */
 		.queue_before_suspects = has_objective && !exchange->repeatable,
 	};
--- a/src/libmasticmux/filter_attempt_overdue.c
+++ b/src/libmasticmux/filter_attempt_overdue.c
@@ -45,7 +45,10 @@
 	mmx_time_t delay;
 
 	exchange->sent_at = now;
-	if (!exchange->repeatable || exchange->objective == 0)
+	/* A second run of a request with large bodies takes much of a link, and
+	 * at a full service overdue requests are those that wait for one. */
+	if (!exchange->repeatable || exchange->objective == 0 ||
+	    exchange->large_bodies)
 		return;
 	delay = mmx_overdue_repeat_delay(route_distribution_(self, exchange),
 					 exchange->objective,
--- a/src/libmasticmux/filter_attempt_send.c
+++ b/src/libmasticmux/filter_attempt_send.c
@@ -18,6 +18,8 @@
  * queues of the others are no shorter, and the way back takes time as well.
  * With a longer wait most answers of an overloaded service would be late. */
 #define LAST_SAME_REGION_QUEUE_WAIT_PERCENT 38
+/* The same for routes with large bodies, which have no other region to go to. */
+#define LARGE_BODIES_QUEUE_WAIT_PERCENT 100
 /* Number of last attempts that may wait in the queue until the deadline. */
 #define UNLIMITED_WAIT_ATTEMPTS 2
 
@@ -34,11 +36,14 @@
 static mmx_time_t queue_wait_limit_(const mmx_exchange_t *exchange,
 				    mmx_time_t remaining)
 {
-	mmx_time_t limit = exchange->objective *
-			   (exchange->attempts == MMX_SAME_REGION_ATTEMPTS
-				    ? LAST_SAME_REGION_QUEUE_WAIT_PERCENT
-				    : QUEUE_WAIT_PERCENT) /
-			   100;
+	int percent = exchange->attempts == MMX_SAME_REGION_ATTEMPTS
+			      ? LAST_SAME_REGION_QUEUE_WAIT_PERCENT
+			      : QUEUE_WAIT_PERCENT;
+	mmx_time_t limit;
+
+	if (exchange->large_bodies)
+		percent = LARGE_BODIES_QUEUE_WAIT_PERCENT;
+	limit = exchange->objective * percent / 100;
 
 	if (exchange->objective == 0 ||
 	    exchange->attempts + UNLIMITED_WAIT_ATTEMPTS >
--- a/src/libmasticmux/filter_route.c
+++ b/src/libmasticmux/filter_route.c
@@ -35,6 +35,7 @@
 	exchange->timeout = route.timeout;
 	exchange->objective = route.objective;
 	exchange->priority = route.priority;
+	exchange->large_bodies = route.large_bodies;
 	exchange->is_public = route.is_public;
 	if (route.objective)
 		exchange->attempts_max = MMX_ATTEMPTS_MAX;
--- a/src/libmasticmux/include/private/exchange.h
+++ b/src/libmasticmux/include/private/exchange.h
@@ -71,6 +71,7 @@
 	/* Use of the account's limit in the whole fleet, permille; 0: unknown. */
 	uint16_t account_use;
 	bool repeatable;
+	bool large_bodies; /* of requests or of responses, as configured */
 	unsigned int offers_max; /* most targets that may receive it */
 	uint8_t priority;
 	/* Probability in percent that a target made the request while it ran a
--- a/src/test_libmasticmux/fakes.c
+++ b/src/test_libmasticmux/fakes.c
@@ -220,7 +220,7 @@
 }
 
 mmx_config_state_t *fake_routes(mmx_time_t objective, mmx_time_t timeout,
-				bool repeatable)
+				bool repeatable, bool large_bodies)
 {
 	mmx_policy_t policy = {.deadline = timeout, .retry_percent = 20};
 	mmx_routing_table_t *routing = mmx_routing_create(1);
@@ -231,6 +231,7 @@
 	rule->objective = objective;
 	rule->timeout = timeout;
 	rule->repeatable = repeatable;
+	rule->large_bodies = large_bodies;
 	rule->attempts_max = 4;
 	mmx_routing_add_destination(rule, "s", 1);
 	CU_ASSERT_TRUE(
--- a/src/test_libmasticmux/fakes.h
+++ b/src/test_libmasticmux/fakes.h
@@ -48,7 +48,7 @@
 /* A configuration with the route s.test/ to the service "s", which promises
  * this latency. */
 mmx_config_state_t *fake_routes(mmx_time_t objective, mmx_time_t timeout,
-				bool repeatable);
+				bool repeatable, bool large_bodies);
 
 /* Appends that many bytes. */
 void fake_add_bytes(struct evbuffer *to, long size);
--- a/src/test_libmasticmux/test_balance.c
+++ b/src/test_libmasticmux/test_balance.c
@@ -302,6 +302,60 @@
 		       (mmx_balance_request_t){.queue_in_region = true});
 }
 
+/*
+ * Load pattern: uploads and downloads, whose bodies take much of the link
+ * between regions. Guards against a request that leaves the region while it has
+ * a usable target, even a suspect one or one that was tried, and against a
+ * refusal where only other regions have usable targets.
+ */
+static void test_region_only_(void)
+{
+	static const struct {
+		const char *name;
+		target_spec_t targets[2];
+		mmx_target_id_t tried;	/* 0: none */
+		mmx_target_id_t chosen; /* 0: none */
+	} cases[] = {
+		{"full near, free far",
+		 {{REGION, NORMAL, 3, 0}, {REMOTE, NORMAL, 0, 0}},
+		 0,
+		 1},
+		{"suspect near, free far",
+		 {{ZONE, MMX_USE_AVOID, 0, 0}, {REMOTE, NORMAL, 0, 0}},
+		 0,
+		 1},
+		{"tried near, free far",
+		 {{ZONE, NORMAL, 0, 0}, {REMOTE, NORMAL, 0, 0}},
+		 1,
+		 0},
+		{"none near",
+		 {{ZONE, MMX_USE_NONE, 0, 0}, {REMOTE, NORMAL, 0, 0}},
+		 0,
+		 2},
+	};
+	mmx_balance_choice_t choice;
+	mmx_random_t random;
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		mmx_balance_t *balance = create_(cases[i].targets, 2);
+		mmx_balance_request_t request = {
+			.tried = &cases[i].tried,
+			.tried_count = cases[i].tried != 0,
+			.queue_in_region = true,
+			.region_only = true,
+		};
+
+		mmx_random_seed(&random, 9);
+		choice.target = 0;
+		CU_ASSERT_EQUAL(mmx_balance_choose(balance, &request, &random,
+						   0, &choice),
+				cases[i].chosen != 0);
+		CU_ASSERT_EQUAL(choice.target, cases[i].chosen);
+		mmx_balance_destroy(balance);
+	}
+}
+
 /*
  * Load pattern: some targets of a service take few requests a second.
  * Guards against requests that are sent to such a target because it looks idle,
@@ -486,6 +540,7 @@
 CU_TestInfo mmx_tests_balance[] = {
 	{"targets that a limit pauses", test_paused_},
 	{"a queue in the region before another region", test_queue_in_region_},
+	{"large bodies stay in the region", test_region_only_},
 	{"a full service with suspects", test_full_service_with_suspects_},
 	{"locality, use and load decide", test_choices_},
 	{"requests are spread over targets", test_spread_},
--- a/src/test_libmasticmux/test_filter_attempt_overdue.c
+++ b/src/test_libmasticmux/test_filter_attempt_overdue.c
@@ -84,13 +84,13 @@
 }
 
 static void run_cases_(const script_case_t *cases, size_t count,
-		       bool repeatable)
+		       bool repeatable, bool large_bodies)
 {
 	size_t i;
 
 	for (i = 0; i < count; i++) {
-		mmx_config_state_t *config_state =
-			fake_routes(OBJECTIVE_US, DEADLINE_US, repeatable);
+		mmx_config_state_t *config_state = fake_routes(
+			OBJECTIVE_US, DEADLINE_US, repeatable, large_bodies);
 		const mmx_config_state_t *active_state = config_state;
 		fixture_t fixture = {
 			.runtime = mmx_runtime_create(NULL),
@@ -168,7 +168,7 @@
 		 "answer1:unknown:deadline-exceeded:504:27:end in-progress:0 "},
 	};
 
-	run_cases_(cases, G_N_ELEMENTS(cases), true);
+	run_cases_(cases, G_N_ELEMENTS(cases), true, false);
 }
 
 /*
@@ -205,7 +205,7 @@
 		 "answer1:unknown:overloaded:504:20:end "},
 	};
 
-	run_cases_(cases, G_N_ELEMENTS(cases), true);
+	run_cases_(cases, G_N_ELEMENTS(cases), true, false);
 }
 
 /* Guards against a second run of a request that is not repeatable. */
@@ -217,12 +217,28 @@
 		 "execute1:0 answer1:completed:none:200:3:end "},
 	};
 
-	run_cases_(cases, G_N_ELEMENTS(cases), false);
+	run_cases_(cases, G_N_ELEMENTS(cases), false, false);
+}
+
+/*
+ * Load pattern: downloads at a full service, most of which wait for a slot for
+ * longer than usual. Guards against second attempts, which would double the
+ * load of the service and the bytes on its links.
+ */
+static void test_large_bodies_(void)
+{
+	static const script_case_t cases[] = {
+		{"late", "targets; request; wait ms=4890; response n=1",
+		 "execute1:0 answer1:completed:none:200:3:end "},
+	};
+
+	run_cases_(cases, G_N_ELEMENTS(cases), true, true);
 }
 
 CU_TestInfo mmx_tests_filter_attempt_overdue[] = {
 	{"second attempts of overdue requests", test_second_attempt_},
 	{"refused second attempts", test_refused_second_attempt_},
 	{"no second attempt if not repeatable", test_not_repeatable_},
+	{"no second attempt with large bodies", test_large_bodies_},
 	CU_TEST_INFO_NULL,
 };
--- a/src/test_libmasticmux/test_filter_attempt_send.c
+++ b/src/test_libmasticmux/test_filter_attempt_send.c
@@ -73,13 +73,13 @@
 static const mmx_view_members_ops_t members_ = {.locality = locality_};
 
 /* Sends one request to full targets at this distance. */
-static void send_to_full_targets_(mmx_locality_t locality, full_exits_t *exits,
-				  answers_t *answers)
+static void send_to_full_targets_(mmx_locality_t locality, bool large_bodies,
+				  full_exits_t *exits, answers_t *answers)
 {
 	mmx_runtime_t *runtime = mmx_runtime_create(NULL);
 	mmx_clock_t *clock = mmx_runtime_clock(runtime);
 	mmx_config_state_t *config_state =
-		fake_routes(OBJECTIVE_US, DEADLINE_US, false);
+		fake_routes(OBJECTIVE_US, DEADLINE_US, false, large_bodies);
 	const mmx_config_state_t *active_state = config_state;
 	mmx_directory_t *directory = mmx_directory_create(clock);
 	mmx_entry_t *entry = mmx_entry_create(runtime, NODE, 1, 1);
@@ -126,7 +126,7 @@
 	answers_t answers;
 	size_t i;
 
-	send_to_full_targets_(MMX_LOCALITY_ZONE, &exits, &answers);
+	send_to_full_targets_(MMX_LOCALITY_ZONE, false, &exits, &answers);
 	CU_ASSERT_EQUAL(exits.count, MMX_ATTEMPTS_MAX);
 	for (i = 0; i < exits.count; i++)
 		CU_ASSERT_EQUAL(exits.max_wait[i],
@@ -158,15 +158,39 @@
 		full_exits_t exits;
 		answers_t answers;
 
-		send_to_full_targets_(cases[i].locality, &exits, &answers);
+		send_to_full_targets_(cases[i].locality, false, &exits,
+				      &answers);
 		CU_ASSERT_EQUAL(exits.count, MMX_ATTEMPTS_MAX);
 		CU_ASSERT_EQUAL(exits.summaries, cases[i].summaries);
 	}
 }
 
+/*
+ * Load pattern: uploads or downloads while all targets of the region are full.
+ * Guards against a refusal after a short wait, where no other region is tried,
+ * and against a refusal where only another region has targets.
+ */
+static void test_large_bodies_(void)
+{
+	static const mmx_locality_t cases[] = {MMX_LOCALITY_REGION,
+					       MMX_LOCALITY_REMOTE};
+	full_exits_t exits;
+	answers_t answers;
+	size_t i;
+	size_t n;
+
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		send_to_full_targets_(cases[i], true, &exits, &answers);
+		CU_ASSERT_EQUAL(exits.count, MMX_ATTEMPTS_MAX);
+		for (n = 0; n < exits.count; n++)
+			CU_ASSERT_TRUE(exits.max_wait[n] >= OBJECTIVE_US);
+	}
+}
+
 CU_TestInfo mmx_tests_filter_attempt_send[] = {
 	{"all targets are full", test_all_targets_full_},
 	{"the distribution stays in its region",
 	 test_distribution_stays_in_its_region_},
+	{"large bodies", test_large_bodies_},
 	CU_TEST_INFO_NULL,
 };
