Add the quota module: fleet-wide rate limits by leased tokens

A limit of an account has to hold over all nodes together, with no coordinator and whatever fails; so far there are limits at one target only.

The owner of an account (rendezvous hash) keeps a token bucket; entries take tokens from it, fail over to a standby, and use a small share when isolated. Owners and standbys probe other nodes, so that both sides of a partition together stay near the limit.

--- a/src/libmasticmux/include/private/quota.h
+++ b/src/libmasticmux/include/private/quota.h
@@ -186,6 +186,13 @@
 /** Reads the list of nodes again; to be called after each change of it. */
 void mmx_quota_on_nodes_changed(mmx_quota_t *quota);
 
+/**
+ * Makes this node leave its buckets to the next nodes of the order, as it has
+ * to while it stops and refuses token requests. Its own requests ask the other
+ * nodes.
+ */
+void mmx_quota_set_draining(mmx_quota_t *quota, bool draining);
+
 /** Reads the limits again; to be called after each new version of the
  * configuration. Accounts that have no limit any more are dropped; their
  * pending requests are granted. */
--- /dev/null
+++ b/src/libmasticmux/include/private/quota_internal.h
@@ -0,0 +1,273 @@
+/* Shared by quota_accounts.c (state of accounts), quota.c (requests and token
+ * requests of this node), quota_owner.c (buckets of owners, relayed token
+ * requests), quota_order.c (order of the nodes) and quota_peers.c (calls,
+ * failed nodes, reachability). */
+#ifndef MASTICMUX_PRIVATE_QUOTA_INTERNAL_H
+#define MASTICMUX_PRIVATE_QUOTA_INTERNAL_H
+
+#include <sys/queue.h>
+
+#include "masticmux/random.h"
+#include "private/quota.h"
+#include "private/quota_bucket.h"
+#include "private/quota_codec.h"
+
+/* Period of all work that is not caused by a message. */
+#define MMX_QUOTA_TICK_US (100 * MMX_US_PER_MS)
+/* A tick that is later than this means that the process did not run. */
+#define MMX_QUOTA_GAP_US (400 * MMX_US_PER_MS)
+/* Time-out of a relayed token request. With a round trip of 60 ms the reply
+ * is at the requester before its own time-out. */
+#define MMX_QUOTA_RELAY_TIMEOUT_US (150 * MMX_US_PER_MS)
+/* Bounds of the back-off of a failed node. */
+#define MMX_QUOTA_BACKOFF_MIN_US (2 * MMX_US_PER_S)
+#define MMX_QUOTA_BACKOFF_MAX_US (8 * MMX_US_PER_S)
+/* An isolated node tries the owner again after this time. */
+#define MMX_QUOTA_ISOLATED_RETRY_US (1 * MMX_US_PER_S)
+/* A new first owner leaves the bucket to its predecessor for this time: a
+ * change of the roster is known everywhere within 2.5 s. */
+#define MMX_QUOTA_HANDOVER_US (3 * MMX_US_PER_S)
+/* Probes of reachability: nodes in a round, time between rounds, and rounds
+ * that count (3.2 s). */
+#define MMX_QUOTA_PROBE_NODES 8
+#define MMX_QUOTA_PROBE_US (400 * MMX_US_PER_MS)
+#define MMX_QUOTA_PROBE_ROUNDS 8
+/* An owner that answered a node within this time is in office. */
+#define MMX_QUOTA_HEARD_US (1 * MMX_US_PER_S)
+/* Nodes of the order that are known: the first two are asked, the others are
+ * witnesses that know whether the first is in office. */
+#define MMX_QUOTA_OWNERS 4
+
+typedef struct mmx_quota_account_t mmx_quota_account_t;
+
+typedef struct mmx_quota_waiting_t {
+	void *request;
+	mmx_time_t since;
+} mmx_quota_waiting_t;
+
+struct mmx_quota_account_t {
+	TAILQ_ENTRY(mmx_quota_account_t) dirty_entry;
+	mmx_quota_t *quota;
+	char name[MMX_NAME_MAX + 1];
+	mmx_quota_limit_t limit;
+	mmx_time_t touched_at;
+	size_t calls; /* that refer to the account */
+
+	/* Order of the nodes, of the roster with this generation. */
+	uint64_t generation;
+	mmx_node_id_t owners[MMX_QUOTA_OWNERS]; /* 0: none */
+	size_t rank;				/* of this node, from 0 */
+	bool was_first; /* this node was first in the previous roster too */
+
+	/* As requester. */
+	GQueue waiting; /* of mmx_quota_waiting_t */
+	mmx_timer_t wait_timer;
+	bool asking; /* a token request is on its way */
+	bool dirty;  /* in the list of accounts to send for */
+	bool lost;   /* the first owner has failed */
+	bool isolated;
+	unsigned int held;    /* prefetched tokens */
+	mmx_node_id_t issuer; /* of the prefetched tokens */
+	mmx_time_t held_until;
+	unsigned int given_back; /* tokens to return */
+	mmx_time_t given_back_at;
+	mmx_time_t refused_until; /* requests are refused until then */
+	mmx_time_t retry_at;	  /* a token is expected then */
+	mmx_time_t retry_after;	  /* of the last refusal */
+	unsigned int use;
+	mmx_time_t answered_at; /* -1: never */
+	unsigned int taken[2];	/* in this quarter of a second and before */
+	int64_t taken_slot;
+	mmx_time_t taken_at;
+	mmx_quota_bucket_t local; /* for times of isolation */
+	mmx_time_t local_at;	  /* last use of it; -1: never */
+
+	/* As owner. */
+	bool serving;
+	mmx_quota_bucket_t bucket;
+	mmx_time_t served_at;
+	mmx_time_t takeover_at;	 /* start of the present term as standby */
+	mmx_time_t endowed_at;	 /* last start of the bucket with tokens */
+	bool confirmed;		 /* a round of probes has ended in this term */
+	mmx_time_t heard_at;	 /* another node heard from the first owner */
+	mmx_time_t delegated_at; /* the first owner left the bucket to us */
+};
+
+typedef struct mmx_quota_peer_t {
+	mmx_node_id_t node;
+	bool failed;
+	mmx_time_t failed_at;
+	mmx_time_t backoff;
+	mmx_time_t retry_at;  /* a failed node is tried again */
+	uint64_t trial;	      /* the call that tries it; 0: none */
+	mmx_time_t heard_at;  /* its last reply */
+	mmx_time_t active_at; /* its last probe as an owner */
+} mmx_quota_peer_t;
+
+typedef enum mmx_quota_call_kind_t {
+	MMX_QUOTA_CALL_ASK,
+	MMX_QUOTA_CALL_RELAY,
+	MMX_QUOTA_CALL_PROBE,
+} mmx_quota_call_kind_t;
+
+/* A token request of another node, until all of its lines are decided. */
+typedef struct mmx_quota_served_t {
+	LIST_ENTRY(mmx_quota_served_t) entry;
+	mmx_peer_ticket_t ticket;
+	mmx_node_id_t from;
+	size_t count;
+	size_t open; /* lines that were relayed */
+	mmx_quota_ask_t *asks;
+	mmx_quota_answer_t *answers;
+} mmx_quota_served_t;
+
+typedef struct mmx_quota_line_t {
+	mmx_quota_account_t *account;
+	unsigned int wanted;
+} mmx_quota_line_t;
+
+typedef struct mmx_quota_call_t {
+	mmx_quota_t *quota;
+	uint64_t id;
+	mmx_node_id_t node;
+	mmx_quota_call_kind_t kind;
+	mmx_time_t sent_at;
+	mmx_timer_t timer;
+	bool late; /* the time-out has passed */
+	size_t count;
+	mmx_quota_line_t *lines;
+	mmx_quota_served_t *served; /* of a relayed line, with its index */
+	size_t index;
+	uint64_t round; /* of a probe; 0: a failed node is tried again */
+} mmx_quota_call_t;
+
+/* One round of probes. */
+typedef struct mmx_quota_round_t {
+	uint64_t number; /* 0: none */
+	mmx_time_t started_at;
+	size_t sent;
+	size_t answered;
+	bool ended;
+} mmx_quota_round_t;
+
+struct mmx_quota_t {
+	mmx_quota_config_t config;
+	const mmx_quota_ops_t *ops;
+	void *context;
+	GArray *nodes;	   /* of mmx_node_id_t, with this node */
+	GArray *old_nodes; /* before the latest change */
+	mmx_time_t nodes_changed_at;
+	mmx_time_t created_at;
+	uint64_t generation;
+	bool draining;
+	GHashTable *accounts; /* of mmx_quota_account_t, by name */
+	GHashTable *peers;    /* of mmx_quota_peer_t, by node */
+	GHashTable *calls;    /* of mmx_quota_call_t, by id */
+	LIST_HEAD(, mmx_quota_served_t) served;
+	TAILQ_HEAD(, mmx_quota_account_t) dirty;
+	uint64_t next_call;
+	mmx_timer_t flush_timer;
+	mmx_timer_t tick_timer;
+	mmx_time_t tick_at;
+	mmx_random_t random;
+	mmx_quota_round_t rounds[MMX_QUOTA_PROBE_ROUNDS]; /* the last is first
+							   */
+	uint64_t next_round;
+	mmx_counter_t *granted;
+	mmx_counter_t *refused;
+	mmx_counter_t *asks;
+	mmx_counter_t *answers;
+	mmx_counter_t *probes;
+	mmx_counter_t *relays;
+	mmx_counter_t *timeouts;
+	mmx_counter_t *takeovers;
+};
+
+static inline mmx_time_t mmx_quota_now_(const mmx_quota_t *quota)
+{
+	return mmx_clock_now(quota->config.clock);
+}
+
+/* quota_accounts.c */
+mmx_quota_account_t *mmx_quota_get_account_(mmx_quota_t *quota,
+					    const char *name);
+/* Sets a newer limit; rate 0: the account has no limit. */
+void mmx_quota_apply_limit_(mmx_quota_account_t *account,
+			    const mmx_quota_limit_t *limit);
+void mmx_quota_event_(mmx_quota_account_t *account, mmx_quota_event_t event,
+		      mmx_node_id_t node);
+
+/* quota.c */
+/* Timers: sends token requests; decides on requests that waited too long. */
+void mmx_quota_on_flush_(void *quota);
+void mmx_quota_on_wait_(void *account);
+/* Has the waiting requests decided, at once or by a token request. */
+void mmx_quota_decide_waiting_(mmx_quota_account_t *account);
+/* Returns tokens that are not needed. */
+void mmx_quota_tick_requester_(mmx_quota_account_t *account);
+/* The reply to a token request of this node. answers: NULL if it failed */
+void mmx_quota_on_own_answer_(mmx_quota_call_t *call,
+			      const mmx_quota_answer_t *answers);
+
+/* quota_order.c */
+void mmx_quota_read_nodes_(mmx_quota_t *quota);
+/* Brings the order of the nodes of an account up to date. */
+void mmx_quota_order_(mmx_quota_account_t *account);
+/* Burst and what random bursts of an account below its limit need. */
+double mmx_quota_capacity_(const mmx_quota_account_t *account);
+/* Tokens that may be lost to faults in one window. */
+double mmx_quota_reserve_(const mmx_quota_account_t *account);
+/* Share of the nodes that may be out of reach while the owner fills its bucket
+ * at the full rate. */
+double mmx_quota_missing_max_(const mmx_quota_account_t *account);
+/* Prepares the bucket for times of isolation. */
+void mmx_quota_open_local_(mmx_quota_account_t *account);
+
+/* quota_peers.c */
+mmx_quota_peer_t *mmx_quota_get_peer_(mmx_quota_t *quota, mmx_node_id_t node);
+/* True if a node may be asked. A failed node is tried by a probe after its
+ * back-off. retry: longest time between two trials */
+bool mmx_quota_is_usable_(mmx_quota_t *quota, mmx_node_id_t node,
+			  mmx_time_t retry);
+/* Sends asks; lines: count, copied, may be NULL for none */
+mmx_quota_call_t *mmx_quota_call_(mmx_quota_t *quota, mmx_node_id_t node,
+				  mmx_quota_call_kind_t kind,
+				  const mmx_quota_ask_t *asks, size_t count,
+				  const mmx_quota_line_t *lines);
+void mmx_quota_free_call_(gpointer call);
+/* Work of each tick: starts and ends rounds, forgets late calls. */
+void mmx_quota_tick_peers_(mmx_quota_t *quota);
+void mmx_quota_start_round_(mmx_quota_t *quota);
+/* Share of the fleet, with this node, that answers this node, above 0. */
+double mmx_quota_reach_(const mmx_quota_t *quota);
+
+/* quota_owner.c */
+/* Decides on tokens from the bucket of this node. */
+mmx_quota_answer_t mmx_quota_serve_(mmx_quota_account_t *account,
+				    unsigned int wanted, unsigned int prefetch,
+				    unsigned int given_back);
+/* The reply to a relayed line; answer: NULL if it failed */
+void mmx_quota_on_relayed_(mmx_quota_call_t *call,
+			   const mmx_quota_answer_t *answer);
+/* Sets the rates of all buckets after a round of probes. */
+void mmx_quota_set_rates_(mmx_quota_t *quota);
+/* Whether probes are needed. */
+typedef enum mmx_quota_load_t {
+	MMX_QUOTA_LOAD_NONE,
+	MMX_QUOTA_LOAD_SOME, /* the witnesses have to know the owner */
+	MMX_QUOTA_LOAD_HIGH, /* reachability decides on the rate */
+} mmx_quota_load_t;
+mmx_quota_load_t mmx_quota_load_(mmx_quota_t *quota);
+/* Fills in the lines of a probe: accounts in use that this node serves.
+ * Returns their number. */
+size_t mmx_quota_probe_lines_(mmx_quota_t *quota, mmx_quota_ask_t *asks,
+			      mmx_quota_line_t *lines, size_t max);
+/* Drops what is idle. */
+void mmx_quota_tick_owner_(mmx_quota_account_t *account);
+/* Does not add the tokens of a time in which the process did not run. */
+void mmx_quota_check_gap_(mmx_quota_t *quota);
+/* True while a new first owner leaves the bucket to the second. */
+bool mmx_quota_in_handover_(const mmx_quota_account_t *account);
+void mmx_quota_free_served_(mmx_quota_served_t *served);
+
+#endif
--- /dev/null
+++ b/src/libmasticmux/quota_codec.c
@@ -0,0 +1,179 @@
+#include "private/quota_codec.h"
+
+#include <assert.h>
+#include <math.h>
+#include <rpc/rpc.h>
+#include <string.h>
+
+#include "private/schema.h"
+
+/* First word of every message; a changed form gets another one. */
+#define FORMAT 1
+#define HEADER_BYTES (4 + 4)
+/* Name length, rate, burst, version, three numbers of tokens, hop. */
+#define ASK_FIXED_BYTES (4 + 8 + 8 + 8 + 3 * 4 + 4)
+#define ASK_BYTES_MAX (ASK_FIXED_BYTES + MMX_NAME_MAX + 1)
+#define ANSWER_BYTES (4 * 4)
+#define USE_MAX 65535
+
+const char *const mmx_quota_hop_string[MMX_QUOTA_HOP_COUNT] = {
+	"owner", "standby", "relayed", "probe", "active"};
+
+static bool code_header_(XDR *xdr, uint32_t *count)
+{
+	uint32_t format = FORMAT;
+
+	return xdr_uint32_t(xdr, &format) && format == FORMAT &&
+	       xdr_uint32_t(xdr, count) && *count <= MMX_QUOTA_LINES_MAX;
+}
+
+static bool code_ask_(XDR *xdr, mmx_quota_ask_t *ask)
+{
+	char *name = ask->account;
+	uint32_t hop = ask->hop;
+
+	if (!xdr_string(xdr, &name, MMX_NAME_MAX) ||
+	    !xdr_double(xdr, &ask->limit.rate) ||
+	    !xdr_double(xdr, &ask->limit.burst) ||
+	    !xdr_uint64_t(xdr, &ask->limit.version) ||
+	    !xdr_uint32_t(xdr, &ask->wanted) ||
+	    !xdr_uint32_t(xdr, &ask->prefetch) ||
+	    !xdr_uint32_t(xdr, &ask->given_back) || !xdr_uint32_t(xdr, &hop))
+		return false;
+	ask->hop = (mmx_quota_hop_t)hop;
+	return hop < MMX_QUOTA_HOP_COUNT;
+}
+
+static bool code_answer_(XDR *xdr, mmx_quota_answer_t *answer)
+{
+	uint32_t heard = answer->heard;
+
+	if (!xdr_uint32_t(xdr, &answer->granted) ||
+	    !xdr_uint32_t(xdr, &answer->retry_after_ms) ||
+	    !xdr_uint32_t(xdr, &answer->use) || !xdr_uint32_t(xdr, &heard))
+		return false;
+	answer->heard = heard == 1;
+	return heard <= 1;
+}
+
+static bool is_rate_(double value)
+{
+	return isfinite(value) && value >= 0 && value <= MMX_QUOTA_RATE_MAX;
+}
+
+static bool is_valid_ask_(const mmx_quota_ask_t *ask)
+{
+	return mmx_schema_is_valid_name(ask->account, strlen(ask->account)) &&
+	       is_rate_(ask->limit.rate) && is_rate_(ask->limit.burst) &&
+	       ask->wanted <= MMX_QUOTA_TOKENS_MAX &&
+	       ask->prefetch <= MMX_QUOTA_TOKENS_MAX &&
+	       ask->given_back <= MMX_QUOTA_TOKENS_MAX;
+}
+
+static bool is_valid_answer_(const mmx_quota_answer_t *answer)
+{
+	return answer->granted <= 2 * MMX_QUOTA_TOKENS_MAX &&
+	       answer->retry_after_ms <=
+		       MMX_QUOTA_RETRY_MAX_US / MMX_US_PER_MS &&
+	       answer->use <= USE_MAX;
+}
+
+uint8_t *mmx_quota_asks_encode(const mmx_quota_ask_t *asks, size_t count,
+			       size_t *length)
+{
+	size_t size = HEADER_BYTES + count * ASK_BYTES_MAX;
+	uint8_t *bytes = g_malloc(size);
+	uint32_t lines = (uint32_t)count;
+	bool ok;
+	size_t i;
+	XDR xdr;
+
+	assert(count <= MMX_QUOTA_LINES_MAX);
+	xdrmem_create(&xdr, (char *)bytes, (u_int)size, XDR_ENCODE);
+	ok = code_header_(&xdr, &lines);
+	for (i = 0; i < count && ok; i++) {
+		mmx_quota_ask_t copy = asks[i];
+
+		ok = code_ask_(&xdr, &copy);
+	}
+	assert(ok);
+	(void)ok;
+	*length = xdr_getpos(&xdr);
+	xdr_destroy(&xdr);
+	return bytes;
+}
+
+uint8_t *mmx_quota_answers_encode(const mmx_quota_answer_t *answers,
+				  size_t count, size_t *length)
+{
+	size_t size = HEADER_BYTES + count * ANSWER_BYTES;
+	uint8_t *bytes = g_malloc(size);
+	uint32_t lines = (uint32_t)count;
+	bool ok;
+	size_t i;
+	XDR xdr;
+
+	assert(count <= MMX_QUOTA_LINES_MAX);
+	xdrmem_create(&xdr, (char *)bytes, (u_int)size, XDR_ENCODE);
+	ok = code_header_(&xdr, &lines);
+	for (i = 0; i < count && ok; i++) {
+		mmx_quota_answer_t copy = answers[i];
+
+		ok = code_answer_(&xdr, &copy);
+	}
+	assert(ok);
+	(void)ok;
+	*length = xdr_getpos(&xdr);
+	xdr_destroy(&xdr);
+	return bytes;
+}
+
+static void open_(XDR *xdr, const uint8_t *bytes, size_t length)
+{
+	xdrmem_create(xdr, (char *)bytes, (u_int)length, XDR_DECODE);
+}
+
+bool mmx_quota_asks_decode(const uint8_t *bytes, size_t length,
+			   mmx_quota_ask_t *lines, size_t *count)
+{
+	uint32_t found = 0;
+	bool ok;
+	size_t i;
+	XDR xdr;
+
+	if (length > HEADER_BYTES + MMX_QUOTA_LINES_MAX * ASK_BYTES_MAX)
+		return false;
+	open_(&xdr, bytes, length);
+	ok = code_header_(&xdr, &found);
+	for (i = 0; i < found && ok; i++) {
+		lines[i] = (mmx_quota_ask_t){.wanted = 0};
+		ok = code_ask_(&xdr, &lines[i]) && is_valid_ask_(&lines[i]);
+	}
+	ok = ok && xdr_getpos(&xdr) == length;
+	xdr_destroy(&xdr);
+	*count = found;
+	return ok;
+}
+
+bool mmx_quota_answers_decode(const uint8_t *bytes, size_t length,
+			      mmx_quota_answer_t *lines, size_t *count)
+{
+	uint32_t found = 0;
+	bool ok;
+	size_t i;
+	XDR xdr;
+
+	if (length > HEADER_BYTES + MMX_QUOTA_LINES_MAX * ANSWER_BYTES)
+		return false;
+	open_(&xdr, bytes, length);
+	ok = code_header_(&xdr, &found);
+	for (i = 0; i < found && ok; i++) {
+		lines[i] = (mmx_quota_answer_t){.use = 0};
+		ok = code_answer_(&xdr, &lines[i]) &&
+		     is_valid_answer_(&lines[i]);
+	}
+	ok = ok && xdr_getpos(&xdr) == length;
+	xdr_destroy(&xdr);
+	*count = found;
+	return ok;
+}
--- /dev/null
+++ b/src/libmasticmux/quota_order.c
@@ -0,0 +1,204 @@
+/* Order of the nodes of an account, and the numbers that follow from limit,
+ * bounds and rank. */
+#include <math.h>
+#include <string.h>
+#include <xxhash.h>
+
+#include "private/quota_internal.h"
+
+/* A bucket holds what is added in this time: a node with all of the demand asks
+ * again 100 ms after a refusal and has the tokens a round trip later. */
+#define REFILL_S 0.25
+
+static uint64_t score_(const char *account, mmx_node_id_t node)
+{
+	return XXH3_64bits_withSeed(account, strlen(account), node);
+}
+
+/* True if a is before b. */
+static bool is_before_(uint64_t score_a, mmx_node_id_t a, uint64_t score_b,
+		       mmx_node_id_t b)
+{
+	return score_a > score_b || (score_a == score_b && a > b);
+}
+
+static bool is_first_(const GArray *nodes, const char *account,
+		      mmx_node_id_t self)
+{
+	uint64_t own = score_(account, self);
+	guint i;
+
+	for (i = 0; i < nodes->len; i++) {
+		mmx_node_id_t node = g_array_index(nodes, mmx_node_id_t, i);
+
+		if (node != self &&
+		    is_before_(score_(account, node), node, own, self))
+			return false;
+	}
+	return nodes->len > 0;
+}
+
+void mmx_quota_order_(mmx_quota_account_t *account)
+{
+	mmx_quota_t *quota = account->quota;
+	mmx_node_id_t self = quota->config.node;
+	uint64_t own = score_(account->name, self);
+	uint64_t scores[MMX_QUOTA_OWNERS] = {0};
+	guint i;
+
+	if (account->generation == quota->generation)
+		return;
+	account->generation = quota->generation;
+	account->rank = 0;
+	memset(account->owners, 0, sizeof(account->owners));
+	for (i = 0; i < quota->nodes->len; i++) {
+		mmx_node_id_t node =
+			g_array_index(quota->nodes, mmx_node_id_t, i);
+		uint64_t score = score_(account->name, node);
+		size_t at = MMX_QUOTA_OWNERS;
+		size_t last;
+
+		if (node == self && quota->draining)
+			continue;
+		if (node != self && is_before_(score, node, own, self))
+			account->rank++;
+		while (at > 0 && (account->owners[at - 1] == 0 ||
+				  is_before_(score, node, scores[at - 1],
+					     account->owners[at - 1])))
+			at--;
+		for (last = MMX_QUOTA_OWNERS - 1; last > at; last--) {
+			account->owners[last] = account->owners[last - 1];
+			scores[last] = scores[last - 1];
+		}
+		if (at == MMX_QUOTA_OWNERS)
+			continue;
+		account->owners[at] = node;
+		scores[at] = score;
+	}
+	account->was_first = is_first_(quota->old_nodes, account->name, self);
+}
+
+static int compare_nodes_(gconstpointer a, gconstpointer b)
+{
+	mmx_node_id_t first = *(const mmx_node_id_t *)a;
+	mmx_node_id_t second = *(const mmx_node_id_t *)b;
+
+	return first < second ? -1 : first > second;
+}
+
+static bool has_node_(const GArray *nodes, mmx_node_id_t node)
+{
+	return g_array_binary_search((GArray *)nodes, &node, compare_nodes_,
+				     NULL);
+}
+
+static gboolean is_gone_(gpointer key, gpointer value, gpointer data)
+{
+	const mmx_quota_peer_t *peer = value;
+
+	(void)key;
+	return !has_node_(data, peer->node);
+}
+
+void mmx_quota_read_nodes_(mmx_quota_t *quota)
+{
+	GArray *nodes = g_array_new(FALSE, FALSE, sizeof(mmx_node_id_t));
+	mmx_time_t now = mmx_quota_now_(quota);
+
+	quota->ops->list_nodes(quota->context, nodes);
+	g_array_sort(nodes, compare_nodes_);
+	if (!has_node_(nodes, quota->config.node)) {
+		g_array_append_val(nodes, quota->config.node);
+		g_array_sort(nodes, compare_nodes_);
+	}
+	if (nodes->len == quota->nodes->len &&
+	    memcmp(nodes->data, quota->nodes->data,
+		   nodes->len * sizeof(mmx_node_id_t)) == 0) {
+		g_array_free(nodes, TRUE);
+		return;
+	}
+	/* Of several changes in one handover, the first counts. */
+	if (now - quota->nodes_changed_at >= MMX_QUOTA_HANDOVER_US) {
+		g_array_free(quota->old_nodes, TRUE);
+		quota->old_nodes = quota->nodes;
+	} else {
+		g_array_free(quota->nodes, TRUE);
+	}
+	quota->nodes = nodes;
+	quota->nodes_changed_at = now;
+	quota->generation++;
+	g_hash_table_foreach_remove(quota->peers, is_gone_, nodes);
+}
+
+static double window_(const mmx_quota_account_t *account)
+{
+	return (double)account->quota->config.bounds.window /
+	       (double)MMX_US_PER_S;
+}
+
+/* Requests beyond rate and burst that the bound allows in one window. */
+static double tolerance_(const mmx_quota_account_t *account)
+{
+	const mmx_quota_bounds_t *bounds = &account->quota->config.bounds;
+
+	return bounds->overshoot * (account->limit.rate * window_(account) +
+				    account->limit.burst) +
+	       bounds->slack;
+}
+
+double mmx_quota_capacity_(const mmx_quota_account_t *account)
+{
+	const mmx_quota_bounds_t *bounds = &account->quota->config.bounds;
+	double burst = account->limit.burst;
+	double refilled = account->limit.rate * REFILL_S;
+
+	/* At most half of the tolerance is used for this. */
+	refilled = MIN(refilled, burst + tolerance_(account) / 2);
+	/* One request has to fit without burst and slack. */
+	return MAX(MAX(burst + bounds->slack / 2, refilled), 1);
+}
+
+double mmx_quota_reserve_(const mmx_quota_account_t *account)
+{
+	double beyond = mmx_quota_capacity_(account) - account->limit.burst;
+
+	return MAX(tolerance_(account) - beyond, 0);
+}
+
+double mmx_quota_missing_max_(const mmx_quota_account_t *account)
+{
+	double reserve = mmx_quota_reserve_(account);
+
+	return 0.75 * reserve /
+	       (reserve / 4 + account->limit.rate * window_(account));
+}
+
+void mmx_quota_open_local_(mmx_quota_account_t *account)
+{
+	mmx_quota_t *quota = account->quota;
+	mmx_time_t now = mmx_quota_now_(quota);
+	double nodes = quota->nodes->len;
+	double reserve = mmx_quota_reserve_(account);
+	double rank;
+	double tokens;
+
+	mmx_quota_order_(account);
+	rank = (double)account->rank;
+	/* The nodes of the lowest ranks have a token; those of the others come
+	 * one after the other, so that they are not all used at once. */
+	tokens = rank < floor(reserve / 4) ? 1 : 1 - (rank + 1) / nodes;
+	if (account->local_at >= 0 &&
+	    now - account->local_at <= quota->config.bounds.window) {
+		/* Tokens of a time without requests do not add up. */
+		mmx_time_t idle = now - account->local_at;
+
+		if (idle > MMX_US_PER_S)
+			mmx_quota_bucket_skip(&account->local,
+					      account->local_at, now);
+	} else {
+		mmx_quota_bucket_init(&account->local,
+				      account->limit.rate / nodes,
+				      MAX(1, reserve / 4 / nodes), tokens, now);
+	}
+	account->local_at = now;
+}
