Apply the fleet-wide rates of accounts in the node

The module quota decides on the rates of accounts, but no node asked it. An account could run any number of requests, as each entry knows only its own.

The filter quota takes a token before a request is sent, holds the request while the decision is pending, and returns the token of one that did not run. The part quota connects the module with peers, list of nodes, configuration and settings [accounts]; a node that stops, or has no record yet, decides for no account. A 429 bears the Retry-After of the decision.

--- a/include/masticmux/settings.h
+++ b/include/masticmux/settings.h
@@ -37,6 +37,13 @@
 #define MMX_RETRY_WINDOW_DEFAULT_S 10
 /** Default share of a service's slots that ejections leave, percent. */
 #define MMX_FLOOR_PERCENT_DEFAULT 70
+/**
+ * Defaults of the bound on the requests of an account that has a rate: in any
+ * window, at most (rate x window + burst) x (1 + overshoot) + slack run.
+ */
+#define MMX_ACCOUNTS_WINDOW_DEFAULT_S 5
+#define MMX_ACCOUNTS_OVERSHOOT_DEFAULT 0.1
+#define MMX_ACCOUNTS_SLACK_DEFAULT 20
 
 /** Shared secret of the fleet; messages name the id. */
 typedef struct mmx_fleet_key_t {
@@ -80,6 +87,9 @@
 	int64_t retry_reserve;	 /**< attempts of the whole fleet */
 	mmx_time_t retry_window; /**< that the budget holds for, microseconds */
 	uint32_t floor_percent;	 /**< see MMX_FLOOR_PERCENT_DEFAULT */
+	mmx_time_t account_window; /**< see MMX_ACCOUNTS_WINDOW_DEFAULT_S, us */
+	double account_overshoot;  /**< share of the limit, from 0 */
+	double account_slack;	   /**< requests, from 0 */
 } mmx_settings_t;
 
 /**
--- a/src/libmasticmux/entry.c
+++ b/src/libmasticmux/entry.c
@@ -3,6 +3,9 @@
 #include <assert.h>
 #include <event2/buffer.h>
 #include <glib.h>
+#include <math.h>
+
+#include "private/filter_quota.h"
 
 /* A slot becomes free within about the run time of a request, a few hundred
  * milliseconds. */
@@ -106,6 +109,22 @@
 	mmx_head_add(head, "Retry-After", text);
 }
 
+/* The decision gives each caller a time of its own. A shorter time than that
+ * would only be refused again, so it is rounded up. */
+static void add_rate_retry_after_(const mmx_entry_t *entry, mmx_head_t *head,
+				  mmx_time_t retry_after)
+{
+	char text[24];
+
+	if (entry->header_names->fractional_retry_after)
+		g_snprintf(text, sizeof(text), "%.3f",
+			   ceil((double)retry_after / MMX_US_PER_MS) / 1000);
+	else
+		g_snprintf(text, sizeof(text), "%.0f",
+			   ceil((double)retry_after / MMX_US_PER_S));
+	mmx_head_add(head, "Retry-After", text);
+}
+
 void mmx_entry_refuse(mmx_exchange_t *exchange, mmx_outcome_t outcome,
 		      mmx_reason_t reason)
 {
@@ -121,6 +140,11 @@
 		mmx_head_add(answer->head, "WWW-Authenticate", "Bearer");
 	if (status == 503)
 		add_retry_after_(entry, answer->head, reason);
+	else if (exchange->retry_after > 0)
+		add_rate_retry_after_(entry, answer->head,
+				      exchange->retry_after);
+	if (outcome == MMX_OUTCOME_NOT_RUN && entry->quota_filter)
+		mmx_filter_quota_give_back(entry->quota_filter, exchange);
 	evbuffer_add_printf(answer->body, "%s: %s\n",
 			    mmx_outcome_string[outcome],
 			    mmx_reason_string[reason]);
@@ -398,6 +422,9 @@
 
 	if (!exchange)
 		return;
+	if (entry->quota_filter && is_unsent_(exchange) &&
+	    exchange->offers == 0 && !exchange->may_have_run)
+		mmx_filter_quota_give_back(entry->quota_filter, exchange);
 	mmx_pipeline_abandon(exchange);
 	mmx_entry_end_exchange(exchange);
 }
@@ -521,6 +548,11 @@
 						    entry->counters));
 	mmx_pipeline_add(&entry->pipeline,
 			 mmx_filter_account_create(entry->config_state));
+	if (entry->quota_ops) {
+		entry->quota_filter = mmx_filter_quota_create(
+			entry, entry->quota_ops, entry->quota_context);
+		mmx_pipeline_add(&entry->pipeline, entry->quota_filter);
+	}
 	mmx_pipeline_add(&entry->pipeline, entry->attempt_filter);
 }
 
@@ -554,8 +586,11 @@
 		if (exchange->deadline <= latest)
 			continue;
 		exchange->deadline = latest;
-		mmx_filter_attempt_deadline_changed(entry->attempt_filter,
-						    exchange);
+		if (exchange->filter == entry->quota_filter)
+			mmx_filter_quota_deadline_changed(exchange);
+		else
+			mmx_filter_attempt_deadline_changed(
+				entry->attempt_filter, exchange);
 	}
 	g_list_free(exchanges);
 }
--- a/src/libmasticmux/entry_options.c
+++ b/src/libmasticmux/entry_options.c
@@ -164,6 +164,16 @@
 	return true;
 }
 
+bool mmx_entry_set_quota(mmx_entry_t *entry,
+			 const struct mmx_entry_quota_ops_t *ops, void *context)
+{
+	if (entry->running)
+		return false;
+	entry->quota_ops = ops;
+	entry->quota_context = context;
+	return true;
+}
+
 bool mmx_entry_set_startup_hold(mmx_entry_t *entry, mmx_time_t max_hold)
 {
 	if (entry->running)
--- a/src/libmasticmux/include/private/entry.h
+++ b/src/libmasticmux/include/private/entry.h
@@ -1,7 +1,7 @@
 /*
  * The entry: receives the requests of callers, passes each through the filters
- * (request, startup, route, identity, account, attempt), and gives each exactly one
- * answer with an outcome.
+ * (request, startup, route, identity, account, quota, attempt), and gives each
+ * exactly one answer with an outcome.
  *
  * The entry is a task without sockets. It receives REQUEST, BODY, WINDOW and
  * CALLER_GONE from http_entry, RESPONSE, BODY, WINDOW, FENCE_REPLY and EVIDENCE
@@ -23,6 +23,7 @@
 #include "private/view.h"
 
 struct mmx_trace_t;
+struct mmx_entry_quota_ops_t;
 
 typedef struct mmx_entry_t mmx_entry_t;
 
@@ -88,6 +89,12 @@
  */
 bool mmx_entry_set_startup_hold(mmx_entry_t *entry, mmx_time_t max_hold);
 
+/* Source of the decisions on accounts with a rate. Without the option, or with
+ * ops NULL, rates do not limit. */
+bool mmx_entry_set_quota(mmx_entry_t *entry,
+			 const struct mmx_entry_quota_ops_t *ops,
+			 void *context);
+
 /* Turns safety rules off, for tests only; guards outlives the entry. */
 bool mmx_entry_set_guards(mmx_entry_t *entry, const mmx_guards_t *guards);
 
--- a/src/libmasticmux/include/private/entry_internal.h
+++ b/src/libmasticmux/include/private/entry_internal.h
@@ -33,11 +33,14 @@
 	mmx_view_t *view;
 	mmx_pipeline_t pipeline;
 	mmx_filter_t *attempt_filter;
+	mmx_filter_t *quota_filter;   /* NULL: rates do not limit */
 	mmx_filter_t *startup_filter; /* NULL: requests are not held */
 	mmx_time_t startup_hold;      /* longest hold after init, us; 0: none */
 	const mmx_header_names_t *header_names;
 	const char *caller_service;
 	bool budget_at_exits;
+	const struct mmx_entry_quota_ops_t *quota_ops; /* NULL: none */
+	void *quota_context;
 	mmx_repeat_percent_fn_t repeat_percent;
 	void *repeat_context;
 	uint64_t last_sequence;	 /* of the latest attempt */
--- a/src/libmasticmux/include/private/exchange.h
+++ b/src/libmasticmux/include/private/exchange.h
@@ -70,6 +70,10 @@
 	mmx_account_t account_parameters; /* valid if has_account */
 	/* Use of the account's limit in the whole fleet, permille; 0: unknown. */
 	uint16_t account_use;
+	mmx_time_t token_wanted_at; /* when a token was first asked for */
+	mmx_time_t token_taken_at;  /* valid if has_token */
+	bool has_token;		    /* of the account's limit */
+	mmx_time_t retry_after;	    /* of a refusal over that limit; 0: none */
 	bool repeatable;
 	unsigned int offers_max; /* most targets that may receive it */
 	uint8_t priority;
--- a/src/libmasticmux/include/private/node_parts.h
+++ b/src/libmasticmux/include/private/node_parts.h
@@ -80,6 +80,9 @@
 	uint32_t retry_reserve; /* retries in the whole fleet */
 	mmx_time_t retry_window;
 	uint32_t floor_percent;
+	mmx_time_t account_window;
+	double account_overshoot;
+	double account_slack;
 } mmx_reloadable_settings_t;
 
 /* State shared by the parts. A pointer to an object of a part is set by that
@@ -109,6 +112,7 @@
 	struct event *signals[3];
 	mmx_part_t *config_part;
 	mmx_part_t *claims_part;
+	mmx_part_t *quota_part;
 	/* The comment names the part that sets the pointer. */
 	mmx_task_t *claims;		  /* claims; receives CLAIM messages */
 	struct mmx_config_task_t *config; /* config */
@@ -168,9 +172,20 @@
 				     uint64_t offset,
 				     const mmx_gossip_ages_t *ages);
 
+/* Part roster: returns whether this node has read its own record in the store,
+ * so that the other nodes know it as well. */
+bool mmx_part_roster_is_listed(const mmx_node_t *node);
+
+/* Part quota: the nodes of the fleet, the configuration, or the reloadable
+ * settings have changed. */
+void mmx_part_quota_on_nodes_changed(mmx_node_t *node);
+void mmx_part_quota_on_limits_changed(mmx_node_t *node);
+void mmx_part_quota_on_settings_changed(mmx_node_t *node);
+
 mmx_part_t *mmx_part_fleet_create(mmx_node_t *node);
 mmx_part_t *mmx_part_roster_create(mmx_node_t *node);
 mmx_part_t *mmx_part_relay_create(mmx_node_t *node);
+mmx_part_t *mmx_part_quota_create(mmx_node_t *node);
 mmx_part_t *mmx_part_path_create(mmx_node_t *node);
 mmx_part_t *mmx_part_config_create(mmx_node_t *node);
 mmx_part_t *mmx_part_claims_create(mmx_node_t *node);
--- a/src/libmasticmux/include/private/peer.h
+++ b/src/libmasticmux/include/private/peer.h
@@ -149,8 +149,8 @@
  * Calls a procedure of another node. fn is called exactly once, never from
  * inside mmx_peer_call().
  *
- * procedure: CONFIG_PULL, CONFIG_LOAD, DIRECTORY_SYNC, STOP, CLAIM or
- * STORE_NEWS.
+ * procedure: CONFIG_PULL, CONFIG_LOAD, DIRECTORY_SYNC, STOP, CLAIM,
+ * STORE_NEWS or QUOTA.
  * bytes: copied; length at most MMX_WIRE_BYTES_MAX.
  * timeout: microseconds, above 0; includes connecting.
  */
--- a/src/libmasticmux/include/private/rpc.h
+++ b/src/libmasticmux/include/private/rpc.h
@@ -52,6 +52,8 @@
 	/* One-way: response of an attempt that came by another connection. */
 	MMX_PROCEDURE_RESPONSE,
 	MMX_PROCEDURE_STORE_NEWS,
+	/* Token requests of accounts with a rate, see quota.h. */
+	MMX_PROCEDURE_QUOTA,
 	MMX_PROCEDURE_COUNT
 } mmx_procedure_t;
 
--- a/src/libmasticmux/node.c
+++ b/src/libmasticmux/node.c
@@ -41,15 +41,24 @@
 
 /* With configuration from the log service and node discovery by gossip. */
 static const part_create_t gossip_parts_[] = {
-	mmx_part_fleet_create, mmx_part_config_create,	 mmx_part_claims_create,
-	mmx_part_path_create,  mmx_part_operator_create, NULL,
+	mmx_part_fleet_create,
+	mmx_part_config_create,
+	mmx_part_claims_create,
+	mmx_part_quota_create,
+	mmx_part_path_create,
+	mmx_part_operator_create,
+	NULL,
 };
 
 /* With configuration and node discovery from a shared store. */
 static const part_create_t store_parts_[] = {
-	mmx_part_roster_create,	  mmx_part_relay_create,
-	mmx_part_path_create,	  mmx_part_platform_create,
-	mmx_part_operator_create, NULL,
+	mmx_part_roster_create,
+	mmx_part_relay_create,
+	mmx_part_quota_create,
+	mmx_part_path_create,
+	mmx_part_platform_create,
+	mmx_part_operator_create,
+	NULL,
 };
 
 static size_t in_progress_(const mmx_node_t *node)
@@ -93,6 +102,9 @@
 		.retry_reserve = (uint32_t)settings->retry_reserve,
 		.retry_window = settings->retry_window,
 		.floor_percent = settings->floor_percent,
+		.account_window = settings->account_window,
+		.account_overshoot = settings->account_overshoot,
+		.account_slack = settings->account_slack,
 	};
 }
 
@@ -132,6 +144,7 @@
 	if (!reloaded)
 		return;
 	apply_reloadable_(node, reloaded);
+	mmx_part_quota_on_settings_changed(node);
 	mmx_settings_destroy(reloaded);
 }
 
--- a/src/libmasticmux/node_status.c
+++ b/src/libmasticmux/node_status.c
@@ -8,6 +8,7 @@
 #include "masticmux/gossip.h"
 #include "private/entry.h"
 #include "private/exit.h"
+#include "private/part_quota.h"
 #include "private/roster.h"
 
 const char
@@ -251,6 +252,8 @@
 		.in_force = g_hash_table_new_full(g_int64_hash, g_int64_equal,
 						  g_free, g_free),
 	};
+	size_t accounts_left_out;
+	json_t *accounts = mmx_part_quota_status(node, &accounts_left_out);
 	json_t *status;
 
 	/* Targets of this node come first, so that targets_max omits those of
@@ -263,7 +266,7 @@
 	else
 		mmx_roster_foreach(node->roster, on_roster_node_, &build);
 	status = json_pack(
-		"{s:o,s:o,s:{s:o,s:o},s:o,s:o,s:o,s:o,s:o}", "node",
+		"{s:o,s:o,s:{s:o,s:o},s:o,s:o,s:o,s:o,s:o,s:o,s:o}", "node",
 		node_json_(node), "configuration", configuration_json_(node),
 		"requests", "entry",
 		json_u64_(mmx_entry_in_progress(node->entry)), "exit",
@@ -271,7 +274,8 @@
 		build.members, "member_counts", member_counts_json_(&build),
 		"in_force", applied_json_(build.in_force), "services",
 		build.services, "targets_left_out",
-		json_u64_(build.omitted_targets));
+		json_u64_(build.omitted_targets), "accounts", accounts,
+		"accounts_left_out", json_u64_(accounts_left_out));
 	g_hash_table_destroy(build.in_force);
 	return status;
 }
--- a/src/libmasticmux/part_config.c
+++ b/src/libmasticmux/part_config.c
@@ -230,6 +230,7 @@
 	mmx_node_t *node = arg;
 
 	node->config_state = config_state;
+	mmx_part_quota_on_limits_changed(node);
 	if (config_state)
 		mmx_gossip_set_offset(
 			node->gossip,
--- a/src/libmasticmux/part_fleet.c
+++ b/src/libmasticmux/part_fleet.c
@@ -88,6 +88,7 @@
 			      mmx_member_state_string[member->state], NULL);
 	mmx_part_config_on_members_changed(node);
 	mmx_part_claims_on_members_changed(node);
+	mmx_part_quota_on_nodes_changed(node);
 }
 
 /* Records announcements of other nodes in the history, as the decisions of this
--- a/src/libmasticmux/part_roster.c
+++ b/src/libmasticmux/part_roster.c
@@ -33,6 +33,7 @@
 	char *desired_record; /* of this node; NULL: no target is known */
 	char *stored_record;  /* as last read or written; NULL: none, unknown */
 	bool store_read;      /* the records of all nodes have been read */
+	bool listed;	      /* its own record has been read */
 	bool write_in_flight;
 	bool peer_draining; /* connections to other nodes are being closed */
 	mmx_time_t retry_delay; /* 0: the last write did not fail */
@@ -130,9 +131,17 @@
 	write_record_(self);
 }
 
+bool mmx_part_roster_is_listed(const mmx_node_t *node)
+{
+	const roster_part_t *self = roster_part_(node);
+
+	return self && self->listed;
+}
+
 static void on_own_record_(roster_part_t *self,
 			   const mmx_store_record_t *record)
 {
+	self->listed = record->value != NULL;
 	if (self->write_in_flight)
 		return;
 	g_free(self->stored_record);
@@ -147,6 +156,7 @@
 	mmx_node_t *node = self->part.node;
 	mmx_error_t error = {MMX_ERROR_NONE, ""};
 
+	mmx_part_quota_on_nodes_changed(node);
 	if (strcmp(record->key, self->own_node.name) == 0) {
 		on_own_record_(self, record);
 		return;
--- a/src/libmasticmux/settings.c
+++ b/src/libmasticmux/settings.c
@@ -24,6 +24,12 @@
 #define SECONDS_MAX 3600
 #define RETRY_RESERVE_VALID "a number of attempts from 0 to 1000000"
 #define RETRY_RESERVE_MAX 1000000
+#define WINDOW_VALID "a number of seconds from 1 to 3600"
+#define WINDOW_MIN 1
+#define OVERSHOOT_VALID "a number from 0.0 to 10.0"
+#define OVERSHOOT_MAX 10
+#define SLACK_VALID "a number of requests from 0 to 1000000"
+#define SLACK_MAX 1000000
 #define SHARE_VALID "a number from 0.0 to 1.0"
 /* A share such as 0.29 has no exact form; percent. */
 #define PERCENT_ERROR 1e-9
@@ -279,18 +285,30 @@
 	read_percent_(schema, node, rule, into, ceil, -PERCENT_ERROR);
 }
 
-static void read_seconds_(mmx_schema_t *schema, const mmx_tree_node_t *node,
-			  const mmx_schema_rule_t *rule, void *into)
+static void read_time_(mmx_schema_t *schema, const mmx_tree_node_t *node,
+		       const mmx_schema_rule_t *rule, void *into, double min)
 {
 	double seconds = mmx_tree_number(node);
 
-	if (!is_within_(seconds, SECONDS_MIN, SECONDS_MAX))
+	if (!is_within_(seconds, min, SECONDS_MAX))
 		mmx_schema_reject(schema, node, rule);
 	else
 		*(mmx_time_t *)((char *)into + rule->offset) =
 			llround(seconds * MMX_US_PER_S);
 }
 
+static void read_seconds_(mmx_schema_t *schema, const mmx_tree_node_t *node,
+			  const mmx_schema_rule_t *rule, void *into)
+{
+	read_time_(schema, node, rule, into, SECONDS_MIN);
+}
+
+static void read_window_(mmx_schema_t *schema, const mmx_tree_node_t *node,
+			 const mmx_schema_rule_t *rule, void *into)
+{
+	read_time_(schema, node, rule, into, WINDOW_MIN);
+}
+
 /* A number of attempts; a part of one allows none. */
 static void read_reserve_(mmx_schema_t *schema, const mmx_tree_node_t *node,
 			  const mmx_schema_rule_t *rule, void *into)
@@ -304,6 +322,29 @@
 			(int64_t)floor(reserve);
 }
 
+static void read_number_(mmx_schema_t *schema, const mmx_tree_node_t *node,
+			 const mmx_schema_rule_t *rule, void *into, double max)
+{
+	double number = mmx_tree_number(node);
+
+	if (!is_within_(number, 0, max))
+		mmx_schema_reject(schema, node, rule);
+	else
+		*(double *)((char *)into + rule->offset) = number;
+}
+
+static void read_overshoot_(mmx_schema_t *schema, const mmx_tree_node_t *node,
+			    const mmx_schema_rule_t *rule, void *into)
+{
+	read_number_(schema, node, rule, into, OVERSHOOT_MAX);
+}
+
+static void read_slack_(mmx_schema_t *schema, const mmx_tree_node_t *node,
+			const mmx_schema_rule_t *rule, void *into)
+{
+	read_number_(schema, node, rule, into, SLACK_MAX);
+}
+
 static const mmx_schema_rule_t node_rules_[] = {
 	NAME_RULE_("name", node_name),
 	NAME_RULE_("region", region),
@@ -373,6 +414,16 @@
 	 SHARE_VALID, .offset = offsetof(mmx_settings_t, floor_percent)},
 };
 
+static const mmx_schema_rule_t accounts_rules_[] = {
+	{"window_s", MMX_TREE_FLOAT, MMX_PRESENCE_OPTIONAL, read_window_,
+	 WINDOW_VALID, .offset = offsetof(mmx_settings_t, account_window)},
+	{"overshoot", MMX_TREE_FLOAT, MMX_PRESENCE_OPTIONAL, read_overshoot_,
+	 OVERSHOOT_VALID,
+	 .offset = offsetof(mmx_settings_t, account_overshoot)},
+	{"slack", MMX_TREE_FLOAT, MMX_PRESENCE_OPTIONAL, read_slack_,
+	 SLACK_VALID, .offset = offsetof(mmx_settings_t, account_slack)},
+};
+
 /* The rules of one table of the file, by the name of the table. */
 typedef struct section_t {
 	const char *name;
@@ -390,6 +441,7 @@
 	{"stop", stop_rules_, G_N_ELEMENTS(stop_rules_)},
 	{"retry", retry_rules_, G_N_ELEMENTS(retry_rules_)},
 	{"targets", targets_rules_, G_N_ELEMENTS(targets_rules_)},
+	{"accounts", accounts_rules_, G_N_ELEMENTS(accounts_rules_)},
 };
 
 static void read_section_(mmx_schema_t *schema, const mmx_tree_node_t *node,
@@ -424,6 +476,8 @@
 	 .valid = TABLE_VALID},
 	{"targets", MMX_TREE_TABLE, MMX_PRESENCE_OPTIONAL, read_section_,
 	 .valid = TABLE_VALID},
+	{"accounts", MMX_TREE_TABLE, MMX_PRESENCE_OPTIONAL, read_section_,
+	 .valid = TABLE_VALID},
 };
 
 static void describe_place_(size_t index, char *buffer, size_t size)
@@ -554,6 +608,9 @@
 	settings->retry_reserve = MMX_RETRY_RESERVE_DEFAULT;
 	settings->retry_window = MMX_RETRY_WINDOW_DEFAULT_S * MMX_US_PER_S;
 	settings->floor_percent = MMX_FLOOR_PERCENT_DEFAULT;
+	settings->account_window = MMX_ACCOUNTS_WINDOW_DEFAULT_S * MMX_US_PER_S;
+	settings->account_overshoot = MMX_ACCOUNTS_OVERSHOOT_DEFAULT;
+	settings->account_slack = MMX_ACCOUNTS_SLACK_DEFAULT;
 	mmx_schema_init(&schema, file, findings, false, &reading);
 	mmx_schema_read_table(&schema, root, root_rules_,
 			      G_N_ELEMENTS(root_rules_), settings);
--- a/src/masticmux/command_status.c
+++ b/src/masticmux/command_status.c
@@ -164,6 +164,48 @@
 		       number_(status, "targets_left_out"));
 }
 
+static void print_accounts_(const json_t *status)
+{
+	static const char *const head[] = {"ACCOUNT", "LIMIT/S", "BURST",
+					   "USE",     "OWNER",	 "WAITING"};
+	const json_t *accounts = json_object_get(status, "accounts");
+	mmx_table_t *table = mmx_table_create(G_N_ELEMENTS(head));
+	const json_t *item;
+	char rate[32];
+	char burst[32];
+	char use[24];
+	char waiting[24];
+	size_t i;
+
+	mmx_table_add(table, head);
+	json_array_foreach(accounts, i, item)
+	{
+		json_int_t permille = number_(item, "use_permille");
+		const char *const row[] = {
+			mmx_command_text(item, "name"),
+			rate,
+			burst,
+			use,
+			mmx_command_text(item, "owner"),
+			format_(item, "waiting", waiting, sizeof(waiting))};
+
+		snprintf(rate, sizeof(rate), "%g",
+			 json_number_value(json_object_get(item, "rate")));
+		snprintf(burst, sizeof(burst), "%g",
+			 json_number_value(json_object_get(item, "burst")));
+		snprintf(use, sizeof(use), "%.1f%%", (double)permille / 10);
+		mmx_table_add(table, row);
+	}
+	if (json_array_size(accounts) > 0) {
+		printf("accounts with a limit in use here:\n");
+		mmx_table_print(table, stdout);
+	}
+	mmx_table_destroy(table);
+	if (number_(status, "accounts_left_out") > 0)
+		printf("  %" JSON_INTEGER_FORMAT " accounts are left out\n",
+		       number_(status, "accounts_left_out"));
+}
+
 static bool print_(const options_t *options,
 		   const mmx_operator_response_t *response)
 {
@@ -178,6 +220,7 @@
 		return false;
 	print_node_(status);
 	print_members_(status);
+	print_accounts_(status);
 	if (strcmp(options->targets, "none") != 0)
 		print_targets_(status);
 	json_decref(status);
--- a/src/test_libmasticmux/fakes.c
+++ b/src/test_libmasticmux/fakes.c
@@ -238,6 +238,33 @@
 	return config_state;
 }
 
+mmx_config_state_t *fake_account_routes(double rate, double burst)
+{
+	const mmx_policy_t policy = {.retry_percent = 20};
+	mmx_routing_table_t *routing = mmx_routing_create(1);
+	mmx_config_state_t *config_state = mmx_config_state_create();
+	mmx_routing_account_t *account;
+	mmx_routing_rule_t *rule;
+
+	rule = mmx_routing_add_route(routing, "s.test", "/");
+	rule->timeout = 2 * MMX_US_PER_S;
+	mmx_routing_add_destination(rule, "s", 1);
+	rule = mmx_routing_add_route(routing, "s.test", "/public/");
+	rule->timeout = 2 * MMX_US_PER_S;
+	rule->is_public = true;
+	mmx_routing_add_destination(rule, "s", 1);
+	mmx_routing_set_requires_key(routing);
+	account = mmx_routing_add_account(routing, "l");
+	account->rate = rate;
+	account->burst = burst;
+	mmx_routing_add_key(routing, account, "key-l", strlen("key-l"));
+	account = mmx_routing_add_account(routing, "u");
+	mmx_routing_add_key(routing, account, "key-u", strlen("key-u"));
+	CU_ASSERT_TRUE(
+		mmx_config_state_replace(config_state, routing, &policy));
+	return config_state;
+}
+
 void fake_add_bytes(struct evbuffer *to, long size)
 {
 	char *bytes = g_malloc0((gsize)size);
--- a/src/test_libmasticmux/fakes.h
+++ b/src/test_libmasticmux/fakes.h
@@ -50,6 +50,10 @@
 mmx_config_state_t *fake_routes(mmx_time_t objective, mmx_time_t timeout,
 				bool repeatable);
 
+/* The same with accounts: "l" (key "key-l") has this limit, "u" (key "key-u")
+ * none. The route /public/ needs no key. */
+mmx_config_state_t *fake_account_routes(double rate, double burst);
+
 /* Appends that many bytes. */
 void fake_add_bytes(struct evbuffer *to, long size);
 
--- a/src/test_libmasticmux/test_settings.c
+++ b/src/test_libmasticmux/test_settings.c
@@ -136,6 +136,15 @@
 	 "17:12: retry.window_s " SECONDS_VALID "a float"},
 	{16, "[stop]\ngrace_s = inf",
 	 "17:11: stop.grace_s " SECONDS_VALID "a float"},
+	{16, "[accounts]\nwindow_s = 0.5",
+	 "17:12: accounts.window_s must be a number of seconds from 1 to "
+	 "3600; found a float"},
+	{16, "[accounts]\novershoot = -0.1",
+	 "17:13: accounts.overshoot must be a number from 0.0 to 10.0; found "
+	 "a float"},
+	{16, "[accounts]\nslack = nan",
+	 "17:9: accounts.slack must be a number of requests from 0 to "
+	 "1000000; found a float"},
 	{16, "[retry]\nshare = nan",
 	 "17:9: retry.share " SHARE_VALID "a float"},
 	{16, "[targets]\nfloor_share = -nan",
@@ -373,6 +382,8 @@
 	{"targets", "floor_share", "0.07", VALUE_(floor_percent), 7},
 	{"targets", "floor_share", "0.704", VALUE_(floor_percent), 71},
 	{"targets", "floor_share", "0.001", VALUE_(floor_percent), 1},
+	{"accounts", "window_s", "5", VALUE_(account_window), 5000000},
+	{"accounts", "window_s", "2.5", VALUE_(account_window), 2500000},
 };
 
 /* Guards against a bound of the platform that stops every process because it
