Start no queued attempt shortly before the process ends

Change: a stopping exit knows when its process ends and refuses queued attempts with less than two expected run times left, as draining. Their entries use another target.

--- a/src/libmasticmux/exit.c
+++ b/src/libmasticmux/exit.c
@@ -620,6 +620,11 @@
 		stop_targets_(exit);
 }
 
+void mmx_exit_set_end(mmx_exit_t *exit, mmx_time_t end)
+{
+	exit->ends_at = end;
+}
+
 size_t mmx_exit_in_progress(const mmx_exit_t *exit, const char *name)
 {
 	const mmx_exit_target_t *target;
--- a/src/libmasticmux/exit_queue.c
+++ b/src/libmasticmux/exit_queue.c
@@ -8,6 +8,10 @@
 #include <event2/buffer.h>
 #include <glib.h>
 
+/* A process that ends starts a queued attempt only if this many expected run
+ * times are left: most runs take less. */
+#define PROCESS_END_HEADROOM 2
+
 /* grant: the attempt is a repeat whose charge another exit is to accept. */
 static void refuse_queued_(mmx_exit_t *exit, mmx_attempt_t *attempt,
 			   mmx_reason_t reason, bool grant)
@@ -102,6 +106,18 @@
 		       : 0;
 }
 
+/*
+ * True for an attempt that has waited and would probably be cut off by the end
+ * of this process.
+ */
+static bool outlasts_process_(const mmx_exit_t *exit,
+			      const mmx_attempt_t *attempt, mmx_time_t now)
+{
+	return exit->ends_at > 0 &&
+	       exit->ends_at - now <
+		       PROCESS_END_HEADROOM * min_remaining_(attempt);
+}
+
 /* Refuses an attempt that would not finish in time; false when it would. */
 static bool refuse_late_(mmx_exit_t *exit, mmx_attempt_t *attempt,
 			 mmx_time_t now)
@@ -109,6 +125,10 @@
 	mmx_time_t wait =
 		mmx_rate_limit_wait(&attempt->target->rate_limit, 0, now);
 
+	if (outlasts_process_(exit, attempt, now)) {
+		mmx_exit_refuse_queued(exit, attempt, MMX_REASON_DRAINING);
+		return true;
+	}
 	if (attempt->deadline - now - wait > min_remaining_(attempt))
 		return false;
 	mmx_counter_add(exit->expired, 1);
--- a/src/libmasticmux/include/private/exit.h
+++ b/src/libmasticmux/include/private/exit.h
@@ -111,6 +111,15 @@
  */
 void mmx_exit_stop_all(mmx_exit_t *exit, mmx_time_t delay);
 
+/*
+ * Sets when this process ends, which cuts off the attempts that still run then.
+ * Queued attempts that would probably not complete by then are refused, so that
+ * their entries can use another target.
+ *
+ * end: clock reading, microseconds
+ */
+void mmx_exit_set_end(mmx_exit_t *exit, mmx_time_t end);
+
 /* Number of requests queued or running at a target, or at all if name is
  * NULL. */
 size_t mmx_exit_in_progress(const mmx_exit_t *exit, const char *name);
--- a/src/libmasticmux/include/private/exit_internal.h
+++ b/src/libmasticmux/include/private/exit_internal.h
@@ -47,6 +47,7 @@
 	mmx_timer_t pace_timer;	  /* starts those that a limit delays */
 	mmx_timer_t health_timer;
 	mmx_timer_t stop_timer; /* of a delayed stop of all targets */
+	mmx_time_t ends_at;	/* when the process ends; 0: not known */
 	mmx_time_t last_evaluation;
 	mmx_counter_t *started;
 	mmx_histogram_t *queue_time;
--- a/src/libmasticmux/node.c
+++ b/src/libmasticmux/node.c
@@ -169,6 +169,8 @@
 			part->ops->drain(part);
 	mmx_entry_cap_deadlines(node->entry,
 				node->drain_deadline - FINAL_RESPONSE_TIME_US);
+	mmx_exit_set_end(node->exit,
+			 node->drain_deadline - FINAL_RESPONSE_TIME_US);
 	mmx_timer_set(&node->drain_timer, DRAIN_POLL_US);
 }
 
--- a/src/test_libmasticmux/test_exit_queue.c
+++ b/src/test_libmasticmux/test_exit_queue.c
@@ -120,6 +120,11 @@
 	else if (g_str_equal(words[0], "slots"))
 		announce_(fixture, MMX_TARGET_WARM,
 			  (uint16_t)fake_number(words, "n", SLOTS));
+	else if (g_str_equal(words[0], "end"))
+		mmx_exit_set_end(
+			fixture->exit,
+			mmx_clock_now(mmx_runtime_clock(fixture->runtime)) +
+				fake_number(words, "ms", 1) * MS);
 	else if (g_str_equal(words[0], "wait"))
 		mmx_clock_advance(mmx_runtime_clock(fixture->runtime),
 				  fake_number(words, "ms", 1) * MS);
@@ -252,6 +257,27 @@
 	run_cases_(cases, G_N_ELEMENTS(cases), 0);
 }
 
+/*
+ * Failure: a process that stops starts a queued request shortly before its end,
+ * which cuts the request off; its entry could have used another target.
+ */
+static void test_end_of_process_(void)
+{
+	static const script_case_t cases[] = {
+		{"too little time is left for a queued request",
+		 "execute; execute n=2; execute n=3 patience=900; end ms=200; "
+		 "wait ms=60; head",
+		 "call1 call2 response1:200:end refused3:draining "},
+		{"enough time is left",
+		 "execute; execute n=2; execute n=3 patience=900; end ms=900; "
+		 "wait ms=60; head",
+		 "call1 call2 response1:200:end call3 "},
+		{"a slot is free", "end ms=150; execute", "call1 "},
+	};
+
+	run_cases_(cases, G_N_ELEMENTS(cases), 0);
+}
+
 /*
  * Some targets are suspect, and retries are needed at others. Failures: the
  * retry budget of suspect targets stays unused; a retry is charged twice or not
@@ -358,6 +384,7 @@
 CU_TestInfo mmx_tests_exit_queue[] = {
 	{"a target that never answers", test_hung_target_},
 	{"requests that are late in the queue", test_late_in_queue_},
+	{"end of the process", test_end_of_process_},
 	{"retry grants for another target", test_grants_},
 	{"notifications of a suspect target", test_suspect_notifications_},
 	{"all targets are cold", test_cold_targets_},
