--- a/src/libmasticmux/include/private/quota_internal.h
+++ b/src/libmasticmux/include/private/quota_internal.h
@@ -27,6 +27,9 @@
 /* A new first owner leaves the bucket to its predecessor for this time: a
  * change of the roster is known everywhere within 2.5 s. */
 #define MMX_QUOTA_HANDOVER_US (3 * MMX_US_PER_S)
+/* Lists of nodes that are remembered, to know who was first in the last window.
+ * Of more changes in a window, the oldest ones are not known. */
+#define MMX_QUOTA_HISTORY 8
 /* Probes of reachability: nodes in a round, time between rounds, and rounds
  * that count (3.2 s). */
 #define MMX_QUOTA_PROBE_NODES 8
@@ -57,7 +60,8 @@
 	uint64_t generation;
 	mmx_node_id_t owners[MMX_QUOTA_OWNERS]; /* 0: none */
 	size_t rank;				/* of this node, from 0 */
-	bool was_first; /* this node was first in the previous roster too */
+	mmx_time_t first_since; /* this node is first since then */
+	bool inherited;		/* from a node that has left the roster */
 
 	/* As requester. */
 	GQueue waiting; /* of mmx_quota_waiting_t */
@@ -150,14 +154,19 @@
 	bool ended;
 } mmx_quota_round_t;
 
+/* A list of nodes. */
+typedef struct mmx_quota_nodes_t {
+	GArray *nodes; /* NULL: none */
+	mmx_time_t since;
+} mmx_quota_nodes_t;
+
 struct mmx_quota_t {
 	mmx_quota_config_t config;
 	const mmx_quota_ops_t *ops;
 	void *context;
-	GArray *nodes;	   /* of mmx_node_id_t, with this node */
-	GArray *old_nodes; /* before the latest change */
-	mmx_time_t nodes_changed_at;
-	mmx_time_t created_at;
+	GArray *nodes; /* of mmx_node_id_t, with this node; the newest list */
+	/* The newest lists, the last first. */
+	mmx_quota_nodes_t history[MMX_QUOTA_HISTORY];
 	uint64_t generation;
 	bool draining;
 	GHashTable *accounts; /* of mmx_quota_account_t, by name */
--- a/src/libmasticmux/quota_accounts.c
+++ b/src/libmasticmux/quota_accounts.c
@@ -213,9 +213,6 @@
 	quota->config = *config;
 	quota->ops = ops;
 	quota->context = context;
-	quota->nodes = g_array_new(FALSE, FALSE, sizeof(mmx_node_id_t));
-	quota->old_nodes = g_array_new(FALSE, FALSE, sizeof(mmx_node_id_t));
-	quota->created_at = mmx_quota_now_(quota);
 	quota->accounts = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
 						free_account_);
 	quota->peers = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
@@ -232,12 +229,13 @@
 	mmx_timer_init(&quota->tick_timer, config->clock, on_tick_, quota);
 	create_counters_(quota);
 	mmx_quota_read_nodes_(quota);
-	quota->nodes_changed_at = quota->created_at;
 	return quota;
 }
 
 void mmx_quota_destroy(mmx_quota_t *quota)
 {
+	size_t i;
+
 	if (!quota)
 		return;
 	g_hash_table_destroy(quota->calls);
@@ -245,8 +243,8 @@
 		mmx_quota_free_served_(LIST_FIRST(&quota->served));
 	g_hash_table_destroy(quota->accounts);
 	g_hash_table_destroy(quota->peers);
-	g_array_free(quota->nodes, TRUE);
-	g_array_free(quota->old_nodes, TRUE);
+	for (i = 0; i < MMX_QUOTA_HISTORY && quota->history[i].nodes; i++)
+		g_array_free(quota->history[i].nodes, TRUE);
 	mmx_timer_cancel(&quota->flush_timer);
 	mmx_timer_cancel(&quota->tick_timer);
 	g_free(quota);
--- a/src/libmasticmux/quota_order.c
+++ b/src/libmasticmux/quota_order.c
@@ -22,20 +22,44 @@
 	return score_a > score_b || (score_a == score_b && a > b);
 }
 
-static bool is_first_(const GArray *nodes, const char *account,
-		      mmx_node_id_t self)
+static mmx_node_id_t find_first_(const GArray *nodes, const char *account)
 {
-	uint64_t own = score_(account, self);
+	mmx_node_id_t first = 0;
+	uint64_t best = 0;
 	guint i;
 
 	for (i = 0; i < nodes->len; i++) {
 		mmx_node_id_t node = g_array_index(nodes, mmx_node_id_t, i);
+		uint64_t score = score_(account, node);
 
-		if (node != self &&
-		    is_before_(score_(account, node), node, own, self))
-			return false;
+		if (!first || is_before_(score, node, best, first)) {
+			first = node;
+			best = score;
+		}
+	}
+	return first;
+}
+
+static bool has_node_(const GArray *nodes, mmx_node_id_t node);
+
+/* Finds out since when this node is first, and whom it follows. */
+static void find_term_(mmx_quota_account_t *account)
+{
+	const mmx_quota_t *quota = account->quota;
+	size_t i;
+
+	account->first_since = MMX_TIME_NEVER;
+	account->inherited = false;
+	for (i = 0; i < MMX_QUOTA_HISTORY && quota->history[i].nodes; i++) {
+		mmx_node_id_t first =
+			find_first_(quota->history[i].nodes, account->name);
+
+		if (first != quota->config.node) {
+			account->inherited = !has_node_(quota->nodes, first);
+			return;
+		}
+		account->first_since = quota->history[i].since;
 	}
-	return nodes->len > 0;
 }
 
 void mmx_quota_order_(mmx_quota_account_t *account)
@@ -75,7 +99,7 @@
 		account->owners[at] = node;
 		scores[at] = score;
 	}
-	account->was_first = is_first_(quota->old_nodes, account->name, self);
+	find_term_(account);
 }
 
 static int compare_nodes_(gconstpointer a, gconstpointer b)
@@ -104,6 +128,7 @@
 {
 	GArray *nodes = g_array_new(FALSE, FALSE, sizeof(mmx_node_id_t));
 	mmx_time_t now = mmx_quota_now_(quota);
+	mmx_quota_nodes_t *last;
 
 	quota->ops->list_nodes(quota->context, nodes);
 	g_array_sort(nodes, compare_nodes_);
@@ -111,21 +136,19 @@
 		g_array_append_val(nodes, quota->config.node);
 		g_array_sort(nodes, compare_nodes_);
 	}
-	if (nodes->len == quota->nodes->len &&
+	if (quota->nodes && nodes->len == quota->nodes->len &&
 	    memcmp(nodes->data, quota->nodes->data,
 		   nodes->len * sizeof(mmx_node_id_t)) == 0) {
 		g_array_free(nodes, TRUE);
 		return;
 	}
-	/* Of several changes in one handover, the first counts. */
-	if (now - quota->nodes_changed_at >= MMX_QUOTA_HANDOVER_US) {
-		g_array_free(quota->old_nodes, TRUE);
-		quota->old_nodes = quota->nodes;
-	} else {
-		g_array_free(quota->nodes, TRUE);
-	}
+	last = &quota->history[MMX_QUOTA_HISTORY - 1];
+	if (last->nodes)
+		g_array_free(last->nodes, TRUE);
+	memmove(&quota->history[1], &quota->history[0],
+		(MMX_QUOTA_HISTORY - 1) * sizeof(*last));
+	quota->history[0] = (mmx_quota_nodes_t){.nodes = nodes, .since = now};
 	quota->nodes = nodes;
-	quota->nodes_changed_at = now;
 	quota->generation++;
 	g_hash_table_foreach_remove(quota->peers, is_gone_, nodes);
 }
--- a/src/libmasticmux/quota_owner.c
+++ b/src/libmasticmux/quota_owner.c
@@ -31,20 +31,17 @@
 	mmx_time_t now = mmx_quota_now_(quota);
 
 	return is_first_(account) && account->owners[1] &&
-	       !account->was_first &&
-	       now - quota->nodes_changed_at < MMX_QUOTA_HANDOVER_US &&
-	       !(account->serving &&
-		 now - account->served_at < quota->config.bounds.window);
+	       !account->inherited &&
+	       now - account->first_since < MMX_QUOTA_HANDOVER_US &&
+	       !(account->serving && now - account->served_at < TERM_END_US);
 }
 
 /* True if no other node can have decided for the account in this window. */
 static bool is_settled_(const mmx_quota_account_t *account, mmx_time_t now)
 {
-	const mmx_quota_t *quota = account->quota;
-	mmx_time_t window = quota->config.bounds.window;
-
-	return is_first_(account) && now - quota->created_at >= window &&
-	       (account->was_first || now - quota->nodes_changed_at >= window);
+	return is_first_(account) &&
+	       now - account->first_since >=
+		       account->quota->config.bounds.window;
 }
 
 /* Share of the rate at which the bucket of an account is filled. */
@@ -123,9 +120,10 @@
 			set_rate_(account);
 		else
 			begin_term_(account);
-	} else if (!in_office_(account, now) && idle > TERM_END_US) {
+	} else if (!is_settled_(account, now) && idle > TERM_END_US) {
 		resume_(account, least);
-		begin_term_(account);
+		if (!in_office_(account, now))
+			begin_term_(account);
 	}
 }
 
