--- a/src/libmasticmux/include/private/quota_internal.h
+++ b/src/libmasticmux/include/private/quota_internal.h
@@ -30,10 +30,11 @@
 /* Lists of nodes that are remembered, to know who was first in the last window.
  * Of more changes in a window, the oldest ones are not known. */
 #define MMX_QUOTA_HISTORY 8
-/* Probes of reachability: nodes in a round, time between rounds, and rounds
- * that count (3.2 s). */
+/* Probes of reachability: nodes in a round, time between rounds at high and at
+ * some load, and rounds that count, which are those of the last 3.2 s. */
 #define MMX_QUOTA_PROBE_NODES 8
 #define MMX_QUOTA_PROBE_US (400 * MMX_US_PER_MS)
+#define MMX_QUOTA_PROBE_SOME_US (800 * MMX_US_PER_MS)
 #define MMX_QUOTA_PROBE_ROUNDS 8
 /* An owner that answered a node within this time is in office. */
 #define MMX_QUOTA_HEARD_US (1 * MMX_US_PER_S)
@@ -263,8 +264,8 @@
 /* Whether probes are needed. */
 typedef enum mmx_quota_load_t {
 	MMX_QUOTA_LOAD_NONE,
-	MMX_QUOTA_LOAD_SOME, /* the witnesses have to know the owner */
-	MMX_QUOTA_LOAD_HIGH, /* reachability decides on the rate */
+	MMX_QUOTA_LOAD_SOME,
+	MMX_QUOTA_LOAD_HIGH,
 } mmx_quota_load_t;
 mmx_quota_load_t mmx_quota_load_(mmx_quota_t *quota);
 /* Fills in the lines of a probe: accounts in use that this node serves.
--- a/src/libmasticmux/quota_owner.c
+++ b/src/libmasticmux/quota_owner.c
@@ -6,10 +6,11 @@
 
 /* A standby that has not served for this time begins a new term. */
 #define TERM_END_US (1 * MMX_US_PER_S)
-/* From this use of the limit on, permille, a second owner could exceed the
- * bound, so that the witnesses have to know the first one. */
-#define SOME_USE 150
-/* From this use on, two owners can exceed the bound. */
+/* Below this use, permille, an owner and a standby in two parts of the fleet
+ * stay within the usual overshoot without probes. */
+#define SOME_USE 100
+/* From this use on, two owners exceed the limit at once, so that probes are
+ * more frequent. */
 #define HIGH_USE (MMX_QUOTA_USE_FULL / 2)
 
 static bool is_first_(const mmx_quota_account_t *account)
--- a/src/libmasticmux/quota_peers.c
+++ b/src/libmasticmux/quota_peers.c
@@ -255,12 +255,10 @@
 	mmx_quota_line_t lines[LINES];
 	mmx_node_id_t chosen[MMX_QUOTA_PROBE_NODES + LINES * MMX_QUOTA_OWNERS];
 	size_t count = mmx_quota_probe_lines_(quota, asks, lines, LINES);
-	size_t nodes = 0;
+	size_t nodes = choose_nodes_(quota, chosen);
 	mmx_quota_round_t *round = &quota->rounds[0];
 	size_t i;
 
-	if (mmx_quota_load_(quota) == MMX_QUOTA_LOAD_HIGH)
-		nodes = choose_nodes_(quota, chosen);
 	memmove(&quota->rounds[1], &quota->rounds[0],
 		(MMX_QUOTA_PROBE_ROUNDS - 1) * sizeof(*round));
 	*round = (mmx_quota_round_t){
@@ -325,14 +323,20 @@
 	mmx_quota_round_t *round = &quota->rounds[0];
 	mmx_time_t now = mmx_quota_now_(quota);
 	mmx_time_t age = now - round->started_at;
+	mmx_quota_load_t load;
 
 	g_hash_table_foreach_remove(quota->calls, is_forgotten_, &now);
 	if (round->number && !round->ended && age > MMX_QUOTA_ASK_TIMEOUT_US) {
 		round->ended = true;
 		mmx_quota_set_rates_(quota);
 	}
-	if ((!round->number || (round->ended && age >= MMX_QUOTA_PROBE_US)) &&
-	    quota->nodes->len > 1 &&
-	    mmx_quota_load_(quota) != MMX_QUOTA_LOAD_NONE)
-		mmx_quota_start_round_(quota);
+	if (quota->nodes->len < 2 || (round->number && !round->ended))
+		return;
+	load = mmx_quota_load_(quota);
+	if (load == MMX_QUOTA_LOAD_NONE ||
+	    (round->number &&
+	     age < (load == MMX_QUOTA_LOAD_HIGH ? MMX_QUOTA_PROBE_US
+						: MMX_QUOTA_PROBE_SOME_US)))
+		return;
+	mmx_quota_start_round_(quota);
 }
--- a/src/test_libmasticmux/quota_world.h
+++ b/src/test_libmasticmux/quota_world.h
@@ -10,7 +10,7 @@
 #include "private/quota.h"
 
 #define QUOTA_WORLD_NODES 104
-#define QUOTA_WORLD_ACCOUNTS 8
+#define QUOTA_WORLD_ACCOUNTS 96
 #define QUOTA_WORLD_STEP_US (2 * MMX_US_PER_MS)
 
 typedef struct quota_world_t quota_world_t;
--- a/src/test_libmasticmux/test_quota_units.c
+++ b/src/test_libmasticmux/test_quota_units.c
@@ -208,6 +208,44 @@
 	quota_world_destroy(world);
 }
 
+/* Guards against more messages than a token request and a few probes for each
+ * request at the usual load of the first deployment: 104 nodes, 86 accounts,
+ * four requests a second at each node, half of the limits in use. */
+static void test_usual_costs_(void)
+{
+	enum { ACCOUNTS = 86, SECONDS = 30 };
+	quota_world_t *world = quota_world_create(104, 3);
+	mmx_time_t end;
+	size_t asked = 0;
+	size_t refused = 0;
+	size_t i;
+
+	for (i = 0; i < ACCOUNTS; i++)
+		quota_world_add_account(world, 10, 10);
+	quota_world_run(world, 10 * S);
+	end = world->now + SECONDS * S;
+	while (world->now < end) {
+		if (mmx_random_unit(&world->random) < 416 * 0.002)
+			quota_world_request(
+				world, mmx_random_below(&world->random, 104),
+				mmx_random_below(&world->random, ACCOUNTS));
+		quota_world_run(world, QUOTA_WORLD_STEP_US);
+	}
+	for (i = 0; i < ACCOUNTS; i++) {
+		asked += world->accounts[i].asked;
+		refused += world->accounts[i].refused;
+	}
+	if (g_getenv("QUOTA_PRINT"))
+		printf("\n  104 nodes, 86 accounts: %zu requests, %zu "
+		       "refused, %zu messages, %zu bytes, longest wait "
+		       "%lld ms",
+		       asked, refused, world->message_count, world->byte_count,
+		       (long long)(world->longest_wait / MS));
+	CU_ASSERT_EQUAL(refused, 0);
+	CU_ASSERT(world->message_count <= 10 * asked);
+	quota_world_destroy(world);
+}
+
 /* Guards against a request that gets a decision after it was cancelled, and
  * against its token being lost. */
 static void test_cancel_(void)
@@ -404,6 +442,7 @@
 	{"malformed messages", test_malformed_messages_},
 	{"bucket", test_bucket_},
 	{"cost of a flood", test_flood_costs_},
+	{"cost of the usual load", test_usual_costs_},
 	{"cancelled request", test_cancel_},
 	{"state is dropped", test_state_is_dropped_},
 	{"limit falls", test_limit_falls_},
