--- a/src/libmasticmux/include/private/quota.h
+++ b/src/libmasticmux/include/private/quota.h
@@ -87,8 +87,9 @@
 	 * mmx_quota_on_ask(). */
 	void (*send_answer)(void *context, const mmx_peer_ticket_t *ticket,
 			    const uint8_t *bytes, size_t length);
-	/** Appends the ids of the nodes of the roster (of mmx_node_id_t). This
-	 * node may be among them or not. */
+	/** Appends the ids of the nodes of the roster (of mmx_node_id_t), with
+	 * this node as soon as the others know it: a node that is not in a
+	 * list which has others owns no account. */
 	void (*list_nodes)(void *context, GArray *nodes);
 	/**
 	 * Looks up the limit of an account in this node's configuration.
--- a/src/libmasticmux/include/private/quota_internal.h
+++ b/src/libmasticmux/include/private/quota_internal.h
@@ -165,7 +165,7 @@
 	mmx_quota_config_t config;
 	const mmx_quota_ops_t *ops;
 	void *context;
-	GArray *nodes; /* of mmx_node_id_t, with this node; the newest list */
+	GArray *nodes; /* of mmx_node_id_t, sorted; the newest list */
 	/* The newest lists, the last first. */
 	mmx_quota_nodes_t history[MMX_QUOTA_HISTORY];
 	uint64_t generation;
--- a/src/libmasticmux/quota_order.c
+++ b/src/libmasticmux/quota_order.c
@@ -132,10 +132,9 @@
 
 	quota->ops->list_nodes(quota->context, nodes);
 	g_array_sort(nodes, compare_nodes_);
-	if (!has_node_(nodes, quota->config.node)) {
+	/* A node that the others do not know must not decide for them. */
+	if (!nodes->len)
 		g_array_append_val(nodes, quota->config.node);
-		g_array_sort(nodes, compare_nodes_);
-	}
 	if (quota->nodes && nodes->len == quota->nodes->len &&
 	    memcmp(nodes->data, quota->nodes->data,
 		   nodes->len * sizeof(mmx_node_id_t)) == 0) {
