--- a/src/libmasticmux/quota_owner.c
+++ b/src/libmasticmux/quota_owner.c
@@ -6,10 +6,11 @@
 
 /* A standby that has not served for this time begins a new term. */
 #define TERM_END_US (1 * MMX_US_PER_S)
-/* From this use of the limit on, permille, a second owner could exceed the
- * bound, so that the witnesses have to know the first one. */
-#define SOME_USE 150
-/* From this use on, two owners can exceed the bound. */
+/* Below this use, permille, an owner and a standby in two parts of the fleet
+ * stay within the usual overshoot without probes. */
+#define SOME_USE 100
+/* From this use on, two owners exceed the limit at once, so that probes are
+ * more frequent. */
 #define HIGH_USE (MMX_QUOTA_USE_FULL / 2)
 
 static bool is_first_(const mmx_quota_account_t *account)
@@ -31,20 +32,17 @@
 	mmx_time_t now = mmx_quota_now_(quota);
 
 	return is_first_(account) && account->owners[1] &&
-	       !account->was_first &&
-	       now - quota->nodes_changed_at < MMX_QUOTA_HANDOVER_US &&
-	       !(account->serving &&
-		 now - account->served_at < quota->config.bounds.window);
+	       !account->inherited &&
+	       now - account->first_since < MMX_QUOTA_HANDOVER_US &&
+	       !(account->serving && now - account->served_at < TERM_END_US);
 }
 
 /* True if no other node can have decided for the account in this window. */
 static bool is_settled_(const mmx_quota_account_t *account, mmx_time_t now)
 {
-	const mmx_quota_t *quota = account->quota;
-	mmx_time_t window = quota->config.bounds.window;
-
-	return is_first_(account) && now - quota->created_at >= window &&
-	       (account->was_first || now - quota->nodes_changed_at >= window);
+	return is_first_(account) &&
+	       now - account->first_since >=
+		       account->quota->config.bounds.window;
 }
 
 /* Share of the rate at which the bucket of an account is filled. */
@@ -123,9 +121,10 @@
 			set_rate_(account);
 		else
 			begin_term_(account);
-	} else if (!in_office_(account, now) && idle > TERM_END_US) {
+	} else if (!is_settled_(account, now) && idle > TERM_END_US) {
 		resume_(account, least);
-		begin_term_(account);
+		if (!in_office_(account, now))
+			begin_term_(account);
 	}
 }
 
