--- a/src/libmasticmux/include/private/quota_internal.h
+++ b/src/libmasticmux/include/private/quota_internal.h
@@ -22,6 +22,19 @@
 /* Bounds of the back-off of a failed node. */
 #define MMX_QUOTA_BACKOFF_MIN_US (2 * MMX_US_PER_S)
 #define MMX_QUOTA_BACKOFF_MAX_US (8 * MMX_US_PER_S)
+/* A node that failed for this time is left out of the order of the accounts,
+ * so that the nodes behind it decide: machines that are lost for good stay in
+ * the roster. It is still tried now and then. */
+#define MMX_QUOTA_ABSENT_US (2 * MMX_US_PER_S)
+#define MMX_QUOTA_ABSENT_BACKOFF_MAX_US (30 * MMX_US_PER_S)
+/* A failed node from which something arrives is tried this long after its last
+ * failure, whatever its back-off. */
+#define MMX_QUOTA_CONTACT_RETRY_US (500 * MMX_US_PER_MS)
+/* A node that answered within this time counts as reached. */
+#define MMX_QUOTA_REACHED_US (60 * MMX_US_PER_S)
+/* Least number of nodes whose state is known for an estimate of the share of
+ * the fleet that is reached. */
+#define MMX_QUOTA_REACH_NODES 6
 /* An isolated node tries the owner again after this time. */
 #define MMX_QUOTA_ISOLATED_RETRY_US (1 * MMX_US_PER_S)
 /* A new first owner leaves the bucket to its predecessor for this time: a
@@ -30,12 +43,16 @@
 /* Lists of nodes that are remembered, to know who was first in the last window.
  * Of more changes in a window, the oldest ones are not known. */
 #define MMX_QUOTA_HISTORY 8
-/* Probes of reachability: nodes in a round, time between rounds at high and at
- * some load, and rounds that count, which are those of the last 3.2 s. */
+/* Probes of reachability: nodes in a round, time between rounds, and rounds that
+ * count, which are those of the last 3.2 s. Probes are sent only while a node
+ * is missed or a standby serves: they cost more than the token requests. */
 #define MMX_QUOTA_PROBE_NODES 8
 #define MMX_QUOTA_PROBE_US (400 * MMX_US_PER_MS)
-#define MMX_QUOTA_PROBE_SOME_US (800 * MMX_US_PER_MS)
 #define MMX_QUOTA_PROBE_ROUNDS 8
+/* A standby serves at the full rate only after a round that started this long
+ * after its term: the nodes of the first round ask the first owner themselves,
+ * and know the reply in the second. */
+#define MMX_QUOTA_CONFIRM_US (300 * MMX_US_PER_MS)
 /* An owner that answered a node within this time is in office. */
 #define MMX_QUOTA_HEARD_US (1 * MMX_US_PER_S)
 /* Nodes of the order that are known: the first two are asked, the others are
@@ -101,6 +118,8 @@
 typedef struct mmx_quota_peer_t {
 	mmx_node_id_t node;
 	bool failed;
+	bool absent; /* left out of the order of the accounts */
+	mmx_time_t failed_since;
 	mmx_time_t failed_at;
 	mmx_time_t backoff;
 	mmx_time_t retry_at;  /* a failed node is tried again */
@@ -239,6 +258,10 @@
  * back-off. retry: longest time between two trials */
 bool mmx_quota_is_usable_(mmx_quota_t *quota, mmx_node_id_t node,
 			  mmx_time_t retry);
+/* A node has sent a probe. */
+void mmx_quota_on_contact_(mmx_quota_t *quota, mmx_node_id_t node);
+/* True for a node that is left out of the order of the accounts. */
+bool mmx_quota_is_absent_(const mmx_quota_t *quota, mmx_node_id_t node);
 /* Sends asks; lines: count, copied, may be NULL for none */
 mmx_quota_call_t *mmx_quota_call_(mmx_quota_t *quota, mmx_node_id_t node,
 				  mmx_quota_call_kind_t kind,
@@ -256,18 +279,16 @@
 mmx_quota_answer_t mmx_quota_serve_(mmx_quota_account_t *account,
 				    unsigned int wanted, unsigned int prefetch,
 				    unsigned int given_back);
+/* True if the bucket of this node was used in this window. */
+bool mmx_quota_has_served_(const mmx_quota_account_t *account);
 /* The reply to a relayed line; answer: NULL if it failed */
 void mmx_quota_on_relayed_(mmx_quota_call_t *call,
 			   const mmx_quota_answer_t *answer);
 /* Sets the rates of all buckets after a round of probes. */
 void mmx_quota_set_rates_(mmx_quota_t *quota);
-/* Whether probes are needed. */
-typedef enum mmx_quota_load_t {
-	MMX_QUOTA_LOAD_NONE,
-	MMX_QUOTA_LOAD_SOME,
-	MMX_QUOTA_LOAD_HIGH,
-} mmx_quota_load_t;
-mmx_quota_load_t mmx_quota_load_(mmx_quota_t *quota);
+/* True if rounds of probes are needed: while a standby serves, and while an
+ * account is pressed. missed: a node failed lately */
+bool mmx_quota_needs_probes_(mmx_quota_t *quota, bool missed);
 /* Fills in the lines of a probe: accounts in use that this node serves.
  * Returns their number. */
 size_t mmx_quota_probe_lines_(mmx_quota_t *quota, mmx_quota_ask_t *asks,
--- a/src/libmasticmux/quota.c
+++ b/src/libmasticmux/quota.c
@@ -144,7 +144,9 @@
 {
 	mmx_quota_answer_t answer;
 
-	if (!node) {
+	/* Either the bucket of a standby or that of an isolated node is filled
+	 * with this node's share of the rate. */
+	if (!node && !mmx_quota_has_served_(account)) {
 		set_isolated_(account);
 		return take_local_(account, wanted, retry_after);
 	}
@@ -400,7 +402,7 @@
 			mmx_timer_set(&account->wait_timer, left);
 			return;
 		}
-		if (take_local_(account, 1, &retry_after))
+		if (take_here_(account, 0, 1, &retry_after))
 			decide_(account, MMX_QUOTA_GRANTED, 0);
 		else
 			decide_(account, MMX_QUOTA_REFUSED, retry_after);
--- a/src/libmasticmux/quota_order.c
+++ b/src/libmasticmux/quota_order.c
@@ -86,6 +86,8 @@
 			continue;
 		if (node != self && is_before_(score, node, own, self))
 			account->rank++;
+		if (node != self && mmx_quota_is_absent_(quota, node))
+			continue;
 		while (at > 0 && (account->owners[at - 1] == 0 ||
 				  is_before_(score, node, scores[at - 1],
 					     account->owners[at - 1])))
--- a/src/libmasticmux/quota_owner.c
+++ b/src/libmasticmux/quota_owner.c
@@ -6,11 +6,7 @@
 
 /* A standby that has not served for this time begins a new term. */
 #define TERM_END_US (1 * MMX_US_PER_S)
-/* Below this use, permille, an owner and a standby in two parts of the fleet
- * stay within the usual overshoot without probes. */
-#define SOME_USE 100
-/* From this use on, two owners exceed the limit at once, so that probes are
- * more frequent. */
+/* From this use of the limit on, permille, two owners exceed it. */
 #define HIGH_USE (MMX_QUOTA_USE_FULL / 2)
 
 static bool is_first_(const mmx_quota_account_t *account)
@@ -21,7 +17,7 @@
 /* True if no other node decides for the account as far as this node knows. */
 static bool in_office_(const mmx_quota_account_t *account, mmx_time_t now)
 {
-	return is_first_(account) ||
+	return (is_first_(account) && account->rank == 0) ||
 	       (account->delegated_at >= 0 &&
 		now - account->delegated_at < TERM_END_US);
 }
@@ -82,6 +78,9 @@
 
 	account->takeover_at = mmx_quota_now_(quota);
 	account->confirmed = false;
+	/* The share of an isolated node ends where its term begins. */
+	if (account->local_at >= 0)
+		mmx_quota_bucket_cut(&account->local, 0, account->takeover_at);
 	mmx_counter_add(quota->takeovers, 1);
 	mmx_quota_event_(account, MMX_QUOTA_TOOK_OVER, account->owners[0]);
 	set_rate_(account);
@@ -106,10 +105,15 @@
 {
 	mmx_time_t now = mmx_quota_now_(account->quota);
 	double capacity = mmx_quota_capacity_(account);
-	double least = MIN(capacity, mmx_quota_reserve_(account) / 4);
+	double least = 0;
 	mmx_time_t idle = now - account->served_at;
 
 	mmx_quota_order_(account);
+	/* Only two takeovers have a part of the reserve. Nodes further back
+	 * serve because those before them are absent, and in a partition there
+	 * may be many of them. */
+	if (account->rank < 2)
+		least = MIN(capacity, mmx_quota_reserve_(account) / 4);
 	account->served_at = now;
 	if (!account->serving) {
 		account->serving = true;
@@ -155,6 +159,14 @@
 	return answer;
 }
 
+bool mmx_quota_has_served_(const mmx_quota_account_t *account)
+{
+	const mmx_quota_t *quota = account->quota;
+
+	return account->serving && mmx_quota_now_(quota) - account->served_at <
+					   quota->config.bounds.window;
+}
+
 void mmx_quota_free_served_(mmx_quota_served_t *served)
 {
 	LIST_REMOVE(served, entry);
@@ -219,20 +231,28 @@
 	finish_served_(call->quota, served);
 }
 
-/* Answers whether this node hears from the first owner of an account. */
-static bool hears_owner_(mmx_quota_t *quota, const char *name)
+/* Answers whether another node than the standby that asks decides for an
+ * account, as far as this node knows. Asks that node in turn. */
+static bool hears_owner_(mmx_quota_t *quota, const char *name,
+			 mmx_node_id_t from)
 {
 	mmx_quota_account_t account = {.quota = quota};
-	const mmx_quota_peer_t *peer;
+	mmx_quota_peer_t *peer;
+	mmx_time_t age;
 
 	g_strlcpy(account.name, name, sizeof(account.name));
 	mmx_quota_order_(&account);
 	if (is_first_(&account))
-		return true;
-	peer = g_hash_table_lookup(quota->peers, &account.owners[0]);
-	return peer &&
-	       mmx_quota_now_(quota) - MAX(peer->heard_at, peer->active_at) <=
-		       MMX_QUOTA_HEARD_US;
+		return account.rank == 0;
+	if (account.owners[0] == from)
+		return false;
+	peer = mmx_quota_get_peer_(quota, account.owners[0]);
+	age = mmx_quota_now_(quota) - MAX(peer->heard_at, peer->active_at);
+	/* Asked again in time for the next round. */
+	if (!peer->failed && age > MMX_QUOTA_HEARD_US / 2)
+		mmx_quota_call_(quota, peer->node, MMX_QUOTA_CALL_PROBE, NULL,
+				0, NULL);
+	return age <= MMX_QUOTA_HEARD_US;
 }
 
 static void decide_line_(mmx_quota_t *quota, mmx_quota_served_t *served,
@@ -244,11 +264,11 @@
 	mmx_quota_account_t *account;
 
 	if (ask->hop >= MMX_QUOTA_HOP_PROBE) {
-		mmx_quota_get_peer_(quota, served->from)->active_at =
-			mmx_quota_now_(quota);
+		mmx_quota_on_contact_(quota, served->from);
 		if (ask->hop == MMX_QUOTA_HOP_PROBE)
 			served->answers[index].heard =
-				hears_owner_(quota, ask->account);
+				hears_owner_(quota, ask->account,
+					     served->from);
 		return;
 	}
 	account = mmx_quota_get_account_(quota, ask->account);
@@ -303,36 +323,30 @@
 	       now - account->served_at < TERM_END_US;
 }
 
-static mmx_quota_load_t load_(mmx_quota_account_t *account, mmx_time_t now)
+/* True for an account of which a second owner may exceed the limit: its bucket
+ * is nearly empty, or half of the limit is used while a node is missed. */
+static bool is_pressed_(mmx_quota_account_t *account, bool missed,
+			mmx_time_t now)
 {
 	mmx_quota_bucket_t *bucket = &account->bucket;
-	unsigned int use;
 
-	if (!account->serving)
-		return MMX_QUOTA_LOAD_NONE;
-	if (!in_office_(account, now))
-		return is_on_standby_(account, now) ? MMX_QUOTA_LOAD_HIGH
-						    : MMX_QUOTA_LOAD_NONE;
-	use = mmx_quota_bucket_use(bucket, now);
-	if (use >= HIGH_USE || bucket->tokens < bucket->capacity / 2)
-		return MMX_QUOTA_LOAD_HIGH;
-	return use >= SOME_USE ? MMX_QUOTA_LOAD_SOME : MMX_QUOTA_LOAD_NONE;
+	return account->serving && in_office_(account, now) &&
+	       (bucket->tokens < bucket->capacity / 4 ||
+		(missed && mmx_quota_bucket_use(bucket, now) >= HIGH_USE));
 }
 
-mmx_quota_load_t mmx_quota_load_(mmx_quota_t *quota)
+bool mmx_quota_needs_probes_(mmx_quota_t *quota, bool missed)
 {
 	mmx_time_t now = mmx_quota_now_(quota);
-	mmx_quota_load_t most = MMX_QUOTA_LOAD_NONE;
 	GHashTableIter iter;
 	gpointer value;
 
 	g_hash_table_iter_init(&iter, quota->accounts);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		mmx_quota_load_t load = load_(value, now);
-
-		most = MAX(most, load);
-	}
-	return most;
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		if (is_on_standby_(value, now) ||
+		    is_pressed_(value, missed, now))
+			return true;
+	return false;
 }
 
 size_t mmx_quota_probe_lines_(mmx_quota_t *quota, mmx_quota_ask_t *asks,
@@ -347,7 +361,8 @@
 	while (count < max && g_hash_table_iter_next(&iter, NULL, &value)) {
 		mmx_quota_account_t *account = value;
 
-		if (load_(account, now) == MMX_QUOTA_LOAD_NONE)
+		if (!is_on_standby_(account, now) &&
+		    !is_pressed_(account, true, now))
 			continue;
 		asks[count] = (mmx_quota_ask_t){
 			.limit = account->limit,
@@ -373,7 +388,8 @@
 
 		if (!account->serving)
 			continue;
-		if (round->started_at >= account->takeover_at)
+		if (round->started_at - account->takeover_at >=
+		    MMX_QUOTA_CONFIRM_US)
 			account->confirmed = true;
 		set_rate_(account);
 	}
--- a/src/libmasticmux/quota_peers.c
+++ b/src/libmasticmux/quota_peers.c
@@ -19,6 +19,17 @@
 	return peer;
 }
 
+void mmx_quota_on_contact_(mmx_quota_t *quota, mmx_node_id_t node)
+{
+	mmx_quota_peer_t *peer = mmx_quota_get_peer_(quota, node);
+	mmx_time_t now = mmx_quota_now_(quota);
+
+	peer->active_at = now;
+	/* A failed node that sends may answer again. */
+	if (peer->failed && now - peer->failed_at >= MMX_QUOTA_CONTACT_RETRY_US)
+		peer->retry_at = MIN(peer->retry_at, now);
+}
+
 static void on_success_(mmx_quota_call_t *call)
 {
 	mmx_quota_peer_t *peer = mmx_quota_get_peer_(call->quota, call->node);
@@ -27,6 +38,9 @@
 	peer->trial = 0;
 	peer->backoff = 0;
 	peer->heard_at = mmx_quota_now_(call->quota);
+	if (peer->absent)
+		call->quota->generation++;
+	peer->absent = false;
 }
 
 static void on_failure_(mmx_quota_call_t *call)
@@ -40,13 +54,17 @@
 	/* Of a failed node, only the trials count. */
 	if (peer->failed && call->id != peer->trial)
 		return;
-	if (!peer->failed)
+	if (!peer->failed) {
 		/* The first trial follows at once: one message may be lost. */
 		peer->backoff = 0;
-	else
-		peer->backoff =
-			CLAMP(2 * peer->backoff, MMX_QUOTA_BACKOFF_MIN_US,
-			      MMX_QUOTA_BACKOFF_MAX_US);
+		peer->failed_since = call->sent_at;
+	} else {
+		peer->backoff = CLAMP(2 * peer->backoff,
+				      MMX_QUOTA_BACKOFF_MIN_US,
+				      peer->absent
+					      ? MMX_QUOTA_ABSENT_BACKOFF_MAX_US
+					      : MMX_QUOTA_BACKOFF_MAX_US);
+	}
 	peer->failed = true;
 	peer->failed_at = now;
 	peer->trial = 0;
@@ -68,6 +86,13 @@
 	return false;
 }
 
+bool mmx_quota_is_absent_(const mmx_quota_t *quota, mmx_node_id_t node)
+{
+	const mmx_quota_peer_t *peer = g_hash_table_lookup(quota->peers, &node);
+
+	return peer && peer->absent;
+}
+
 static void drop_lines_(mmx_quota_call_t *call)
 {
 	size_t i;
@@ -279,10 +304,41 @@
 	}
 }
 
+typedef struct peer_counts_t {
+	mmx_quota_t *quota;
+	mmx_time_t now;
+	double missed;
+	double reached;
+	bool missed_lately; /* a node that is not absent has failed */
+} peer_counts_t;
+
+static void count_peer_(gpointer key, gpointer value, gpointer data)
+{
+	const mmx_quota_peer_t *peer = value;
+	peer_counts_t *counts = data;
+
+	(void)key;
+	if (peer->failed) {
+		counts->missed++;
+		counts->missed_lately = counts->missed_lately || !peer->absent;
+	} else if (counts->now - peer->heard_at <= MMX_QUOTA_REACHED_US) {
+		counts->reached++;
+	}
+}
+
+static peer_counts_t count_peers_(const mmx_quota_t *quota)
+{
+	peer_counts_t counts = {.now = mmx_quota_now_(quota)};
+
+	g_hash_table_foreach(quota->peers, count_peer_, &counts);
+	return counts;
+}
+
 double mmx_quota_reach_(const mmx_quota_t *quota)
 {
 	mmx_time_t oldest = mmx_quota_now_(quota) -
 			    MMX_QUOTA_PROBE_ROUNDS * MMX_QUOTA_PROBE_US;
+	peer_counts_t counts = count_peers_(quota);
 	double missing = 0;
 	double latest = -1;
 	double sent = 0;
@@ -300,15 +356,36 @@
 		if (latest < 0)
 			latest = lost / (double)round->sent;
 	}
-	if (sent == 0)
-		return 1;
 	/* The nodes that were probed stand for all others; this node reaches
 	 * itself. */
-	return 1 - MAX(latest, missing / sent) *
-			   (double)(quota->nodes->len - 1) /
+	if (sent > 0)
+		missing = MAX(latest, missing / sent);
+	if (counts.missed + counts.reached >= MMX_QUOTA_REACH_NODES)
+		missing = MAX(missing, counts.missed /
+					       (counts.missed + counts.reached));
+	return 1 - missing * (double)(quota->nodes->len - 1) /
 			   (double)quota->nodes->len;
 }
 
+/* Leaves nodes that failed for some time out of the order, and tries them now
+ * and then. */
+static void update_peer_(gpointer key, gpointer value, gpointer data)
+{
+	mmx_quota_peer_t *peer = value;
+	mmx_quota_t *quota = data;
+	mmx_time_t now = mmx_quota_now_(quota);
+
+	(void)key;
+	if (!peer->failed)
+		return;
+	if (!peer->absent && now - peer->failed_since >= MMX_QUOTA_ABSENT_US) {
+		peer->absent = true;
+		quota->generation++;
+	}
+	if (peer->absent)
+		mmx_quota_is_usable_(quota, peer->node, MMX_TIME_NEVER / 4);
+}
+
 static gboolean is_forgotten_(gpointer key, gpointer value, gpointer data)
 {
 	const mmx_quota_call_t *call = value;
@@ -323,20 +400,15 @@
 	mmx_quota_round_t *round = &quota->rounds[0];
 	mmx_time_t now = mmx_quota_now_(quota);
 	mmx_time_t age = now - round->started_at;
-	mmx_quota_load_t load;
 
 	g_hash_table_foreach_remove(quota->calls, is_forgotten_, &now);
+	g_hash_table_foreach(quota->peers, update_peer_, quota);
 	if (round->number && !round->ended && age > MMX_QUOTA_ASK_TIMEOUT_US) {
 		round->ended = true;
 		mmx_quota_set_rates_(quota);
 	}
-	if (quota->nodes->len < 2 || (round->number && !round->ended))
-		return;
-	load = mmx_quota_load_(quota);
-	if (load == MMX_QUOTA_LOAD_NONE ||
-	    (round->number &&
-	     age < (load == MMX_QUOTA_LOAD_HIGH ? MMX_QUOTA_PROBE_US
-						: MMX_QUOTA_PROBE_SOME_US)))
-		return;
-	mmx_quota_start_round_(quota);
+	if (quota->nodes->len > 1 &&
+	    (!round->number || (round->ended && age >= MMX_QUOTA_PROBE_US)) &&
+	    mmx_quota_needs_probes_(quota, count_peers_(quota).missed_lately))
+		mmx_quota_start_round_(quota);
 }
