--- a/src/libmasticmux/quota.c
+++ b/src/libmasticmux/quota.c
@@ -18,7 +18,9 @@
 
 static mmx_time_t per_token_(const mmx_quota_account_t *account)
 {
-	return (mmx_time_t)((double)MMX_US_PER_S / account->limit.rate);
+	double us = (double)MMX_US_PER_S / account->limit.rate;
+
+	return (mmx_time_t)MIN(us, (double)MMX_QUOTA_RETRY_MAX_US);
 }
 
 static void count_taken_(mmx_quota_account_t *account)
@@ -212,7 +214,8 @@
 	mmx_quota_hop_t hop;
 	mmx_node_id_t node;
 
-	while (!account->asking && !g_queue_is_empty(&account->waiting)) {
+	while ((!account->asking || account->limit.rate == 0) &&
+	       !g_queue_is_empty(&account->waiting)) {
 		if (account->limit.rate == 0 || use_held_(account)) {
 			decide_(account, MMX_QUOTA_GRANTED, 0);
 			continue;
@@ -400,7 +403,8 @@
 			mmx_timer_set(&account->wait_timer, left);
 			return;
 		}
-		if (take_local_(account, 1, &retry_after))
+		if (account->limit.rate == 0 ||
+		    take_local_(account, 1, &retry_after))
 			decide_(account, MMX_QUOTA_GRANTED, 0);
 		else
 			decide_(account, MMX_QUOTA_REFUSED, retry_after);
--- a/src/libmasticmux/quota_owner.c
+++ b/src/libmasticmux/quota_owner.c
@@ -137,6 +137,8 @@
 	mmx_quota_answer_t answer = {.granted = 0};
 	mmx_time_t retry;
 
+	if (account->limit.rate == 0)
+		return (mmx_quota_answer_t){.granted = wanted};
 	ensure_bucket_(account);
 	if (given_back)
 		mmx_quota_bucket_give_back(&account->bucket, given_back, now);
@@ -180,8 +182,6 @@
 static mmx_quota_answer_t serve_line_(mmx_quota_account_t *account,
 				      const mmx_quota_ask_t *ask)
 {
-	if (account->limit.rate == 0)
-		return (mmx_quota_answer_t){.granted = ask->wanted};
 	return mmx_quota_serve_(account, ask->wanted, ask->prefetch,
 				ask->given_back);
 }
--- a/src/test_libmasticmux/test_quota_random.c
+++ b/src/test_libmasticmux/test_quota_random.c
@@ -169,13 +169,16 @@
 	for (i = 0; i < world->account_count; i++) {
 		const quota_account_t *account = &world->accounts[i];
 		size_t nodes = i % 2 ? 3 : world->count;
-		double due = account->limit.rate * (double)(3 + i % 5) *
-			     (double)STEP_US / (double)S;
+		/* Rounded at random, so that the mean is exact. */
+		size_t due =
+			(size_t)(account->limit.rate * (double)(3 + i % 5) *
+					 (double)STEP_US / (double)S +
+				 mmx_random_unit(&world->random));
 
 		/* The first account always has demand, the others in turn. */
 		if (i > 0 && (step / 400 + i) % 3 == 0)
 			continue;
-		for (; due > mmx_random_unit(&world->random); due--)
+		for (; due > 0; due--)
 			quota_world_request(
 				world,
 				(step / 250 * 7 +
--- a/src/test_libmasticmux/test_quota_units.c
+++ b/src/test_libmasticmux/test_quota_units.c
@@ -351,10 +351,13 @@
 	quota_account_t *account = &world->accounts[0];
 	size_t refused;
 
+	/* No reply comes, so that requests wait when the limit goes. */
+	quota_world_cut(world, 4, true, true);
 	quota_world_flood(world, 0, 8, 100, 2 * S);
 	publish_(world, 0, 0, 100);
-	quota_world_run(world, 1 * S);
 	CU_ASSERT_EQUAL(world->pending->len, 0);
+	quota_world_cut(world, 4, false, false);
+	quota_world_run(world, 1 * S);
 	refused = account->refused;
 	quota_world_flood(world, 0, 8, 100, 1 * S);
 	CU_ASSERT_EQUAL(account->refused, refused);
