--- a/src/libmasticmux/include/private/quota_internal.h
+++ b/src/libmasticmux/include/private/quota_internal.h
@@ -30,6 +30,10 @@
 /* A failed node from which something arrives is tried this long after its last
  * failure, whatever its back-off. */
 #define MMX_QUOTA_CONTACT_RETRY_US (500 * MMX_US_PER_MS)
+/* With this many other nodes heard within this time, or half of them, no probe
+ * is needed to know that this node is not cut off. */
+#define MMX_QUOTA_CONTACT_NODES 8
+#define MMX_QUOTA_CONTACT_US (2 * MMX_US_PER_S)
 /* A node that answered within this time counts as reached. */
 #define MMX_QUOTA_REACHED_US (60 * MMX_US_PER_S)
 /* Least number of nodes whose state is known for an estimate of the share of
@@ -125,7 +129,7 @@
 	mmx_time_t retry_at;  /* a failed node is tried again */
 	uint64_t trial;	      /* the call that tries it; 0: none */
 	mmx_time_t heard_at;  /* its last reply */
-	mmx_time_t active_at; /* its last probe as an owner */
+	mmx_time_t active_at; /* its last token request or probe */
 } mmx_quota_peer_t;
 
 typedef enum mmx_quota_call_kind_t {
@@ -286,9 +290,15 @@
 			   const mmx_quota_answer_t *answer);
 /* Sets the rates of all buckets after a round of probes. */
 void mmx_quota_set_rates_(mmx_quota_t *quota);
+/* What this node hears from others without probes. */
+typedef enum mmx_quota_contact_t {
+	MMX_QUOTA_CONTACT_GOOD,
+	MMX_QUOTA_CONTACT_POOR, /* few nodes are heard, or one has failed */
+	MMX_QUOTA_CONTACT_NONE,
+} mmx_quota_contact_t;
 /* True if rounds of probes are needed: while a standby serves, and while an
- * account is pressed. missed: a node failed lately */
-bool mmx_quota_needs_probes_(mmx_quota_t *quota, bool missed);
+ * account is pressed. */
+bool mmx_quota_needs_probes_(mmx_quota_t *quota, mmx_quota_contact_t contact);
 /* Fills in the lines of a probe: accounts in use that this node serves.
  * Returns their number. */
 size_t mmx_quota_probe_lines_(mmx_quota_t *quota, mmx_quota_ask_t *asks,
--- a/src/libmasticmux/quota_owner.c
+++ b/src/libmasticmux/quota_owner.c
@@ -6,7 +6,10 @@
 
 /* A standby that has not served for this time begins a new term. */
 #define TERM_END_US (1 * MMX_US_PER_S)
-/* From this use of the limit on, permille, two owners exceed it. */
+/* From this use of the limit on, permille, what this node uses alone may exceed
+ * the limit together with another owner. */
+#define SOME_USE 100
+/* From this use on, two owners exceed it. */
 #define HIGH_USE (MMX_QUOTA_USE_FULL / 2)
 
 static bool is_first_(const mmx_quota_account_t *account)
@@ -267,8 +270,7 @@
 		mmx_quota_on_contact_(quota, served->from);
 		if (ask->hop == MMX_QUOTA_HOP_PROBE)
 			served->answers[index].heard =
-				hears_owner_(quota, ask->account,
-					     served->from);
+				hears_owner_(quota, ask->account, served->from);
 		return;
 	}
 	account = mmx_quota_get_account_(quota, ask->account);
@@ -301,6 +303,7 @@
 
 	if (!mmx_quota_asks_decode(bytes, length, asks, &count))
 		return false;
+	mmx_quota_get_peer_(quota, from)->active_at = mmx_quota_now_(quota);
 	mmx_quota_check_gap_(quota);
 	served = g_new0(mmx_quota_served_t, 1);
 	served->ticket = *ticket;
@@ -323,19 +326,26 @@
 	       now - account->served_at < TERM_END_US;
 }
 
-/* True for an account of which a second owner may exceed the limit: its bucket
- * is nearly empty, or half of the limit is used while a node is missed. */
-static bool is_pressed_(mmx_quota_account_t *account, bool missed,
-			mmx_time_t now)
+/*
+ * True for an account of which a second owner may exceed the limit: its bucket
+ * is nearly empty, or half of the limit is used while a node is missed, or it is
+ * in use here while nothing is heard from other nodes.
+ */
+static bool is_pressed_(mmx_quota_account_t *account,
+			mmx_quota_contact_t contact, mmx_time_t now)
 {
 	mmx_quota_bucket_t *bucket = &account->bucket;
+	unsigned int use;
 
-	return account->serving && in_office_(account, now) &&
-	       (bucket->tokens < bucket->capacity / 4 ||
-		(missed && mmx_quota_bucket_use(bucket, now) >= HIGH_USE));
+	if (!account->serving || !in_office_(account, now))
+		return false;
+	use = mmx_quota_bucket_use(bucket, now);
+	return bucket->tokens < bucket->capacity / 4 ||
+	       (contact != MMX_QUOTA_CONTACT_GOOD && use >= HIGH_USE) ||
+	       (contact == MMX_QUOTA_CONTACT_NONE && use >= SOME_USE);
 }
 
-bool mmx_quota_needs_probes_(mmx_quota_t *quota, bool missed)
+bool mmx_quota_needs_probes_(mmx_quota_t *quota, mmx_quota_contact_t contact)
 {
 	mmx_time_t now = mmx_quota_now_(quota);
 	GHashTableIter iter;
@@ -344,7 +354,7 @@
 	g_hash_table_iter_init(&iter, quota->accounts);
 	while (g_hash_table_iter_next(&iter, NULL, &value))
 		if (is_on_standby_(value, now) ||
-		    is_pressed_(value, missed, now))
+		    is_pressed_(value, contact, now))
 			return true;
 	return false;
 }
@@ -362,7 +372,7 @@
 		mmx_quota_account_t *account = value;
 
 		if (!is_on_standby_(account, now) &&
-		    !is_pressed_(account, true, now))
+		    !is_pressed_(account, MMX_QUOTA_CONTACT_POOR, now))
 			continue;
 		asks[count] = (mmx_quota_ask_t){
 			.limit = account->limit,
--- a/src/libmasticmux/quota_peers.c
+++ b/src/libmasticmux/quota_peers.c
@@ -59,11 +59,10 @@
 		peer->backoff = 0;
 		peer->failed_since = call->sent_at;
 	} else {
-		peer->backoff = CLAMP(2 * peer->backoff,
-				      MMX_QUOTA_BACKOFF_MIN_US,
-				      peer->absent
-					      ? MMX_QUOTA_ABSENT_BACKOFF_MAX_US
-					      : MMX_QUOTA_BACKOFF_MAX_US);
+		peer->backoff =
+			CLAMP(2 * peer->backoff, MMX_QUOTA_BACKOFF_MIN_US,
+			      peer->absent ? MMX_QUOTA_ABSENT_BACKOFF_MAX_US
+					   : MMX_QUOTA_BACKOFF_MAX_US);
 	}
 	peer->failed = true;
 	peer->failed_at = now;
@@ -305,10 +304,10 @@
 }
 
 typedef struct peer_counts_t {
-	mmx_quota_t *quota;
 	mmx_time_t now;
 	double missed;
 	double reached;
+	size_t heard;	    /* within MMX_QUOTA_CONTACT_US */
 	bool missed_lately; /* a node that is not absent has failed */
 } peer_counts_t;
 
@@ -318,6 +317,9 @@
 	peer_counts_t *counts = data;
 
 	(void)key;
+	if (counts->now - MAX(peer->heard_at, peer->active_at) <=
+	    MMX_QUOTA_CONTACT_US)
+		counts->heard++;
 	if (peer->failed) {
 		counts->missed++;
 		counts->missed_lately = counts->missed_lately || !peer->absent;
@@ -361,12 +363,25 @@
 	if (sent > 0)
 		missing = MAX(latest, missing / sent);
 	if (counts.missed + counts.reached >= MMX_QUOTA_REACH_NODES)
-		missing = MAX(missing, counts.missed /
-					       (counts.missed + counts.reached));
+		missing = MAX(missing,
+			      counts.missed / (counts.missed + counts.reached));
 	return 1 - missing * (double)(quota->nodes->len - 1) /
 			   (double)quota->nodes->len;
 }
 
+static mmx_quota_contact_t contact_(const mmx_quota_t *quota)
+{
+	peer_counts_t counts = count_peers_(quota);
+
+	if (counts.heard == 0)
+		return MMX_QUOTA_CONTACT_NONE;
+	return counts.missed_lately ||
+			       counts.heard < MIN(MMX_QUOTA_CONTACT_NODES,
+						  (quota->nodes->len - 1) / 2)
+		       ? MMX_QUOTA_CONTACT_POOR
+		       : MMX_QUOTA_CONTACT_GOOD;
+}
+
 /* Leaves nodes that failed for some time out of the order, and tries them now
  * and then. */
 static void update_peer_(gpointer key, gpointer value, gpointer data)
@@ -409,6 +424,6 @@
 	}
 	if (quota->nodes->len > 1 &&
 	    (!round->number || (round->ended && age >= MMX_QUOTA_PROBE_US)) &&
-	    mmx_quota_needs_probes_(quota, count_peers_(quota).missed_lately))
+	    mmx_quota_needs_probes_(quota, contact_(quota)))
 		mmx_quota_start_round_(quota);
 }
