--- a/src/libmasticmux/include/private/quota.h
+++ b/src/libmasticmux/include/private/quota.h
@@ -160,7 +160,7 @@
 /**
  * Takes a token for a request.
  *
- * @param account      valid name (mmx_schema_is_valid_name())
+ * @param account      1 to MMX_NAME_MAX bytes without control bytes, asserted
  * @param limit        of the account in this node's version; rate above 0
  * @param request      passed to decided(); unique while it is pending
  * @param retry_after  set if the result is refused, microseconds
--- a/src/libmasticmux/include/private/quota_bucket.h
+++ b/src/libmasticmux/include/private/quota_bucket.h
@@ -12,6 +12,9 @@
 #define MMX_QUOTA_USE_SLOT_US (500 * MMX_US_PER_MS)
 /** The slots of the time above, and the one that has begun. */
 #define MMX_QUOTA_USE_SLOTS 5
+/** Slots in which the tokens of a window are counted, with the one that has
+ * begun. */
+#define MMX_QUOTA_WINDOW_SLOTS 21
 /** Lifetime of a prefetched token from the time of the token request. */
 #define MMX_QUOTA_LEASE_US (1 * MMX_US_PER_S)
 
@@ -29,6 +32,11 @@
 	int64_t lease_second;
 	double used[MMX_QUOTA_USE_SLOTS]; /**< the current slot is first */
 	int64_t use_slot;
+	/** Tokens of the last window that were not put back; the current slot is
+	 * first. */
+	double granted[MMX_QUOTA_WINDOW_SLOTS];
+	int64_t granted_slot;
+	mmx_time_t slot_length; /**< of granted; 0: not counted */
 } mmx_quota_bucket_t;
 
 /**
@@ -41,6 +49,16 @@
 void mmx_quota_bucket_init(mmx_quota_bucket_t *bucket, double limit,
 			   double capacity, double tokens, mmx_time_t now);
 
+/**
+ * Bounds the tokens of each window by what the limit adds in that time and the
+ * capacity. Without this, tokens that are put back long after their issue could
+ * be used again within one window.
+ *
+ * @param window  microseconds, 1 s or more
+ */
+void mmx_quota_bucket_set_window(mmx_quota_bucket_t *bucket, mmx_time_t window,
+				 mmx_time_t now);
+
 /** Changes limit and capacity; tokens above the capacity are dropped. */
 void mmx_quota_bucket_set_limit(mmx_quota_bucket_t *bucket, double limit,
 				double capacity, mmx_time_t now);
@@ -72,9 +90,13 @@
 				    unsigned int wanted, double leased_max,
 				    mmx_time_t now);
 
-/** Puts tokens back, up to the capacity. */
+/**
+ * Puts tokens back that were issued in the last window, up to the capacity.
+ *
+ * @param age  of the oldest one since its issue, microseconds, 0 or more
+ */
 void mmx_quota_bucket_give_back(mmx_quota_bucket_t *bucket, unsigned int tokens,
-				mmx_time_t now);
+				mmx_time_t age, mmx_time_t now);
 
 /** Adds callers to the queue; returns the time after which a token is expected
  * for the first of them, microseconds. */
--- a/src/libmasticmux/include/private/quota_codec.h
+++ b/src/libmasticmux/include/private/quota_codec.h
@@ -34,6 +34,7 @@
 	uint32_t wanted;
 	uint32_t prefetch; /**< used in the last 0.5 s; most tokens beyond */
 	uint32_t given_back;
+	uint32_t given_back_age_ms; /* of the oldest one since its issue */
 	mmx_quota_hop_t hop;
 } mmx_quota_ask_t;
 
@@ -45,6 +46,10 @@
 	bool heard;		 /**< heard from the first owner lately */
 } mmx_quota_answer_t;
 
+/** True for 1 to MMX_NAME_MAX bytes without control bytes: the operator chooses
+ * the names of accounts. */
+bool mmx_quota_is_valid_account(const char *name);
+
 /**
  * Encodes a message.
  *
--- a/src/libmasticmux/include/private/quota_internal.h
+++ b/src/libmasticmux/include/private/quota_internal.h
@@ -97,9 +97,10 @@
 	mmx_time_t held_until;
 	unsigned int given_back; /* tokens to return */
 	mmx_time_t given_back_at;
-	mmx_time_t refused_until; /* requests are refused until then */
-	mmx_time_t retry_at;	  /* a token is expected then */
-	mmx_time_t retry_after;	  /* of the last refusal */
+	mmx_time_t given_back_since; /* issue of the oldest of these tokens */
+	mmx_time_t refused_until;    /* requests are refused until then */
+	mmx_time_t retry_at;	     /* a token is expected then */
+	mmx_time_t retry_after;	     /* of the last refusal */
 	unsigned int use;
 	mmx_time_t answered_at; /* -1: never */
 	unsigned int taken[2];	/* in this quarter of a second and before */
@@ -202,6 +203,7 @@
 	mmx_timer_t flush_timer;
 	mmx_timer_t tick_timer;
 	mmx_time_t tick_at;
+	bool ticking; /* also true within the callback of the timer */
 	mmx_random_t random;
 	mmx_quota_round_t rounds[MMX_QUOTA_PROBE_ROUNDS]; /* the last is first
 							   */
@@ -282,7 +284,7 @@
 /* Decides on tokens from the bucket of this node. */
 mmx_quota_answer_t mmx_quota_serve_(mmx_quota_account_t *account,
 				    unsigned int wanted, unsigned int prefetch,
-				    unsigned int given_back);
+				    unsigned int given_back, mmx_time_t age);
 /* True if the bucket of this node was used in this window. */
 bool mmx_quota_has_served_(const mmx_quota_account_t *account);
 /* The reply to a relayed line; answer: NULL if it failed */
--- a/src/libmasticmux/quota_accounts.c
+++ b/src/libmasticmux/quota_accounts.c
@@ -60,6 +60,7 @@
 		mmx_quota_apply_limit_(account, &limit);
 	if (!mmx_timer_is_set(&quota->tick_timer)) {
 		quota->tick_at = mmx_quota_now_(quota);
+		quota->ticking = true;
 		mmx_timer_set(&quota->tick_timer, MMX_QUOTA_TICK_US);
 	}
 	return account;
@@ -169,8 +170,9 @@
 		if (is_idle_(account, now))
 			g_hash_table_iter_remove(&iter);
 	}
-	if (g_hash_table_size(quota->accounts) > 0 ||
-	    g_hash_table_size(quota->calls) > 0)
+	quota->ticking = g_hash_table_size(quota->accounts) > 0 ||
+			 g_hash_table_size(quota->calls) > 0;
+	if (quota->ticking)
 		mmx_timer_set(&quota->tick_timer, MMX_QUOTA_TICK_US);
 }
 
--- a/src/libmasticmux/quota_bucket.c
+++ b/src/libmasticmux/quota_bucket.c
@@ -46,6 +46,39 @@
 	bucket->use_slot = slot;
 }
 
+static void shift_granted_(mmx_quota_bucket_t *bucket, mmx_time_t now)
+{
+	int64_t slot;
+	int64_t passed;
+
+	if (!bucket->slot_length)
+		return;
+	slot = now / bucket->slot_length;
+	passed = MIN(slot - bucket->granted_slot,
+		     (int64_t)MMX_QUOTA_WINDOW_SLOTS);
+	if (passed <= 0)
+		return;
+	memmove(&bucket->granted[passed], &bucket->granted[0],
+		(size_t)(MMX_QUOTA_WINDOW_SLOTS - passed) * sizeof(double));
+	memset(bucket->granted, 0, (size_t)passed * sizeof(double));
+	bucket->granted_slot = slot;
+}
+
+/* Tokens that the window still allows. */
+static double window_rest_(const mmx_quota_bucket_t *bucket)
+{
+	double most = bucket->limit * seconds_(bucket->slot_length *
+					       (MMX_QUOTA_WINDOW_SLOTS - 1)) +
+		      bucket->capacity;
+	size_t i;
+
+	if (!bucket->slot_length)
+		return bucket->tokens;
+	for (i = 0; i < MMX_QUOTA_WINDOW_SLOTS; i++)
+		most -= bucket->granted[i];
+	return MAX(most, 0);
+}
+
 static void clamp_(mmx_quota_bucket_t *bucket)
 {
 	double room = MAX(bucket->capacity - leased_(bucket), 0);
@@ -59,6 +92,7 @@
 
 	expire_leases_(bucket, now);
 	shift_use_(bucket, now);
+	shift_granted_(bucket, now);
 	if (passed <= 0)
 		return;
 	bucket->at = now;
@@ -81,6 +115,18 @@
 	};
 }
 
+void mmx_quota_bucket_set_window(mmx_quota_bucket_t *bucket, mmx_time_t window,
+				 mmx_time_t now)
+{
+	mmx_time_t length = window / (MMX_QUOTA_WINDOW_SLOTS - 1);
+
+	if (bucket->slot_length == length)
+		return;
+	bucket->slot_length = length;
+	bucket->granted_slot = now / length;
+	memset(bucket->granted, 0, sizeof(bucket->granted));
+}
+
 void mmx_quota_bucket_set_limit(mmx_quota_bucket_t *bucket, double limit,
 				double capacity, mmx_time_t now)
 {
@@ -113,9 +159,10 @@
 
 static unsigned int remove_(mmx_quota_bucket_t *bucket, double tokens)
 {
-	double whole = floor(MAX(tokens, 0));
+	double whole = floor(MAX(MIN(tokens, window_rest_(bucket)), 0));
 
 	bucket->tokens -= whole;
+	bucket->granted[0] += whole;
 	return (unsigned int)whole;
 }
 
@@ -148,7 +195,7 @@
 }
 
 void mmx_quota_bucket_give_back(mmx_quota_bucket_t *bucket, unsigned int tokens,
-				mmx_time_t now)
+				mmx_time_t age, mmx_time_t now)
 {
 	double rest = tokens;
 	size_t i;
@@ -160,7 +207,23 @@
 		bucket->leased[i] -= returned;
 		rest -= returned;
 	}
-	bucket->used[0] = MAX(bucket->used[0] - tokens, 0);
+	/* From the slot of their issue on to older ones, which leave the window
+	 * earlier, so that the count is never too low. */
+	rest = tokens;
+	i = bucket->slot_length ? (size_t)(age / bucket->slot_length) : 0;
+	for (; i < MMX_QUOTA_WINDOW_SLOTS && rest > 0; i++) {
+		double returned = MIN(bucket->granted[i], rest);
+
+		bucket->granted[i] -= returned;
+		rest -= returned;
+	}
+	rest = tokens;
+	for (i = 0; i < MMX_QUOTA_USE_SLOTS; i++) {
+		double returned = MIN(bucket->used[i], rest);
+
+		bucket->used[i] -= returned;
+		rest -= returned;
+	}
 	bucket->tokens += tokens;
 	clamp_(bucket);
 }
--- a/src/libmasticmux/quota_codec.c
+++ b/src/libmasticmux/quota_codec.c
@@ -5,13 +5,11 @@
 #include <rpc/rpc.h>
 #include <string.h>
 
-#include "private/schema.h"
-
 /* First word of every message; a changed form gets another one. */
 #define FORMAT 1
 #define HEADER_BYTES (4 + 4)
-/* Name length, rate, burst, version, three numbers of tokens, hop. */
-#define ASK_FIXED_BYTES (4 + 8 + 8 + 8 + 3 * 4 + 4)
+/* Name length, rate, burst, version, three numbers of tokens, age, hop. */
+#define ASK_FIXED_BYTES (4 + 8 + 8 + 8 + 3 * 4 + 4 + 4)
 #define ASK_BYTES_MAX (ASK_FIXED_BYTES + MMX_NAME_MAX + 1)
 #define ANSWER_BYTES (4 * 4)
 #define USE_MAX 65535
@@ -38,7 +36,9 @@
 	    !xdr_uint64_t(xdr, &ask->limit.version) ||
 	    !xdr_uint32_t(xdr, &ask->wanted) ||
 	    !xdr_uint32_t(xdr, &ask->prefetch) ||
-	    !xdr_uint32_t(xdr, &ask->given_back) || !xdr_uint32_t(xdr, &hop))
+	    !xdr_uint32_t(xdr, &ask->given_back) ||
+	    !xdr_uint32_t(xdr, &ask->given_back_age_ms) ||
+	    !xdr_uint32_t(xdr, &hop))
 		return false;
 	ask->hop = (mmx_quota_hop_t)hop;
 	return hop < MMX_QUOTA_HOP_COUNT;
@@ -56,6 +56,16 @@
 	return heard <= 1;
 }
 
+bool mmx_quota_is_valid_account(const char *name)
+{
+	const char *c;
+
+	for (c = name; *c; c++)
+		if ((uint8_t)*c < ' ' || *c == 0x7f)
+			return false;
+	return c != name && c - name <= MMX_NAME_MAX;
+}
+
 static bool is_rate_(double value)
 {
 	return isfinite(value) && value >= 0 && value <= MMX_QUOTA_RATE_MAX;
@@ -63,7 +73,7 @@
 
 static bool is_valid_ask_(const mmx_quota_ask_t *ask)
 {
-	return mmx_schema_is_valid_name(ask->account, strlen(ask->account)) &&
+	return mmx_quota_is_valid_account(ask->account) &&
 	       is_rate_(ask->limit.rate) && is_rate_(ask->limit.burst) &&
 	       ask->wanted <= MMX_QUOTA_TOKENS_MAX &&
 	       ask->prefetch <= MMX_QUOTA_TOKENS_MAX &&
--- a/src/libmasticmux/quota_owner.c
+++ b/src/libmasticmux/quota_owner.c
@@ -124,6 +124,9 @@
 		mmx_quota_bucket_init(
 			&account->bucket, account->limit.rate, capacity,
 			is_settled_(account, now) ? capacity : least, now);
+		mmx_quota_bucket_set_window(
+			&account->bucket, account->quota->config.bounds.window,
+			now);
 		if (in_office_(account, now))
 			set_rate_(account);
 		else
@@ -137,7 +140,7 @@
 
 mmx_quota_answer_t mmx_quota_serve_(mmx_quota_account_t *account,
 				    unsigned int wanted, unsigned int prefetch,
-				    unsigned int given_back)
+				    unsigned int given_back, mmx_time_t age)
 {
 	mmx_quota_t *quota = account->quota;
 	mmx_time_t now = mmx_quota_now_(quota);
@@ -148,7 +151,8 @@
 		return (mmx_quota_answer_t){.granted = wanted};
 	ensure_bucket_(account);
 	if (given_back)
-		mmx_quota_bucket_give_back(&account->bucket, given_back, now);
+		mmx_quota_bucket_give_back(&account->bucket, given_back, age,
+					   now);
 	answer.granted = mmx_quota_bucket_take(&account->bucket, wanted, now);
 	if (answer.granted < wanted) {
 		retry = mmx_quota_bucket_refuse(&account->bucket,
@@ -198,7 +202,8 @@
 				      const mmx_quota_ask_t *ask)
 {
 	return mmx_quota_serve_(account, ask->wanted, ask->prefetch,
-				ask->given_back);
+				ask->given_back,
+				ask->given_back_age_ms * MMX_US_PER_MS);
 }
 
 static void relay_(mmx_quota_account_t *account, mmx_quota_served_t *served,
@@ -425,8 +430,7 @@
 	GHashTableIter iter;
 	gpointer value;
 
-	if (!mmx_timer_is_set(&quota->tick_timer) ||
-	    now - quota->tick_at <= MMX_QUOTA_GAP_US)
+	if (!quota->ticking || now - quota->tick_at <= MMX_QUOTA_GAP_US)
 		return;
 	g_hash_table_iter_init(&iter, quota->accounts);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
