--- a/src/libmasticmux/include/private/quota.h
+++ b/src/libmasticmux/include/private/quota.h
@@ -87,8 +87,9 @@
 	 * mmx_quota_on_ask(). */
 	void (*send_answer)(void *context, const mmx_peer_ticket_t *ticket,
 			    const uint8_t *bytes, size_t length);
-	/** Appends the ids of the nodes of the roster (of mmx_node_id_t). This
-	 * node may be among them or not. */
+	/** Appends the ids of the nodes of the roster (of mmx_node_id_t), with
+	 * this node as soon as the others know it: a node that is not in a
+	 * list which has others owns no account. */
 	void (*list_nodes)(void *context, GArray *nodes);
 	/**
 	 * Looks up the limit of an account in this node's configuration.
@@ -159,7 +160,7 @@
 /**
  * Takes a token for a request.
  *
- * @param account      valid name (mmx_schema_is_valid_name())
+ * @param account      1 to MMX_NAME_MAX bytes without control bytes, asserted
  * @param limit        of the account in this node's version; rate above 0
  * @param request      passed to decided(); unique while it is pending
  * @param retry_after  set if the result is refused, microseconds
--- a/src/libmasticmux/include/private/quota_internal.h
+++ b/src/libmasticmux/include/private/quota_internal.h
@@ -22,16 +22,41 @@
 /* Bounds of the back-off of a failed node. */
 #define MMX_QUOTA_BACKOFF_MIN_US (2 * MMX_US_PER_S)
 #define MMX_QUOTA_BACKOFF_MAX_US (8 * MMX_US_PER_S)
+/* A node that failed for this time is left out of the order of the accounts,
+ * so that the nodes behind it decide: machines that are lost for good stay in
+ * the roster. It is still tried now and then. */
+#define MMX_QUOTA_ABSENT_US (2 * MMX_US_PER_S)
+#define MMX_QUOTA_ABSENT_BACKOFF_MAX_US (30 * MMX_US_PER_S)
+/* A failed node from which something arrives is tried this long after its last
+ * failure, whatever its back-off. */
+#define MMX_QUOTA_CONTACT_RETRY_US (500 * MMX_US_PER_MS)
+/* With this many other nodes heard within this time, or half of them, no probe
+ * is needed to know that this node is not cut off. */
+#define MMX_QUOTA_CONTACT_NODES 8
+#define MMX_QUOTA_CONTACT_US (2 * MMX_US_PER_S)
+/* A node that answered within this time counts as reached. */
+#define MMX_QUOTA_REACHED_US (60 * MMX_US_PER_S)
+/* Least number of nodes whose state is known for an estimate of the share of
+ * the fleet that is reached. */
+#define MMX_QUOTA_REACH_NODES 6
 /* An isolated node tries the owner again after this time. */
 #define MMX_QUOTA_ISOLATED_RETRY_US (1 * MMX_US_PER_S)
 /* A new first owner leaves the bucket to its predecessor for this time: a
  * change of the roster is known everywhere within 2.5 s. */
 #define MMX_QUOTA_HANDOVER_US (3 * MMX_US_PER_S)
-/* Probes of reachability: nodes in a round, time between rounds, and rounds
- * that count (3.2 s). */
+/* Lists of nodes that are remembered, to know who was first in the last window.
+ * Of more changes in a window, the oldest ones are not known. */
+#define MMX_QUOTA_HISTORY 8
+/* Probes of reachability: nodes in a round, time between rounds, and rounds that
+ * count, which are those of the last 3.2 s. Probes are sent only while a node
+ * is missed or a standby serves: they cost more than the token requests. */
 #define MMX_QUOTA_PROBE_NODES 8
 #define MMX_QUOTA_PROBE_US (400 * MMX_US_PER_MS)
 #define MMX_QUOTA_PROBE_ROUNDS 8
+/* A standby serves at the full rate only after a round that started this long
+ * after its term: the nodes of the first round ask the first owner themselves,
+ * and know the reply in the second. */
+#define MMX_QUOTA_CONFIRM_US (300 * MMX_US_PER_MS)
 /* An owner that answered a node within this time is in office. */
 #define MMX_QUOTA_HEARD_US (1 * MMX_US_PER_S)
 /* Nodes of the order that are known: the first two are asked, the others are
@@ -57,7 +82,8 @@
 	uint64_t generation;
 	mmx_node_id_t owners[MMX_QUOTA_OWNERS]; /* 0: none */
 	size_t rank;				/* of this node, from 0 */
-	bool was_first; /* this node was first in the previous roster too */
+	mmx_time_t first_since; /* this node is first since then */
+	bool inherited;		/* from a node that has left the roster */
 
 	/* As requester. */
 	GQueue waiting; /* of mmx_quota_waiting_t */
@@ -71,9 +97,10 @@
 	mmx_time_t held_until;
 	unsigned int given_back; /* tokens to return */
 	mmx_time_t given_back_at;
-	mmx_time_t refused_until; /* requests are refused until then */
-	mmx_time_t retry_at;	  /* a token is expected then */
-	mmx_time_t retry_after;	  /* of the last refusal */
+	mmx_time_t given_back_since; /* issue of the oldest of these tokens */
+	mmx_time_t refused_until;    /* requests are refused until then */
+	mmx_time_t retry_at;	     /* a token is expected then */
+	mmx_time_t retry_after;	     /* of the last refusal */
 	unsigned int use;
 	mmx_time_t answered_at; /* -1: never */
 	unsigned int taken[2];	/* in this quarter of a second and before */
@@ -96,12 +123,14 @@
 typedef struct mmx_quota_peer_t {
 	mmx_node_id_t node;
 	bool failed;
+	bool absent; /* left out of the order of the accounts */
+	mmx_time_t failed_since;
 	mmx_time_t failed_at;
 	mmx_time_t backoff;
 	mmx_time_t retry_at;  /* a failed node is tried again */
 	uint64_t trial;	      /* the call that tries it; 0: none */
 	mmx_time_t heard_at;  /* its last reply */
-	mmx_time_t active_at; /* its last probe as an owner */
+	mmx_time_t active_at; /* its last token request or probe */
 } mmx_quota_peer_t;
 
 typedef enum mmx_quota_call_kind_t {
@@ -150,14 +179,19 @@
 	bool ended;
 } mmx_quota_round_t;
 
+/* A list of nodes. */
+typedef struct mmx_quota_nodes_t {
+	GArray *nodes; /* NULL: none */
+	mmx_time_t since;
+} mmx_quota_nodes_t;
+
 struct mmx_quota_t {
 	mmx_quota_config_t config;
 	const mmx_quota_ops_t *ops;
 	void *context;
-	GArray *nodes;	   /* of mmx_node_id_t, with this node */
-	GArray *old_nodes; /* before the latest change */
-	mmx_time_t nodes_changed_at;
-	mmx_time_t created_at;
+	GArray *nodes; /* of mmx_node_id_t, sorted; the newest list */
+	/* The newest lists, the last first. */
+	mmx_quota_nodes_t history[MMX_QUOTA_HISTORY];
 	uint64_t generation;
 	bool draining;
 	GHashTable *accounts; /* of mmx_quota_account_t, by name */
@@ -169,6 +203,7 @@
 	mmx_timer_t flush_timer;
 	mmx_timer_t tick_timer;
 	mmx_time_t tick_at;
+	bool ticking; /* also true within the callback of the timer */
 	mmx_random_t random;
 	mmx_quota_round_t rounds[MMX_QUOTA_PROBE_ROUNDS]; /* the last is first
 							   */
@@ -229,6 +264,10 @@
  * back-off. retry: longest time between two trials */
 bool mmx_quota_is_usable_(mmx_quota_t *quota, mmx_node_id_t node,
 			  mmx_time_t retry);
+/* A node has sent a probe. */
+void mmx_quota_on_contact_(mmx_quota_t *quota, mmx_node_id_t node);
+/* True for a node that is left out of the order of the accounts. */
+bool mmx_quota_is_absent_(const mmx_quota_t *quota, mmx_node_id_t node);
 /* Sends asks; lines: count, copied, may be NULL for none */
 mmx_quota_call_t *mmx_quota_call_(mmx_quota_t *quota, mmx_node_id_t node,
 				  mmx_quota_call_kind_t kind,
@@ -245,19 +284,23 @@
 /* Decides on tokens from the bucket of this node. */
 mmx_quota_answer_t mmx_quota_serve_(mmx_quota_account_t *account,
 				    unsigned int wanted, unsigned int prefetch,
-				    unsigned int given_back);
+				    unsigned int given_back, mmx_time_t age);
+/* True if the bucket of this node was used in this window. */
+bool mmx_quota_has_served_(const mmx_quota_account_t *account);
 /* The reply to a relayed line; answer: NULL if it failed */
 void mmx_quota_on_relayed_(mmx_quota_call_t *call,
 			   const mmx_quota_answer_t *answer);
 /* Sets the rates of all buckets after a round of probes. */
 void mmx_quota_set_rates_(mmx_quota_t *quota);
-/* Whether probes are needed. */
-typedef enum mmx_quota_load_t {
-	MMX_QUOTA_LOAD_NONE,
-	MMX_QUOTA_LOAD_SOME, /* the witnesses have to know the owner */
-	MMX_QUOTA_LOAD_HIGH, /* reachability decides on the rate */
-} mmx_quota_load_t;
-mmx_quota_load_t mmx_quota_load_(mmx_quota_t *quota);
+/* What this node hears from others without probes. */
+typedef enum mmx_quota_contact_t {
+	MMX_QUOTA_CONTACT_GOOD,
+	MMX_QUOTA_CONTACT_POOR, /* few nodes are heard, or one has failed */
+	MMX_QUOTA_CONTACT_NONE,
+} mmx_quota_contact_t;
+/* True if rounds of probes are needed: while a standby serves, and while an
+ * account is pressed. */
+bool mmx_quota_needs_probes_(mmx_quota_t *quota, mmx_quota_contact_t contact);
 /* Fills in the lines of a probe: accounts in use that this node serves.
  * Returns their number. */
 size_t mmx_quota_probe_lines_(mmx_quota_t *quota, mmx_quota_ask_t *asks,
