--- a/src/test_libmasticmux/suites.c
+++ b/src/test_libmasticmux/suites.c
@@ -12,6 +12,7 @@
 	{"config", NULL, NULL, NULL, NULL, mmx_tests_config},
 	{"config_task", NULL, NULL, NULL, NULL, mmx_tests_config_task},
 	{"config_wire", NULL, NULL, NULL, NULL, mmx_tests_config_wire},
+	{"cost", NULL, NULL, NULL, NULL, mmx_tests_cost},
 	{"counters", NULL, NULL, NULL, NULL, mmx_tests_counters},
 	{"detection", NULL, NULL, NULL, NULL, mmx_tests_detection},
 	{"header names", NULL, NULL, NULL, NULL, mmx_tests_header_names},
--- a/src/test_libmasticmux/suites.h
+++ b/src/test_libmasticmux/suites.h
@@ -15,6 +15,7 @@
 extern CU_TestInfo mmx_tests_config[];
 extern CU_TestInfo mmx_tests_config_task[];
 extern CU_TestInfo mmx_tests_config_wire[];
+extern CU_TestInfo mmx_tests_cost[];
 extern CU_TestInfo mmx_tests_counters[];
 extern CU_TestInfo mmx_tests_detection[];
 extern CU_TestInfo mmx_tests_header_names[];
