Learn run times at exits and report outstanding work

An entry knows how many requests a target has, not how much work they still are. A target with a few long requests looks idle beside one with many short ones.

Each exit keeps the run times of its target by route and body size. If it is told to, its responses carry the expected time in which the slots complete what they have, and the mean run time there: one word behind a flag, so that responses of other nodes stay as they were and nodes of an earlier release can decode them.

No node reports work yet, as no setting asks for it.

--- a/src/libmasticmux/cost.c
+++ b/src/libmasticmux/cost.c
@@ -5,6 +5,8 @@
 #include <math.h>
 #include <sys/queue.h>
 
+#include "private/http_head.h"
+
 /* Lower end of the second bin, microseconds; the first one starts at 0. */
 #define FIRST_BIN_US MMX_US_PER_MS
 #define BINS_PER_OCTAVE 2
@@ -52,6 +54,15 @@
 	return bytes <= 1U << 20U ? MMX_COST_BODY_1M : MMX_COST_BODY_LARGE;
 }
 
+mmx_cost_key_t mmx_cost_request_key(uint32_t route, const mmx_head_t *head,
+				    uint64_t buffered)
+{
+	uint64_t length = 0;
+
+	mmx_http_content_length(head, &length);
+	return (mmx_cost_key_t){route, mmx_cost_class(MAX(length, buffered))};
+}
+
 mmx_cost_t *mmx_cost_create(void)
 {
 	mmx_cost_t *cost = g_new0(mmx_cost_t, 1);
--- a/src/libmasticmux/exit.c
+++ b/src/libmasticmux/exit.c
@@ -417,6 +417,7 @@
 	while ((target = LIST_FIRST(&exit->targets))) {
 		LIST_REMOVE(target, entry);
 		TAILQ_INIT(&target->queue);
+		TAILQ_INIT(&target->running);
 		target->in_progress = 0;
 		mmx_exit_health_finish(target);
 		mmx_exit_target_destroy(target);
@@ -543,6 +544,14 @@
 	return true;
 }
 
+bool mmx_exit_set_reports_work(mmx_exit_t *exit, const bool *reports)
+{
+	if (exit->initialised)
+		return false;
+	exit->reports_work = reports;
+	return true;
+}
+
 bool mmx_exit_set_trace(mmx_exit_t *exit, struct mmx_trace_t *trace)
 {
 	if (exit->initialised)
--- a/src/libmasticmux/exit_attempt.c
+++ b/src/libmasticmux/exit_attempt.c
@@ -17,17 +17,22 @@
 			    const mmx_exit_target_t *target,
 			    const mmx_origin_t *origin)
 {
+	bool ended = response->head && response->body_end;
+
 	response->exit = exit->node;
 	response->origin = *origin;
 	if (target) {
 		mmx_exit_target_report(target, mmx_clock_now(exit->clock),
 				       &response->load);
+		if (exit->reports_work && *exit->reports_work)
+			mmx_exit_target_report_work(
+				target, ended ? &response->attempt : NULL,
+				mmx_clock_now(exit->clock), &response->load);
 		mmx_exit_health_report_sent(target, response->attempt.entry,
 					    &response->load);
 	}
 	/* The report counts this request, which has finished. */
-	if (response->head && response->body_end &&
-	    response->load.in_progress > 0)
+	if (ended && response->load.in_progress > 0)
 		response->load.in_progress--;
 	mmx_task_post(origin->task, &response->message);
 }
@@ -75,6 +80,7 @@
 	mmx_histogram_add(exit->run_time,
 			  mmx_clock_now(exit->clock) - attempt->started);
 	mmx_exit_trace_ended(attempt, mmx_attempt_state_string[state], false);
+	TAILQ_REMOVE(&target->running, attempt, queue_entry);
 	target->in_progress--;
 	mmx_limits_finish(target->limits, attempt->execute->account,
 			  mmx_clock_now(exit->clock));
@@ -299,6 +305,9 @@
 	attempt->trial = execute->trial;
 	attempt->deadline = mmx_clock_now(exit->clock) + execute->remaining;
 	attempt->share = account_share_(exit, execute->account);
+	attempt->cost_key =
+		mmx_cost_request_key(execute->route, execute->head,
+				     evbuffer_get_length(execute->body));
 	mmx_exit_trace_arrived(exit, attempt);
 	mmx_exit_enqueue(exit, attempt);
 }
--- a/src/libmasticmux/exit_call.c
+++ b/src/libmasticmux/exit_call.c
@@ -175,6 +175,15 @@
 	}
 }
 
+static void record_run_time_(const mmx_attempt_t *attempt, mmx_time_t now)
+{
+	mmx_time_t run_time = now - attempt->started;
+
+	mmx_exit_target_record_run_time(attempt->target,
+					attempt->execute->route, run_time, now);
+	mmx_cost_add(attempt->target->cost, attempt->cost_key, run_time, now);
+}
+
 static void on_call_head_(mmx_exit_t *exit, mmx_attempt_t *attempt,
 			  mmx_call_event_t *event)
 {
@@ -199,9 +208,7 @@
 	response->queue_time = attempt->started - attempt->arrived;
 	response->target_time = now - attempt->started;
 	if (end)
-		mmx_exit_target_record_run_time(attempt->target,
-						attempt->execute->route,
-						now - attempt->started, now);
+		record_run_time_(attempt, now);
 	if (!attempt->abandoned)
 		mmx_exit_post_response(exit, response, attempt->target,
 				       &attempt->origin);
@@ -260,10 +267,7 @@
 		mmx_attempts_drop_response(exit->attempts, attempt);
 	} else {
 		attempt->completed = true;
-		mmx_exit_target_record_run_time(
-			attempt->target, attempt->execute->route,
-			mmx_clock_now(exit->clock) - attempt->started,
-			mmx_clock_now(exit->clock));
+		record_run_time_(attempt, mmx_clock_now(exit->clock));
 	}
 	mmx_exit_end_running(exit, attempt, MMX_ATTEMPT_FINISHED);
 }
--- a/src/libmasticmux/exit_queue.c
+++ b/src/libmasticmux/exit_queue.c
@@ -46,6 +46,7 @@
 	mmx_call_t *call = mmx_new_call(&attempt->id);
 
 	mmx_exit_target_dequeue(target, attempt);
+	TAILQ_INSERT_TAIL(&target->running, attempt, queue_entry);
 	target->in_progress++;
 	mmx_limits_start(target->limits, execute->account,
 			 mmx_clock_now(exit->clock));
--- a/src/libmasticmux/exit_target.c
+++ b/src/libmasticmux/exit_target.c
@@ -45,6 +45,8 @@
 		  sizeof(target->record.service));
 	target->cold_percent = MMX_EXIT_COLD_PERCENT;
 	TAILQ_INIT(&target->queue);
+	TAILQ_INIT(&target->running);
+	target->cost = mmx_cost_create();
 	mmx_retry_window_init(&target->retry_budget, &no_retries_);
 	target->limits = mmx_limits_create();
 	return target;
@@ -54,6 +56,7 @@
 {
 	assert(TAILQ_EMPTY(&target->queue) && target->in_progress == 0);
 	mmx_limits_destroy(target->limits);
+	mmx_cost_destroy(target->cost);
 	g_free(target);
 }
 
@@ -460,3 +463,36 @@
 	report->score =
 		(uint32_t)(mmx_detection_score(target->detection) * 1000);
 }
+
+static bool is_same_(const mmx_attempt_id_t *a, const mmx_attempt_id_t *b)
+{
+	return a->entry == b->entry && a->incarnation == b->incarnation &&
+	       a->sequence == b->sequence;
+}
+
+/* Whole milliseconds, at least 1, since 0 stands for unknown. */
+static uint16_t to_ms_(mmx_time_t time)
+{
+	return (uint16_t)CLAMP(time / MMX_US_PER_MS, 1, UINT16_MAX);
+}
+
+void mmx_exit_target_report_work(const mmx_exit_target_t *target,
+				 const mmx_attempt_id_t *ended, mmx_time_t now,
+				 mmx_load_report_t *report)
+{
+	mmx_time_t mean = mmx_cost_mean_of_all(target->cost);
+	const mmx_attempt_t *attempt;
+	mmx_time_t work = 0;
+
+	if (mean == 0)
+		return;
+	TAILQ_FOREACH (attempt, &target->running, queue_entry)
+		if (!ended || !is_same_(&attempt->id, ended))
+			work += mmx_cost_remaining(target->cost,
+						   attempt->cost_key,
+						   now - attempt->started);
+	TAILQ_FOREACH (attempt, &target->queue, queue_entry)
+		work += mmx_cost_mean(target->cost, attempt->cost_key);
+	report->work_ms = to_ms_(work / mmx_exit_target_slots(target, now));
+	report->run_ms = to_ms_(mean);
+}
--- a/src/libmasticmux/include/private/attempts.h
+++ b/src/libmasticmux/include/private/attempts.h
@@ -15,6 +15,7 @@
 #define MASTICMUX_PRIVATE_ATTEMPTS_H
 
 #include "masticmux/detection.h"
+#include "private/cost.h"
 #include "private/guards.h"
 #include "private/limits.h"
 #include "private/messages.h"
@@ -32,7 +33,8 @@
 struct mmx_exit_target_t;
 
 typedef struct mmx_attempt_t {
-	TAILQ_ENTRY(mmx_attempt_t) queue_entry;	 /* while queued */
+	/* In the queue or the list of running attempts of its target. */
+	TAILQ_ENTRY(mmx_attempt_t) queue_entry;
 	TAILQ_ENTRY(mmx_attempt_t) expiry_entry; /* while ended */
 	mmx_attempt_id_t id;
 	mmx_attempt_state_t state;
@@ -48,6 +50,7 @@
 	mmx_time_t soft_deadline; /* orders the queue of the target */
 	mmx_time_t started;
 	mmx_time_t deadline;
+	mmx_cost_key_t cost_key;  /* what its run time is expected from */
 	mmx_time_t expire_at;	  /* while ended */
 	mmx_limits_share_t share; /* limits of its account */
 	bool under_floor; /* its account was under its floor at arrival */
--- a/src/libmasticmux/include/private/cost.h
+++ b/src/libmasticmux/include/private/cost.h
@@ -18,6 +18,7 @@
 #include <stdint.h>
 
 #include "masticmux/types.h"
+#include "private/head.h"
 
 /* Chosen: follows a route whose cost changes within a minute, and keeps some
  * hundred run times of a target that completes 10 requests per second. */
@@ -62,6 +63,14 @@
 /* Class of a body of this many bytes. */
 mmx_cost_class_t mmx_cost_class(uint64_t bytes);
 
+/*
+ * Key of a request.
+ *
+ * buffered: bytes of its body so far, which count if the head has no length
+ */
+mmx_cost_key_t mmx_cost_request_key(uint32_t route, const mmx_head_t *head,
+				    uint64_t buffered);
+
 typedef struct mmx_cost_t mmx_cost_t;
 
 mmx_cost_t *mmx_cost_create(void);
--- a/src/libmasticmux/include/private/exit.h
+++ b/src/libmasticmux/include/private/exit.h
@@ -84,6 +84,13 @@
  */
 bool mmx_exit_set_cold_percent(mmx_exit_t *exit, uint8_t percent);
 
+/*
+ * reports: true while responses carry the outstanding work of the target, which
+ *          nodes of earlier releases cannot decode; NULL: they never do.
+ *          Outlives the exit and may change at any time.
+ */
+bool mmx_exit_set_reports_work(mmx_exit_t *exit, const bool *reports);
+
 /* Bound on the records of ended attempts, 1 or more, asserted by init. */
 bool mmx_exit_set_record_max(mmx_exit_t *exit, size_t record_max);
 
--- a/src/libmasticmux/include/private/exit_internal.h
+++ b/src/libmasticmux/include/private/exit_internal.h
@@ -26,6 +26,7 @@
 	const mmx_header_names_t *header_names;
 	bool expect_episodes; /* see mmx_exit_set_expect_episodes() */
 	uint8_t cold_percent;
+	const bool *reports_work; /* see mmx_exit_set_reports_work() */
 	mmx_task_t *client;
 	const mmx_exit_observer_ops_t *observer;
 	void *observer_context;
--- a/src/libmasticmux/include/private/exit_target.h
+++ b/src/libmasticmux/include/private/exit_target.h
@@ -83,6 +83,8 @@
 	mmx_limits_t *limits;
 	mmx_rate_limit_t rate_limit; /* as the target names it */
 	mmx_attempt_list_t queue;
+	mmx_attempt_list_t running;
+	mmx_cost_t *cost;	      /* run times of completed calls */
 	mmx_time_t mean_service_time; /* smoothed run time of completed calls */
 	mmx_exit_route_stats_t routes[MMX_EXIT_ROUTES_MAX];
 	/* The target's part of the retry budget of its service. */
@@ -217,7 +219,19 @@
 /* Updates leaving and leaving_since from the state and a planned stop. */
 void mmx_exit_target_update_leaving(mmx_exit_target_t *target, mmx_time_t now);
 
-/* Fills the load report that responses carry. */
+/*
+ * Sets the outstanding work in a load report: the expected remaining time of
+ * the running attempts and the expected run time of the queued ones, by the run
+ * times at this target and for each of its slots. Leaves it unknown until a call
+ * has completed.
+ *
+ * ended: attempt that has just completed and is not counted; NULL: none
+ */
+void mmx_exit_target_report_work(const mmx_exit_target_t *target,
+				 const mmx_attempt_id_t *ended, mmx_time_t now,
+				 mmx_load_report_t *report);
+
+/* Fills the load report that responses carry, without outstanding work. */
 void mmx_exit_target_report(const mmx_exit_target_t *target, mmx_time_t now,
 			    mmx_load_report_t *report);
 
--- a/src/libmasticmux/include/private/messages.h
+++ b/src/libmasticmux/include/private/messages.h
@@ -142,6 +142,10 @@
 	/* Until its limit lets another request start, milliseconds. */
 	uint16_t wait_ms;
 	uint32_t score; /* evidence against the target in thousandths */
+	/* Expected time in which its slots complete what it has, milliseconds;
+	 * 0: unknown. */
+	uint16_t work_ms;
+	uint16_t run_ms; /* mean run time at it, ms; 0: work_ms is unknown */
 } mmx_load_report_t;
 
 /* exit -> entry, wire: refusal, or head of the target's response. */
--- a/src/libmasticmux/wire.c
+++ b/src/libmasticmux/wire.c
@@ -20,6 +20,7 @@
 #define FLAG_REPEAT 0x200U
 #define FLAG_GRANTED 0x400U
 #define FLAG_ACCOUNT_USE 0x800U
+#define FLAG_WORK 0x1000U
 #define PERCENT_MAX 100
 #define PERMILLE_MAX 1000
 
@@ -308,18 +309,24 @@
 			 (response->started ? FLAG_STARTED : 0) |
 			 (response->good ? FLAG_GOOD : 0) |
 			 (response->offered ? FLAG_OFFERED : 0) |
-			 (response->grant ? FLAG_GRANTED : 0);
+			 (response->grant ? FLAG_GRANTED : 0) |
+			 (response->load.work_ms ? FLAG_WORK : 0);
 
 	if (!attempt_(xdrs, &response->attempt) ||
 	    !word_(xdrs, &reason, MMX_REASON_COUNT - 1, "unknown reason") ||
 	    !flags_(xdrs, &flags,
 		    FLAG_BODY_END | FLAG_STARTED | FLAG_GOOD | FLAG_OFFERED |
-			    FLAG_GRANTED) ||
+			    FLAG_GRANTED | FLAG_WORK) ||
 	    !response_head_(xdrs, &response->head) ||
 	    !load_(xdrs, &response->load) ||
 	    !duration_(xdrs, &response->queue_time) ||
 	    !duration_(xdrs, &response->target_time))
 		return false;
+	/* Absent unless targets are chosen by work, so that other fleets may
+	 * hold nodes of an earlier release. */
+	if ((flags & FLAG_WORK) &&
+	    !pair_(xdrs, &response->load.work_ms, &response->load.run_ms))
+		return false;
 	if (reason == MMX_REASON_NONE && !response->head)
 		return refuse_(xdrs, "response without head and reason");
 	response->reason = reason;
--- a/src/test_libmasticmux/test_exit_target.c
+++ b/src/test_libmasticmux/test_exit_target.c
@@ -430,7 +430,49 @@
 	}
 }
 
+/*
+ * Load pattern: a wave of long requests at one target. Guards against a report
+ * that counts requests instead of their remaining work, and against work that is
+ * reported before anything is known or for an attempt that has ended.
+ */
+static void test_work_(void)
+{
+	enum { COUNT = 4 };
+	mmx_exit_target_t *target = mmx_exit_target_create(1, 2, 3, "t", "s");
+	mmx_attempt_t attempts[COUNT] = {0};
+	mmx_cost_key_t brief = {SHORT_ROUTE, MMX_COST_BODY_NONE};
+	mmx_cost_key_t lengthy = {LONG_ROUTE, MMX_COST_BODY_NONE};
+	mmx_load_report_t report = {0};
+	int n;
+
+	target->record.slots = 2;
+	for (n = 0; n < COUNT; n++) {
+		attempts[n].id.sequence = (uint64_t)n;
+		attempts[n].cost_key = n < 2 ? brief : lengthy;
+		TAILQ_INSERT_TAIL(n == COUNT - 1 ? &target->queue
+						 : &target->running,
+				  &attempts[n], queue_entry);
+	}
+	mmx_exit_target_report_work(target, NULL, 0, &report);
+	CU_ASSERT_EQUAL(report.work_ms, 0);
+	for (n = 0; n < 100; n++) {
+		mmx_cost_add(target->cost, brief, 100 * MS, 0);
+		mmx_cost_add(target->cost, lengthy, 700 * MS, 0);
+	}
+	mmx_exit_target_report_work(target, NULL, 0, &report);
+	CU_ASSERT_EQUAL(report.work_ms, (2 * 100 + 700 + 700) / 2);
+	CU_ASSERT_EQUAL(report.run_ms, 400);
+	mmx_exit_target_report_work(target, &attempts[2].id, 0, &report);
+	CU_ASSERT_EQUAL(report.work_ms, (2 * 100 + 700) / 2);
+	TAILQ_INIT(&target->running);
+	TAILQ_INIT(&target->queue);
+	mmx_exit_target_report_work(target, NULL, 0, &report);
+	CU_ASSERT_EQUAL(report.work_ms, 1);
+	mmx_exit_target_destroy(target);
+}
+
 CU_TestInfo mmx_tests_exit_target[] = {
+	{"outstanding work", test_work_},
 	{"calls of retries earn no retries", test_calls_of_retries_},
 	{"failing long requests", test_failing_long_requests_},
 	{"short calls at a busy service", test_short_calls_at_a_busy_service_},
--- a/src/test_libmasticmux/test_wire.c
+++ b/src/test_libmasticmux/test_wire.c
@@ -124,10 +124,14 @@
 	sent->granted = true;
 	answer->good = true;
 	answer->grant = true;
+	answer->load.work_ms = 65535;
+	answer->load.run_ms = 432;
 	execute = (mmx_execute_t *)carry_(&sent->message);
 	response = (mmx_response_t *)carry_(&answer->message);
 	CU_ASSERT_TRUE(execute->keyed && response->good);
 	CU_ASSERT_TRUE(execute->granted && response->grant);
+	CU_ASSERT_EQUAL(response->load.work_ms, 65535);
+	CU_ASSERT_EQUAL(response->load.run_ms, 432);
 	CU_ASSERT_PTR_NOT_NULL_FATAL(execute->peers);
 	CU_ASSERT_EQUAL(
 		memcmp(execute->peers, sent->peers, sizeof(*sent->peers)), 0);
@@ -137,6 +141,28 @@
 	mmx_message_destroy(&response->message);
 }
 
+/* Guards against responses that an earlier release cannot decode although
+ * targets are chosen by requests: unknown work must take no bytes. */
+static void test_unknown_work_(void)
+{
+	size_t length[2];
+	int i;
+
+	for (i = 0; i < 2; i++) {
+		mmx_response_t *response =
+			(mmx_response_t *)mmx_test_wire_sample(
+				MMX_MESSAGE_RESPONSE);
+		struct evbuffer *args;
+
+		response->load.work_ms = (uint16_t)i;
+		args = mmx_test_wire_args(&response->message);
+		length[i] = evbuffer_get_length(args);
+		mmx_message_destroy(&response->message);
+		evbuffer_free(args);
+	}
+	CU_ASSERT_EQUAL(length[1], length[0] + 4);
+}
+
 /* One word of a valid message replaced; offsets in bytes from the start. */
 typedef struct patch_t {
 	const char *what;
@@ -340,6 +366,7 @@
 	{"messages survive the wire", test_round_trip_},
 	{"members keep their values", test_members_},
 	{"optional members keep their values", test_optional_members_},
+	{"unknown work takes no bytes", test_unknown_work_},
 	{"bad values are refused", test_refusals_},
 	{"truncated and extended messages are refused", test_truncation_},
 	{"what exceeds a limit is not encoded", test_encode_limits_},
