Choose targets by expected completion where a setting asks for it

Where run times are uneven and targets unequal, the number of requests at a target says little about when one more will complete there.

With [balance] by = "work", entries learn run times from responses and choose, of the two random targets that all rules leave, the one that completes the request clearly earlier: its mean run time times the relative cost of the route, after the reported work if no slot is free. Figures that are missing or old, a difference below 25% and services with even run times leave the choice to the number of requests. The log line, explain and three counters by service show the expected and the true run time. The default, "requests", decides as before.

--- a/include/masticmux/balance.h
+++ b/include/masticmux/balance.h
@@ -6,6 +6,11 @@
  * own outstanding requests. A farther locality is used only if no target in the
  * nearer ones has a free slot by this estimate.
  *
+ * If the relative cost of the request is set, the target of the two that is
+ * expected to complete it earlier is chosen: by the outstanding work that each
+ * has reported, what this entry has sent there since, and the cost of the
+ * request there. All other rules are the same.
+ *
  * Usage: create one per service; set its targets and the use of each; choose,
  * start and finish each attempt; report the load that comes with each response;
  * destroy. Does no I/O.
@@ -53,6 +58,9 @@
 	/** Prefer a queue to a suspect target, whose exit would refuse the
 	 * request. If false, a free slot of a suspect target is preferred. */
 	bool queue_before_suspects;
+	/** Expected run time, relative to the mean run time of the service; 0:
+	 * unknown, or targets are to be chosen by number of requests. */
+	double cost;
 } mmx_balance_request_t;
 
 /** A chosen target. */
@@ -93,6 +101,26 @@
 void mmx_balance_report_load(mmx_balance_t *balance, mmx_target_id_t target,
 			     uint32_t load, mmx_time_t now);
 
+/**
+ * Sets the outstanding work that was reported with a response. Unknown targets
+ * are allowed.
+ *
+ * @param work  expected time in which the slots of the target complete what
+ *              they have, microseconds
+ * @param run   mean run time at the target, microseconds
+ */
+void mmx_balance_report_work(mmx_balance_t *balance, mmx_target_id_t target,
+			     mmx_time_t work, mmx_time_t run, mmx_time_t now);
+
+/**
+ * Adds an attempt to the outstanding work until the next report; unknown targets
+ * are allowed.
+ *
+ * @param cost  see mmx_balance_request_t
+ */
+void mmx_balance_add_work(mmx_balance_t *balance, mmx_target_id_t target,
+			  double cost);
+
 /**
  * Sets until when the target starts no further request, because of a limit on
  * their rate. Until then it is chosen only if there is no other. Unknown targets
@@ -127,6 +155,10 @@
 	uint32_t others; /**< requests of other entries, as last reported */
 	uint16_t slots;
 	mmx_time_t age; /**< of the report; MMX_TIME_NEVER: no report */
+	/** Outstanding work for each slot with that of this entry since the
+	 * report, microseconds; -1: unknown. */
+	mmx_time_t work;
+	mmx_time_t run; /**< mean run time there; 0: unknown */
 } mmx_balance_estimate_t;
 
 /** Load estimate of a target; false if it is unknown. */
--- a/include/masticmux/settings.h
+++ b/include/masticmux/settings.h
@@ -80,6 +80,9 @@
 	int64_t retry_reserve;	 /**< attempts of the whole fleet */
 	mmx_time_t retry_window; /**< that the budget holds for, microseconds */
 	uint32_t floor_percent;	 /**< see MMX_FLOOR_PERCENT_DEFAULT */
+	/** Targets of services with uneven run times are chosen by expected
+	 * work instead of the number of requests. */
+	bool balance_by_work;
 } mmx_settings_t;
 
 /**
--- a/src/libmasticmux/balance.c
+++ b/src/libmasticmux/balance.c
@@ -18,6 +18,18 @@
 	"normal", "avoid", "avoid-trial", "trial", "last-resort", "none",
 };
 
+/*
+ * Targets are chosen by work only if the request is expected to complete later
+ * at one of them by more than this, percent; else the number of requests
+ * decides. Means of few run times differ by 10% by chance, and among equal
+ * targets a margin of 10% cost 1% of the mean latency (bench_cost,
+ * equal-targets).
+ */
+#define MARGIN_PERCENT 25
+/* Time after which a reported mean run time is ignored, so that a target that
+ * gets no requests because it was slow is tried again. */
+#define RUN_TTL_US (10 * MMX_US_PER_S)
+
 #define USE_BIT(use) (1U << (use))
 #define AVOID_USES (USE_BIT(MMX_USE_AVOID) | USE_BIT(MMX_USE_AVOID_TRIAL))
 #define TRIAL_USES (USE_BIT(MMX_USE_TRIAL) | USE_BIT(MMX_USE_AVOID_TRIAL))
@@ -28,6 +40,10 @@
 	mmx_time_t paused_until; /* starts no further request before */
 	uint32_t others;      /* requests of other entries, as last reported */
 	uint32_t outstanding; /* requests of this entry */
+	mmx_time_t work;      /* outstanding work, as last reported */
+	mmx_time_t run;	      /* mean run time; 0: no work was reported */
+	mmx_time_t work_time; /* time of the last report of work */
+	double added;	      /* cost of what this entry has sent since */
 	uint16_t slots;
 	uint8_t use;
 	uint8_t locality;
@@ -154,6 +170,28 @@
 	known->report_time = now;
 }
 
+void mmx_balance_report_work(mmx_balance_t *balance, mmx_target_id_t target,
+			     mmx_time_t work, mmx_time_t run, mmx_time_t now)
+{
+	target_t *known = find_target_(balance, target);
+
+	if (!known)
+		return;
+	known->work = work;
+	known->run = run;
+	known->work_time = now;
+	known->added = 0;
+}
+
+void mmx_balance_add_work(mmx_balance_t *balance, mmx_target_id_t target,
+			  double cost)
+{
+	target_t *known = find_target_(balance, target);
+
+	if (known)
+		known->added += cost;
+}
+
 void mmx_balance_pause(mmx_balance_t *balance, mmx_target_id_t target,
 		       mmx_time_t until)
 {
@@ -201,14 +239,66 @@
 	       estimated_load_(target, now) < target->slots;
 }
 
+static bool is_work_known_(const target_t *target, mmx_time_t now)
+{
+	return target->run &&
+	       now - target->work_time <= MMX_BALANCE_REPORT_TTL_US;
+}
+
+/* Outstanding work for each slot, with what this entry has sent since. */
+static double work_(const target_t *target)
+{
+	return (double)target->work +
+	       target->added * (double)target->run / target->slots;
+}
+
+static bool is_run_known_(const target_t *target, mmx_time_t now)
+{
+	return target->run && now - target->work_time <= RUN_TTL_US;
+}
+
+/*
+ * Expected time until a request of this relative cost completes; -1: unknown.
+ * It starts at once where a slot is free.
+ */
+static double completion_(const target_t *target, double cost, mmx_time_t now)
+{
+	double run = cost * (double)target->run;
+
+	if (!is_run_known_(target, now))
+		return -1;
+	if (has_free_slot_(target, now))
+		return run;
+	return is_work_known_(target, now) ? work_(target) + run : -1;
+}
+
+/* Returns the target that is expected to complete a request clearly earlier, or
+ * NULL if there is none or this is not known. */
+static const target_t *earlier_(const target_t *a, const target_t *b,
+				double cost, mmx_time_t now)
+{
+	double in_a = completion_(a, cost, now);
+	double in_b = completion_(b, cost, now);
+
+	if (cost <= 0 || in_a < 0 || in_b < 0 ||
+	    has_free_slot_(a, now) != has_free_slot_(b, now) ||
+	    MIN(in_a, in_b) * (100 + MARGIN_PERCENT) > MAX(in_a, in_b) * 100)
+		return NULL;
+	return in_b < in_a ? b : a;
+}
+
 static const target_t *less_loaded_(const target_t *a, const target_t *b,
-				    mmx_time_t now)
+				    double cost, mmx_time_t now)
 {
 	mmx_time_t wait_a = MAX(a->paused_until - now, 0);
 	mmx_time_t wait_b = MAX(b->paused_until - now, 0);
+	const target_t *earlier;
 
 	if (wait_a != wait_b)
 		return wait_b < wait_a ? b : a;
+	earlier = earlier_(a, b, cost, now);
+	if (earlier)
+		return earlier;
 	return estimated_load_(b, now) * a->slots <
 			       estimated_load_(a, now) * b->slots
 		       ? b
@@ -248,7 +338,7 @@
 	}
 }
 
-static const target_t *pick_of_two_(const candidates_t *candidates,
+static const target_t *pick_of_two_(const candidates_t *candidates, double cost,
 				    mmx_random_t *random, mmx_time_t now)
 {
 	size_t first = mmx_random_below(random, candidates->count);
@@ -260,10 +350,10 @@
 	if (second >= first)
 		second++;
 	return less_loaded_(candidates->target[first],
-			    candidates->target[second], now);
+			    candidates->target[second], cost, now);
 }
 
-static const target_t *pick_free_(const candidates_t *candidates,
+static const target_t *pick_free_(const candidates_t *candidates, double cost,
 				  mmx_random_t *random, mmx_time_t now)
 {
 	const target_t *best;
@@ -271,11 +361,11 @@
 
 	if (!candidates->count)
 		return NULL;
-	best = pick_of_two_(candidates, random, now);
+	best = pick_of_two_(candidates, cost, random, now);
 	if (has_free_slot_(best, now))
 		return best;
 	for (i = 0; i < candidates->count; i++)
-		best = less_loaded_(best, candidates->target[i], now);
+		best = less_loaded_(best, candidates->target[i], cost, now);
 	return has_free_slot_(best, now) ? best : NULL;
 }
 
@@ -302,7 +392,8 @@
 			best = candidates.target[mmx_random_below(
 				random, candidates.count)];
 		for (i = 0; i < candidates.count; i++)
-			best = less_loaded_(best, candidates.target[i], now);
+			best = less_loaded_(best, candidates.target[i],
+					    request->cost, now);
 		if (has_free_slot_(best, now))
 			return best;
 	}
@@ -339,8 +430,10 @@
 				    &candidates);
 		if (!candidates.count)
 			continue;
-		target = only_free ? pick_free_(&candidates, random, now)
-				   : pick_of_two_(&candidates, random, now);
+		target = only_free ? pick_free_(&candidates, request->cost,
+						random, now)
+				   : pick_of_two_(&candidates, request->cost,
+						  random, now);
 		if (target)
 			return target;
 	}
@@ -420,6 +513,9 @@
 		.slots = known->slots,
 		.age = known->report_time ? now - known->report_time
 					  : MMX_TIME_NEVER,
+		.work = is_work_known_(known, now) ? (mmx_time_t)work_(known)
+						   : -1,
+		.run = known->run,
 	};
 	return true;
 }
--- a/src/libmasticmux/entry.c
+++ b/src/libmasticmux/entry.c
@@ -500,6 +500,7 @@
 		.members_context = entry->members_context,
 		.guards = entry->guards,
 		.budget_at_exits = entry->budget_at_exits,
+		.by_work = entry->by_work,
 	});
 	entry->attempt_filter = mmx_filter_attempt_create(entry);
 	mmx_pipeline_add(&entry->pipeline,
--- a/src/libmasticmux/entry_options.c
+++ b/src/libmasticmux/entry_options.c
@@ -156,6 +156,14 @@
 		       : 0;
 }
 
+bool mmx_entry_set_by_work(mmx_entry_t *entry, const bool *by_work)
+{
+	if (entry->running)
+		return false;
+	entry->by_work = by_work;
+	return true;
+}
+
 bool mmx_entry_set_budget_at_exits(mmx_entry_t *entry, bool at_exits)
 {
 	if (entry->running)
--- a/src/libmasticmux/entry_trace.c
+++ b/src/libmasticmux/entry_trace.c
@@ -100,22 +100,33 @@
 		      left, NULL);
 }
 
-/* "TARGET[LOAD/SLOTS,AGE]": estimated load, and age of its report in ms. */
+/*
+ * "TARGET[LOAD/SLOTS,AGE]": estimated load, and age of its report in ms. With
+ * ",work=MS,cost=MS" if the target was chosen by work.
+ */
 static void append_target_(mmx_exchange_t *exchange,
 			   const mmx_balance_estimate_t *estimate)
 {
-	char text[MMX_NAME_MAX + 64];
+	char text[MMX_NAME_MAX + 128];
 	int length;
 
 	length = g_snprintf(
 		text, sizeof(text), "%s[%u/%u,", target_name_(exchange),
 		estimate->outstanding + estimate->others, estimate->slots);
 	if (estimate->age == MMX_TIME_NEVER)
-		g_snprintf(text + length, sizeof(text) - (size_t)length,
-			   "none]");
+		length += g_snprintf(text + length,
+				     sizeof(text) - (size_t)length, "none");
 	else
-		g_snprintf(text + length, sizeof(text) - (size_t)length,
-			   "%lld]", (long long)(estimate->age / MMX_US_PER_MS));
+		length += g_snprintf(
+			text + length, sizeof(text) - (size_t)length, "%lld",
+			(long long)(estimate->age / MMX_US_PER_MS));
+	if (exchange->expected_cost)
+		length += g_snprintf(
+			text + length, sizeof(text) - (size_t)length,
+			",work=%lld,cost=%lld",
+			(long long)(estimate->work / MMX_US_PER_MS),
+			(long long)(exchange->expected_cost / MMX_US_PER_MS));
+	g_snprintf(text + length, sizeof(text) - (size_t)length, "]");
 	append_attempt_log_(exchange, ";", text);
 }
 
@@ -137,6 +148,32 @@
 		mmx_entry_history(exchange->owner), exchange->trace.trace_id,
 		"attempt %u chose target %s%s", exchange->attempts,
 		target_name_(exchange), exchange->trial ? " as a trial" : "");
+	if (exchange->expected_cost)
+		mmx_history_request(
+			mmx_entry_history(exchange->owner),
+			exchange->trace.trace_id,
+			"attempt %u chosen by work: %d ms outstanding at %u of "
+			"%u slots, expected run time %d ms, mean there %d ms",
+			exchange->attempts,
+			(int)(estimate->work / MMX_US_PER_MS),
+			estimate->outstanding + estimate->others,
+			estimate->slots,
+			(int)(exchange->expected_cost / MMX_US_PER_MS),
+			(int)(estimate->run / MMX_US_PER_MS));
+}
+
+void mmx_entry_trace_cost(mmx_exchange_t *exchange, mmx_time_t run)
+{
+	char text[32];
+
+	g_snprintf(text, sizeof(text), "ran=%lld",
+		   (long long)(run / MMX_US_PER_MS));
+	append_attempt_log_(exchange, ":", text);
+	mmx_history_request(mmx_entry_history(exchange->owner),
+			    exchange->trace.trace_id,
+			    "attempt %u ran for %d ms, expected %d ms",
+			    exchange->attempts, (int)(run / MMX_US_PER_MS),
+			    (int)(exchange->expected_cost / MMX_US_PER_MS));
 }
 
 void mmx_entry_trace_context(const mmx_exchange_t *exchange,
--- a/src/libmasticmux/filter_attempt.c
+++ b/src/libmasticmux/filter_attempt.c
@@ -83,6 +83,7 @@
 	exchange->target = choice->target;
 	exchange->exit = choice->node;
 	exchange->exit_incarnation = choice->incarnation;
+	exchange->expected_cost = choice->cost;
 	exchange->trial = choice->trial;
 	exchange->remote = choice->locality == MMX_LOCALITY_REMOTE;
 	exchange->tried[exchange->attempts++] = exchange->target;
@@ -250,6 +251,7 @@
 	};
 	mmx_view_choice_t choice;
 
+	mmx_attempt_set_cost(self, exchange, &request);
 	if (mmx_view_start_attempt(self->view, exchange->service, &request,
 				   &choice))
 		start_attempt_(self, exchange, &choice);
@@ -474,6 +476,7 @@
 			   exchange->target_time + mmx_clock_now(self->clock) -
 				   exchange->head_received_at,
 			   head->status >= 500);
+	mmx_attempt_record_cost(self, exchange, head->status);
 	exchange->answer_head = NULL;
 	if (end && head->status < 500)
 		mmx_attempt_record_latency(self, exchange);
@@ -638,9 +641,11 @@
 
 static void destroy_(mmx_filter_t *filter)
 {
-	g_hash_table_destroy(
-		((mmx_attempt_filter_t *)filter)->overdue_by_route);
-	g_free(filter);
+	mmx_attempt_filter_t *self = (mmx_attempt_filter_t *)filter;
+
+	g_hash_table_destroy(self->overdue_by_route);
+	g_clear_pointer(&self->cost_errors, g_hash_table_destroy);
+	g_free(self);
 }
 
 static const mmx_filter_ops_t ops_ = {
--- a/src/libmasticmux/filter_attempt_send.c
+++ b/src/libmasticmux/filter_attempt_send.c
@@ -47,6 +47,11 @@
 	return MIN(remaining, MAX(limit, QUEUE_WAIT_MIN_US));
 }
 
+uint32_t mmx_attempt_route_number(const mmx_exchange_t *exchange)
+{
+	return exchange->route[0] ? g_str_hash(exchange->route) : 0;
+}
+
 mmx_execute_t *mmx_attempt_new_execute(mmx_attempt_filter_t *self,
 				       const mmx_exchange_t *exchange)
 {
@@ -74,7 +79,7 @@
 		mmx_clock_now(self->clock) < exchange->retry_grant_until;
 	execute->caller_repeat_percent = exchange->caller_repeat_percent;
 	execute->objective = exchange->objective;
-	execute->route = exchange->route[0] ? g_str_hash(exchange->route) : 0;
+	execute->route = mmx_attempt_route_number(exchange);
 	execute->max_wait = queue_wait_limit_(exchange, execute->remaining);
 	execute->trial = exchange->trial;
 	execute->peers = mmx_view_summary(self->view, exchange->target);
--- a/src/libmasticmux/include/private/entry.h
+++ b/src/libmasticmux/include/private/entry.h
@@ -80,6 +80,10 @@
  */
 bool mmx_entry_set_budget_at_exits(mmx_entry_t *entry, bool at_exits);
 
+/* by_work: true while targets are chosen by work; may change at any time and
+ * outlives the entry. NULL: by requests. */
+bool mmx_entry_set_by_work(mmx_entry_t *entry, const bool *by_work);
+
 /*
  * Holds requests that arrive before mmx_entry_started(): until this many
  * microseconds after init at most, and no longer than a quarter of the timeout
@@ -194,6 +198,8 @@
 				     mmx_body_t *body);
 
 void mmx_entry_trace_start(mmx_exchange_t *exchange);
+/* The attempt whose run time was expected ran for this long, microseconds. */
+void mmx_entry_trace_cost(mmx_exchange_t *exchange, mmx_time_t run);
 /* A target was chosen for an attempt, based on this estimate of its load. */
 void mmx_entry_trace_attempt(mmx_exchange_t *exchange,
 			     const mmx_balance_estimate_t *estimate);
--- a/src/libmasticmux/include/private/entry_internal.h
+++ b/src/libmasticmux/include/private/entry_internal.h
@@ -37,6 +37,7 @@
 	mmx_time_t startup_hold;      /* longest hold after init, us; 0: none */
 	const mmx_header_names_t *header_names;
 	const char *caller_service;
+	const bool *by_work; /* see mmx_entry_set_by_work() */
 	bool budget_at_exits;
 	mmx_repeat_percent_fn_t repeat_percent;
 	void *repeat_context;
--- a/src/libmasticmux/include/private/exchange.h
+++ b/src/libmasticmux/include/private/exchange.h
@@ -8,6 +8,7 @@
 #include <glib.h>
 
 #include "masticmux/config_state.h"
+#include "private/cost.h"
 #include "private/messages.h"
 
 /* Longest Idempotency-Key, bytes. */
@@ -91,6 +92,8 @@
 	mmx_incarnation_t exit_incarnation;
 	mmx_target_id_t target;
 	mmx_time_t sent_at;
+	mmx_cost_key_t cost_key;
+	mmx_time_t expected_cost;  /* run time at the target; 0: unknown */
 	mmx_timer_t overdue_timer; /* expires when the attempt is overdue */
 	/* Time of the latest attempt that followed an overdue one; 0: none. */
 	mmx_time_t repeated_at;
--- a/src/libmasticmux/include/private/filter_attempt.h
+++ b/src/libmasticmux/include/private/filter_attempt.h
@@ -1,7 +1,8 @@
 /*
  * Attempt filter: state and functions that its source files share, which are
  * attempts (filter_attempt.c), their messages to exits (filter_attempt_send.c),
- * second attempts of overdue ones (filter_attempt_overdue.c) and the claims of
+ * second attempts of overdue ones (filter_attempt_overdue.c), their expected run
+ * times (filter_attempt_cost.c) and the claims of
  * attempts with an Idempotency-Key (filter_attempt_claim.c).
  */
 #ifndef MASTICMUX_PRIVATE_FILTER_ATTEMPT_H
@@ -16,6 +17,13 @@
  * sending a body to another region costs more than a short wait. */
 #define MMX_SAME_REGION_ATTEMPTS 5
 
+/* Error of the expected run times of one service, summed up in ms. */
+typedef struct mmx_attempt_error_t {
+	mmx_counter_t *run;
+	mmx_counter_t *expected;
+	mmx_counter_t *error; /* distance of the two, of each attempt */
+} mmx_attempt_error_t;
+
 typedef struct mmx_attempt_filter_t {
 	mmx_filter_t filter;
 	mmx_entry_t *entry;
@@ -24,6 +32,8 @@
 	mmx_view_t *view;
 	mmx_exchange_list_t in_flight; /* exchanges with an attempt */
 	GHashTable *overdue_by_route;  /* mmx_overdue_t by name of the route */
+	/* mmx_attempt_error_t by name of the service; NULL: none yet */
+	GHashTable *cost_errors;
 	mmx_counter_t *sent;
 	mmx_counter_t *repeated;
 	mmx_counter_t *fences;
@@ -37,6 +47,18 @@
  * microseconds. */
 mmx_time_t mmx_attempt_margin(mmx_time_t remaining, mmx_time_t max);
 
+/* Sets in a request, before each attempt, what its target is chosen by. */
+void mmx_attempt_set_cost(mmx_attempt_filter_t *self, mmx_exchange_t *exchange,
+			  mmx_balance_request_t *request);
+
+/* Learns the run time of the latest attempt, whose response has arrived, and
+ * records the error of its estimate. */
+void mmx_attempt_record_cost(mmx_attempt_filter_t *self,
+			     mmx_exchange_t *exchange, int status);
+
+/* Number of the route in messages; 0: it has no name. */
+uint32_t mmx_attempt_route_number(const mmx_exchange_t *exchange);
+
 /* Creates the EXECUTE message of the latest attempt. */
 mmx_execute_t *mmx_attempt_new_execute(mmx_attempt_filter_t *self,
 				       const mmx_exchange_t *exchange);
--- a/src/libmasticmux/include/private/node_parts.h
+++ b/src/libmasticmux/include/private/node_parts.h
@@ -80,6 +80,7 @@
 	uint32_t retry_reserve; /* retries in the whole fleet */
 	mmx_time_t retry_window;
 	uint32_t floor_percent;
+	bool balance_by_work;
 } mmx_reloadable_settings_t;
 
 /* State shared by the parts. A pointer to an object of a part is set by that
--- a/src/libmasticmux/include/private/view.h
+++ b/src/libmasticmux/include/private/view.h
@@ -17,6 +17,7 @@
 #include "masticmux/config_state.h"
 #include "masticmux/path.h"
 #include "masticmux/random.h"
+#include "private/cost.h"
 #include "private/guards.h"
 #include "private/messages.h"
 
@@ -42,6 +43,8 @@
 	const mmx_guards_t *guards;
 	/* The exits keep the retry budget instead of this entry. */
 	bool budget_at_exits;
+	/* True while targets are chosen by work; NULL: by requests. */
+	const bool *by_work;
 } mmx_view_config_t;
 
 typedef struct mmx_view_t mmx_view_t;
@@ -57,8 +60,20 @@
 	mmx_locality_t locality;
 	bool trial;
 	mmx_balance_estimate_t load_estimate; /* before this attempt */
+	mmx_time_t cost; /* expected run time; 0: chosen by requests */
 } mmx_view_choice_t;
 
+/*
+ * Sets the relative cost in a request, so that its target is chosen by work if
+ * the setting says so and the run times of the service are uneven.
+ */
+void mmx_view_set_cost(mmx_view_t *view, const char *service,
+		       mmx_cost_key_t key, mmx_balance_request_t *request);
+
+/* Records the run time of a completed request, as its exit measured it. */
+void mmx_view_learn_cost(mmx_view_t *view, const char *service,
+			 mmx_cost_key_t key, mmx_time_t run_time);
+
 /*
  * Chooses a target of a service and counts the attempt as outstanding. Returns
  * false if there is no capacity.
--- a/src/libmasticmux/node.c
+++ b/src/libmasticmux/node.c
@@ -93,6 +93,7 @@
 		.retry_reserve = (uint32_t)settings->retry_reserve,
 		.retry_window = settings->retry_window,
 		.floor_percent = settings->floor_percent,
+		.balance_by_work = settings->balance_by_work,
 	};
 }
 
--- a/src/libmasticmux/part_path.c
+++ b/src/libmasticmux/part_path.c
@@ -160,6 +160,8 @@
 	mmx_exit_set_expect_episodes(node->exit, node->store != NULL);
 	if (node->store)
 		mmx_exit_set_cold_percent(node->exit, COLD_PERCENT);
+	mmx_exit_set_reports_work(node->exit,
+				  &node->reloadable.balance_by_work);
 	mmx_exit_set_trace(node->exit, node->trace);
 	mmx_exit_set_history(node->exit, node->history);
 	mmx_exit_init(node->exit);
@@ -184,6 +186,7 @@
 		node->settings->service[0] ? node->settings->service : NULL);
 	mmx_entry_set_log(node->entry, node->log);
 	mmx_entry_set_budget_at_exits(node->entry, node->store != NULL);
+	mmx_entry_set_by_work(node->entry, &node->reloadable.balance_by_work);
 	if (node->store) {
 		mmx_entry_set_startup_hold(node->entry, STARTUP_HOLD_US);
 		mmx_entry_set_repeat_percent(node->entry, repeat_percent_,
--- a/src/libmasticmux/settings.c
+++ b/src/libmasticmux/settings.c
@@ -24,6 +24,7 @@
 #define SECONDS_MAX 3600
 #define RETRY_RESERVE_VALID "a number of attempts from 0 to 1000000"
 #define RETRY_RESERVE_MAX 1000000
+#define BALANCE_VALID "\"requests\" or \"work\""
 #define SHARE_VALID "a number from 0.0 to 1.0"
 /* A share such as 0.29 has no exact form; percent. */
 #define PERCENT_ERROR 1e-9
@@ -304,6 +305,20 @@
 			(int64_t)floor(reserve);
 }
 
+static void read_balance_(mmx_schema_t *schema, const mmx_tree_node_t *node,
+			  const mmx_schema_rule_t *rule, void *into)
+{
+	size_t length;
+	const char *text = mmx_tree_string(node, &length);
+	bool by_work = strcmp(text, "work") == 0;
+
+	if (strlen(text) != length ||
+	    (!by_work && strcmp(text, "requests") != 0))
+		mmx_schema_reject(schema, node, rule);
+	else
+		*(bool *)((char *)into + rule->offset) = by_work;
+}
+
 static const mmx_schema_rule_t node_rules_[] = {
 	NAME_RULE_("name", node_name),
 	NAME_RULE_("region", region),
@@ -373,6 +388,11 @@
 	 SHARE_VALID, .offset = offsetof(mmx_settings_t, floor_percent)},
 };
 
+static const mmx_schema_rule_t balance_rules_[] = {
+	{"by", MMX_TREE_STRING, MMX_PRESENCE_OPTIONAL, read_balance_,
+	 BALANCE_VALID, .offset = offsetof(mmx_settings_t, balance_by_work)},
+};
+
 /* The rules of one table of the file, by the name of the table. */
 typedef struct section_t {
 	const char *name;
@@ -390,6 +410,7 @@
 	{"stop", stop_rules_, G_N_ELEMENTS(stop_rules_)},
 	{"retry", retry_rules_, G_N_ELEMENTS(retry_rules_)},
 	{"targets", targets_rules_, G_N_ELEMENTS(targets_rules_)},
+	{"balance", balance_rules_, G_N_ELEMENTS(balance_rules_)},
 };
 
 static void read_section_(mmx_schema_t *schema, const mmx_tree_node_t *node,
@@ -424,6 +445,8 @@
 	 .valid = TABLE_VALID},
 	{"targets", MMX_TREE_TABLE, MMX_PRESENCE_OPTIONAL, read_section_,
 	 .valid = TABLE_VALID},
+	{"balance", MMX_TREE_TABLE, MMX_PRESENCE_OPTIONAL, read_section_,
+	 .valid = TABLE_VALID},
 };
 
 static void describe_place_(size_t index, char *buffer, size_t size)
--- a/src/libmasticmux/view.c
+++ b/src/libmasticmux/view.c
@@ -43,6 +43,7 @@
 	mmx_ejection_t *ejection;
 	mmx_retry_t retry;
 	mmx_latency_window_t window;
+	mmx_cost_t *cost; /* NULL until run times are learned */
 	uint8_t floor_percent;
 	uint16_t floor_slots;
 	mmx_time_t synced_at;	  /* time of the last synchronisation */
@@ -103,6 +104,7 @@
 
 	mmx_ejection_destroy(service->ejection);
 	mmx_balance_destroy(service->balance);
+	mmx_cost_destroy(service->cost);
 	g_free(service);
 }
 
@@ -286,6 +288,35 @@
 					    remove_if_stale_, service);
 }
 
+static bool is_by_work_(const mmx_view_t *view)
+{
+	return view->config.by_work && *view->config.by_work;
+}
+
+void mmx_view_set_cost(mmx_view_t *view, const char *name, mmx_cost_key_t key,
+		       mmx_balance_request_t *request)
+{
+	const service_t *service = g_hash_table_lookup(view->services, name);
+
+	request->cost = 0;
+	if (is_by_work_(view) && service && service->cost &&
+	    mmx_cost_is_uneven(service->cost))
+		request->cost = (double)mmx_cost_mean(service->cost, key) /
+				(double)mmx_cost_mean_of_all(service->cost);
+}
+
+void mmx_view_learn_cost(mmx_view_t *view, const char *name, mmx_cost_key_t key,
+			 mmx_time_t run_time)
+{
+	service_t *service = g_hash_table_lookup(view->services, name);
+
+	if (!is_by_work_(view) || !service)
+		return;
+	if (!service->cost)
+		service->cost = mmx_cost_create();
+	mmx_cost_add(service->cost, key, run_time, now_(view));
+}
+
 static bool choose_target_(service_t *service,
 			   const mmx_balance_request_t *request,
 			   mmx_balance_choice_t *choice)
@@ -340,7 +371,11 @@
 	};
 	mmx_balance_estimate(service->balance, chosen.target, now_(view),
 			     &choice->load_estimate);
+	if (request->cost > 0)
+		choice->cost = (mmx_time_t)(request->cost *
+					    (double)choice->load_estimate.run);
 	mmx_balance_start(service->balance, chosen.target);
+	mmx_balance_add_work(service->balance, chosen.target, request->cost);
 	mmx_path_attempt_sent(&find_or_add_path_(view, choice->node)->path,
 			      now_(view));
 	return true;
@@ -411,6 +446,11 @@
 	mmx_balance_report_load(target->service->balance, target->id,
 				(uint32_t)report->in_progress + report->queued,
 				now_(view));
+	if (report->work_ms)
+		mmx_balance_report_work(target->service->balance, target->id,
+					report->work_ms * MMX_US_PER_MS,
+					report->run_ms * MMX_US_PER_MS,
+					now_(view));
 	mmx_balance_pause(target->service->balance, target->id,
 			  report->wait_ms
 				  ? now_(view) + report->wait_ms * MMX_US_PER_MS
--- a/src/test_libmasticmux/test_balance.c
+++ b/src/test_libmasticmux/test_balance.c
@@ -483,7 +483,114 @@
 	mmx_balance_destroy(balance);
 }
 
+#define MS MMX_US_PER_MS
+
+typedef struct work_spec_t {
+	uint32_t load;	 /* of 3 slots */
+	mmx_time_t work; /* as reported, ms; 0: no report of work */
+	mmx_time_t run;	 /* the same, mean run time */
+	mmx_time_t age;	 /* of the report of work, ms */
+	double added;	 /* sent since, relative cost */
+} work_spec_t;
+
+typedef struct work_case_t {
+	const char *name;
+	double cost;
+	work_spec_t targets[2];
+	const char *expected; /* as in choice_case_t */
+} work_case_t;
+
+/* 1.4: restart, lost reports, a target that is slower, a wave of long requests,
+ * estimates that are wrong. */
+static const work_case_t work_cases_[] = {
+	{"by requests although work is known",
+	 0,
+	 {{1, 900, 900, 0, 0}, {2, 100, 100, 0, 0}},
+	 "yn"},
+	{"a slower target",
+	 1,
+	 {{1, 500, 500, 0, 0}, {2, 200, 100, 0, 0}},
+	 "ny"},
+	{"equal but for chance",
+	 1,
+	 {{1, 300, 120, 0, 0}, {2, 100, 100, 0, 0}},
+	 "yn"},
+	{"a free slot before an early end",
+	 1,
+	 {{2, 900, 900, 0, 0}, {3, 100, 100, 0, 0}},
+	 "yn"},
+	{"long requests in the queue",
+	 0.5,
+	 {{4, 2000, 400, 0, 0}, {6, 800, 400, 0, 0}},
+	 "ny"},
+	{"own requests since the report",
+	 0.5,
+	 {{5, 800, 400, 0, 9}, {6, 800, 400, 0, 0}},
+	 "ny"},
+	{"report of work lost",
+	 1,
+	 {{1, 0, 0, 0, 0}, {2, 100, 100, 0, 0}},
+	 "yn"},
+	{"run times out of date",
+	 1,
+	 {{1, 500, 500, 10001, 0}, {2, 100, 100, 0, 0}},
+	 "yn"},
+	{"work out of date",
+	 1,
+	 {{5, 900, 400, 1001, 0}, {6, 100, 400, 0, 0}},
+	 "yn"},
+	{"wrong by a factor of ten, but full",
+	 1,
+	 {{3, 10, 10, 0, 0}, {1, 1000, 100, 0, 0}},
+	 "ny"},
+};
+
+/*
+ * Load pattern: uneven work at unequal targets. Guards against a choice by work
+ * where the number of requests must decide, and the reverse; and against a full
+ * target that is chosen before a free one.
+ */
+static void test_choice_by_work_(void)
+{
+	const mmx_time_t now = 20 * MMX_US_PER_S;
+	size_t i;
+	int n;
+
+	for (i = 0; i < G_N_ELEMENTS(work_cases_); i++) {
+		const work_case_t *row = &work_cases_[i];
+		mmx_balance_request_t request = {.cost = row->cost};
+		mmx_balance_t *balance = mmx_balance_create();
+		mmx_balance_choice_t choice;
+		mmx_random_t random;
+		bool ok = true;
+
+		mmx_random_seed(&random, i);
+		for (n = 0; n < 2; n++) {
+			const work_spec_t *spec = &row->targets[n];
+			mmx_target_id_t id = (mmx_target_id_t)n + 1;
+
+			mmx_balance_set_target(balance, id, 3, ZONE);
+			mmx_balance_report_load(balance, id, spec->load, now);
+			if (spec->run)
+				mmx_balance_report_work(
+					balance, id, spec->work * MS,
+					spec->run * MS, now - spec->age * MS);
+			mmx_balance_add_work(balance, id, spec->added);
+		}
+		for (n = 0; n < CHOICES; n++)
+			ok = ok &&
+			     mmx_balance_choose(balance, &request, &random, now,
+						&choice) &&
+			     row->expected[choice.target - 1] == 'y';
+		if (!ok)
+			printf("\n  %s\n", row->name);
+		CU_ASSERT_TRUE(ok);
+		mmx_balance_destroy(balance);
+	}
+}
+
 CU_TestInfo mmx_tests_balance[] = {
+	{"choice by work", test_choice_by_work_},
 	{"targets that a limit pauses", test_paused_},
 	{"a queue in the region before another region", test_queue_in_region_},
 	{"a full service with suspects", test_full_service_with_suspects_},
--- a/src/test_libmasticmux/test_settings.c
+++ b/src/test_libmasticmux/test_settings.c
@@ -151,6 +151,11 @@
 	 "17:9: retry.share " SHARE_VALID "a float"},
 	{16, "[targets]\nfloor_share = 2",
 	 "17:15: targets.floor_share " SHARE_VALID "2"},
+	{16, "[balance]\nby = \"speed\"",
+	 "17:6: balance.by must be \"requests\" or \"work\"; found "
+	 "\"speed\""},
+	{16, "[balance]\nby = true",
+	 "17:6: balance.by must be \"requests\" or \"work\"; found a boolean"},
 	/* addresses */
 	{7, "callers = \"localhost:8080\"",
 	 "7:11: listen.callers " ADDRESS_VALID "\"localhost:8080\""},
@@ -407,6 +412,35 @@
 	}
 }
 
+/* Guards against a choice by work that nobody asked for, and against one that
+ * is asked for and ignored. */
+static void test_balance_(void)
+{
+	static const struct {
+		const char *lines;
+		bool by_work;
+	} cases[] = {
+		{"", false},
+		{"[balance]", false},
+		{"[balance]\nby = \"requests\"", false},
+		{"[balance]\nby = \"work\"", true},
+	};
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		mmx_findings_t *findings = mmx_findings_create();
+		char *text = text_(16, cases[i].lines);
+		mmx_settings_t *settings =
+			mmx_settings_parse("s", text, strlen(text), findings);
+
+		CU_ASSERT_PTR_NOT_NULL_FATAL(settings);
+		CU_ASSERT_EQUAL(settings->balance_by_work, cases[i].by_work);
+		mmx_settings_destroy(settings);
+		mmx_findings_destroy(findings);
+		g_free(text);
+	}
+}
+
 /* Guards against a missing file that is taken for an empty one. */
 static void test_no_file_(void)
 {
@@ -419,6 +453,7 @@
 }
 
 CU_TestInfo mmx_tests_settings[] = {
+	{"choice by work", test_balance_},
 	{"each mistake is a finding with its place", test_findings_},
 	{"all findings together, in order", test_all_together_},
 	{"values reach their members", test_values_},
--- a/src/test_libmasticmux/test_view.c
+++ b/src/test_libmasticmux/test_view.c
@@ -7,6 +7,7 @@
 #define EXIT_NODE 2
 
 typedef struct fixture_t {
+	bool by_work;
 	mmx_clock_t *clock;
 	mmx_random_t random;
 	mmx_directory_t *directory;
@@ -29,6 +30,7 @@
 		.directory = fixture->directory,
 		.config_state = &fixture->config_state,
 		.guards = &mmx_guards_all,
+		.by_work = &fixture->by_work,
 	});
 	fixture->record = (mmx_target_record_t){
 		.id = mmx_directory_id("exit", "target"),
@@ -190,7 +192,66 @@
 	}
 }
 
+/*
+ * Guards against a choice by work without the setting, for a service with even
+ * run times, or after a restart before anything is known; and against reports
+ * of work that do not reach the choice.
+ */
+static void test_cost_(void)
+{
+	static const struct {
+		const char *name;
+		bool by_work;
+		int count; /* of run times */
+		int longest_ms;
+		double cost;	     /* of route 1, relative */
+		mmx_time_t expected; /* run time at the target, ms */
+	} cases[] = {
+		{"by requests", false, 40, 2000, 0, 0},
+		{"nothing known", true, 0, 0, 0, 0},
+		{"too few run times", true, 10, 2000, 0, 0},
+		{"even run times", true, 40, 300, 0, 0},
+		{"uneven run times", true, 40, 1900, 0.1, 40},
+	};
+	size_t i;
+	int n;
+
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		fixture_t *fixture = open_();
+		mmx_balance_request_t request = {.cost = 1};
+		mmx_cost_key_t keys[] = {{1, MMX_COST_BODY_NONE},
+					 {2, MMX_COST_BODY_NONE}};
+		mmx_view_choice_t choice = {0};
+
+		fixture->by_work = cases[i].by_work;
+		CU_ASSERT_TRUE(is_chosen_(fixture));
+		for (n = 0; n < cases[i].count; n++)
+			mmx_view_learn_cost(
+				fixture->view, "s", keys[n % 2],
+				(n % 2 ? cases[i].longest_ms : 100) *
+					MMX_US_PER_MS);
+		mmx_view_report_load(fixture->view,
+				     &(mmx_load_report_t){
+					     .target = fixture->record.id,
+					     .slots = 3,
+					     .state = MMX_TARGET_WARM,
+					     .work_ms = 70,
+					     .run_ms = 400,
+				     });
+		mmx_view_set_cost(fixture->view, "s", keys[0], &request);
+		CU_ASSERT_DOUBLE_EQUAL(request.cost, cases[i].cost, 0.001);
+		CU_ASSERT_TRUE(mmx_view_start_attempt(fixture->view, "s",
+						      &request, &choice));
+		CU_ASSERT_EQUAL(choice.cost / MMX_US_PER_MS, cases[i].expected);
+		CU_ASSERT_EQUAL(choice.load_estimate.work, 70 * MMX_US_PER_MS);
+		mmx_view_finish_attempt(fixture->view, choice.target,
+					choice.node);
+		close_(fixture);
+	}
+}
+
 CU_TestInfo mmx_tests_view[] = {
+	{"expected cost", test_cost_},
 	{"report of a draining target", test_draining_report_},
 	{"target that says that it leaves", test_leaving_},
 	CU_TEST_INFO_NULL,
