--- a/include/masticmux/settings.h
+++ b/include/masticmux/settings.h
@@ -90,6 +90,9 @@
 	mmx_time_t account_window; /**< see MMX_ACCOUNTS_WINDOW_DEFAULT_S, us */
 	double account_overshoot;  /**< share of the limit, from 0 */
 	double account_slack;	   /**< requests, from 0 */
+	/** Targets of services with uneven run times are chosen by expected
+	 * work instead of the number of requests. */
+	bool balance_by_work;
 } mmx_settings_t;
 
 /**
--- a/src/libmasticmux/include/private/entry_internal.h
+++ b/src/libmasticmux/include/private/entry_internal.h
@@ -38,6 +38,7 @@
 	mmx_time_t startup_hold;      /* longest hold after init, us; 0: none */
 	const mmx_header_names_t *header_names;
 	const char *caller_service;
+	const bool *by_work; /* see mmx_entry_set_by_work() */
 	bool budget_at_exits;
 	const struct mmx_entry_quota_ops_t *quota_ops; /* NULL: none */
 	void *quota_context;
--- a/src/libmasticmux/include/private/node_parts.h
+++ b/src/libmasticmux/include/private/node_parts.h
@@ -83,6 +83,7 @@
 	mmx_time_t account_window;
 	double account_overshoot;
 	double account_slack;
+	bool balance_by_work;
 } mmx_reloadable_settings_t;
 
 /* State shared by the parts. A pointer to an object of a part is set by that
--- a/src/libmasticmux/node.c
+++ b/src/libmasticmux/node.c
@@ -105,6 +105,7 @@
 		.account_window = settings->account_window,
 		.account_overshoot = settings->account_overshoot,
 		.account_slack = settings->account_slack,
+		.balance_by_work = settings->balance_by_work,
 	};
 }
 
--- a/src/libmasticmux/settings.c
+++ b/src/libmasticmux/settings.c
@@ -30,6 +30,7 @@
 #define OVERSHOOT_MAX 10
 #define SLACK_VALID "a number of requests from 0 to 1000000"
 #define SLACK_MAX 1000000
+#define BALANCE_VALID "\"requests\" or \"work\""
 #define SHARE_VALID "a number from 0.0 to 1.0"
 /* A share such as 0.29 has no exact form; percent. */
 #define PERCENT_ERROR 1e-9
@@ -345,6 +346,20 @@
 	read_number_(schema, node, rule, into, SLACK_MAX);
 }
 
+static void read_balance_(mmx_schema_t *schema, const mmx_tree_node_t *node,
+			  const mmx_schema_rule_t *rule, void *into)
+{
+	size_t length;
+	const char *text = mmx_tree_string(node, &length);
+	bool by_work = strcmp(text, "work") == 0;
+
+	if (strlen(text) != length ||
+	    (!by_work && strcmp(text, "requests") != 0))
+		mmx_schema_reject(schema, node, rule);
+	else
+		*(bool *)((char *)into + rule->offset) = by_work;
+}
+
 static const mmx_schema_rule_t node_rules_[] = {
 	NAME_RULE_("name", node_name),
 	NAME_RULE_("region", region),
@@ -424,6 +439,11 @@
 	 SLACK_VALID, .offset = offsetof(mmx_settings_t, account_slack)},
 };
 
+static const mmx_schema_rule_t balance_rules_[] = {
+	{"by", MMX_TREE_STRING, MMX_PRESENCE_OPTIONAL, read_balance_,
+	 BALANCE_VALID, .offset = offsetof(mmx_settings_t, balance_by_work)},
+};
+
 /* The rules of one table of the file, by the name of the table. */
 typedef struct section_t {
 	const char *name;
@@ -442,6 +462,7 @@
 	{"retry", retry_rules_, G_N_ELEMENTS(retry_rules_)},
 	{"targets", targets_rules_, G_N_ELEMENTS(targets_rules_)},
 	{"accounts", accounts_rules_, G_N_ELEMENTS(accounts_rules_)},
+	{"balance", balance_rules_, G_N_ELEMENTS(balance_rules_)},
 };
 
 static void read_section_(mmx_schema_t *schema, const mmx_tree_node_t *node,
@@ -478,6 +499,8 @@
 	 .valid = TABLE_VALID},
 	{"accounts", MMX_TREE_TABLE, MMX_PRESENCE_OPTIONAL, read_section_,
 	 .valid = TABLE_VALID},
+	{"balance", MMX_TREE_TABLE, MMX_PRESENCE_OPTIONAL, read_section_,
+	 .valid = TABLE_VALID},
 };
 
 static void describe_place_(size_t index, char *buffer, size_t size)
