--- a/bench/bench_fair.c
+++ b/bench/bench_fair.c
@@ -24,11 +24,11 @@
 #define TRIES_MAX 6
 #define UNLIMITED_WAIT_TRIES 2
 #define QUEUE_WAIT_PERCENT 25
-/* Use is counted over 2 s and known to entries 300 ms later. */
+/* Use is counted over 2 s and known to entries some time later. */
 #define BIN_US (100 * MS)
 #define USE_BINS 20
-#define LAG_BINS 3
-#define BINS 32
+#define BINS 128
+#define LAG_MAX_MS 10000
 /* Least share of an account, relative to the mean of all requests: the
  * requirement, and the aim. */
 #define SHARE_REQUIRED 0.25
@@ -106,7 +106,8 @@
 	account_t *accounts;
 	int account_count;
 	GHashTable *requests; /* sequence of the attempt -> request_t */
-	uint64_t sequence;
+	uint64_t sequence;    /* of the latest attempt: their number */
+	int sent;	      /* requests */
 } model_t;
 
 /* Result of one group, or of all accounts. */
@@ -120,16 +121,22 @@
 typedef struct result_t {
 	share_t all;
 	share_t groups[GROUPS_MAX];
+	double attempts; /* of a request, mean */
 } result_t;
 
 static gboolean as_json_;
 static gint64 seed_ = 1;
 static gint seconds_ = 60;
+static gint lag_ms_ = 300;
+static gint unknown_;
 
 static const GOptionEntry entries_[] = {
 	{"json", 0, 0, G_OPTION_ARG_NONE, &as_json_, "Print JSON", NULL},
 	{"seed", 0, 0, G_OPTION_ARG_INT64, &seed_, "Seed", "N"},
 	{"seconds", 0, 0, G_OPTION_ARG_INT, &seconds_, "Virtual time", "N"},
+	{"lag", 0, 0, G_OPTION_ARG_INT, &lag_ms_, "Age of the use", "MS"},
+	{"unknown", 0, 0, G_OPTION_ARG_INT, &unknown_, "Requests without a use",
+	 "PERCENT"},
 	{NULL},
 };
 
@@ -149,13 +156,15 @@
 /* As the owner of the limit tells it, permille. */
 static uint16_t use_(account_t *account)
 {
+	int lag = (int)(lag_ms_ * MS / BIN_US);
 	int taken = 0;
 	int i;
 
+	if ((int)mmx_random_below(&account->model->random, 100) < unknown_)
+		return 0;
 	update_bins_(account);
 	for (i = 0; i < USE_BINS; i++)
-		taken += account->taken[(account->bin + BINS - LAG_BINS - i) %
-					BINS];
+		taken += account->taken[(account->bin + BINS - lag - i) % BINS];
 	return (uint16_t)CLAMP(1000.0 * taken /
 				       (account->group->limit * USE_BINS *
 					BIN_US / MMX_US_PER_S),
@@ -271,6 +280,7 @@
 	account->offered++;
 	if (!take_token_(account))
 		return;
+	model->sent++;
 	request = g_new0(request_t, 1);
 	request->account = account;
 	request->deadline = mmx_clock_now(model->clock) + 2 * group->objective;
@@ -467,6 +477,7 @@
 	for (i = 0; i < GROUPS_MAX; i++)
 		if (pattern->groups[i].accounts > 0)
 			result.groups[i] = share_(&model, &pattern->groups[i]);
+	result.attempts = (double)model.sequence / model.sent;
 	destroy_(&model);
 	return result;
 }
@@ -496,6 +507,8 @@
 	printf("  %-16s %8s %8.2f %8s %8.2f\n", "in its priority", "",
 	       without->all.lowest_of_priority, "",
 	       with->all.lowest_of_priority);
+	printf("  %-16s %8.2f %8s %8.2f\n", "attempts", without->attempts, "",
+	       with->attempts);
 }
 
 static json_t *to_json_(const share_t *share)
@@ -526,8 +539,9 @@
 	if (!ok) {
 		fprintf(stderr, "%s\n", error->message);
 		g_error_free(error);
-	} else if (seconds_ < 1) {
-		fprintf(stderr, "seconds must be above 0\n");
+	} else if (seconds_ < 1 || lag_ms_ < 0 || lag_ms_ > LAG_MAX_MS) {
+		fprintf(stderr, "seconds must be above 0, lag 0 to %d\n",
+			LAG_MAX_MS);
 		ok = false;
 	}
 	g_option_context_free(context);
--- a/src/test_libmasticmux/exit_script.c
+++ b/src/test_libmasticmux/exit_script.c
@@ -18,6 +18,7 @@
 	fake_t client;
 	fake_t origin;
 	GString *trace;
+	mmx_counters_t *counters;
 	unsigned int versions; /* number of records passed to the observer */
 	uint16_t slots;	       /* in the latest record */
 } fixture_t;
@@ -180,6 +181,13 @@
 		g_string_append_printf(
 			fixture->trace, "in-progress:%zu ",
 			mmx_exit_in_progress(fixture->exit, "t"));
+	else if (g_str_equal(words[0], "evictions"))
+		g_string_append_printf(
+			fixture->trace, "evictions:%d ",
+			(int)mmx_counters_get(fixture->counters, MMX_COUNTER,
+					      "masticmux_exit_evictions_total",
+					      "cause=\"displaced\"", "")
+				->value);
 	else if (g_str_equal(words[0], "versions"))
 		g_string_append_printf(fixture->trace, "versions:%u:%u ",
 				       fixture->versions, fixture->slots);
@@ -246,10 +254,13 @@
 		mmx_exit_set_target_client(fixture.exit, &fixture.client.task);
 		mmx_exit_set_observer(fixture.exit, &observer_, &fixture);
 		mmx_exit_set_header_names(fixture.exit, header_names);
+		fixture.counters = mmx_counters_create();
+		mmx_exit_set_counters(fixture.exit, fixture.counters);
 		mmx_exit_init(fixture.exit);
 		fake_run(cases[i].script, run_step_, &fixture);
 		fake_compare(&cases[i], fixture.trace);
 		mmx_exit_destroy(fixture.exit);
+		mmx_counters_destroy(fixture.counters);
 		mmx_runtime_destroy(fixture.runtime);
 		g_string_free(fixture.trace, TRUE);
 	}
--- a/src/test_libmasticmux/test_exit_queue.c
+++ b/src/test_libmasticmux/test_exit_queue.c
@@ -68,6 +68,7 @@
 	execute->remaining = fake_number(words, "ms", 1000) * MS;
 	execute->max_wait = fake_number(words, "patience", 450) * MS;
 	execute->objective = 500 * MS;
+	execute->account_use = (uint16_t)fake_number(words, "use", 0);
 	execute->route = 1;
 	execute->head = mmx_head_create_request("POST", "/");
 	execute->body_end = true;
@@ -268,6 +269,11 @@
 		{"no grant for a request that has one",
 		 "execute; wait ms=400; execute n=2 repeat granted",
 		 "call1 refused2:suspect "},
+		{"a repeat that is evicted keeps its charge",
+		 "execute ms=5000; execute n=2 ms=5000; "
+		 "execute n=3 repeat use=1000 patience=60; execute n=4 use=1; "
+		 "execute n=5 use=1 patience=110",
+		 "call1 call2 refused3:busy:grant "},
 		{"no grant for a first attempt",
 		 "execute; wait ms=400; execute n=2 post",
 		 "call1 refused2:suspect "},
--- a/src/test_libmasticmux/test_fair_queue.c
+++ b/src/test_libmasticmux/test_fair_queue.c
@@ -30,10 +30,11 @@
 		{"many small accounts beside two large ones",
 		 START "execute n=11" FLOOD "execute n=12" FLOOD
 		       "execute n=3" USUAL "execute n=4" USUAL
-		       "execute n=5" USUAL "head n=2 end; head n=3 end",
+		       "execute n=5" USUAL
+		       "head n=2 end; head n=3 end; evictions",
 		 START_TRACE "refused12:busy refused11:busy refused5:busy "
 			     "response2:200:end call3 response3:200:end "
-			     "call4 "},
+			     "call4 evictions:2 "},
 		{"two priorities",
 		 START "execute n=3 priority=1" USUAL "execute n=11" FLOOD
 		       "head n=2 end; head n=11 end",
@@ -278,10 +279,57 @@
 	finish_(&world);
 }
 
+/* Failures: an attempt of an account under its floor is evicted; a request of
+ * one is refused in favour of others. */
+static void test_floor_(void)
+{
+	world_t world;
+	mmx_attempt_t *attempt;
+	mmx_fair_queue_place_t first = {.priority = 0};
+	mmx_exit_request_t request = {.account = "a",
+				      .share = {.ceiling_percent = 100},
+				      .account_use = 1000,
+				      .objective = MS,
+				      .remaining = MMX_US_PER_S,
+				      .max_wait = MMX_US_PER_S};
+	unsigned int queued;
+	int n;
+
+	init_(&world, 11);
+	for (n = 0; n < 20; n++) {
+		attempt = add_(&world, 1, true, 0);
+		if (attempt)
+			attempt->under_floor =
+				attempt->execute->account_use == 1000;
+	}
+	CU_ASSERT_EQUAL(mmx_fair_queue_victim(&world.target->queue, &first)
+				->execute->account_use,
+			1);
+	queued = world.target->queued;
+	world.target->queued = MMX_EXIT_QUEUE_MAX;
+	world.target->mean_service_time = 0;
+	CU_ASSERT_EQUAL(mmx_exit_target_admit(world.target, &request, 0),
+			MMX_REASON_BUSY);
+	request.share.floor_percent = 50;
+	CU_ASSERT_EQUAL(mmx_exit_target_admit(world.target, &request, 0),
+			MMX_REASON_NONE);
+	world.target->queued = queued;
+	TAILQ_FOREACH (attempt, &world.target->queue, queue_entry)
+		attempt->under_floor = attempt->execute->account_use == 1;
+	/* None may wait at all. */
+	CU_ASSERT_EQUAL(
+		mmx_exit_target_displaced(world.target,
+					  TAILQ_FIRST(&world.target->queue), 1)
+			->execute->account_use,
+		1000);
+	finish_(&world);
+}
+
 CU_TestInfo mmx_tests_fair_queue[] = {
 	{"load patterns", test_patterns_},
 	{"a full queue", test_full_queue_},
 	{"no use of a limit is known", test_without_use_},
 	{"the wait is bounded", test_wait_is_bounded_},
+	{"accounts under their floor", test_floor_},
 	CU_TEST_INFO_NULL,
 };
