Shorten the tests of fair queues

Cause: the tests kept a pool of attempts that only the random ones needed.

Change: attempts are allocated; the random queues are longer, and admission is checked in a function of its own. The same failures are guarded against.

--- a/src/test_libmasticmux/test_fair_queue.c
+++ b/src/test_libmasticmux/test_fair_queue.c
@@ -6,7 +6,8 @@
 #include "private/exit_target.h"
 
 #define MS MMX_US_PER_MS
-#define ATTEMPTS 64
+/* Attempts in a queue from which one is removed for each that is added. */
+#define QUEUED 40
 /* Steps before each pattern: one slot, and a mean run time of 100 ms. */
 #define START "warm; execute n=1; wait ms=100; head end; execute ms=9000 n=2; "
 #define START_TRACE "call1 response1:200:end call2 "
@@ -126,65 +127,55 @@
 	g_string_free(script, TRUE);
 }
 
-typedef struct world_t {
-	mmx_exit_target_t *target;
-	mmx_attempt_t attempts[ATTEMPTS];
-	bool used[ATTEMPTS];
-	mmx_random_t random;
-} world_t;
-
-static void init_(world_t *world, uint64_t seed)
+static mmx_exit_target_t *create_(mmx_random_t *random)
 {
-	*world = (world_t){.target = mmx_exit_target_create(1, 2, 3, "t", "s")};
-	world->target->record.slots = 1;
-	world->target->in_progress = 1;
-	world->target->record.state = MMX_TARGET_WARM;
-	world->target->mean_service_time = 10 * MS;
-	mmx_random_seed(&world->random, seed);
+	mmx_exit_target_t *target = mmx_exit_target_create(1, 2, 3, "t", "s");
+
+	target->record.slots = 1;
+	target->in_progress = 1;
+	target->mean_service_time = 10 * MS;
+	mmx_random_seed(random, 7);
+	return target;
 }
 
-static void remove_(world_t *world, mmx_attempt_t *attempt)
+static void remove_(mmx_attempt_t *attempt)
 {
-	mmx_exit_target_dequeue(world->target, attempt);
+	mmx_exit_target_dequeue(attempt->target, attempt);
 	mmx_message_destroy(&attempt->execute->message);
-	world->used[attempt - world->attempts] = false;
+	g_free(attempt);
 }
 
-static void finish_(world_t *world)
+static void destroy_(mmx_exit_target_t *target)
 {
-	while (!TAILQ_EMPTY(&world->target->queue))
-		remove_(world, TAILQ_FIRST(&world->target->queue));
-	world->target->in_progress = 0;
-	mmx_exit_target_destroy(world->target);
+	while (!TAILQ_EMPTY(&target->queue))
+		remove_(TAILQ_FIRST(&target->queue));
+	target->in_progress = 0;
+	mmx_exit_target_destroy(target);
 }
 
-/* Queues an attempt at random; NULL when all are in use. */
-static mmx_attempt_t *add_(world_t *world, uint8_t priorities, bool limited,
+/* Queues an attempt at random. use: of its limit, one of two */
+static mmx_attempt_t *add_(mmx_exit_target_t *target, mmx_random_t *random,
+			   uint8_t priorities, const uint16_t use[2],
 			   mmx_time_t now)
 {
 	static const mmx_time_t objectives[] = {20 * MS, 0, 500 * MS};
-	size_t i = mmx_random_below(&world->random, ATTEMPTS);
-	mmx_attempt_t *attempt = &world->attempts[i];
+	mmx_attempt_t *attempt = g_new0(mmx_attempt_t, 1);
+	mmx_execute_t *execute = attempt->execute = mmx_new_execute();
 
-	if (world->used[i])
-		return NULL;
-	world->used[i] = true;
-	*attempt = (mmx_attempt_t){.share = {.ceiling_percent = 100},
-				   .arrived = now,
-				   .execute = mmx_new_execute()};
-	attempt->execute->priority =
-		(uint8_t)mmx_random_below(&world->random, priorities);
-	attempt->execute->objective =
-		objectives[mmx_random_below(&world->random, priorities)];
-	attempt->execute->remaining =
-		(mmx_time_t)mmx_random_below(&world->random, 2000) * MS;
-	if (limited)
-		attempt->execute->account_use =
-			mmx_random_below(&world->random, 2) ? 1000 : 1;
-	mmx_exit_target_enqueue(world->target, attempt, now);
+	attempt->target = target;
+	attempt->share.ceiling_percent = 100;
+	attempt->arrived = now;
+	execute->priority = (uint8_t)mmx_random_below(random, priorities);
+	execute->objective = objectives[mmx_random_below(random, priorities)];
+	execute->remaining = (mmx_time_t)mmx_random_below(random, 2000) * MS;
+	execute->account_use = use[mmx_random_below(random, 2)];
+	mmx_exit_target_enqueue(target, attempt, now);
 	return attempt;
 }
 
+static const uint16_t unknown_[2];
+static const uint16_t limited_[2] = {1, 990};
+
 /* The order before accounts had limits: priority, soft deadline, arrival. */
 static bool was_before_(const mmx_attempt_t *a, const mmx_attempt_t *b)
 {
@@ -200,53 +191,53 @@
 	return of_a != of_b ? of_a < of_b : a->arrived < b->arrived;
 }
 
-/* Failure: the order, the admission or an eviction differs from before although
- * the use of no limit is known. */
+/* Failure: admission differs from before although no use is known. */
+static void check_admission_(mmx_exit_target_t *target, mmx_attempt_t *attempt,
+			     unsigned int ahead, bool is_short)
+{
+	mmx_time_t now = attempt->arrived;
+	mmx_exit_request_t request = {
+		.account = "",
+		.share = attempt->share,
+		.priority = attempt->execute->priority,
+		.objective = attempt->execute->objective,
+		.remaining = attempt->execute->remaining + 1,
+		.max_wait = (ahead + 1) * 10 * MS - is_short,
+	};
+	mmx_time_t least = MAX(ahead + 5, 2 * (ahead + 1)) * 10 * MS;
+
+	CU_ASSERT_PTR_NULL(mmx_exit_target_displaced(target, attempt, now));
+	mmx_exit_target_dequeue(target, attempt);
+	CU_ASSERT_EQUAL(mmx_exit_target_admit(target, &request, now) ==
+				MMX_REASON_NONE,
+			!is_short && least <= request.remaining);
+	mmx_exit_target_enqueue(target, attempt, now);
+}
+
+/* Failure: the order differs from before although no use is known. */
 static void test_without_use_(void)
 {
-	world_t world;
-	mmx_exit_request_t request = {.account = "",
-				      .share = {.ceiling_percent = 100}};
+	mmx_random_t random;
+	mmx_exit_target_t *target = create_(&random);
 	mmx_attempt_t *attempt;
 	mmx_attempt_t *next;
 	unsigned int ahead;
-	mmx_time_t least;
-	bool admitted;
 	int step;
 
-	init_(&world, 7);
 	for (step = 1; step <= 20000; step++) {
-		attempt = add_(&world, 3, false, step * MS);
-		if (attempt) {
-			ahead = 0;
-			TAILQ_FOREACH (next, &world.target->queue, queue_entry)
-				ahead += was_before_(next, attempt);
-			CU_ASSERT_PTR_NULL(mmx_exit_target_displaced(
-				world.target, attempt, step * MS));
-			mmx_exit_target_dequeue(world.target, attempt);
-			request.priority = attempt->execute->priority;
-			request.objective = attempt->execute->objective;
-			request.remaining = attempt->execute->remaining + 1;
-			/* Just long enough, or not quite. */
-			request.max_wait = (ahead + 1) * 10 * MS - step % 2;
-			admitted = mmx_exit_target_admit(world.target, &request,
-							 step * MS) ==
-				   MMX_REASON_NONE;
-			least = MAX(ahead + 5, 2 * (ahead + 1)) * 10 * MS;
-			CU_ASSERT_EQUAL(admitted,
-					step % 2 == 0 &&
-						least <= request.remaining);
-			mmx_exit_target_enqueue(world.target, attempt,
-						step * MS);
-		}
-		attempt = TAILQ_FIRST(&world.target->queue);
-		if (!attempt || mmx_random_below(&world.random, 4) < 1)
+		attempt = add_(target, &random, 3, unknown_, step * MS);
+		ahead = 0;
+		TAILQ_FOREACH (next, &target->queue, queue_entry)
+			ahead += was_before_(next, attempt);
+		check_admission_(target, attempt, ahead, step % 2);
+		attempt = TAILQ_FIRST(&target->queue);
+		if (target->queued < QUEUED)
 			continue;
-		TAILQ_FOREACH (next, &world.target->queue, queue_entry)
+		TAILQ_FOREACH (next, &target->queue, queue_entry)
 			CU_ASSERT_FALSE(was_before_(next, attempt));
-		remove_(&world, attempt);
+		remove_(attempt);
 	}
-	finish_(&world);
+	destroy_(target);
 }
 
 /*
@@ -255,71 +246,61 @@
  */
 static void test_wait_is_bounded_(void)
 {
-	world_t world;
+	mmx_random_t random;
+	mmx_exit_target_t *target = create_(&random);
 	const mmx_attempt_t *next;
 	mmx_attempt_t *first;
 	mmx_time_t longest = 0;
 	int step;
 
-	init_(&world, 9);
 	for (step = 1; step <= 20000; step++) {
-		add_(&world, 1, true, step * MS);
-		first = TAILQ_FIRST(&world.target->queue);
-		if (!first || mmx_random_below(&world.random, 4) < 1)
+		add_(target, &random, 1, limited_, step * MS);
+		first = TAILQ_FIRST(&target->queue);
+		if (target->queued < QUEUED)
 			continue;
-		TAILQ_FOREACH (next, &world.target->queue, queue_entry)
+		TAILQ_FOREACH (next, &target->queue, queue_entry)
 			longest = MAX(longest, first->arrived - next->arrived);
-		remove_(&world, first);
+		remove_(first);
 	}
 	/* The order takes effect, and no more than that. */
 	CU_ASSERT_TRUE(longest > 15 * MS && longest <= 20 * MS);
-	finish_(&world);
+	destroy_(target);
 }
 
 /* Failures: an attempt of an account under its floor is evicted; a request of
  * one is refused in favour of others. */
 static void test_floor_(void)
 {
-	world_t world;
-	mmx_attempt_t *attempt;
-	mmx_fair_queue_place_t first = {.priority = 0};
+	mmx_random_t random;
+	mmx_exit_target_t *target = create_(&random);
+	mmx_fair_queue_place_t urgent = {.priority = 0};
 	mmx_exit_request_t request = {.account = "a",
 				      .share = {.ceiling_percent = 100},
 				      .account_use = 1000,
 				      .objective = MS,
 				      .remaining = MMX_US_PER_S,
 				      .max_wait = MMX_US_PER_S};
-	unsigned int queued;
-	int n;
+	mmx_attempt_t *first;
+	mmx_attempt_t *last;
 
-	init_(&world, 11);
-	for (n = 0; n < 20; n++) {
-		attempt = add_(&world, 1, true, 0);
-		if (attempt)
-			attempt->under_floor =
-				attempt->execute->account_use == 1000;
-	}
-	CU_ASSERT_EQUAL(mmx_fair_queue_victim(&world.target->queue, &first)
-				->execute->account_use,
-			1);
-	queued = world.target->queued;
-	world.target->queued = MMX_EXIT_QUEUE_MAX;
-	world.target->mean_service_time = 0;
-	CU_ASSERT_EQUAL(mmx_exit_target_admit(world.target, &request, 0),
+	target->mean_service_time = 0;
+	while (target->queued < MMX_EXIT_QUEUE_MAX)
+		add_(target, &random, 1, limited_, 0);
+	CU_ASSERT_EQUAL(mmx_exit_target_admit(target, &request, 0),
 			MMX_REASON_BUSY);
 	request.share.floor_percent = 50;
-	CU_ASSERT_EQUAL(mmx_exit_target_admit(world.target, &request, 0),
+	CU_ASSERT_EQUAL(mmx_exit_target_admit(target, &request, 0),
 			MMX_REASON_NONE);
-	world.target->queued = queued;
-	TAILQ_FOREACH (attempt, &world.target->queue, queue_entry)
-		attempt->under_floor = attempt->execute->account_use == 1;
+	first = TAILQ_FIRST(&target->queue);
+	last = TAILQ_LAST(&target->queue, mmx_attempt_list_t);
+	last->under_floor = true;
+	CU_ASSERT_PTR_NOT_EQUAL(mmx_fair_queue_victim(&target->queue, &urgent),
+				last);
 	/* None may wait at all. */
-	CU_ASSERT_EQUAL(
-		mmx_exit_target_displaced(world.target,
-					  TAILQ_FIRST(&world.target->queue), 1)
-			->execute->account_use,
-		1000);
-	finish_(&world);
+	TAILQ_NEXT(first, queue_entry)->under_floor = true;
+	CU_ASSERT_PTR_NOT_EQUAL(mmx_exit_target_displaced(target, first, 1),
+				TAILQ_NEXT(first, queue_entry));
+	destroy_(target);
 }
 
 CU_TestInfo mmx_tests_fair_queue[] = {
