Give a first token request the time to connect

With all others absent, a node that is cut off took itself for an owner.

Change: 400 ms for a node not heard lately; probes go to nodes with a connection; a node that reaches under half of the fleet takes over from none.

--- a/src/libmasticmux/include/private/quota.h
+++ b/src/libmasticmux/include/private/quota.h
@@ -28,6 +28,9 @@
 /** Wait for an answer before the next node is asked; a round trip between
  * regions takes 60 ms. The module has its own timer. */
 #define MMX_QUOTA_ASK_TIMEOUT_US (250 * MMX_US_PER_MS)
+/** The same for a node that was not heard lately: a connection to it has to be
+ * made first, which takes two more round trips. */
+#define MMX_QUOTA_FIRST_ASK_TIMEOUT_US (400 * MMX_US_PER_MS)
 /** Time-out to pass to mmx_peer_call(). It is longer than the module's own, so
  * that the tokens of a late answer can be returned. */
 #define MMX_QUOTA_CALL_TIMEOUT_US (1000 * MMX_US_PER_MS)
--- a/src/libmasticmux/include/private/quota_internal.h
+++ b/src/libmasticmux/include/private/quota_internal.h
@@ -19,6 +19,9 @@
 /* Time-out of a relayed token request. With a round trip of 60 ms the reply
  * is at the requester before its own time-out. */
 #define MMX_QUOTA_RELAY_TIMEOUT_US (150 * MMX_US_PER_MS)
+/* The connection to a node that answered within this time is still open: idle
+ * ones are closed after 60 s. */
+#define MMX_QUOTA_CONNECTED_US (50 * MMX_US_PER_S)
 /* Bounds of the back-off of a failed node. */
 #define MMX_QUOTA_BACKOFF_MIN_US (2 * MMX_US_PER_S)
 #define MMX_QUOTA_BACKOFF_MAX_US (8 * MMX_US_PER_S)
--- a/src/libmasticmux/quota.c
+++ b/src/libmasticmux/quota.c
@@ -15,6 +15,8 @@
 /* A token has to be back at its owner within the window of its issue: this is
  * the time above, a tick and a message. */
 #define RETURN_TIME_US (600 * MMX_US_PER_MS)
+/* A node that reaches less of the fleet takes over from no other. */
+#define CUT_OFF_REACH 0.5
 /* Tokens used are counted by half of the time for which they are prefetched. */
 #define TAKEN_SLOT_US (250 * MMX_US_PER_MS)
 
@@ -104,6 +106,11 @@
 	mmx_quota_order_(account);
 	second = account->owners[1];
 	*hop = MMX_QUOTA_HOP_OWNER;
+	/* A node that follows absent ones but reaches few others is cut off: it
+	 * has only its own share. */
+	if ((account->owners[0] == self || second == self) &&
+	    account->rank >= 2 && mmx_quota_reach_(quota) < CUT_OFF_REACH)
+		return 0;
 	if (account->owners[0] == self) {
 		if (!mmx_quota_in_handover_(account) ||
 		    !mmx_quota_is_usable_(quota, second, retry))
@@ -396,7 +403,8 @@
 	mmx_quota_account_t *account = line->account;
 	mmx_quota_hop_t hop;
 
-	if (!answer->granted || choose_node_(account, &hop) != call->node)
+	if (!answer->granted || account->limit.rate == 0 ||
+	    choose_node_(account, &hop) != call->node)
 		return;
 	add_returned_(account, answer->granted, call->sent_at);
 	mark_dirty_(account);
--- a/src/libmasticmux/quota_peers.c
+++ b/src/libmasticmux/quota_peers.c
@@ -4,6 +4,9 @@
 
 #include "private/quota_internal.h"
 
+/* Draws of a node for a probe until one with a connection is found. */
+#define PROBE_DRAWS 6
+
 mmx_quota_peer_t *mmx_quota_get_peer_(mmx_quota_t *quota, mmx_node_id_t node)
 {
 	mmx_quota_peer_t *peer = g_hash_table_lookup(quota->peers, &node);
@@ -162,6 +165,23 @@
 	finish_(call, NULL);
 }
 
+static bool is_connected_(const mmx_quota_t *quota, mmx_node_id_t node)
+{
+	const mmx_quota_peer_t *peer = g_hash_table_lookup(quota->peers, &node);
+
+	return peer &&
+	       mmx_quota_now_(quota) - peer->heard_at < MMX_QUOTA_CONNECTED_US;
+}
+
+static mmx_time_t time_out_(const mmx_quota_t *quota, mmx_node_id_t node,
+			    mmx_quota_call_kind_t kind)
+{
+	if (kind == MMX_QUOTA_CALL_RELAY)
+		return MMX_QUOTA_RELAY_TIMEOUT_US;
+	return is_connected_(quota, node) ? MMX_QUOTA_ASK_TIMEOUT_US
+					  : MMX_QUOTA_FIRST_ASK_TIMEOUT_US;
+}
+
 mmx_quota_call_t *mmx_quota_call_(mmx_quota_t *quota, mmx_node_id_t node,
 				  mmx_quota_call_kind_t kind,
 				  const mmx_quota_ask_t *asks, size_t count,
@@ -182,9 +202,7 @@
 	for (i = 0; i < call->count; i++)
 		call->lines[i].account->calls++;
 	mmx_timer_init(&call->timer, quota->config.clock, on_timeout_, call);
-	mmx_timer_set(&call->timer, kind == MMX_QUOTA_CALL_RELAY
-					    ? MMX_QUOTA_RELAY_TIMEOUT_US
-					    : MMX_QUOTA_ASK_TIMEOUT_US);
+	mmx_timer_set(&call->timer, time_out_(quota, node, kind));
 	g_hash_table_insert(quota->calls, &call->id, call);
 	mmx_counter_add(kind == MMX_QUOTA_CALL_PROBE   ? quota->probes
 			: kind == MMX_QUOTA_CALL_RELAY ? quota->relays
@@ -237,7 +255,24 @@
 	return false;
 }
 
-/* Chooses distinct other nodes at random. */
+/* Chooses a node at random, and rather one with an open connection: the time to
+ * make one must not count as silence. */
+static mmx_node_id_t choose_node_(mmx_quota_t *quota)
+{
+	mmx_node_id_t node = 0;
+	int i;
+
+	for (i = 0; i < PROBE_DRAWS; i++) {
+		node = g_array_index(
+			quota->nodes, mmx_node_id_t,
+			mmx_random_below(&quota->random, quota->nodes->len));
+		if (is_connected_(quota, node))
+			break;
+	}
+	return node;
+}
+
+/* Chooses distinct other nodes. */
 static size_t choose_nodes_(mmx_quota_t *quota, mmx_node_id_t *chosen)
 {
 	mmx_node_id_t self = quota->config.node;
@@ -245,9 +280,7 @@
 	size_t count = 0;
 
 	while (count < max) {
-		mmx_node_id_t node = g_array_index(
-			quota->nodes, mmx_node_id_t,
-			mmx_random_below(&quota->random, quota->nodes->len));
+		mmx_node_id_t node = choose_node_(quota);
 
 		if (node != self && !in_round_(chosen, count, node))
 			chosen[count++] = node;
--- a/src/test_libmasticmux/test_quota_units.c
+++ b/src/test_libmasticmux/test_quota_units.c
@@ -211,7 +211,9 @@
 	quota_account_t *account = &world->accounts[0];
 	size_t entry = quota_world_ranked(world, 0, 5);
 	size_t before;
+	size_t refused;
 	mmx_time_t first;
+	size_t i;
 
 	quota_world_flood(world, entry, 1, 2000, 2 * S);
 	before = world->message_count;
@@ -226,11 +228,18 @@
 		       world->message_count - before);
 	while (world->pending->len)
 		quota_world_run(world, QUOTA_WORLD_STEP_US);
+	/* Most of these are refused, so that the next ones are refused at
+	 * once. */
+	for (i = 0; i < 50; i++)
+		quota_world_request(world, entry, 0);
+	while (world->pending->len)
+		quota_world_run(world, QUOTA_WORLD_STEP_US);
+	refused = account->refused;
 	quota_world_request(world, entry, 0);
 	first = account->last_retry;
 	quota_world_request(world, entry, 0);
-	if (!world->pending->len)
-		CU_ASSERT(account->last_retry > first);
+	CU_ASSERT_EQUAL(account->refused, refused + 2);
+	CU_ASSERT(account->last_retry > first);
 	quota_world_destroy(world);
 }
 
