List a node among the owners only when others know it, and explain whole

The list of nodes did not contain this node, so that the module could not know whether the others count it among the owners. The text of a decision in the history was cut off at 103 characters, before the age of the reply.

The part lists this node once it has read its own record. The decision on a refused request is recorded as two events of explain. The tests of the filter are shorter; those of a lost owner are one.

--- a/src/libmasticmux/filter_quota.c
+++ b/src/libmasticmux/filter_quota.c
@@ -44,10 +44,14 @@
 	mmx_histogram_add(self->wait, waited);
 	if (!history)
 		return;
-	self->ops->describe(self->context, exchange->account, text);
 	mmx_history_request(history, exchange->trace.trace_id,
-			    "account %s %s after %d us, %s", exchange->account,
-			    decision_string_[decision], (int)waited, text);
+			    "token of account %s: %s after %d us",
+			    exchange->account, decision_string_[decision],
+			    (int)waited);
+	if (decision == DECISION_GRANTED)
+		return;
+	self->ops->describe(self->context, exchange->account, text);
+	mmx_history_request(history, exchange->trace.trace_id, "%s", text);
 }
 
 static mmx_filter_result_t finish_(quota_filter_t *self,
--- a/src/libmasticmux/part_quota.c
+++ b/src/libmasticmux/part_quota.c
@@ -95,15 +95,19 @@
 		g_array_append_val((GArray *)arg, member->id);
 }
 
+/* This node is listed as soon as the other nodes can know it. */
 static void list_nodes_(void *context, GArray *nodes)
 {
 	const mmx_node_t *node = ((quota_part_t *)context)->part.node;
 
-	if (node->gossip)
+	if (node->gossip) {
 		mmx_membership_each(mmx_gossip_membership(node->gossip),
 				    add_member_, nodes);
-	else
-		mmx_roster_foreach(node->roster, add_roster_node_, nodes);
+		return;
+	}
+	mmx_roster_foreach(node->roster, add_roster_node_, nodes);
+	if (mmx_part_roster_is_listed(node))
+		g_array_append_val(nodes, node->id);
 }
 
 static bool find_limit_(void *context, const char *account,
@@ -220,13 +224,14 @@
 	}
 	owner = node_name_(self->part.node, status.owner);
 	g_snprintf(text, MMX_QUOTA_TEXT_SIZE,
-		   "limit %g/s, burst %g, version %" PRIu64
-		   ", owner %s, use %u permille, last reply %d ms ago",
-		   status.limit.rate, status.limit.burst, status.limit.version,
-		   owner ? owner : "not reached", status.use,
+		   "use %u/1000 of %g/s, burst %g, version %" PRIu64
+		   ", reply %d ms old, owner %s",
+		   status.use, status.limit.rate, status.limit.burst,
+		   status.limit.version,
 		   status.answer_age < 0
 			   ? -1
-			   : (int)(status.answer_age / MMX_US_PER_MS));
+			   : (int)(status.answer_age / MMX_US_PER_MS),
+		   owner ? owner : "not reached");
 }
 
 static const mmx_entry_quota_ops_t entry_ops_ = {
--- a/src/test_libmasticmux/test_filter_quota.c
+++ b/src/test_libmasticmux/test_filter_quota.c
@@ -21,8 +21,7 @@
 	mmx_directory_t *directory;
 	mmx_header_names_t header_names;
 	mmx_entry_t *entry;
-	front_t http;
-	front_t exit;
+	front_t others; /* http_entry and the exits */
 	GString *trace;
 	mmx_quota_result_t result; /* of the next take() */
 	mmx_time_t retry_after;
@@ -51,12 +50,6 @@
 
 static const mmx_task_ops_t front_ops_ = {"front", handle_};
 
-static void init_front_(front_t *front, fixture_t *fixture)
-{
-	mmx_task_init(&front->task, &front_ops_, fixture->runtime);
-	fake_init(&front->fake, fixture->runtime, fixture->trace);
-}
-
 /* The fake quota. */
 
 static mmx_quota_result_t take_(void *context, mmx_exchange_t *exchange,
@@ -96,20 +89,12 @@
 			       exchange->account);
 }
 
-static void describe_(void *context, const char *account,
-		      char text[MMX_QUOTA_TEXT_SIZE])
-{
-	(void)context;
-	g_strlcpy(text, account, MMX_QUOTA_TEXT_SIZE);
-}
-
 static const mmx_entry_quota_ops_t quota_ops_ = {
 	.take = take_,
 	.cancel = cancel_,
 	.give_back = give_back_,
 	.get_use = get_use_,
 	.on_refused = on_refused_,
-	.describe = describe_,
 };
 
 /* Steps. */
@@ -130,23 +115,19 @@
 	mmx_task_post(mmx_entry_task(fixture->entry), &request->message);
 }
 
-static void post_reply_(fixture_t *fixture, char **words, bool refusal)
+static void post_reply_(fixture_t *fixture, char **words)
 {
-	const mmx_attempt_id_t id = {
-		.entry = NODE,
-		.incarnation = 1,
-		.sequence = (uint64_t)fake_number(words, "n", 1),
-	};
+	const mmx_attempt_id_t id = {NODE, 1,
+				     (uint64_t)fake_number(words, "n", 1)};
 	mmx_response_t *response = mmx_new_response(&id);
 
 	response->body_end = true;
-	if (!refusal)
+	response->started = fake_flag(words, "started");
+	if (fake_flag(words, "response"))
 		response->head = mmx_head_create_response(200);
-	else if (fake_flag(words, "started"))
-		response->reason = MMX_REASON_TARGET_FAILED;
 	else
-		response->reason = MMX_REASON_DRAINING;
-	response->started = fake_flag(words, "started");
+		response->reason = response->started ? MMX_REASON_TARGET_FAILED
+						     : MMX_REASON_DRAINING;
 	mmx_task_post(mmx_entry_task(fixture->entry), &response->message);
 }
 
@@ -165,9 +146,11 @@
 {
 	fixture->retry_after = fake_number(words, "us", 0);
 	fixture->use = (unsigned int)fake_number(words, "use", 0);
-	fixture->result = fake_flag(words, "wait")     ? MMX_QUOTA_PENDING
-			  : fake_flag(words, "refuse") ? MMX_QUOTA_REFUSED
-						       : MMX_QUOTA_GRANTED;
+	fixture->result = MMX_QUOTA_GRANTED;
+	if (fake_flag(words, "wait"))
+		fixture->result = MMX_QUOTA_PENDING;
+	else if (fake_flag(words, "refuse"))
+		fixture->result = MMX_QUOTA_REFUSED;
 }
 
 static void run_step_(char **words, void *arg)
@@ -188,10 +171,9 @@
 	else if (g_str_equal(words[0], "deny"))
 		mmx_filter_quota_decided(fixture->pending, MMX_QUOTA_REFUSED,
 					 fake_number(words, "us", 0));
-	else if (g_str_equal(words[0], "response"))
-		post_reply_(fixture, words, false);
-	else if (g_str_equal(words[0], "refuse"))
-		post_reply_(fixture, words, true);
+	else if (g_str_equal(words[0], "response") ||
+		 g_str_equal(words[0], "refuse"))
+		post_reply_(fixture, words);
 	else if (g_str_equal(words[0], "caller-gone"))
 		mmx_task_post(mmx_entry_task(fixture->entry),
 			      &mmx_new_caller_gone(1)->message);
@@ -218,12 +200,12 @@
 	fixture.active_state = fixture.config_state;
 	fixture.directory =
 		mmx_directory_create(mmx_runtime_clock(fixture.runtime));
-	init_front_(&fixture.http, &fixture);
-	init_front_(&fixture.exit, &fixture);
+	mmx_task_init(&fixture.others.task, &front_ops_, fixture.runtime);
+	fake_init(&fixture.others.fake, fixture.runtime, fixture.trace);
 	fixture.entry = mmx_entry_create(fixture.runtime, NODE, 1, 1);
-	mmx_entry_set_http(fixture.entry, &fixture.http.task);
-	mmx_entry_set_peer(fixture.entry, &fixture.exit.task);
-	mmx_entry_set_local_exit(fixture.entry, &fixture.exit.task);
+	mmx_entry_set_http(fixture.entry, &fixture.others.task);
+	mmx_entry_set_peer(fixture.entry, &fixture.others.task);
+	mmx_entry_set_local_exit(fixture.entry, &fixture.others.task);
 	mmx_entry_set_config_state(fixture.entry, &fixture.active_state);
 	mmx_entry_set_directory(fixture.entry, fixture.directory);
 	mmx_entry_set_header_names(fixture.entry, &fixture.header_names, NULL);
--- a/src/test_libmasticmux/test_part_quota.c
+++ b/src/test_libmasticmux/test_part_quota.c
@@ -178,39 +178,31 @@
 	close_(&fixture);
 }
 
-/* Guards against requests that wait for a node that is stopping. */
-static void test_owner_drains_(void)
+/* Guards against requests that wait for a node that is stopping or has stopped
+ * answering, and against a late reply to a part that has ended. */
+static void test_owner_lost_(void)
 {
 	fixture_t fixture;
-
-	open_(&fixture);
-	fixture.b.node.draining = true;
-	request_(&fixture);
-	until_(&fixture, "result=\"granted\"", 1);
-	CU_ASSERT_EQUAL(isolated_(&fixture), 1);
-	close_(&fixture);
-}
-
-/* Guards against requests that wait for a node that has stopped answering, and
- * against a late reply to a part that has ended. */
-static void test_owner_silent_(void)
-{
-	fixture_t fixture;
-
-	open_(&fixture);
-	request_(&fixture);
-	until_(&fixture, "result=\"granted\"", 1);
-	mmx_test_relay_freeze(fixture.world->relay);
-	request_(&fixture);
-	until_(&fixture, "result=\"granted\"", 2);
-	CU_ASSERT_EQUAL(isolated_(&fixture), 1);
-	request_(&fixture);
-	close_(&fixture);
+	int silent;
+
+	for (silent = 0; silent < 2; silent++) {
+		open_(&fixture);
+		fixture.b.node.draining = !silent;
+		if (silent) {
+			request_(&fixture);
+			until_(&fixture, "result=\"granted\"", 1);
+			mmx_test_relay_freeze(fixture.world->relay);
+		}
+		request_(&fixture);
+		until_(&fixture, "result=\"granted\"", 1 + silent);
+		CU_ASSERT_EQUAL(isolated_(&fixture), 1);
+		request_(&fixture);
+		close_(&fixture);
+	}
 }
 
 CU_TestInfo mmx_tests_part_quota[] = {
 	{"the owner decides", test_owner_decides_},
-	{"an owner that is stopping", test_owner_drains_},
-	{"an owner that is silent", test_owner_silent_},
+	{"an owner that stops or is silent", test_owner_lost_},
 	CU_TEST_INFO_NULL,
 };
