Hold requests of rated accounts until a node knows the fleet

Nodes that start together with an empty store know no other node at first. Each took itself for the owner of every account and let requests through on its own: with 8 nodes, 78 requests of an account with rate and burst 24 ran in the first second, and 177 in 5 s of 178 allowed. With more nodes the bound would break.

Until a node has read a record of the roster, requests of accounts with a rate wait in the part, for at most 3 s after the start of the process and not beyond their deadline; then the node counts as the only one.

--- a/src/libmasticmux/part_quota.c
+++ b/src/libmasticmux/part_quota.c
@@ -14,6 +14,10 @@
 
 /* The list of nodes changes by many records at once when the roster is read. */
 #define NODES_BATCH_TIME_US (50 * MMX_US_PER_MS)
+/* Time from the start of a process until it is taken to be the only node if it
+ * has read no record: nodes that start together with an empty store read the
+ * records of each other within 2 s. */
+#define ALONE_AFTER_US (3 * MMX_US_PER_S)
 
 typedef struct ask_call_t ask_call_t;
 
@@ -22,6 +26,8 @@
 	mmx_quota_t *quota;
 	mmx_quota_log_t *log;
 	mmx_timer_t nodes_timer;
+	mmx_timer_t alone_timer; /* runs until ALONE_AFTER_US */
+	GPtrArray *early;	 /* exchanges that wait for the list of nodes */
 	mmx_counter_t *events[MMX_QUOTA_EVENT_COUNT];
 	LIST_HEAD(, ask_call_t) calls;
 } quota_part_t;
@@ -168,25 +174,60 @@
 
 /* Operations of the filter. */
 
+/* Before any record was read, a node cannot know who owns an account, and all
+ * nodes that start together would decide on their own. */
+static bool knows_nodes_(const quota_part_t *self)
+{
+	const mmx_node_t *node = self->part.node;
+
+	return node->gossip || mmx_roster_count(node->roster) > 0 ||
+	       mmx_part_roster_is_listed(node) ||
+	       !mmx_timer_is_set(&self->alone_timer);
+}
+
 static mmx_quota_result_t take_(void *context, mmx_exchange_t *exchange,
 				mmx_time_t *retry_after)
 {
-	const quota_part_t *self = context;
+	quota_part_t *self = context;
 	const mmx_quota_limit_t limit = {
 		.rate = exchange->account_parameters.rate,
 		.burst = exchange->account_parameters.burst,
 		.version = exchange->configuration_version,
 	};
 
+	if (!knows_nodes_(self)) {
+		g_ptr_array_add(self->early, exchange);
+		return MMX_QUOTA_PENDING;
+	}
 	return mmx_quota_take(self->quota, exchange->account, &limit, exchange,
 			      retry_after);
 }
 
+static void release_early_(quota_part_t *self)
+{
+	GPtrArray *early = self->early;
+	guint i;
+
+	if (!knows_nodes_(self) || early->len == 0)
+		return;
+	self->early = g_ptr_array_new();
+	for (i = 0; i < early->len; i++) {
+		mmx_exchange_t *exchange = g_ptr_array_index(early, i);
+		mmx_time_t retry_after = 0;
+		mmx_quota_result_t result = take_(self, exchange, &retry_after);
+
+		if (result != MMX_QUOTA_PENDING)
+			mmx_filter_quota_decided(exchange, result, retry_after);
+	}
+	g_ptr_array_free(early, TRUE);
+}
+
 static void cancel_(void *context, mmx_exchange_t *exchange)
 {
 	const quota_part_t *self = context;
 
-	mmx_quota_cancel(self->quota, exchange->account, exchange);
+	if (!g_ptr_array_remove(self->early, exchange))
+		mmx_quota_cancel(self->quota, exchange->account, exchange);
 }
 
 static void give_back_(void *context, const mmx_exchange_t *exchange)
@@ -318,7 +359,7 @@
  * none. Neither may decide for its own callers beside the node that the others
  * take for the owner.
  */
-static void update_nodes_(const quota_part_t *self)
+static void update_nodes_(quota_part_t *self)
 {
 	const mmx_node_t *node = self->part.node;
 	bool unknown = !node->gossip && mmx_roster_count(node->roster) > 0 &&
@@ -326,6 +367,7 @@
 
 	mmx_quota_set_draining(self->quota, node->draining || unknown);
 	mmx_quota_on_nodes_changed(self->quota);
+	release_early_(self);
 }
 
 static void on_nodes_timer_(void *arg)
@@ -415,6 +457,7 @@
 		},
 		&quota_ops_, self);
 	node->quota_part = part;
+	mmx_timer_set(&self->alone_timer, ALONE_AFTER_US);
 	update_nodes_(self);
 	mmx_peer_register(node->peer, MMX_PROCEDURE_QUOTA, serve_ask_, self);
 	mmx_entry_set_quota(node->entry, &entry_ops_, self);
@@ -433,6 +476,8 @@
 
 	part->node->quota_part = NULL;
 	mmx_timer_cancel(&self->nodes_timer);
+	mmx_timer_cancel(&self->alone_timer);
+	g_ptr_array_free(self->early, TRUE);
 	mmx_quota_log_destroy(self->log);
 	mmx_quota_destroy(self->quota);
 	/* The peer task is destroyed later, without calling back. */
@@ -470,7 +515,9 @@
 
 	self->part.ops = &ops_;
 	LIST_INIT(&self->calls);
+	self->early = g_ptr_array_new();
 	mmx_timer_init(&self->nodes_timer, node->clock, on_nodes_timer_, self);
+	mmx_timer_init(&self->alone_timer, node->clock, on_nodes_timer_, self);
 	self->log = mmx_quota_log_create(node->clock, write_limited_, self);
 	register_counters_(self, node->counters);
 	return &self->part;
--- a/src/test_libmasticmux/test_part_quota.c
+++ b/src/test_libmasticmux/test_part_quota.c
@@ -106,12 +106,12 @@
 	uint64_t requests;
 } fixture_t;
 
-static void open_(fixture_t *fixture)
-{
-	static const char record[] =
-		"{\"node\":\"node-b\",\"region\":\"r\",\"zone\":\"z\","
-		"\"address\":\"127.0.0.1:9\",\"targets\":[]}";
+static const char record_[] =
+	"{\"node\":\"node-b\",\"region\":\"r\",\"zone\":\"z\","
+	"\"address\":\"127.0.0.1:9\",\"targets\":[]}";
 
+static void open_(fixture_t *fixture, const char *record)
+{
 	memset(fixture, 0, sizeof(*fixture));
 	fixture->world =
 		mmx_test_world_create(&(mmx_test_options_t){.relay = true});
@@ -160,7 +160,7 @@
 	json_t *status;
 	int i;
 
-	open_(&fixture);
+	open_(&fixture, record_);
 	for (i = 0; i < TOKENS; i++)
 		request_(&fixture);
 	until_(&fixture, "result=\"granted\"", TOKENS);
@@ -186,7 +186,7 @@
 	int silent;
 
 	for (silent = 0; silent < 2; silent++) {
-		open_(&fixture);
+		open_(&fixture, record_);
 		fixture.b.node.draining = !silent;
 		if (silent) {
 			request_(&fixture);
@@ -201,7 +201,26 @@
 	}
 }
 
+/* Guards against nodes that start together and decide each on its own. */
+static void test_nodes_unknown_(void)
+{
+	fixture_t fixture;
+
+	open_(&fixture, NULL);
+	request_(&fixture);
+	mmx_runtime_deliver(fixture.world->runtime);
+	CU_ASSERT_EQUAL(mmx_entry_in_progress(fixture.a.node.entry), 1);
+	CU_ASSERT_STRING_EQUAL(fixture.a.trace->str, "");
+	CU_ASSERT_TRUE(mmx_roster_merge(fixture.a.node.roster, "node-b",
+					record_, strlen(record_), 1, NULL));
+	mmx_part_quota_on_nodes_changed(&fixture.a.node);
+	until_(&fixture, "result=\"granted\"", 1);
+	CU_ASSERT_EQUAL(isolated_(&fixture), 0);
+	close_(&fixture);
+}
+
 CU_TestInfo mmx_tests_part_quota[] = {
+	{"a node that knows no other yet", test_nodes_unknown_},
 	{"the owner decides", test_owner_decides_},
 	{"an owner that stops or is silent", test_owner_lost_},
 	CU_TEST_INFO_NULL,
