--- a/src/test_libmasticmux/test_quota_units.c
+++ b/src/test_libmasticmux/test_quota_units.c
@@ -207,7 +207,6 @@
 static void test_flood_costs_(void)
 {
 	quota_world_t *world = open_(40, 24, 24);
-	quota_account_t *account = &world->accounts[0];
 	size_t entry = quota_world_ranked(world, 0, 5);
 	size_t before;
 
