Spread choices by work, and accept no alike spelling of the account header

A target that fails at once counted as fast. Run times from before an idle period counted as evidence. A caller's Masticmux_Tenant reached the target, which CGI reads as Masticmux-Tenant.

Change: the choice by work takes the better of two random targets if it has a free slot; where none has one, the number of requests decides. Failures add no run time. A histogram that has decayed starts again. Spellings with underscores are removed. The model has the option --in-region for such routes.

--- a/bench/bench_cost.c
+++ b/bench/bench_cost.c
@@ -19,6 +19,7 @@
 static gint seconds_ = 100;
 static gdouble load_ = 0.85;
 static gchar *only_;
+static gboolean in_region_;
 
 static const GOptionEntry options_[] = {
 	{"json", 0, 0, G_OPTION_ARG_NONE, &as_json_, "Print JSON", NULL},
@@ -28,6 +29,9 @@
 	{"load", 0, 0, G_OPTION_ARG_DOUBLE, &load_,
 	 "Offered work as a share of the capacity", "SHARE"},
 	{"only", 0, 0, G_OPTION_ARG_STRING, &only_, "One scenario", "NAME"},
+	{"in-region", 0, 0, G_OPTION_ARG_NONE, &in_region_,
+	 "First attempts may wait in the region, as on routes with an objective",
+	 NULL},
 	{NULL},
 };
 typedef struct moments_t {
@@ -144,7 +148,8 @@
 					&(cost_options_t){
 						policy, scenario, load_,
 						seconds_,
-						(uint64_t)(first_seed_ + i)},
+						(uint64_t)(first_seed_ + i),
+						in_region_},
 					&results[(int)policy * seeds_ + i]);
 			print_row_(scenario, policy,
 				   &results[(int)policy * seeds_], results);
--- a/bench/model/cost_model.c
+++ b/bench/model/cost_model.c
@@ -89,6 +89,7 @@
 typedef struct model_t {
 	cost_policy_t policy;
 	cost_scenario_t scenario;
+	bool queue_in_region;
 	mmx_random_t arrivals; /* equal for all policies */
 	mmx_random_t choices;
 	mmx_time_t now;
@@ -196,6 +197,7 @@
 static int choose_of_two_(model_t *model, const request_t *request, double cost)
 {
 	mmx_balance_request_t what = {.repeatable = true,
+				      .queue_in_region = model->queue_in_region,
 				      .tried = request->tried,
 				      .tried_count = request->refusals,
 				      .cost = cost};
@@ -611,7 +613,8 @@
 void cost_model_run(const cost_options_t *options, cost_result_t *result)
 {
 	model_t model = {.policy = options->policy,
-			 .scenario = options->scenario};
+			 .scenario = options->scenario,
+			 .queue_in_region = options->queue_in_region};
 
 	init_(&model, options);
 	while (model.events->len) {
--- a/bench/model/cost_model.h
+++ b/bench/model/cost_model.h
@@ -6,6 +6,7 @@
 #ifndef MASTICMUX_BENCH_COST_MODEL_H
 #define MASTICMUX_BENCH_COST_MODEL_H
 
+#include <stdbool.h>
 #include <stdint.h>
 
 /* The arrivals of this time are not counted, seconds. */
@@ -49,6 +50,7 @@
 	double load;	 /* offered work as a share of the capacity */
 	int64_t seconds; /* of arrivals, above COST_WARM_UP_S */
 	uint64_t seed;
+	bool queue_in_region; /* as routes with an objective */
 } cost_options_t;
 
 void cost_model_run(const cost_options_t *options, cost_result_t *result);
--- a/src/libmasticmux/balance.c
+++ b/src/libmasticmux/balance.c
@@ -392,12 +392,20 @@
 				    locality, random, &candidates);
 		if (!candidates.count)
 			continue;
+		/* All entries with the same reports would choose the target
+		 * with the least work of all. */
+		if (request->cost > 0) {
+			const target_t *target = pick_of_two_(
+				&candidates, request->cost, random, now);
+
+			if (has_free_slot_(target, now))
+				return target;
+		}
 		if (!best)
 			best = candidates.target[mmx_random_below(
 				random, candidates.count)];
 		for (i = 0; i < candidates.count; i++)
-			best = less_loaded_(best, candidates.target[i],
-					    request->cost, now);
+			best = less_loaded_(best, candidates.target[i], 0, now);
 		if (has_free_slot_(best, now))
 			return best;
 	}
--- a/src/libmasticmux/cost.c
+++ b/src/libmasticmux/cost.c
@@ -19,6 +19,8 @@
 #define TAIL_WEIGHT 1.0
 /* A sum of weights below this is too small for a division. */
 #define WEIGHT_MIN 1e-6
+/* A histogram of which less than half a run time is left starts again. */
+#define WEIGHT_RESET 0.5
 
 const char *const mmx_cost_class_string[MMX_COST_CLASS_COUNT] = {
 	"none", "4k", "64k", "1m", "large",
@@ -118,6 +120,9 @@
 	histogram->sum *= factor;
 	histogram->squares *= factor;
 	histogram->updated = now;
+	/* Run times from before an idle period are no evidence any more. */
+	if (histogram->total < WEIGHT_RESET)
+		histogram->samples = 0;
 }
 
 static void add_(histogram_t *histogram, mmx_time_t run_time, mmx_time_t now)
--- a/src/libmasticmux/exit_call.c
+++ b/src/libmasticmux/exit_call.c
@@ -181,7 +181,10 @@
 
 	mmx_exit_target_record_run_time(attempt->target,
 					attempt->execute->route, run_time, now);
-	mmx_cost_add(attempt->target->cost, attempt->cost_key, run_time, now);
+	/* A target that fails at once is not a fast one. */
+	if (!attempt->server_error)
+		mmx_cost_add(attempt->target->cost, attempt->cost_key, run_time,
+			     now);
 }
 
 static void on_call_head_(mmx_exit_t *exit, mmx_attempt_t *attempt,
--- a/src/test_libmasticmux/test_balance.c
+++ b/src/test_libmasticmux/test_balance.c
@@ -643,7 +643,38 @@
 	}
 }
 
+/* Guards against entries that all choose the target with the least work, as
+ * they do if each compares all targets by the same reports. */
+static void test_spread_by_work_(void)
+{
+	const mmx_time_t now = 20 * MMX_US_PER_S;
+	mmx_balance_request_t request = {.cost = 1, .queue_in_region = true};
+	mmx_balance_t *balance = mmx_balance_create();
+	mmx_balance_choice_t choice;
+	mmx_random_t random;
+	mmx_target_id_t id;
+	int fastest = 0;
+	int n;
+
+	mmx_random_seed(&random, 1);
+	for (id = 1; id <= 12; id++) {
+		mmx_balance_set_target(balance, id, 15, ZONE);
+		mmx_balance_report_load(balance, id, 5, now);
+		mmx_balance_report_work(balance, id, 500 * MS,
+					id == 1 ? 70 * MS : 100 * MS, now);
+	}
+	for (n = 0; n < 60; n++) {
+		CU_ASSERT_TRUE(mmx_balance_choose(balance, &request, &random,
+						  now, &choice));
+		fastest += choice.target == 1;
+	}
+	/* It is one of the two compared targets in one of six choices. */
+	CU_ASSERT(fastest >= 3 && fastest <= 20);
+	mmx_balance_destroy(balance);
+}
+
 CU_TestInfo mmx_tests_balance[] = {
+	{"spread of choices by work", test_spread_by_work_},
 	{"choice by work", test_choice_by_work_},
 	{"targets that a limit pauses", test_paused_},
 	{"a queue in the region before another region", test_queue_in_region_},
--- a/src/test_libmasticmux/test_cost.c
+++ b/src/test_libmasticmux/test_cost.c
@@ -72,6 +72,9 @@
 	now += 3600 * MMX_US_PER_S;
 	add_many_(cost, short_, 1, 200 * MS, &now);
 	CU_ASSERT_EQUAL(mmx_cost_mean(cost, short_), 200 * MS);
+	/* What was seen before does not count as evidence. */
+	add_many_(cost, short_, 1, 2000 * MS, &now);
+	CU_ASSERT_FALSE(mmx_cost_is_uneven(cost));
 	mmx_cost_destroy(cost);
 }
 
--- a/src/test_libmasticmux/test_filter_identity.c
+++ b/src/test_libmasticmux/test_filter_identity.c
@@ -237,6 +237,8 @@
 	{"/a/", "Masticmux-Account: gold", "401", "missing"},
 	{"/a/", "Masticmux-Account: gold\n" BEARER "i-1", "iron", NULL},
 	{"/a/", "Masticmux-Tenant: gold", "401", "missing"},
+	{"/a/", "Masticmux_Tenant: gold\nMasticmux-tenant: x\n" BEARER "i-1",
+	 "iron", NULL},
 	{"/a/", "Masticmux-Tenant: gold\nMASTICMUX-TENANT: one\n" BEARER "i-1",
 	 "iron", NULL},
 	{"/open/", "", "none", NULL},
@@ -254,6 +256,7 @@
 {
 	CU_ASSERT_EQUAL(count_headers_(recorder->head, "Authorization"), 0);
 	CU_ASSERT_TRUE(count_headers_(recorder->head, "Masticmux-Tenant") <= 1);
+	CU_ASSERT_EQUAL(count_headers_(recorder->head, "Masticmux_Tenant"), 0);
 	CU_ASSERT_EQUAL(recorder->priority,
 			strcmp(account, "gold") == 0 ? 2 : 5);
 }
