Run the limits without a roster, and fill in all bounds of the template

The test of the settings template knew no values for the bounds of limits, which the template has since rates are applied.

Change: the roster is read where there is one; the test fills in the three new bounds, each as a whole number and as a fraction.

Measured: test/broken_answers.sh and test/command_line.sh pass.

--- a/src/libmasticmux/part_quota.c
+++ b/src/libmasticmux/part_quota.c
@@ -367,9 +367,10 @@
 
 	mmx_quota_set_draining(self->quota, node->draining || unknown);
 	mmx_quota_on_nodes_changed(self->quota);
-	self->nodes_read = self->nodes_read ||
-			   mmx_roster_count(node->roster) > 0 ||
-			   mmx_part_roster_is_listed(node);
+	/* With gossip there is no roster, and the list is known at once. */
+	if (node->roster && (mmx_roster_count(node->roster) > 0 ||
+			     mmx_part_roster_is_listed(node)))
+		self->nodes_read = true;
 	release_early_(self);
 }
 
--- a/test/command_line.sh
+++ b/test/command_line.sh
@@ -74,7 +74,9 @@
 	graceS) echo 6 ;;
 	budgetWindowS) echo 10 ;;
 	retryBudgetBase) echo 60 ;;
-	retryBudgetRatio | floorShare) echo 1 ;;
+	retryBudgetRatio | floorShare | quotaOvershoot) echo 1 ;;
+	quotaWindowS) echo 5 ;;
+	quotaSlack) echo 20 ;;
 	esac
 }
 fraction() {
@@ -84,6 +86,9 @@
 	retryBudgetBase) echo 60.5 ;;
 	retryBudgetRatio) echo 0.125 ;;
 	floorShare) echo 0.705 ;;
+	quotaWindowS) echo 5.5 ;;
+	quotaOvershoot) echo 0.1 ;;
+	quotaSlack) echo 20.5 ;;
 	esac
 }
 
