--- a/src/libmasticmux/include/private/quota_codec.h
+++ b/src/libmasticmux/include/private/quota_codec.h
@@ -21,7 +21,7 @@
 				*/
 	MMX_QUOTA_HOP_RELAYED, /**< it decides itself */
 	MMX_QUOTA_HOP_PROBE,   /**< whether it hears from the first owner */
-	MMX_QUOTA_HOP_ACTIVE,  /**< the sender is the first owner, in office */
+	MMX_QUOTA_HOP_ACTIVE,  /**< the sender is the active first owner */
 	MMX_QUOTA_HOP_COUNT
 } mmx_quota_hop_t;
 
--- a/src/libmasticmux/include/private/quota_internal.h
+++ b/src/libmasticmux/include/private/quota_internal.h
@@ -60,10 +60,10 @@
  * after its term: the nodes of the first round ask the first owner themselves,
  * and know the reply in the second. */
 #define MMX_QUOTA_CONFIRM_US (300 * MMX_US_PER_MS)
-/* An owner that answered a node within this time is in office. */
+/* An owner that answered a node within this time is active. */
 #define MMX_QUOTA_HEARD_US (1 * MMX_US_PER_S)
 /* Nodes of the order that are known: the first two are asked, the others are
- * witnesses that know whether the first is in office. */
+ * witnesses that know whether the first is active. */
 #define MMX_QUOTA_OWNERS 4
 
 typedef struct mmx_quota_account_t mmx_quota_account_t;
--- a/src/libmasticmux/quota_owner.c
+++ b/src/libmasticmux/quota_owner.c
@@ -19,9 +19,9 @@
 
 /* True if no other node decides for the account: this node is the first of all,
  * or the first has left the bucket to it. A node that is first only because
- * those before it are absent is not in office, since a partition looks the same
+ * those before it are absent is not active, since a partition looks the same
  * to it. */
-static bool in_office_(const mmx_quota_account_t *account, mmx_time_t now)
+static bool is_active_owner_(const mmx_quota_account_t *account, mmx_time_t now)
 {
 	return (is_first_(account) && account->rank == 0) ||
 	       (account->delegated_at >= 0 &&
@@ -54,7 +54,7 @@
 	double least = 1 / (double)quota->nodes->len;
 	double reach = mmx_quota_reach_(quota);
 
-	if (!in_office_(account, now)) {
+	if (!is_active_owner_(account, now)) {
 		size_t i = quota->rounds[0].ended ? 0 : 1;
 
 		if (!account->confirmed ||
@@ -138,14 +138,14 @@
 		mmx_quota_bucket_set_window(
 			&account->bucket, account->quota->config.bounds.window,
 			now);
-		if (in_office_(account, now))
+		if (is_active_owner_(account, now))
 			set_rate_(account);
 		else
 			begin_term_(account);
 	} else if (!is_settled_(account, now) && !is_successor_(account) &&
 		   idle > TERM_END_US) {
 		resume_(account, least);
-		if (!in_office_(account, now))
+		if (!is_active_owner_(account, now))
 			begin_term_(account);
 	}
 }
@@ -339,7 +339,7 @@
 
 static bool is_on_standby_(const mmx_quota_account_t *account, mmx_time_t now)
 {
-	return account->serving && !in_office_(account, now) &&
+	return account->serving && !is_active_owner_(account, now) &&
 	       now - account->served_at < TERM_END_US;
 }
 
@@ -354,7 +354,7 @@
 	mmx_quota_bucket_t *bucket = &account->bucket;
 	unsigned int use;
 
-	if (!account->serving || !in_office_(account, now))
+	if (!account->serving || !is_active_owner_(account, now))
 		return false;
 	use = mmx_quota_bucket_use(bucket, now);
 	return bucket->tokens < bucket->capacity / 4 ||
@@ -393,8 +393,9 @@
 			continue;
 		asks[count] = (mmx_quota_ask_t){
 			.limit = account->limit,
-			.hop = in_office_(account, now) ? MMX_QUOTA_HOP_ACTIVE
-							: MMX_QUOTA_HOP_PROBE,
+			.hop = is_active_owner_(account, now)
+				       ? MMX_QUOTA_HOP_ACTIVE
+				       : MMX_QUOTA_HOP_PROBE,
 		};
 		g_strlcpy(asks[count].account, account->name,
 			  sizeof(asks[count].account));
@@ -431,7 +432,7 @@
 	mmx_quota_order_(account);
 	set_rate_(account);
 	if (now - account->served_at > account->quota->config.bounds.window &&
-	    ((!in_office_(account, now) && !is_first_(account)) ||
+	    ((!is_active_owner_(account, now) && !is_first_(account)) ||
 	     mmx_quota_bucket_is_full(&account->bucket, now)))
 		account->serving = false;
 }
