--- a/src/libmasticmux/include/private/quota.h
+++ b/src/libmasticmux/include/private/quota.h
@@ -39,6 +39,8 @@
 #define MMX_QUOTA_RETRY_MAX_US (30 * MMX_US_PER_S)
 /** Use of the limit is given in this unit: 1000 is the whole limit. */
 #define MMX_QUOTA_USE_FULL 1000
+/** Highest use that is told; a burst exceeds the limit many times. */
+#define MMX_QUOTA_USE_MAX 65535
 
 typedef enum mmx_quota_result_t {
 	MMX_QUOTA_GRANTED,
--- a/src/libmasticmux/include/private/quota_codec.h
+++ b/src/libmasticmux/include/private/quota_codec.h
@@ -5,14 +5,13 @@
 #ifndef MASTICMUX_PRIVATE_QUOTA_CODEC_H
 #define MASTICMUX_PRIVATE_QUOTA_CODEC_H
 
+#include "masticmux/change.h"
 #include "private/quota.h"
 
 /** Accounts in one message. */
 #define MMX_QUOTA_LINES_MAX 128
 /** Tokens in one line. */
 #define MMX_QUOTA_TOKENS_MAX 10000
-/** Greatest accepted rate and burst. */
-#define MMX_QUOTA_RATE_MAX 1e9
 
 /** What the receiver of a token request may do. */
 typedef enum mmx_quota_hop_t {
--- a/src/libmasticmux/include/private/quota_internal.h
+++ b/src/libmasticmux/include/private/quota_internal.h
@@ -42,6 +42,9 @@
 /* Least number of nodes whose state is known for an estimate of the share of
  * the fleet that is reached. */
 #define MMX_QUOTA_REACH_NODES 6
+/* A node that reaches less of the fleet takes over from no other: of the parts
+ * of a partition, only one reaches more. */
+#define MMX_QUOTA_CUT_OFF_REACH 0.5
 /* An isolated node tries the owner again after this time. */
 #define MMX_QUOTA_ISOLATED_RETRY_US (1 * MMX_US_PER_S)
 /* A new first owner leaves the bucket to its predecessor for this time: a
@@ -248,7 +251,6 @@
 			      const mmx_quota_answer_t *answers);
 
 /* quota_order.c */
-void mmx_quota_read_nodes_(mmx_quota_t *quota);
 /* Brings the order of the nodes of an account up to date. */
 void mmx_quota_order_(mmx_quota_account_t *account);
 /* Burst and what random bursts of an account below its limit need. */
@@ -308,8 +310,8 @@
  * Returns their number. */
 size_t mmx_quota_probe_lines_(mmx_quota_t *quota, mmx_quota_ask_t *asks,
 			      mmx_quota_line_t *lines, size_t max);
-/* Drops what is idle. */
-void mmx_quota_tick_owner_(mmx_quota_account_t *account);
+/* Sets the rate, and drops what is idle. reach: mmx_quota_reach_() */
+void mmx_quota_tick_owner_(mmx_quota_account_t *account, double reach);
 /* Does not add the tokens of a time in which the process did not run. */
 void mmx_quota_check_gap_(mmx_quota_t *quota);
 /* True while a new first owner leaves the bucket to the second. */
--- a/src/libmasticmux/part_quota.c
+++ b/src/libmasticmux/part_quota.c
@@ -179,10 +179,7 @@
  * nodes that start together would decide on their own. */
 static bool knows_nodes_(const quota_part_t *self)
 {
-	const mmx_node_t *node = self->part.node;
-
-	return node->gossip || self->nodes_read ||
-	       !mmx_timer_is_set(&self->alone_timer);
+	return self->nodes_read || !mmx_timer_is_set(&self->alone_timer);
 }
 
 static mmx_quota_result_t take_(void *context, mmx_exchange_t *exchange,
@@ -362,14 +359,14 @@
 static void update_nodes_(quota_part_t *self)
 {
 	const mmx_node_t *node = self->part.node;
-	bool unknown = !node->gossip && mmx_roster_count(node->roster) > 0 &&
-		       !mmx_part_roster_is_listed(node);
+	/* With gossip there is no roster, and the list is known at once. */
+	bool listed = node->gossip || mmx_part_roster_is_listed(node);
+	bool has_others = !node->gossip && mmx_roster_count(node->roster) > 0;
 
-	mmx_quota_set_draining(self->quota, node->draining || unknown);
+	mmx_quota_set_draining(self->quota,
+			       node->draining || (has_others && !listed));
 	mmx_quota_on_nodes_changed(self->quota);
-	/* With gossip there is no roster, and the list is known at once. */
-	if (node->roster && (mmx_roster_count(node->roster) > 0 ||
-			     mmx_part_roster_is_listed(node)))
+	if (listed || has_others)
 		self->nodes_read = true;
 	release_early_(self);
 }
--- a/src/libmasticmux/quota.c
+++ b/src/libmasticmux/quota.c
@@ -15,8 +15,6 @@
 /* A token has to be back at its owner within the window of its issue: this is
  * the time above, a tick and a message. */
 #define RETURN_TIME_US (600 * MMX_US_PER_MS)
-/* A node that reaches less of the fleet takes over from no other. */
-#define CUT_OFF_REACH 0.5
 /* Tokens used are counted by half of the time for which they are prefetched. */
 #define TAKEN_SLOT_US (250 * MMX_US_PER_MS)
 
@@ -109,7 +107,8 @@
 	/* A node that follows absent ones but reaches few others is cut off: it
 	 * has only its own share. */
 	if ((account->owners[0] == self || second == self) &&
-	    account->rank >= 2 && mmx_quota_reach_(quota) < CUT_OFF_REACH)
+	    account->rank >= 2 &&
+	    mmx_quota_reach_(quota) < MMX_QUOTA_CUT_OFF_REACH)
 		return 0;
 	if (account->owners[0] == self) {
 		if (!mmx_quota_in_handover_(account) ||
--- a/src/libmasticmux/quota_accounts.c
+++ b/src/libmasticmux/quota_accounts.c
@@ -92,7 +92,7 @@
 		mmx_quota_bucket_cut(&account->bucket, limit->burst, now);
 	mmx_quota_bucket_set_limit(&account->bucket, limit->rate,
 				   mmx_quota_capacity_(account), now);
-	mmx_quota_tick_owner_(account);
+	mmx_quota_tick_owner_(account, mmx_quota_reach_(account->quota));
 }
 
 static GPtrArray *list_accounts_(mmx_quota_t *quota)
@@ -128,11 +128,6 @@
 	g_ptr_array_free(accounts, TRUE);
 }
 
-void mmx_quota_on_nodes_changed(mmx_quota_t *quota)
-{
-	mmx_quota_read_nodes_(quota);
-}
-
 void mmx_quota_set_draining(mmx_quota_t *quota, bool draining)
 {
 	if (quota->draining == draining)
@@ -155,16 +150,18 @@
 	mmx_time_t now = mmx_quota_now_(quota);
 	GHashTableIter iter;
 	gpointer value;
+	double reach;
 
 	mmx_quota_check_gap_(quota);
 	quota->tick_at = now;
 	mmx_quota_tick_peers_(quota);
+	reach = mmx_quota_reach_(quota);
 	g_hash_table_iter_init(&iter, quota->accounts);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		mmx_quota_account_t *account = value;
 
 		if (account->limit.rate > 0) {
-			mmx_quota_tick_owner_(account);
+			mmx_quota_tick_owner_(account, reach);
 			mmx_quota_tick_requester_(account);
 		}
 		if (is_idle_(account, now))
@@ -230,7 +227,7 @@
 		       quota);
 	mmx_timer_init(&quota->tick_timer, config->clock, on_tick_, quota);
 	create_counters_(quota);
-	mmx_quota_read_nodes_(quota);
+	mmx_quota_on_nodes_changed(quota);
 	return quota;
 }
 
--- a/src/libmasticmux/quota_bucket.c
+++ b/src/libmasticmux/quota_bucket.c
@@ -6,8 +6,6 @@
 
 #include "private/quota.h"
 
-#define USE_MAX 65535
-
 static double seconds_(mmx_time_t time)
 {
 	return (double)time / (double)MMX_US_PER_S;
@@ -18,50 +16,33 @@
 	return bucket->leased[0] + bucket->leased[1];
 }
 
-/* Prefetched tokens count until the end of the second that follows the one of
- * their issue, which is never before they expire at the node that has them. */
-static void expire_leases_(mmx_quota_bucket_t *bucket, mmx_time_t now)
+/* Moves counts, of which the current slot is first, to where a newer slot is
+ * first. */
+static void shift_(double *counts, size_t count, int64_t *first, int64_t slot)
 {
-	int64_t second = now / MMX_QUOTA_LEASE_US;
-	int64_t passed = second - bucket->lease_second;
+	size_t passed;
 
-	if (passed <= 0)
+	if (slot <= *first)
 		return;
-	bucket->leased[1] = passed == 1 ? bucket->leased[0] : 0;
-	bucket->leased[0] = 0;
-	bucket->lease_second = second;
+	passed = (size_t)MIN(slot - *first, (int64_t)count);
+	memmove(&counts[passed], counts, (count - passed) * sizeof(*counts));
+	memset(counts, 0, passed * sizeof(*counts));
+	*first = slot;
 }
 
-static void shift_use_(mmx_quota_bucket_t *bucket, mmx_time_t now)
+/* Takes tokens out of counts, from the first one on. Returns those that are
+ * left over. */
+static double subtract_(double *counts, size_t count, double tokens)
 {
-	int64_t slot = now / MMX_QUOTA_USE_SLOT_US;
-	int64_t passed =
-		MIN(slot - bucket->use_slot, (int64_t)MMX_QUOTA_USE_SLOTS);
-
-	if (passed <= 0)
-		return;
-	memmove(&bucket->used[passed], &bucket->used[0],
-		(size_t)(MMX_QUOTA_USE_SLOTS - passed) * sizeof(double));
-	memset(bucket->used, 0, (size_t)passed * sizeof(double));
-	bucket->use_slot = slot;
-}
+	size_t i;
 
-static void shift_granted_(mmx_quota_bucket_t *bucket, mmx_time_t now)
-{
-	int64_t slot;
-	int64_t passed;
+	for (i = 0; i < count && tokens > 0; i++) {
+		double taken = MIN(counts[i], tokens);
 
-	if (!bucket->slot_length)
-		return;
-	slot = now / bucket->slot_length;
-	passed = MIN(slot - bucket->granted_slot,
-		     (int64_t)MMX_QUOTA_WINDOW_SLOTS);
-	if (passed <= 0)
-		return;
-	memmove(&bucket->granted[passed], &bucket->granted[0],
-		(size_t)(MMX_QUOTA_WINDOW_SLOTS - passed) * sizeof(double));
-	memset(bucket->granted, 0, (size_t)passed * sizeof(double));
-	bucket->granted_slot = slot;
+		counts[i] -= taken;
+		tokens -= taken;
+	}
+	return tokens;
 }
 
 /* Tokens that the window still allows. */
@@ -90,9 +71,16 @@
 {
 	double passed = seconds_(now - bucket->at);
 
-	expire_leases_(bucket, now);
-	shift_use_(bucket, now);
-	shift_granted_(bucket, now);
+	/* Prefetched tokens count until the end of the second that follows the
+	 * one of their issue, which is never before they expire at the node
+	 * that has them. */
+	shift_(bucket->leased, G_N_ELEMENTS(bucket->leased),
+	       &bucket->lease_second, now / MMX_QUOTA_LEASE_US);
+	shift_(bucket->used, MMX_QUOTA_USE_SLOTS, &bucket->use_slot,
+	       now / MMX_QUOTA_USE_SLOT_US);
+	if (bucket->slot_length)
+		shift_(bucket->granted, MMX_QUOTA_WINDOW_SLOTS,
+		       &bucket->granted_slot, now / bucket->slot_length);
 	if (passed <= 0)
 		return;
 	bucket->at = now;
@@ -200,33 +188,20 @@
 void mmx_quota_bucket_give_back(mmx_quota_bucket_t *bucket, unsigned int tokens,
 				mmx_time_t age, mmx_time_t now)
 {
-	double rest = tokens;
-	size_t i;
+	size_t slot = 0;
 
 	advance_(bucket, now);
-	for (i = G_N_ELEMENTS(bucket->leased); i-- > 0;) {
-		double returned = MIN(bucket->leased[i], rest);
-
-		bucket->leased[i] -= returned;
-		rest -= returned;
-	}
+	/* The older ones of the prefetched tokens expire first. */
+	subtract_(&bucket->leased[0], 1,
+		  subtract_(&bucket->leased[1], 1, tokens));
 	/* From the slot of their issue on to older ones, which leave the window
 	 * earlier, so that the count is never too low. */
-	rest = tokens;
-	i = bucket->slot_length ? (size_t)(age / bucket->slot_length) : 0;
-	for (; i < MMX_QUOTA_WINDOW_SLOTS && rest > 0; i++) {
-		double returned = MIN(bucket->granted[i], rest);
-
-		bucket->granted[i] -= returned;
-		rest -= returned;
-	}
-	rest = tokens;
-	for (i = 0; i < MMX_QUOTA_USE_SLOTS; i++) {
-		double returned = MIN(bucket->used[i], rest);
-
-		bucket->used[i] -= returned;
-		rest -= returned;
-	}
+	if (bucket->slot_length)
+		slot = MIN((size_t)(age / bucket->slot_length),
+			   MMX_QUOTA_WINDOW_SLOTS);
+	subtract_(&bucket->granted[slot], MMX_QUOTA_WINDOW_SLOTS - slot,
+		  tokens);
+	subtract_(bucket->used, MMX_QUOTA_USE_SLOTS, tokens);
 	bucket->tokens += tokens;
 	clamp_(bucket);
 }
@@ -257,7 +232,7 @@
 		used += bucket->used[i];
 	used *= MMX_QUOTA_USE_FULL;
 	used /= bucket->limit * seconds_(MMX_QUOTA_USE_US);
-	return (unsigned int)MIN(used, USE_MAX);
+	return (unsigned int)MIN(used, MMX_QUOTA_USE_MAX);
 }
 
 bool mmx_quota_bucket_is_full(mmx_quota_bucket_t *bucket, mmx_time_t now)
--- a/src/libmasticmux/quota_order.c
+++ b/src/libmasticmux/quota_order.c
@@ -50,6 +50,8 @@
 
 	account->first_since = MMX_TIME_NEVER;
 	account->inherited = false;
+	if (account->rank > 0)
+		return;
 	for (i = 0; i < MMX_QUOTA_HISTORY && quota->history[i].nodes; i++) {
 		mmx_node_id_t first =
 			find_first_(quota->history[i].nodes, account->name);
@@ -139,7 +141,7 @@
 	return !has_node_(data, peer->node);
 }
 
-void mmx_quota_read_nodes_(mmx_quota_t *quota)
+void mmx_quota_on_nodes_changed(mmx_quota_t *quota)
 {
 	GArray *nodes = g_array_new(FALSE, FALSE, sizeof(mmx_node_id_t));
 	mmx_time_t now = mmx_quota_now_(quota);
--- a/src/libmasticmux/quota_owner.c
+++ b/src/libmasticmux/quota_owner.c
@@ -48,11 +48,11 @@
 }
 
 /* Share of the rate at which the bucket of an account is filled. */
-static double fill_(const mmx_quota_account_t *account, mmx_time_t now)
+static double fill_(const mmx_quota_account_t *account, double reach,
+		    mmx_time_t now)
 {
 	const mmx_quota_t *quota = account->quota;
 	double least = 1 / (double)quota->nodes->len;
-	double reach = mmx_quota_reach_(quota);
 
 	if (!is_active_owner_(account, now)) {
 		size_t i = quota->rounds[0].ended ? 0 : 1;
@@ -69,13 +69,14 @@
 	return MAX(reach, least);
 }
 
-static void set_rate_(mmx_quota_account_t *account)
+/* reach: mmx_quota_reach_() */
+static void set_rate_(mmx_quota_account_t *account, double reach)
 {
 	mmx_time_t now = mmx_quota_now_(account->quota);
 
-	mmx_quota_bucket_set_rate(&account->bucket,
-				  account->limit.rate * fill_(account, now),
-				  now);
+	mmx_quota_bucket_set_rate(
+		&account->bucket,
+		account->limit.rate * fill_(account, reach, now), now);
 }
 
 static void begin_term_(mmx_quota_account_t *account)
@@ -90,7 +91,7 @@
 		mmx_quota_bucket_cut(&account->local, 0, account->takeover_at);
 	mmx_counter_add(quota->takeovers, 1);
 	mmx_quota_event_(account, MMX_QUOTA_TOOK_OVER, account->owners[0]);
-	set_rate_(account);
+	set_rate_(account, mmx_quota_reach_(quota));
 	if (!round->number || round->ended)
 		mmx_quota_start_round_(quota);
 }
@@ -126,7 +127,8 @@
 	 * serve because those before them are absent, and in a partition there
 	 * may be many of them; only one part of it has half of the nodes. */
 	if (account->rank < 2 ||
-	    (is_first_(account) && mmx_quota_reach_(account->quota) >= 0.5))
+	    (is_first_(account) &&
+	     mmx_quota_reach_(account->quota) >= MMX_QUOTA_CUT_OFF_REACH))
 		least = MIN(capacity, mmx_quota_reserve_(account) / 4);
 	account->served_at = now;
 	if (!account->serving) {
@@ -139,7 +141,7 @@
 			&account->bucket, account->quota->config.bounds.window,
 			now);
 		if (is_active_owner_(account, now))
-			set_rate_(account);
+			set_rate_(account, mmx_quota_reach_(account->quota));
 		else
 			begin_term_(account);
 	} else if (!is_settled_(account, now) && !is_successor_(account) &&
@@ -407,6 +409,7 @@
 void mmx_quota_set_rates_(mmx_quota_t *quota)
 {
 	const mmx_quota_round_t *round = &quota->rounds[0];
+	double reach = mmx_quota_reach_(quota);
 	GHashTableIter iter;
 	gpointer value;
 
@@ -419,18 +422,18 @@
 		if (round->started_at - account->takeover_at >=
 		    MMX_QUOTA_CONFIRM_US)
 			account->confirmed = true;
-		set_rate_(account);
+		set_rate_(account, reach);
 	}
 }
 
-void mmx_quota_tick_owner_(mmx_quota_account_t *account)
+void mmx_quota_tick_owner_(mmx_quota_account_t *account, double reach)
 {
 	mmx_time_t now = mmx_quota_now_(account->quota);
 
 	if (!account->serving)
 		return;
 	mmx_quota_order_(account);
-	set_rate_(account);
+	set_rate_(account, reach);
 	if (now - account->served_at > account->quota->config.bounds.window &&
 	    ((!is_active_owner_(account, now) && !is_first_(account)) ||
 	     mmx_quota_bucket_is_full(&account->bucket, now)))
