Compare attempt ids, remove headers and read numbers in one place each

Exits learned run times after each response also where targets are chosen by the number of requests.

Change: mmx_attempt_id_is_equal() serves all six places, mmx_head_remove_alike() shares the loop of mmx_head_remove(), and mmx_schema_read_number() takes its range from the rule. An exit learns run times only with [balance] by = "work"; after a reload to it, it starts without any, as entries do.

Measured: 383 unit tests pass, without a change to a test.

--- a/include/masticmux/types.h
+++ b/include/masticmux/types.h
@@ -35,6 +35,13 @@
 	uint64_t sequence;
 } mmx_attempt_id_t;
 
+static inline bool mmx_attempt_id_is_equal(const mmx_attempt_id_t *a,
+					   const mmx_attempt_id_t *b)
+{
+	return a->sequence == b->sequence && a->entry == b->entry &&
+	       a->incarnation == b->incarnation;
+}
+
 /** What a caller is told about its request, see Masticmux-Outcome. */
 typedef enum mmx_outcome_t {
 	MMX_OUTCOME_COMPLETED,
--- a/src/libmasticmux/attempts.c
+++ b/src/libmasticmux/attempts.c
@@ -55,12 +55,7 @@
 
 static gboolean equal_attempt_id_(gconstpointer a, gconstpointer b)
 {
-	const mmx_attempt_id_t *left = a;
-	const mmx_attempt_id_t *right = b;
-
-	return left->sequence == right->sequence &&
-	       left->entry == right->entry &&
-	       left->incarnation == right->incarnation;
+	return mmx_attempt_id_is_equal(a, b);
 }
 
 mmx_attempts_t *mmx_attempts_create(mmx_clock_t *clock, size_t record_max,
--- a/src/libmasticmux/change_read.c
+++ b/src/libmasticmux/change_read.c
@@ -297,17 +297,6 @@
 			      mmx_change_add_service(into, name));
 }
 
-static void read_rate_(mmx_schema_t *schema, const mmx_tree_node_t *node,
-		       const mmx_schema_rule_t *rule, void *into)
-{
-	double value = mmx_tree_number(node);
-
-	if (value >= 0 && value <= MMX_ACCOUNT_RATE_MAX)
-		*(double *)((char *)into + rule->offset) = value;
-	else
-		mmx_schema_reject(schema, node, rule);
-}
-
 static bool parse_digest_(const mmx_tree_node_t *node,
 			  uint8_t digest[MMX_CHANGE_DIGEST_BYTES])
 {
@@ -401,10 +390,12 @@
 	METHODS_(MMX_PRESENCE_OPTIONAL, 0, mmx_change_account_t),
 	INTEGER_("priority", MMX_PRESENCE_OPTIONAL, 0, UINT8_MAX,
 		 "(0: the most urgent)", 1, 0, mmx_change_account_t, priority),
-	{"rate", MMX_TREE_FLOAT, MMX_PRESENCE_OPTIONAL, read_rate_,
-	 .valid = RATE_VALID, .offset = offsetof(mmx_change_account_t, rate)},
-	{"burst", MMX_TREE_FLOAT, MMX_PRESENCE_OPTIONAL, read_rate_,
-	 .valid = RATE_VALID, .offset = offsetof(mmx_change_account_t, burst)},
+	{"rate", MMX_TREE_FLOAT, MMX_PRESENCE_OPTIONAL, mmx_schema_read_number,
+	 .valid = RATE_VALID, .max = (int64_t)MMX_ACCOUNT_RATE_MAX,
+	 .offset = offsetof(mmx_change_account_t, rate)},
+	{"burst", MMX_TREE_FLOAT, MMX_PRESENCE_OPTIONAL, mmx_schema_read_number,
+	 .valid = RATE_VALID, .max = (int64_t)MMX_ACCOUNT_RATE_MAX,
+	 .offset = offsetof(mmx_change_account_t, burst)},
 	{"key_digests", MMX_TREE_ARRAY, MMX_PRESENCE_OPTIONAL, read_digests_,
 	 .valid = DIGESTS_VALID},
 };
--- a/src/libmasticmux/claims.c
+++ b/src/libmasticmux/claims.c
@@ -67,12 +67,6 @@
 	return memcmp(a, b, MMX_CLAIM_DIGEST_BYTES) == 0;
 }
 
-static bool same_attempt_(const mmx_attempt_id_t *a, const mmx_attempt_id_t *b)
-{
-	return a->entry == b->entry && a->incarnation == b->incarnation &&
-	       a->sequence == b->sequence;
-}
-
 /* True if a claim at a later offset replaces the holder of its key. */
 static bool may_replace_(const mmx_claim_t *claim,
 			 const mmx_claim_holder_t *holder)
@@ -141,8 +135,8 @@
 					     &pending->claim.digest);
 		if (!holder)
 			continue;
-		if (same_attempt_(&holder->claim.attempt,
-				  &pending->claim.attempt))
+		if (mmx_attempt_id_is_equal(&holder->claim.attempt,
+					    &pending->claim.attempt))
 			complete_(partition, pending, MMX_CLAIM_WON, holder);
 		else if (!may_replace_(&pending->claim, holder))
 			complete_(partition, pending, MMX_CLAIM_LOST, holder);
--- a/src/libmasticmux/exit_attempt.c
+++ b/src/libmasticmux/exit_attempt.c
@@ -24,7 +24,7 @@
 	if (target) {
 		mmx_exit_target_report(target, mmx_clock_now(exit->clock),
 				       &response->load);
-		if (exit->reports_work && *exit->reports_work)
+		if (mmx_exit_reports_work_(exit))
 			mmx_exit_target_report_work(
 				target, ended ? &response->attempt : NULL,
 				mmx_clock_now(exit->clock), &response->load);
--- a/src/libmasticmux/exit_call.c
+++ b/src/libmasticmux/exit_call.c
@@ -175,14 +175,15 @@
 	}
 }
 
-static void record_run_time_(const mmx_attempt_t *attempt, mmx_time_t now)
+static void record_run_time_(const mmx_exit_t *exit,
+			     const mmx_attempt_t *attempt, mmx_time_t now)
 {
 	mmx_time_t run_time = now - attempt->started;
 
 	mmx_exit_target_record_run_time(attempt->target,
 					attempt->execute->route, run_time, now);
 	/* A target that fails at once is not a fast one. */
-	if (!attempt->server_error)
+	if (mmx_exit_reports_work_(exit) && !attempt->server_error)
 		mmx_cost_add(attempt->target->cost, attempt->cost_key, run_time,
 			     now);
 }
@@ -211,7 +212,7 @@
 	response->queue_time = attempt->started - attempt->arrived;
 	response->target_time = now - attempt->started;
 	if (end)
-		record_run_time_(attempt, now);
+		record_run_time_(exit, attempt, now);
 	if (!attempt->abandoned)
 		mmx_exit_post_response(exit, response, attempt->target,
 				       &attempt->origin);
@@ -270,7 +271,7 @@
 		mmx_attempts_drop_response(exit->attempts, attempt);
 	} else {
 		attempt->completed = true;
-		record_run_time_(attempt, mmx_clock_now(exit->clock));
+		record_run_time_(exit, attempt, mmx_clock_now(exit->clock));
 	}
 	mmx_exit_end_running(exit, attempt, MMX_ATTEMPT_FINISHED);
 }
--- a/src/libmasticmux/exit_target.c
+++ b/src/libmasticmux/exit_target.c
@@ -474,12 +474,6 @@
 		(uint32_t)(mmx_detection_score(target->detection) * 1000);
 }
 
-static bool is_same_(const mmx_attempt_id_t *a, const mmx_attempt_id_t *b)
-{
-	return a->entry == b->entry && a->incarnation == b->incarnation &&
-	       a->sequence == b->sequence;
-}
-
 /* Whole milliseconds, at least 1, since 0 stands for unknown. */
 static uint16_t to_ms_(mmx_time_t time)
 {
@@ -497,7 +491,7 @@
 	if (mean == 0)
 		return;
 	TAILQ_FOREACH (attempt, &target->running, queue_entry)
-		if (!ended || !is_same_(&attempt->id, ended))
+		if (!ended || !mmx_attempt_id_is_equal(&attempt->id, ended))
 			work += mmx_cost_remaining(target->cost,
 						   attempt->cost_key,
 						   now - attempt->started);
--- a/src/libmasticmux/filter_attempt_claim.c
+++ b/src/libmasticmux/filter_attempt_claim.c
@@ -166,12 +166,9 @@
 static bool is_holder_(const mmx_exchange_t *exchange,
 		       const mmx_attempt_id_t *attempt)
 {
-	const mmx_attempt_id_t *holder = &exchange->claim_holder.claim.attempt;
-
 	return exchange->state == MMX_EXCHANGE_QUERYING &&
-	       holder->entry == attempt->entry &&
-	       holder->incarnation == attempt->incarnation &&
-	       holder->sequence == attempt->sequence;
+	       mmx_attempt_id_is_equal(&exchange->claim_holder.claim.attempt,
+				       attempt);
 }
 
 void mmx_filter_attempt_holder_reply(mmx_filter_t *filter,
--- a/src/libmasticmux/filter_identity.c
+++ b/src/libmasticmux/filter_identity.c
@@ -96,35 +96,6 @@
 	mmx_head_remove(head, KEY_HEADER);
 }
 
-/* Targets may read a name with underscores as the same name with hyphens, as
- * CGI does. */
-static bool is_alike_(const char *a, const char *b)
-{
-	for (; *a && *b; a++, b++)
-		if (g_ascii_tolower(*a == '_' ? '-' : *a) !=
-		    g_ascii_tolower(*b == '_' ? '-' : *b))
-			return false;
-	return *a == *b;
-}
-
-static void remove_alike_(mmx_head_t *head, const char *name)
-{
-	mmx_header_t *header = STAILQ_FIRST(&head->headers);
-
-	while (header) {
-		char *alike;
-
-		if (!is_alike_(header->name, name)) {
-			header = STAILQ_NEXT(header, entry);
-			continue;
-		}
-		alike = g_strdup(header->name);
-		mmx_head_remove(head, alike);
-		g_free(alike);
-		header = STAILQ_FIRST(&head->headers);
-	}
-}
-
 static void set_account_(const identity_filter_t *self,
 			 mmx_exchange_t *exchange, const char *account)
 {
@@ -134,8 +105,8 @@
 
 	g_strlcpy(exchange->account, account ? account : "",
 		  sizeof(exchange->account));
-	remove_alike_(exchange->head, name);
-	remove_alike_(exchange->head, ACCOUNT_HEADER);
+	mmx_head_remove_alike(exchange->head, name);
+	mmx_head_remove_alike(exchange->head, ACCOUNT_HEADER);
 	if (account)
 		mmx_head_add(exchange->head, name, account);
 }
@@ -150,8 +121,8 @@
 
 	if (!mmx_config_state_requires_key(state)) {
 		if (self->header_names->account)
-			remove_alike_(exchange->head,
-				      self->header_names->account);
+			mmx_head_remove_alike(exchange->head,
+					      self->header_names->account);
 		return MMX_FILTER_NEXT;
 	}
 	account = identify_(state, exchange->head, &fault);
--- a/src/libmasticmux/head.c
+++ b/src/libmasticmux/head.c
@@ -85,14 +85,29 @@
 	head->bytes += header_bytes_(header);
 }
 
-void mmx_head_remove(mmx_head_t *head, const char *name)
+static bool is_equal_(const char *a, const char *b)
+{
+	return strcasecmp(a, b) == 0;
+}
+
+static bool is_alike_(const char *a, const char *b)
+{
+	for (; *a && *b; a++, b++)
+		if (g_ascii_tolower(*a == '_' ? '-' : *a) !=
+		    g_ascii_tolower(*b == '_' ? '-' : *b))
+			return false;
+	return *a == *b;
+}
+
+static void remove_(mmx_head_t *head, const char *name,
+		    bool (*matches)(const char *a, const char *b))
 {
 	mmx_header_list_t kept = STAILQ_HEAD_INITIALIZER(kept);
 	mmx_header_t *header;
 
 	while ((header = STAILQ_FIRST(&head->headers))) {
 		STAILQ_REMOVE_HEAD(&head->headers, entry);
-		if (strcasecmp(header->name, name) != 0) {
+		if (!matches(header->name, name)) {
 			STAILQ_INSERT_TAIL(&kept, header, entry);
 			continue;
 		}
@@ -103,6 +118,16 @@
 	STAILQ_CONCAT(&head->headers, &kept);
 }
 
+void mmx_head_remove(mmx_head_t *head, const char *name)
+{
+	remove_(head, name, is_equal_);
+}
+
+void mmx_head_remove_alike(mmx_head_t *head, const char *name)
+{
+	remove_(head, name, is_alike_);
+}
+
 void mmx_head_set(mmx_head_t *head, const char *name, const char *value)
 {
 	mmx_head_remove(head, name);
--- a/src/libmasticmux/include/private/exit_internal.h
+++ b/src/libmasticmux/include/private/exit_internal.h
@@ -61,6 +61,12 @@
 	mmx_counter_t *evicted[MMX_FAIR_QUEUE_CAUSE_COUNT];
 };
 
+/* Whether entries choose targets by work; nothing is learned otherwise. */
+static inline bool mmx_exit_reports_work_(const mmx_exit_t *exit)
+{
+	return exit->reports_work && *exit->reports_work;
+}
+
 mmx_exit_target_t *mmx_exit_find_target(const mmx_exit_t *exit,
 					mmx_target_id_t id);
 
--- a/src/libmasticmux/include/private/head.h
+++ b/src/libmasticmux/include/private/head.h
@@ -40,6 +40,10 @@
 /* Removes every header of that name, compared without case. */
 void mmx_head_remove(mmx_head_t *head, const char *name);
 
+/* The same for every header whose name a target may read as that name: CGI and
+ * its successors do not tell '_' from '-'. */
+void mmx_head_remove_alike(mmx_head_t *head, const char *name);
+
 /* Value of the first header of that name, or NULL. */
 const char *mmx_head_find(const mmx_head_t *head, const char *name);
 
--- a/src/libmasticmux/include/private/schema.h
+++ b/src/libmasticmux/include/private/schema.h
@@ -61,8 +61,8 @@
 	mmx_presence_t presence;
 	mmx_schema_read_fn_t read;
 	const char *valid; /**< valid values, for messages; NULL: the range */
-	int64_t min;	   /**< lowest valid integer */
-	int64_t max;	   /**< highest valid integer */
+	int64_t min;	   /**< lowest valid integer or number */
+	int64_t max;	   /**< highest valid integer or number */
 	const char *unit;  /**< of an integer, for messages; may be NULL */
 	int64_t scale;	   /**< factor applied to an integer; 0: none */
 	size_t offset;	   /**< of the member that receives the value, bytes */
@@ -108,6 +108,10 @@
 void mmx_schema_read_integer(mmx_schema_t *schema, const mmx_tree_node_t *node,
 			     const mmx_schema_rule_t *rule, void *into);
 
+/** Read function of a number: checks the range and stores a double. */
+void mmx_schema_read_number(mmx_schema_t *schema, const mmx_tree_node_t *node,
+			    const mmx_schema_rule_t *rule, void *into);
+
 /** Read function of a name: validates it and stores it as a string. */
 void mmx_schema_read_name(mmx_schema_t *schema, const mmx_tree_node_t *node,
 			  const mmx_schema_rule_t *rule, void *into);
--- a/src/libmasticmux/peer_link.c
+++ b/src/libmasticmux/peer_link.c
@@ -288,12 +288,7 @@
 
 static gboolean equal_attempts_(gconstpointer a, gconstpointer b)
 {
-	const mmx_attempt_id_t *left = a;
-	const mmx_attempt_id_t *right = b;
-
-	return left->entry == right->entry &&
-	       left->incarnation == right->incarnation &&
-	       left->sequence == right->sequence;
+	return mmx_attempt_id_is_equal(a, b);
 }
 
 GHashTable *mmx_peer_attempt_table(void)
--- a/src/libmasticmux/schema.c
+++ b/src/libmasticmux/schema.c
@@ -402,6 +402,17 @@
 	}
 }
 
+void mmx_schema_read_number(mmx_schema_t *schema, const mmx_tree_node_t *node,
+			    const mmx_schema_rule_t *rule, void *into)
+{
+	double value = mmx_tree_number(node);
+
+	if (value >= (double)rule->min && value <= (double)rule->max)
+		*(double *)((char *)into + rule->offset) = value;
+	else
+		mmx_schema_reject(schema, node, rule);
+}
+
 void mmx_schema_read_name(mmx_schema_t *schema, const mmx_tree_node_t *node,
 			  const mmx_schema_rule_t *rule, void *into)
 {
--- a/src/libmasticmux/settings.c
+++ b/src/libmasticmux/settings.c
@@ -323,29 +323,6 @@
 			(int64_t)floor(reserve);
 }
 
-static void read_number_(mmx_schema_t *schema, const mmx_tree_node_t *node,
-			 const mmx_schema_rule_t *rule, void *into, double max)
-{
-	double number = mmx_tree_number(node);
-
-	if (!is_within_(number, 0, max))
-		mmx_schema_reject(schema, node, rule);
-	else
-		*(double *)((char *)into + rule->offset) = number;
-}
-
-static void read_overshoot_(mmx_schema_t *schema, const mmx_tree_node_t *node,
-			    const mmx_schema_rule_t *rule, void *into)
-{
-	read_number_(schema, node, rule, into, OVERSHOOT_MAX);
-}
-
-static void read_slack_(mmx_schema_t *schema, const mmx_tree_node_t *node,
-			const mmx_schema_rule_t *rule, void *into)
-{
-	read_number_(schema, node, rule, into, SLACK_MAX);
-}
-
 static void read_balance_(mmx_schema_t *schema, const mmx_tree_node_t *node,
 			  const mmx_schema_rule_t *rule, void *into)
 {
@@ -432,11 +409,12 @@
 static const mmx_schema_rule_t accounts_rules_[] = {
 	{"window_s", MMX_TREE_FLOAT, MMX_PRESENCE_OPTIONAL, read_window_,
 	 WINDOW_VALID, .offset = offsetof(mmx_settings_t, account_window)},
-	{"overshoot", MMX_TREE_FLOAT, MMX_PRESENCE_OPTIONAL, read_overshoot_,
-	 OVERSHOOT_VALID,
+	{"overshoot", MMX_TREE_FLOAT, MMX_PRESENCE_OPTIONAL,
+	 mmx_schema_read_number, OVERSHOOT_VALID, .max = OVERSHOOT_MAX,
 	 .offset = offsetof(mmx_settings_t, account_overshoot)},
-	{"slack", MMX_TREE_FLOAT, MMX_PRESENCE_OPTIONAL, read_slack_,
-	 SLACK_VALID, .offset = offsetof(mmx_settings_t, account_slack)},
+	{"slack", MMX_TREE_FLOAT, MMX_PRESENCE_OPTIONAL, mmx_schema_read_number,
+	 SLACK_VALID, .max = SLACK_MAX,
+	 .offset = offsetof(mmx_settings_t, account_slack)},
 };
 
 static const mmx_schema_rule_t balance_rules_[] = {
--- a/src/libmasticmux/target_client.c
+++ b/src/libmasticmux/target_client.c
@@ -31,12 +31,7 @@
 
 static gboolean attempts_are_equal_(gconstpointer a, gconstpointer b)
 {
-	const mmx_attempt_id_t *left = a;
-	const mmx_attempt_id_t *right = b;
-
-	return left->sequence == right->sequence &&
-	       left->entry == right->entry &&
-	       left->incarnation == right->incarnation;
+	return mmx_attempt_id_is_equal(a, b);
 }
 
 static void free_pool_(gpointer data)
