Test which run times an exit reports

Change: scripts of the exit can switch the choice by work on; responses show the mean run time that they report.

--- a/src/test_libmasticmux/exit_script.c
+++ b/src/test_libmasticmux/exit_script.c
@@ -21,6 +21,7 @@
 	mmx_counters_t *counters;
 	unsigned int versions; /* number of records passed to the observer */
 	uint16_t slots;	       /* in the latest record */
+	bool by_work;	       /* responses report work */
 } fixture_t;
 
 static void target_changed_(void *context, const mmx_target_record_t *record)
@@ -177,6 +178,8 @@
 	else if (g_str_equal(words[0], "wait"))
 		mmx_clock_advance(mmx_runtime_clock(fixture->runtime),
 				  fake_number(words, "ms", 1) * MMX_US_PER_MS);
+	else if (g_str_equal(words[0], "by-work"))
+		fixture->by_work = true;
 	else if (g_str_equal(words[0], "count"))
 		g_string_append_printf(
 			fixture->trace, "in-progress:%zu ",
@@ -254,6 +257,7 @@
 		mmx_exit_set_target_client(fixture.exit, &fixture.client.task);
 		mmx_exit_set_observer(fixture.exit, &observer_, &fixture);
 		mmx_exit_set_header_names(fixture.exit, header_names);
+		mmx_exit_set_reports_work(fixture.exit, &fixture.by_work);
 		fixture.counters = mmx_counters_create();
 		mmx_exit_set_counters(fixture.exit, fixture.counters);
 		mmx_exit_init(fixture.exit);
--- a/src/test_libmasticmux/fakes.c
+++ b/src/test_libmasticmux/fakes.c
@@ -8,15 +8,20 @@
 {
 	unsigned int n = (unsigned int)response->attempt.sequence;
 
-	if (response->reason != MMX_REASON_NONE)
+	if (response->reason != MMX_REASON_NONE) {
 		g_string_append_printf(trace, "refused%u:%s%s%s ", n,
 				       mmx_reason_string[response->reason],
 				       response->started ? ":started" : "",
 				       response->grant ? ":grant" : "");
-	else
-		g_string_append_printf(trace, "response%u:%d%s ", n,
+	} else {
+		g_string_append_printf(trace, "response%u:%d%s", n,
 				       response->head->status,
 				       response->body_end ? ":end" : "");
+		if (response->load.work_ms)
+			g_string_append_printf(trace, ":run=%u",
+					       response->load.run_ms);
+		g_string_append_c(trace, ' ');
+	}
 }
 
 static void write_answer_(GString *trace, const mmx_answer_t *answer)
--- a/src/test_libmasticmux/test_exit_replies.c
+++ b/src/test_libmasticmux/test_exit_replies.c
@@ -187,7 +187,30 @@
 	exit_script_run(cases, G_N_ELEMENTS(cases), &exit_script_all_names);
 }
 
+/*
+ * Failures: an exit learns and reports run times that no entry asks for, or takes
+ * a target that fails at once for a fast one.
+ */
+static void test_reported_run_times_(void)
+{
+	static const script_case_t cases[] = {
+		{"targets chosen by requests",
+		 "warm; execute; wait ms=80; head end",
+		 "call1 response1:200:end "},
+		{"targets chosen by work",
+		 "by-work; warm; execute; wait ms=80; head end",
+		 "call1 response1:200:end:run=80 "},
+		{"a failure is no run time",
+		 "by-work; warm; execute; head status=500 end; execute n=2; "
+		 "wait ms=80; head n=2 end",
+		 "call1 response1:500:end call2 response2:200:end:run=80 "},
+	};
+
+	exit_script_run(cases, G_N_ELEMENTS(cases), &exit_script_names);
+}
+
 CU_TestInfo mmx_tests_exit_replies[] = {
+	{"run times that are reported", test_reported_run_times_},
 	{"requests that reach another target", test_misdirected_},
 	{"rejections without proof", test_unproven_rejections_},
 	{"late rejections without an id", test_rejections_without_id_},
