Read the options of benchmarks in one place

Cause: the new benchmarks copied the reading of the command line, which stood in three others already; bench_quota said nothing about an unknown option.

Change: bench_parse_options() in bench/model, used by the four new benchmarks and by the three that they were copied from. Exit statuses stay.

--- a/bench/bench_balance.c
+++ b/bench/bench_balance.c
@@ -10,6 +10,7 @@
 
 #include "masticmux/balance.h"
 #include "masticmux/clock.h"
+#include "model/options.h"
 
 #define TARGETS 24
 #define SLOTS 3
@@ -94,22 +95,14 @@
 
 static bool parse_(int argc, char **argv)
 {
-	GOptionContext *context =
-		g_option_context_new("- measure the choice of a target");
-	GError *error = NULL;
-	bool ok;
-
-	g_option_context_add_main_entries(context, entries_, NULL);
-	ok = g_option_context_parse(context, &argc, &argv, &error);
-	if (!ok) {
-		fprintf(stderr, "%s\n", error->message);
-		g_error_free(error);
-	} else if (choices_ < 1 || services_ < 1) {
+	if (!bench_parse_options(argc, argv, "- measure the choice of a target",
+				 entries_))
+		return false;
+	if (choices_ < 1 || services_ < 1) {
 		fprintf(stderr, "choices and services must be above 0\n");
-		ok = false;
+		return false;
 	}
-	g_option_context_free(context);
-	return ok;
+	return true;
 }
 
 int main(int argc, char **argv)
--- a/bench/bench_config.c
+++ b/bench/bench_config.c
@@ -12,6 +12,7 @@
 #include <string.h>
 
 #include "masticmux/clock.h"
+#include "model/options.h"
 #include "share/fake_fleet.h"
 
 #define SERVICES_PER_RECORD 50
@@ -465,15 +466,8 @@
 
 int main(int argc, char **argv)
 {
-	GOptionContext *context = g_option_context_new(NULL);
-	GError *error = NULL;
-
-	g_option_context_add_main_entries(context, entries_, NULL);
-	if (!g_option_context_parse(context, &argc, &argv, &error)) {
-		fprintf(stderr, "%s\n", error->message);
+	if (!bench_parse_options(argc, argv, NULL, entries_))
 		return 1;
-	}
-	g_option_context_free(context);
 	run_();
 	return 0;
 }
--- a/bench/bench_cost.c
+++ b/bench/bench_cost.c
@@ -11,6 +11,7 @@
 #include <string.h>
 
 #include "model/cost_model.h"
+#include "model/options.h"
 
 static gboolean as_json_;
 static json_t *rows_;
@@ -108,23 +109,16 @@
 
 static bool parse_(int argc, char **argv)
 {
-	GOptionContext *context =
-		g_option_context_new("- compare choices of a target by cost");
-	GError *error = NULL;
-	bool ok;
-
-	g_option_context_add_main_entries(context, options_, NULL);
-	ok = g_option_context_parse(context, &argc, &argv, &error);
-	if (!ok) {
-		fprintf(stderr, "%s\n", error->message);
-		g_error_free(error);
-	} else if (seeds_ < 1 || seconds_ <= COST_WARM_UP_S || load_ <= 0) {
+	if (!bench_parse_options(argc, argv,
+				 "- compare choices of a target by cost",
+				 options_))
+		return false;
+	if (seeds_ < 1 || seconds_ <= COST_WARM_UP_S || load_ <= 0) {
 		fprintf(stderr, "seeds and load must be above 0, seconds "
 				"above 20\n");
-		ok = false;
+		return false;
 	}
-	g_option_context_free(context);
-	return ok;
+	return true;
 }
 
 int main(int argc, char **argv)
--- a/bench/bench_detection.c
+++ b/bench/bench_detection.c
@@ -6,6 +6,7 @@
 #include <stdio.h>
 
 #include "model/model.h"
+#include "model/options.h"
 
 #define WARM_UP_US (60 * MMX_US_PER_S)
 #define OBSERVED_US (20 * MMX_US_PER_S)
@@ -264,22 +265,14 @@
 
 static bool parse_(int argc, char **argv)
 {
-	GOptionContext *context =
-		g_option_context_new("- compare detection with baselines");
-	GError *error = NULL;
-	bool ok;
-
-	g_option_context_add_main_entries(context, entries_, NULL);
-	ok = g_option_context_parse(context, &argc, &argv, &error);
-	if (!ok) {
-		fprintf(stderr, "%s\n", error->message);
-		g_error_free(error);
-	} else if (trials_ < 1 || hours_ < 1 || rate_ <= 0) {
+	if (!bench_parse_options(
+		    argc, argv, "- compare detection with baselines", entries_))
+		return false;
+	if (trials_ < 1 || hours_ < 1 || rate_ <= 0) {
 		fprintf(stderr, "trials, hours and rate must be above 0\n");
-		ok = false;
+		return false;
 	}
-	g_option_context_free(context);
-	return ok;
+	return true;
 }
 
 int main(int argc, char **argv)
--- a/bench/bench_fair.c
+++ b/bench/bench_fair.c
@@ -9,6 +9,7 @@
 #include <math.h>
 #include <stdio.h>
 
+#include "model/options.h"
 #include "private/exit.h"
 #include "masticmux/random.h"
 
@@ -545,23 +546,15 @@
 
 static bool parse_(int argc, char **argv)
 {
-	GOptionContext *context =
-		g_option_context_new("- measure fairness among accounts");
-	GError *error = NULL;
-	bool ok;
-
-	g_option_context_add_main_entries(context, entries_, NULL);
-	ok = g_option_context_parse(context, &argc, &argv, &error);
-	if (!ok) {
-		fprintf(stderr, "%s\n", error->message);
-		g_error_free(error);
-	} else if (seconds_ < 1 || lag_ms_ < 0 || lag_ms_ > LAG_MAX_MS) {
+	if (!bench_parse_options(argc, argv,
+				 "- measure fairness among accounts", entries_))
+		return false;
+	if (seconds_ < 1 || lag_ms_ < 0 || lag_ms_ > LAG_MAX_MS) {
 		fprintf(stderr, "seconds must be above 0, lag 0 to %d\n",
 			LAG_MAX_MS);
-		ok = false;
+		return false;
 	}
-	g_option_context_free(context);
-	return ok;
+	return true;
 }
 
 int main(int argc, char **argv)
--- a/bench/bench_keys.c
+++ b/bench/bench_keys.c
@@ -13,6 +13,7 @@
 #include "masticmux/clock.h"
 #include "masticmux/random.h"
 #include "masticmux/routing.h"
+#include "model/options.h"
 #include "private/account_keys.h"
 
 #define KEYS_PER_ACCOUNT 2
@@ -198,15 +199,8 @@
 
 int main(int argc, char **argv)
 {
-	GOptionContext *context = g_option_context_new(NULL);
-	GError *error = NULL;
-
-	g_option_context_add_main_entries(context, entries_, NULL);
-	if (!g_option_context_parse(context, &argc, &argv, &error)) {
-		fprintf(stderr, "%s\n", error->message);
+	if (!bench_parse_options(argc, argv, NULL, entries_))
 		return 1;
-	}
-	g_option_context_free(context);
 	run_();
 	return 0;
 }
--- a/bench/bench_quota.c
+++ b/bench/bench_quota.c
@@ -10,6 +10,7 @@
 #include <string.h>
 #include <time.h>
 
+#include "model/options.h"
 #include "private/quota.h"
 
 #define FEW_NODES 104
@@ -191,7 +192,6 @@
 
 int main(int argc, char **argv)
 {
-	GOptionContext *context = g_option_context_new(NULL);
 	double alone;
 	double pair;
 	double few;
@@ -199,10 +199,8 @@
 	double bytes;
 	bool ok;
 
-	g_option_context_add_main_entries(context, entries_, NULL);
-	if (!g_option_context_parse(context, &argc, &argv, NULL))
+	if (!bench_parse_options(argc, argv, NULL, entries_))
 		return 2;
-	g_option_context_free(context);
 	alone = measure_requests_(1);
 	pair = measure_requests_(2);
 	few = measure_first_use_(FEW_NODES, &bytes);
