--- a/src/libmasticmux/http_client.c
+++ b/src/libmasticmux/http_client.c
@@ -33,6 +33,9 @@
 	mmx_http_client_t *client;
 	mmx_timer_t timer; /* end of the back-off, then the timeout */
 	connection_t *connection;
+	struct evbuffer_cb_entry *watch; /* on the input of the connection */
+	mmx_time_t started_at;
+	mmx_http_usage_t usage;
 	bool too_large; /* the response exceeds body_max */
 	char *uri;
 	char *type; /* NULL: GET */
@@ -52,6 +55,7 @@
 	connection_list_t idle;
 	connection_list_t broken; /* to be freed */
 	size_t idle_count;
+	mmx_http_usage_t usage; /* of the call that ended last */
 	mmx_timer_t free_timer;
 };
 
@@ -89,6 +93,38 @@
 	return client;
 }
 
+static struct evbuffer *get_input_(const connection_t *connection)
+{
+	return bufferevent_get_input(
+		evhttp_connection_get_bufferevent(connection->http));
+}
+
+static void on_input_(struct evbuffer *input,
+		      const struct evbuffer_cb_info *info, void *arg)
+{
+	call_t *call = arg;
+
+	(void)input;
+	if (info->n_added == 0)
+		return;
+	if (call->usage.received == 0)
+		call->usage.first_byte =
+			mmx_clock_now(call->client->config.clock) -
+			call->started_at;
+	call->usage.received += info->n_added;
+}
+
+/* Takes the connection from a call, which no longer follows its input. */
+static connection_t *detach_connection_(call_t *call)
+{
+	connection_t *connection = call->connection;
+
+	evbuffer_remove_cb_entry(get_input_(connection), call->watch);
+	call->watch = NULL;
+	call->connection = NULL;
+	return connection;
+}
+
 static void free_call_(call_t *call)
 {
 	mmx_timer_cancel(&call->timer);
@@ -145,7 +181,7 @@
 
 	/* Without a socket, evhttp connects again. */
 	return bufferevent_getfd(bev) < 0
-		       ? evbuffer_get_length(bufferevent_get_input(bev)) == 0
+		       ? evbuffer_get_length(get_input_(connection)) == 0
 		       : mmx_idle_socket_is_silent(bev);
 }
 
@@ -193,6 +229,9 @@
 	mmx_http_reply_fn_t fn = call->fn;
 	void *arg = call->arg;
 
+	call->usage.duration =
+		mmx_clock_now(call->client->config.clock) - call->started_at;
+	call->client->usage = call->usage;
 	free_call_(call);
 	fn(arg, reply);
 }
@@ -200,12 +239,12 @@
 static void on_timeout_(void *arg)
 {
 	call_t *call = arg;
+	connection_t *connection = detach_connection_(call);
 
 	/* Freed at once, so that a late response cannot access the freed
 	 * call. */
-	evhttp_connection_free(call->connection->http);
-	g_free(call->connection);
-	call->connection = NULL;
+	evhttp_connection_free(connection->http);
+	g_free(connection);
 	end_call_(call, NULL);
 }
 
@@ -214,6 +253,7 @@
 	call_t *call = arg;
 	mmx_http_client_t *client = call->client;
 	mmx_http_reply_t reply = {.too_large = call->too_large, .body = ""};
+	connection_t *connection = detach_connection_(call);
 	bool responded;
 	struct evbuffer *input;
 
@@ -223,10 +263,9 @@
 	if (request && responded)
 		reply.headers = evhttp_request_get_input_headers(request);
 	if (reply.status > 0 && !reply.too_large)
-		release_connection_(client, call->connection);
+		release_connection_(client, connection);
 	else
-		discard_connection_(client, call->connection);
-	call->connection = NULL;
+		discard_connection_(client, connection);
 	input = responded && request ? evhttp_request_get_input_buffer(request)
 				     : NULL;
 	if (input && !reply.too_large) {
@@ -281,7 +320,10 @@
 
 	mmx_timer_init(&call->timer, client->config.clock, on_timeout_, call);
 	mmx_timer_set(&call->timer, call->timeout);
+	call->started_at = mmx_clock_now(client->config.clock);
 	call->connection = acquire_connection_(client);
+	call->watch =
+		evbuffer_add_cb(get_input_(call->connection), on_input_, call);
 	evhttp_request_set_error_cb(request, on_error_);
 	mmx_address_format(&client->config.address, host, sizeof(host));
 	evhttp_add_header(headers, "Host", host);
@@ -335,6 +377,11 @@
 	call->length = length;
 }
 
+const mmx_http_usage_t *mmx_http_client_usage(const mmx_http_client_t *client)
+{
+	return &client->usage;
+}
+
 mmx_time_t mmx_http_client_backoff_left(const mmx_http_client_t *client)
 {
 	mmx_time_t now = mmx_clock_now(client->config.clock);
--- a/src/libmasticmux/include/private/http_client.h
+++ b/src/libmasticmux/include/private/http_client.h
@@ -41,6 +41,14 @@
 	struct evkeyvalq *headers; /* NULL if no response head was received */
 } mmx_http_reply_t;
 
+/* What the network did for one call, also for one without a reply. */
+typedef struct mmx_http_usage_t {
+	size_t received;       /* bytes of the response, its head included */
+	mmx_time_t first_byte; /* from the start of the call until the response
+				* began, microseconds; 0: it did not */
+	mmx_time_t duration;   /* of the call, microseconds */
+} mmx_http_usage_t;
+
 /* Returns the value of a header of the response, or NULL. */
 const char *mmx_http_reply_header(const mmx_http_reply_t *reply,
 				  const char *name);
@@ -85,6 +93,10 @@
 void mmx_http_client_report_success(mmx_http_client_t *client);
 void mmx_http_client_report_failure(mmx_http_client_t *client);
 
+/* Returns the usage of the call that ended last; valid from its callback until
+ * the next call ends. */
+const mmx_http_usage_t *mmx_http_client_usage(const mmx_http_client_t *client);
+
 /* Returns the remaining back-off in microseconds; 0 if there is none. */
 mmx_time_t mmx_http_client_backoff_left(const mmx_http_client_t *client);
 
