Do not cut off reads whose response keeps arriving

Callers of nodes that start see 503 for seconds, and others an old configuration, where the path to the store is narrow.

Cause: the time-out of a read bounded its whole response, and the next read started again from the first byte. Once the nodes of a region together need longer than the time-out, the path carries bytes that nobody can use, and no read ends.

Change: the time-out of a call bounds the time until its response begins; stall_timeout bounds pauses in it.

Measured: test_http_client fails without stall_timeout (its third case shows it).

--- a/src/libmasticmux/http_client.c
+++ b/src/libmasticmux/http_client.c
@@ -112,6 +112,8 @@
 			mmx_clock_now(call->client->config.clock) -
 			call->started_at;
 	call->usage.received += info->n_added;
+	if (call->client->config.stall_timeout)
+		mmx_timer_set(&call->timer, call->client->config.stall_timeout);
 }
 
 /* Takes the connection from a call, which no longer follows its input. */
--- a/src/libmasticmux/include/private/http_client.h
+++ b/src/libmasticmux/include/private/http_client.h
@@ -27,6 +27,11 @@
 	size_t body_max;	/* longest response body, bytes */
 	mmx_time_t backoff_min; /* after the first failure, microseconds */
 	mmx_time_t backoff_max; /* microseconds */
+	/* Time without further bytes after which a response that has begun
+	 * fails, microseconds; 0: the timeout of the call bounds the whole
+	 * response. A fixed bound would cut off long responses on a slow path
+	 * again and again, as each call starts from the first byte. */
+	mmx_time_t stall_timeout;
 	/* Time without an acknowledgement after which a connection is closed,
 	 * microseconds; 0: the default of the operating system. */
 	mmx_time_t unacked_timeout;
@@ -70,7 +75,8 @@
  * Sends a GET request, after the back-off if there is one.
  *
  * uri: path and query; copied
- * timeout: from the start of the request, microseconds
+ * timeout: from the start of the request, microseconds; with a stall_timeout
+ *          only until the response begins
  */
 void mmx_http_client_get(mmx_http_client_t *client, const char *uri,
 			 mmx_time_t timeout, mmx_http_reply_fn_t fn, void *arg);
--- a/src/libmasticmux/log_client.c
+++ b/src/libmasticmux/log_client.c
@@ -73,6 +73,7 @@
 		.body_max = MMX_LOG_RESPONSE_MAX,
 		.backoff_min = MMX_LOG_BACKOFF_MIN_US,
 		.backoff_max = MMX_LOG_BACKOFF_MAX_US,
+		.stall_timeout = MMX_LOG_TIMEOUT_US,
 	});
 	client->calls = g_hash_table_new_full(NULL, NULL, g_free, NULL);
 	if (counters)
--- a/src/test_libmasticmux/suites.c
+++ b/src/test_libmasticmux/suites.c
@@ -44,6 +44,7 @@
 	{"history", NULL, NULL, NULL, NULL, mmx_tests_history},
 	{"hostile", NULL, NULL, NULL, NULL, mmx_tests_hostile},
 	{"http_ahead", NULL, NULL, NULL, NULL, mmx_tests_http_ahead},
+	{"http_client", NULL, NULL, NULL, NULL, mmx_tests_http_client},
 	{"http_entry", NULL, NULL, NULL, NULL, mmx_tests_http_entry},
 	{"http_entry_connection", NULL, NULL, NULL, NULL,
 	 mmx_tests_http_entry_connection},
--- a/src/test_libmasticmux/suites.h
+++ b/src/test_libmasticmux/suites.h
@@ -44,6 +44,7 @@
 extern CU_TestInfo mmx_tests_history[];
 extern CU_TestInfo mmx_tests_hostile[];
 extern CU_TestInfo mmx_tests_http_ahead[];
+extern CU_TestInfo mmx_tests_http_client[];
 extern CU_TestInfo mmx_tests_http_entry[];
 extern CU_TestInfo mmx_tests_http_entry_connection[];
 extern CU_TestInfo mmx_tests_http_reader[];
