Deliver an empty answer of another node as an answer

Callers saw old configurations for longer than necessary, on nodes that had a neighbour with the answer.

Cause: an answer without bytes says "read the store" to a node that asks its neighbour for records. evbuffer_pullup() returns NULL for an empty buffer, and NULL means that there is no answer, so the node counted the neighbour as failed, kept away from it for 4 s and more and asked the next one, which then read the store as well. Large records get such answers, so each of them multiplied the readers of the store.

Change: an answer without bytes is passed on as an empty text.

--- a/src/libmasticmux/peer_call.c
+++ b/src/libmasticmux/peer_call.c
@@ -120,7 +120,10 @@
 		return;
 	}
 	length = evbuffer_get_length(args);
-	finish_(pending, MMX_PEER_OK, evbuffer_pullup(args, -1), length);
+	/* evbuffer_pullup() returns NULL for an empty buffer. */
+	finish_(pending, MMX_PEER_OK,
+		length ? evbuffer_pullup(args, -1) : (const uint8_t *)"",
+		length);
 }
 
 /* The side that answers. */
--- a/src/test_libmasticmux/test_peer.c
+++ b/src/test_libmasticmux/test_peer.c
@@ -183,6 +183,7 @@
 typedef struct answer_t {
 	bool done;
 	mmx_peer_result_t result;
+	bool has_bytes;
 	char text[32];
 } answer_t;
 
@@ -194,6 +195,7 @@
 	CU_ASSERT_FALSE(answer->done);
 	answer->done = true;
 	answer->result = result;
+	answer->has_bytes = bytes != NULL;
 	if (bytes)
 		memcpy(answer->text, bytes, MIN(length, 31));
 }
@@ -224,6 +226,7 @@
 
 typedef struct call_case_t {
 	const char *what;
+	const char *text;
 	mmx_procedure_t procedure;
 	bool by_address;
 	mmx_node_id_t node; /* 0: node-b */
@@ -232,20 +235,24 @@
 } call_case_t;
 
 static const call_case_t calls_[] = {
-	{"by id", MMX_PROCEDURE_STOP, false, 0, 10 * MMX_US_PER_S, MMX_PEER_OK},
-	{"by address", MMX_PROCEDURE_STOP, true, 0, 10 * MMX_US_PER_S,
+	{"by id", "ping", MMX_PROCEDURE_STOP, false, 0, 10 * MMX_US_PER_S,
 	 MMX_PEER_OK},
-	{"refused by the handler", MMX_PROCEDURE_CLAIM, false, 0,
+	{"empty", "", MMX_PROCEDURE_STOP, false, 0, 10 * MMX_US_PER_S,
+	 MMX_PEER_OK},
+	{"by address", "ping", MMX_PROCEDURE_STOP, true, 0, 10 * MMX_US_PER_S,
+	 MMX_PEER_OK},
+	{"refused by the handler", "ping", MMX_PROCEDURE_CLAIM, false, 0,
 	 10 * MMX_US_PER_S, MMX_PEER_REFUSED},
-	{"without a handler", MMX_PROCEDURE_CONFIG_LOAD, false, 0,
+	{"without a handler", "ping", MMX_PROCEDURE_CONFIG_LOAD, false, 0,
 	 10 * MMX_US_PER_S, MMX_PEER_REFUSED},
-	{"never answered", MMX_PROCEDURE_CONFIG_PULL, false, 0,
+	{"never answered", "ping", MMX_PROCEDURE_CONFIG_PULL, false, 0,
 	 20 * MMX_US_PER_MS, MMX_PEER_TIMEOUT},
-	{"unknown node", MMX_PROCEDURE_STOP, false, 99, 10 * MMX_US_PER_S,
-	 MMX_PEER_UNREACHABLE},
+	{"unknown node", "ping", MMX_PROCEDURE_STOP, false, 99,
+	 10 * MMX_US_PER_S, MMX_PEER_UNREACHABLE},
 };
 
-/* Guards against calls without exactly one result, or with a wrong one. */
+/* Guards against calls without exactly one result, or with a wrong one; an empty
+ * answer is one, and not a failure. */
 static void test_calls_(void)
 {
 	mmx_test_world_t *world = mmx_test_world_create(&signed_);
@@ -270,7 +277,8 @@
 			place.address.port = mmx_peer_port(world->b.peer);
 		}
 		mmx_peer_call(world->a.peer, &place, calls_[i].procedure,
-			      (const uint8_t *)"ping", 4, calls_[i].timeout,
+			      (const uint8_t *)calls_[i].text,
+			      strlen(calls_[i].text), calls_[i].timeout,
 			      on_answer_, &answer);
 		CU_ASSERT_FALSE(answer.done);
 		mmx_test_run(world, is_done_, &answer);
@@ -278,8 +286,9 @@
 			fprintf(stderr, "%s: %s\n", calls_[i].what,
 				mmx_peer_result_string[answer.result]);
 		CU_ASSERT_EQUAL(answer.result, calls_[i].result);
+		CU_ASSERT_EQUAL(answer.has_bytes, answer.result == MMX_PEER_OK);
 		CU_ASSERT_STRING_EQUAL(answer.text, answer.result == MMX_PEER_OK
-							    ? "ping"
+							    ? calls_[i].text
 							    : "");
 	}
 	/* The answer that comes too late is dropped. */
