Pass long records of the store from node to node in blocks

Callers saw requests handled by an older configuration more than 3 s after a newer one had been acknowledged, and 404 for its routes.

Cause: records above 32 KiB were not passed on within a zone, so every node read a large configuration from the store. The 41 nodes of the region without the store need 1.6 s for one version of 1,700 routes over the link between the regions, and more than a poll lasts for 2,100; with changes in that time the link stays full and no node gets any version.

Change: the tail keeps the newest record of each key. Updates above 16 KiB are packed once and sent in blocks, to four nodes at a time; others are referred to a node that has received them. A package stays available while it is transferred, so that changes in quick succession do not restart transfers. The new module store_blocks does no I/O.

--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -3,7 +3,8 @@
 
 PACKAGES="python3 g++ make pkg-config clang-format clang-tidy curl libevent-dev
 	libevhtp-dev libtirpc-dev libglib2.0-dev libssl-dev libxxhash-dev
-	libjansson-dev libtomlplusplus-dev libcunit1-dev liblua5.4-dev"
+	libjansson-dev libtomlplusplus-dev libcunit1-dev liblua5.4-dev
+	zlib1g-dev"
 
 install_packages() {
 	local missing="" name
--- a/src/libmasticmux/include/private/peer.h
+++ b/src/libmasticmux/include/private/peer.h
@@ -150,7 +150,7 @@
  * inside mmx_peer_call().
  *
  * procedure: CONFIG_PULL, CONFIG_LOAD, DIRECTORY_SYNC, STOP, CLAIM,
- * STORE_NEWS or QUOTA.
+ * STORE_NEWS, STORE_BLOCK or QUOTA.
  * bytes: copied; length at most MMX_WIRE_BYTES_MAX.
  * timeout: microseconds, above 0; includes connecting.
  */
--- a/src/libmasticmux/include/private/rpc.h
+++ b/src/libmasticmux/include/private/rpc.h
@@ -54,6 +54,7 @@
 	MMX_PROCEDURE_STORE_NEWS,
 	/* Token requests of accounts with a rate, see quota.h. */
 	MMX_PROCEDURE_QUOTA,
+	MMX_PROCEDURE_STORE_BLOCK,
 	MMX_PROCEDURE_COUNT
 } mmx_procedure_t;
 
--- a/src/libmasticmux/include/private/store_relay.h
+++ b/src/libmasticmux/include/private/store_relay.h
@@ -24,6 +24,12 @@
 typedef void (*mmx_store_reply_fn_t)(void *arg, const uint8_t *bytes,
 				     size_t length);
 
+/* Message of a query. */
+typedef enum mmx_store_query_kind_t {
+	MMX_STORE_QUERY_UPDATES,
+	MMX_STORE_QUERY_BLOCK, /* of updates that are too long for one reply */
+} mmx_store_query_kind_t;
+
 /* Operations that the node provides to its relay. */
 typedef struct mmx_store_relay_node_ops_t {
 	/* Appends the ids of the other nodes of the zone; none while this node
@@ -31,10 +37,11 @@
 	void (*list_zone_nodes)(void *context, GArray *nodes);
 	/* Returns the name of a node for the log, or NULL if unknown. */
 	const char *(*node_name)(void *context, mmx_node_id_t node);
-	/* Sends a query; fn is called once, never from inside the call. */
+	/* Sends a query, or one for a block; fn is called once, never from
+	 * inside the call. */
 	void (*send_query)(void *context, mmx_node_id_t node,
-			   const uint8_t *bytes, size_t length,
-			   mmx_store_reply_fn_t fn, void *arg);
+			   mmx_store_query_kind_t kind, const uint8_t *bytes,
+			   size_t length, mmx_store_reply_fn_t fn, void *arg);
 } mmx_store_relay_node_ops_t;
 
 /* Everything that the pointers refer to must outlive the relay. */
@@ -59,8 +66,8 @@
 
 /*
  * Answers the query of another node. The reply is to be freed with g_free(); it
- * is NULL and of length 0 if this node no longer holds all of the records, so
- * that the other node has to read the store.
+ * is NULL and of length 0 if the records are too long for one reply or no longer
+ * held, so that the other node has to query their blocks or read the store.
  *
  * Returns false if the query is malformed or names a topic that this node does
  * not read; reply is not set then.
@@ -68,4 +75,10 @@
 bool mmx_relay_serve(mmx_relay_t *relay, const uint8_t *bytes, size_t length,
 		     uint8_t **reply, size_t *reply_length);
 
+/* Answers the query of another node for a block, as mmx_relay_serve() does. The
+ * reply is never NULL. */
+bool mmx_relay_serve_block(mmx_relay_t *relay, mmx_node_id_t from,
+			   const uint8_t *bytes, size_t length, uint8_t **reply,
+			   size_t *reply_length);
+
 #endif
--- a/src/libmasticmux/include/private/store_updates.h
+++ b/src/libmasticmux/include/private/store_updates.h
@@ -2,7 +2,8 @@
  * Updates of a topic of the shared store that one node sends to another: the
  * records from an offset on, and the time since the sender last read the store.
  *
- * The tail holds the latest records of one topic; the codec encodes queries and
+ * The tail holds the newest record of each key that was written from some offset
+ * on, as the store retains no others for long; the codec encodes queries and
  * a part of the tail for transmission between nodes. Does no I/O.
  */
 #ifndef MASTICMUX_PRIVATE_STORE_UPDATES_H
@@ -10,12 +11,9 @@
 
 #include "private/store.h"
 
-/*
- * Limit on a tail, total bytes of keys and values. Longer records have to be
- * read from the store: sending copies to all nodes of a zone would saturate a
- * slow link for seconds.
- */
-#define MMX_STORE_TAIL_BYTES_MAX (32 * 1024)
+/* Limit on a tail, total bytes of keys and values. What does not fit has to be
+ * read from the store. */
+#define MMX_STORE_TAIL_BYTES_MAX (4 * 1024 * 1024)
 /* Longest topic name and longest key, bytes. */
 #define MMX_STORE_TOPIC_MAX 64
 #define MMX_STORE_KEY_MAX 255
@@ -28,8 +26,9 @@
 /* Removes all records; the next one must have an offset of at least next. */
 void mmx_store_tail_reset(mmx_store_tail_t *tail, uint64_t next);
 
-/* Appends a copy of a record; ignored if its offset is below the next one.
- * Removes the oldest records if the tail grows too large. */
+/* Appends a copy of a record and removes the former one of its key; ignored if
+ * its offset is below the next one. Removes the oldest records if the tail grows
+ * too large. */
 void mmx_store_tail_add(mmx_store_tail_t *tail,
 			const mmx_store_record_t *record);
 
@@ -40,13 +39,24 @@
 /* Returns the least offset that the next record may have. */
 uint64_t mmx_store_tail_next(const mmx_store_tail_t *tail);
 
+/* Returns whether the tail holds the newest record of each key that was written
+ * from an offset on. */
+bool mmx_store_tail_holds(const mmx_store_tail_t *tail, uint64_t from);
+
+/* Returns the offset of the first record held from an offset on, or the next
+ * offset if there is none. */
+uint64_t mmx_store_tail_first(const mmx_store_tail_t *tail, uint64_t from);
+
+/* Returns the length of the encoded records from an offset on, bytes. */
+size_t mmx_store_tail_encoded_size(const mmx_store_tail_t *tail, uint64_t from);
+
 /*
  * Encodes the records from an offset on.
  *
  * age: time since the store was last read, microseconds
  *
- * Returns bytes to be freed with g_free(), or NULL if the tail no longer holds
- * all of these records.
+ * Returns bytes to be freed with g_free(), or NULL if the tail does not hold
+ * them; see mmx_store_tail_holds().
  */
 uint8_t *mmx_store_tail_encode(const mmx_store_tail_t *tail, uint64_t from,
 			       mmx_time_t age, size_t *length);
--- a/src/libmasticmux/part_relay.c
+++ b/src/libmasticmux/part_relay.c
@@ -63,7 +63,8 @@
 	g_free(query);
 }
 
-static void send_query_(void *context, mmx_node_id_t id, const uint8_t *bytes,
+static void send_query_(void *context, mmx_node_id_t id,
+			mmx_store_query_kind_t kind, const uint8_t *bytes,
 			size_t length, mmx_store_reply_fn_t fn, void *arg)
 {
 	const mmx_node_t *node = context;
@@ -72,8 +73,10 @@
 
 	query->fn = fn;
 	query->arg = arg;
-	mmx_peer_call(node->peer, &place, MMX_PROCEDURE_STORE_NEWS, bytes,
-		      length, REPLY_TIMEOUT_US, on_reply_, query);
+	mmx_peer_call(node->peer, &place,
+		      kind == MMX_STORE_QUERY_BLOCK ? MMX_PROCEDURE_STORE_BLOCK
+						    : MMX_PROCEDURE_STORE_NEWS,
+		      bytes, length, REPLY_TIMEOUT_US, on_reply_, query);
 }
 
 static const mmx_store_relay_node_ops_t node_ops_ = {
@@ -99,6 +102,24 @@
 	g_free(answer);
 }
 
+static void serve_block_(void *arg, const mmx_peer_ticket_t *ticket,
+			 const uint8_t *bytes, size_t length)
+{
+	relay_part_t *self = arg;
+	mmx_node_t *node = self->part.node;
+	uint8_t *answer;
+	size_t size;
+
+	if (node->draining ||
+	    !mmx_relay_serve_block(self->relay, ticket->caller, bytes, length,
+				   &answer, &size)) {
+		mmx_peer_refuse(node->peer, ticket);
+		return;
+	}
+	mmx_peer_answer(node->peer, ticket, answer, size);
+	g_free(answer);
+}
+
 static bool init_(mmx_part_t *part, mmx_error_t *error)
 {
 	relay_part_t *self = (relay_part_t *)part;
@@ -107,6 +128,8 @@
 	(void)error;
 	mmx_peer_register(node->peer, MMX_PROCEDURE_STORE_NEWS, serve_query_,
 			  self);
+	mmx_peer_register(node->peer, MMX_PROCEDURE_STORE_BLOCK, serve_block_,
+			  self);
 	node->store->ops->set_relay(node->store, mmx_relay_base(self->relay));
 	return true;
 }
--- a/src/libmasticmux/peer_call.c
+++ b/src/libmasticmux/peer_call.c
@@ -14,7 +14,8 @@
 	return (procedure >= MMX_PROCEDURE_CONFIG_PULL &&
 		procedure <= MMX_PROCEDURE_CLAIM) ||
 	       procedure == MMX_PROCEDURE_STORE_NEWS ||
-	       procedure == MMX_PROCEDURE_QUOTA;
+	       procedure == MMX_PROCEDURE_QUOTA ||
+	       procedure == MMX_PROCEDURE_STORE_BLOCK;
 }
 
 /* Takes a call out of the list or table that it waits in. */
--- a/src/libmasticmux/rpc.c
+++ b/src/libmasticmux/rpc.c
@@ -10,10 +10,11 @@
 #define UNIT BYTES_PER_XDR_UNIT
 
 const char *const mmx_procedure_string[MMX_PROCEDURE_COUNT] = {
-	"null",	       "hello",		 "execute", "body",	"response-body",
-	"window",      "cancel",	 "fence",   "evidence", "config-pull",
-	"config-load", "directory-sync", "stop",    "claim",	"response",
-	"store-news",  "quota",
+	"null",		 "hello",	"execute",     "body",
+	"response-body", "window",	"cancel",      "fence",
+	"evidence",	 "config-pull", "config-load", "directory-sync",
+	"stop",		 "claim",	"response",    "store-news",
+	"quota",	 "store-block",
 };
 
 const char *const mmx_rpc_status_string[MMX_RPC_STATUS_COUNT] = {
--- a/src/libmasticmux/store_relay.c
+++ b/src/libmasticmux/store_relay.c
@@ -2,8 +2,22 @@
 
 #include <string.h>
 
-#include "private/store_updates.h"
+#include "private/store_blocks.h"
 #include "private/store_source.h"
+#include "private/store_updates.h"
+
+/* Time after which a busy node is queried for a block again. */
+#define BUSY_RETRY_US (50 * MMX_US_PER_MS)
+/* Longest time of a transfer in blocks; then the store is read. */
+#define TRANSFER_MAX_US (2 * MMX_US_PER_S)
+
+/* Updates that arrive in blocks. */
+typedef struct transfer_t {
+	uint64_t package;
+	GByteArray *packed; /* NULL: no transfer is in progress */
+	size_t unpacked;    /* length of the updates, bytes */
+	mmx_time_t started_at;
+} transfer_t;
 
 typedef struct topic_t {
 	LIST_ENTRY(topic_t) entry;
@@ -19,6 +33,8 @@
 	mmx_time_t max_age; /* greatest accepted age of the reply */
 	mmx_node_id_t queried_node;
 	mmx_timer_t query_timer; /* sends the query */
+	transfer_t transfer;
+	mmx_timer_t block_timer; /* sends the query for a block */
 } topic_t;
 
 struct mmx_relay_t {
@@ -26,12 +42,16 @@
 	mmx_store_relay_config_t config;
 	mmx_store_source_t *source;
 	LIST_HEAD(, topic_t) topics;
+	mmx_store_sender_t *sender;
 	mmx_node_id_t logged_source; /* in the latest log line */
 	/* Queries by result, and queries answered. */
 	mmx_counter_t *fresh;
 	mmx_counter_t *stale;
 	mmx_counter_t *failed;
 	mmx_counter_t *served;
+	mmx_counter_t *transfers; /* complete */
+	mmx_counter_t *referred;  /* transfers from another node */
+	mmx_counter_t *blocks;	  /* served */
 };
 
 static mmx_time_t now_(const mmx_relay_t *self)
@@ -73,6 +93,9 @@
 	mmx_store_updates_fn_t fn = topic->on_updates;
 
 	topic->on_updates = NULL;
+	if (topic->transfer.packed)
+		g_byte_array_free(topic->transfer.packed, TRUE);
+	topic->transfer.packed = NULL;
 	if (fn)
 		fn(topic->on_updates_arg, updates);
 }
@@ -97,20 +120,13 @@
 	finish_query_(topic, NULL);
 }
 
-static void on_reply_(void *arg, const uint8_t *bytes, size_t length)
+/* bytes: encoded updates */
+static void accept_updates_(topic_t *topic, const uint8_t *bytes, size_t length)
 {
-	topic_t *topic = arg;
 	mmx_relay_t *self = topic->relay;
 	mmx_store_updates_t updates;
 
-	if (!topic->on_updates)
-		return;
-	/* The node reads the store, but no longer holds the records. */
-	if (bytes && length == 0) {
-		finish_query_(topic, NULL);
-		return;
-	}
-	if (!bytes || !mmx_store_updates_decode(bytes, length, &updates)) {
+	if (!mmx_store_updates_decode(bytes, length, &updates)) {
 		fail_query_(topic, self->failed);
 		return;
 	}
@@ -126,6 +142,124 @@
 	mmx_store_updates_clear(&updates);
 }
 
+static void on_block_(void *arg, const uint8_t *bytes, size_t length);
+
+static void send_block_query_(void *arg)
+{
+	topic_t *topic = arg;
+	mmx_relay_t *self = topic->relay;
+	mmx_store_block_query_t query = {
+		.from = topic->from,
+		.package = topic->transfer.package,
+		.position = topic->transfer.packed->len,
+	};
+	size_t length;
+	uint8_t *bytes;
+
+	g_strlcpy(query.topic, topic->name, sizeof(query.topic));
+	bytes = mmx_store_block_query_encode(&query, &length);
+	self->config.ops->send_query(self->config.context, topic->queried_node,
+				     MMX_STORE_QUERY_BLOCK, bytes, length,
+				     on_block_, topic);
+	g_free(bytes);
+}
+
+static void begin_transfer_(topic_t *topic)
+{
+	topic->transfer = (transfer_t){
+		.packed = g_byte_array_new(),
+		.started_at = now_(topic->relay),
+	};
+	send_block_query_(topic);
+}
+
+static void end_transfer_(topic_t *topic)
+{
+	transfer_t *transfer = &topic->transfer;
+	uint8_t *updates =
+		mmx_store_unpack(transfer->packed->data, transfer->packed->len,
+				 transfer->unpacked);
+
+	if (!updates) {
+		fail_query_(topic, topic->relay->failed);
+		return;
+	}
+	mmx_counter_add(topic->relay->transfers, 1);
+	accept_updates_(topic, updates, transfer->unpacked);
+	g_free(updates);
+}
+
+/* The node serves others; a transfer that has not begun goes to the node that it
+ * refers to. */
+static void on_busy_(topic_t *topic, mmx_node_id_t other)
+{
+	mmx_relay_t *self = topic->relay;
+	bool refer = other && other != self->config.node &&
+		     topic->transfer.packed->len == 0;
+
+	if (now_(self) - topic->transfer.started_at >= TRANSFER_MAX_US) {
+		finish_query_(topic, NULL);
+		return;
+	}
+	if (refer) {
+		mmx_counter_add(self->referred, 1);
+		topic->queried_node = other;
+	}
+	mmx_timer_set(&topic->block_timer, refer ? 0 : BUSY_RETRY_US);
+}
+
+static void on_block_data_(topic_t *topic, const mmx_store_block_t *block)
+{
+	transfer_t *transfer = &topic->transfer;
+
+	transfer->package = block->package;
+	transfer->unpacked = block->unpacked;
+	g_byte_array_append(transfer->packed, block->bytes,
+			    (guint)block->length);
+	if (transfer->packed->len < block->total)
+		send_block_query_(topic);
+	else
+		end_transfer_(topic);
+}
+
+static void on_block_(void *arg, const uint8_t *bytes, size_t length)
+{
+	topic_t *topic = arg;
+	mmx_relay_t *self = topic->relay;
+	mmx_store_block_t block;
+
+	if (!topic->on_updates || !topic->transfer.packed)
+		return;
+	if (!bytes || !mmx_store_block_decode(bytes, length, &block)) {
+		fail_query_(topic, self->failed);
+		return;
+	}
+	switch (block.status) {
+	case MMX_STORE_BLOCK_DATA:
+		on_block_data_(topic, &block);
+		break;
+	case MMX_STORE_BLOCK_BUSY:
+		on_busy_(topic, block.other);
+		break;
+	default:
+		finish_query_(topic, NULL);
+	}
+}
+
+static void on_reply_(void *arg, const uint8_t *bytes, size_t length)
+{
+	topic_t *topic = arg;
+
+	if (!topic->on_updates)
+		return;
+	if (!bytes)
+		fail_query_(topic, topic->relay->failed);
+	else if (length == 0)
+		begin_transfer_(topic);
+	else
+		accept_updates_(topic, bytes, length);
+}
+
 static void send_query_(void *arg)
 {
 	topic_t *topic = arg;
@@ -136,7 +270,8 @@
 
 	topic->queried_at = now_(self);
 	self->config.ops->send_query(self->config.context, topic->queried_node,
-				     bytes, length, on_reply_, topic);
+				     MMX_STORE_QUERY_UPDATES, bytes, length,
+				     on_reply_, topic);
 	g_free(bytes);
 }
 
@@ -163,6 +298,8 @@
 	topic->read_at = -MMX_TIME_NEVER / 2; /* never read */
 	mmx_timer_init(&topic->query_timer, self->config.clock, send_query_,
 		       topic);
+	mmx_timer_init(&topic->block_timer, self->config.clock,
+		       send_block_query_, topic);
 	LIST_INSERT_HEAD(&self->topics, topic, entry);
 	return topic;
 }
@@ -207,8 +344,31 @@
 		return false;
 	mmx_store_source_on_query(self->source, now_(self));
 	mmx_counter_add(self->served, 1);
-	*reply = mmx_store_tail_encode(
-		topic->tail, from, now_(self) - topic->read_at, reply_length);
+	if (mmx_store_tail_encoded_size(topic->tail, from) <=
+	    MMX_STORE_BLOCK_BYTES)
+		*reply = mmx_store_tail_encode(topic->tail, from,
+					       now_(self) - topic->read_at,
+					       reply_length);
+	return true;
+}
+
+bool mmx_relay_serve_block(mmx_relay_t *self, mmx_node_id_t from,
+			   const uint8_t *bytes, size_t length, uint8_t **reply,
+			   size_t *reply_length)
+{
+	mmx_store_block_query_t query;
+	mmx_store_block_t block;
+	const topic_t *topic = NULL;
+
+	if (mmx_store_block_query_decode(bytes, length, &query))
+		topic = find_topic_(self, query.topic);
+	if (!topic)
+		return false;
+	mmx_store_sender_serve(self->sender, topic->tail,
+			       now_(self) - topic->read_at, &query, from,
+			       &block);
+	mmx_counter_add(self->blocks, 1);
+	*reply = mmx_store_block_encode(&block, reply_length);
 	return true;
 }
 
@@ -262,6 +422,7 @@
 	self->base.ops = &ops_;
 	self->config = *config;
 	self->source = mmx_store_source_create(config->node);
+	self->sender = mmx_store_sender_create(config->clock);
 	LIST_INIT(&self->topics);
 	if (!config->counters)
 		return self;
@@ -271,6 +432,18 @@
 	self->served = mmx_counters_get(
 		config->counters, MMX_COUNTER, "masticmux_store_served_total",
 		"", "Questions of other nodes that were answered.");
+	self->transfers = mmx_counters_get(
+		config->counters, MMX_COUNTER,
+		"masticmux_store_transfers_total", "",
+		"Long updates that were received from other nodes in blocks.");
+	self->referred = mmx_counters_get(
+		config->counters, MMX_COUNTER,
+		"masticmux_store_referrals_total", "",
+		"Nodes that were queried because another one was busy.");
+	self->blocks =
+		mmx_counters_get(config->counters, MMX_COUNTER,
+				 "masticmux_store_blocks_served_total", "",
+				 "Queries for blocks that were answered.");
 	return self;
 }
 
@@ -283,11 +456,15 @@
 	while ((topic = LIST_FIRST(&self->topics))) {
 		LIST_REMOVE(topic, entry);
 		mmx_timer_cancel(&topic->query_timer);
+		mmx_timer_cancel(&topic->block_timer);
+		if (topic->transfer.packed)
+			g_byte_array_free(topic->transfer.packed, TRUE);
 		mmx_store_tail_destroy(topic->tail);
 		g_free(topic->name);
 		g_free(topic);
 	}
 	mmx_store_source_destroy(self->source);
+	mmx_store_sender_destroy(self->sender);
 	g_free(self);
 }
 
--- a/src/libmasticmux/store_updates.c
+++ b/src/libmasticmux/store_updates.c
@@ -23,7 +23,7 @@
 struct mmx_store_tail_t {
 	GQueue records; /* of tail_record_t, oldest first */
 	size_t bytes;	/* of keys and values */
-	uint64_t first; /* all records from this offset on are held */
+	uint64_t first; /* what was written from this offset on is held */
 	uint64_t next;	/* least offset of the next record */
 };
 
@@ -74,6 +74,22 @@
 	free_record_(oldest);
 }
 
+static void remove_key_(mmx_store_tail_t *tail, const char *key)
+{
+	GList *item;
+
+	for (item = tail->records.head; item; item = item->next) {
+		tail_record_t *record = item->data;
+
+		if (strcmp(record->key, key) != 0)
+			continue;
+		tail->bytes -= payload_size_(record);
+		g_queue_delete_link(&tail->records, item);
+		free_record_(record);
+		return;
+	}
+}
+
 void mmx_store_tail_add(mmx_store_tail_t *tail,
 			const mmx_store_record_t *record)
 {
@@ -81,6 +97,7 @@
 
 	if (record->offset < tail->next)
 		return;
+	remove_key_(tail, record->key);
 	copy = g_new0(tail_record_t, 1);
 	copy->offset = record->offset;
 	copy->key = g_strdup(record->key);
@@ -123,29 +140,63 @@
 	       (!has_value || xdr_bytes(xdr, &record->value, &length, length));
 }
 
-uint8_t *mmx_store_tail_encode(const mmx_store_tail_t *tail, uint64_t from,
-			       mmx_time_t age, size_t *length)
+bool mmx_store_tail_holds(const mmx_store_tail_t *tail, uint64_t from)
+{
+	return from >= tail->first;
+}
+
+uint64_t mmx_store_tail_first(const mmx_store_tail_t *tail, uint64_t from)
+{
+	const GList *item;
+
+	for (item = tail->records.head; item; item = item->next)
+		if (((const tail_record_t *)item->data)->offset >= from)
+			return ((const tail_record_t *)item->data)->offset;
+	return tail->next;
+}
+
+/* count: receives the number of records */
+static size_t measure_(const mmx_store_tail_t *tail, uint64_t from,
+		       uint32_t *count)
 {
-	uint64_t next = tail->next;
-	uint32_t ms = encode_age_(age);
-	uint32_t count = 0;
 	size_t size = UPDATES_HEADER_BYTES;
-	uint8_t *bytes;
-	GList *item;
-	bool done;
-	XDR xdr;
+	const GList *item;
 
-	if (from < tail->first)
-		return NULL;
+	*count = 0;
 	for (item = tail->records.tail; item; item = item->prev) {
 		const tail_record_t *record = item->data;
 
 		if (record->offset < from)
 			break;
-		count++;
+		(*count)++;
 		size += RECORD_HEADER_BYTES + RNDUP(strlen(record->key)) +
 			RNDUP(record->length);
 	}
+	return size;
+}
+
+size_t mmx_store_tail_encoded_size(const mmx_store_tail_t *tail, uint64_t from)
+{
+	uint32_t count;
+
+	return measure_(tail, from, &count);
+}
+
+uint8_t *mmx_store_tail_encode(const mmx_store_tail_t *tail, uint64_t from,
+			       mmx_time_t age, size_t *length)
+{
+	uint64_t next = tail->next;
+	uint32_t ms = encode_age_(age);
+	uint32_t count;
+	size_t size;
+	uint8_t *bytes;
+	GList *item;
+	bool done;
+	XDR xdr;
+
+	if (!mmx_store_tail_holds(tail, from))
+		return NULL;
+	size = measure_(tail, from, &count);
 	bytes = g_malloc(size);
 	xdrmem_create(&xdr, (char *)bytes, (u_int)size, XDR_ENCODE);
 	done = xdr_uint64_t(&xdr, &next) && xdr_uint32_t(&xdr, &ms) &&
--- a/src/test_libmasticmux/suites.c
+++ b/src/test_libmasticmux/suites.c
@@ -77,6 +77,7 @@
 	{"settings", NULL, NULL, NULL, NULL, mmx_tests_settings},
 	{"snapshot", NULL, NULL, NULL, NULL, mmx_tests_snapshot},
 	{"stop", NULL, NULL, NULL, NULL, mmx_tests_stop},
+	{"store_blocks", NULL, NULL, NULL, NULL, mmx_tests_store_blocks},
 	{"store_relay", NULL, NULL, NULL, NULL, mmx_tests_store_relay},
 	{"target_client", NULL, NULL, NULL, NULL, mmx_tests_target_client},
 	{"target_cut", NULL, NULL, NULL, NULL, mmx_tests_target_cut},
--- a/src/test_libmasticmux/suites.h
+++ b/src/test_libmasticmux/suites.h
@@ -76,6 +76,7 @@
 extern CU_TestInfo mmx_tests_settings[];
 extern CU_TestInfo mmx_tests_snapshot[];
 extern CU_TestInfo mmx_tests_stop[];
+extern CU_TestInfo mmx_tests_store_blocks[];
 extern CU_TestInfo mmx_tests_store_relay[];
 extern CU_TestInfo mmx_tests_target_client[];
 extern CU_TestInfo mmx_tests_target_cut[];
