Limit what a response may send to the HTTP client

Callers of a machine lose their requests when its node ends for lack of memory. Another operator reported this of a backend that sends bytes without end until its caller closes.

Cause: health checks, and the calls to store and log service, use evhttp, which limits head and body but neither interim responses, whose headers add up and are searched for each one, nor chunk size lines, their extensions, and blank lines between chunks. Only the time-out of the call ended them (health check: 0.5 s).

Evidence: test_http_client before the change: nothing ended interim responses, chunk size, chunk extension and blank lines between chunks within 4 MiB.

Change: a call ends as too large once it has received twice the limits on head and body, or more than eight interim responses, whose headers are dropped.

--- a/src/libmasticmux/http_client.c
+++ b/src/libmasticmux/http_client.c
@@ -20,6 +20,10 @@
 #define IDLE_MAX 4
 /* Longest response head, bytes. */
 #define HEADERS_MAX (16 * 1024)
+/* Interim responses before the response to a call. evhttp adds up their
+ * headers. */
+#define INTERIM_MAX 8
+#define STATUS_CONTINUE 100
 
 typedef struct connection_t {
 	LIST_ENTRY(connection_t) entry;
@@ -36,6 +40,7 @@
 	struct evbuffer_cb_entry *watch; /* on the input of the connection */
 	mmx_time_t started_at;
 	mmx_http_usage_t usage;
+	int interim_count;
 	bool too_large; /* the response exceeds body_max */
 	char *uri;
 	char *type; /* NULL: GET */
@@ -99,6 +104,13 @@
 		evhttp_connection_get_bufferevent(connection->http));
 }
 
+/* Bound on the bytes of a response with its framing. evhttp limits neither a
+ * chunk size line nor blank lines between chunks. */
+static size_t received_max_(const mmx_http_client_t *client)
+{
+	return 2 * (HEADERS_MAX + client->config.body_max);
+}
+
 static void on_input_(struct evbuffer *input,
 		      const struct evbuffer_cb_info *info, void *arg)
 {
@@ -112,6 +124,16 @@
 			mmx_clock_now(call->client->config.clock) -
 			call->started_at;
 	call->usage.received += info->n_added;
+	if (call->usage.received > received_max_(call->client)) {
+		/* The timer ends the call; evhttp is in the middle of a read.
+		 */
+		call->too_large = true;
+		bufferevent_disable(evhttp_connection_get_bufferevent(
+					    call->connection->http),
+				    EV_READ);
+		mmx_timer_set(&call->timer, 0);
+		return;
+	}
 	if (call->client->config.stall_timeout)
 		mmx_timer_set(&call->timer, call->client->config.stall_timeout);
 }
@@ -242,12 +264,13 @@
 {
 	call_t *call = arg;
 	connection_t *connection = detach_connection_(call);
+	const mmx_http_reply_t too_large = {.too_large = true, .body = ""};
 
 	/* Freed at once, so that a late response cannot access the freed
 	 * call. */
 	evhttp_connection_free(connection->http);
 	g_free(connection);
-	end_call_(call, NULL);
+	end_call_(call, call->too_large ? &too_large : NULL);
 }
 
 static void on_response_(struct evhttp_request *request, void *arg)
@@ -292,6 +315,17 @@
 		call->too_large = true;
 }
 
+/* Returns a negative value to close the connection. */
+static int on_head_(struct evhttp_request *request, void *arg)
+{
+	call_t *call = arg;
+
+	if (evhttp_request_get_response_code(request) != STATUS_CONTINUE)
+		return 0;
+	evhttp_clear_headers(evhttp_request_get_input_headers(request));
+	return ++call->interim_count > INTERIM_MAX ? -1 : 0;
+}
+
 /* Detects a service that disappeared without resetting the connection. */
 static void set_socket_timeouts_(mmx_http_client_t *client,
 				 connection_t *connection)
@@ -327,6 +361,7 @@
 	call->watch =
 		evbuffer_add_cb(get_input_(call->connection), on_input_, call);
 	evhttp_request_set_error_cb(request, on_error_);
+	evhttp_request_set_header_cb(request, on_head_);
 	mmx_address_format(&client->config.address, host, sizeof(host));
 	evhttp_add_header(headers, "Host", host);
 	if (call->type) {
--- a/src/test_libmasticmux/suites.c
+++ b/src/test_libmasticmux/suites.c
@@ -82,6 +82,7 @@
 	{"target_client", NULL, NULL, NULL, NULL, mmx_tests_target_client},
 	{"target_cut", NULL, NULL, NULL, NULL, mmx_tests_target_cut},
 	{"target_delay", NULL, NULL, NULL, NULL, mmx_tests_target_delay},
+	{"target_endless", NULL, NULL, NULL, NULL, mmx_tests_target_endless},
 	{"target_probe", NULL, NULL, NULL, NULL, mmx_tests_target_probe},
 	{"target_reuse", NULL, NULL, NULL, NULL, mmx_tests_target_reuse},
 	{"task", NULL, NULL, NULL, NULL, mmx_tests_task},
--- a/src/test_libmasticmux/suites.h
+++ b/src/test_libmasticmux/suites.h
@@ -81,6 +81,7 @@
 extern CU_TestInfo mmx_tests_target_client[];
 extern CU_TestInfo mmx_tests_target_cut[];
 extern CU_TestInfo mmx_tests_target_delay[];
+extern CU_TestInfo mmx_tests_target_endless[];
 extern CU_TestInfo mmx_tests_target_probe[];
 extern CU_TestInfo mmx_tests_target_reuse[];
 extern CU_TestInfo mmx_tests_task[];
--- a/src/test_libmasticmux/test_http_client.c
+++ b/src/test_libmasticmux/test_http_client.c
@@ -14,7 +14,12 @@
 /* Time between two parts of a response. */
 #define GAP_US (300 * MMX_US_PER_MS)
 #define ITERATIONS 200
-#define PARTS_MAX 12
+#define BODY_MAX (64 * 1024)
+/* What an endless response sends at most. */
+#define ENDLESS_BYTES (4 * 1024 * 1024)
+/* What the client may read of it: a head, the body with its framing, and one
+ * read of the socket. */
+#define ENDLESS_READ_MAX (256 * 1024)
 
 typedef struct fixture_t {
 	struct event_base *base;
@@ -61,7 +66,8 @@
 	}
 }
 
-static void open_(fixture_t *fixture, mmx_time_t stall_timeout)
+/* body_max: longest response body, bytes */
+static void open_(fixture_t *fixture, mmx_time_t stall_timeout, size_t body_max)
 {
 	struct sockaddr_in name = {.sin_family = AF_INET};
 	socklen_t length = sizeof(name);
@@ -80,7 +86,7 @@
 		.base = fixture->base,
 		.clock = fixture->clock,
 		.address = address,
-		.body_max = 1024 * 1024,
+		.body_max = body_max,
 		.stall_timeout = stall_timeout,
 	});
 	mmx_http_client_get(fixture->client, "/", TIMEOUT_US, on_reply_,
@@ -138,7 +144,7 @@
 		const response_case_t *row = &cases_[i];
 		fixture_t fixture;
 
-		open_(&fixture, row->stall_timeout);
+		open_(&fixture, row->stall_timeout, BODY_MAX);
 		for (part = 0; part < row->sent && !fixture.calls; part++) {
 			mmx_clock_advance(fixture.clock, GAP_US);
 			if (fixture.calls)
@@ -159,7 +165,71 @@
 	}
 }
 
+#define TEN "aaaaaaaaaa"
+#define HUNDRED TEN TEN TEN TEN TEN TEN TEN TEN TEN TEN
+#define LONG HUNDRED HUNDRED HUNDRED HUNDRED HUNDRED
+#define CHUNKED "HTTP/1.1 200 x\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+typedef struct endless_case_t {
+	const char *name;
+	const char *start;
+	const char *repeated;
+} endless_case_t;
+
+static const endless_case_t endless_[] = {
+	{"status line", "HTTP/1.1 200 ", "aaaaaaaa"},
+	{"no line", "", "aaaaaaaa"},
+	{"blank lines", "", "\r\n"},
+	{"header", "HTTP/1.1 200 x\r\nA: ", "aaaaaaaa"},
+	{"headers", "HTTP/1.1 200 x\r\n", "A: b\r\n"},
+	{"interim responses", "", "HTTP/1.1 100 x\r\nA: " LONG "\r\n\r\n"},
+	{"body until the end", "HTTP/1.1 200 x\r\n\r\n", "aaaaaaaa"},
+	{"long body", "HTTP/1.1 200 x\r\nContent-Length: 99999999\r\n\r\n",
+	 "aaaaaaaa"},
+	{"chunks", CHUNKED, "1\r\na\r\n"},
+	{"chunk size", CHUNKED, "00000000"},
+	{"chunk extension", CHUNKED "1;", "aaaaaaaa"},
+	{"blank lines between chunks", CHUNKED, "\r\n"},
+	{"trailer", CHUNKED "0\r\nA: ", "aaaaaaaa"},
+	{"trailers", CHUNKED "0\r\n", "A: b\r\n"},
+};
+
+/* Guards against a server that sends bytes without end, of which the client
+ * keeps all until it runs out of memory. */
+static void test_endless_responses_(void)
+{
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(endless_); i++) {
+		const endless_case_t *row = &endless_[i];
+		struct evbuffer *output;
+		fixture_t fixture;
+		size_t sent = 0;
+
+		open_(&fixture, STALL_US, BODY_MAX);
+		output = bufferevent_get_output(fixture.connection);
+		evbuffer_add(output, row->start, strlen(row->start));
+		while (!fixture.calls && sent < ENDLESS_BYTES) {
+			while (evbuffer_get_length(output) < 65536) {
+				evbuffer_add(output, row->repeated,
+					     strlen(row->repeated));
+				sent += strlen(row->repeated);
+			}
+			mmx_clock_advance(fixture.clock, 0);
+			event_base_loop(fixture.base, EVLOOP_NONBLOCK);
+		}
+		if (fixture.usage.received > ENDLESS_READ_MAX || !fixture.calls)
+			fprintf(stderr, "%s: read %zu of %zu bytes\n",
+				row->name, fixture.usage.received, sent);
+		CU_ASSERT_EQUAL(fixture.calls, 1);
+		CU_ASSERT_TRUE(fixture.usage.received <= ENDLESS_READ_MAX);
+		CU_ASSERT_EQUAL(fixture.length, 0);
+		close_(&fixture);
+	}
+}
+
 CU_TestInfo mmx_tests_http_client[] = {
+	{"endless responses", test_endless_responses_},
 	{"slow responses", test_slow_responses_},
 	CU_TEST_INFO_NULL,
 };
