Limit the unparsed input of the servers for targets and operators

Callers of a machine lose their requests when its node ends for lack of memory.

Cause: evhttp, which reads announcements and requests of operators, limits heads and bodies but not the line with the size of a chunk. A target beside the node that sends one without end is read for as long as it sends; the time-out of the server counts from the latest byte.

Evidence: test_http_guard without the guard: a server takes more than 16 MB of a chunk size line or of a chunk extension and goes on.

Change: mmx_http_guard shuts a connection down whose unparsed input exceeds 256 KiB; the servers for announcements and operators and the exporter of traces use it.

--- a/src/libmasticmux/announce.c
+++ b/src/libmasticmux/announce.c
@@ -9,6 +9,7 @@
 #include <jansson.h>
 #include <string.h>
 
+#include "private/http_guard.h"
 #include "private/listen.h"
 
 #define TARGETS_PATH "/v1/targets"
@@ -458,6 +459,7 @@
 			"address",
 			address->host);
 	announce->server = evhttp_new(mmx_runtime_base(announce->runtime));
+	mmx_http_guard_server(announce->server);
 	evhttp_set_max_body_size(announce->server, BODY_BYTES_MAX);
 	evhttp_set_max_headers_size(announce->server, HEADER_BYTES_MAX);
 	evhttp_set_timeout(announce->server, TIMEOUT_S);
--- a/src/libmasticmux/exporter.c
+++ b/src/libmasticmux/exporter.c
@@ -8,6 +8,8 @@
 #include <inttypes.h>
 #include <string.h>
 
+#include "private/http_guard.h"
+
 #define BATCH_MAX 256
 #define INTERVAL (1 * MMX_US_PER_S)
 #define BACKOFF_MAX (60 * MMX_US_PER_S)
@@ -229,6 +231,8 @@
 	exporter->connection =
 		evhttp_connection_base_new(mmx_runtime_base(runtime), NULL,
 					   collector->host, collector->port);
+	mmx_http_guard_connection(
+		evhttp_connection_get_bufferevent(exporter->connection));
 	evhttp_connection_set_timeout(exporter->connection, TIMEOUT_S);
 	evhttp_connection_set_retries(exporter->connection, 0);
 	evhttp_connection_set_max_body_size(exporter->connection, RESPONSE_MAX);
--- a/src/libmasticmux/operator.c
+++ b/src/libmasticmux/operator.c
@@ -10,6 +10,7 @@
 #include <string.h>
 #include <unistd.h>
 
+#include "private/http_guard.h"
 #include "private/listen.h"
 
 #define BODY_BYTES_MAX (64 * 1024)
@@ -322,6 +323,7 @@
 {
 	assert(!server->server);
 	server->server = evhttp_new(server->base);
+	mmx_http_guard_server(server->server);
 	evhttp_set_max_body_size(server->server, BODY_BYTES_MAX);
 	evhttp_set_max_headers_size(server->server, HEADER_BYTES_MAX);
 	evhttp_set_timeout(server->server, CONNECTION_TIMEOUT_S);
--- a/src/test_libmasticmux/suites.c
+++ b/src/test_libmasticmux/suites.c
@@ -48,6 +48,7 @@
 	{"http_entry", NULL, NULL, NULL, NULL, mmx_tests_http_entry},
 	{"http_entry_connection", NULL, NULL, NULL, NULL,
 	 mmx_tests_http_entry_connection},
+	{"http_guard", NULL, NULL, NULL, NULL, mmx_tests_http_guard},
 	{"http_reader", NULL, NULL, NULL, NULL, mmx_tests_http_reader},
 	{"latency", NULL, NULL, NULL, NULL, mmx_tests_latency},
 	{"limits", NULL, NULL, NULL, NULL, mmx_tests_limits},
--- a/src/test_libmasticmux/suites.h
+++ b/src/test_libmasticmux/suites.h
@@ -47,6 +47,7 @@
 extern CU_TestInfo mmx_tests_http_client[];
 extern CU_TestInfo mmx_tests_http_entry[];
 extern CU_TestInfo mmx_tests_http_entry_connection[];
+extern CU_TestInfo mmx_tests_http_guard[];
 extern CU_TestInfo mmx_tests_http_reader[];
 extern CU_TestInfo mmx_tests_latency[];
 extern CU_TestInfo mmx_tests_limits[];
