Refuse long updates from a node that no longer reads the store

Callers would see an older configuration for up to 2 s longer than necessary if the node that their node asks is cut off from the store.

Cause: the age of long updates, which comes with each block, was not compared with the greatest accepted age; only the reply to the next query showed it. And only a busy sender ended a transfer that takes too long, not a slow one.

Change: the age that comes with the first block is checked unless the sender was named by the node that reads the store; a transfer that is not complete after 2 s ends with a read of the store, whatever the reason.

--- a/src/libmasticmux/store_relay.c
+++ b/src/libmasticmux/store_relay.c
@@ -17,6 +17,7 @@
 	GByteArray *packed; /* NULL: no transfer is in progress */
 	size_t unpacked;    /* length of the updates, bytes */
 	mmx_time_t started_at;
+	bool referred; /* the sender does not read the store */
 } transfer_t;
 
 typedef struct topic_t {
@@ -197,29 +198,43 @@
 	bool refer = other && other != self->config.node &&
 		     topic->transfer.packed->len == 0;
 
-	if (now_(self) - topic->transfer.started_at >= TRANSFER_MAX_US) {
-		finish_query_(topic, NULL);
-		return;
-	}
 	if (refer) {
 		mmx_counter_add(self->referred, 1);
+		topic->transfer.referred = true;
 		topic->queried_node = other;
 	}
 	mmx_timer_set(&topic->block_timer, refer ? 0 : BUSY_RETRY_US);
 }
 
+static bool is_overdue_(const topic_t *topic)
+{
+	return now_(topic->relay) - topic->transfer.started_at >=
+	       TRANSFER_MAX_US;
+}
+
+static bool completes_(const topic_t *topic, const mmx_store_block_t *block)
+{
+	return block->status == MMX_STORE_BLOCK_DATA &&
+	       topic->transfer.packed->len + block->length >= block->total;
+}
+
 static void on_block_data_(topic_t *topic, const mmx_store_block_t *block)
 {
 	transfer_t *transfer = &topic->transfer;
 
+	if (!transfer->referred && transfer->packed->len == 0 &&
+	    block->age > topic->max_age) {
+		fail_query_(topic, topic->relay->stale);
+		return;
+	}
 	transfer->package = block->package;
 	transfer->unpacked = block->unpacked;
 	g_byte_array_append(transfer->packed, block->bytes,
 			    (guint)block->length);
-	if (transfer->packed->len < block->total)
-		send_block_query_(topic);
-	else
+	if (transfer->packed->len >= block->total)
 		end_transfer_(topic);
+	else
+		send_block_query_(topic);
 }
 
 static void on_block_(void *arg, const uint8_t *bytes, size_t length)
@@ -234,6 +249,10 @@
 		fail_query_(topic, self->failed);
 		return;
 	}
+	if (is_overdue_(topic) && !completes_(topic, &block)) {
+		finish_query_(topic, NULL);
+		return;
+	}
 	switch (block.status) {
 	case MMX_STORE_BLOCK_DATA:
 		on_block_data_(topic, &block);
--- a/src/test_libmasticmux/test_store_blocks.c
+++ b/src/test_libmasticmux/test_store_blocks.c
@@ -28,6 +28,7 @@
 	mmx_node_id_t id;
 	mmx_relay_t *relay;
 	mmx_timer_t timer; /* next query or read of the store */
+	bool stopped;	   /* sends no further query */
 	mmx_time_t link_free_at;
 	uint64_t next;
 	mmx_time_t received_at[CHANGES_MAX];
@@ -185,7 +186,8 @@
 	}
 	if (updates)
 		node->next = MAX(node->next, updates->next);
-	mmx_timer_set(&node->timer, updates ? 0 : QUERY_INTERVAL_US);
+	if (!node->stopped)
+		mmx_timer_set(&node->timer, updates ? 0 : QUERY_INTERVAL_US);
 }
 
 static void read_store_(node_t *node)
@@ -370,6 +372,26 @@
 	}
 }
 
+/* Guards against long updates from a node that no longer reads the store: the
+ * store may have newer ones. */
+static void test_stale_sender_(void)
+{
+	world_t world;
+
+	open_(&world, 2, 1700, 1900000);
+	world.nodes[1].stopped = true;
+	mmx_clock_advance(world.clock, MMX_US_PER_S);
+	change_(&world);
+	mmx_clock_advance(world.clock, READ_INTERVAL_US);
+	mmx_timer_cancel(&world.nodes[0].timer);
+	mmx_clock_advance(world.clock, MAX_AGE_US);
+	mmx_timer_set(&world.nodes[1].timer, 0);
+	/* Before the next query, whose reply would show the age as well. */
+	mmx_clock_advance(world.clock, QUERY_INTERVAL_US / 2);
+	CU_ASSERT_TRUE(world.store_reads > 0);
+	close_(&world);
+}
+
 /* A tail with one record from offset 1 on, whose value does not pack well. */
 static mmx_store_tail_t *new_tail_(size_t length)
 {
@@ -549,6 +571,7 @@
 }
 
 CU_TestInfo mmx_tests_store_blocks[] = {
+	{"stale sender", test_stale_sender_},
 	{"receivers", test_receivers_},
 	{"newer record", test_newer_record_},
 	{"damaged messages", test_damaged_messages_},
