--- a/src/test_libmasticmux/test_store_relay.c
+++ b/src/test_libmasticmux/test_store_relay.c
@@ -524,8 +524,7 @@
 }
 
 /* Guards against updates between two nodes that lose or duplicate records,
- * restore an outdated one, or contain a record that a later one of its key
- * replaces. */
+ * restore an outdated one, or contain one that a later one replaces. */
 static void test_updates_(void)
 {
 	static const struct {
