--- a/src/libmasticmux/store_blocks.c
+++ b/src/libmasticmux/store_blocks.c
@@ -288,6 +288,7 @@
 			       const mmx_store_tail_t *tail,
 			       const mmx_store_block_query_t *query)
 {
+	uint64_t first;
 	package_t *package;
 
 	if (query->package) {
@@ -298,9 +299,10 @@
 	}
 	if (!mmx_store_tail_holds(tail, query->from))
 		return NULL;
+	first = mmx_store_tail_first(tail, query->from);
 	LIST_FOREACH (package, &sender->packages, entry)
 		if (strcmp(package->topic, query->topic) == 0 &&
-		    package->first == mmx_store_tail_first(tail, query->from) &&
+		    package->first == first &&
 		    package->next == mmx_store_tail_next(tail))
 			return package;
 	return pack_(sender, tail, query);
